Carry a caller's request under a contract to a backend server and back

Cause: there was no program yet. Change: a workspace with the model, the platform's traits and clients, versioned configuration in the table, the gateway, a node, the command line, stand-ins and the style checks. Before: nothing. After: one test carries a request end to end, refuses a key without right and a withdrawn key. Conclusion: the thin path works on one node; limits are split equally and nothing spans nodes yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+.PHONY: test demo tools check
+
+# Formatting, lints, style checks and all tests.
+test: tools check
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+	cargo test --workspace --locked
+
+# Three nodes, a stand-in platform and stand-in backend servers over loopback.
+demo: tools
+	cargo build --release --workspace --locked
+	tools/demo.sh
+
+check:
+	tools/check-style.sh
+
+# Building nng needs cmake and a C compiler.
+tools:
+	@tools/install-tools.sh
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,22 @@
+//! The configuration in the table: versioned changes, and the follower that brings them to a node.
+//!
+//! | row | value |
+//! |---|---|
+//! | `config/head` | [`Head`]: version of the last change |
+//! | `config/row/{name}` | a [`model::ConfigRow`] |
+//! | `config/change/{version}` | the [`model::Change`] that led to the version |
+//!
+//! A change is one transaction: its rows, its change row and the head, under the precondition that
+//! the head is as it was read. So changes are totally ordered, a race loses with a conflict, and a
+//! follower that has version `n` needs only the change rows after `n`.
+
+mod read;
+mod rows;
+mod write;
+
+pub use read::Poll;
+pub use read::load;
+pub use read::poll;
+pub use rows::Head;
+pub use write::ChangeError;
+pub use write::ConfigWriter;
--- /dev/null
+++ b/crates/control/src/rows.rs
@@ -0,0 +1,38 @@
+//! Keys and values of the configuration's rows.
+
+use model::ConfigVersion;
+use platform::Row;
+use platform::Unavailable;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Key of the head row.
+pub const HEAD_KEY: &str = "config/head";
+/// Prefix of the rows of the configuration.
+pub const ROW_PREFIX: &str = "config/row/";
+/// Prefix of the change rows.
+pub const CHANGE_PREFIX: &str = "config/change/";
+
+/// Value of the head row.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Version of the last change.
+    pub version: ConfigVersion,
+}
+
+/// Key of a row of the configuration.
+pub fn row_key(name: &str) -> String {
+    format!("{ROW_PREFIX}{name}")
+}
+
+/// Key of a change row; keys sort by version.
+pub fn change_key(version: ConfigVersion) -> String {
+    format!("{CHANGE_PREFIX}{version:020}")
+}
+
+/// Value of a row in JSON.
+pub fn decode<T: DeserializeOwned>(row: &Row) -> Result<T, Unavailable> {
+    serde_json::from_slice(&row.value)
+        .map_err(|error| Unavailable::new(format!("row `{}` is malformed: {error}", row.key)))
+}
--- /dev/null
+++ b/crates/gateway/src/header.rs
@@ -0,0 +1,61 @@
+//! Headers of the caller interface, and headers that end at each hop.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+/// Outcome of a request.
+pub const OUTCOME: HeaderName = HeaderName::from_static("savorypitch-outcome");
+/// Id of a request; given by the gateway and sent to the backend server.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("savorypitch-request-id");
+/// Time that the caller still waits, in milliseconds.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("savorypitch-deadline-ms");
+/// Team that the work counts for; sent to the backend server.
+pub const TEAM: HeaderName = HeaderName::from_static("savorypitch-team");
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes hop-by-hop headers, also those that `Connection` names.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Secret of `Authorization: Bearer`.
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, secret) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| secret.trim())
+}
+
+/// Time that the caller still waits; `Err` with the text that is not a count of milliseconds.
+pub fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, String> {
+    let Some(value) = headers.get(DEADLINE_MS) else {
+        return Ok(None);
+    };
+    let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
+    match text.parse() {
+        Ok(wait_ms) => Ok(Some(Duration::from_millis(wait_ms))),
+        Err(_) => Err(text),
+    }
+}
--- /dev/null
+++ b/crates/maintenance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/model/src/config.rs
@@ -0,0 +1,184 @@
+//! The configuration: an immutable snapshot, and the changes that lead from one to the next.
+//!
+//! A change is a list of rows that replace the rows of the same name. Snapshots keep their rows in
+//! sorted vectors, so that every lookup is a binary search.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::contract::Contract;
+use crate::contract::Pool;
+use crate::contract::Queue;
+use crate::contract::Service;
+use crate::contract::Team;
+use crate::host::HostRow;
+use crate::ids::ConfigVersion;
+use crate::ids::TeamRef;
+use crate::key::KeyRow;
+use crate::key::KeyState;
+use crate::key::hash_key;
+
+/// One row of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConfigRow {
+    /// Contract of a customer.
+    Contract(Contract),
+    /// Key of a team or operator.
+    Key(KeyRow),
+    /// Host.
+    Host(HostRow),
+}
+
+impl ConfigRow {
+    /// Name of the row in the table, below the prefix of the configuration.
+    pub fn name(&self) -> String {
+        match self {
+            Self::Contract(contract) => format!("contract/{}", contract.customer),
+            Self::Key(key) => format!("key/{}", key.id),
+            Self::Host(host) => format!("host/{}", host.id()),
+        }
+    }
+}
+
+/// One accepted change of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Version that the change leads to.
+    pub version: ConfigVersion,
+    /// Rows that replace those of the same name.
+    pub rows: Vec<ConfigRow>,
+}
+
+/// Why a change could not be applied to a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("change {found} does not follow version {held}")]
+pub struct VersionGap {
+    /// Version of the snapshot.
+    pub held: ConfigVersion,
+    /// Version of the change.
+    pub found: ConfigVersion,
+}
+
+/// The whole configuration at one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Version of the snapshot; 0 is the empty configuration.
+    pub version: ConfigVersion,
+    /// Contracts, sorted by customer.
+    pub contracts: Vec<Contract>,
+    /// Keys, sorted by hash.
+    pub keys: Vec<KeyRow>,
+    /// Hosts, sorted by id.
+    pub hosts: Vec<HostRow>,
+}
+
+impl Config {
+    /// Snapshot of `rows` at `version`.
+    pub fn from_rows(version: ConfigVersion, rows: Vec<ConfigRow>) -> Self {
+        let mut config = Self::default();
+        config.replace(rows);
+        config.version = version;
+        config
+    }
+
+    /// Snapshot after `change`, which must be the next version.
+    pub fn with_change(&self, change: Change) -> Result<Self, VersionGap> {
+        if change.version != self.version + 1 {
+            return Err(VersionGap { held: self.version, found: change.version });
+        }
+        let mut next = self.clone();
+        next.replace(change.rows);
+        next.version = change.version;
+        Ok(next)
+    }
+
+    /// Contract of a customer.
+    pub fn contract(&self, customer: &str) -> Option<&Contract> {
+        let index = self.contracts.binary_search_by(|c| (*c.customer).cmp(customer)).ok()?;
+        Some(&self.contracts[index])
+    }
+
+    /// Host by id.
+    pub fn host(&self, id: &str) -> Option<&HostRow> {
+        let index = self.hosts.binary_search_by(|host| (**host.id()).cmp(id)).ok()?;
+        Some(&self.hosts[index])
+    }
+
+    /// Granted key whose secret text is `secret`.
+    pub fn granted_key(&self, secret: &str) -> Option<&KeyRow> {
+        let hash = hash_key(secret);
+        let index = self.keys.binary_search_by(|key| key.hash.cmp(&hash)).ok()?;
+        Some(&self.keys[index]).filter(|key| key.state == KeyState::Granted)
+    }
+
+    /// Key by its public name, granted or withdrawn.
+    pub fn key_by_id(&self, id: &str) -> Option<&KeyRow> {
+        self.keys.iter().find(|key| *key.id == *id)
+    }
+
+    /// Queue by name, with the contract that it stands in.
+    pub fn queue(&self, name: &str) -> Option<(&Contract, &Queue)> {
+        self.contracts.iter().find_map(|contract| Some((contract, contract.queue(name)?)))
+    }
+
+    /// Team of a customer.
+    pub fn team(&self, team: &TeamRef) -> Option<&Team> {
+        self.contract(&team.customer)?.team(&team.team)
+    }
+
+    /// Pool by name, with the contract that it stands in.
+    pub fn pool(&self, name: &str) -> Option<(&Contract, &Pool)> {
+        self.contracts.iter().find_map(|contract| Some((contract, contract.pool(name)?)))
+    }
+
+    /// Service that a host's pool serves; `None` for a spare pool.
+    pub fn service_of(&self, host: &HostRow) -> Option<&Service> {
+        let contract = self.contract(&host.customer)?;
+        let service = contract.pool(&host.spec.pool)?.service.as_ref()?;
+        contract.service(service)
+    }
+
+    /// Hosts whose pool serves `service` of `contract`, in any state.
+    pub fn hosts_of<'a>(
+        &'a self,
+        contract: &'a Contract,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a HostRow> {
+        self.hosts.iter().filter(move |host| {
+            host.customer == contract.customer
+                && contract
+                    .pool(&host.spec.pool)
+                    .is_some_and(|pool| pool.service.as_deref() == Some(service))
+        })
+    }
+
+    /// All rows of the snapshot.
+    pub fn rows(&self) -> Vec<ConfigRow> {
+        let contracts = self.contracts.iter().cloned().map(ConfigRow::Contract);
+        let keys = self.keys.iter().cloned().map(ConfigRow::Key);
+        let hosts = self.hosts.iter().cloned().map(ConfigRow::Host);
+        contracts.chain(keys).chain(hosts).collect()
+    }
+
+    fn replace(&mut self, rows: Vec<ConfigRow>) {
+        for row in rows {
+            match row {
+                ConfigRow::Contract(contract) => {
+                    put(&mut self.contracts, contract, |c| c.customer.to_string());
+                }
+                ConfigRow::Key(key) => put(&mut self.keys, key, |k| k.hash.clone()),
+                ConfigRow::Host(host) => put(&mut self.hosts, host, |h| h.id().to_string()),
+            }
+        }
+    }
+}
+
+/// Replaces the item with the same sort key, or inserts it in order.
+fn put<T, K: Ord>(items: &mut Vec<T>, item: T, sort_key: impl Fn(&T) -> K) {
+    let wanted = sort_key(&item);
+    match items.binary_search_by_key(&wanted, &sort_key) {
+        Ok(index) => items[index] = item,
+        Err(index) => items.insert(index, item),
+    }
+}
--- /dev/null
+++ b/crates/node/src/api.rs
@@ -0,0 +1,144 @@
+//! Messages of the operators' interface, shared by the node and the command line.
+
+use model::ConfigVersion;
+use model::CustomerId;
+use model::HostId;
+use model::HostState;
+use model::KeyId;
+use model::NodeId;
+use model::PoolId;
+use model::QueueId;
+use model::ServiceId;
+use model::TeamRef;
+use model::ZoneId;
+use model::key::KeyHolder;
+use model::key::KeyState;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Prefix of all paths of the operators' interface.
+pub const PREFIX: &str = "/admin/v1";
+
+/// `POST /contracts`: a contract to check and accept.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ApplyContract {
+    /// Name of the text, for findings.
+    pub source: String,
+    /// Contract in TOML.
+    pub text: String,
+    /// Version that the operator decided on.
+    pub seen: Option<ConfigVersion>,
+}
+
+/// Answer to an accepted change.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Version that the change led to.
+    pub version: ConfigVersion,
+    /// Nodes that have it in force.
+    pub in_force: Vec<NodeId>,
+    /// Nodes that have not reported it in time.
+    pub missing: Vec<NodeId>,
+}
+
+/// `POST /keys`: a key to grant.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GrantKey {
+    /// Whom the key is for.
+    pub holder: KeyHolder,
+}
+
+/// Answer to a grant; the only time that the secret is shown.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GrantedKey {
+    /// Public name of the key.
+    pub id: KeyId,
+    /// Secret text.
+    pub secret: String,
+    /// The change.
+    pub accepted: Accepted,
+}
+
+/// A key, without its hash.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct KeyView {
+    /// Public name.
+    pub id: KeyId,
+    /// Whom it is for.
+    pub holder: String,
+    /// Granted or withdrawn.
+    pub state: KeyState,
+}
+
+/// A queue.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct QueueView {
+    /// Name.
+    pub name: QueueId,
+    /// Customer.
+    pub customer: CustomerId,
+    /// Service.
+    pub service: ServiceId,
+    /// `open`, or the teams that may use it.
+    pub access: String,
+}
+
+/// A host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HostView {
+    /// Name.
+    pub id: HostId,
+    /// Customer.
+    pub customer: CustomerId,
+    /// Pool that it is in.
+    pub pool: PoolId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Step of its life cycle.
+    pub state: HostState,
+    /// Pool that it moves to.
+    pub move_to: Option<PoolId>,
+    /// Requests that this node has running there.
+    pub running: u32,
+    /// Tokens of this node that are held back.
+    pub in_doubt: u32,
+}
+
+/// A team.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TeamView {
+    /// Team.
+    pub team: TeamRef,
+    /// Share weight.
+    pub share_weight: u32,
+    /// Upper limit over the fleet.
+    pub running_max: u32,
+    /// Tokens that this node may use.
+    pub granted: u32,
+    /// Requests that this node has running.
+    pub running: u32,
+    /// Tokens of this node that are held back.
+    pub in_doubt: u32,
+}
+
+/// State of one node.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StatusView {
+    /// Node.
+    pub node: NodeId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Version in force.
+    pub config_version: ConfigVersion,
+    /// True while the node takes new work.
+    pub admits: bool,
+    /// Counters and gauges, sorted by name.
+    pub metrics: Vec<(String, u64)>,
+}
+
+/// A refusal without findings.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Problem {
+    /// What is wrong.
+    pub detail: String,
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,18 @@
+//! One node: the gateway, the configuration follower and the operators' interface, wired together.
+//!
+//! [`Node::start`] builds the parts and starts their tasks; [`Node::stop`] ends them gracefully.
+//! Lock order: `Shared::config` before the limit table; neither is held across an await.
+
+pub mod api;
+
+mod admin;
+mod follower;
+mod run;
+mod settings;
+mod shared;
+
+pub use run::Node;
+pub use run::StartError;
+pub use run::Stopped;
+pub use settings::Platform;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,127 @@
+//! Start and graceful stop of a node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use axum::Router;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::routing::get;
+use events::EventKind;
+use events::Recorder;
+use gateway::Authority;
+use gateway::Gateway;
+use gateway::Server;
+use http::StatusCode;
+use telemetry::Telemetry;
+use tokio::task::JoinHandle;
+
+use crate::admin;
+use crate::follower;
+use crate::settings::Platform;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// Why a node did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// Address of the setting.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Metrics could not be set up.
+    #[error("cannot send metrics: {0}")]
+    Metrics(std::io::Error),
+}
+
+/// How a node stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stopped {
+    /// True if no request was cut.
+    pub graceful: bool,
+}
+
+/// A running node.
+pub struct Node {
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    shared: Arc<Shared>,
+    caller_server: Server,
+    admin_server: Server,
+    follower: JoinHandle<()>,
+}
+
+impl Node {
+    /// Starts a node; it is ready once it has a configuration.
+    pub async fn start(settings: Settings, platform: Platform) -> Result<Self, StartError> {
+        let started_at = SystemTime::now();
+        let since_epoch = started_at.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = since_epoch.as_millis() as u64;
+        let events = Arc::new(Recorder::new(settings.node.clone(), incarnation));
+        let telemetry = Telemetry::new(settings.metrics_address).map_err(StartError::Metrics)?;
+        events.record(EventKind::NodeStarted, started_at);
+        let shared = Arc::new(Shared::new(settings, platform, events, telemetry));
+        follower::poll_once(&shared).await;
+
+        let settings = &shared.settings;
+        let caller_server = listen(settings.caller_address, caller_router(&shared)).await?;
+        let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
+        let follower = tokio::spawn(follower::follow(shared.clone()));
+        Ok(Self {
+            caller_address: caller_server.address,
+            admin_address: admin_server.address,
+            shared,
+            caller_server,
+            admin_server,
+            follower,
+        })
+    }
+
+    /// Refuses new work, waits `notice` so that the balancer sees it, then ends what runs.
+    pub async fn stop(self, notice: Duration, grace: Duration) -> Stopped {
+        let record = |kind| self.shared.events.record(kind, SystemTime::now());
+        self.shared.begin_stop();
+        record(EventKind::NodeStopping { running: 0 });
+        tokio::time::sleep(notice).await;
+        let graceful = self.caller_server.stop(grace).await;
+        record(EventKind::NodeStopped { cut: u32::from(!graceful) });
+        self.admin_server.stop(Duration::ZERO).await;
+        self.follower.abort();
+        Stopped { graceful }
+    }
+}
+
+async fn listen(address: SocketAddr, router: Router) -> Result<Server, StartError> {
+    gateway::serve(address, router).await.map_err(|source| StartError::Listen { address, source })
+}
+
+fn caller_router(shared: &Arc<Shared>) -> Router {
+    let gateway = Arc::new(Gateway::new(
+        shared.clone(),
+        shared.limits.clone(),
+        shared.events.clone(),
+        shared.telemetry.clone(),
+        shared.settings.gateway.clone(),
+    ));
+    Router::new()
+        .route("/healthz", get(|| async { "ok" }))
+        .route("/readyz", get(ready).with_state(shared.clone()))
+        .fallback(move |request: Request| {
+            let gateway = gateway.clone();
+            async move { gateway.handle(request).await }
+        })
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
+    let ready = !shared.is_stopping() && shared.config().version > 0;
+    if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,68 @@
+//! Settings of a node, already checked.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::GatewaySettings;
+use model::NodeId;
+use model::ZoneId;
+use model::key::KeyHash;
+use platform::Fleet;
+use platform::HttpPlatform;
+use platform::MemoryFleet;
+use platform::MemoryObjects;
+use platform::MemoryTable;
+use platform::Objects;
+use platform::Table;
+
+/// Settings of one node.
+#[derive(Clone)]
+pub struct Settings {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Availability zone of the node.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    /// Hash of the operator key that is valid before any key is granted.
+    pub operator_key_hash: Option<KeyHash>,
+    /// Nodes that share the fleet's limits, this one included.
+    pub node_count: u32,
+    /// Time between polls of the configuration.
+    pub poll_interval: Duration,
+    /// Collector of metrics.
+    pub metrics_address: Option<SocketAddr>,
+    /// Bounds of the caller interface.
+    pub gateway: GatewaySettings,
+}
+
+/// The platform's services as a node uses them.
+#[derive(Clone)]
+pub struct Platform {
+    /// Table.
+    pub table: Arc<dyn Table>,
+    /// Object store.
+    pub objects: Arc<dyn Objects>,
+    /// Host list and host actions.
+    pub fleet: Arc<dyn Fleet>,
+}
+
+impl Platform {
+    /// Services inside the process, for a single node; they end with it.
+    pub fn embedded() -> Self {
+        Self {
+            table: Arc::new(MemoryTable::default()),
+            objects: Arc::new(MemoryObjects::default()),
+            fleet: Arc::new(MemoryFleet::default()),
+        }
+    }
+
+    /// Services at `address`.
+    pub fn remote(address: SocketAddr, call_timeout: Duration) -> Self {
+        let client = Arc::new(HttpPlatform::new(address, call_timeout));
+        Self { table: client.clone(), objects: client.clone(), fleet: client }
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,116 @@
+//! State that the parts of a node share.
+
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use control::ConfigWriter;
+use events::EventKind;
+use events::Recorder;
+use gateway::Authority;
+use limits::LimitKey;
+use limits::LimitTable;
+use model::Config;
+use telemetry::Telemetry;
+use tokio::sync::Notify;
+
+use crate::settings::Platform;
+use crate::settings::Settings;
+
+/// State that the parts of a node share.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Platform.
+    pub platform: Platform,
+    /// Limits.
+    pub limits: Arc<LimitTable>,
+    /// Events.
+    pub events: Arc<Recorder>,
+    /// Metrics.
+    pub telemetry: Telemetry,
+    /// Changes of the configuration.
+    pub writer: ConfigWriter,
+    /// Wakes the follower before its next poll.
+    pub poll_now: Notify,
+    config: RwLock<Arc<Config>>,
+    stopping: AtomicBool,
+}
+
+impl Shared {
+    /// State of a node that has no configuration yet.
+    pub fn new(
+        settings: Settings,
+        platform: Platform,
+        events: Arc<Recorder>,
+        telemetry: Telemetry,
+    ) -> Self {
+        Self {
+            settings,
+            platform,
+            limits: Arc::default(),
+            events,
+            telemetry,
+            writer: ConfigWriter::default(),
+            poll_now: Notify::new(),
+            config: RwLock::default(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Puts `config` in force, unless a later version is; true if it did.
+    pub fn put_in_force(&self, config: Config) -> bool {
+        let version = config.version;
+        {
+            let mut held = self.config.write().expect("no holder panics");
+            if version <= held.version {
+                return false;
+            }
+            *held = Arc::new(config);
+        }
+        self.split_limits();
+        self.telemetry.gauge("config.version", version);
+        self.events.record(EventKind::ConfigInForce { version }, SystemTime::now());
+        true
+    }
+
+    /// Refuses new work from now on.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// True once the node takes no new work for good.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Gives this node an equal part of each limit.
+    fn split_limits(&self) {
+        let config = self.config();
+        let part = |limit: u32| limit / self.settings.node_count.max(1);
+        for contract in &config.contracts {
+            for team in &contract.teams {
+                let team_ref = model::TeamRef::new(contract.customer.clone(), team.name.clone());
+                self.limits.grant(&LimitKey::Running(team_ref), part(team.running_max));
+            }
+        }
+        for host in &config.hosts {
+            self.limits.grant(&LimitKey::Slots(host.id().clone()), part(host.spec.slots));
+            let connections = LimitKey::Connections(host.id().clone());
+            self.limits.grant(&connections, part(host.spec.connections_max));
+        }
+    }
+}
+
+impl Authority for Shared {
+    fn config(&self) -> Arc<Config> {
+        self.config.read().expect("no holder panics").clone()
+    }
+
+    fn may_admit(&self, _now: Instant) -> bool {
+        !self.is_stopping()
+    }
+}
--- /dev/null
+++ b/crates/node/tests/path.rs
@@ -0,0 +1,142 @@
+//! The whole path: contract, key, request, withdrawal.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::GatewaySettings;
+use http::Method;
+use http::StatusCode;
+use model::TeamRef;
+use model::key::KeyHolder;
+use model::key::hash_key;
+use node::Node;
+use node::Platform;
+use node::Settings;
+use node::api;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use standin::backend::StandinBackend;
+use standin::caller::Answer;
+use standin::caller::call;
+
+const OPERATOR_KEY: &str = "operator-key-of-the-test";
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+fn settings() -> Settings {
+    Settings {
+        node: "n1".into(),
+        zone: "a".into(),
+        caller_address: ANY_PORT,
+        admin_address: ANY_PORT,
+        operator_key_hash: Some(hash_key(OPERATOR_KEY)),
+        node_count: 1,
+        poll_interval: Duration::from_millis(50),
+        metrics_address: None,
+        gateway: GatewaySettings {
+            connect_timeout: Duration::from_secs(5),
+            request_timeout: Duration::from_secs(30),
+            body_max_bytes: 1 << 30,
+        },
+    }
+}
+
+fn contract(backend: SocketAddr) -> String {
+    format!(
+        r#"
+customer = "levy"
+profile = "share"
+[[services]]
+name = "validate"
+unavailable_max = 1
+[[queues]]
+name = "levy-validate"
+service = "validate"
+teams = ["officers"]
+[[teams]]
+name = "officers"
+running_max = 4
+[[teams]]
+name = "verifiers"
+running_max = 4
+[[pools]]
+name = "levy-validate"
+service = "validate"
+[[hosts]]
+name = "w1"
+pool = "levy-validate"
+address = "{backend}"
+zone = "a"
+rack = "r1"
+slots = 8
+connections_max = 64
+processors = 16
+memory_mib = 32768
+"#
+    )
+}
+
+async fn admin<T: DeserializeOwned>(
+    node: &Node,
+    method: Method,
+    path: &str,
+    body: &impl Serialize,
+) -> T {
+    let headers = [
+        ("authorization", &*format!("Bearer {OPERATOR_KEY}")),
+        ("content-type", "application/json"),
+    ];
+    let path = format!("{}{path}", api::PREFIX);
+    let body = serde_json::to_vec(body).unwrap();
+    let answer = call(node.admin_address, method, &path, &headers, body).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+async fn grant(node: &Node, team: &str) -> api::GrantedKey {
+    let holder = KeyHolder::Team(TeamRef::new("levy", team));
+    admin(node, Method::POST, "/keys", &api::GrantKey { holder }).await
+}
+
+async fn send(node: &Node, queue: &str, secret: &str) -> Answer {
+    let headers = [("authorization", &*format!("Bearer {secret}"))];
+    let path = format!("/q/{queue}/consignments/7?year=2026");
+    call(node.caller_address, Method::POST, &path, &headers, "steel").await.unwrap()
+}
+
+#[tokio::test]
+async fn request_reaches_backend_and_withdrawn_key_does_not() {
+    let backend = Arc::new(StandinBackend::default());
+    let (backend_address, _) = standin::backend::serve(backend, ANY_PORT).await.unwrap();
+    let node = Node::start(settings(), Platform::embedded()).await.unwrap();
+    let apply = api::ApplyContract {
+        source: "levy.toml".to_owned(),
+        text: contract(backend_address),
+        seen: None,
+    };
+    let accepted: api::Accepted = admin(&node, Method::POST, "/contracts", &apply).await;
+    assert_eq!(accepted.version, 1);
+
+    let officers = grant(&node, "officers").await;
+    let answer = send(&node, "levy-validate", &officers.secret).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.outcome(), "complete");
+    assert_eq!(answer.body, "steel");
+    assert_eq!(answer.header("savorypitch-request-id").len(), 32);
+
+    let verifiers = grant(&node, "verifiers").await;
+    let answer = send(&node, "levy-validate", &verifiers.secret).await;
+    assert_eq!(answer.status, StatusCode::FORBIDDEN);
+    assert_eq!(answer.outcome(), "not-run");
+    let answer = send(&node, "levy-nothing", &officers.secret).await;
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+
+    let path = format!("/keys/{}", officers.id);
+    let _: api::Accepted = admin(&node, Method::DELETE, &path, &()).await;
+    let answer = send(&node, "levy-validate", &officers.secret).await;
+    assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+
+    let stopped = node.stop(Duration::ZERO, Duration::from_secs(30)).await;
+    assert!(stopped.graceful);
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,195 @@
+//! HTTP clients of the platform's services.
+//!
+//! | call | body | answer |
+//! |---|---|---|
+//! | `POST /table/get` | key in JSON | row in JSON, or `null` |
+//! | `POST /table/scan` | [`Scan`] | list of rows |
+//! | `POST /table/commit` | [`Transaction`] | [`CommitOutcome`] |
+//! | `PUT`, `GET`, `DELETE /objects/{name}` | bytes | bytes |
+//! | `GET /objects?prefix=` | | list of names |
+//! | `GET /hosts` | | list of [`FleetHost`] |
+//! | `POST /hosts/{id}/reboot` | operation id in JSON | [`RebootState`] |
+//!
+//! Each call uses an idle connection or a new one, and gives up after the call timeout; the
+//! connection of a call that failed is not used again.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use model::OperationId;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+
+use crate::fleet::Fleet;
+use crate::fleet::FleetHost;
+use crate::fleet::RebootState;
+use crate::objects::Objects;
+use crate::table::CommitOutcome;
+use crate::table::Row;
+use crate::table::Scan;
+use crate::table::Table;
+use crate::table::Transaction;
+use crate::table::Unavailable;
+
+/// Idle connections kept to the platform.
+const IDLE_MAX: usize = 16;
+
+/// Client of all platform services at one address.
+pub struct HttpPlatform {
+    address: SocketAddr,
+    call_timeout: Duration,
+    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+}
+
+impl HttpPlatform {
+    /// Client of the platform at `address`.
+    pub fn new(address: SocketAddr, call_timeout: Duration) -> Self {
+        Self { address, call_timeout, idle: Mutex::default() }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), Unavailable> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, self.address.to_string())
+            .body(Full::new(body))
+            .map_err(Unavailable::new)?;
+        match tokio::time::timeout(self.call_timeout, self.exchange(request)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Unavailable::new("timeout")),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), Unavailable> {
+        let mut sender = self.sender().await?;
+        let response = sender.send_request(request).await.map_err(Unavailable::new)?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(Unavailable::new)?.to_bytes();
+        let mut idle = self.idle.lock().expect("no holder panics");
+        if idle.len() < IDLE_MAX {
+            idle.push(sender);
+        }
+        Ok((status, body))
+    }
+
+    async fn sender(&self) -> Result<SendRequest<Full<Bytes>>, Unavailable> {
+        while let Some(mut sender) = self.pop_idle() {
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        let stream = TcpStream::connect(self.address).await.map_err(Unavailable::new)?;
+        stream.set_nodelay(true).map_err(Unavailable::new)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(Unavailable::new)?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    fn pop_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        self.idle.lock().expect("no holder panics").pop()
+    }
+
+    async fn call_json<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, Unavailable> {
+        let body = serde_json::to_vec(body).map_err(Unavailable::new)?;
+        let (status, answer) = self.call(method, path, body.into()).await?;
+        if status != StatusCode::OK {
+            return Err(Unavailable::new(format!("status {status}")));
+        }
+        serde_json::from_slice(&answer).map_err(Unavailable::new)
+    }
+}
+
+#[async_trait]
+impl Table for HttpPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Row>, Unavailable> {
+        self.call_json(Method::POST, "/table/get", &key).await
+    }
+
+    async fn scan(&self, scan: Scan) -> Result<Vec<Row>, Unavailable> {
+        self.call_json(Method::POST, "/table/scan", &scan).await
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> CommitOutcome {
+        let outcome = self.call_json(Method::POST, "/table/commit", transaction).await;
+        // Whatever went wrong, the service may have the transaction.
+        outcome.unwrap_or(CommitOutcome::Unknown)
+    }
+}
+
+#[async_trait]
+impl Objects for HttpPlatform {
+    async fn put(&self, name: &str, body: Bytes) -> Result<(), Unavailable> {
+        let (status, _) = self.call(Method::PUT, &object_path(name), body).await?;
+        expect_success(status)
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, Unavailable> {
+        let (status, body) = self.call(Method::GET, &object_path(name), Bytes::new()).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        expect_success(status)?;
+        Ok(Some(body))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<String>, Unavailable> {
+        self.call_json(Method::GET, &format!("/objects?prefix={prefix}"), &()).await
+    }
+
+    async fn delete(&self, name: &str) -> Result<(), Unavailable> {
+        let (status, _) = self.call(Method::DELETE, &object_path(name), Bytes::new()).await?;
+        expect_success(status)
+    }
+}
+
+#[async_trait]
+impl Fleet for HttpPlatform {
+    async fn hosts(&self) -> Result<Vec<FleetHost>, Unavailable> {
+        self.call_json(Method::GET, "/hosts", &()).await
+    }
+
+    async fn reboot(
+        &self,
+        host: &str,
+        operation: &OperationId,
+    ) -> Result<RebootState, Unavailable> {
+        self.call_json(Method::POST, &format!("/hosts/{host}/reboot"), operation).await
+    }
+}
+
+fn object_path(name: &str) -> String {
+    format!("/objects/{name}")
+}
+
+fn expect_success(status: StatusCode) -> Result<(), Unavailable> {
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(Unavailable::new(format!("status {status}")))
+}
--- /dev/null
+++ b/crates/savorypitch/src/command.rs
@@ -0,0 +1,39 @@
+//! One module a subcommand.
+
+mod contract;
+mod host;
+mod key;
+mod queue;
+mod serve;
+mod status;
+mod team;
+mod timeline;
+
+use std::io;
+
+use clap::CommandFactory;
+
+use crate::args::Args;
+use crate::args::Command;
+use crate::client::Client;
+use crate::failure::Failure;
+
+/// Runs a command.
+pub fn run(args: Args) -> Result<(), Failure> {
+    let json = args.target.json;
+    let client = Client::new(args.target);
+    match args.command {
+        Command::Serve(serve_args) => serve::run(&serve_args),
+        Command::Contract(command) => contract::run(&client, command, json),
+        Command::Key(command) => key::run(&client, command, json),
+        Command::Queue(command) => queue::run(&client, command, json),
+        Command::Host(command) => host::run(&client, command, json),
+        Command::Team(command) => team::run(&client, command, json),
+        Command::Status => status::run(&client, json),
+        Command::Timeline => timeline::run(&client, json),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Args::command(), "savorypitch", &mut io::stdout());
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorypitch/src/command/status.rs
@@ -0,0 +1,23 @@
+//! `status`: shows the state of a node.
+
+use node::api;
+
+use crate::client::Client;
+use crate::failure::Failure;
+use crate::output::print_json;
+
+/// Runs `status`.
+pub fn run(client: &Client, json: bool) -> Result<(), Failure> {
+    let status: api::StatusView = client.get("/status")?;
+    if json {
+        print_json(&status);
+        return Ok(());
+    }
+    println!("node {} in {}", status.node, status.zone);
+    println!("configuration {}", status.config_version);
+    println!("takes new work: {}", if status.admits { "yes" } else { "no" });
+    for (name, value) in status.metrics {
+        println!("{name} {value}");
+    }
+    Ok(())
+}
