Give each kind of operator call its own module, and lay out the remaining crates

Cause: the operators' interface would have grown in one file. Change: one module a kind; crates for duties, shares and measurements.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements: drivers of the decision functions and loads over loopback; no released program depends on them.
--- /dev/null
+++ b/crates/duties/src/lib.rs
@@ -0,0 +1,1 @@
+//! Duties that one node at a time holds.
--- /dev/null
+++ b/crates/node/src/admin/contracts.rs
@@ -0,0 +1,52 @@
+//! Contracts: accepted and shown.
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Path;
+use axum::extract::State;
+use axum::routing::get;
+use axum::routing::post;
+use events::EventKind;
+use gateway::Authority;
+use model::Contract;
+use model::contract::parse_contract;
+
+use super::AdminError;
+use super::Node;
+use super::accepted;
+use crate::api;
+use crate::shared::Shared;
+
+/// Routes.
+pub fn routes() -> Router<Arc<Shared>> {
+    Router::new()
+        .route("/contracts", post(apply_contract))
+        .route("/contracts/{customer}", get(show_contract))
+}
+
+async fn apply_contract(
+    State(shared): Node,
+    Json(call): Json<api::ApplyContract>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let contract = parse_contract(&call.source, &call.text).map_err(AdminError::Findings)?;
+    let customer = contract.customer.to_string();
+    let table = &*shared.platform.table;
+    let version = shared.writer.apply_contract(table, contract, call.seen).await?;
+    let kind = EventKind::ContractApplied { customer, version };
+    shared.events.record(kind, SystemTime::now());
+    Ok(Json(accepted(&shared, version).await))
+}
+
+async fn show_contract(
+    State(shared): Node,
+    Path(customer): Path<String>,
+) -> Result<Json<Contract>, AdminError> {
+    let config = shared.config();
+    let contract = config.contract(&customer).cloned();
+    contract
+        .map(Json)
+        .ok_or_else(|| AdminError::NotFound(format!("there is no contract of `{customer}`")))
+}
--- /dev/null
+++ b/crates/node/src/admin/keys.rs
@@ -0,0 +1,58 @@
+//! Keys: granted, withdrawn and listed.
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Path;
+use axum::extract::State;
+use axum::routing::delete;
+use axum::routing::get;
+use events::EventKind;
+use gateway::Authority;
+use model::key::hash_key;
+
+use super::AdminError;
+use super::Node;
+use super::accepted;
+use crate::api;
+use crate::shared::Shared;
+
+/// Routes.
+pub fn routes() -> Router<Arc<Shared>> {
+    Router::new()
+        .route("/keys", get(list_keys).post(grant_key))
+        .route("/keys/{id}", delete(withdraw_key))
+}
+
+async fn grant_key(
+    State(shared): Node,
+    Json(call): Json<api::GrantKey>,
+) -> Result<Json<api::GrantedKey>, AdminError> {
+    let holder = call.holder.to_string();
+    let (secret, version) = shared.writer.grant(&*shared.platform.table, call.holder).await?;
+    let id = model::KeyId::from(&hash_key(&secret)[..12]);
+    shared.events.record(EventKind::KeyGranted { key: id.clone(), holder }, SystemTime::now());
+    let accepted = accepted(&shared, version).await;
+    Ok(Json(api::GrantedKey { id, secret, accepted }))
+}
+
+async fn withdraw_key(
+    State(shared): Node,
+    Path(id): Path<String>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let version = shared.writer.withdraw(&*shared.platform.table, &id).await?;
+    shared.events.record(EventKind::KeyWithdrawn { key: id.into() }, SystemTime::now());
+    Ok(Json(accepted(&shared, version).await))
+}
+
+async fn list_keys(State(shared): Node) -> Json<Vec<api::KeyView>> {
+    let config = shared.config();
+    let views = config.keys.iter().map(|key| api::KeyView {
+        id: key.id.clone(),
+        holder: key.holder.to_string(),
+        state: key.state,
+    });
+    Json(views.collect())
+}
--- /dev/null
+++ b/crates/node/src/admin/status.rs
@@ -0,0 +1,34 @@
+//! State and events of this node.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::routing::get;
+use events::Event;
+use gateway::Authority;
+
+use super::Node;
+use crate::api;
+use crate::shared::Shared;
+
+/// Routes.
+pub fn routes() -> Router<Arc<Shared>> {
+    Router::new().route("/status", get(status)).route("/events", get(list_events))
+}
+
+async fn status(State(shared): Node) -> Json<api::StatusView> {
+    Json(api::StatusView {
+        node: shared.settings.node.clone(),
+        zone: shared.settings.zone.clone(),
+        config_version: shared.config().version,
+        admits: shared.may_admit(Instant::now()),
+        metrics: shared.telemetry.totals(),
+    })
+}
+
+async fn list_events(State(shared): Node) -> Json<Vec<Event>> {
+    Json(shared.events.since(0))
+}
--- /dev/null
+++ b/crates/shares/src/lib.rs
@@ -0,0 +1,1 @@
+//! Weighted fair queueing by team.
