Give the node a view of the members and of their counts

Cause: spare peers, demand and apply need what other nodes last reported. Change: membership::MemberView, wire::Count, Shared::members and Shared::counts; the view holds only this node so far. Conclusion: others can build on the types while the links come.

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,6 +16,7 @@
 use gateway::Gateway;
 use gateway::Server;
 use http::StatusCode;
+use membership::MemberView;
 use telemetry::Telemetry;
 use tokio::task::JoinHandle;
 
@@ -75,6 +76,16 @@
         let settings = &shared.settings;
         let caller_server = listen(settings.caller_address, caller_router(&shared)).await?;
         let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
+        shared.set_members(vec![MemberView {
+            node: settings.node.clone(),
+            incarnation,
+            zone: settings.zone.clone(),
+            caller_address: caller_server.address,
+            admin_address: admin_server.address,
+            config_version: shared.config().version,
+            alive: true,
+            counts: shared.counts(),
+        }]);
         let follower = tokio::spawn(follower::follow(shared.clone()));
         Ok(Self {
             caller_address: caller_server.address,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -13,9 +13,11 @@
 use gateway::Authority;
 use limits::LimitKey;
 use limits::LimitTable;
+use membership::MemberView;
 use model::Config;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use wire::Count;
 
 use crate::settings::Platform;
 use crate::settings::Settings;
@@ -37,6 +39,8 @@
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
     config: RwLock<Arc<Config>>,
+    members: RwLock<Arc<Vec<MemberView>>>,
+    counts: RwLock<Vec<Count>>,
     stopping: AtomicBool,
 }
 
@@ -57,6 +61,8 @@
             writer: ConfigWriter::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
+            members: RwLock::default(),
+            counts: RwLock::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -77,6 +83,26 @@
         true
     }
 
+    /// Members as this node sees them, itself included, sorted by node.
+    pub fn members(&self) -> Arc<Vec<MemberView>> {
+        self.members.read().expect("no holder panics").clone()
+    }
+
+    /// Replaces the view of the members.
+    pub fn set_members(&self, members: Vec<MemberView>) {
+        *self.members.write().expect("no holder panics") = Arc::new(members);
+    }
+
+    /// Counts that the next heartbeats carry.
+    pub fn counts(&self) -> Vec<Count> {
+        self.counts.read().expect("no holder panics").clone()
+    }
+
+    /// Replaces the counts that heartbeats carry, sorted by key.
+    pub fn set_counts(&self, counts: Vec<Count>) {
+        *self.counts.write().expect("no holder panics") = counts;
+    }
+
     /// Refuses new work from now on.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
