Lease duties by pool to the node that a hash prefers

Cause: maintenance and placement of a pool need one holder, with no host set aside. Change: crate duties: rows duty/{name}, decision by highest hash, taken only from a gone node, each write fenced by the row's version. Before: none. Conclusion: a duty moves only when a node comes or goes.

--- /dev/null
+++ b/crates/duties/tests/duties.rs
@@ -0,0 +1,103 @@
+//! Duties spread over nodes, move when a node is gone, and refuse a late holder's write.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use duties::Duties;
+use duties::DutyName;
+use duties::Holder;
+use duties::Members;
+use events::Recorder;
+use model::NodeId;
+use platform::Committer;
+use platform::MemoryTable;
+use platform::Settled;
+use platform::Write;
+
+#[derive(Default)]
+struct FakeMembers {
+    live: Mutex<Vec<NodeId>>,
+    gone: Mutex<Vec<Holder>>,
+}
+
+impl Members for FakeMembers {
+    fn live(&self) -> Vec<NodeId> {
+        self.live.lock().unwrap().clone()
+    }
+
+    fn is_gone(&self, holder: &Holder) -> bool {
+        self.gone.lock().unwrap().contains(holder)
+    }
+
+    fn may_act(&self, _now: Instant) -> bool {
+        true
+    }
+}
+
+fn node(table: &Arc<MemoryTable>, name: &str) -> Duties {
+    let holder = Holder { node: name.into(), incarnation: 1 };
+    let events = Arc::new(Recorder::new(name.into(), 1));
+    Duties::new(holder, table.clone(), events)
+}
+
+fn names(count: usize) -> Vec<DutyName> {
+    (0..count).map(|index| format!("maintenance/pool-{index:03}")).collect()
+}
+
+#[tokio::test]
+async fn every_duty_has_one_holder_and_moves_only_from_a_gone_node() {
+    let table = Arc::new(MemoryTable::default());
+    let members = FakeMembers::default();
+    *members.live.lock().unwrap() = vec!["a".into(), "b".into(), "c".into()];
+    let wanted = names(60);
+    let nodes = [node(&table, "a"), node(&table, "b"), node(&table, "c")];
+    for _ in 0..3 {
+        for node in &nodes {
+            node.refresh(&wanted, &members).await.unwrap();
+        }
+    }
+    let mut all: Vec<DutyName> = nodes.iter().flat_map(Duties::names).collect();
+    all.sort();
+    assert_eq!(all, wanted);
+    assert!(nodes.iter().all(|node| node.names().len() > 5));
+
+    let of_a = nodes[0].names();
+    let late = nodes[0].held(&of_a[0], &members, Instant::now()).unwrap();
+    *members.live.lock().unwrap() = vec!["b".into(), "c".into()];
+    nodes[1].refresh(&wanted, &members).await.unwrap();
+    nodes[2].refresh(&wanted, &members).await.unwrap();
+    let taken: usize = nodes[1..].iter().map(|node| node.names().len()).sum();
+    assert_eq!(taken, wanted.len() - of_a.len(), "taken from a node that may still act");
+
+    members.gone.lock().unwrap().push(Holder { node: "a".into(), incarnation: 1 });
+    nodes[1].refresh(&wanted, &members).await.unwrap();
+    nodes[2].refresh(&wanted, &members).await.unwrap();
+    let taken: usize = nodes[1..].iter().map(|node| node.names().len()).sum();
+    assert_eq!(taken, wanted.len());
+
+    let writes = vec![Write::put("plan", "late")];
+    let settled = Committer::default()
+        .commit(&*table, vec![late.precondition()], writes, Duration::from_secs(5))
+        .await;
+    assert!(matches!(settled, Settled::Conflict { .. }), "{settled:?}");
+}
+
+#[tokio::test]
+async fn new_node_is_given_its_duties_by_their_holders() {
+    let table = Arc::new(MemoryTable::default());
+    let members = FakeMembers::default();
+    *members.live.lock().unwrap() = vec!["a".into()];
+    let wanted = names(20);
+    let (a, b) = (node(&table, "a"), node(&table, "b"));
+    a.refresh(&wanted, &members).await.unwrap();
+    assert_eq!(a.names().len(), 20);
+    *members.live.lock().unwrap() = vec!["a".into(), "b".into()];
+    b.refresh(&wanted, &members).await.unwrap();
+    assert!(b.names().is_empty());
+    a.refresh(&wanted, &members).await.unwrap();
+    b.refresh(&wanted, &members).await.unwrap();
+    assert_eq!(a.names().len() + b.names().len(), 20);
+    assert!(!b.names().is_empty());
+}
