Let the gateway ask which peers hold spare tokens

Cause: a node that lacks tokens has to forward a request, and did not know to whom. Change: Authority::spare_peers with an empty default, Peer, and the settings that the path will need.

--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -1,9 +1,22 @@
 //! What the gateway needs to know of the rest of the node.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
 use model::Config;
+use model::NodeId;
+use model::ServiceId;
+use model::TeamRef;
+
+/// Another node that may have tokens to spare.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Its address for callers.
+    pub address: SocketAddr,
+}
 
 /// Window on the configuration and on the node's right to act.
 pub trait Authority: Send + Sync {
@@ -12,4 +25,9 @@
 
     /// True while the node may take new work.
     fn may_admit(&self, now: Instant) -> bool;
+
+    /// Nodes that hold spare tokens for `team` on `service`, the best first.
+    fn spare_peers(&self, _team: &TeamRef, _service: &ServiceId) -> Vec<Peer> {
+        Vec::new()
+    }
 }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -39,6 +39,7 @@
 use crate::header::bearer;
 use crate::header::deadline;
 use crate::header::remove_hop_by_hop;
+use crate::settings::GatewaySettings;
 use crate::tokens::AnswerBody;
 use crate::tokens::Tokens;
 
@@ -47,17 +48,6 @@
 /// When a caller may try again after a refusal that passes by itself.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Bounds of the caller interface.
-#[derive(Clone, Debug)]
-pub struct GatewaySettings {
-    /// Time that a connection to a backend server may take to open.
-    pub connect_timeout: Duration,
-    /// Longest time of a request without a deadline of its own.
-    pub request_timeout: Duration,
-    /// Largest request body, in bytes.
-    pub body_max_bytes: u64,
-}
-
 /// Carries requests of callers to backend servers.
 pub struct Gateway {
     pub(crate) authority: Arc<dyn Authority>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,10 +10,12 @@
 mod handler;
 mod header;
 mod server;
+mod settings;
 mod tokens;
 
 pub use authority::Authority;
+pub use authority::Peer;
 pub use handler::Gateway;
-pub use handler::GatewaySettings;
 pub use server::Server;
 pub use server::serve;
+pub use settings::GatewaySettings;
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -38,6 +38,7 @@
             connect_timeout: Duration::from_secs(5),
             request_timeout: Duration::from_secs(30),
             body_max_bytes: 1 << 30,
+            ..GatewaySettings::default()
         },
     }
 }
--- a/crates/savorypitch/src/command/serve.rs
+++ b/crates/savorypitch/src/command/serve.rs
@@ -91,6 +91,7 @@
             connect_timeout: Duration::from_millis(args.connect_timeout_ms),
             request_timeout: Duration::from_millis(args.request_timeout_ms),
             body_max_bytes: args.body_max_bytes,
+            ..GatewaySettings::default()
         },
     })
 }
