Show the members in a node's status

Cause: a view that nobody reads is not built. Change: status lists the members that the node sees. Conclusion: operators see the fleet from any node.

--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -9,6 +9,7 @@
 use axum::routing::get;
 use events::Event;
 use gateway::Authority;
+use membership::MemberView;
 
 use super::Node;
 use crate::api;
@@ -25,10 +26,23 @@
         zone: shared.settings.zone.clone(),
         config_version: shared.config().version,
         admits: shared.may_admit(Instant::now()),
+        members: shared.members().iter().map(view).collect(),
         metrics: shared.telemetry.totals(),
     })
 }
 
+fn view(member: &MemberView) -> api::MemberStatus {
+    api::MemberStatus {
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+        zone: member.zone.clone(),
+        caller_address: member.caller_address,
+        admin_address: member.admin_address,
+        config_version: member.config_version,
+        alive: member.alive,
+    }
+}
+
 async fn list_events(State(shared): Node) -> Json<Vec<Event>> {
     Json(shared.events.since(0))
 }
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,9 +1,12 @@
 //! Messages of the operators' interface, shared by the node and the command line.
 
+use std::net::SocketAddr;
+
 use model::ConfigVersion;
 use model::CustomerId;
 use model::HostId;
 use model::HostState;
+use model::Incarnation;
 use model::KeyId;
 use model::NodeId;
 use model::PoolId;
@@ -132,10 +135,32 @@
     pub config_version: ConfigVersion,
     /// True while the node takes new work.
     pub admits: bool,
+    /// Members as this node sees them, sorted by node.
+    #[serde(default)]
+    pub members: Vec<MemberStatus>,
     /// Counters and gauges, sorted by name.
     pub metrics: Vec<(String, u64)>,
 }
 
+/// A member as one node sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Node.
+    pub node: NodeId,
+    /// Run of its process.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    /// Configuration in force there, as last reported.
+    pub config_version: ConfigVersion,
+    /// True if it was heard of lately and is not marked.
+    pub alive: bool,
+}
+
 /// A refusal without findings.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Problem {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -99,6 +99,7 @@
     }
 
     /// Replaces the counts that heartbeats carry, sorted by key.
+    #[allow(dead_code)]
     pub fn set_counts(&self, counts: Vec<Count>) {
         *self.counts.write().expect("no holder panics") = counts;
     }
--- a/crates/savorypitch/src/command/status.rs
+++ b/crates/savorypitch/src/command/status.rs
@@ -16,6 +16,18 @@
     println!("node {} in {}", status.node, status.zone);
     println!("configuration {}", status.config_version);
     println!("takes new work: {}", if status.admits { "yes" } else { "no" });
+    for member in status.members {
+        let state = if member.alive { "alive" } else { "silent" };
+        println!(
+            "member {} in {}: {state}, incarnation {}, configuration {}, callers {}, operators {}",
+            member.node,
+            member.zone,
+            member.incarnation,
+            member.config_version,
+            member.caller_address,
+            member.admin_address
+        );
+    }
     for (name, value) in status.metrics {
         println!("{name} {value}");
     }
