--- /dev/null
+++ b/crates/shares/tests/properties.rs
@@ -0,0 +1,191 @@
+//! Properties of the queue under random sequences of calls, with a fixed seed.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use model::TeamRef;
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use shares::Class;
+use shares::Entry;
+use shares::FairQueue;
+use shares::FleetCounts;
+use shares::Settings;
+use shares::Ticket;
+
+const WAITING_MAX: usize = 12;
+const TEAMS: usize = 4;
+
+#[derive(Clone, Debug)]
+enum Call {
+    Push { team: usize, urgent: bool, patience_ms: u64 },
+    Pop { limited: usize },
+    Finish,
+    Expire,
+    Remove { back: u64 },
+    Observe { running: u32, queued: u32 },
+    Wait { elapsed_ms: u64 },
+}
+
+fn any_call() -> impl Strategy<Value = Call> {
+    prop_oneof![
+        4 => (0..TEAMS, any::<bool>(), 1..5_000_u64)
+            .prop_map(|(team, urgent, patience_ms)| Call::Push { team, urgent, patience_ms }),
+        3 => (0..TEAMS).prop_map(|limited| Call::Pop { limited }),
+        2 => Just(Call::Finish),
+        1 => Just(Call::Expire),
+        1 => (0..20_u64).prop_map(|back| Call::Remove { back }),
+        1 => (0..50_u32, 0..50_u32).prop_map(|(running, queued)| Call::Observe { running, queued }),
+        2 => (1..400_u64).prop_map(|elapsed_ms| Call::Wait { elapsed_ms }),
+    ]
+}
+
+fn team(index: usize) -> TeamRef {
+    TeamRef::new("levy", format!("team-{index}"))
+}
+
+/// The queue beside the set of tickets that must be in it.
+struct Checked {
+    queue: FairQueue,
+    /// Waiting tickets with their teams, sorted by ticket.
+    waiting: Vec<(Ticket, usize)>,
+    started: Vec<Ticket>,
+    now: Instant,
+}
+
+impl Checked {
+    fn take(&mut self, ticket: Ticket) -> usize {
+        let index = self.waiting.binary_search_by_key(&ticket, |(ticket, _)| *ticket);
+        self.waiting.remove(index.expect("a ticket leaves once")).1
+    }
+
+    fn apply(&mut self, call: &Call) {
+        match *call {
+            Call::Push { team: index, urgent, patience_ms } => {
+                let class = if urgent { Class::Urgent } else { Class::Normal };
+                let deadline = self.now + Duration::from_millis(patience_ms);
+                let share_weight = index as u32 + 1;
+                let entry = Entry { team: team(index), share_weight, class, deadline };
+                if let Ok(ticket) = self.queue.push(entry, self.now) {
+                    self.waiting.push((ticket, index));
+                }
+                self.expire();
+            }
+            Call::Pop { limited } => self.pop(limited),
+            Call::Finish => {
+                if let Some(ticket) = self.started.pop() {
+                    self.queue.finished(ticket, self.now);
+                }
+            }
+            Call::Expire => self.expire(),
+            Call::Remove { back } => {
+                let newest = self.waiting.last().map_or(0, |(ticket, _)| *ticket);
+                let ticket = newest.saturating_sub(back);
+                if self.queue.remove(ticket) {
+                    self.take(ticket);
+                }
+            }
+            Call::Observe { running, queued } => {
+                let counts =
+                    FleetCounts { team: team(0), share_weight: 1, running, queued, nodes: 3 };
+                self.queue.observe_fleet(&[counts], self.now);
+            }
+            Call::Wait { elapsed_ms } => self.now += Duration::from_millis(elapsed_ms),
+        }
+    }
+
+    fn pop(&mut self, limited: usize) {
+        let limited_team = team(limited);
+        let popped = self.queue.pop(self.now, |team| *team != limited_team);
+        let may_run = self.waiting.iter().any(|(_, team)| *team != limited);
+        assert_eq!(popped.is_some(), may_run, "the queue is work-conserving");
+        if let Some(ticket) = popped {
+            assert_ne!(self.take(ticket), limited);
+            self.started.push(ticket);
+        }
+    }
+
+    fn expire(&mut self) {
+        for ticket in self.queue.expire(self.now) {
+            self.take(ticket);
+        }
+    }
+}
+
+fn runner() -> TestRunner {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, rng)
+}
+
+#[test]
+fn each_ticket_leaves_once_and_no_work_is_held_back() {
+    let outcome = runner().run(&vec(any_call(), 1..200), |calls| {
+        let settings = Settings {
+            waiting_max: WAITING_MAX,
+            wait_max: Duration::from_secs(3),
+            urgent_percent: 25,
+        };
+        let now = Instant::now();
+        let queue = FairQueue::new(settings);
+        let mut checked = Checked { queue, waiting: Vec::new(), started: Vec::new(), now };
+        for call in &calls {
+            checked.apply(call);
+            prop_assert!(checked.queue.len() <= WAITING_MAX);
+            prop_assert_eq!(checked.queue.len(), checked.waiting.len());
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+#[test]
+fn backlogged_teams_stay_within_one_start_of_each_other_team() {
+    // Each other team may be one start ahead.
+    const BOUND: f64 = (TEAMS - 1) as f64;
+
+    let weights = vec(1..10_u32, TEAMS);
+    let outcome = runner().run(&weights, |weights| {
+        let mut now = Instant::now();
+        let settings = Settings {
+            waiting_max: 10_000,
+            wait_max: Duration::from_secs(1_000),
+            urgent_percent: 0,
+        };
+        let mut queue = FairQueue::new(settings);
+        let mut owners = Vec::new();
+        for (index, &share_weight) in weights.iter().enumerate() {
+            for _ in 0..200 {
+                let deadline = now + Duration::from_secs(1_000);
+                let class = Class::Normal;
+                queue
+                    .push(Entry { team: team(index), share_weight, class, deadline }, now)
+                    .unwrap();
+                owners.push(index);
+            }
+        }
+        let mut starts = [0_u32; TEAMS];
+        for total in 1..=200_u32 {
+            let ticket = queue.pop(now, |_| true).unwrap();
+            starts[owners[ticket as usize]] += 1;
+            now += Duration::from_millis(50);
+            queue.finished(ticket, now);
+            let weight_sum: u32 = weights.iter().sum();
+            for (index, &weight) in weights.iter().enumerate() {
+                let due = f64::from(total * weight) / f64::from(weight_sum);
+                prop_assert!((f64::from(starts[index]) - due).abs() <= BOUND);
+            }
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
