--- a/crates/wire/src/count.rs
+++ b/crates/wire/src/count.rs
@@ -3,7 +3,7 @@
 use prost::Message;
 
 /// What a node has running, queued and to spare under one limit.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Count {
     /// Text of the limit's key.
     #[prost(string, tag = "1")]
--- /dev/null
+++ b/crates/wire/tests/messages.rs
@@ -0,0 +1,93 @@
+//! What an inbox refuses, and links over loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rstest::rstest;
+use tokio::sync::mpsc;
+use wire::Body;
+use wire::ClusterKey;
+use wire::Inbox;
+use wire::Leave;
+use wire::Link;
+use wire::NngLink;
+use wire::Outbox;
+use wire::RefusedMessage;
+
+const SECRET: &str = "secret of the test's cluster";
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn frame(cluster: &str, secret: &str, receiver: &str, incarnation: u64) -> Bytes {
+    let mut outbox = Outbox::new(cluster, "n1".into(), ClusterKey::derive("c", secret));
+    outbox.seal(receiver, incarnation, 7, (1, 2), Body::Leave(Leave {}))
+}
+
+fn inbox() -> Inbox {
+    Inbox::new("c", "n2".into(), ClusterKey::derive("c", SECRET))
+}
+
+#[test]
+fn sealed_message_opens_once() {
+    let mut inbox = inbox();
+    let frame = frame("c", SECRET, "n2", 5);
+    let envelope = inbox.open(&frame).unwrap();
+    assert_eq!((&*envelope.sender, envelope.incarnation, envelope.config_version), ("n1", 5, 7));
+    assert_eq!(envelope.body, Some(Body::Leave(Leave {})));
+    assert_eq!(inbox.open(&frame), Err(RefusedMessage::OldSequence));
+}
+
+#[rstest]
+#[case::secret(frame("c", "another secret", "n2", 5), RefusedMessage::BadHash)]
+#[case::cluster(frame("d", SECRET, "n2", 5), RefusedMessage::OtherCluster)]
+#[case::receiver(frame("c", SECRET, "n3", 5), RefusedMessage::OtherReceiver)]
+#[case::short(Bytes::from_static(b"short"), RefusedMessage::BadHash)]
+fn foreign_message_is_refused(#[case] frame: Bytes, #[case] refusal: RefusedMessage) {
+    assert_eq!(inbox().open(&frame), Err(refusal));
+}
+
+#[test]
+fn earlier_run_is_refused() {
+    let mut inbox = inbox();
+    inbox.open(&frame("c", SECRET, "n2", 5)).unwrap();
+    let earlier = frame("c", SECRET, "n2", 4);
+    assert_eq!(inbox.open(&earlier), Err(RefusedMessage::OldIncarnation));
+}
+
+#[test]
+fn every_changed_byte_is_noticed() {
+    let frame = frame("c", SECRET, "n2", 5);
+    for position in 0..frame.len() {
+        let mut changed = frame.to_vec();
+        changed[position] ^= 1;
+        assert_eq!(inbox().open(&Bytes::from(changed)), Err(RefusedMessage::BadHash));
+    }
+}
+
+#[tokio::test]
+async fn links_carry_frames_and_survive_a_redial() {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let (sender, mut frames) = mpsc::channel(16);
+    let receiver = NngLink::listen(any, sender).unwrap();
+    let (unused, _) = mpsc::channel(1);
+    let link = NngLink::listen(any, unused).unwrap();
+    link.set_peers(&[("n2".into(), receiver.local_address())]);
+    for round in 0..2_u8 {
+        let frame = Bytes::from(vec![round]);
+        let arrived = async {
+            // A link that is still being dialled drops frames.
+            loop {
+                link.send("n2", frame.clone());
+                let wait = tokio::time::timeout(Duration::from_millis(50), frames.recv());
+                if let Ok(Some(arrived)) = wait.await
+                    && arrived == frame
+                {
+                    return;
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, arrived).await.unwrap();
+        link.redial("n2");
+    }
+    assert!(!link.send("n3", Bytes::new()));
+}
