Share each limit between nodes through rows of a ledger

Cause: each node got an equal part of each limit, whatever it was asked for. Change: a ledger row holds a limit and who holds its tokens; nodes move tokens under row versions, with tokens out of use before they are given away and in use only once the commit is known. Switched off once each: use before the commit is known, release after the write, no row precondition; a_rule_left_out_is_found fails to pass any of them. Conclusion: the rule holds; the node does not use it yet.

--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -2,20 +2,15 @@
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 
-use model::HostId;
-use model::TeamRef;
-
-/// What a limit counts.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum LimitKey {
-    /// Running requests and tasks of a team.
-    Running(TeamRef),
-    /// Slots of a backend server.
-    Slots(HostId),
-    /// Connections to a backend server.
-    Connections(HostId),
-}
+use model::ConfigVersion;
+
+use crate::key::LimitKey;
+use crate::ledger::Tokens;
+
+/// Called after tokens came to the node.
+type Listener = Box<dyn Fn() + Send + Sync>;
 
 /// What this node holds of one limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,11 +23,18 @@
     pub running: u32,
     /// Tokens whose work may still be running somewhere.
     pub in_doubt: u32,
+    /// Version of the configuration that lowered the limit, while more may run than it allows.
+    pub frozen_at: Option<ConfigVersion>,
 }
 
 impl Allotment {
     /// Tokens that new work may take.
     pub fn spare(&self) -> u32 {
+        if self.frozen_at.is_some() { 0 } else { self.unused() }
+    }
+
+    /// Tokens that no work has.
+    fn unused(&self) -> u32 {
         self.granted.saturating_sub(self.running + self.in_doubt)
     }
 }
@@ -41,6 +43,7 @@
 #[derive(Default)]
 pub struct LimitTable {
     rows: Mutex<Vec<Allotment>>,
+    listener: OnceLock<Listener>,
 }
 
 impl LimitTable {
@@ -75,7 +78,14 @@
 
     /// Sets the tokens that this node may use; what runs above it stays counted until it ends.
     pub fn grant(&self, key: &LimitKey, granted: u32) {
-        self.change(key, |row| row.granted = granted);
+        let grew = self.change(key, |row| {
+            let grew = granted > row.granted;
+            row.granted = granted;
+            grew
+        });
+        if grew {
+            self.notify();
+        }
     }
 
     /// Allotment of one limit.
@@ -90,13 +100,24 @@
         self.lock().clone()
     }
 
+    /// Calls `listener` each time that tokens come to the node; only the first listener is kept.
+    pub fn listen(&self, listener: impl Fn() + Send + Sync + 'static) {
+        // A second listener would be a second gateway, which there is not.
+        let _ = self.listener.set(Box::new(listener));
+    }
+
+    fn notify(&self) {
+        if let Some(listener) = self.listener.get() {
+            listener();
+        }
+    }
+
     fn change<T>(&self, key: &LimitKey, apply: impl FnOnce(&mut Allotment) -> T) -> T {
         let mut rows = self.lock();
         let index = match rows.binary_search_by(|row| row.key.cmp(key)) {
             Ok(index) => index,
             Err(index) => {
-                let row = Allotment { key: key.clone(), granted: 0, running: 0, in_doubt: 0 };
-                rows.insert(index, row);
+                rows.insert(index, empty(key));
                 index
             }
         };
@@ -107,3 +128,50 @@
         self.rows.lock().expect("no holder panics")
     }
 }
+
+impl Tokens for LimitTable {
+    fn unused(&self, key: &LimitKey) -> u32 {
+        self.get(key).map_or(0, |row| row.unused())
+    }
+
+    fn cede(&self, key: &LimitKey, count_max: u32) -> u32 {
+        self.change(key, |row| {
+            let ceded = row.unused().min(count_max);
+            row.granted -= ceded;
+            ceded
+        })
+    }
+
+    fn grant(&self, key: &LimitKey, granted: u32) {
+        LimitTable::grant(self, key, granted);
+    }
+
+    fn freeze(&self, key: &LimitKey, version: ConfigVersion) {
+        self.change(key, |row| row.frozen_at = row.frozen_at.max(Some(version)));
+    }
+
+    fn is_frozen(&self, key: &LimitKey) -> bool {
+        self.get(key).is_some_and(|row| row.frozen_at.is_some())
+    }
+
+    fn thaw(&self, key: &LimitKey, version: ConfigVersion) {
+        let thawed = self.change(key, |row| {
+            let thawed = row.frozen_at.is_some_and(|frozen_at| frozen_at <= version);
+            if thawed {
+                row.frozen_at = None;
+            }
+            thawed
+        });
+        if thawed {
+            self.notify();
+        }
+    }
+
+    fn revoke_all(&self) {
+        self.lock().iter_mut().for_each(|row| row.granted = 0);
+    }
+}
+
+fn empty(key: &LimitKey) -> Allotment {
+    Allotment { key: key.clone(), granted: 0, running: 0, in_doubt: 0, frozen_at: None }
+}
--- /dev/null
+++ b/crates/limits/tests/ledger/broken.rs
@@ -0,0 +1,95 @@
+//! Tables and tokens that leave out one rule of the ledger each.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use limits::LimitKey;
+use limits::LimitTable;
+use limits::Tokens;
+use model::ConfigVersion;
+use platform::CommitOutcome;
+use platform::Precondition;
+use platform::Row;
+use platform::Scan;
+use platform::Table;
+use platform::Transaction;
+use platform::Unavailable;
+use standin::faulty_table::FaultyTable;
+
+use crate::world::Variant;
+use crate::world::World;
+
+/// The table as the nodes of a run see it.
+pub fn table(inner: FaultyTable, variant: Variant) -> Arc<dyn Table> {
+    Arc::new(Broken { inner, variant })
+}
+
+struct Broken {
+    inner: FaultyTable,
+    variant: Variant,
+}
+
+#[async_trait]
+impl Table for Broken {
+    async fn get(&self, key: &str) -> Result<Option<Row>, Unavailable> {
+        self.inner.get(key).await
+    }
+
+    async fn scan(&self, scan: Scan) -> Result<Vec<Row>, Unavailable> {
+        self.inner.scan(scan).await
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> CommitOutcome {
+        let mut transaction = transaction.clone();
+        if self.variant == Variant::NoPrecondition {
+            let is_row = |p: &Precondition| p.key().starts_with("ledger/");
+            transaction.preconditions.retain(|precondition| !is_row(precondition));
+        }
+        let outcome = self.inner.commit(&transaction).await;
+        if self.variant == Variant::EarlyUse && outcome == CommitOutcome::Unknown {
+            return CommitOutcome::Committed { version: u64::MAX };
+        }
+        outcome
+    }
+}
+
+/// Tokens that check the limits each time that some are put in use.
+pub struct Checked {
+    pub world: Arc<World>,
+    pub tokens: Arc<LimitTable>,
+    pub variant: Variant,
+}
+
+impl Tokens for Checked {
+    fn unused(&self, key: &LimitKey) -> u32 {
+        self.tokens.unused(key)
+    }
+
+    fn cede(&self, key: &LimitKey, count_max: u32) -> u32 {
+        if self.variant == Variant::LateRelease {
+            return self.tokens.unused(key).min(count_max);
+        }
+        self.tokens.cede(key, count_max)
+    }
+
+    fn grant(&self, key: &LimitKey, granted: u32) {
+        LimitTable::grant(&self.tokens, key, granted);
+        self.world.check("grant");
+    }
+
+    fn freeze(&self, key: &LimitKey, version: ConfigVersion) {
+        self.tokens.freeze(key, version);
+    }
+
+    fn is_frozen(&self, key: &LimitKey) -> bool {
+        self.tokens.is_frozen(key)
+    }
+
+    fn thaw(&self, key: &LimitKey, version: ConfigVersion) {
+        self.tokens.thaw(key, version);
+    }
+
+    fn revoke_all(&self) {
+        self.tokens.revoke_all();
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/ledger/main.rs
@@ -0,0 +1,138 @@
+//! No limit is exceeded, whatever the table does, and a rule left out shows.
+
+mod broken;
+mod world;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use limits::Holder;
+use limits::LimitTable;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRunner;
+use standin::faulty_table::Odds;
+
+use crate::world::NodeRun;
+use crate::world::Plan;
+use crate::world::Variant;
+use crate::world::World;
+use crate::world::keys;
+use crate::world::reclaim;
+
+/// Runs of each property.
+const CASES: u32 = 24;
+/// Virtual time of a phase of a run.
+const PHASE: Duration = Duration::from_secs(8);
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        rng_seed: RngSeed::Fixed(4),
+        ..ProptestConfig::default()
+    }
+}
+
+fn odds() -> impl Strategy<Value = Odds> {
+    (0..15_u32, 0..15_u32, 0..15_u32, 0..15_u32, 0..15_u32, 1..60_u64).prop_map(
+        |(unread_percent, lost_percent, unanswered_percent, late_percent, twice_percent, ms)| {
+            Odds {
+                unread_percent,
+                lost_percent,
+                unanswered_percent,
+                late_percent,
+                twice_percent,
+                delay_max: Duration::from_millis(ms),
+                late_max: Duration::from_secs(5),
+            }
+        },
+    )
+}
+
+fn plans() -> impl Strategy<Value = Plan> {
+    (any::<u64>(), 2..5_u64, 1..14_u32, 1..10_u32, odds()).prop_map(
+        |(seed, nodes, limit, lowered, odds)| Plan {
+            seed,
+            nodes,
+            limit,
+            lowered: lowered.min(limit),
+            odds,
+        },
+    )
+}
+
+/// Runs a plan in virtual time: work, a crash and its reclaim, a lowered limit.
+fn run(plan: Plan, variant: Variant) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let world = World::new(plan, variant);
+        let start = |n, incarnation| {
+            NodeRun::start(&world, Holder::new(format!("n{n}"), incarnation), variant)
+        };
+        let mut nodes: Vec<NodeRun> = (0..plan.nodes).map(|n| start(n, 1)).collect();
+        tokio::time::sleep(PHASE).await;
+
+        let gone = nodes.remove(0);
+        gone.kill(&world);
+        nodes.push(start(0, 2));
+        reclaim(&world, &gone, Holder::new("reclaimer", 1)).await;
+        tokio::time::sleep(PHASE).await;
+
+        world.set_limit(plan.lowered);
+        tokio::time::sleep(PHASE).await;
+        assert!(world.runs.load(Ordering::Relaxed) > 0, "nothing ran");
+        std::mem::take(&mut *world.violations.lock().unwrap())
+    })
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn limits_hold_under_faults(plan in plans()) {
+        let violations = run(plan, Variant::Whole);
+        prop_assert_eq!(violations.first(), None);
+    }
+}
+
+#[rstest::rstest]
+#[case::early_use(Variant::EarlyUse)]
+#[case::late_release(Variant::LateRelease)]
+#[case::no_precondition(Variant::NoPrecondition)]
+fn a_rule_left_out_is_found(#[case] variant: Variant) {
+    let found = TestRunner::new(config()).run(&plans(), |plan| match run(plan, variant) {
+        violations if violations.is_empty() => Ok(()),
+        violations => Err(TestCaseError::fail(violations[0].clone())),
+    });
+    assert!(found.is_err(), "{variant:?} went through all runs");
+}
+
+/// After the faults, the table holds what the nodes hold, and all of it can be used.
+#[tokio::test(start_paused = true)]
+async fn tokens_follow_demand() {
+    let plan = Plan { seed: 1, nodes: 4, limit: 8, lowered: 8, odds: Odds::default() };
+    let world = World::new(plan, Variant::Whole);
+    let nodes: Vec<NodeRun> = (0..4)
+        .map(|n| NodeRun::start(&world, Holder::new(format!("n{n}"), 1), Variant::Whole))
+        .collect();
+    for busy in &nodes {
+        for node in &nodes {
+            world.ask(&node.holder, if node.holder == busy.holder { 50 } else { 0 });
+        }
+        nodes.iter().for_each(NodeRun::stop_work);
+        tokio::time::sleep(PHASE).await;
+        let granted = |tokens: &LimitTable| tokens.get(&keys()[0]).map_or(0, |row| row.granted);
+        assert_eq!(granted(&busy.tokens), 8);
+    }
+}
--- a/crates/platform/src/commit.rs
+++ b/crates/platform/src/commit.rs
@@ -17,6 +17,7 @@
 
 use crate::table::CommitOutcome;
 use crate::table::Precondition;
+use crate::table::RowVersion;
 use crate::table::Table;
 use crate::table::Transaction;
 use crate::table::Write;
@@ -71,6 +72,17 @@
         writes: Vec<Write>,
         patience: Duration,
     ) -> Settled {
+        self.commit_versioned(table, preconditions, writes, patience).await.0
+    }
+
+    /// As [`Self::commit`], with the version of the written rows if the answer that brought it came.
+    pub async fn commit_versioned(
+        &self,
+        table: &dyn Table,
+        preconditions: Vec<Precondition>,
+        writes: Vec<Write>,
+        patience: Duration,
+    ) -> (Settled, Option<RowVersion>) {
         let deadline = Instant::now() + patience;
         let removed = self.take_settled();
         let transaction = build(random_id(), preconditions, writes, &removed);
@@ -78,12 +90,16 @@
         let mut unanswered = false;
         loop {
             let outcome = table.commit(&transaction).await;
+            let version = match &outcome {
+                CommitOutcome::Committed { version } => Some(*version),
+                _ => None,
+            };
             if let Some(settled) = self.settle(table, &transaction, outcome, unanswered).await {
-                return settled;
+                return (settled, version);
             }
             unanswered = true;
             if Instant::now() + delay >= deadline {
-                return Settled::Unknown { operation_id: transaction.operation_id };
+                return (Settled::Unknown { operation_id: transaction.operation_id }, None);
             }
             tokio::time::sleep(delay).await;
             delay = (delay * 2).min(RETRY_DELAY_MAX);
