Drain, move and return hosts inside the availability budget

Cause: operators could list hosts but not take one out of service.

Change: host life cycle as a typestate over the host row; drains are decided inside the versioned change, so that two operators cannot both spend the last place of a budget; a draining host is drained once every expected node has the drain in force and reports that it runs nothing there (row idle/{node}); a move changes the pool only after that. change_if of the configuration writer takes further preconditions. A refusal names the budget, the hosts that use it up and when one may be free.

--- a/crates/control/src/write.rs
+++ b/crates/control/src/write.rs
@@ -136,6 +136,17 @@
         table: &dyn Table,
         seen: Option<ConfigVersion>,
         decide: impl Fn(&Config) -> Result<Vec<ConfigRow>, ChangeError>,
+    ) -> Result<ConfigVersion, ChangeError> {
+        self.change_if(table, seen, Vec::new(), decide).await
+    }
+
+    /// Like [`Self::change`], and only while `fences` hold, for instance the row of a lease.
+    pub async fn change_if(
+        &self,
+        table: &dyn Table,
+        seen: Option<ConfigVersion>,
+        fences: Vec<Precondition>,
+        decide: impl Fn(&Config) -> Result<Vec<ConfigRow>, ChangeError>,
     ) -> Result<ConfigVersion, ChangeError> {
         let (head, head_row) = read_head(table).await?;
         let config = load(table).await?;
@@ -148,8 +159,9 @@
             rows.iter().map(|row| Write::put_json(row_key(&row.name()), row)).collect();
         writes.push(Write::put_json(change_key(version), &Change { version, rows }));
         writes.push(Write::put_json(HEAD_KEY, &Head { version }));
-        let unchanged = Precondition::unchanged(HEAD_KEY, head_row.as_ref());
-        match self.committer.commit(table, vec![unchanged], writes, PATIENCE).await {
+        let mut preconditions = vec![Precondition::unchanged(HEAD_KEY, head_row.as_ref())];
+        preconditions.extend(fences);
+        match self.committer.commit(table, preconditions, writes, PATIENCE).await {
             Settled::Committed => Ok(version),
             Settled::Conflict { .. } => Err(ChangeError::Conflict),
             Settled::Refused { reason } => Err(ChangeError::NotAccepted { reason }),
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -2,7 +2,8 @@
 //!
 //! A host row has one pool field, so a host is in exactly one pool by construction. Its state moves
 //! through serving, draining, drained, rebooting and returning; each step raises the epoch, so that
-//! a step decided on an older row is refused by the table.
+//! a step decided on an older row is refused by the table. Everything that a node needs to carry a
+//! step on after another node died is in the row.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -10,10 +11,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::ConfigVersion;
 use crate::ids::CustomerId;
 use crate::ids::HostId;
 use crate::ids::PoolId;
 use crate::ids::RackId;
+use crate::ids::WaveId;
 use crate::ids::ZoneId;
 
 /// Step of a host's life cycle.
@@ -54,6 +57,37 @@
     }
 }
 
+/// Why a host takes no work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StopReason {
+    /// An operator drained it; it stays drained until an operator returns it.
+    Operator,
+    /// It moves to another pool.
+    Move,
+    /// A maintenance wave reboots it.
+    Wave(WaveId),
+    /// The platform's host list lost it.
+    Absent,
+    /// A reboot did not end in time, or the platform gave up.
+    RebootFailed,
+    /// It came back broken.
+    Broken,
+}
+
+impl fmt::Display for StopReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Operator => f.write_str("operator"),
+            Self::Move => f.write_str("move"),
+            Self::Wave(wave) => write!(f, "wave {wave}"),
+            Self::Absent => f.write_str("absent from the host list"),
+            Self::RebootFailed => f.write_str("reboot failed"),
+            Self::Broken => f.write_str("came back broken"),
+        }
+    }
+}
+
 /// What a contract says about a host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostSpec {
@@ -92,12 +126,38 @@
     pub move_to: Option<PoolId>,
     /// Grows with each change of the row.
     pub epoch: u64,
+    /// Why it takes no work; `None` while it serves.
+    #[serde(default)]
+    pub reason: Option<StopReason>,
+    /// Version of the configuration that brought the present state.
+    #[serde(default)]
+    pub since_version: ConfigVersion,
+    /// When the present state began, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub since_ms: u64,
+    /// Number of the last boot that was seen before the present state.
+    #[serde(default)]
+    pub boot_count: Option<u64>,
+    /// When the last maintenance ended, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub maintained_ms: Option<u64>,
 }
 
 impl HostRow {
     /// Row of a host that starts in `spec.pool` and takes work.
     pub fn new(customer: CustomerId, spec: HostSpec) -> Self {
-        Self { customer, spec, state: HostState::Serving, move_to: None, epoch: 1 }
+        Self {
+            customer,
+            spec,
+            state: HostState::Serving,
+            move_to: None,
+            epoch: 1,
+            reason: None,
+            since_version: 0,
+            since_ms: 0,
+            boot_count: None,
+            maintained_ms: None,
+        }
     }
 
     /// Name of the host.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,6 +21,7 @@
 pub use finding::Place;
 pub use host::HostRow;
 pub use host::HostState;
+pub use host::StopReason;
 pub use ids::ConfigVersion;
 pub use ids::CustomerId;
 pub use ids::HostId;
--- a/crates/node/src/admin/hosts.rs
+++ b/crates/node/src/admin/hosts.rs
@@ -1,21 +1,36 @@
-//! Hosts: listed.
+//! Hosts: listed, drained, moved and returned.
 
 use std::sync::Arc;
 
 use axum::Json;
 use axum::Router;
+use axum::extract::Path;
 use axum::extract::State;
 use axum::routing::get;
+use axum::routing::post;
+use control::ChangeError;
 use gateway::Authority;
 use limits::LimitKey;
+use maintenance::StepError;
+use model::HostId;
+use model::StopReason;
 
+use super::AdminError;
 use super::Node;
+use super::accepted;
 use crate::api;
+use crate::maintain::absent_hosts;
+use crate::maintain::change_hosts;
+use crate::maintain::moment;
 use crate::shared::Shared;
 
 /// Routes.
 pub fn routes() -> Router<Arc<Shared>> {
-    Router::new().route("/hosts", get(list_hosts))
+    Router::new()
+        .route("/hosts", get(list_hosts))
+        .route("/hosts/{id}/drain", post(drain_host))
+        .route("/hosts/{id}/move", post(move_host))
+        .route("/hosts/{id}/return", post(return_host))
 }
 
 async fn list_hosts(State(shared): Node) -> Json<Vec<api::HostView>> {
@@ -28,6 +43,7 @@
             pool: host.spec.pool.clone(),
             zone: host.spec.zone.clone(),
             state: host.state,
+            reason: host.reason.clone(),
             move_to: host.move_to.clone(),
             running: slots.as_ref().map_or(0, |slots| slots.running),
             in_doubt: slots.as_ref().map_or(0, |slots| slots.in_doubt),
@@ -35,3 +51,49 @@
     });
     Json(views.collect())
 }
+
+async fn drain_host(
+    State(shared): Node,
+    Path(id): Path<String>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let absent = absent(&shared).await?;
+    let version = change_hosts(&shared, |config| {
+        let reason = StopReason::Operator;
+        let row = maintenance::drain(config, &id, reason, &absent, moment(config));
+        Ok(vec![row.map_err(invalid)?])
+    });
+    Ok(Json(accepted(&shared, version.await?).await))
+}
+
+async fn move_host(
+    State(shared): Node,
+    Path(id): Path<String>,
+    Json(call): Json<api::MoveHost>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let absent = absent(&shared).await?;
+    let version = change_hosts(&shared, |config| {
+        let row = maintenance::move_host(config, &id, &call.pool, &absent, moment(config));
+        Ok(vec![row.map_err(invalid)?])
+    });
+    Ok(Json(accepted(&shared, version.await?).await))
+}
+
+async fn return_host(
+    State(shared): Node,
+    Path(id): Path<String>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let version = change_hosts(&shared, |config| {
+        let row = maintenance::return_host(config, &id, moment(config));
+        Ok(vec![row.map_err(invalid)?])
+    });
+    Ok(Json(accepted(&shared, version.await?).await))
+}
+
+async fn absent(shared: &Shared) -> Result<Vec<HostId>, AdminError> {
+    let config = shared.config();
+    Ok(absent_hosts(shared, &config).await.map_err(ChangeError::from)?)
+}
+
+fn invalid(error: StepError) -> ChangeError {
+    ChangeError::Invalid { reason: error.to_string() }
+}
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -9,6 +9,7 @@
 use model::PoolId;
 use model::QueueId;
 use model::ServiceId;
+use model::StopReason;
 use model::TeamRef;
 use model::ZoneId;
 use model::key::KeyHolder;
@@ -96,6 +97,9 @@
     pub zone: ZoneId,
     /// Step of its life cycle.
     pub state: HostState,
+    /// Why it takes no work.
+    #[serde(default)]
+    pub reason: Option<StopReason>,
     /// Pool that it moves to.
     pub move_to: Option<PoolId>,
     /// Requests that this node has running there.
@@ -104,6 +108,13 @@
     pub in_doubt: u32,
 }
 
+/// `POST /hosts/{id}/move`: the pool to move a host to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MoveHost {
+    /// Pool.
+    pub pool: PoolId,
+}
+
 /// A team.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TeamView {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -21,6 +21,7 @@
 
 use crate::admin;
 use crate::follower;
+use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -58,6 +59,7 @@
     caller_server: Server,
     admin_server: Server,
     follower: JoinHandle<()>,
+    maintainer: JoinHandle<()>,
 }
 
 impl Node {
@@ -76,6 +78,7 @@
         let caller_server = listen(settings.caller_address, caller_router(&shared)).await?;
         let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
         let follower = tokio::spawn(follower::follow(shared.clone()));
+        let maintainer = tokio::spawn(maintain::run(shared.clone()));
         Ok(Self {
             caller_address: caller_server.address,
             admin_address: admin_server.address,
@@ -83,6 +86,7 @@
             caller_server,
             admin_server,
             follower,
+            maintainer,
         })
     }
 
@@ -96,6 +100,7 @@
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
         self.follower.abort();
+        self.maintainer.abort();
         Stopped { graceful }
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -14,6 +14,7 @@
 use limits::LimitKey;
 use limits::LimitTable;
 use model::Config;
+use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 
@@ -34,6 +35,8 @@
     pub telemetry: Telemetry,
     /// Changes of the configuration.
     pub writer: ConfigWriter,
+    /// Other transactions.
+    pub committer: Committer,
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
     config: RwLock<Arc<Config>>,
@@ -55,6 +58,7 @@
             events,
             telemetry,
             writer: ConfigWriter::default(),
+            committer: Committer::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
             stopping: AtomicBool::new(false),
--- /dev/null
+++ b/crates/node/tests/hosts.rs
@@ -0,0 +1,223 @@
+//! Hosts drained, moved and returned by operators while work runs on them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::GatewaySettings;
+use http::Method;
+use http::StatusCode;
+use model::HostState;
+use model::TeamRef;
+use model::key::KeyHolder;
+use model::key::hash_key;
+use node::Node;
+use node::Platform;
+use node::Settings;
+use node::api;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use standin::backend::StandinBackend;
+use standin::caller::Answer;
+use standin::caller::call;
+
+const OPERATOR_KEY: &str = "operator-key-of-the-test";
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+fn settings(name: &str, node_count: u32) -> Settings {
+    Settings {
+        node: name.into(),
+        zone: "a".into(),
+        caller_address: ANY_PORT,
+        admin_address: ANY_PORT,
+        operator_key_hash: Some(hash_key(OPERATOR_KEY)),
+        node_count,
+        poll_interval: Duration::from_millis(40),
+        metrics_address: None,
+        gateway: GatewaySettings {
+            connect_timeout: Duration::from_secs(5),
+            request_timeout: Duration::from_secs(30),
+            body_max_bytes: 1 << 30,
+            ..GatewaySettings::default()
+        },
+    }
+}
+
+fn contract(backends: &[SocketAddr]) -> String {
+    let mut text = r#"
+customer = "levy"
+profile = "share"
+[[services]]
+name = "validate"
+unavailable_max = 1
+[[queues]]
+name = "levy-validate"
+service = "validate"
+teams = ["officers"]
+[[teams]]
+name = "officers"
+running_max = 40
+[[pools]]
+name = "levy-validate"
+service = "validate"
+[[pools]]
+name = "levy-spare"
+"#
+    .to_owned();
+    for (index, backend) in backends.iter().enumerate() {
+        text.push_str(&format!(
+            r#"
+[[hosts]]
+name = "w{index}"
+pool = "levy-validate"
+address = "{backend}"
+zone = "a"
+rack = "r{index}"
+slots = 8
+connections_max = 64
+processors = 16
+memory_mib = 32768
+"#
+        ));
+    }
+    text
+}
+
+async fn admin_raw(node: &Node, method: Method, path: &str, body: &impl Serialize) -> Answer {
+    let headers = [
+        ("authorization", &*format!("Bearer {OPERATOR_KEY}")),
+        ("content-type", "application/json"),
+    ];
+    let path = format!("{}{path}", api::PREFIX);
+    let body = serde_json::to_vec(body).unwrap();
+    call(node.admin_address, method, &path, &headers, body).await.unwrap()
+}
+
+async fn admin<T: DeserializeOwned>(
+    node: &Node,
+    method: Method,
+    path: &str,
+    body: &impl Serialize,
+) -> T {
+    let answer = admin_raw(node, method, path, body).await;
+    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+async fn host(node: &Node, id: &str) -> api::HostView {
+    let hosts: Vec<api::HostView> = admin(node, Method::GET, "/hosts", &()).await;
+    hosts.into_iter().find(|host| &*host.id == id).unwrap()
+}
+
+async fn wait_for(node: &Node, id: &str, wanted: impl Fn(&api::HostView) -> bool) {
+    for _ in 0..500 {
+        if wanted(&host(node, id).await) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("host is still {:?}", host(node, id).await);
+}
+
+async fn wait_until_listed(node: &Node) {
+    for _ in 0..500 {
+        let hosts: Vec<api::HostView> = admin(node, Method::GET, "/hosts", &()).await;
+        if !hosts.is_empty() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("no configuration came");
+}
+
+async fn start(nodes: u32) -> Vec<Node> {
+    let platform = Platform::embedded();
+    let mut backends = Vec::new();
+    for _ in 0..3 {
+        let served = standin::backend::serve(Arc::new(StandinBackend::default()), ANY_PORT).await;
+        backends.push(served.unwrap().0);
+    }
+    let mut started = Vec::new();
+    for index in 0..nodes {
+        let name = format!("n{index}");
+        started.push(Node::start(settings(&name, nodes), platform.clone()).await.unwrap());
+    }
+    let apply = api::ApplyContract {
+        source: "levy.toml".to_owned(),
+        text: contract(&backends),
+        seen: None,
+    };
+    let _: api::Accepted = admin(&started[0], Method::POST, "/contracts", &apply).await;
+    started
+}
+
+async fn stop(nodes: Vec<Node>) {
+    for node in nodes {
+        assert!(node.stop(Duration::ZERO, Duration::from_secs(30)).await.graceful);
+    }
+}
+
+#[tokio::test]
+async fn move_waits_for_running_work_of_every_node_and_budget_refuses_the_next() {
+    let nodes = start(2).await;
+    let holder = KeyHolder::Team(TeamRef::new("levy", "officers"));
+    let key: api::GrantedKey =
+        admin(&nodes[0], Method::POST, "/keys", &api::GrantKey { holder }).await;
+    wait_until_listed(&nodes[1]).await;
+    // Enough requests at the second node that every host runs some of them.
+    let mut requests = Vec::new();
+    for _ in 0..12 {
+        let address = nodes[1].caller_address;
+        let authorization = format!("Bearer {}", key.secret);
+        requests.push(tokio::spawn(async move {
+            let headers = [("authorization", &*authorization), ("standin-delay-ms", "1500")];
+            call(address, Method::POST, "/q/levy-validate/x", &headers, "x").await.unwrap()
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(host(&nodes[1], "w0").await.running > 0);
+
+    let to_spare = api::MoveHost { pool: "levy-spare".into() };
+    let _: api::Accepted = admin(&nodes[0], Method::POST, "/hosts/w0/move", &to_spare).await;
+    let refused = admin_raw(&nodes[0], Method::POST, "/hosts/w1/drain", &()).await;
+    assert_eq!(refused.status, StatusCode::UNPROCESSABLE_ENTITY);
+    let detail = serde_json::from_slice::<api::Problem>(&refused.body).unwrap().detail;
+    assert!(detail.contains("service `validate`") && detail.contains("w0 (draining)"), "{detail}");
+    assert!(detail.contains("may be free in about"), "{detail}");
+
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let moving = host(&nodes[0], "w0").await;
+    assert_eq!((moving.state, &*moving.pool), (HostState::Draining, "levy-validate"));
+    for request in requests {
+        assert_eq!(request.await.unwrap().outcome(), "complete");
+    }
+    wait_for(&nodes[0], "w0", |host| &*host.pool == "levy-spare" && host.state.takes_work()).await;
+    let _: api::Accepted = admin(&nodes[1], Method::POST, "/hosts/w1/drain", &()).await;
+    stop(nodes).await;
+}
+
+#[tokio::test]
+async fn drained_host_stays_out_until_it_is_returned() {
+    let nodes = start(1).await;
+    let _: api::Accepted = admin(&nodes[0], Method::POST, "/hosts/w0/drain", &()).await;
+    wait_for(&nodes[0], "w0", |host| host.state == HostState::Drained).await;
+    let again = admin_raw(&nodes[0], Method::POST, "/hosts/w0/drain", &()).await;
+    assert_eq!(again.status, StatusCode::UNPROCESSABLE_ENTITY);
+    let _: api::Accepted = admin(&nodes[0], Method::POST, "/hosts/w0/return", &()).await;
+    wait_for(&nodes[0], "w0", |host| host.state.takes_work()).await;
+    stop(nodes).await;
+}
+
+#[tokio::test]
+async fn two_operators_cannot_both_spend_the_last_place() {
+    let nodes = start(2).await;
+    wait_until_listed(&nodes[1]).await;
+    let (first, second) = tokio::join!(
+        admin_raw(&nodes[0], Method::POST, "/hosts/w0/drain", &()),
+        admin_raw(&nodes[1], Method::POST, "/hosts/w1/drain", &()),
+    );
+    let accepted = [first, second].iter().filter(|a| a.status == StatusCode::OK).count();
+    assert_eq!(accepted, 1);
+    stop(nodes).await;
+}
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -54,7 +54,7 @@
     /// Show queues.
     #[command(subcommand)]
     Queue(QueueCommand),
-    /// Show hosts.
+    /// Show, drain, move and return hosts.
     #[command(subcommand)]
     Host(HostCommand),
     /// Show teams and their limits.
@@ -178,6 +178,23 @@
 pub enum HostCommand {
     /// List the hosts.
     List,
+    /// Move a host to another pool of its customer; it is drained first.
+    Move {
+        /// Host.
+        host: String,
+        /// Pool.
+        pool: String,
+    },
+    /// Drain a host; it stays out of service until it is returned.
+    Drain {
+        /// Host.
+        host: String,
+    },
+    /// Return a drained or failed host to its pool, or cancel its drain or move.
+    Return {
+        /// Host.
+        host: String,
+    },
 }
 
 /// `team` commands.
--- a/crates/savorypitch/src/command/host.rs
+++ b/crates/savorypitch/src/command/host.rs
@@ -1,7 +1,9 @@
-//! `host`: lists hosts.
+//! `host`: lists, moves, drains and returns hosts.
 
 use node::api;
+use serde::Serialize;
 
+use super::contract::report_accepted;
 use crate::args::HostCommand;
 use crate::client::Client;
 use crate::failure::Failure;
@@ -10,7 +12,24 @@
 
 /// Runs a `host` command.
 pub fn run(client: &Client, command: HostCommand, json: bool) -> Result<(), Failure> {
-    let HostCommand::List = command;
+    match command {
+        HostCommand::List => list(client, json),
+        HostCommand::Move { host, pool } => {
+            let call = api::MoveHost { pool: pool.into() };
+            change(client, &format!("/hosts/{host}/move"), &call, json)
+        }
+        HostCommand::Drain { host } => change(client, &format!("/hosts/{host}/drain"), &(), json),
+        HostCommand::Return { host } => change(client, &format!("/hosts/{host}/return"), &(), json),
+    }
+}
+
+fn change(client: &Client, path: &str, call: &impl Serialize, json: bool) -> Result<(), Failure> {
+    let accepted: api::Accepted = client.post(path, call)?;
+    report_accepted(&accepted, json);
+    Ok(())
+}
+
+fn list(client: &Client, json: bool) -> Result<(), Failure> {
     let hosts: Vec<api::HostView> = client.get("/hosts")?;
     if json {
         print_json(&hosts);
@@ -24,12 +43,14 @@
                 host.pool.to_string(),
                 host.zone.to_string(),
                 host.state.to_string(),
+                host.reason.map_or_else(String::new, |reason| reason.to_string()),
                 host.move_to.map_or_else(String::new, |pool| pool.to_string()),
                 host.running.to_string(),
                 host.in_doubt.to_string(),
             ]
         })
         .collect();
-    print_table(["HOST", "POOL", "ZONE", "STATE", "MOVES TO", "RUNNING", "IN DOUBT"], &rows);
+    let header = ["HOST", "POOL", "ZONE", "STATE", "WHY", "MOVES TO", "RUNNING", "IN DOUBT"];
+    print_table(header, &rows);
     Ok(())
 }
