--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -13,10 +13,12 @@
 use gateway::Authority;
 use limits::LimitKey;
 use limits::LimitTable;
+use membership::MemberView;
 use model::Config;
 use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use wire::Count;
 
 use crate::settings::Platform;
 use crate::settings::Settings;
@@ -40,6 +42,8 @@
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
     config: RwLock<Arc<Config>>,
+    members: RwLock<Arc<Vec<MemberView>>>,
+    counts: RwLock<Vec<Count>>,
     stopping: AtomicBool,
 }
 
@@ -61,6 +65,8 @@
             committer: Committer::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
+            members: RwLock::default(),
+            counts: RwLock::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -81,6 +87,27 @@
         true
     }
 
+    /// Members as this node sees them, itself included, sorted by node.
+    pub fn members(&self) -> Arc<Vec<MemberView>> {
+        self.members.read().expect("no holder panics").clone()
+    }
+
+    /// Replaces the view of the members.
+    pub fn set_members(&self, members: Vec<MemberView>) {
+        *self.members.write().expect("no holder panics") = Arc::new(members);
+    }
+
+    /// Counts that the next heartbeats carry.
+    pub fn counts(&self) -> Vec<Count> {
+        self.counts.read().expect("no holder panics").clone()
+    }
+
+    /// Replaces the counts that heartbeats carry, sorted by key.
+    #[allow(dead_code)]
+    pub fn set_counts(&self, counts: Vec<Count>) {
+        *self.counts.write().expect("no holder panics") = counts;
+    }
+
     /// Refuses new work from now on.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
