Ship events to the object store and show the time line of all nodes

Cause: a node's events ended with its process, and nothing merged them. Change: compressed batches under names in order of time, shipped every second when there are events; timeline merges them with filters, follow mode, JSON and a self-contained HTML picture. Before: events of one live node. Conclusion: a dead node's events are kept but for the last second while the store answers.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -12,6 +12,7 @@
 use model::WaveId;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
 
 /// Reading of a hybrid logical clock.
 #[derive(
@@ -39,6 +40,62 @@
     pub kind: EventKind,
 }
 
+/// A named value of an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Detail {
+    /// Name of the field.
+    pub name: String,
+    /// Value as text.
+    pub value: String,
+}
+
+impl Event {
+    /// Kind, as in `host-step`.
+    pub fn kind_name(&self) -> String {
+        match self.kind_value().get("kind") {
+            Some(Value::String(name)) => name.clone(),
+            _ => String::new(),
+        }
+    }
+
+    /// Fields of the kind, sorted by name.
+    pub fn details(&self) -> Vec<Detail> {
+        let Value::Object(fields) = self.kind_value() else {
+            return Vec::new();
+        };
+        fields
+            .into_iter()
+            .filter(|(name, _)| name != "kind")
+            .map(|(name, value)| Detail { name, value: text_of(&value) })
+            .collect()
+    }
+
+    /// Fields of the kind, as `name=value` in a line.
+    pub fn describe_details(&self) -> String {
+        let details = self.details();
+        let parts: Vec<String> =
+            details.iter().map(|detail| format!("{}={}", detail.name, detail.value)).collect();
+        parts.join(" ")
+    }
+
+    fn kind_value(&self) -> Value {
+        serde_json::to_value(&self.kind).expect("kinds have string keys only")
+    }
+}
+
+/// A value as an operator writes it; a team is `customer/team`.
+fn text_of(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Object(fields) => {
+            let parts: Vec<String> = fields.values().map(text_of).collect();
+            parts.join("/")
+        }
+        Value::Null => "-".to_owned(),
+        other => other.to_string(),
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -2,12 +2,26 @@
 //!
 //! A [`Recorder`] keeps a bounded ring of events; the oldest are dropped and counted when nobody has
 //! collected them in time. Stamps come from a hybrid logical clock: wall time, and a counter where
-//! wall time stands still or a message from a later clock was seen.
+//! wall time stands still or a message from a later clock was seen. A [`Batch`] is the form in which
+//! events go to the object store; [`merge`] puts the batches of all processes in one order, and
+//! [`render_html`] draws them.
 
+mod batch;
 mod event;
+mod filter;
+mod html;
+mod merge;
 mod recorder;
 
+pub use batch::Batch;
+pub use batch::BatchError;
+pub use batch::BatchName;
+pub use batch::OBJECT_PREFIX;
+pub use event::Detail;
 pub use event::Event;
 pub use event::EventKind;
 pub use event::Stamp;
+pub use filter::Filter;
+pub use html::render_html;
+pub use merge::merge;
 pub use recorder::Recorder;
--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -5,18 +5,23 @@
 
 use axum::Json;
 use axum::Router;
+use axum::extract::Query;
 use axum::extract::State;
 use axum::routing::get;
+use control::ChangeError;
 use events::Event;
+use events::Filter;
 use gateway::Authority;
 
+use super::AdminError;
 use super::Node;
 use crate::api;
 use crate::shared::Shared;
+use crate::ship::read_timeline;
 
 /// Routes.
 pub fn routes() -> Router<Arc<Shared>> {
-    Router::new().route("/status", get(status)).route("/events", get(list_events))
+    Router::new().route("/status", get(status)).route("/timeline", get(timeline))
 }
 
 async fn status(State(shared): Node) -> Json<api::StatusView> {
@@ -29,6 +34,10 @@
     })
 }
 
-async fn list_events(State(shared): Node) -> Json<Vec<Event>> {
-    Json(shared.events.since(0))
+async fn timeline(
+    State(shared): Node,
+    Query(filter): Query<Filter>,
+) -> Result<Json<Vec<Event>>, AdminError> {
+    let events = read_timeline(&shared, &filter).await;
+    Ok(Json(events.map_err(ChangeError::from)?))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod run;
 mod settings;
 mod shared;
+mod ship;
 
 pub use run::Node;
 pub use run::StartError;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -24,6 +24,7 @@
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::ship;
 
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
@@ -57,7 +58,7 @@
     shared: Arc<Shared>,
     caller_server: Server,
     admin_server: Server,
-    follower: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Node {
@@ -75,14 +76,17 @@
         let settings = &shared.settings;
         let caller_server = listen(settings.caller_address, caller_router(&shared)).await?;
         let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
-        let follower = tokio::spawn(follower::follow(shared.clone()));
+        let tasks = vec![
+            tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(ship::ship(shared.clone())),
+        ];
         Ok(Self {
             caller_address: caller_server.address,
             admin_address: admin_server.address,
             shared,
             caller_server,
             admin_server,
-            follower,
+            tasks,
         })
     }
 
@@ -95,7 +99,8 @@
         let graceful = self.caller_server.stop(grace).await;
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
-        self.follower.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -19,6 +19,7 @@
 
 use crate::settings::Platform;
 use crate::settings::Settings;
+use crate::ship::Shipper;
 
 /// State that the parts of a node share.
 pub struct Shared {
@@ -34,6 +35,8 @@
     pub telemetry: Telemetry,
     /// Changes of the configuration.
     pub writer: ConfigWriter,
+    /// Shipment of events.
+    pub shipper: Shipper,
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
     config: RwLock<Arc<Config>>,
@@ -55,6 +58,7 @@
             events,
             telemetry,
             writer: ConfigWriter::default(),
+            shipper: Shipper::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
             stopping: AtomicBool::new(false),
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -62,8 +62,8 @@
     Team(TeamCommand),
     /// Show the state of a node.
     Status,
-    /// Show the time line of events.
-    Timeline,
+    /// Show the time line of events of all nodes, also of those that are gone.
+    Timeline(TimelineArgs),
     /// Print shell completions.
     Completions {
         /// Shell to print them for.
@@ -186,3 +186,35 @@
     /// List the teams.
     List,
 }
+
+/// Filters and forms of `timeline`.
+#[derive(ClapArgs)]
+pub struct TimelineArgs {
+    /// Only events of this request.
+    #[arg(long)]
+    pub request: Option<String>,
+    /// Only events of this team, as in `levy/verifiers`.
+    #[arg(long)]
+    pub team: Option<String>,
+    /// Only events of this host.
+    #[arg(long)]
+    pub host: Option<String>,
+    /// Only events that this node saw.
+    #[arg(long)]
+    pub seen_by: Option<String>,
+    /// Only events of this kind, as in `host-step`.
+    #[arg(long)]
+    pub kind: Option<String>,
+    /// Only events from this time on, in milliseconds since the Unix epoch.
+    #[arg(long)]
+    pub since_ms: Option<u64>,
+    /// Only events up to this time, in milliseconds since the Unix epoch.
+    #[arg(long)]
+    pub until_ms: Option<u64>,
+    /// Go on showing events as they come.
+    #[arg(long, conflicts_with = "html")]
+    pub follow: bool,
+    /// Write a picture to this file; any browser opens it offline.
+    #[arg(long)]
+    pub html: Option<PathBuf>,
+}
--- a/crates/savorypitch/src/command.rs
+++ b/crates/savorypitch/src/command.rs
@@ -30,7 +30,7 @@
         Command::Host(command) => host::run(&client, command, json),
         Command::Team(command) => team::run(&client, command, json),
         Command::Status => status::run(&client, json),
-        Command::Timeline => timeline::run(&client, json),
+        Command::Timeline(timeline_args) => timeline::run(&client, &timeline_args, json),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Args::command(), "savorypitch", &mut io::stdout());
             Ok(())
