--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -12,6 +12,7 @@
 use events::Event;
 use events::Filter;
 use gateway::Authority;
+use membership::MemberView;
 
 use super::AdminError;
 use super::Node;
@@ -30,10 +31,23 @@
         zone: shared.settings.zone.clone(),
         config_version: shared.config().version,
         admits: shared.may_admit(Instant::now()),
+        members: shared.members().iter().map(view).collect(),
         metrics: shared.telemetry.totals(),
     })
 }
 
+fn view(member: &MemberView) -> api::MemberStatus {
+    api::MemberStatus {
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+        zone: member.zone.clone(),
+        caller_address: member.caller_address,
+        admin_address: member.admin_address,
+        config_version: member.config_version,
+        alive: member.alive,
+    }
+}
+
 async fn timeline(
     State(shared): Node,
     Query(filter): Query<Filter>,
