--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod run;
 mod settings;
 mod shared;
+mod ship;
 
 pub use run::Node;
 pub use run::StartError;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -26,6 +26,7 @@
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::ship;
 
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
@@ -59,8 +60,7 @@
     shared: Arc<Shared>,
     caller_server: Server,
     admin_server: Server,
-    follower: JoinHandle<()>,
-    maintainer: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Node {
@@ -88,16 +88,18 @@
             alive: true,
             counts: shared.counts(),
         }]);
-        let follower = tokio::spawn(follower::follow(shared.clone()));
-        let maintainer = tokio::spawn(maintain::run(shared.clone()));
+        let tasks = vec![
+            tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(maintain::run(shared.clone())),
+            tokio::spawn(ship::ship(shared.clone())),
+        ];
         Ok(Self {
             caller_address: caller_server.address,
             admin_address: admin_server.address,
             shared,
             caller_server,
             admin_server,
-            follower,
-            maintainer,
+            tasks,
         })
     }
 
@@ -110,8 +112,8 @@
         let graceful = self.caller_server.stop(grace).await;
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
-        self.follower.abort();
-        self.maintainer.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -22,6 +22,7 @@
 
 use crate::settings::Platform;
 use crate::settings::Settings;
+use crate::ship::Shipper;
 
 /// State that the parts of a node share.
 pub struct Shared {
@@ -39,6 +40,8 @@
     pub writer: ConfigWriter,
     /// Other transactions.
     pub committer: Committer,
+    /// Shipment of events.
+    pub shipper: Shipper,
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
     config: RwLock<Arc<Config>>,
@@ -63,6 +66,7 @@
             telemetry,
             writer: ConfigWriter::default(),
             committer: Committer::default(),
+            shipper: Shipper::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
             members: RwLock::default(),
