--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,14 +1,18 @@
 //! Messages of the operators' interface, shared by the node and the command line.
 
+use std::net::SocketAddr;
+
 use model::ConfigVersion;
 use model::CustomerId;
 use model::HostId;
 use model::HostState;
+use model::Incarnation;
 use model::KeyId;
 use model::NodeId;
 use model::PoolId;
 use model::QueueId;
 use model::ServiceId;
+use model::StopReason;
 use model::TeamRef;
 use model::ZoneId;
 use model::key::KeyHolder;
@@ -96,6 +100,9 @@
     pub zone: ZoneId,
     /// Step of its life cycle.
     pub state: HostState,
+    /// Why it takes no work.
+    #[serde(default)]
+    pub reason: Option<StopReason>,
     /// Pool that it moves to.
     pub move_to: Option<PoolId>,
     /// Requests that this node has running there.
@@ -104,6 +111,13 @@
     pub in_doubt: u32,
 }
 
+/// `POST /hosts/{id}/move`: the pool to move a host to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MoveHost {
+    /// Pool.
+    pub pool: PoolId,
+}
+
 /// A team.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TeamView {
@@ -132,10 +146,32 @@
     pub config_version: ConfigVersion,
     /// True while the node takes new work.
     pub admits: bool,
+    /// Members as this node sees them, sorted by node.
+    #[serde(default)]
+    pub members: Vec<MemberStatus>,
     /// Counters and gauges, sorted by name.
     pub metrics: Vec<(String, u64)>,
 }
 
+/// A member as one node sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Node.
+    pub node: NodeId,
+    /// Run of its process.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    /// Configuration in force there, as last reported.
+    pub config_version: ConfigVersion,
+    /// True if it was heard of lately and is not marked.
+    pub alive: bool,
+}
+
 /// A refusal without findings.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Problem {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod admin;
 mod follower;
+mod maintain;
 mod run;
 mod settings;
 mod shared;
+mod ship;
 
 pub use run::Node;
 pub use run::StartError;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,14 +16,17 @@
 use gateway::Gateway;
 use gateway::Server;
 use http::StatusCode;
+use membership::MemberView;
 use telemetry::Telemetry;
 use tokio::task::JoinHandle;
 
 use crate::admin;
 use crate::follower;
+use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::ship;
 
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
@@ -57,7 +60,7 @@
     shared: Arc<Shared>,
     caller_server: Server,
     admin_server: Server,
-    follower: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Node {
@@ -75,14 +78,28 @@
         let settings = &shared.settings;
         let caller_server = listen(settings.caller_address, caller_router(&shared)).await?;
         let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
-        let follower = tokio::spawn(follower::follow(shared.clone()));
+        shared.set_members(vec![MemberView {
+            node: settings.node.clone(),
+            incarnation,
+            zone: settings.zone.clone(),
+            caller_address: caller_server.address,
+            admin_address: admin_server.address,
+            config_version: shared.config().version,
+            alive: true,
+            counts: shared.counts(),
+        }]);
+        let tasks = vec![
+            tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(maintain::run(shared.clone())),
+            tokio::spawn(ship::ship(shared.clone())),
+        ];
         Ok(Self {
             caller_address: caller_server.address,
             admin_address: admin_server.address,
             shared,
             caller_server,
             admin_server,
-            follower,
+            tasks,
         })
     }
 
@@ -95,7 +112,8 @@
         let graceful = self.caller_server.stop(grace).await;
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
-        self.follower.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
 }
