Take a node's tokens from the ledger

Cause: limits were split by a fixed number of nodes. Change: a task looks at the ledger at a rate that keeps the looks of all nodes together at ten a second, publishes counts for heartbeats and spare_peers, and hands its tokens back at a stop.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -69,6 +69,9 @@
         telemetry: Telemetry,
         settings: GatewaySettings,
     ) -> Self {
+        let freed = Arc::new(Notify::new());
+        let waiting = freed.clone();
+        limits.listen(move || waiting.notify_waiters());
         Self {
             authority,
             limits,
@@ -76,7 +79,7 @@
             telemetry,
             settings,
             connections: Arc::default(),
-            freed: Arc::default(),
+            freed,
             rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
         }
     }
--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -10,6 +10,9 @@
 use crate::key::LimitKey;
 use crate::row::Holder;
 
+/// Part of a demand that is gone at each look after its cause went away.
+const FALL_DIVISOR: u32 = 4;
+
 /// Tokens of a backend server or team that a node asks for are counted under one of these.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum DemandKey {
@@ -106,3 +109,44 @@
     limits.sort_by(|a, b| a.key.cmp(&b.key));
     limits
 }
+
+/// What members ask for, smoothed: a rise counts at once, a fall with a delay.
+#[derive(Default)]
+pub struct DemandMeter {
+    /// Sorted by holder.
+    members: Vec<MemberDemand>,
+}
+
+impl DemandMeter {
+    /// Takes note of what the live members ask for now, sorted by holder; forgets all others.
+    pub fn observe(&mut self, now: Vec<MemberDemand>) {
+        let mut next = Vec::with_capacity(now.len());
+        for member in now {
+            let before = self.members.binary_search_by(|other| other.holder.cmp(&member.holder));
+            next.push(match before {
+                Ok(index) => smooth(&self.members[index], member),
+                Err(_) => member,
+            });
+        }
+        self.members = next;
+    }
+
+    /// What the members ask for, sorted by holder.
+    pub fn members(&self) -> &[MemberDemand] {
+        &self.members
+    }
+}
+
+fn smooth(before: &MemberDemand, mut now: MemberDemand) -> MemberDemand {
+    for held in &before.demands {
+        let fallen = held.count - held.count.div_ceil(FALL_DIVISOR);
+        match now.demands.binary_search_by(|demand| demand.key.cmp(&held.key)) {
+            Ok(index) => now.demands[index].count = now.demands[index].count.max(fallen),
+            Err(index) if fallen > 0 => {
+                now.demands.insert(index, Demand { key: held.key.clone(), count: fallen });
+            }
+            Err(_) => {}
+        }
+    }
+    now
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub use demand::Demand;
 pub use demand::DemandKey;
+pub use demand::DemandMeter;
 pub use demand::Limit;
 pub use demand::MemberDemand;
 pub use demand::limits_of;
@@ -25,6 +26,7 @@
 pub use ledger::Tick;
 pub use ledger::Tokens;
 pub use ledger::View;
+pub use reclaim::Reclaimed;
 pub use row::Holder;
 pub use row::Holding;
 pub use row::LedgerRow;
--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -4,8 +4,10 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 
+use model::Config;
 use model::ConfigVersion;
 
+use crate::demand::limits_of;
 use crate::key::LimitKey;
 use crate::ledger::Tokens;
 
@@ -23,6 +25,10 @@
     pub running: u32,
     /// Tokens whose work may still be running somewhere.
     pub in_doubt: u32,
+    /// Most tokens in use or in doubt at once since the last sample.
+    pub peak: u32,
+    /// True if new work found no token since the last sample.
+    pub missed: bool,
     /// Version of the configuration that lowered the limit, while more may run than it allows.
     pub frozen_at: Option<ConfigVersion>,
 }
@@ -33,9 +39,14 @@
         if self.frozen_at.is_some() { 0 } else { self.unused() }
     }
 
+    /// Tokens that work has or may have.
+    pub fn used(&self) -> u32 {
+        self.running + self.in_doubt
+    }
+
     /// Tokens that no work has.
     fn unused(&self) -> u32 {
-        self.granted.saturating_sub(self.running + self.in_doubt)
+        self.granted.saturating_sub(self.used())
     }
 }
 
@@ -51,9 +62,11 @@
     pub fn take(&self, key: &LimitKey) -> bool {
         self.change(key, |row| {
             if row.spare() == 0 {
+                row.missed = true;
                 return false;
             }
             row.running += 1;
+            row.peak = row.peak.max(row.used());
             true
         })
     }
@@ -100,6 +113,28 @@
         self.lock().clone()
     }
 
+    /// All allotments, sorted by key, with peaks and misses since the last sample.
+    pub fn sample(&self) -> Vec<Allotment> {
+        let mut rows = self.lock();
+        let sampled = rows.clone();
+        for row in rows.iter_mut() {
+            row.peak = row.used();
+            row.missed = false;
+        }
+        sampled
+    }
+
+    /// Lets no work take tokens of limits that `next` lowers, until the ledger shows that they fit.
+    pub fn freeze_lowered(&self, held: &Config, next: &Config) {
+        let wanted = limits_of(next);
+        for limit in limits_of(held) {
+            let found = wanted.binary_search_by(|other| other.key.cmp(&limit.key));
+            if found.map_or(0, |index| wanted[index].count) < limit.count {
+                self.freeze(&limit.key, next.version);
+            }
+        }
+    }
+
     /// Calls `listener` each time that tokens come to the node; only the first listener is kept.
     pub fn listen(&self, listener: impl Fn() + Send + Sync + 'static) {
         // A second listener would be a second gateway, which there is not.
@@ -173,5 +208,13 @@
 }
 
 fn empty(key: &LimitKey) -> Allotment {
-    Allotment { key: key.clone(), granted: 0, running: 0, in_doubt: 0, frozen_at: None }
+    Allotment {
+        key: key.clone(),
+        granted: 0,
+        running: 0,
+        in_doubt: 0,
+        peak: 0,
+        missed: false,
+        frozen_at: None,
+    }
 }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -8,6 +8,7 @@
 mod teams;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Json;
 use axum::Router;
@@ -30,6 +31,9 @@
 use crate::follower::poll_once;
 use crate::shared::Shared;
 
+/// Longest time that a change waits for this node's part of the ledger.
+const LEDGER_WAIT: Duration = Duration::from_secs(1);
+
 /// State of all handlers.
 pub type Node = State<Arc<Shared>>;
 
@@ -106,5 +110,14 @@
 /// Waits until a change is in force and says on which nodes.
 pub async fn accepted(shared: &Shared, version: ConfigVersion) -> api::Accepted {
     poll_once(shared).await;
+    wait_for_ledger(shared, version).await;
     api::Accepted { version, in_force: vec![shared.settings.node.clone()], missing: Vec::new() }
 }
+
+/// Waits until this node's part of the ledger has seen `version`, so that its tokens can be used.
+async fn wait_for_ledger(shared: &Shared, version: ConfigVersion) {
+    let mut seen = shared.ledger_version.subscribe();
+    let has_seen = seen.wait_for(|seen| *seen >= version);
+    // A change is in force with or without the tokens of this node.
+    let _ = tokio::time::timeout(LEDGER_WAIT, has_seen).await;
+}
--- /dev/null
+++ b/crates/node/src/ledger.rs
@@ -0,0 +1,146 @@
+//! This node's part in the ledger of limits: moves tokens to where they are asked for.
+
+mod counts;
+mod reclaim;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::Authority;
+use limits::DemandMeter;
+use limits::Holder;
+use limits::Ledger;
+use limits::Limit;
+use limits::Tick;
+use limits::View;
+use limits::limits_of;
+use model::ConfigVersion;
+use platform::Unavailable;
+use rand::RngExt;
+
+use crate::shared::Shared;
+
+pub use counts::spare_peers;
+
+/// Time between two looks of a node at the ledger, for each node of the fleet: the looks of all
+/// nodes together, and so their transactions, stay at a fixed rate.
+const TICK_PER_NODE: Duration = Duration::from_millis(100);
+/// Shortest time between two looks.
+const TICK_MIN: Duration = Duration::from_millis(200);
+/// Transactions in which a node that stops gives away what it holds, at most.
+const HAND_BACK_TRIES: usize = 64;
+/// Longest time that a stopping node tries to give away what it holds.
+const HAND_BACK_MAX: Duration = Duration::from_secs(5);
+
+/// Looks at the ledger for as long as the node runs.
+pub async fn run(shared: Arc<Shared>) {
+    let mut part = Part::default();
+    loop {
+        if part.look(&shared, false).await.is_err() {
+            shared.telemetry.count("ledger.unavailable");
+        }
+        tokio::select! {
+            () = tokio::time::sleep(tick_interval(&shared)) => {}
+            () = shared.ledger_now.notified() => {}
+        }
+    }
+}
+
+/// Gives away what the node holds, before it stops; what is still in doubt stays held.
+pub async fn hand_back(shared: &Arc<Shared>) {
+    let mut part = Part::default();
+    let handed_back = async {
+        for _ in 0..HAND_BACK_TRIES {
+            match part.look(shared, true).await {
+                Ok(Tick::Idle) => return,
+                Ok(_) => {}
+                Err(_) => tokio::time::sleep(TICK_MIN).await,
+            }
+        }
+    };
+    // What could not be given away is taken over like the holdings of a node that failed.
+    let _ = tokio::time::timeout(HAND_BACK_MAX, handed_back).await;
+}
+
+/// What a node knows from one look to the next.
+#[derive(Default)]
+struct Part {
+    ledger: Option<Ledger>,
+    meter: DemandMeter,
+    limits: Vec<Limit>,
+    limits_version: ConfigVersion,
+    reclaim: reclaim::Reclaim,
+}
+
+impl Part {
+    async fn look(&mut self, shared: &Arc<Shared>, leaving: bool) -> Result<Tick, Unavailable> {
+        let Some(me) = me(shared) else {
+            return Ok(Tick::Idle);
+        };
+        let config = shared.config();
+        if self.limits_version != config.version {
+            self.limits = limits_of(&config);
+            self.limits_version = config.version;
+        }
+        counts::publish(shared, &config);
+        if shared.members().len() == 1 && shared.settings.node_count > 1 {
+            self.split(shared);
+            shared.ledger_version.send_replace(config.version);
+            return Ok(Tick::Idle);
+        }
+        self.meter.observe(counts::asked(&shared.members()));
+        let tokens = &*shared.limits;
+        // A run that was taken over holds nothing any more, whatever it remembers.
+        if self.ledger.as_ref().is_some_and(|ledger| *ledger.me() != me) {
+            limits::Tokens::revoke_all(tokens);
+            self.ledger = None;
+        }
+        let ledger = self.ledger.get_or_insert_with(|| Ledger::new(me));
+        let view = View {
+            limits: &self.limits,
+            config_version: config.version,
+            members: self.meter.members(),
+            leaving,
+        };
+        let table = &*shared.platform.table;
+        let tick = ledger.tick(table, tokens, &view).await?;
+        count(shared, tick);
+        if !leaving {
+            self.reclaim.look(shared, ledger, &view).await?;
+        }
+        shared.ledger_version.send_replace(config.version);
+        Ok(tick)
+    }
+
+    /// Gives this node an equal part of each limit, while it knows of no other member.
+    fn split(&self, shared: &Shared) {
+        for limit in &self.limits {
+            shared.limits.grant(&limit.key, limit.count / shared.settings.node_count);
+            limits::Tokens::thaw(&*shared.limits, &limit.key, self.limits_version);
+        }
+    }
+}
+
+fn me(shared: &Shared) -> Option<Holder> {
+    let members = shared.members();
+    let index = members.binary_search_by(|member| member.node.cmp(&shared.settings.node)).ok()?;
+    Some(Holder::new(members[index].node.clone(), members[index].incarnation))
+}
+
+fn tick_interval(shared: &Shared) -> Duration {
+    let nodes = shared.members().iter().filter(|member| member.alive).count() as u32;
+    let interval = (TICK_PER_NODE * nodes).max(TICK_MIN);
+    // Jitter keeps the nodes from writing at the same moment.
+    interval.mul_f64(rand::rng().random_range(0.75..1.25))
+}
+
+fn count(shared: &Shared, tick: Tick) {
+    let name = match tick {
+        Tick::Idle => return,
+        Tick::Written { .. } => "ledger.written",
+        Tick::Conflict => "ledger.conflict",
+        Tick::Refused => "ledger.refused",
+        Tick::Unknown => "ledger.unknown",
+    };
+    shared.telemetry.count(name);
+}
--- /dev/null
+++ b/crates/node/src/ledger/counts.rs
@@ -0,0 +1,117 @@
+//! Counts that heartbeats carry, and what they say about demand and spare tokens.
+
+use gateway::Peer;
+use limits::Allotment;
+use limits::Demand;
+use limits::DemandKey;
+use limits::Holder;
+use limits::LimitKey;
+use limits::MemberDemand;
+use membership::MemberView;
+use model::Config;
+use model::NodeId;
+use model::ServiceId;
+use model::TeamRef;
+use wire::Count;
+
+use crate::shared::Shared;
+
+/// Peers that a request may be offered to.
+const PEERS_MAX: usize = 3;
+
+/// Publishes what this node has running, waiting and to spare for each team and service.
+pub fn publish(shared: &Shared, config: &Config) {
+    let counts = count(config, &shared.limits.sample(), &shared.waiting());
+    shared.set_counts(counts.clone());
+    shared.set_own_counts(counts);
+}
+
+/// What each live member asks for, sorted by holder.
+pub fn asked(members: &[MemberView]) -> Vec<MemberDemand> {
+    let alive = members.iter().filter(|member| member.alive);
+    let mut asked: Vec<MemberDemand> = alive.map(member_demand).collect();
+    asked.sort_by(|a, b| a.holder.cmp(&b.holder));
+    asked
+}
+
+/// Peers of `me` with tokens to spare for `team` on `service`, the best first.
+pub fn spare_peers(
+    members: &[MemberView],
+    me: &NodeId,
+    team: &TeamRef,
+    service: &ServiceId,
+) -> Vec<Peer> {
+    let team_key = DemandKey::Team(team.clone()).to_string();
+    let service_key = DemandKey::Service(team.customer.clone(), service.clone()).to_string();
+    let spare = |member: &MemberView, key: &str| {
+        let found = member.counts.binary_search_by(|count| count.key.as_str().cmp(key));
+        found.map_or(0, |index| member.counts[index].spare)
+    };
+    let mut peers: Vec<(u32, &MemberView)> = members
+        .iter()
+        .filter(|member| member.alive && member.node != *me)
+        .map(|member| (spare(member, &team_key).min(spare(member, &service_key)), member))
+        .filter(|(spare, _)| *spare > 0)
+        .collect();
+    peers.sort_by(|(a, _), (b, _)| b.cmp(a));
+    let best = peers.into_iter().take(PEERS_MAX);
+    best.map(|(_, member)| Peer { node: member.node.clone(), address: member.caller_address })
+        .collect()
+}
+
+fn member_demand(member: &MemberView) -> MemberDemand {
+    let mut demands: Vec<Demand> = member
+        .counts
+        .iter()
+        .filter_map(|count| {
+            let asked = count.running.saturating_add(count.queued);
+            Some(Demand { key: DemandKey::parse(&count.key)?, count: asked })
+        })
+        .collect();
+    demands.sort_by(|a, b| a.key.cmp(&b.key));
+    let holder = Holder::new(member.node.clone(), member.incarnation);
+    MemberDemand { holder, demands }
+}
+
+/// Counts of all teams and services with any, sorted by key.
+fn count(config: &Config, sampled: &[Allotment], waiting: &[Demand]) -> Vec<Count> {
+    let mut counts: Vec<Count> = Vec::new();
+    for allotment in sampled {
+        let (key, queued) = match &allotment.key {
+            // A miss of a team that nobody has counted as waiting still asks for a token.
+            LimitKey::Running(team) => (DemandKey::Team(team.clone()), u32::from(allotment.missed)),
+            LimitKey::Slots(host) => {
+                let Some(host) = config.host(host) else {
+                    continue;
+                };
+                let Some(service) = config.service_of(host) else {
+                    continue;
+                };
+                (DemandKey::Service(host.customer.clone(), service.name.clone()), 0)
+            }
+            LimitKey::Connections(_) => continue,
+        };
+        let count = entry(&mut counts, &key);
+        count.running += allotment.peak;
+        count.spare += allotment.spare();
+        count.queued = count.queued.max(queued);
+    }
+    for demand in waiting {
+        let count = entry(&mut counts, &demand.key);
+        count.queued = count.queued.max(demand.count);
+    }
+    counts.retain(|count| count.running > 0 || count.queued > 0 || count.spare > 0);
+    counts
+}
+
+fn entry<'a>(counts: &'a mut Vec<Count>, key: &DemandKey) -> &'a mut Count {
+    let key = key.to_string();
+    let index = match counts.binary_search_by(|count| count.key.cmp(&key)) {
+        Ok(index) => index,
+        Err(index) => {
+            counts.insert(index, Count { key, ..Count::default() });
+            index
+        }
+    };
+    &mut counts[index]
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod follower;
+mod ledger;
 mod maintain;
 mod run;
 mod settings;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -22,6 +22,7 @@
 
 use crate::admin;
 use crate::follower;
+use crate::ledger;
 use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
@@ -90,6 +91,7 @@
         }]);
         let tasks = vec![
             tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(ledger::run(shared.clone())),
             tokio::spawn(maintain::run(shared.clone())),
             tokio::spawn(ship::ship(shared.clone())),
         ];
@@ -113,6 +115,7 @@
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
         self.tasks.iter().for_each(JoinHandle::abort);
+        ledger::hand_back(&self.shared).await;
         ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the parts of a node share.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -11,19 +12,28 @@
 use events::EventKind;
 use events::Recorder;
 use gateway::Authority;
-use limits::LimitKey;
+use gateway::Peer;
+use limits::Demand;
 use limits::LimitTable;
 use membership::MemberView;
 use model::Config;
+use model::ConfigVersion;
+use model::ServiceId;
+use model::TeamRef;
 use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use wire::Count;
 
+use crate::ledger;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::ship::Shipper;
 
+/// Tells what waits at the gateway.
+type Waiting = Box<dyn Fn() -> Vec<Demand> + Send + Sync>;
+
 /// State that the parts of a node share.
 pub struct Shared {
     /// Settings.
@@ -44,9 +54,14 @@
     pub shipper: Shipper,
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
+    /// Wakes the ledger before its next look.
+    pub ledger_now: Notify,
+    /// Version of the configuration that this node's part of the ledger has last seen.
+    pub ledger_version: watch::Sender<ConfigVersion>,
     config: RwLock<Arc<Config>>,
     members: RwLock<Arc<Vec<MemberView>>>,
     counts: RwLock<Vec<Count>>,
+    waiting: OnceLock<Waiting>,
     stopping: AtomicBool,
 }
 
@@ -68,9 +83,12 @@
             committer: Committer::default(),
             shipper: Shipper::default(),
             poll_now: Notify::new(),
+            ledger_now: Notify::new(),
+            ledger_version: watch::Sender::new(0),
             config: RwLock::default(),
             members: RwLock::default(),
             counts: RwLock::default(),
+            waiting: OnceLock::new(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -83,9 +101,10 @@
             if version <= held.version {
                 return false;
             }
+            self.limits.freeze_lowered(&held, &config);
             *held = Arc::new(config);
         }
-        self.split_limits();
+        self.ledger_now.notify_one();
         self.telemetry.gauge("config.version", version);
         self.events.record(EventKind::ConfigInForce { version }, SystemTime::now());
         true
@@ -107,11 +126,30 @@
     }
 
     /// Replaces the counts that heartbeats carry, sorted by key.
-    #[allow(dead_code)]
     pub fn set_counts(&self, counts: Vec<Count>) {
         *self.counts.write().expect("no holder panics") = counts;
     }
 
+    /// Replaces the counts of this node in its own view of the members.
+    pub fn set_own_counts(&self, counts: Vec<Count>) {
+        let mut members = self.members.write().expect("no holder panics");
+        let found = members.binary_search_by(|member| member.node.cmp(&self.settings.node));
+        if let Ok(index) = found {
+            Arc::make_mut(&mut members)[index].counts = counts;
+        }
+    }
+
+    /// Says what waits at this node; set once the gateway runs.
+    pub fn set_waiting(&self, waiting: impl Fn() -> Vec<Demand> + Send + Sync + 'static) {
+        // There is one gateway in a node.
+        let _ = self.waiting.set(Box::new(waiting));
+    }
+
+    /// Requests that wait at this node, by team and by service.
+    pub fn waiting(&self) -> Vec<Demand> {
+        self.waiting.get().map_or_else(Vec::new, |waiting| waiting())
+    }
+
     /// Refuses new work from now on.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
@@ -121,23 +159,6 @@
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
-
-    /// Gives this node an equal part of each limit.
-    fn split_limits(&self) {
-        let config = self.config();
-        let part = |limit: u32| limit / self.settings.node_count.max(1);
-        for contract in &config.contracts {
-            for team in &contract.teams {
-                let team_ref = model::TeamRef::new(contract.customer.clone(), team.name.clone());
-                self.limits.grant(&LimitKey::Running(team_ref), part(team.running_max));
-            }
-        }
-        for host in &config.hosts {
-            self.limits.grant(&LimitKey::Slots(host.id().clone()), part(host.spec.slots));
-            let connections = LimitKey::Connections(host.id().clone());
-            self.limits.grant(&connections, part(host.spec.connections_max));
-        }
-    }
 }
 
 impl Authority for Shared {
@@ -148,4 +169,8 @@
     fn may_admit(&self, _now: Instant) -> bool {
         !self.is_stopping()
     }
+
+    fn spare_peers(&self, team: &TeamRef, service: &ServiceId) -> Vec<Peer> {
+        ledger::spare_peers(&self.members(), &self.settings.node, team, service)
+    }
 }
