Decide which job runs next, where, and what becomes of its task

Cause: jobs had no placement at all.

Change: crate placement, pure decisions for one pool. Workers are found through buckets of free capacity; a job goes where least accelerators are left over, then by spread, then by fit. Sizes are learnt from the peaks of a kind. Evidence is weighed as a likelihood ratio against the same kind elsewhere, so that a bad job ejects no worker. Jobs that were on one lost worker are kept apart, so that only the one that kills its workers is given up. Overloaded workers checkpoint, throttle, then stop, each step on a report measured after the last. Stored jobs have a typed life cycle, and recovery decides by what the worker says.

--- /dev/null
+++ b/crates/placement/src/harm.rs
@@ -0,0 +1,76 @@
+//! Jobs that take their worker down.
+//!
+//! When a worker is lost, each job on it is a suspect. Suspects of one loss are kept apart, so that
+//! at a second loss only the job that causes it has been on both. Losses that come together, as in a
+//! rack or zone, say nothing about jobs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use model::HostId;
+
+use crate::job::JobId;
+
+/// Losses after which a job is not run again.
+const LOSSES_MAX: u32 = 2;
+/// Losses within the window below that count as one common cause.
+const COMMON_MIN: usize = 3;
+/// Window of a common cause.
+const COMMON_WINDOW: Duration = Duration::from_secs(10);
+/// Losses remembered.
+const LOSSES_KEPT: usize = 64;
+
+#[derive(Clone, Debug)]
+struct Loss {
+    at: Instant,
+    worker: HostId,
+    /// Sorted.
+    jobs: Vec<JobId>,
+}
+
+/// Recent losses of workers.
+#[derive(Clone, Debug, Default)]
+pub struct Losses {
+    recent: Vec<Loss>,
+}
+
+impl Losses {
+    /// A worker was lost while it ran `jobs`.
+    pub fn add(&mut self, worker: &HostId, mut jobs: Vec<JobId>, now: Instant) {
+        jobs.sort_unstable();
+        if self.recent.len() == LOSSES_KEPT {
+            self.recent.remove(0);
+        }
+        self.recent.push(Loss { at: now, worker: worker.clone(), jobs });
+    }
+
+    /// True if the job has been on too many lost workers.
+    pub fn is_harmful(&self, job: &JobId) -> bool {
+        self.of(job).count() as u32 >= LOSSES_MAX
+    }
+
+    /// True if both jobs were on one lost worker, and so should not share another.
+    pub fn are_apart(&self, job: &JobId, other: &JobId) -> bool {
+        self.of(job).any(|loss| loss.jobs.binary_search(other).is_ok())
+    }
+
+    /// True if the job was on a lost worker.
+    pub fn is_suspect(&self, job: &JobId) -> bool {
+        self.of(job).next().is_some()
+    }
+
+    fn of<'a>(&'a self, job: &'a JobId) -> impl Iterator<Item = &'a Loss> {
+        self.recent
+            .iter()
+            .filter(|loss| loss.jobs.binary_search(job).is_ok() && !self.is_common(loss))
+    }
+
+    fn is_common(&self, loss: &Loss) -> bool {
+        let near = |other: &&Loss| {
+            let gap = other.at.max(loss.at).duration_since(other.at.min(loss.at));
+            gap <= COMMON_WINDOW && other.worker != loss.worker
+        };
+        let shared = |other: &&Loss| other.jobs.iter().any(|j| loss.jobs.binary_search(j).is_ok());
+        self.recent.iter().filter(near).filter(|other| !shared(other)).count() + 1 >= COMMON_MIN
+    }
+}
--- /dev/null
+++ b/crates/placement/src/job.rs
@@ -0,0 +1,77 @@
+//! Jobs as callers ask for them.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use model::HostId;
+use model::TeamRef;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::size::Size;
+
+/// Unique id of a job.
+pub type JobId = Arc<str>;
+/// Name that a team gives to jobs that do the same.
+pub type KindId = Arc<str>;
+
+/// How soon a job should start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// Before the others, within a bounded portion; may displace others.
+    Urgent,
+    /// In the order of shares.
+    #[default]
+    Normal,
+}
+
+/// A job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Id.
+    pub id: JobId,
+    /// Team that it counts for.
+    pub team: TeamRef,
+    /// Kind.
+    pub kind: KindId,
+    /// Size as the caller declared it.
+    pub declared: Size,
+    /// How soon it should start.
+    pub class: Class,
+    /// True if a second run does no harm.
+    pub idempotent: bool,
+    /// Runs at most.
+    pub attempts_max: u32,
+}
+
+/// A job that waits for a worker.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// The job.
+    pub job: Job,
+    /// Share weight of its team.
+    pub share_weight: u32,
+    /// Since when it waits.
+    pub since: Instant,
+    /// Workers on which it has failed, sorted.
+    pub avoid: Vec<HostId>,
+    /// Runs so far.
+    pub attempts: u32,
+    /// Times that it was stopped to make room.
+    pub displaced: u32,
+}
+
+impl Pending {
+    /// A new job.
+    pub fn new(job: Job, share_weight: u32, now: Instant) -> Self {
+        Self { job, share_weight, since: now, avoid: Vec::new(), attempts: 0, displaced: 0 }
+    }
+
+    /// Adds a worker to those that the job should not run on again.
+    pub fn avoid(&mut self, worker: &HostId) {
+        if let Err(index) = self.avoid.binary_search(worker) {
+            self.avoid.insert(index, worker.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/pool/ends.rs
@@ -0,0 +1,180 @@
+//! Ends of tasks, lost workers and cancellations.
+
+use std::time::Instant;
+
+use model::HostId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Pool;
+use super::Task;
+use super::urgent::DISPLACED_MAX;
+use crate::evidence::Verdict;
+use crate::job::JobId;
+use crate::job::Pending;
+use crate::size::Size;
+
+/// How a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum End {
+    /// It did what it should.
+    Succeeded,
+    /// It failed.
+    Failed,
+    /// The worker has not started it and never will.
+    NotStarted,
+    /// It was stopped on request.
+    Stopped,
+    /// Nobody knows: its lease lapsed, or its worker is gone.
+    Lost,
+}
+
+/// Final state of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ending {
+    /// It did what it should.
+    Succeeded,
+    /// Its last attempt failed.
+    Failed,
+    /// It has not run, or was stopped, on the caller's request.
+    Cancelled,
+    /// It was stopped and cannot be started again.
+    Stopped,
+    /// It may have run, and must not run again.
+    Unknown,
+    /// It took down each worker that it ran on.
+    Harmful,
+}
+
+/// What becomes of a job after a task of it has ended.
+#[derive(Clone, Debug)]
+pub enum After {
+    /// It waits for another attempt.
+    Waits {
+        /// The job.
+        pending: Pending,
+    },
+    /// It is over.
+    Ends {
+        /// The job.
+        pending: Pending,
+        /// How.
+        ending: Ending,
+    },
+}
+
+/// What became of cancelled jobs.
+#[derive(Clone, Debug, Default)]
+pub struct Cancelled {
+    /// They waited, and never run.
+    pub waiting: Vec<Pending>,
+    /// They run, and are being stopped.
+    pub running: Vec<JobId>,
+}
+
+impl Pool {
+    /// A task has ended; `None` if the job has none.
+    pub fn ended(&mut self, job: &JobId, end: End, now: Instant) -> Option<After> {
+        let index = self.find_task(job)?;
+        let task = self.remove(index);
+        let worker = self.workers[task.worker].spec.id.clone();
+        let verdict = match end {
+            End::Succeeded => Some(Verdict::Succeeded),
+            End::Failed | End::NotStarted => Some(Verdict::Failed),
+            End::Stopped | End::Lost => None,
+        };
+        let kind = task.pending.job.kind.clone();
+        if let Some(verdict) = verdict
+            && self.evidence.add(&worker, &kind, job, verdict, now)
+        {
+            self.actions.push(super::Action::Quarantined { worker: worker.clone() });
+        }
+        if end == End::Succeeded && task.measured_at.is_some() {
+            self.peaks_mut(&kind).add(Size { accelerators: 0, ..task.peak });
+        }
+        let after = self.after(task, end, &worker, now);
+        if let After::Waits { pending } = &after {
+            self.backlog.push_front(pending.clone());
+        }
+        Some(after)
+    }
+
+    /// A worker is gone with all its tasks.
+    pub fn worker_lost(&mut self, worker: &HostId, now: Instant) -> Vec<After> {
+        let jobs = self.tasks_on(worker).to_vec();
+        self.losses.add(worker, jobs.clone(), now);
+        jobs.iter().filter_map(|job| self.ended(job, End::Lost, now)).collect()
+    }
+
+    /// Cancels jobs in one pass; running ones are stopped, and end by [`Self::ended`].
+    pub fn cancel(&mut self, mut jobs: Vec<JobId>, now: Instant) -> Cancelled {
+        jobs.sort_unstable();
+        let waiting = self.backlog.remove_all(&jobs);
+        let mut running = Vec::new();
+        for job in jobs {
+            if let Some(index) = self.find_task(&job) {
+                self.tasks[index].is_cancelled = true;
+                self.stop(index, now);
+                running.push(job);
+            }
+        }
+        Cancelled { waiting, running }
+    }
+
+    fn after(&self, task: Task, end: End, worker: &HostId, now: Instant) -> After {
+        let mut pending = task.pending;
+        let job = &pending.job;
+        // The first few stops cost no attempt.
+        let is_spared = end == End::Stopped && pending.displaced < DISPLACED_MAX;
+        let has_attempts = is_spared || pending.attempts < job.attempts_max;
+        let is_harmful = end == End::Lost && self.losses.is_harmful(&job.id);
+        let ending = match end {
+            End::Succeeded => Some(Ending::Succeeded),
+            _ if task.is_cancelled && end != End::Lost => Some(Ending::Cancelled),
+            _ if is_harmful => Some(Ending::Harmful),
+            // A stopped task has done nothing wrong.
+            End::Stopped if has_attempts && (job.idempotent || task.is_checkpointed) => None,
+            End::Stopped => Some(Ending::Stopped),
+            End::NotStarted if has_attempts => None,
+            End::Failed if has_attempts && job.idempotent => None,
+            End::Failed | End::NotStarted => Some(Ending::Failed),
+            End::Lost if task.is_cancelled && job.idempotent => Some(Ending::Cancelled),
+            End::Lost if has_attempts && job.idempotent => None,
+            End::Lost => Some(Ending::Unknown),
+        };
+        if let Some(ending) = ending {
+            return After::Ends { pending, ending };
+        }
+        match end {
+            End::Stopped => {
+                if pending.displaced < DISPLACED_MAX {
+                    pending.attempts -= 1;
+                }
+                pending.displaced += 1;
+            }
+            _ => pending.avoid(worker),
+        }
+        pending.since = now;
+        After::Waits { pending }
+    }
+
+    fn remove(&mut self, index: usize) -> Task {
+        let task = self.tasks.remove(index);
+        let job = &task.pending.job;
+        let worker = &mut self.workers[task.worker];
+        worker.used = worker.used.minus(&task.reserved);
+        if let Ok(position) = worker.tasks.binary_search(&job.id) {
+            worker.tasks.remove(position);
+        }
+        let (zone, rack) = (worker.zone, worker.rack);
+        self.spread.remove(job, zone, rack);
+        self.backlog.ended(&job.team, &task.reserved);
+        if job.class == crate::job::Class::Urgent {
+            self.urgent_running = self.urgent_running.minus(&task.reserved);
+        }
+        self.reindex(task.worker);
+        task
+    }
+}
--- /dev/null
+++ b/crates/placement/src/task.rs
@@ -0,0 +1,146 @@
+//! Life cycle of a job: waiting, leased to a worker, ended.
+//!
+//! Each step takes the state before and returns the one after, so that no step can be left out or
+//! taken twice. The lease of a worker is stored before the worker is asked to start, so a holder that
+//! takes over knows each worker that may run a task.
+
+use model::HostId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::job::Job;
+use crate::job::JobId;
+use crate::job::Pending;
+use crate::pool::Ending;
+use crate::size::Size;
+
+/// Id of one attempt; a worker starts the same one only once.
+pub type TaskId = String;
+
+/// Waits for a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waiting;
+
+/// May run on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leased {
+    /// Worker.
+    pub worker: HostId,
+    /// Epoch of the holder that leased it.
+    pub epoch: u64,
+    /// Size that is reserved.
+    pub reserved: Size,
+}
+
+/// Is over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// How.
+    pub ending: Ending,
+}
+
+/// A job in the state `S`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task<S> {
+    /// The job.
+    pub job: Job,
+    /// Share weight of its team when it was submitted.
+    pub share_weight: u32,
+    /// Runs so far.
+    pub attempts: u32,
+    /// Times that it was stopped to make room.
+    pub displaced: u32,
+    /// Workers on which it failed, sorted.
+    pub avoid: Vec<HostId>,
+    /// State.
+    pub state: S,
+}
+
+/// A job in any state, as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "stage")]
+pub enum AnyTask {
+    /// Waits.
+    Waiting(Task<Waiting>),
+    /// May run.
+    Leased(Task<Leased>),
+    /// Is over.
+    Ended(Task<Ended>),
+}
+
+impl Task<Waiting> {
+    /// A new job.
+    pub fn new(job: Job, share_weight: u32) -> Self {
+        let (attempts, displaced, avoid) = (0, 0, Vec::new());
+        Self { job, share_weight, attempts, displaced, avoid, state: Waiting }
+    }
+
+    /// State of a job that waits for another attempt.
+    pub fn again(pending: &Pending) -> Self {
+        Task::of(pending, Waiting)
+    }
+
+    /// Leases the next attempt to a worker.
+    pub fn lease(mut self, worker: HostId, epoch: u64, reserved: Size) -> Task<Leased> {
+        self.attempts += 1;
+        self.with(Leased { worker, epoch, reserved })
+    }
+
+    /// Ends the job before any further attempt.
+    pub fn cancel(self) -> Task<Ended> {
+        self.with(Ended { ending: Ending::Cancelled })
+    }
+}
+
+impl Task<Leased> {
+    /// Id of the attempt.
+    pub fn task_id(&self) -> TaskId {
+        task_id(&self.job.id, self.attempts)
+    }
+
+    /// The attempt has not started and never will; it does not count.
+    pub fn not_started(mut self) -> Task<Waiting> {
+        self.attempts -= 1;
+        self.with(Waiting)
+    }
+
+    /// Ends the job.
+    pub fn end(self, ending: Ending) -> Task<Ended> {
+        self.with(Ended { ending })
+    }
+}
+
+impl<S> Task<S> {
+    /// The job as placement sees it.
+    pub fn pending(&self, since: std::time::Instant) -> Pending {
+        Pending {
+            job: self.job.clone(),
+            share_weight: self.share_weight,
+            since,
+            avoid: self.avoid.clone(),
+            attempts: self.attempts,
+            displaced: self.displaced,
+        }
+    }
+
+    fn of(pending: &Pending, state: S) -> Self {
+        Self {
+            job: pending.job.clone(),
+            share_weight: pending.share_weight,
+            attempts: pending.attempts,
+            displaced: pending.displaced,
+            avoid: pending.avoid.clone(),
+            state,
+        }
+    }
+
+    fn with<T>(self, state: T) -> Task<T> {
+        let Self { job, share_weight, attempts, displaced, avoid, .. } = self;
+        Task { job, share_weight, attempts, displaced, avoid, state }
+    }
+}
+
+/// Id of an attempt of a job.
+pub fn task_id(job: &JobId, attempt: u32) -> TaskId {
+    format!("{job}.{attempt}")
+}
--- /dev/null
+++ b/crates/placement/tests/failures.rs
@@ -0,0 +1,286 @@
+//! Failures of workers, jobs and declared sizes, in virtual time.
+
+#[path = "world/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use placement::Action;
+use placement::After;
+use placement::Class;
+use placement::End;
+use placement::Ending;
+use placement::Size;
+use placement::Trust;
+use placement::Usage;
+use rstest::rstest;
+
+use crate::world::World;
+use crate::world::job;
+use crate::world::kind_of;
+use crate::world::worker;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Places all that fits, and returns the jobs with their workers.
+fn place_all(world: &mut World) -> Vec<(String, String)> {
+    let mut placed = Vec::new();
+    while let Some(next) = world.pool.next(world.now, |_| true) {
+        placed.push((next.pending.job.id.to_string(), next.worker.to_string()));
+    }
+    placed
+}
+
+#[test]
+fn worker_that_fails_everything_does_not_become_the_sink() {
+    let mut world = World::new((0..8).map(|i| worker(&format!("w{i}"), i, 4, 0)).collect());
+    let mut wasted = 0;
+    let mut succeeded = 0;
+    let mut submitted = 0;
+    // Good workers take 10 rounds for a task; `w0` fails each at once.
+    for round in 0..100 {
+        for _ in 0..4 {
+            world.submit(job(&format!("j{submitted:04}"), 1));
+            submitted += 1;
+        }
+        for (job, on) in place_all(&mut world) {
+            if on == "w0" {
+                wasted += 1;
+                world.pool.ended(&job.into(), End::Failed, world.now);
+            } else {
+                world.finish_at.push((round + 10, job));
+            }
+        }
+        succeeded += world.finish_due(round);
+        world.now += SECOND / 10;
+        world.pool.tick(world.now);
+    }
+    assert_eq!(world.pool.trust(&"w0".into(), world.now), Trust::Quarantined);
+    assert!(wasted <= 12, "{wasted} runs wasted on the broken worker");
+    assert!(succeeded > 200, "{succeeded} tasks succeeded");
+    for good in 1..8 {
+        assert_eq!(world.pool.trust(&format!("w{good}").into(), world.now), Trust::Full);
+    }
+}
+
+#[test]
+fn bad_job_does_not_eject_good_workers() {
+    let mut world = World::new((0..4).map(|i| worker(&format!("w{i}"), i, 16, 0)).collect());
+    let mut ended = 0;
+    for round in 0..40 {
+        world.submit(kind_of(job(&format!("bad{round:03}"), 1), "bad"));
+        world.submit(kind_of(job(&format!("good{round:03}"), 1), "good"));
+        for (job, _) in place_all(&mut world) {
+            let end = if job.starts_with("bad") { End::Failed } else { End::Succeeded };
+            let after = world.pool.ended(&job.into(), end, world.now);
+            ended += u32::from(matches!(after, Some(After::Ends { ending: Ending::Failed, .. })));
+        }
+        world.now += SECOND;
+        let actions = world.pool.tick(world.now);
+        let quarantined = |a: &Action| matches!(a, Action::Quarantined { .. });
+        assert!(!actions.iter().any(quarantined), "round {round}: {actions:?}");
+    }
+    assert!(ended >= 30, "{ended} bad jobs have used up their attempts");
+}
+
+#[test]
+fn quarantined_worker_returns_after_one_good_run() {
+    let mut world = World::new(vec![worker("w0", 0, 4, 0), worker("w1", 1, 4, 0)]);
+    for round in 0..40 {
+        world.submit(job(&format!("j{round:03}"), 1));
+        for (job, on) in place_all(&mut world) {
+            let end = if on == "w0" { End::Failed } else { End::Succeeded };
+            world.pool.ended(&job.into(), end, world.now);
+        }
+        world.now += SECOND / 10;
+        world.pool.tick(world.now);
+    }
+    assert_eq!(world.pool.trust(&"w0".into(), world.now), Trust::Quarantined);
+    world.now += SECOND * 61;
+    assert_eq!(world.pool.trust(&"w0".into(), world.now), Trust::Probation);
+    for probe in 0..8 {
+        world.submit(job(&format!("probe{probe}"), 1));
+    }
+    let on_probation = place_all(&mut world).into_iter().filter(|(_, on)| on == "w0");
+    let probes: Vec<_> = on_probation.collect();
+    assert_eq!(probes.len(), 1, "one task at a time");
+    world.pool.ended(&probes[0].0.as_str().into(), End::Succeeded, world.now);
+    assert_eq!(world.pool.trust(&"w0".into(), world.now), Trust::Full);
+}
+
+#[test]
+fn job_that_kills_its_workers_is_given_up_and_no_other_is() {
+    let mut world = World::new((0..6).map(|i| worker(&format!("w{i}"), i, 4, 0)).collect());
+    world.submit(job("killer", 1));
+    for index in 0..20 {
+        world.submit(job(&format!("j{index:03}"), 1));
+    }
+    let mut harmful = Vec::new();
+    let mut lost = 0;
+    for _ in 0..10 {
+        place_all(&mut world);
+        world.now += SECOND * 30;
+        let Some(on) = world.worker_of("killer") else {
+            break;
+        };
+        lost += 1;
+        for after in world.pool.worker_lost(&on, world.now) {
+            if let After::Ends { pending, ending } = after {
+                assert_eq!(ending, Ending::Harmful);
+                harmful.push(pending.job.id.to_string());
+            }
+        }
+    }
+    assert_eq!(harmful, ["killer"]);
+    assert_eq!(lost, 2);
+}
+
+#[test]
+fn workers_that_go_together_make_no_job_harmful() {
+    let mut world = World::new((0..8).map(|i| worker(&format!("w{i}"), i, 4, 0)).collect());
+    for index in 0..16 {
+        world.submit(job(&format!("j{index:03}"), 1));
+    }
+    for _ in 0..2 {
+        let mut lost: Vec<_> = place_all(&mut world).into_iter().map(|(_, on)| on).collect();
+        lost.sort();
+        lost.dedup();
+        assert!(lost.len() >= 3, "{lost:?}");
+        for on in lost {
+            for after in world.pool.worker_lost(&on.into(), world.now) {
+                assert!(matches!(after, After::Waits { .. }), "{after:?}");
+            }
+        }
+        world.now += SECOND * 60;
+    }
+}
+
+#[rstest]
+#[case::ten_times_too_large(10, 1)]
+#[case::ten_times_too_small(1, 10)]
+fn declared_sizes_are_replaced_by_what_tasks_use(#[case] declared: u32, #[case] used: u32) {
+    let mut world = World::new(vec![worker("w0", 0, 100, 0)]);
+    for index in 0..200 {
+        world.submit(job(&format!("j{index:03}"), declared));
+    }
+    let mut most = 0;
+    for _ in 0..40 {
+        place_all(&mut world);
+        let running = world.pool.tasks_on(&"w0".into()).to_vec();
+        most = running.len();
+        world.now += SECOND * 60;
+        let used = Size::of_cores(used, u64::from(used) * 1_024, 0);
+        let measured_at = world.now - SECOND * 5;
+        let reports: Vec<Usage> =
+            running.iter().map(|job| Usage { job: job.clone(), used, measured_at }).collect();
+        world.pool.usage(&reports);
+        for action in world.pool.tick(world.now) {
+            if let Action::Stop { job } = action {
+                world.pool.ended(&job, End::Stopped, world.now);
+            }
+        }
+        if let Some(first) = running.first() {
+            world.pool.ended(first, End::Succeeded, world.now);
+        }
+    }
+    // A margin of a fifth above what they use.
+    let expected = 100 * 10 / (used * 12);
+    assert!(most.abs_diff(expected as usize) <= 1, "{most} tasks run, {expected} expected");
+}
+
+#[test]
+fn overloaded_worker_checkpoints_throttles_then_stops_on_fresh_reports_only() {
+    let mut world = World::new(vec![worker("w0", 0, 4, 0), worker("w1", 1, 4, 0)]);
+    for index in 0..4 {
+        world.submit(job(&format!("j{index}"), 1));
+    }
+    place_all(&mut world);
+    let on = world.pool.tasks_on(&"w0".into()).to_vec();
+    let lag = SECOND * 60;
+    let mut steps = Vec::new();
+    let started = world.now;
+    for _ in 0..30 {
+        world.now += SECOND * 10;
+        let measured_at = world.now - lag;
+        if measured_at > started {
+            let used = Size { processors_milli: 1_300, memory_mib: 512, accelerators: 0 };
+            let report = |job: &placement::JobId| Usage { job: job.clone(), used, measured_at };
+            world.pool.usage(&on.iter().map(report).collect::<Vec<_>>());
+        }
+        for action in world.pool.tick(world.now) {
+            if let Action::Checkpoint { job } = &action {
+                world.pool.checkpointed(job);
+            }
+            steps.push((world.now, action));
+        }
+        if steps.iter().any(|(_, action)| matches!(action, Action::Stop { .. })) {
+            break;
+        }
+    }
+    let [(_, first), (throttled_at, second), (stopped_at, third)] = &steps[..] else {
+        panic!("{steps:?}");
+    };
+    assert!(matches!(first, Action::Checkpoint { .. }));
+    assert!(matches!(second, Action::Throttle { percent: 25, .. }));
+    assert!(matches!(third, Action::Stop { .. }));
+    assert!(*stopped_at - *throttled_at > lag, "stopped on a report from before the throttle");
+}
+
+#[test]
+fn most_of_a_queue_cancelled_at_once_leaves_the_rest_to_run() {
+    let mut world = World::new(vec![worker("w0", 0, 100, 0)]);
+    for index in 0..1_000 {
+        world.submit(job(&format!("j{index:04}"), 1));
+    }
+    let running = place_all(&mut world).len();
+    assert_eq!(running, 100);
+    let cancelled = (0..900).map(|index| format!("j{index:04}").into()).collect();
+    let cancelled = world.pool.cancel(cancelled, world.now);
+    assert_eq!((cancelled.waiting.len(), cancelled.running.len()), (800, 100));
+    assert_eq!(world.pool.waiting(), 100);
+    for job in cancelled.running {
+        let after = world.pool.ended(&job, End::Stopped, world.now);
+        assert!(matches!(after, Some(After::Ends { ending: Ending::Cancelled, .. })), "{after:?}");
+    }
+    assert_eq!(place_all(&mut world).len(), 100);
+}
+
+#[test]
+fn queue_of_one_team_does_not_keep_another_out() {
+    let mut world = World::new(vec![worker("w0", 0, 10, 0)]);
+    for index in 0..1_000 {
+        world.submit(job(&format!("flood{index:04}"), 1));
+    }
+    place_all(&mut world);
+    let mut other = job("small", 1);
+    other.team.team = "small".into();
+    world.submit(other);
+    let first = world.pool.tasks_on(&"w0".into())[0].clone();
+    world.pool.ended(&first, End::Succeeded, world.now);
+    assert_eq!(place_all(&mut world), [("small".to_owned(), "w0".to_owned())]);
+}
+
+#[test]
+fn urgent_job_displaces_a_checkpointed_task_of_a_full_pool() {
+    let mut world = World::new(vec![worker("w0", 0, 4, 0), worker("w1", 1, 4, 0)]);
+    for index in 0..20 {
+        world.submit(job(&format!("j{index:02}"), 1));
+    }
+    place_all(&mut world);
+    let mut urgent = job("urgent", 1);
+    urgent.class = Class::Urgent;
+    urgent.team.team = "small".into();
+    world.submit(urgent);
+    assert!(place_all(&mut world).is_empty());
+    let actions = world.pool.tick(world.now);
+    let [Action::Checkpoint { job }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    world.pool.checkpointed(job);
+    world.now += SECOND / 10;
+    assert_eq!(world.pool.tick(world.now), [Action::Stop { job: job.clone() }]);
+    let after = world.pool.ended(job, End::Stopped, world.now);
+    assert!(matches!(after, Some(After::Waits { .. })));
+    let placed = place_all(&mut world);
+    assert_eq!(placed[0].0, "urgent", "{placed:?}");
+}
--- /dev/null
+++ b/crates/placement/tests/recovery.rs
@@ -0,0 +1,48 @@
+//! A holder of placement is killed or paused between the lease and the start of a task.
+
+#[path = "world/world.rs"]
+mod world;
+
+use placement::AnyTask;
+use placement::End;
+use placement::Recovery;
+use placement::Seen;
+use placement::Size;
+use placement::Task;
+use placement::recover;
+use rstest::rstest;
+
+use crate::world::job;
+
+#[rstest]
+#[case::killed_before_the_start(Seen::Never, false, Recovery::TakeBack)]
+#[case::start_arrived_answer_lost(Seen::Running, false, Recovery::Adopt)]
+#[case::ended_meanwhile(Seen::Ended(End::Succeeded), false, Recovery::Finish(End::Succeeded))]
+#[case::worker_silent_lease_runs(Seen::Silent, false, Recovery::Wait)]
+#[case::worker_silent_lease_over(Seen::Silent, true, Recovery::Finish(End::Lost))]
+fn leased_job_is_recovered_by_what_its_worker_says(
+    #[case] seen: Seen,
+    #[case] lease_over: bool,
+    #[case] expected: Recovery,
+) {
+    let size = Size::of_cores(1, 1_024, 0);
+    let leased = Task::new(job("j", 1), 1).lease("w0".into(), 7, size);
+    assert_eq!(leased.task_id(), "j.1");
+    assert_eq!(recover(&AnyTask::Leased(leased), seen, lease_over), expected);
+}
+
+#[test]
+fn attempt_that_never_started_does_not_count() {
+    let size = Size::of_cores(1, 1_024, 0);
+    let waiting = Task::new(job("j", 1), 1);
+    let again = waiting.clone().lease("w0".into(), 7, size).not_started();
+    assert_eq!(again, waiting);
+}
+
+#[test]
+fn stored_job_reads_back_as_it_was_written() {
+    let leased = Task::new(job("j", 1), 1).lease("w0".into(), 7, Size::of_cores(1, 1, 1));
+    let stored = AnyTask::Leased(leased);
+    let text = serde_json::to_string(&stored).unwrap();
+    assert_eq!(serde_json::from_str::<AnyTask>(&text).unwrap(), stored);
+}
--- /dev/null
+++ b/crates/placement/tests/world/world.rs
@@ -0,0 +1,83 @@
+//! A pool with its workers in virtual time.
+#![allow(dead_code)]
+
+use std::time::Instant;
+
+use model::HostId;
+use model::TeamRef;
+use placement::Class;
+use placement::End;
+use placement::Job;
+use placement::Pending;
+use placement::Pool;
+use placement::PoolSettings;
+use placement::Size;
+use placement::WorkerSpec;
+
+/// A pool and its time.
+pub struct World {
+    pub pool: Pool,
+    pub now: Instant,
+    /// Tasks that succeed in a round.
+    pub finish_at: Vec<(u32, String)>,
+    workers: Vec<HostId>,
+}
+
+impl World {
+    pub fn new(specs: Vec<WorkerSpec>) -> Self {
+        let workers = specs.iter().map(|spec| spec.id.clone()).collect();
+        let mut pool = Pool::new(PoolSettings::default());
+        pool.set_workers(specs);
+        Self { pool, now: Instant::now(), finish_at: Vec::new(), workers }
+    }
+
+    pub fn submit(&mut self, job: Job) {
+        self.pool.submit(Pending::new(job, 1, self.now)).unwrap();
+    }
+
+    pub fn worker_of(&self, job: &str) -> Option<HostId> {
+        let runs = |worker: &&HostId| self.pool.tasks_on(worker).iter().any(|id| **id == *job);
+        self.workers.iter().find(runs).cloned()
+    }
+
+    /// Ends the tasks that are due, and returns how many.
+    pub fn finish_due(&mut self, round: u32) -> usize {
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.finish_at).into_iter().partition(|(at, _)| *at <= round);
+        self.finish_at = rest;
+        for (_, job) in &due {
+            self.pool.ended(&job.as_str().into(), End::Succeeded, self.now);
+        }
+        due.len()
+    }
+}
+
+/// Worker with as many GiB as cores; four to a rack, racks over three zones.
+pub fn worker(id: &str, index: usize, processors: u32, accelerators: u32) -> WorkerSpec {
+    let rack = index / 4;
+    WorkerSpec {
+        id: id.into(),
+        zone: ["a", "b", "c"][rack % 3].into(),
+        rack: format!("r{rack}").into(),
+        capacity: Size::of_cores(processors, u64::from(processors) * 1_024, accelerators),
+        takes_work: true,
+    }
+}
+
+/// Idempotent job of one kind that declares as many GiB as cores.
+pub fn job(id: &str, processors: u32) -> Job {
+    Job {
+        id: id.into(),
+        team: TeamRef::new("levy", "officers"),
+        kind: "emissions".into(),
+        declared: Size::of_cores(processors, u64::from(processors) * 1_024, 0),
+        class: Class::Normal,
+        idempotent: true,
+        attempts_max: 3,
+    }
+}
+
+/// The job as one of another kind.
+pub fn kind_of(job: Job, kind: &str) -> Job {
+    Job { kind: kind.into(), ..job }
+}
