Reboot the hosts of a pool in waves

Cause: hosts could be drained but not maintained in an order that keeps the budget.

Change: a wave is a row of the configuration, one a pool, so that one change starts a drain and notes it. A wave works in one zone at a time, rack by rack, begins with one host and widens with each that returns, keeps the places that the loss of the service's largest other rack would need, halts when its hosts do not return, goes on by itself once they have, and cancels drains that the budget no longer covers. Reboots carry an operation id made of host and epoch. wave plan, start, pause and list; list shows how much of the time left is needed. The stand-in's host list and reboots have faults of their own.

--- a/crates/maintenance/src/advance.rs
+++ b/crates/maintenance/src/advance.rs
@@ -5,6 +5,7 @@
 //! needed to go on after another node died.
 
 use std::time::Duration;
+use std::time::SystemTime;
 
 use model::Config;
 use model::HostId;
@@ -58,8 +59,10 @@
 }
 
 /// Evidence about all hosts.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Evidence {
+    /// When its gathering began.
+    pub gathered_at: SystemTime,
     /// About single hosts, sorted by host.
     pub hosts: Vec<HostEvidence>,
     /// The platform's host list.
@@ -71,11 +74,6 @@
     format!("reboot-{}-{}", row.id(), row.epoch).into()
 }
 
-/// Rows of all hosts that can take their next step.
-pub fn advance(config: &Config, evidence: &Evidence, moment: Moment) -> Vec<HostRow> {
-    config.hosts.iter().filter_map(|row| advance_host(config, row, evidence, moment)).collect()
-}
-
 /// Row after the next step of a host, if there is evidence for one.
 pub fn advance_host(
     config: &Config,
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -17,6 +17,7 @@
 use crate::key::KeyRow;
 use crate::key::KeyState;
 use crate::key::hash_key;
+use crate::wave::WaveRow;
 
 /// One row of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +29,8 @@
     Key(KeyRow),
     /// Host.
     Host(HostRow),
+    /// Maintenance wave.
+    Wave(WaveRow),
 }
 
 impl ConfigRow {
@@ -37,6 +40,7 @@
             Self::Contract(contract) => format!("contract/{}", contract.customer),
             Self::Key(key) => format!("key/{}", key.id),
             Self::Host(host) => format!("host/{}", host.id()),
+            Self::Wave(wave) => format!("wave/{}", wave.id),
         }
     }
 }
@@ -71,6 +75,9 @@
     pub keys: Vec<KeyRow>,
     /// Hosts, sorted by id.
     pub hosts: Vec<HostRow>,
+    /// Maintenance waves, sorted by id.
+    #[serde(default)]
+    pub waves: Vec<WaveRow>,
 }
 
 impl Config {
@@ -105,6 +112,12 @@
         Some(&self.hosts[index])
     }
 
+    /// Maintenance wave by id.
+    pub fn wave(&self, id: &str) -> Option<&WaveRow> {
+        let index = self.waves.binary_search_by(|wave| (*wave.id).cmp(id)).ok()?;
+        Some(&self.waves[index])
+    }
+
     /// Granted key whose secret text is `secret`.
     pub fn granted_key(&self, secret: &str) -> Option<&KeyRow> {
         let hash = hash_key(secret);
@@ -158,7 +171,8 @@
         let contracts = self.contracts.iter().cloned().map(ConfigRow::Contract);
         let keys = self.keys.iter().cloned().map(ConfigRow::Key);
         let hosts = self.hosts.iter().cloned().map(ConfigRow::Host);
-        contracts.chain(keys).chain(hosts).collect()
+        let waves = self.waves.iter().cloned().map(ConfigRow::Wave);
+        contracts.chain(keys).chain(hosts).chain(waves).collect()
     }
 
     fn replace(&mut self, rows: Vec<ConfigRow>) {
@@ -169,6 +183,7 @@
                 }
                 ConfigRow::Key(key) => put(&mut self.keys, key, |k| k.hash.clone()),
                 ConfigRow::Host(host) => put(&mut self.hosts, host, |h| h.id().to_string()),
+                ConfigRow::Wave(wave) => put(&mut self.waves, wave, |w| w.id.to_string()),
             }
         }
     }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod key;
 pub mod outcome;
+pub mod wave;
 
 pub use config::Change;
 pub use config::Config;
@@ -40,3 +41,5 @@
 pub use ids::ZoneId;
 pub use key::KeyRow;
 pub use outcome::Outcome;
+pub use wave::WaveRow;
+pub use wave::WaveState;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -6,6 +6,7 @@
 mod queues;
 mod status;
 mod teams;
+mod waves;
 
 use std::sync::Arc;
 
@@ -42,6 +43,7 @@
         .merge(queues::routes())
         .merge(status::routes())
         .merge(teams::routes())
+        .merge(waves::routes())
         .layer(from_fn_with_state(shared.clone(), authorize))
         .with_state(shared);
     Router::new().nest(api::PREFIX, routes)
--- a/crates/node/src/admin/hosts.rs
+++ b/crates/node/src/admin/hosts.rs
@@ -11,8 +11,10 @@
 use control::ChangeError;
 use gateway::Authority;
 use limits::LimitKey;
+use maintenance::Step;
 use maintenance::StepError;
 use model::HostId;
+use model::HostRow;
 use model::StopReason;
 
 use super::AdminError;
@@ -20,7 +22,7 @@
 use super::accepted;
 use crate::api;
 use crate::maintain::absent_hosts;
-use crate::maintain::change_hosts;
+use crate::maintain::change;
 use crate::maintain::moment;
 use crate::shared::Shared;
 
@@ -57,10 +59,10 @@
     Path(id): Path<String>,
 ) -> Result<Json<api::Accepted>, AdminError> {
     let absent = absent(&shared).await?;
-    let version = change_hosts(&shared, |config| {
+    let version = change(&shared, |config| {
         let reason = StopReason::Operator;
         let row = maintenance::drain(config, &id, reason, &absent, moment(config));
-        Ok(vec![row.map_err(invalid)?])
+        row.map(host_step).map_err(invalid)
     });
     Ok(Json(accepted(&shared, version.await?).await))
 }
@@ -71,9 +73,9 @@
     Json(call): Json<api::MoveHost>,
 ) -> Result<Json<api::Accepted>, AdminError> {
     let absent = absent(&shared).await?;
-    let version = change_hosts(&shared, |config| {
+    let version = change(&shared, |config| {
         let row = maintenance::move_host(config, &id, &call.pool, &absent, moment(config));
-        Ok(vec![row.map_err(invalid)?])
+        row.map(host_step).map_err(invalid)
     });
     Ok(Json(accepted(&shared, version.await?).await))
 }
@@ -82,9 +84,9 @@
     State(shared): Node,
     Path(id): Path<String>,
 ) -> Result<Json<api::Accepted>, AdminError> {
-    let version = change_hosts(&shared, |config| {
+    let version = change(&shared, |config| {
         let row = maintenance::return_host(config, &id, moment(config));
-        Ok(vec![row.map_err(invalid)?])
+        row.map(host_step).map_err(invalid)
     });
     Ok(Json(accepted(&shared, version.await?).await))
 }
@@ -97,3 +99,7 @@
 fn invalid(error: StepError) -> ChangeError {
     ChangeError::Invalid { reason: error.to_string() }
 }
+
+fn host_step(row: HostRow) -> Step {
+    Step { hosts: vec![row], waves: Vec::new() }
+}
--- /dev/null
+++ b/crates/node/src/admin/waves.rs
@@ -0,0 +1,90 @@
+//! Maintenance waves: planned, started, paused and listed.
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Path;
+use axum::extract::State;
+use axum::routing::get;
+use axum::routing::post;
+use control::ChangeError;
+use gateway::Authority;
+use maintenance::Step;
+use maintenance::WaveError;
+use maintenance::wave;
+use model::WaveRow;
+use model::wave::Turn;
+
+use super::AdminError;
+use super::Node;
+use super::accepted;
+use crate::api;
+use crate::maintain::change;
+use crate::maintain::moment;
+use crate::shared::Shared;
+
+/// Routes.
+pub fn routes() -> Router<Arc<Shared>> {
+    Router::new()
+        .route("/waves", get(list_waves))
+        .route("/waves/{pool}/plan", post(plan_wave))
+        .route("/waves/{pool}/start", post(start_wave))
+        .route("/waves/{pool}/pause", post(pause_wave))
+}
+
+async fn list_waves(State(shared): Node) -> Json<Vec<api::WaveView>> {
+    let config = shared.config();
+    let now = SystemTime::now();
+    let views = config.waves.iter().map(|row| api::WaveView {
+        id: row.id.clone(),
+        round: row.round,
+        customer: row.customer.clone(),
+        state: row.state.clone(),
+        waiting: row.count(Turn::Waiting),
+        started: row.count(Turn::Started),
+        done: row.count(Turn::Done),
+        failed: row.count(Turn::Failed),
+        deadline_ms: row.deadline_ms,
+        pressure: wave::pressure(&config, row, now),
+        hosts: row.hosts.clone(),
+    });
+    Json(views.collect())
+}
+
+async fn plan_wave(
+    State(shared): Node,
+    Path(pool): Path<String>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let version = change(&shared, |config| {
+        wave::plan(config, &pool, moment(config)).map(wave_step).map_err(invalid)
+    });
+    Ok(Json(accepted(&shared, version.await?).await))
+}
+
+async fn start_wave(
+    State(shared): Node,
+    Path(pool): Path<String>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let version =
+        change(&shared, |config| wave::start(config, &pool).map(wave_step).map_err(invalid));
+    Ok(Json(accepted(&shared, version.await?).await))
+}
+
+async fn pause_wave(
+    State(shared): Node,
+    Path(pool): Path<String>,
+) -> Result<Json<api::Accepted>, AdminError> {
+    let version =
+        change(&shared, |config| wave::pause(config, &pool).map(wave_step).map_err(invalid));
+    Ok(Json(accepted(&shared, version.await?).await))
+}
+
+fn wave_step(row: WaveRow) -> Step {
+    Step { hosts: Vec::new(), waves: vec![row] }
+}
+
+fn invalid(error: WaveError) -> ChangeError {
+    ChangeError::Invalid { reason: error.to_string() }
+}
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -14,9 +14,12 @@
 use model::ServiceId;
 use model::StopReason;
 use model::TeamRef;
+use model::WaveId;
+use model::WaveState;
 use model::ZoneId;
 use model::key::KeyHolder;
 use model::key::KeyState;
+use model::wave::WaveHost;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -118,6 +121,33 @@
     pub pool: PoolId,
 }
 
+/// A maintenance wave.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WaveView {
+    /// Name; that of its pool.
+    pub id: WaveId,
+    /// Number of the wave among those of its pool.
+    pub round: u32,
+    /// Customer.
+    pub customer: CustomerId,
+    /// What it does.
+    pub state: WaveState,
+    /// Hosts whose turn has not begun.
+    pub waiting: usize,
+    /// Hosts in work.
+    pub started: usize,
+    /// Hosts rebooted and serving again.
+    pub done: usize,
+    /// Hosts that did not return.
+    pub failed: usize,
+    /// When every host must have had its turn, in milliseconds since the Unix epoch.
+    pub deadline_ms: u64,
+    /// Part of the time left that the wave still needs; above 1 it will be late.
+    pub pressure: f64,
+    /// Hosts in the order of their turns.
+    pub hosts: Vec<WaveHost>,
+}
+
 /// A team.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TeamView {
--- a/crates/node/src/maintain.rs
+++ b/crates/node/src/maintain.rs
@@ -7,16 +7,16 @@
 mod evidence;
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::SystemTime;
 
 use control::ChangeError;
 use events::EventKind;
 use gateway::Authority;
 use maintenance::Moment;
+use maintenance::Step;
 use model::Config;
-use model::ConfigRow;
 use model::ConfigVersion;
-use model::HostRow;
 use rand::RngExt;
 
 use crate::follower::poll_once;
@@ -39,16 +39,20 @@
 /// Takes every step that there is evidence for.
 async fn tick(shared: &Shared) {
     let config = shared.config();
-    let Some(evidence) = evidence::gather(shared, &config).await else {
-        shared.telemetry.count("maintenance.no-evidence");
-        return;
+    let evidence = evidence::gather(shared, &config).await;
+    let decide = |config: &Config| {
+        let step = maintenance::advance_all(config, &evidence, |_| true, moment(config));
+        if step.is_empty() {
+            let reason = "another node was faster".to_owned();
+            return Err(ChangeError::Invalid { reason });
+        }
+        Ok(step)
     };
-    if maintenance::advance(&config, &evidence, moment(&config)).is_empty() {
+    if decide(&config).is_err() {
         return;
     }
-    let decide = |config: &Config| Ok(maintenance::advance(config, &evidence, moment(config)));
-    match change_hosts(shared, decide).await {
-        Ok(_) => {}
+    match change(shared, decide).await {
+        Ok(_) | Err(ChangeError::Invalid { .. }) => {}
         Err(ChangeError::Conflict) => shared.telemetry.count("maintenance.conflict"),
         Err(_) => shared.telemetry.count("maintenance.step-failed"),
     }
@@ -59,37 +63,39 @@
     Moment { version: config.version + 1, now: SystemTime::now() }
 }
 
-/// Commits the host rows that `decide` makes of the latest configuration; decides anew after a
-/// conflict, so that checks always hold for the configuration that the change follows.
-pub async fn change_hosts(
+/// Commits the step that `decide` makes of the latest configuration; decides anew after a conflict,
+/// so that checks always hold for the configuration that the change follows.
+pub async fn change(
     shared: &Shared,
-    decide: impl Fn(&Config) -> Result<Vec<HostRow>, ChangeError>,
+    decide: impl Fn(&Config) -> Result<Step, ChangeError>,
 ) -> Result<ConfigVersion, ChangeError> {
     let table = &*shared.platform.table;
     let mut tried = 0;
     loop {
         tried += 1;
-        let decided = std::sync::Mutex::new(Vec::new());
+        let decided = Mutex::new(Step::default());
         let decide_rows = |config: &Config| {
-            let hosts = decide(config)?;
-            *decided.lock().expect("no holder panics") = hosts.clone();
-            Ok(hosts.into_iter().map(ConfigRow::Host).collect())
+            let step = decide(config)?;
+            let rows = step.rows();
+            *decided.lock().expect("no holder panics") = step;
+            Ok(rows)
         };
         match shared.writer.change(table, None, decide_rows).await {
             Ok(version) => {
-                let hosts = decided.into_inner().expect("no holder panics");
-                record(shared, &hosts);
+                record(shared, &decided.into_inner().expect("no holder panics"));
                 poll_once(shared).await;
                 return Ok(version);
             }
-            Err(ChangeError::Conflict) if tried < CHANGE_TRIES => {}
+            Err(ChangeError::Conflict) if tried < CHANGE_TRIES => {
+                poll_once(shared).await;
+            }
             Err(error) => return Err(error),
         }
     }
 }
 
-fn record(shared: &Shared, hosts: &[HostRow]) {
-    for host in hosts {
+fn record(shared: &Shared, step: &Step) {
+    for host in &step.hosts {
         shared.telemetry.count(&format!("host.{}", host.state));
         let kind = EventKind::HostStep {
             host: host.id().clone(),
@@ -98,4 +104,10 @@
         };
         shared.events.record(kind, SystemTime::now());
     }
+    for wave in &step.waves {
+        let reason = format!("round {}", wave.round);
+        let kind =
+            EventKind::WaveStep { wave: wave.id.clone(), state: wave.state.to_string(), reason };
+        shared.events.record(kind, SystemTime::now());
+    }
 }
--- a/crates/node/src/maintain/evidence.rs
+++ b/crates/node/src/maintain/evidence.rs
@@ -46,21 +46,29 @@
     pub hosts: Vec<(HostId, u64)>,
 }
 
-/// Evidence about all hosts; `None` if the table or the host list did not answer.
-pub async fn gather(shared: &Shared, config: &Config) -> Option<Evidence> {
-    let list = HostList::new(shared.platform.fleet.hosts().await.ok()?);
+/// Evidence about all hosts; what did not answer is left out, and so starts nothing.
+pub async fn gather(shared: &Shared, config: &Config) -> Evidence {
+    let gathered_at = SystemTime::now();
+    let Ok(listed) = shared.platform.fleet.hosts().await else {
+        shared.telemetry.count("maintenance.no-host-list");
+        // Old from the start: whatever is planned needs a list.
+        let gathered_at = SystemTime::UNIX_EPOCH;
+        return Evidence { gathered_at, hosts: Vec::new(), list: HostList::default() };
+    };
     let draining = config.hosts.iter().any(|row| row.state == HostState::Draining);
-    let reports = if draining { node_reports(shared, config).await.ok()? } else { Vec::new() };
+    let reports = if draining { node_reports(shared, config).await.ok() } else { None };
     let mut hosts = Vec::new();
     for row in &config.hosts {
         match row.state {
-            HostState::Draining => hosts.push(drain_evidence(row, &reports)),
+            HostState::Draining => {
+                hosts.extend(reports.as_ref().map(|reports| drain_evidence(row, reports)));
+            }
             HostState::Rebooting => hosts.push(reboot_evidence(shared, row).await),
             HostState::Returning => hosts.push(return_evidence(row).await),
             HostState::Serving | HostState::Drained | HostState::Failed => {}
         }
     }
-    Some(Evidence { hosts, list })
+    Evidence { gathered_at, hosts, list: HostList::new(listed) }
 }
 
 /// Hosts that the platform's list has lost, as of now.
--- a/crates/node/tests/hosts.rs
+++ b/crates/node/tests/hosts.rs
@@ -1,25 +1,31 @@
-//! Hosts drained, moved and returned by operators while work runs on them.
+//! Hosts drained, moved, rebooted and returned while work runs on them.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use gateway::GatewaySettings;
 use http::Method;
 use http::StatusCode;
 use model::HostState;
 use model::TeamRef;
+use model::WaveState;
 use model::key::KeyHolder;
 use model::key::hash_key;
 use node::Node;
 use node::Platform;
 use node::Settings;
 use node::api;
+use platform::FleetHost;
+use platform::FleetHostState;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use standin::backend::StandinBackend;
 use standin::caller::Answer;
 use standin::caller::call;
+use standin::fleet::FleetFaults;
+use standin::fleet::StandinFleet;
 
 const OPERATOR_KEY: &str = "operator-key-of-the-test";
 const ANY_PORT: SocketAddr =
@@ -132,7 +138,10 @@
 }
 
 async fn start(nodes: u32) -> Vec<Node> {
-    let platform = Platform::embedded();
+    start_on(nodes, Platform::embedded()).await.0
+}
+
+async fn start_on(nodes: u32, platform: Platform) -> (Vec<Node>, Vec<SocketAddr>) {
     let mut backends = Vec::new();
     for _ in 0..3 {
         let served = standin::backend::serve(Arc::new(StandinBackend::default()), ANY_PORT).await;
@@ -149,7 +158,7 @@
         seen: None,
     };
     let _: api::Accepted = admin(&started[0], Method::POST, "/contracts", &apply).await;
-    started
+    (started, backends)
 }
 
 async fn stop(nodes: Vec<Node>) {
@@ -221,3 +230,39 @@
     assert_eq!(accepted, 1);
     stop(nodes).await;
 }
+
+#[tokio::test]
+async fn wave_reboots_each_host_once_although_answers_are_lost_and_nodes_race() {
+    let fleet = Arc::new(StandinFleet::default());
+    let platform = Platform { fleet: fleet.clone(), ..Platform::embedded() };
+    let (nodes, backends) = start_on(2, platform).await;
+    wait_until_listed(&nodes[1]).await;
+    let listed = backends.iter().enumerate().map(|(index, address)| FleetHost {
+        id: format!("w{index}").into(),
+        address: *address,
+        boot_count: 7,
+        state: FleetHostState::Live,
+        seen_at: SystemTime::now(),
+    });
+    fleet.set_hosts(listed.collect());
+    fleet.set_faults(FleetFaults { reboot_ms: 100, lose_answers: 4, ..FleetFaults::default() });
+
+    let _: api::Accepted = admin(&nodes[0], Method::POST, "/waves/levy-validate/plan", &()).await;
+    let _: api::Accepted = admin(&nodes[1], Method::POST, "/waves/levy-validate/start", &()).await;
+    let mut last = Vec::new();
+    for _ in 0..1_000 {
+        last = admin::<Vec<api::WaveView>>(&nodes[0], Method::GET, "/waves", &()).await;
+        if last[0].state == WaveState::Done {
+            break;
+        }
+        let hosts: Vec<api::HostView> = admin(&nodes[0], Method::GET, "/hosts", &()).await;
+        let out = hosts.iter().filter(|host| !host.state.takes_work()).count();
+        assert!(out <= 1, "{hosts:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!((&last[0].state, last[0].done), (&WaveState::Done, 3), "{last:?}");
+    let mut rebooted: Vec<_> = fleet.reboots().iter().map(|reboot| reboot.host.clone()).collect();
+    rebooted.sort();
+    assert_eq!(rebooted, ["w0".into(), "w1".into(), "w2".into()]);
+    stop(nodes).await;
+}
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -57,6 +57,9 @@
     /// Show, drain, move and return hosts.
     #[command(subcommand)]
     Host(HostCommand),
+    /// Plan, start, pause and show maintenance waves.
+    #[command(subcommand)]
+    Wave(WaveCommand),
     /// Show teams and their limits.
     #[command(subcommand)]
     Team(TeamCommand),
@@ -197,6 +200,28 @@
     },
 }
 
+/// `wave` commands.
+#[derive(Subcommand)]
+pub enum WaveCommand {
+    /// Plan a wave over all hosts of a pool; it starts nothing yet.
+    Plan {
+        /// Pool.
+        pool: String,
+    },
+    /// Start a planned wave, or let a paused or halted one go on.
+    Start {
+        /// Pool.
+        pool: String,
+    },
+    /// Pause a wave; hosts in work are finished.
+    Pause {
+        /// Pool.
+        pool: String,
+    },
+    /// List the waves.
+    List,
+}
+
 /// `team` commands.
 #[derive(Subcommand)]
 pub enum TeamCommand {
--- a/crates/savorypitch/src/command.rs
+++ b/crates/savorypitch/src/command.rs
@@ -8,6 +8,7 @@
 mod status;
 mod team;
 mod timeline;
+mod wave;
 
 use std::io;
 
@@ -28,6 +29,7 @@
         Command::Key(command) => key::run(&client, command, json),
         Command::Queue(command) => queue::run(&client, command, json),
         Command::Host(command) => host::run(&client, command, json),
+        Command::Wave(command) => wave::run(&client, command, json),
         Command::Team(command) => team::run(&client, command, json),
         Command::Status => status::run(&client, json),
         Command::Timeline(timeline_args) => timeline::run(&client, &timeline_args, json),
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -24,7 +24,6 @@
 use platform::CommitOutcome;
 use platform::Fleet;
 use platform::FleetHost;
-use platform::MemoryFleet;
 use platform::MemoryObjects;
 use platform::MemoryTable;
 use platform::Objects;
@@ -37,6 +36,9 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+use crate::fleet::FleetFaults;
+use crate::fleet::StandinFleet;
+
 /// Faults of the platform.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -66,7 +68,7 @@
     /// Object store.
     pub objects: MemoryObjects,
     /// Host list.
-    pub fleet: MemoryFleet,
+    pub fleet: StandinFleet,
     /// Faults in force.
     pub faults: Mutex<Faults>,
     calls: Mutex<Calls>,
@@ -127,6 +129,7 @@
         .route("/hosts/{id}/reboot", post(reboot))
         .layer(axum::middleware::from_fn_with_state(platform.clone(), fail))
         .route("/standin/faults", put(set_faults))
+        .route("/standin/fleet-faults", put(set_fleet_faults))
         .route("/standin/calls", get(calls))
         .with_state(platform)
 }
@@ -197,21 +200,26 @@
 }
 
 async fn set_hosts(State(platform): Shared, Json(hosts): Json<Vec<FleetHost>>) {
-    *platform.fleet.listed.lock().expect("no holder panics") = hosts;
+    platform.fleet.set_hosts(hosts);
 }
 
 async fn reboot(
     State(platform): Shared,
     Path(id): Path<String>,
     Json(operation): Json<OperationId>,
-) -> Json<RebootState> {
-    Json(platform.fleet.reboot(&id, &operation).await.expect("memory answers"))
+) -> Result<Json<RebootState>, StatusCode> {
+    let answer = platform.fleet.reboot(&id, &operation).await;
+    answer.map(Json).map_err(|_| StatusCode::GATEWAY_TIMEOUT)
 }
 
 async fn set_faults(State(platform): Shared, Json(faults): Json<Faults>) {
     platform.set_faults(faults);
 }
 
+async fn set_fleet_faults(State(platform): Shared, Json(faults): Json<FleetFaults>) {
+    platform.fleet.set_faults(faults);
+}
+
 async fn calls(State(platform): Shared) -> Json<Calls> {
     Json(platform.calls())
 }
