--- /dev/null
+++ b/crates/gateway/src/backends.rs
@@ -0,0 +1,149 @@
+//! Backend servers as this node sees them, and the choice among those of a service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use events::EventKind;
+use events::Recorder;
+use limits::LimitKey;
+use limits::LimitTable;
+use model::HostId;
+use rand::Rng;
+use routing::Health;
+use routing::Observation;
+use telemetry::Telemetry;
+
+use crate::connection::IdleConnections;
+
+/// A backend server.
+pub struct Backend {
+    /// Host.
+    pub host: HostId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Limit of its slots.
+    pub slots: LimitKey,
+    /// Limit of its connections.
+    pub connections: LimitKey,
+    /// Idle connections.
+    pub idle: IdleConnections,
+    health: Mutex<Health>,
+}
+
+impl Backend {
+    /// Backend server of which nothing is known yet.
+    pub fn new(host: HostId, address: SocketAddr) -> Self {
+        Self {
+            slots: LimitKey::Slots(host.clone()),
+            connections: LimitKey::Connections(host.clone()),
+            host,
+            address,
+            idle: IdleConnections::default(),
+            health: Mutex::default(),
+        }
+    }
+
+    /// True while it gets no work because of its failures.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.health().is_ejected(now)
+    }
+
+    fn cost(&self, limits: &LimitTable, now: Instant) -> Option<f64> {
+        let slots = limits.get(&self.slots)?;
+        if slots.spare() == 0 {
+            return None;
+        }
+        let health = self.health();
+        (!health.is_ejected(now)).then(|| health.cost(slots.running, now))
+    }
+
+    fn health(&self) -> MutexGuard<'_, Health> {
+        self.health.lock().expect("no holder panics")
+    }
+}
+
+/// Backend servers of one service.
+#[derive(Default)]
+pub struct Service {
+    /// Those that take work.
+    pub backends: Vec<Arc<Backend>>,
+    /// Hosts of the service that take none.
+    pub unavailable: u32,
+    /// Hosts of the service that may be unavailable at once.
+    pub unavailable_max: u32,
+}
+
+impl Service {
+    /// Chooses a backend server with a spare slot, other than `not_this`.
+    pub fn choose(
+        &self,
+        limits: &LimitTable,
+        rng: &mut impl Rng,
+        not_this: Option<&HostId>,
+        now: Instant,
+    ) -> Option<&Arc<Backend>> {
+        let chosen = routing::choose(self.backends.len(), rng, |index| {
+            let backend = &self.backends[index];
+            if not_this == Some(&backend.host) {
+                return None;
+            }
+            backend.cost(limits, now)
+        })?;
+        Some(&self.backends[chosen])
+    }
+
+    /// Hosts of the service that take no work here, for whatever reason.
+    fn out(&self, now: Instant) -> u32 {
+        let ejected = self.backends.iter().filter(|backend| backend.is_ejected(now)).count();
+        self.unavailable + ejected as u32
+    }
+}
+
+/// Takes note of how an exchange ended, and ejects a server that fails too often.
+pub struct HealthKeeper {
+    /// Events.
+    pub events: Arc<Recorder>,
+    /// Metrics.
+    pub telemetry: Telemetry,
+}
+
+impl HealthKeeper {
+    /// An exchange with `backend` succeeded.
+    pub fn succeeded(&self, backend: &Backend, latency: Duration, now: Instant) {
+        let restored = {
+            let mut health = backend.health();
+            let restored = health.is_on_probation() && !health.is_ejected(now);
+            health.observe(Observation::Success { latency });
+            restored
+        };
+        if restored {
+            let kind = EventKind::BackendRestored { host: backend.host.clone() };
+            self.events.record(kind, SystemTime::now());
+        }
+    }
+
+    /// An exchange with `backend` failed.
+    pub fn failed(&self, service: &Service, backend: &Backend, now: Instant) {
+        let wants_ejection = {
+            let mut health = backend.health();
+            health.observe(Observation::Failure);
+            health.wants_ejection(now)
+        };
+        if !wants_ejection {
+            return;
+        }
+        if !routing::may_eject(service.out(now), service.unavailable_max) {
+            self.telemetry.count("backend.kept");
+            return;
+        }
+        backend.health().eject(now);
+        self.telemetry.count("backend.ejected");
+        let kind = EventKind::BackendEjected { host: backend.host.clone() };
+        self.events.record(kind, SystemTime::now());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,214 @@
+//! Bodies of requests, as they are sent on: streamed within bounds, or held in memory.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use axum::body::Body as CallerBody;
+use bytes::Bytes;
+use http::StatusCode;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+/// How the body of a request has gone so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum BodyState {
+    /// Not at its end.
+    Open,
+    /// Sent to its end.
+    Ended,
+    /// Longer than allowed.
+    TooLarge,
+    /// The caller sent nothing for too long.
+    Silent,
+    /// The caller's side was malformed or was cut.
+    Broken,
+}
+
+impl BodyState {
+    const ALL: [Self; 5] = [Self::Open, Self::Ended, Self::TooLarge, Self::Silent, Self::Broken];
+
+    /// Status and reason for the caller, if the caller's side of the body failed.
+    pub fn failure(self) -> Option<(StatusCode, &'static str)> {
+        match self {
+            Self::Open | Self::Ended => None,
+            Self::TooLarge => Some((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")),
+            Self::Silent => Some((StatusCode::REQUEST_TIMEOUT, "the body stopped coming")),
+            Self::Broken => Some((StatusCode::BAD_REQUEST, "the body is malformed or was cut")),
+        }
+    }
+}
+
+/// View on a body that is being sent.
+#[derive(Clone, Debug)]
+pub struct BodyWatch(Arc<AtomicU8>);
+
+impl BodyWatch {
+    /// State of the body.
+    pub fn state(&self) -> BodyState {
+        BodyState::ALL[usize::from(self.0.load(Ordering::Acquire))]
+    }
+
+    fn set(&self, state: BodyState) {
+        self.0.store(state as u8, Ordering::Release);
+    }
+}
+
+/// The caller's side of a body failed.
+#[derive(Debug, thiserror::Error)]
+#[error("the caller's body ended in state {0:?}")]
+pub struct BodyError(BodyState);
+
+/// Bounds of a streamed body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyBounds {
+    /// Largest size, in bytes.
+    pub max_bytes: u64,
+    /// Longest silence of the caller.
+    pub silence: Duration,
+}
+
+/// Body of a request on its way to a backend server or another node.
+#[derive(Debug)]
+pub struct OutboundBody {
+    source: Source,
+    watch: BodyWatch,
+}
+
+#[derive(Debug)]
+enum Source {
+    Streamed { inner: CallerBody, left_bytes: u64, silence: Duration, timer: Option<Pin<Box<Sleep>>> },
+    Held { bytes: Option<Bytes> },
+}
+
+impl OutboundBody {
+    /// Body that is passed on as it comes.
+    pub fn streamed(inner: CallerBody, bounds: BodyBounds) -> Self {
+        let BodyBounds { max_bytes, silence } = bounds;
+        let state = if inner.is_end_stream() { BodyState::Ended } else { BodyState::Open };
+        let source = Source::Streamed { inner, left_bytes: max_bytes, silence, timer: None };
+        Self { source, watch: watch(state) }
+    }
+
+    /// Body that is in memory as a whole.
+    pub fn held(bytes: Bytes) -> Self {
+        let bytes = Some(bytes).filter(|bytes| !bytes.is_empty());
+        let state = if bytes.is_none() { BodyState::Ended } else { BodyState::Open };
+        Self { source: Source::Held { bytes }, watch: watch(state) }
+    }
+
+    /// View that stays when the body is sent.
+    pub fn watch(&self) -> BodyWatch {
+        self.watch.clone()
+    }
+
+    /// The whole body if it can be sent again: it is in memory, or empty.
+    pub fn replay(&self) -> Option<Bytes> {
+        match &self.source {
+            Source::Held { bytes } => Some(bytes.clone().unwrap_or_default()),
+            Source::Streamed { inner, .. } => inner.is_end_stream().then(Bytes::new),
+        }
+    }
+
+    /// Reads the whole body into memory.
+    pub async fn hold(mut self) -> Result<Bytes, BodyState> {
+        let mut whole = Vec::new();
+        while let Some(frame) = std::future::poll_fn(|c| Pin::new(&mut self).poll_frame(c)).await {
+            let frame = frame.map_err(|BodyError(state)| state)?;
+            if let Ok(data) = frame.into_data() {
+                whole.extend_from_slice(&data);
+            }
+        }
+        Ok(whole.into())
+    }
+}
+
+fn watch(state: BodyState) -> BodyWatch {
+    BodyWatch(Arc::new(AtomicU8::new(state as u8)))
+}
+
+impl Body for OutboundBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        let polled = match &mut this.source {
+            Source::Held { bytes } => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Source::Streamed { inner, left_bytes, silence, timer } => {
+                poll_streamed(inner, left_bytes, *silence, timer, context)
+            }
+        };
+        match &polled {
+            Poll::Ready(Some(Err(state))) => this.watch.set(*state),
+            Poll::Ready(None) => this.watch.set(BodyState::Ended),
+            Poll::Ready(Some(Ok(_))) if this.is_end_stream() => this.watch.set(BodyState::Ended),
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+        }
+        polled.map_err(BodyError)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Source::Streamed { inner, .. } => inner.is_end_stream(),
+            Source::Held { bytes } => bytes.is_none(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Streamed { inner, .. } => inner.size_hint(),
+            Source::Held { bytes } => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+        }
+    }
+}
+
+fn poll_streamed(
+    inner: &mut CallerBody,
+    left_bytes: &mut u64,
+    silence: Duration,
+    timer: &mut Option<Pin<Box<Sleep>>>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, BodyState>>> {
+    match Pin::new(inner).poll_frame(context) {
+        Poll::Pending if poll_silence(timer, silence, context) => {
+            Poll::Ready(Some(Err(BodyState::Silent)))
+        }
+        Poll::Pending => Poll::Pending,
+        Poll::Ready(None) => Poll::Ready(None),
+        Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(BodyState::Broken))),
+        Poll::Ready(Some(Ok(frame))) => {
+            *timer = None;
+            let size_bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+            if size_bytes > *left_bytes {
+                return Poll::Ready(Some(Err(BodyState::TooLarge)));
+            }
+            *left_bytes -= size_bytes;
+            Poll::Ready(Some(Ok(frame)))
+        }
+    }
+}
+
+/// True if the silence that began at the first call with this timer has lasted for `silence`.
+pub fn poll_silence(
+    timer: &mut Option<Pin<Box<Sleep>>>,
+    silence: Duration,
+    context: &mut Context<'_>,
+) -> bool {
+    let ends_at = Instant::now() + silence;
+    let timer = timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(ends_at)));
+    timer.as_mut().poll(context).is_ready()
+}
--- /dev/null
+++ b/crates/gateway/src/probe.rs
@@ -0,0 +1,76 @@
+//! Asks a backend server, on a new connection, whether it is running a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use limits::LimitTable;
+use model::RequestId;
+
+use crate::backends::Backend;
+use crate::body::OutboundBody;
+use crate::connection::Connection;
+use crate::tokens::ConnectionToken;
+
+/// Path below which a backend server says whether a request id is running: `true` or `false`.
+pub const RUNNING_PATH: &str = "/.savorypitch/running/";
+/// Largest report, in bytes.
+const REPORT_MAX_BYTES: usize = 16;
+
+/// What a backend server reports about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// It is running.
+    Running,
+    /// It is not running.
+    NotRunning,
+    /// No report came.
+    NoReport,
+}
+
+/// Asks backend servers.
+#[derive(Clone)]
+pub struct Prober {
+    /// Limits, for the token of the new connection.
+    pub limits: Arc<LimitTable>,
+    /// Time for one question.
+    pub timeout: Duration,
+}
+
+impl Prober {
+    /// Asks `backend` on a new connection whether `request` is running.
+    pub async fn ask(&self, backend: &Backend, request: &RequestId) -> Report {
+        let asked = tokio::time::timeout(self.timeout, self.try_ask(backend, request)).await;
+        match asked {
+            Ok(Some(true)) => Report::Running,
+            Ok(Some(false)) => Report::NotRunning,
+            Ok(None) | Err(_) => Report::NoReport,
+        }
+    }
+
+    async fn try_ask(&self, backend: &Backend, request: &RequestId) -> Option<bool> {
+        let token = ConnectionToken::take(&self.limits, &backend.connections)?;
+        let opened = Connection::open(backend.address, self.timeout, Some(token)).await;
+        let mut connection = opened.ok()?;
+        let question = Request::get(format!("{RUNNING_PATH}{request}"))
+            .header(header::HOST, HeaderValue::from_str(&backend.address.to_string()).ok()?)
+            .body(OutboundBody::held(Bytes::new()))
+            .ok()?;
+        let answer = connection.exchange(question).await.ok()?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let body = Limited::new(answer.into_body(), REPORT_MAX_BYTES).collect().await.ok()?;
+        match &*body.to_bytes() {
+            b"true" => Some(true),
+            b"false" => Some(false),
+            _ => None,
+        }
+    }
+}
--- a/crates/gateway/src/tokens.rs
+++ b/crates/gateway/src/tokens.rs
@@ -1,111 +1,145 @@
-//! Tokens that a running request holds, and the body that gives them back.
+//! Tokens that a request holds, from the moment that it may run until its work has ended for certain.
+//!
+//! [`Held`] tokens belong to a request of which nothing was sent, so dropping them gives them back.
+//! Once the request is on its way they are [`InFlight`], and dropping those leaves them in doubt:
+//! whoever drops them, for whatever reason, does not know whether the work goes on.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
-
-use bytes::Bytes;
-use http_body::Body;
-use http_body::Frame;
-use http_body::SizeHint;
-use hyper::body::Incoming;
+use std::time::Instant;
+
 use limits::LimitKey;
 use limits::LimitTable;
-use tokio::sync::Notify;
+use model::RequestId;
+use shares::Ticket;
+
+use crate::backends::Backend;
+use crate::waiting::Line;
+use crate::waiting::Lines;
 
-/// Tokens of one dispatched request.
-pub struct Tokens {
+/// Token of an open connection.
+pub struct ConnectionToken {
     limits: Arc<LimitTable>,
-    freed: Arc<Notify>,
-    keys: Vec<LimitKey>,
+    key: LimitKey,
 }
 
-impl Tokens {
-    /// Takes a token of each key, or none at all.
-    pub fn take(
-        limits: &Arc<LimitTable>,
-        freed: &Arc<Notify>,
-        keys: Vec<LimitKey>,
-    ) -> Option<Self> {
-        for (index, key) in keys.iter().enumerate() {
-            if !limits.take(key) {
-                keys[..index].iter().for_each(|taken| limits.release(taken));
-                return None;
-            }
-        }
-        Some(Self { limits: limits.clone(), freed: freed.clone(), keys })
-    }
-
-    /// Holds the tokens back: their work may still be running.
-    pub fn doubt(mut self) {
-        for key in std::mem::take(&mut self.keys) {
-            self.limits.doubt(&key);
-        }
+impl ConnectionToken {
+    /// Takes a token of `key`; `None` if there is none to spare.
+    pub fn take(limits: &Arc<LimitTable>, key: &LimitKey) -> Option<Self> {
+        limits.take(key).then(|| Self { limits: limits.clone(), key: key.clone() })
     }
 }
 
-impl Drop for Tokens {
+impl Drop for ConnectionToken {
     fn drop(&mut self) {
-        for key in std::mem::take(&mut self.keys) {
-            self.limits.release(&key);
-        }
-        self.freed.notify_waiters();
+        self.limits.release(&self.key);
     }
 }
 
-/// Body of a backend server's answer; its tokens are free once the whole answer has come.
-pub struct AnswerBody {
-    inner: Incoming,
+/// Place of a started request in its line.
+#[derive(Clone)]
+pub struct Start {
+    /// Line.
+    pub line: Arc<Line>,
+    /// Ticket in the line.
+    pub ticket: Ticket,
+}
+
+/// Tokens of a request of which nothing was sent.
+pub struct Held {
     tokens: Option<Tokens>,
 }
 
-impl AnswerBody {
-    /// Body that gives back `tokens` at its end.
-    pub fn new(inner: Incoming, tokens: Tokens) -> Self {
-        let mut body = Self { inner, tokens: Some(tokens) };
-        body.release_at_end();
-        body
+struct Tokens {
+    lines: Arc<Lines>,
+    start: Option<Start>,
+    running: LimitKey,
+    backend: Arc<Backend>,
+}
+
+impl Held {
+    /// Tokens that were taken for `backend`.
+    pub fn new(
+        lines: Arc<Lines>,
+        start: Option<Start>,
+        running: LimitKey,
+        backend: Arc<Backend>,
+    ) -> Self {
+        Self { tokens: Some(Tokens { lines, start, running, backend }) }
     }
 
-    fn release_at_end(&mut self) {
-        if self.inner.is_end_stream() {
-            self.tokens = None;
-        }
+    /// Backend server that the slot belongs to.
+    pub fn backend(&self) -> &Arc<Backend> {
+        &self.tokens.as_ref().expect("held until dropped").backend
+    }
+
+    /// Changes the slot for one of another backend server, for which a token was taken.
+    pub fn move_to(&mut self, backend: Arc<Backend>) {
+        let tokens = self.tokens.as_mut().expect("held until dropped");
+        tokens.lines.limits.release(&tokens.backend.slots);
+        tokens.backend = backend;
+    }
+
+    /// From now on the request may be running.
+    pub fn dispatch(mut self, request: RequestId) -> InFlight {
+        InFlight { request, tokens: self.tokens.take() }
     }
 }
 
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(context);
-        match &polled {
-            Poll::Ready(None) => self.tokens = None,
-            Poll::Ready(Some(Ok(_))) => self.release_at_end(),
-            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+impl Drop for Held {
+    fn drop(&mut self) {
+        if let Some(tokens) = self.tokens.take() {
+            tokens.release();
         }
-        polled
     }
+}
 
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+/// Tokens of a request that may be running.
+pub struct InFlight {
+    request: RequestId,
+    tokens: Option<Tokens>,
+}
+
+impl InFlight {
+    /// The work has ended for certain.
+    pub fn finish(mut self) {
+        if let Some(tokens) = self.tokens.take() {
+            tokens.release();
+        }
     }
 
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+    /// Nothing was sent after all.
+    pub fn unsent(mut self) -> Held {
+        Held { tokens: self.tokens.take() }
     }
 }
 
-impl Drop for AnswerBody {
+impl Drop for InFlight {
     fn drop(&mut self) {
-        // An answer that ended early says nothing about the work behind it.
         if let Some(tokens) = self.tokens.take() {
-            tokens.doubt();
+            tokens.doubt(self.request.clone());
+        }
+    }
+}
+
+impl Tokens {
+    fn release(self) {
+        self.lines.limits.release(&self.backend.slots);
+        self.lines.limits.release(&self.running);
+        self.end();
+    }
+
+    fn doubt(self, request: RequestId) {
+        self.lines.limits.doubt(&self.backend.slots);
+        self.lines.limits.doubt(&self.running);
+        self.lines.doubts.add(request, self.backend.clone(), self.running.clone(), Instant::now());
+        self.end();
+    }
+
+    fn end(self) {
+        let now = Instant::now();
+        if let Some(start) = &self.start {
+            start.line.finished(start.ticket, now);
         }
+        self.lines.serve_all(now);
     }
 }
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -1,29 +1,30 @@
 //! Choice of a backend server: the better of two random candidates.
 
-use std::net::SocketAddr;
-
-use model::HostId;
 use rand::Rng;
 use rand::RngExt;
 
-/// A backend server that may take the request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Candidate {
-    /// Host of the backend server.
-    pub host: HostId,
-    /// Address of the backend server.
-    pub address: SocketAddr,
-    /// Requests that this node has running there.
-    pub running: u32,
-}
-
-/// Index of the chosen candidate; `None` if there is none.
-pub fn choose(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
-    if candidates.is_empty() {
+/// Index of the chosen candidate among `count`; `None` if none can take the request.
+///
+/// `cost_of` gives the cost of a candidate, or `None` if it cannot take the request now. Two are
+/// drawn at random and the cheaper one is taken; only if neither can, all are looked at in turn.
+pub fn choose(
+    count: usize,
+    rng: &mut impl Rng,
+    mut cost_of: impl FnMut(usize) -> Option<f64>,
+) -> Option<usize> {
+    if count == 0 {
         return None;
     }
-    let first = rng.random_range(0..candidates.len());
-    let second = rng.random_range(0..candidates.len());
-    let better = candidates[second].running < candidates[first].running;
-    Some(if better { second } else { first })
+    let first = rng.random_range(0..count);
+    let second = (first + rng.random_range(0..count)) % count;
+    match (cost_of(first), cost_of(second)) {
+        (Some(first_cost), Some(second_cost)) => {
+            Some(if second_cost < first_cost { second } else { first })
+        }
+        (Some(_), None) => Some(first),
+        (None, Some(_)) => Some(second),
+        (None, None) => {
+            (0..count).map(|step| (second + step) % count).find(|&index| cost_of(index).is_some())
+        }
+    }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,12 +1,29 @@
-//! Decisions on the path of a request: admission, and choice of backend server.
+//! Decisions on the path of a request: admission, choice of backend server, health, retries and
+//! deadlines.
 //!
 //! Everything here is a pure function of the configuration, the state given and the present time.
 
 mod admission;
 mod choice;
+mod deadline;
+mod health;
+mod retry;
 
 pub use admission::Admitted;
 pub use admission::Denied;
 pub use admission::admit;
-pub use choice::Candidate;
 pub use choice::choose;
+pub use deadline::Deadline;
+pub use health::EJECTION;
+pub use health::EJECTION_MAX;
+pub use health::FAILURES_TO_EJECT;
+pub use health::Health;
+pub use health::Observation;
+pub use health::RETURN;
+pub use health::may_eject;
+pub use retry::ATTEMPTS_MAX;
+pub use retry::Attempt;
+pub use retry::AttemptFailure;
+pub use retry::RetryBudget;
+pub use retry::is_idempotent;
+pub use retry::may_retry;
