--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -10,6 +10,7 @@
 
 use events::EventKind;
 use events::Recorder;
+use http::HeaderValue;
 use limits::LimitKey;
 use limits::LimitTable;
 use model::HostId;
@@ -26,6 +27,8 @@
     pub host: HostId,
     /// Address.
     pub address: SocketAddr,
+    /// Value of the `Host` header.
+    pub host_header: HeaderValue,
     /// Limit of its slots.
     pub slots: LimitKey,
     /// Limit of its connections.
@@ -38,7 +41,10 @@
 impl Backend {
     /// Backend server of which nothing is known yet.
     pub fn new(host: HostId, address: SocketAddr) -> Self {
+        let authority = address.to_string();
+        let host_header = HeaderValue::from_str(&authority).expect("an address is plain text");
         Self {
+            host_header,
             slots: LimitKey::Slots(host.clone()),
             connections: LimitKey::Connections(host.clone()),
             host,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// True if there is none.
+    pub fn is_empty(&self) -> bool {
+        self.idle.lock().expect("no holder panics").is_empty()
+    }
+
     /// Closes connections that have been idle for long, and all of them if `all` is set.
     pub fn close_old(&self, now: Instant, all: bool) {
         let mut idle = self.idle.lock().expect("no holder panics");
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,12 +1,16 @@
-//! Carries one request from its caller to a backend server.
+//! Takes requests of callers through their life.
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::RwLock;
+use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use axum::body::Body;
-use events::EventKind;
 use events::Recorder;
 use http::HeaderValue;
 use http::Request;
@@ -14,258 +18,365 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
-use limits::LimitKey;
+use http::uri::PathAndQuery;
 use limits::LimitTable;
 use model::Config;
 use model::Outcome;
 use model::RequestId;
 use model::ids::random_id;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
-use routing::Admitted;
-use routing::Candidate;
-use routing::Denied;
+use platform::Objects;
+use platform::Table;
+use routing::RetryBudget;
 use telemetry::Telemetry;
-use tokio::sync::Notify;
 
 use crate::answer::Refusal;
 use crate::answer::mark;
 use crate::authority::Authority;
-use crate::backend::Connection;
-use crate::backend::Connections;
-use crate::backend::ExchangeError;
+use crate::backends::HealthKeeper;
+use crate::body::BodyBounds;
+use crate::body::OutboundBody;
+use crate::claims::Claims;
+use crate::doubt::Doubts;
+use crate::exchange::Outbound;
+use crate::forward::Forwarded;
+use crate::forward::PeerConnections;
+use crate::forward::forwarded_id;
+use crate::header::CLASS;
+use crate::header::FORWARDED;
+use crate::header::IDEMPOTENCY_KEY;
+use crate::header::OUTCOME;
 use crate::header::REQUEST_ID;
 use crate::header::TEAM;
-use crate::header::bearer;
-use crate::header::deadline;
 use crate::header::remove_hop_by_hop;
+use crate::life::Answered;
+use crate::life::Dispatched;
+use crate::life::Order;
+use crate::life::Received;
+use crate::life::Work;
+use crate::probe::Prober;
+use crate::routes::Routes;
 use crate::settings::GatewaySettings;
-use crate::tokens::AnswerBody;
-use crate::tokens::Tokens;
+use crate::tokens::Held;
+use crate::waiting::Lines;
 
 /// Path under which queues are served.
 const QUEUE_PREFIX: &str = "/q/";
 /// When a caller may try again after a refusal that passes by itself.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time between two rounds of upkeep.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two sweeps of old claims.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
+/// Time between two looks at what still runs.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What a gateway needs of its node.
+pub struct Parts {
+    /// Configuration and right to act.
+    pub authority: Arc<dyn Authority>,
+    /// Limits.
+    pub limits: Arc<LimitTable>,
+    /// Events.
+    pub events: Arc<Recorder>,
+    /// Metrics.
+    pub telemetry: Telemetry,
+    /// Table, for idempotency keys.
+    pub table: Arc<dyn Table>,
+    /// Object store, for first answers.
+    pub objects: Arc<dyn Objects>,
+    /// Bounds.
+    pub settings: GatewaySettings,
+}
 
 /// Carries requests of callers to backend servers.
 pub struct Gateway {
     pub(crate) authority: Arc<dyn Authority>,
-    pub(crate) limits: Arc<LimitTable>,
     pub(crate) events: Arc<Recorder>,
     pub(crate) telemetry: Telemetry,
     pub(crate) settings: GatewaySettings,
-    connections: Arc<Connections>,
-    freed: Arc<Notify>,
-    rng: Mutex<SmallRng>,
+    pub(crate) lines: Arc<Lines>,
+    pub(crate) claims: Arc<Claims>,
+    pub(crate) prober: Prober,
+    pub(crate) health: HealthKeeper,
+    pub(crate) peers: PeerConnections,
+    pub(crate) retry_budget: Mutex<RetryBudget>,
+    /// Cloned by each task that carries a request without its caller.
+    pub(crate) running: Arc<()>,
+    routes: RwLock<Arc<Routes>>,
+    stopping: AtomicBool,
+}
+
+/// A request that has its tokens, or has ended elsewhere.
+pub(crate) enum Ready {
+    /// To be sent to a backend server.
+    Dispatch(Work<Dispatched>, Request<OutboundBody>),
+    /// Another node has carried it.
+    Ended(Result<Answered, Refusal>),
 }
 
 impl Gateway {
-    /// Gateway of one node.
-    pub fn new(
-        authority: Arc<dyn Authority>,
-        limits: Arc<LimitTable>,
-        events: Arc<Recorder>,
-        telemetry: Telemetry,
-        settings: GatewaySettings,
-    ) -> Self {
-        Self {
+    /// Starts the gateway of one node; its tasks end with the last reference.
+    pub fn start(parts: Parts) -> Arc<Self> {
+        let Parts { authority, limits, events, telemetry, table, objects, settings } = parts;
+        let doubts = Doubts::new(events.clone(), telemetry.clone(), settings.probe_interval);
+        let (patience, retention) = (settings.claim_patience, settings.claim_retention);
+        let gateway = Arc::new(Self {
+            lines: Arc::new(Lines::new(limits.clone(), Arc::new(doubts))),
+            claims: Claims::start(table, objects, patience, retention),
+            prober: Prober { limits, timeout: settings.connect_timeout },
+            health: HealthKeeper { events: events.clone(), telemetry: telemetry.clone() },
+            peers: PeerConnections::default(),
+            retry_budget: Mutex::default(),
+            running: Arc::default(),
+            routes: RwLock::default(),
+            stopping: AtomicBool::new(false),
             authority,
-            limits,
             events,
             telemetry,
             settings,
-            connections: Arc::default(),
-            freed: Arc::default(),
-            rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
-        }
+        });
+        tokio::spawn(upkeep(Arc::downgrade(&gateway)));
+        tokio::spawn(sweep(Arc::downgrade(&gateway)));
+        gateway
     }
 
     /// Answers one request.
-    pub async fn handle(&self, request: Request<Body>) -> Response<Body> {
-        let request_id: RequestId = random_id();
-        match self.carry(request, &request_id).await {
-            Ok(mut response) => {
-                self.telemetry.count("request.complete");
-                mark(&mut response, Outcome::Complete, &request_id);
+    pub async fn handle(self: Arc<Self>, request: Request<Body>) -> Response<Body> {
+        let secret = self.settings.cluster_secret.as_ref();
+        let forwarded = forwarded_id(secret, request.headers(), request.uri());
+        let may_forward = forwarded.is_none();
+        let id = forwarded.unwrap_or_else(random_id);
+        let work = Work { id: id.clone(), step: Received { at: Instant::now() } };
+        let mut response = match self.carry(work, request, may_forward).await {
+            Ok(Answered { id, outcome, mut response }) => {
+                self.telemetry.count(counter(outcome));
+                mark(&mut response, outcome, &id);
                 response
             }
             Err(refusal) => {
-                self.telemetry.count(&format!("request.{}", refusal.outcome));
-                refusal.into_response(&request_id)
+                self.telemetry.count(counter(refusal.outcome));
+                refusal.into_response(&id)
+            }
+        };
+        if self.stopping.load(Ordering::Relaxed) {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    /// Tells callers from now on to use other connections.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until all requests have ended that run without their caller; false after `grace`.
+    pub async fn finish_running(&self, grace: Duration) -> bool {
+        let until = Instant::now() + grace;
+        while Arc::strong_count(&self.running) > 1 {
+            if Instant::now() >= until {
+                return false;
             }
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
         }
+        true
     }
 
     async fn carry(
-        &self,
+        self: &Arc<Self>,
+        work: Work<Received>,
         request: Request<Body>,
-        request_id: &RequestId,
-    ) -> Result<Response<Body>, Refusal> {
-        let now = Instant::now();
+        may_forward: bool,
+    ) -> Result<Answered, Refusal> {
         let config = self.authority.config();
-        let (queue_name, target) = split_target(request.uri())?;
-        let wait = deadline(request.headers()).map_err(|text| {
-            let detail = format!("Savorypitch-Deadline-Ms is not a count of milliseconds: {text}");
-            Refusal::not_run(StatusCode::BAD_REQUEST, detail)
-        })?;
-        let secret = bearer(request.headers()).map(str::to_owned);
-        let admitted = admit(&config, &queue_name, secret.as_deref())?;
-        if !self.authority.may_admit(now) {
+        let routes = self.routes(&config);
+        let queue = queue_name(request.uri())?;
+        let work = work.admit(&config, &routes, &self.settings, queue, request.headers())?;
+        if !self.authority.may_admit(Instant::now()) {
             let detail = "this node may not take work now";
             return Err(Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER));
         }
-        let deadline = now + wait.unwrap_or(self.settings.request_timeout);
-        let (candidate, tokens) = self.wait_for_slot(&queue_name, &admitted, deadline).await?;
-        // The key may have been withdrawn while the request was waiting.
-        admit(&self.authority.config(), &queue_name, secret.as_deref())?;
-        let outbound = outbound(request, &target, &candidate, &admitted, request_id)?;
-        self.exchange(outbound, candidate, tokens, &admitted, request_id, deadline).await
+        check_framing(&request)?;
+        let key = request.headers().get(IDEMPOTENCY_KEY).cloned();
+        let mut request = self.bound(request, key.is_some())?;
+        if may_forward {
+            request.headers_mut().remove(FORWARDED);
+        }
+        if let Some(key) = key {
+            return self.carry_keyed(work, request, &key).await;
+        }
+        match self.ready(work, request).await? {
+            Ready::Ended(end) => end,
+            Ready::Dispatch(work, request) => {
+                let Work { id, step: Dispatched { order, held } } = work;
+                let request = to_backend(request, &order, &id)?;
+                self.finish(id, order, request, held).await
+            }
+        }
     }
 
-    async fn wait_for_slot(
-        &self,
-        queue_name: &str,
-        admitted: &Admitted,
-        deadline: Instant,
-    ) -> Result<(Candidate, Tokens), Refusal> {
-        loop {
-            let freed = self.freed.notified();
-            let config = self.authority.config();
-            if let Some(found) = self.try_slot(&config, admitted) {
-                return Ok(found);
-            }
-            let queue_wait = config.queue(queue_name).map_or(0, |(_, queue)| queue.wait_max_ms);
-            let until = deadline.min(Instant::now() + Duration::from_millis(queue_wait));
-            if tokio::time::timeout_at(until.into(), freed).await.is_err() {
-                let detail = "no slot became free in time";
-                return Err(Refusal::retry(StatusCode::TOO_MANY_REQUESTS, detail, RETRY_AFTER));
+    /// Gets tokens for a request: at once, else at another node, else by waiting.
+    pub(crate) async fn ready(
+        self: &Arc<Self>,
+        work: Work<Order>,
+        mut request: Request<OutboundBody>,
+    ) -> Result<Ready, Refusal> {
+        self.retry_budget.lock().expect("no holder panics").deposit();
+        let mut queued = match work.enqueue(&self.lines, Instant::now())?.dispatch_now() {
+            Ok(work) => return Ok(Ready::Dispatch(work, request)),
+            Err(queued) => queued,
+        };
+        if !request.headers().contains_key(FORWARDED) && self.settings.cluster_secret.is_some() {
+            let work = queued.leave();
+            match self.forward(&work.id, &work.step, request).await {
+                Forwarded::Ended(end) => return Ok(Ready::Ended(end)),
+                Forwarded::NotRun(unsent) => request = unsent,
             }
+            queued = work.enqueue(&self.lines, Instant::now())?;
+        }
+        let work = queued.dispatch(Instant::now()).await?;
+        let work = work.check_again(&self.authority.config())?;
+        if !self.authority.may_admit(Instant::now()) {
+            let detail = "this node may no longer send work";
+            return Err(Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER));
         }
+        Ok(Ready::Dispatch(work, request))
+    }
+
+    /// Sends a request that has its tokens.
+    pub(crate) async fn finish(
+        &self,
+        id: RequestId,
+        order: Order,
+        request: Request<OutboundBody>,
+        held: Held,
+    ) -> Result<Answered, Refusal> {
+        let outbound = Outbound { id: id.clone(), order, request };
+        let response = self.send(outbound, held).await?;
+        Ok(Answered { id, outcome: Outcome::Complete, response })
     }
 
-    fn try_slot(&self, config: &Config, admitted: &Admitted) -> Option<(Candidate, Tokens)> {
-        let contract = config.contract(&admitted.customer)?;
-        let candidates: Vec<Candidate> = config
-            .hosts_of(contract, &admitted.service)
-            .filter(|host| host.state.takes_work())
-            .filter_map(|host| {
-                let slots = self.limits.get(&LimitKey::Slots(host.id().clone()))?;
-                (slots.spare() > 0).then(|| Candidate {
-                    host: host.id().clone(),
-                    address: host.spec.address,
-                    running: slots.running,
-                })
-            })
-            .collect();
-        let chosen = {
-            let mut rng = self.rng.lock().expect("no holder panics");
-            routing::choose(&candidates, &mut *rng)?
+    fn routes(self: &Arc<Self>, config: &Config) -> Arc<Routes> {
+        let routes = self.routes.read().expect("no holder panics").clone();
+        if routes.version == config.version {
+            return routes;
+        }
+        let routes = {
+            let mut held = self.routes.write().expect("no holder panics");
+            if held.version < config.version {
+                *held = Arc::new(Routes::build(config, &held));
+                self.lines.set_lines(held.lines.clone());
+            }
+            held.clone()
         };
-        let candidate = candidates[chosen].clone();
-        let keys =
-            vec![LimitKey::Running(admitted.team.clone()), LimitKey::Slots(candidate.host.clone())];
-        let tokens = Tokens::take(&self.limits, &self.freed, keys)?;
-        Some((candidate, tokens))
+        self.lines.serve_all(Instant::now());
+        routes
     }
 
-    async fn exchange(
+    fn bound(
         &self,
         request: Request<Body>,
-        candidate: Candidate,
-        tokens: Tokens,
-        admitted: &Admitted,
-        request_id: &RequestId,
-        deadline: Instant,
-    ) -> Result<Response<Body>, Refusal> {
-        let timeout = self.settings.connect_timeout;
-        let mut connection =
-            self.connections.get(candidate.address, timeout).await.map_err(|error| {
-                let detail = format!("the backend server could not be reached: {error}");
-                Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER)
-            })?;
-        let answer = tokio::time::timeout_at(deadline.into(), connection.exchange(request)).await;
-        let (status, detail) = match answer {
-            Ok(Ok(response)) => {
-                self.keep_when_finished(connection);
-                let (mut parts, body) = response.into_parts();
-                remove_hop_by_hop(&mut parts.headers);
-                return Ok(Response::from_parts(parts, Body::new(AnswerBody::new(body, tokens))));
-            }
-            Ok(Err(ExchangeError::NotSent(reason))) => {
-                let detail = format!("the request was not sent: {reason}");
-                return Err(Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER));
-            }
-            Ok(Err(ExchangeError::NoAnswer(error))) => {
-                (StatusCode::BAD_GATEWAY, format!("the backend server gave no answer: {error}"))
-            }
-            Err(_) => (StatusCode::GATEWAY_TIMEOUT, "no answer came in time".to_owned()),
-        };
-        tokens.doubt();
-        let kind = EventKind::RequestUnknown {
-            request: request_id.clone(),
-            team: admitted.team.clone(),
-            host: candidate.host,
-        };
-        self.events.record(kind, std::time::SystemTime::now());
-        Err(Refusal::unknown(status, detail))
+        is_held: bool,
+    ) -> Result<Request<OutboundBody>, Refusal> {
+        let settings = &self.settings;
+        let held_max_bytes = settings.held_body_max_bytes.min(settings.body_max_bytes);
+        let max_bytes = if is_held { held_max_bytes } else { settings.body_max_bytes };
+        let length = http_body::Body::size_hint(request.body()).lower();
+        if length > max_bytes {
+            let detail = format!("the body may have at most {max_bytes} bytes");
+            return Err(Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail));
+        }
+        let bounds = BodyBounds { max_bytes, silence: settings.caller_silence };
+        Ok(request.map(|body| OutboundBody::streamed(body, bounds)))
     }
 
-    fn keep_when_finished(&self, mut connection: Connection) {
-        let connections = self.connections.clone();
-        tokio::spawn(async move {
-            if connection.finished().await.is_ok() {
-                connections.put(connection);
-            }
-        });
+    async fn keep_up(self: &Arc<Self>) {
+        let config = self.authority.config();
+        let routes = self.routes(&config);
+        let now = Instant::now();
+        for backend in &routes.backends {
+            let all = config.host(&backend.host).is_none_or(|host| !host.state.takes_work());
+            backend.idle.close_old(now, all);
+        }
+        self.peers.close_old(now);
+        self.lines.doubts.resolve(&self.lines, &self.prober, &config).await;
+        self.telemetry.gauge("requests.waiting", self.lines.waiting() as u64);
+        self.telemetry.gauge("tokens.in-doubt", self.lines.doubts.len() as u64);
+        self.lines.serve_all(Instant::now());
     }
 }
 
-fn admit(config: &Config, queue_name: &str, secret: Option<&str>) -> Result<Admitted, Refusal> {
-    routing::admit(config, queue_name, secret).map_err(|denied| {
-        let status = match denied {
-            Denied::NoQueue => StatusCode::NOT_FOUND,
-            Denied::NoKey | Denied::BadKey => StatusCode::UNAUTHORIZED,
-            Denied::NoRight => StatusCode::FORBIDDEN,
-        };
-        Refusal::not_run(status, denied)
-    })
+/// Resolves tokens in doubt, closes old connections and serves the lines.
+async fn upkeep(gateway: Weak<Gateway>) {
+    loop {
+        let Some(gateway) = gateway.upgrade() else { return };
+        gateway.keep_up().await;
+        drop(gateway);
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+    }
+}
+
+async fn sweep(gateway: Weak<Gateway>) {
+    loop {
+        // Jitter keeps the nodes from sweeping the same rows at once.
+        tokio::time::sleep(SWEEP_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
+        let Some(gateway) = gateway.upgrade() else { return };
+        gateway.claims.sweep(SystemTime::now()).await;
+    }
+}
+
+fn counter(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Complete => "request.complete",
+        Outcome::NotRun => "request.not-run",
+        Outcome::Unknown => "request.unknown",
+    }
 }
 
-/// Queue name, and path and query as the backend server sees them.
-fn split_target(uri: &Uri) -> Result<(String, String), Refusal> {
+/// Refuses a request whose end could be read in two ways.
+fn check_framing(request: &Request<Body>) -> Result<(), Refusal> {
+    let headers = request.headers();
+    let has_length = headers.contains_key(header::CONTENT_LENGTH);
+    if has_length && headers.contains_key(header::TRANSFER_ENCODING) {
+        let detail = "a request has a Content-Length or a Transfer-Encoding, not both";
+        return Err(Refusal::not_run(StatusCode::BAD_REQUEST, detail));
+    }
+    Ok(())
+}
+
+fn queue_name(uri: &Uri) -> Result<&str, Refusal> {
     let rest = uri.path().strip_prefix(QUEUE_PREFIX).ok_or_else(|| {
         Refusal::not_run(StatusCode::NOT_FOUND, "requests go to /q/{queue}/{path}")
     })?;
-    let (queue_name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    Ok(rest.split_once('/').map_or(rest, |(queue, _)| queue))
+}
+
+/// Path and query as the backend server sees them.
+fn backend_target(uri: &Uri) -> Option<Uri> {
+    let path = uri.path().strip_prefix(QUEUE_PREFIX)?;
+    let rest = path.find('/').map_or("/", |slash| &path[slash..]);
     let target = match uri.query() {
-        Some(query) => format!("/{path}?{query}"),
-        None => format!("/{path}"),
+        Some(query) => PathAndQuery::try_from(format!("{rest}?{query}")),
+        None => PathAndQuery::try_from(rest),
     };
-    Ok((queue_name.to_owned(), target))
+    Some(Uri::from(target.ok()?))
 }
 
-fn outbound(
-    request: Request<Body>,
-    target: &str,
-    candidate: &Candidate,
-    admitted: &Admitted,
-    request_id: &RequestId,
-) -> Result<Request<Body>, Refusal> {
-    let (mut parts, body) = request.into_parts();
-    let malformed =
-        |error: &dyn std::error::Error| Refusal::not_run(StatusCode::BAD_REQUEST, error);
-    parts.uri = target.parse().map_err(|error| malformed(&error))?;
-    let headers = &mut parts.headers;
+/// The request as the backend server gets it.
+pub(crate) fn to_backend(
+    mut request: Request<OutboundBody>,
+    order: &Order,
+    id: &RequestId,
+) -> Result<Request<OutboundBody>, Refusal> {
+    let malformed = || Refusal::not_run(StatusCode::BAD_REQUEST, "the target is malformed");
+    *request.uri_mut() = backend_target(request.uri()).ok_or_else(malformed)?;
+    let id = HeaderValue::from_str(id).map_err(|_| malformed())?;
+    let team = HeaderValue::from_str(&order.admitted.team.to_string()).map_err(|_| malformed())?;
+    let headers = request.headers_mut();
     remove_hop_by_hop(headers);
-    headers.remove(header::AUTHORIZATION);
-    let host =
-        HeaderValue::from_str(&candidate.address.to_string()).map_err(|error| malformed(&error))?;
-    headers.insert(header::HOST, host);
-    let id = HeaderValue::from_str(request_id).map_err(|error| malformed(&error))?;
+    for name in [&header::AUTHORIZATION, &header::EXPECT, &FORWARDED, &OUTCOME, &CLASS] {
+        headers.remove(name);
+    }
     headers.insert(REQUEST_ID, id);
-    let team =
-        HeaderValue::from_str(&admitted.team.to_string()).map_err(|error| malformed(&error))?;
     headers.insert(TEAM, team);
-    Ok(Request::from_parts(parts, body))
+    Ok(request)
 }
--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -4,6 +4,7 @@
 
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::header;
 
 /// Outcome of a request.
@@ -15,6 +16,13 @@
 /// Team that the work counts for; sent to the backend server.
 pub const TEAM: HeaderName = HeaderName::from_static("savorypitch-team");
 
+/// Marks a request that another node sends on, with a keyed hash that no caller can make.
+pub const FORWARDED: HeaderName = HeaderName::from_static("savorypitch-forwarded");
+/// Class of a request: `urgent` goes before others, within bounds.
+pub const CLASS: HeaderName = HeaderName::from_static("savorypitch-class");
+/// Key under which a request runs once at most.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -43,8 +51,12 @@
 
 /// Secret of `Authorization: Bearer`.
 pub fn bearer(headers: &HeaderMap) -> Option<&str> {
-    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-    let (scheme, secret) = value.split_once(' ')?;
+    bearer_value(headers.get(header::AUTHORIZATION)?)
+}
+
+/// Secret of one `Authorization` value.
+pub fn bearer_value(value: &HeaderValue) -> Option<&str> {
+    let (scheme, secret) = value.to_str().ok()?.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| secret.trim())
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,17 +5,33 @@
 //! node only through [`Authority`].
 
 mod answer;
+mod answer_body;
 mod authority;
-mod backend;
+mod backends;
+mod body;
+mod claims;
+mod connection;
+mod doubt;
+mod exchange;
+mod forward;
 mod handler;
 mod header;
+mod keyed;
+mod life;
+mod probe;
+mod routes;
 mod server;
 mod settings;
+mod stream;
 mod tokens;
+mod waiting;
 
 pub use authority::Authority;
 pub use authority::Peer;
 pub use handler::Gateway;
+pub use handler::Parts;
 pub use server::Server;
+pub use server::Timeouts;
 pub use server::serve;
+pub use server::serve_with;
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,9 +14,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+
+use crate::stream::CallerStream;
 
 /// Time that a caller may take to send the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time that a caller may take to read what is ready for it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Headers of a request at most.
 const HEADERS_MAX: usize = 100;
 /// Size of the head of a request at most, in bytes.
@@ -24,7 +29,22 @@
 /// Wait after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// A listening server.
+/// Time that callers may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// To send the head of a request; also how long an idle connection is kept.
+    pub header: Duration,
+    /// To read what is ready for them.
+    pub write: Duration,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self { header: HEADER_TIMEOUT, write: WRITE_TIMEOUT }
+    }
+}
+
+/// A listening server; dropping it cuts its connections.
 pub struct Server {
     /// Address that it listens on.
     pub address: SocketAddr,
@@ -34,34 +54,58 @@
 
 impl Server {
     /// Takes no more connections and waits at most `grace` for running requests; true if all ended.
-    pub async fn stop(self, grace: Duration) -> bool {
+    /// What has not ended by then is cut.
+    pub async fn stop(mut self, grace: Duration) -> bool {
         // The task holds a receiver for as long as it runs.
         let _ = self.stop.send(true);
-        tokio::time::timeout(grace, self.task).await.is_ok()
+        tokio::time::timeout(grace, &mut self.task).await.is_ok()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
 
 /// Serves `router` on `address`.
 pub async fn serve(address: SocketAddr, router: Router) -> io::Result<Server> {
+    serve_with(address, router, Timeouts::default()).await
+}
+
+/// Serves `router` on `address`, with other timeouts than the usual ones.
+pub async fn serve_with(
+    address: SocketAddr,
+    router: Router,
+    timeouts: Timeouts,
+) -> io::Result<Server> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let (stop, stopped) = watch::channel(false);
-    let task = tokio::spawn(accept(listener, router, stopped));
+    let task = tokio::spawn(accept(listener, router, timeouts, stopped));
     Ok(Server { address, stop, task })
 }
 
-async fn accept(listener: TcpListener, router: Router, mut stopped: watch::Receiver<bool>) {
+async fn accept(
+    listener: TcpListener,
+    router: Router,
+    timeouts: Timeouts,
+    mut stopped: watch::Receiver<bool>,
+) {
     let graceful = GracefulShutdown::new();
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
+        .header_read_timeout(timeouts.header)
         .max_headers(HEADERS_MAX)
         .max_buf_size(HEAD_MAX_BYTES);
     let builder = Arc::new(builder);
+    // Ends with this task, so that no connection outlives the server.
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
             _ = stopped.changed() => break,
         };
         let Ok((stream, _)) = accepted else {
@@ -70,9 +114,10 @@
         };
         // Latency matters more than the number of packets; a failure here is harmless.
         let _ = stream.set_nodelay(true);
+        let stream = CallerStream::new(stream, timeouts.write);
         let service = TowerToHyperService::new(router.clone());
         let connection = builder.serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(graceful.watch(connection));
+        connections.spawn(graceful.watch(connection));
     }
     drop(listener);
     graceful.shutdown().await;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,12 @@
     pub backend_silence: Duration,
     /// Time between two questions to a backend server about a request in doubt.
     pub probe_interval: Duration,
+    /// Largest answer that is kept for repeats of an idempotency key, in bytes.
+    pub kept_answer_max_bytes: usize,
+    /// Time for which the claim of an idempotency key is kept.
+    pub claim_retention: Duration,
+    /// Time for one write of a claim before the request is refused.
+    pub claim_patience: Duration,
     /// Secret that all nodes share; without it no request is forwarded to another node.
     pub cluster_secret: Option<[u8; 32]>,
 }
@@ -33,6 +39,9 @@
             caller_silence: Duration::from_secs(30),
             backend_silence: Duration::from_secs(30),
             probe_interval: Duration::from_secs(1),
+            kept_answer_max_bytes: 1 << 20,
+            claim_retention: Duration::from_secs(24 * 60 * 60),
+            claim_patience: Duration::from_secs(2),
             cluster_secret: None,
         }
     }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -93,6 +93,7 @@
     lines: Arc<Lines>,
     line: Arc<Line>,
     ticket: Ticket,
+    running: LimitKey,
     granted: oneshot::Receiver<Result<Held, WaitEnd>>,
 }
 
@@ -181,7 +182,8 @@
         let (ticket, displaced) = {
             let mut state = line.lock();
             let ticket = state.fair.push(entry, now)?;
-            state.waiters.push(Waiter { ticket, running, granted: sender });
+            let waiter = Waiter { ticket, running: running.clone(), granted: sender };
+            state.waiters.push(waiter);
             self.waiting.fetch_add(1, Ordering::SeqCst);
             (ticket, self.expire(&mut state, now))
         };
@@ -190,7 +192,7 @@
             let _ = waiter.granted.send(Err(WaitEnd::Displaced));
         }
         self.serve(line, now);
-        Ok(Place { lines: self.clone(), line: line.clone(), ticket, granted })
+        Ok(Place { lines: self.clone(), line: line.clone(), ticket, running, granted })
     }
 
     /// Starts whatever can start in any line.
@@ -329,9 +331,15 @@
     pub async fn granted(&mut self, until: Instant) -> Result<Held, WaitEnd> {
         match tokio::time::timeout_at(until.into(), &mut self.granted).await {
             Ok(Ok(granted)) => granted,
-            Ok(Err(_)) | Err(_) => Err(WaitEnd::Expired),
+            Ok(Err(_)) | Err(_) => Err(self.why_not()),
         }
     }
+
+    fn why_not(&self) -> WaitEnd {
+        let running = self.lines.limits.get(&self.running);
+        let is_at_limit = running.is_none_or(|allotment| allotment.spare() == 0);
+        if is_at_limit { WaitEnd::TeamLimit } else { WaitEnd::Expired }
+    }
 }
 
 impl Drop for Place {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,10 +1,11 @@
-//! Decisions on the path of a request: admission, choice of backend server, health, retries and
-//! deadlines.
+//! Decisions on the path of a request: admission, choice of backend server, health, retries,
+//! deadlines and idempotency claims.
 //!
 //! Everything here is a pure function of the configuration, the state given and the present time.
 
 mod admission;
 mod choice;
+mod claim;
 mod deadline;
 mod health;
 mod retry;
@@ -13,6 +14,10 @@
 pub use admission::Denied;
 pub use admission::admit;
 pub use choice::choose;
+pub use claim::Claim;
+pub use claim::ClaimState;
+pub use claim::Repeat;
+pub use claim::judge_repeat;
 pub use deadline::Deadline;
 pub use health::EJECTION;
 pub use health::EJECTION_MAX;
