--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -22,9 +22,11 @@
 
 use crate::admin;
 use crate::follower;
+use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::ship;
 
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
@@ -58,7 +60,7 @@
     shared: Arc<Shared>,
     caller_server: Server,
     admin_server: Server,
-    follower: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Node {
@@ -86,14 +88,18 @@
             alive: true,
             counts: shared.counts(),
         }]);
-        let follower = tokio::spawn(follower::follow(shared.clone()));
+        let tasks = vec![
+            tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(maintain::run(shared.clone())),
+            tokio::spawn(ship::ship(shared.clone())),
+        ];
         Ok(Self {
             caller_address: caller_server.address,
             admin_address: admin_server.address,
             shared,
             caller_server,
             admin_server,
-            follower,
+            tasks,
         })
     }
 
@@ -106,7 +112,8 @@
         let graceful = self.caller_server.stop(grace).await;
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
-        self.follower.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,12 +15,14 @@
 use limits::LimitTable;
 use membership::MemberView;
 use model::Config;
+use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use wire::Count;
 
 use crate::settings::Platform;
 use crate::settings::Settings;
+use crate::ship::Shipper;
 
 /// State that the parts of a node share.
 pub struct Shared {
@@ -36,6 +38,10 @@
     pub telemetry: Telemetry,
     /// Changes of the configuration.
     pub writer: ConfigWriter,
+    /// Other transactions.
+    pub committer: Committer,
+    /// Shipment of events.
+    pub shipper: Shipper,
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
     config: RwLock<Arc<Config>>,
@@ -59,6 +65,8 @@
             events,
             telemetry,
             writer: ConfigWriter::default(),
+            committer: Committer::default(),
+            shipper: Shipper::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
             members: RwLock::default(),
