--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -85,8 +85,15 @@
 
 #[derive(Debug)]
 enum Source {
-    Streamed { inner: CallerBody, left_bytes: u64, silence: Duration, timer: Option<Pin<Box<Sleep>>> },
-    Held { bytes: Option<Bytes> },
+    Streamed {
+        inner: CallerBody,
+        left_bytes: u64,
+        silence: Duration,
+        timer: Option<Pin<Box<Sleep>>>,
+    },
+    Held {
+        bytes: Option<Bytes>,
+    },
 }
 
 impl OutboundBody {
--- a/crates/gateway/src/doubt.rs
+++ b/crates/gateway/src/doubt.rs
@@ -67,16 +67,9 @@
     }
 
     /// Adds the tokens of a request whose connection is closed.
-    pub fn add(
-        &self,
-        request: RequestId,
-        backend: Arc<Backend>,
-        running: LimitKey,
-        now: Instant,
-    ) {
+    pub fn add(&self, request: RequestId, backend: Arc<Backend>, running: LimitKey, now: Instant) {
         self.telemetry.count("token.doubted");
-        let kind =
-            EventKind::TokenInDoubt { request: request.clone(), host: backend.host.clone() };
+        let kind = EventKind::TokenInDoubt { request: request.clone(), host: backend.host.clone() };
         self.events.record(kind, SystemTime::now());
         self.lock().push(Doubt {
             request,
@@ -142,7 +135,7 @@
             doubt.probes += 1;
             doubt.quiet_reports = match report {
                 Report::NotRunning => doubt.quiet_reports + 1,
-                Report::Running | Report::NoReport => 0,
+                Report::Running | Report::Unreachable => 0,
             };
             doubt.next_probe = now + self.interval(doubt);
             (doubt.quiet_reports >= QUIET_REPORTS).then(|| list.swap_remove(index))
@@ -184,7 +177,7 @@
     for request in requests {
         let report = prober.ask(&backend, &request).await;
         reports.push((request, report));
-        if report == Report::NoReport {
+        if report == Report::Unreachable {
             break;
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -67,7 +67,7 @@
     failure: AttemptFailure,
     refusal: Refusal,
     /// The request, if none of it was sent.
-    request: Option<Request<OutboundBody>>,
+    request: Option<Box<Request<OutboundBody>>>,
     /// Its tokens, if it has not run.
     held: Option<Held>,
 }
@@ -107,7 +107,9 @@
             };
             may_have_run |= failed.failure == AttemptFailure::NoAnswer;
             let refusal = truthful(failed.refusal, may_have_run);
-            let Some(next) = failed.request.or_else(|| replay.map(Replay::into_request)) else {
+            let Some(next) =
+                failed.request.map(|request| *request).or_else(|| replay.map(Replay::into_request))
+            else {
                 return Err(refusal);
             };
             let failure = failed.failure;
@@ -153,16 +155,16 @@
         service: &Service,
         request: Request<OutboundBody>,
         held: Held,
-    ) -> Result<Response<Body>, Failed> {
+    ) -> Result<Response<Body>, Box<Failed>> {
         let backend = held.backend().clone();
         let connection = match self.connection_to(&backend, service, order.deadline).await {
             Ok(connection) => connection,
-            Err(reason) => return Err(Failed::not_sent(reason, request, held)),
+            Err(reason) => return Err(Failed::not_sent(reason, Box::new(request), held)),
         };
         let started = Instant::now();
         let request = match address_to(&backend, request, order.deadline, started) {
             Ok(request) => request,
-            Err((request, reason)) => return Err(Failed::not_sent(reason, *request, held)),
+            Err((request, reason)) => return Err(Failed::not_sent(reason, request, held)),
         };
         let watch = request.body().watch();
         let mut flight = Flight { connection, tokens: held.dispatch(id.clone()) };
@@ -172,7 +174,7 @@
             Ok(response) => self.answered(flight, response, watch, service, &backend, started),
             Err(NoHead::Exchange(ExchangeError::NotSent { request, reason })) => {
                 let reason = format!("the connection was closed: {reason}");
-                Err(Failed::not_sent(reason, *request, flight.tokens.unsent()))
+                Err(Failed::not_sent(reason, request, flight.tokens.unsent()))
             }
             Err(no_head) => {
                 // A fault of the caller's side says nothing about the server.
@@ -234,7 +236,7 @@
             };
             (quiet_reports, silence) = match report {
                 Report::NotRunning => (quiet_reports + 1, self.settings.probe_interval),
-                Report::Running | Report::NoReport => (0, self.settings.backend_silence),
+                Report::Running | Report::Unreachable => (0, self.settings.backend_silence),
             };
             if quiet_reports >= QUIET_REPORTS {
                 return Err(NoHead::Silent);
@@ -250,7 +252,7 @@
         service: &Service,
         backend: &Arc<Backend>,
         started: Instant,
-    ) -> Result<Response<Body>, Failed> {
+    ) -> Result<Response<Body>, Box<Failed>> {
         let now = Instant::now();
         if FAILURE_STATUSES.contains(&response.status()) {
             self.health.failed(service, backend, now);
@@ -289,26 +291,30 @@
 }
 
 impl Failed {
-    fn not_sent(reason: impl ToString, request: Request<OutboundBody>, held: Held) -> Self {
-        Self {
+    fn not_sent(
+        reason: impl ToString,
+        request: Box<Request<OutboundBody>>,
+        held: Held,
+    ) -> Box<Self> {
+        Box::new(Self {
             failure: AttemptFailure::NotSent,
             refusal: Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_AFTER),
             request: Some(request),
             held: Some(held),
-        }
+        })
     }
 
-    fn not_run(held: Held) -> Self {
+    fn not_run(held: Held) -> Box<Self> {
         let detail = "the backend server did not run the request";
-        Self {
+        Box::new(Self {
             failure: AttemptFailure::NotRun,
             refusal: Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER),
             request: None,
             held: Some(held),
-        }
+        })
     }
 
-    fn no_answer(no_head: &NoHead, watch: &BodyWatch) -> Self {
+    fn no_answer(no_head: &NoHead, watch: &BodyWatch) -> Box<Self> {
         let (status, detail) = match (watch.state().failure(), no_head) {
             (Some((status, detail)), _) => (status, detail.to_owned()),
             (None, NoHead::Late) => {
@@ -322,12 +328,12 @@
                 (StatusCode::BAD_GATEWAY, format!("the backend server gave no answer: {error:?}"))
             }
         };
-        Self {
+        Box::new(Self {
             failure: AttemptFailure::NoAnswer,
             refusal: Refusal::unknown(status, detail),
             request: None,
             held: None,
-        }
+        })
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -155,7 +155,12 @@
             Ok(Err(ExchangeError::NoAnswer(error))) => {
                 let caller_fault = watch.state().failure();
                 let (status, detail) = caller_fault.map_or_else(
-                    || (StatusCode::BAD_GATEWAY, format!("node {} gave no answer: {error}", peer.node)),
+                    || {
+                        (
+                            StatusCode::BAD_GATEWAY,
+                            format!("node {} gave no answer: {error}", peer.node),
+                        )
+                    },
                     |(status, detail)| (status, detail.to_owned()),
                 );
                 return Tried::Ended(Err(Refusal::unknown(status, detail)));
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -52,11 +52,11 @@
 use crate::life::Dispatched;
 use crate::life::Order;
 use crate::life::Received;
+use crate::life::Start;
 use crate::life::Work;
 use crate::probe::Prober;
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
-use crate::tokens::Held;
 use crate::waiting::Lines;
 
 /// Path under which queues are served.
@@ -106,14 +106,17 @@
     stopping: AtomicBool,
 }
 
-/// A request that has its tokens, or has ended elsewhere.
-pub(crate) enum Ready {
-    /// To be sent to a backend server.
-    Dispatch(Work<Dispatched>, Request<OutboundBody>),
-    /// Another node has carried it.
-    Ended(Result<Answered, Refusal>),
+/// A request that has its tokens.
+pub(crate) struct Ready {
+    /// The request's life.
+    pub work: Work<Dispatched>,
+    /// The request.
+    pub request: Request<OutboundBody>,
 }
 
+/// End of a request that was not sent from here.
+pub(crate) type Ended = Box<Result<Answered, Refusal>>;
+
 impl Gateway {
     /// Starts the gateway of one node; its tasks end with the last reference.
     pub fn start(parts: Parts) -> Arc<Self> {
@@ -204,13 +207,9 @@
         if let Some(key) = key {
             return self.carry_keyed(work, request, &key).await;
         }
-        match self.ready(work, request).await? {
-            Ready::Ended(end) => end,
-            Ready::Dispatch(work, request) => {
-                let Work { id, step: Dispatched { order, held } } = work;
-                let request = to_backend(request, &order, &id)?;
-                self.finish(id, order, request, held).await
-            }
+        match self.ready(work, request).await {
+            Ok(ready) => self.finish(ready).await,
+            Err(ended) => *ended,
         }
     }
 
@@ -219,37 +218,35 @@
         self: &Arc<Self>,
         work: Work<Order>,
         mut request: Request<OutboundBody>,
-    ) -> Result<Ready, Refusal> {
+    ) -> Result<Ready, Ended> {
         self.retry_budget.lock().expect("no holder panics").deposit();
-        let mut queued = match work.enqueue(&self.lines, Instant::now())?.dispatch_now() {
-            Ok(work) => return Ok(Ready::Dispatch(work, request)),
-            Err(queued) => queued,
+        let queued = work.enqueue(&self.lines, Instant::now()).map_err(refused)?;
+        let mut queued = match queued.dispatch_now() {
+            Start::Now(work) => return Ok(Ready { work, request }),
+            Start::Later(queued) => queued,
         };
-        if !request.headers().contains_key(FORWARDED) && self.settings.cluster_secret.is_some() {
+        if self.settings.cluster_secret.is_some() && !request.headers().contains_key(FORWARDED) {
             let work = queued.leave();
             match self.forward(&work.id, &work.step, request).await {
-                Forwarded::Ended(end) => return Ok(Ready::Ended(end)),
+                Forwarded::Ended(end) => return Err(Box::new(end)),
                 Forwarded::NotRun(unsent) => request = unsent,
             }
-            queued = work.enqueue(&self.lines, Instant::now())?;
+            queued = work.enqueue(&self.lines, Instant::now()).map_err(refused)?;
         }
-        let work = queued.dispatch(Instant::now()).await?;
-        let work = work.check_again(&self.authority.config())?;
+        let work = queued.dispatch(Instant::now()).await.map_err(refused)?;
+        let work = work.check_again(&self.authority.config()).map_err(refused)?;
         if !self.authority.may_admit(Instant::now()) {
             let detail = "this node may no longer send work";
-            return Err(Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER));
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(refused(Refusal::retry(status, detail, RETRY_AFTER)));
         }
-        Ok(Ready::Dispatch(work, request))
+        Ok(Ready { work, request })
     }
 
     /// Sends a request that has its tokens.
-    pub(crate) async fn finish(
-        &self,
-        id: RequestId,
-        order: Order,
-        request: Request<OutboundBody>,
-        held: Held,
-    ) -> Result<Answered, Refusal> {
+    pub(crate) async fn finish(&self, ready: Ready) -> Result<Answered, Refusal> {
+        let Work { id, step: Dispatched { order, held } } = ready.work;
+        let request = to_backend(ready.request, &order, &id)?;
         let outbound = Outbound { id: id.clone(), order, request };
         let response = self.send(outbound, held).await?;
         Ok(Answered { id, outcome: Outcome::Complete, response })
@@ -324,6 +321,10 @@
     }
 }
 
+fn refused(refusal: Refusal) -> Ended {
+    Box::new(Err(refusal))
+}
+
 fn counter(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Complete => "request.complete",
@@ -362,7 +363,7 @@
 }
 
 /// The request as the backend server gets it.
-pub(crate) fn to_backend(
+fn to_backend(
     mut request: Request<OutboundBody>,
     order: &Order,
     id: &RequestId,
--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -41,9 +41,7 @@
 use crate::handler::Gateway;
 use crate::handler::RETRY_AFTER;
 use crate::handler::Ready;
-use crate::handler::to_backend;
 use crate::life::Answered;
-use crate::life::Dispatched;
 use crate::life::Order;
 use crate::life::Work;
 
@@ -91,16 +89,15 @@
             return Ok(end);
         }
         let request = Request::from_parts(parts, OutboundBody::held(body));
-        let ready = self.ready(work, request).await?;
-        let (work, request) = match ready {
-            Ready::Dispatch(work, request) => (work, request),
-            Ready::Ended(end) => return end,
+        let ready = match self.ready(work, request).await {
+            Ok(ready) => ready,
+            Err(ended) => return *ended,
         };
         let (sender, ended) = oneshot::channel();
         let gateway = self.clone();
         let running = self.running.clone();
         tokio::spawn(async move {
-            let end = gateway.claim_and_send(work, request, keyed).await;
+            let end = gateway.claim_and_send(ready, keyed).await;
             // The caller may have gone; the answer is kept for its repeat.
             drop(sender.send(end));
             drop(running);
@@ -113,24 +110,22 @@
 
     async fn claim_and_send(
         self: &Arc<Self>,
-        work: Work<Dispatched>,
-        request: Request<OutboundBody>,
+        ready: Ready,
         keyed: Keyed,
     ) -> Result<Answered, Refusal> {
-        let Work { id, step: Dispatched { order, held } } = work;
-        let left = order.deadline.left(Instant::now());
-        let claim = running_claim(id.clone(), keyed.digest.clone(), left + CLAIM_MARGIN);
+        let left = ready.work.step.order.deadline.left(Instant::now());
+        let id = ready.work.id.clone();
+        let claim = running_claim(id, keyed.digest.clone(), left + CLAIM_MARGIN);
         match self.claims.claim(&keyed.row_key, &claim).await {
             ClaimEnd::Claimed => {}
             ClaimEnd::Taken => {
-                drop(held);
+                drop(ready);
                 let end = self.first_end(&keyed).await?;
                 return end.ok_or_else(|| still_running("the key was just used"));
             }
             ClaimEnd::Unavailable => return Err(no_table()),
         }
-        let work = Work { id: id.clone(), step: Dispatched { order, held } };
-        match self.send_dispatched(work, request).await {
+        match self.finish(ready).await {
             Ok(answered) => Ok(self.keep(&keyed, claim, answered).await),
             Err(refusal) if refusal.outcome == Outcome::NotRun => {
                 self.claims.release(keyed.row_key);
@@ -146,10 +141,8 @@
 
     /// The end of an earlier try of the same key.
     async fn first_end(&self, keyed: &Keyed) -> Result<Option<Answered>, Refusal> {
-        let read = tokio::time::timeout(
-            self.settings.claim_patience,
-            self.claims.read(&keyed.row_key),
-        );
+        let read =
+            tokio::time::timeout(self.settings.claim_patience, self.claims.read(&keyed.row_key));
         let Ok(Ok(claim)) = read.await else {
             return Err(no_table());
         };
@@ -187,12 +180,7 @@
     }
 
     /// Reads an answer to its end, keeps it for repeats, and hands it on.
-    async fn keep(
-        self: &Arc<Self>,
-        keyed: &Keyed,
-        claim: Claim,
-        answered: Answered,
-    ) -> Answered {
+    async fn keep(self: &Arc<Self>, keyed: &Keyed, claim: Claim, answered: Answered) -> Answered {
         let (parts, mut body) = answered.response.into_parts();
         let mut read = BytesMut::new();
         let state = loop {
@@ -226,16 +214,6 @@
         let body = Body::new(Prefixed { first: Some(read), rest: body });
         Answered { response: Response::from_parts(parts, body), ..answered }
     }
-
-    async fn send_dispatched(
-        &self,
-        work: Work<Dispatched>,
-        request: Request<OutboundBody>,
-    ) -> Result<Answered, Refusal> {
-        let Work { id, step: Dispatched { order, held } } = work;
-        let request = to_backend(request, &order, &id)?;
-        self.finish(id, order, request, held).await
-    }
 }
 
 fn still_running(detail: &str) -> Refusal {
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -80,6 +80,14 @@
     pub held: Held,
 }
 
+/// Whether a request waits.
+pub enum Start {
+    /// It has its tokens.
+    Now(Work<Dispatched>),
+    /// It waits for them.
+    Later(Work<Queued>),
+}
+
 /// Its end, if that is an answer of a backend server.
 pub struct Answered {
     /// Id of the request that the answer belongs to.
@@ -143,13 +151,13 @@
 
 impl Work<Queued> {
     /// The next step, if the tokens came without waiting.
-    pub fn dispatch_now(mut self) -> Result<Work<Dispatched>, Self> {
+    pub fn dispatch_now(mut self) -> Start {
         match self.step.place.granted_now() {
             Some(Ok(held)) => {
                 let step = Dispatched { order: self.step.order, held };
-                Ok(Work { id: self.id, step })
+                Start::Now(Work { id: self.id, step })
             }
-            Some(Err(_)) | None => Err(self),
+            Some(Err(_)) | None => Start::Later(self),
         }
     }
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -31,7 +31,7 @@
     /// It is not running.
     NotRunning,
     /// No report came.
-    NoReport,
+    Unreachable,
 }
 
 /// Asks backend servers.
@@ -50,7 +50,7 @@
         match asked {
             Ok(Some(true)) => Report::Running,
             Ok(Some(false)) => Report::NotRunning,
-            Ok(None) | Err(_) => Report::NoReport,
+            Ok(None) | Err(_) => Report::Unreachable,
         }
     }
 
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -33,9 +33,9 @@
             .iter()
             .map(|host| {
                 let known = last.backend(host.id()).filter(|b| b.address == host.spec.address);
-                known.cloned().unwrap_or_else(|| {
-                    Arc::new(Backend::new(host.id().clone(), host.spec.address))
-                })
+                known
+                    .cloned()
+                    .unwrap_or_else(|| Arc::new(Backend::new(host.id().clone(), host.spec.address)))
             })
             .collect();
         let mut routes = Self { version: config.version, lines: Vec::new(), backends };
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -58,6 +58,7 @@
     /// Address for operators.
     pub admin_address: SocketAddr,
     shared: Arc<Shared>,
+    gateway: Arc<Gateway>,
     caller_server: Server,
     admin_server: Server,
     tasks: Vec<JoinHandle<()>>,
@@ -75,8 +76,10 @@
         let shared = Arc::new(Shared::new(settings, platform, events, telemetry));
         follower::poll_once(&shared).await;
 
+        let gateway = start_gateway(&shared);
         let settings = &shared.settings;
-        let caller_server = listen(settings.caller_address, caller_router(&shared)).await?;
+        let caller_server =
+            listen(settings.caller_address, caller_router(&shared, &gateway)).await?;
         let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
         shared.set_members(vec![MemberView {
             node: settings.node.clone(),
@@ -97,19 +100,23 @@
             caller_address: caller_server.address,
             admin_address: admin_server.address,
             shared,
+            gateway,
             caller_server,
             admin_server,
             tasks,
         })
     }
 
-    /// Refuses new work, waits `notice` so that the balancer sees it, then ends what runs.
+    /// Turns readiness off, serves on for `notice` so that the balancer sees it, closes the
+    /// listener, and waits at most `grace` for what runs.
     pub async fn stop(self, notice: Duration, grace: Duration) -> Stopped {
         let record = |kind| self.shared.events.record(kind, SystemTime::now());
         self.shared.begin_stop();
+        self.gateway.begin_stop();
         record(EventKind::NodeStopping { running: 0 });
         tokio::time::sleep(notice).await;
-        let graceful = self.caller_server.stop(grace).await;
+        let answered = self.caller_server.stop(grace).await;
+        let graceful = self.gateway.finish_running(grace).await && answered;
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
         self.tasks.iter().for_each(JoinHandle::abort);
@@ -122,21 +129,24 @@
     gateway::serve(address, router).await.map_err(|source| StartError::Listen { address, source })
 }
 
-fn caller_router(shared: &Arc<Shared>) -> Router {
-    let gateway = Arc::new(Gateway::new(
-        shared.clone(),
-        shared.limits.clone(),
-        shared.events.clone(),
-        shared.telemetry.clone(),
-        shared.settings.gateway.clone(),
-    ));
+fn start_gateway(shared: &Arc<Shared>) -> Arc<Gateway> {
+    Gateway::start(gateway::Parts {
+        authority: shared.clone(),
+        limits: shared.limits.clone(),
+        events: shared.events.clone(),
+        telemetry: shared.telemetry.clone(),
+        table: shared.platform.table.clone(),
+        objects: shared.platform.objects.clone(),
+        settings: shared.settings.gateway.clone(),
+    })
+}
+
+fn caller_router(shared: &Arc<Shared>, gateway: &Arc<Gateway>) -> Router {
+    let gateway = gateway.clone();
     Router::new()
         .route("/healthz", get(|| async { "ok" }))
         .route("/readyz", get(ready).with_state(shared.clone()))
-        .fallback(move |request: Request| {
-            let gateway = gateway.clone();
-            async move { gateway.handle(request).await }
-        })
+        .fallback(move |request: Request| gateway.clone().handle(request))
 }
 
 async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -112,12 +112,12 @@
         *self.counts.write().expect("no holder panics") = counts;
     }
 
-    /// Refuses new work from now on.
+    /// Turns readiness off; work that still comes is taken until the listener is closed.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
 
-    /// True once the node takes no new work for good.
+    /// True once the node is about to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
@@ -146,6 +146,6 @@
     }
 
     fn may_admit(&self, _now: Instant) -> bool {
-        !self.is_stopping()
+        true
     }
 }
