--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -5,18 +5,24 @@
 
 use axum::Json;
 use axum::Router;
+use axum::extract::Query;
 use axum::extract::State;
 use axum::routing::get;
+use control::ChangeError;
 use events::Event;
+use events::Filter;
 use gateway::Authority;
+use membership::MemberView;
 
+use super::AdminError;
 use super::Node;
 use crate::api;
 use crate::shared::Shared;
+use crate::ship::read_timeline;
 
 /// Routes.
 pub fn routes() -> Router<Arc<Shared>> {
-    Router::new().route("/status", get(status)).route("/events", get(list_events))
+    Router::new().route("/status", get(status)).route("/timeline", get(timeline))
 }
 
 async fn status(State(shared): Node) -> Json<api::StatusView> {
@@ -25,10 +31,27 @@
         zone: shared.settings.zone.clone(),
         config_version: shared.config().version,
         admits: shared.may_admit(Instant::now()),
+        members: shared.members().iter().map(view).collect(),
         metrics: shared.telemetry.totals(),
     })
 }
 
-async fn list_events(State(shared): Node) -> Json<Vec<Event>> {
-    Json(shared.events.since(0))
+fn view(member: &MemberView) -> api::MemberStatus {
+    api::MemberStatus {
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+        zone: member.zone.clone(),
+        caller_address: member.caller_address,
+        admin_address: member.admin_address,
+        config_version: member.config_version,
+        alive: member.alive,
+    }
+}
+
+async fn timeline(
+    State(shared): Node,
+    Query(filter): Query<Filter>,
+) -> Result<Json<Vec<Event>>, AdminError> {
+    let events = read_timeline(&shared, &filter).await;
+    Ok(Json(events.map_err(ChangeError::from)?))
 }
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,18 +1,25 @@
 //! Messages of the operators' interface, shared by the node and the command line.
 
+use std::net::SocketAddr;
+
 use model::ConfigVersion;
 use model::CustomerId;
 use model::HostId;
 use model::HostState;
+use model::Incarnation;
 use model::KeyId;
 use model::NodeId;
 use model::PoolId;
 use model::QueueId;
 use model::ServiceId;
+use model::StopReason;
 use model::TeamRef;
+use model::WaveId;
+use model::WaveState;
 use model::ZoneId;
 use model::key::KeyHolder;
 use model::key::KeyState;
+use model::wave::WaveHost;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -96,6 +103,9 @@
     pub zone: ZoneId,
     /// Step of its life cycle.
     pub state: HostState,
+    /// Why it takes no work.
+    #[serde(default)]
+    pub reason: Option<StopReason>,
     /// Pool that it moves to.
     pub move_to: Option<PoolId>,
     /// Requests that this node has running there.
@@ -104,6 +114,40 @@
     pub in_doubt: u32,
 }
 
+/// `POST /hosts/{id}/move`: the pool to move a host to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MoveHost {
+    /// Pool.
+    pub pool: PoolId,
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WaveView {
+    /// Name; that of its pool.
+    pub id: WaveId,
+    /// Number of the wave among those of its pool.
+    pub round: u32,
+    /// Customer.
+    pub customer: CustomerId,
+    /// What it does.
+    pub state: WaveState,
+    /// Hosts whose turn has not begun.
+    pub waiting: usize,
+    /// Hosts in work.
+    pub started: usize,
+    /// Hosts rebooted and serving again.
+    pub done: usize,
+    /// Hosts that did not return.
+    pub failed: usize,
+    /// When every host must have had its turn, in milliseconds since the Unix epoch.
+    pub deadline_ms: u64,
+    /// Part of the time left that the wave still needs; above 1 it will be late.
+    pub pressure: f64,
+    /// Hosts in the order of their turns.
+    pub hosts: Vec<WaveHost>,
+}
+
 /// A team.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TeamView {
@@ -132,10 +176,32 @@
     pub config_version: ConfigVersion,
     /// True while the node takes new work.
     pub admits: bool,
+    /// Members as this node sees them, sorted by node.
+    #[serde(default)]
+    pub members: Vec<MemberStatus>,
     /// Counters and gauges, sorted by name.
     pub metrics: Vec<(String, u64)>,
 }
 
+/// A member as one node sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Node.
+    pub node: NodeId,
+    /// Run of its process.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    /// Configuration in force there, as last reported.
+    pub config_version: ConfigVersion,
+    /// True if it was heard of lately and is not marked.
+    pub alive: bool,
+}
+
 /// A refusal without findings.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Problem {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -13,12 +13,16 @@
 use gateway::Authority;
 use limits::LimitKey;
 use limits::LimitTable;
+use membership::MemberView;
 use model::Config;
+use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use wire::Count;
 
 use crate::settings::Platform;
 use crate::settings::Settings;
+use crate::ship::Shipper;
 
 /// State that the parts of a node share.
 pub struct Shared {
@@ -34,9 +38,15 @@
     pub telemetry: Telemetry,
     /// Changes of the configuration.
     pub writer: ConfigWriter,
+    /// Other transactions.
+    pub committer: Committer,
+    /// Shipment of events.
+    pub shipper: Shipper,
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
     config: RwLock<Arc<Config>>,
+    members: RwLock<Arc<Vec<MemberView>>>,
+    counts: RwLock<Vec<Count>>,
     stopping: AtomicBool,
 }
 
@@ -55,8 +65,12 @@
             events,
             telemetry,
             writer: ConfigWriter::default(),
+            committer: Committer::default(),
+            shipper: Shipper::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
+            members: RwLock::default(),
+            counts: RwLock::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -77,12 +91,33 @@
         true
     }
 
-    /// Refuses new work from now on.
+    /// Members as this node sees them, itself included, sorted by node.
+    pub fn members(&self) -> Arc<Vec<MemberView>> {
+        self.members.read().expect("no holder panics").clone()
+    }
+
+    /// Replaces the view of the members.
+    pub fn set_members(&self, members: Vec<MemberView>) {
+        *self.members.write().expect("no holder panics") = Arc::new(members);
+    }
+
+    /// Counts that the next heartbeats carry.
+    pub fn counts(&self) -> Vec<Count> {
+        self.counts.read().expect("no holder panics").clone()
+    }
+
+    /// Replaces the counts that heartbeats carry, sorted by key.
+    #[allow(dead_code)]
+    pub fn set_counts(&self, counts: Vec<Count>) {
+        *self.counts.write().expect("no holder panics") = counts;
+    }
+
+    /// Turns readiness off; work that still comes is taken until the listener is closed.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
 
-    /// True once the node takes no new work for good.
+    /// True once the node is about to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
@@ -111,6 +146,6 @@
     }
 
     fn may_admit(&self, _now: Instant) -> bool {
-        !self.is_stopping()
+        true
     }
 }
