--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -27,8 +27,6 @@
     pub in_doubt: u32,
     /// Most tokens in use or in doubt at once since the last sample.
     pub peak: u32,
-    /// True if new work found no token since the last sample.
-    pub missed: bool,
     /// Version of the configuration that lowered the limit, while more may run than it allows.
     pub frozen_at: Option<ConfigVersion>,
 }
@@ -62,7 +60,6 @@
     pub fn take(&self, key: &LimitKey) -> bool {
         self.change(key, |row| {
             if row.spare() == 0 {
-                row.missed = true;
                 return false;
             }
             row.running += 1;
@@ -113,13 +110,12 @@
         self.lock().clone()
     }
 
-    /// All allotments, sorted by key, with peaks and misses since the last sample.
+    /// All allotments, sorted by key, with peaks since the last sample.
     pub fn sample(&self) -> Vec<Allotment> {
         let mut rows = self.lock();
         let sampled = rows.clone();
         for row in rows.iter_mut() {
             row.peak = row.used();
-            row.missed = false;
         }
         sampled
     }
@@ -208,13 +204,5 @@
 }
 
 fn empty(key: &LimitKey) -> Allotment {
-    Allotment {
-        key: key.clone(),
-        granted: 0,
-        running: 0,
-        in_doubt: 0,
-        peak: 0,
-        missed: false,
-        frozen_at: None,
-    }
+    Allotment { key: key.clone(), granted: 0, running: 0, in_doubt: 0, peak: 0, frozen_at: None }
 }
--- a/crates/node/src/ledger/counts.rs
+++ b/crates/node/src/ledger/counts.rs
@@ -1,6 +1,7 @@
 //! Counts that heartbeats carry, and what they say about demand and spare tokens.
 
 use gateway::Peer;
+use gateway::Waiting;
 use limits::Allotment;
 use limits::Demand;
 use limits::DemandKey;
@@ -18,10 +19,13 @@
 
 /// Peers that a request may be offered to.
 const PEERS_MAX: usize = 3;
+/// Tokens that a node may ask for beyond those in use, on account of requests sent on to peers.
+const GROWTH_MIN: u32 = 4;
 
 /// Publishes what this node has running, waiting and to spare for each team and service.
 pub fn publish(shared: &Shared, config: &Config) {
-    let counts = count(config, &shared.limits.sample(), &shared.waiting());
+    let waiting = shared.waiting();
+    let counts = count(config, &shared.limits.sample(), &waiting, &shared.take_misses());
     shared.set_counts(counts.clone());
     shared.set_own_counts(counts);
 }
@@ -74,36 +78,51 @@
 }
 
 /// Counts of all teams and services with any, sorted by key.
-fn count(config: &Config, sampled: &[Allotment], waiting: &[Demand]) -> Vec<Count> {
+fn count(
+    config: &Config,
+    sampled: &[Allotment],
+    waiting: &[Waiting],
+    misses: &[Demand],
+) -> Vec<Count> {
     let mut counts: Vec<Count> = Vec::new();
     for allotment in sampled {
-        let (key, queued) = match &allotment.key {
-            // A miss of a team that nobody has counted as waiting still asks for a token.
-            LimitKey::Running(team) => (DemandKey::Team(team.clone()), u32::from(allotment.missed)),
-            LimitKey::Slots(host) => {
-                let Some(host) = config.host(host) else {
-                    continue;
-                };
-                let Some(service) = config.service_of(host) else {
-                    continue;
-                };
-                (DemandKey::Service(host.customer.clone(), service.name.clone()), 0)
-            }
-            LimitKey::Connections(_) => continue,
+        let Some(key) = demand_key(config, &allotment.key) else {
+            continue;
         };
         let count = entry(&mut counts, &key);
         count.running += allotment.peak;
         count.spare += allotment.spare();
-        count.queued = count.queued.max(queued);
     }
-    for demand in waiting {
-        let count = entry(&mut counts, &demand.key);
-        count.queued = count.queued.max(demand.count);
+    for waiting in waiting {
+        entry(&mut counts, &DemandKey::Team(waiting.team.clone())).queued += waiting.count;
+        if let Some((contract, queue)) = config.queue(&waiting.queue) {
+            let key = DemandKey::Service(contract.customer.clone(), queue.service.clone());
+            entry(&mut counts, &key).queued += waiting.count;
+        }
+    }
+    for miss in misses {
+        let count = entry(&mut counts, &miss.key);
+        // Requests that were sent on to a peer ask for tokens here, as far as growth is bounded.
+        let growth_max = count.running.max(GROWTH_MIN);
+        count.queued = count.queued.max(miss.count.min(growth_max));
     }
     counts.retain(|count| count.running > 0 || count.queued > 0 || count.spare > 0);
     counts
 }
 
+/// Under what a limit's tokens are asked for, if under anything.
+fn demand_key(config: &Config, key: &LimitKey) -> Option<DemandKey> {
+    match key {
+        LimitKey::Running(team) => Some(DemandKey::Team(team.clone())),
+        LimitKey::Slots(host) => {
+            let host = config.host(host)?;
+            let service = config.service_of(host)?;
+            Some(DemandKey::Service(host.customer.clone(), service.name.clone()))
+        }
+        LimitKey::Connections(_) => None,
+    }
+}
+
 fn entry<'a>(counts: &'a mut Vec<Count>, key: &DemandKey) -> &'a mut Count {
     let key = key.to_string();
     let index = match counts.binary_search_by(|count| count.key.cmp(&key)) {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the parts of a node share.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
@@ -13,7 +14,9 @@
 use events::Recorder;
 use gateway::Authority;
 use gateway::Peer;
+use gateway::Waiting;
 use limits::Demand;
+use limits::DemandKey;
 use limits::LimitTable;
 use membership::MemberView;
 use model::Config;
@@ -32,7 +35,7 @@
 use crate::ship::Shipper;
 
 /// Tells what waits at the gateway.
-type Waiting = Box<dyn Fn() -> Vec<Demand> + Send + Sync>;
+type TellWaiting = Box<dyn Fn() -> Vec<Waiting> + Send + Sync>;
 
 /// State that the parts of a node share.
 pub struct Shared {
@@ -61,7 +64,8 @@
     config: RwLock<Arc<Config>>,
     members: RwLock<Arc<Vec<MemberView>>>,
     counts: RwLock<Vec<Count>>,
-    waiting: OnceLock<Waiting>,
+    waiting: OnceLock<TellWaiting>,
+    misses: Mutex<Vec<Demand>>,
     stopping: AtomicBool,
 }
 
@@ -89,6 +93,7 @@
             members: RwLock::default(),
             counts: RwLock::default(),
             waiting: OnceLock::new(),
+            misses: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -140,22 +145,35 @@
     }
 
     /// Says what waits at this node; set once the gateway runs.
-    pub fn set_waiting(&self, waiting: impl Fn() -> Vec<Demand> + Send + Sync + 'static) {
+    pub fn set_waiting(&self, waiting: impl Fn() -> Vec<Waiting> + Send + Sync + 'static) {
         // There is one gateway in a node.
         let _ = self.waiting.set(Box::new(waiting));
     }
 
-    /// Requests that wait at this node, by team and by service.
-    pub fn waiting(&self) -> Vec<Demand> {
+    /// Requests that wait at this node, by queue and team.
+    pub fn waiting(&self) -> Vec<Waiting> {
         self.waiting.get().map_or_else(Vec::new, |waiting| waiting())
     }
 
-    /// Refuses new work from now on.
+    /// Requests since the last call that found no tokens here, by team and by service; sorted.
+    pub fn take_misses(&self) -> Vec<Demand> {
+        std::mem::take(&mut *self.misses.lock().expect("no holder panics"))
+    }
+
+    fn count_miss(&self, key: DemandKey) {
+        let mut misses = self.misses.lock().expect("no holder panics");
+        match misses.binary_search_by(|miss| miss.key.cmp(&key)) {
+            Ok(index) => misses[index].count += 1,
+            Err(index) => misses.insert(index, Demand { key, count: 1 }),
+        }
+    }
+
+    /// Turns readiness off; work that still comes is taken until the listener is closed.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
 
-    /// True once the node takes no new work for good.
+    /// True once the node is about to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
@@ -167,10 +185,13 @@
     }
 
     fn may_admit(&self, _now: Instant) -> bool {
-        !self.is_stopping()
+        true
     }
 
     fn spare_peers(&self, team: &TeamRef, service: &ServiceId) -> Vec<Peer> {
+        // The gateway asks when it has no tokens itself.
+        self.count_miss(DemandKey::Team(team.clone()));
+        self.count_miss(DemandKey::Service(team.customer.clone(), service.clone()));
         ledger::spare_peers(&self.members(), &self.settings.node, team, service)
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod backend;
 pub mod caller;
 pub mod faulty_table;
+pub mod fleet;
 pub mod platform_server;
