Load a fleet of callers and check every answer; send JSON as JSON to the platform

Cause: the platform's client sent no content type, and the stand-in refused it (status 415); no test had spoken HTTP to it. Before: contract apply against the stand-in failed. Conclusion: nodes can share a platform.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -69,6 +69,7 @@
             .method(method)
             .uri(path)
             .header(http::header::HOST, self.address.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(Unavailable::new)?;
         match tokio::time::timeout(self.call_timeout, self.exchange(request)).await {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod backend;
 pub mod caller;
+pub mod load;
 pub mod platform_server;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,4 +1,161 @@
 #!/usr/bin/env bash
-# Placeholder until the demo exists: fails, so that nobody takes it for one.
-echo "the demo is not built yet"
-exit 1
+# Three nodes, a stand-in platform and stand-in backend servers over loopback: a load of callers
+# while a key is withdrawn, a host drained and a node stopped. Exits 0 only if the counts hold.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly BIN=target/release
+readonly OUT=target/demo
+readonly PLATFORM=127.0.0.1:7900
+readonly CONTRACTS=(examples/levy.toml examples/studio.toml)
+readonly WITHDRAWN=levy/customs-liaison
+readonly DRAINED=levy-06
+readonly DRAINED_BACKEND=127.0.0.1:7106
+export SAVORYPITCH_OPERATOR_KEY=operator-key-of-the-demo
+export SAVORYPITCH_KEY=$SAVORYPITCH_OPERATOR_KEY
+export SAVORYPITCH_CLUSTER_SECRET=cluster-secret-of-the-demo-only
+export SAVORYPITCH_PLATFORM=$PLATFORM
+
+pids=()
+failures=0
+
+cleanup() {
+    for pid in "${pids[@]}"; do
+        kill "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
+trap cleanup EXIT
+
+fail() {
+    echo "FAILED: $1"
+    failures=$((failures + 1))
+}
+
+start() { # log name, command...
+    local log=$OUT/$1.log
+    shift
+    "$@" >"$log" 2>&1 &
+    pids+=("$!")
+}
+
+# Runs the command until it succeeds, for 15 seconds at most.
+wait_for() {
+    for _ in $(seq 150); do
+        if "$@" >/dev/null 2>&1; then
+            return 0
+        fi
+        sleep 0.1
+    done
+    echo "gave up waiting for: $*"
+    return 1
+}
+
+operate() { # node number, arguments...
+    local number=$1
+    shift
+    "$BIN/savorypitch" --node "127.0.0.1:78${number}1" "$@"
+}
+
+once() { # node number, key
+    "$BIN/standin-load" once --node "127.0.0.1:78${1}0" --path /q/levy-validate/check --key "$2"
+}
+
+rm -rf "$OUT"
+mkdir -p "$OUT"
+
+echo "== start"
+start platform "$BIN/standin-platform" --listen "$PLATFORM"
+for first in $(seq 7101 4 7153) $(seq 7201 4 7253); do
+    # A process a rack; the last rack has two hosts.
+    count=4
+    case $first in 7153 | 7253) count=2 ;; esac
+    start "rack-$first" "$BIN/standin-backend" --listen "127.0.0.1:$first" --count "$count"
+done
+node_pids=()
+for number in 1 2 3; do
+    start "node-$number" "$BIN/savorypitch" serve \
+        --node-id "node-$number" --zone "zone-$number" --node-count 3 \
+        --listen "127.0.0.1:78${number}0" --admin-listen "127.0.0.1:78${number}1"
+    node_pids[number]=${pids[-1]}
+done
+for number in 1 2 3; do
+    wait_for operate "$number" status
+done
+
+echo "== contracts and keys"
+for contract in "${CONTRACTS[@]}"; do
+    operate 1 contract apply "$contract"
+done
+: >"$OUT/keys"
+withdrawn_id=
+withdrawn_secret=
+while read -r holder; do
+    granted=$(operate 1 key grant "$holder" | head -n 1)
+    id=$(cut -d' ' -f2 <<<"$granted" | tr -d :)
+    secret=$(cut -d' ' -f3 <<<"$granted")
+    echo "$holder $secret" >>"$OUT/keys"
+    if [ "$holder" = "$WITHDRAWN" ]; then
+        withdrawn_id=$id
+        withdrawn_secret=$secret
+    fi
+done < <(operate 1 team list | awk 'NR > 1 { print $1 }')
+echo "$(wc -l <"$OUT/keys") keys granted"
+for number in 1 2 3; do
+    wait_for grep -q '^200 complete' <(once "$number" "$withdrawn_secret") ||
+        fail "node-$number does not serve a granted key"
+done
+
+echo "== load of 4,000 callers' requests over 20 seconds"
+"$BIN/standin-load" run --node 127.0.0.1:7810 --node 127.0.0.1:7820 --node 127.0.0.1:7830 \
+    --contract "${CONTRACTS[0]}" --contract "${CONTRACTS[1]}" --keys "$OUT/keys" \
+    --requests 4000 --duration-ms 20000 >"$OUT/outcomes.txt" 2>&1 &
+load_pid=$!
+
+sleep 4
+echo "== withdraw the key of $WITHDRAWN"
+operate 2 key withdraw "$withdrawn_id"
+sleep 2
+for number in 1 2 3; do
+    answer=$(once "$number" "$withdrawn_secret")
+    echo "node-$number answers the withdrawn key: $answer"
+    [ "$answer" = "401 not-run" ] || fail "node-$number took a withdrawn key"
+done
+
+echo "== drain $DRAINED"
+operate 3 host drain "$DRAINED"
+sleep 3
+before=$("$BIN/standin-load" runs --backend "$DRAINED_BACKEND")
+sleep 3
+after=$("$BIN/standin-load" runs --backend "$DRAINED_BACKEND")
+echo "jobs run by $DRAINED: $before, and $after three seconds later"
+[ "$before" = "$after" ] || fail "$DRAINED got new work"
+
+echo "== stop node-2 by SIGTERM in mid-load"
+kill -TERM "${node_pids[2]}"
+if wait "${node_pids[2]}"; then
+    tail -n 1 "$OUT/node-2.log"
+    grep -q 'graceful: true' "$OUT/node-2.log" || fail "node-2 cut requests"
+else
+    fail "node-2 did not exit cleanly"
+fi
+
+wait "$load_pid" || fail "the counts do not hold"
+echo "== outcomes"
+cat "$OUT/outcomes.txt"
+
+echo "== time line"
+sleep 2
+operate 1 timeline >"$OUT/timeline.txt"
+operate 1 timeline --html "$OUT/timeline.html"
+awk '$3 !~ /^(config-in-force|duty-)/' "$OUT/timeline.txt" | tail -n 40
+for kind in "key-withdrawn" "host-step" "node-stopped"; do
+    grep -q "$kind" "$OUT/timeline.txt" || fail "the time line lacks $kind"
+done
+grep -q '^[0-9.]* node-2 .*node-stopped' "$OUT/timeline.txt" || fail "node-2's last event is lost"
+
+if [ "$failures" -gt 0 ]; then
+    echo "$failures check(s) failed"
+    exit 1
+fi
+echo "all counts hold; picture in $OUT/timeline.html"
