--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -22,6 +22,7 @@
 
 use crate::admin;
 use crate::follower;
+use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -89,6 +90,7 @@
         }]);
         let tasks = vec![
             tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(maintain::run(shared.clone())),
             tokio::spawn(ship::ship(shared.clone())),
         ];
         Ok(Self {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,6 +15,7 @@
 use limits::LimitTable;
 use membership::MemberView;
 use model::Config;
+use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use wire::Count;
@@ -37,6 +38,8 @@
     pub telemetry: Telemetry,
     /// Changes of the configuration.
     pub writer: ConfigWriter,
+    /// Other transactions.
+    pub committer: Committer,
     /// Shipment of events.
     pub shipper: Shipper,
     /// Wakes the follower before its next poll.
@@ -62,6 +65,7 @@
             events,
             telemetry,
             writer: ConfigWriter::default(),
+            committer: Committer::default(),
             shipper: Shipper::default(),
             poll_now: Notify::new(),
             config: RwLock::default(),
