--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod backend;
 pub mod caller;
+pub mod fleet;
 pub mod load;
 pub mod platform_server;
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -45,8 +45,8 @@
     assert_eq!(keys(client.scan(Scan::prefix("a/")).await.unwrap()), ["a/1", "a/2"]);
     let after = Scan { after: Some("a/1".to_owned()), ..Scan::prefix("a/") };
     assert_eq!(keys(client.scan(after).await.unwrap()), ["a/2"]);
-    assert_eq!(client.get("b/1").await.unwrap().unwrap().value, "value");
-    assert_eq!(client.get("b/2").await.unwrap(), None);
+    assert_eq!(Table::get(&client, "b/1").await.unwrap().unwrap().value, "value");
+    assert_eq!(Table::get(&client, "b/2").await.unwrap(), None);
 }
 
 #[tokio::test]
