--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod caller;
 pub mod faulty_table;
 pub mod fleet;
+pub mod load;
 pub mod platform_server;
