Tell racing operators who changed what, and resolve unknown outcomes

Change: operations carry an id that the command line chooses; a repeat is recognized, an unknown outcome is resolved by 'savorypitch operation', and a change that another overtook is decided anew unless both wrote the same row. Head and change rows carry a digest that followers check; 1,024 change rows are kept. Changed: Committer no longer removes the row of a closed operation, since a delayed try could then commit after all.

--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -26,6 +26,8 @@
     Unchanged,
     /// A later configuration.
     Later(Config),
+    /// A later configuration, read whole since its changes did not add up to its digest.
+    Reloaded(Config),
 }
 
 /// Reads the head row; the row itself is `None` before the first change.
@@ -66,14 +68,19 @@
     }
     let whole = rows.len() == CHANGES_MAX;
     let mut config = held.clone();
+    let mut digest = None;
     for row in &rows {
         let change: Change = decode(row)?;
+        digest = change.digest.clone();
         match config.with_change(change) {
             Ok(next) => config = next,
             // Older change rows may have been compacted away.
             Err(_) => return Ok(Poll::Later(load(table).await?)),
         }
     }
+    if digest.is_some_and(|digest| digest != config.digest()) {
+        return Ok(Poll::Reloaded(load(table).await?));
+    }
     if whole { Ok(Poll::Later(load(table).await?)) } else { Ok(Poll::Later(config)) }
 }
 
--- a/crates/control/src/rows.rs
+++ b/crates/control/src/rows.rs
@@ -1,6 +1,8 @@
 //! Keys and values of the configuration's rows.
 
 use model::ConfigVersion;
+use model::OperationId;
+use model::config::Digest;
 use platform::Row;
 use platform::Unavailable;
 use serde::Deserialize;
@@ -14,11 +16,22 @@
 /// Prefix of the change rows.
 pub const CHANGE_PREFIX: &str = "config/change/";
 
+/// Prefix of the rows that tell the version that an operation led to.
+pub const OPERATION_PREFIX: &str = "config/operation/";
+
 /// Value of the head row.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
     /// Version of the last change.
     pub version: ConfigVersion,
+    /// Digest of the configuration at that version.
+    #[serde(default)]
+    pub digest: Option<Digest>,
+}
+
+/// Key of the row of an operation.
+pub fn operation_key(operation_id: &OperationId) -> String {
+    format!("{OPERATION_PREFIX}{operation_id}")
 }
 
 /// Key of a row of the configuration.
--- a/crates/control/src/write.rs
+++ b/crates/control/src/write.rs
@@ -1,5 +1,7 @@
 //! Changes of the configuration.
 
+use std::sync::Arc;
+use std::sync::RwLock;
 use std::time::Duration;
 
 use model::Change;
@@ -14,104 +16,119 @@
 use model::key::grant_key;
 use platform::Committer;
 use platform::Precondition;
+use platform::Row;
+use platform::Scan;
 use platform::Settled;
 use platform::Table;
 use platform::Unavailable;
 use platform::Write;
 
+use crate::contract::contract_rows;
+use crate::error::ChangeError;
+use crate::error::ChangeNote;
+use crate::operation::AcceptedChange;
+use crate::operation::Operation;
+use crate::operation::Resolved;
+use crate::read::Poll;
 use crate::read::load;
+use crate::read::poll;
 use crate::read::read_head;
+use crate::rows::CHANGE_PREFIX;
 use crate::rows::HEAD_KEY;
 use crate::rows::Head;
 use crate::rows::change_key;
+use crate::rows::decode;
+use crate::rows::operation_key;
 use crate::rows::row_key;
 
 /// Time that a change may take to settle.
 const PATIENCE: Duration = Duration::from_secs(10);
-
-/// Why a change is not in force.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum ChangeError {
-    /// Another operator was faster.
-    #[error("the configuration changed meanwhile; look at it and try again")]
-    Conflict,
-    /// The change would break the configuration.
-    #[error("{reason}")]
-    Invalid {
-        /// What would break.
-        reason: String,
-    },
-    /// The change was not written.
-    #[error("the change was not accepted: {reason}")]
-    NotAccepted {
-        /// What was seen.
-        reason: String,
-    },
-    /// The table did not answer; the change may be in force.
-    #[error("the table did not answer; the change may be in force (operation {operation_id})")]
-    Unknown {
-        /// Id under which the outcome can be resolved.
-        operation_id: OperationId,
-    },
-}
-
-impl From<Unavailable> for ChangeError {
-    fn from(unavailable: Unavailable) -> Self {
-        Self::NotAccepted { reason: unavailable.to_string() }
-    }
-}
+/// Change rows that are kept, so that followers need not read everything, and the time in which a
+/// repeat of an operation is recognized.
+const CHANGES_KEPT: ConfigVersion = 1024;
+/// Change rows that one change removes at most.
+const COMPACTED_MAX: usize = 4;
+/// Changes that a conflict names at most.
+const NOTES_MAX: usize = 16;
+/// Times that a change is decided anew because another came first.
+const OVERTAKEN_MAX: u32 = 16;
 
 /// Writes changes for one node.
 #[derive(Default)]
 pub struct ConfigWriter {
+    author: String,
     committer: Committer,
+    held: RwLock<Arc<Config>>,
 }
 
 impl ConfigWriter {
+    /// Writer of `author`.
+    pub fn new(author: impl Into<String>) -> Self {
+        Self { author: author.into(), ..Self::default() }
+    }
+
+    /// Remembers the configuration in force, so that a change need not read all of it again.
+    pub fn hold(&self, config: Arc<Config>) {
+        let mut held = self.held.write().expect("no holder panics");
+        if config.version > held.version {
+            *held = config;
+        }
+    }
+
     /// Accepts a contract; `seen` is the version that the operator decided on, if it matters.
     pub async fn apply_contract(
         &self,
         table: &dyn Table,
+        operation: &Operation,
         contract: Contract,
         seen: Option<ConfigVersion>,
     ) -> Result<ConfigVersion, ChangeError> {
-        self.change(table, seen, |config| contract_rows(config, &contract)).await
+        let decide = |config: &Config| contract_rows(config, &contract);
+        Ok(self.operate(table, operation, seen, decide).await?.version)
     }
 
     /// Grants a key; returns its secret and the version.
     pub async fn grant(
         &self,
         table: &dyn Table,
+        operation: &Operation,
         holder: KeyHolder,
     ) -> Result<(String, ConfigVersion), ChangeError> {
         let (secret, row) = grant_key(holder.clone());
-        let version = self
-            .change(table, None, |config| {
-                if let KeyHolder::Team(team) = &holder
-                    && config.team(team).is_none()
-                {
-                    return Err(invalid(format!("there is no team `{team}`")));
-                }
-                Ok(vec![ConfigRow::Key(row.clone())])
-            })
-            .await?;
-        Ok((secret, version))
+        let decide = |config: &Config| {
+            if let KeyHolder::Team(team) = &holder
+                && config.team(team).is_none()
+            {
+                return Err(invalid(format!("there is no team `{team}`")));
+            }
+            Ok(vec![ConfigRow::Key(row.clone())])
+        };
+        let accepted = self.operate(table, operation, None, decide).await?;
+        if accepted.repeated {
+            let reason = "this grant was made before, and its key is not shown again".to_owned();
+            return Err(invalid(reason));
+        }
+        Ok((secret, accepted.version))
     }
 
     /// Withdraws a key for good.
     pub async fn withdraw(
         &self,
         table: &dyn Table,
+        operation: &Operation,
         key_id: &str,
     ) -> Result<ConfigVersion, ChangeError> {
-        self.change(table, None, |config| {
+        let decide = |config: &Config| {
             let key = config.key_by_id(key_id);
             let mut key =
                 key.ok_or_else(|| invalid(format!("there is no key `{key_id}`")))?.clone();
+            if key.state == KeyState::Withdrawn {
+                return Ok(Vec::new());
+            }
             key.state = KeyState::Withdrawn;
             Ok(vec![ConfigRow::Key(key)])
-        })
-        .await
+        };
+        Ok(self.operate(table, operation, None, decide).await?.version)
     }
 
     /// Replaces a host's row, if it is still at the epoch before.
@@ -148,21 +165,117 @@
         fences: Vec<Precondition>,
         decide: impl Fn(&Config) -> Result<Vec<ConfigRow>, ChangeError>,
     ) -> Result<ConfigVersion, ChangeError> {
-        let (head, head_row) = read_head(table).await?;
-        let config = load(table).await?;
-        if config.version != head.version || seen.is_some_and(|seen| seen != head.version) {
+        let latest = self.latest(table).await?;
+        if seen.is_some_and(|seen| seen != latest.config.version) {
             return Err(ChangeError::Conflict);
         }
-        let rows = decide(&config)?;
-        let version = head.version + 1;
-        let mut writes: Vec<Write> =
-            rows.iter().map(|row| Write::put_json(row_key(&row.name()), row)).collect();
-        writes.push(Write::put_json(change_key(version), &Change { version, rows }));
-        writes.push(Write::put_json(HEAD_KEY, &Head { version }));
-        let mut preconditions = vec![Precondition::unchanged(HEAD_KEY, head_row.as_ref())];
+        let rows = decide(&latest.config)?;
+        let operation = Operation::new(self.author.clone());
+        self.commit(table, &operation, &latest, rows, fences).await
+    }
+
+    /// Makes a change for an operator. If another change comes first, it is decided anew on top of
+    /// that one, unless the other change wrote one of the same rows: then the operator decides.
+    pub async fn operate(
+        &self,
+        table: &dyn Table,
+        operation: &Operation,
+        seen: Option<ConfigVersion>,
+        decide: impl Fn(&Config) -> Result<Vec<ConfigRow>, ChangeError>,
+    ) -> Result<AcceptedChange, ChangeError> {
+        if let Some(version) = read_operation(table, &operation.id).await? {
+            return Ok(AcceptedChange { version, repeated: true });
+        }
+        let mut base = None;
+        let mut overtaken = 0;
+        loop {
+            let latest = self.latest(table).await?;
+            let version = latest.config.version;
+            if let Some(seen) = seen.filter(|seen| *seen != version) {
+                return Err(raced(table, seen, version).await);
+            }
+            let rows = decide(&latest.config)?;
+            if rows.is_empty() {
+                return Ok(AcceptedChange { version, repeated: false });
+            }
+            let base = *base.get_or_insert(version);
+            if base != version {
+                check_overlap(table, base, version, &rows).await?;
+            }
+            match self.commit(table, operation, &latest, rows, Vec::new()).await {
+                Ok(version) => return Ok(AcceptedChange { version, repeated: false }),
+                Err(ChangeError::Conflict) if overtaken < OVERTAKEN_MAX => overtaken += 1,
+                Err(ChangeError::Conflict) => return Err(raced(table, base, version).await),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Resolves an operation whose outcome is not known: one that is not in force is given up for
+    /// good. `None` while the table does not answer.
+    pub async fn resolve(&self, table: &dyn Table, operation_id: &OperationId) -> Option<Resolved> {
+        if !self.committer.resolve(table, operation_id).await? {
+            return Some(Resolved::Never);
+        }
+        let version = read_operation(table, operation_id).await.ok()??;
+        Some(Resolved::InForce(version))
+    }
+
+    async fn latest(&self, table: &dyn Table) -> Result<Latest, Unavailable> {
+        let mut held = self.held.read().expect("no holder panics").clone();
+        loop {
+            let (head, head_row) = read_head(table).await?;
+            if held.version == head.version {
+                return Ok(Latest { config: held, head_row });
+            }
+            if held.version > head.version {
+                return Err(Unavailable::new("the table is behind the configuration in force"));
+            }
+            held = match poll(table, &held).await? {
+                Poll::Later(config) | Poll::Reloaded(config) => Arc::new(config),
+                // The head has moved on, and its change row is not in the scan: read all.
+                Poll::Unchanged => Arc::new(load(table).await?),
+            };
+        }
+    }
+
+    async fn commit(
+        &self,
+        table: &dyn Table,
+        operation: &Operation,
+        latest: &Latest,
+        rows: Vec<ConfigRow>,
+        fences: Vec<Precondition>,
+    ) -> Result<ConfigVersion, ChangeError> {
+        let version = latest.config.version + 1;
+        let mut change = Change {
+            version,
+            rows,
+            author: operation.author.clone(),
+            operation_id: Some(operation.id.clone()),
+            digest: None,
+        };
+        let next = latest.config.with_change(change.clone());
+        let next = next.map_err(|gap| invalid(gap.to_string()))?;
+        let digest = next.digest();
+        change.digest = Some(digest.clone());
+        let mut writes: Vec<Write> = change.rows.iter().map(row_write).collect();
+        writes.push(Write::put_json(change_key(version), &change));
+        writes.push(Write::put_json(HEAD_KEY, &Head { version, digest: Some(digest) }));
+        writes.push(Write::put_json(operation_key(&operation.id), &version));
+        writes.extend(compaction(table, version).await?);
+        let mut preconditions = vec![Precondition::unchanged(HEAD_KEY, latest.head_row.as_ref())];
         preconditions.extend(fences);
-        match self.committer.commit(table, preconditions, writes, PATIENCE).await {
-            Settled::Committed => Ok(version),
+        let id = operation.id.clone();
+        match self.committer.commit_as(table, id, preconditions, writes, PATIENCE).await {
+            Settled::Committed => {
+                self.hold(Arc::new(next));
+                Ok(version)
+            }
+            Settled::Conflict { key } if key == platform::commit::operation_key(&operation.id) => {
+                let reason = format!("operation {} was given up before", operation.id);
+                Err(ChangeError::NotAccepted { reason })
+            }
             Settled::Conflict { .. } => Err(ChangeError::Conflict),
             Settled::Refused { reason } => Err(ChangeError::NotAccepted { reason }),
             Settled::Unknown { operation_id } => Err(ChangeError::Unknown { operation_id }),
@@ -170,34 +283,81 @@
     }
 }
 
-fn contract_rows(config: &Config, contract: &Contract) -> Result<Vec<ConfigRow>, ChangeError> {
-    let others = || config.contracts.iter().filter(|c| c.customer != contract.customer);
-    for queue in &contract.queues {
-        if let Some(other) = others().find(|other| other.queue(&queue.name).is_some()) {
-            let reason = format!("queue `{}` belongs to `{}`", queue.name, other.customer);
-            return Err(invalid(reason));
-        }
+/// The latest configuration and the head row that says so.
+struct Latest {
+    config: Arc<Config>,
+    head_row: Option<Row>,
+}
+
+fn row_write(row: &ConfigRow) -> Write {
+    match row {
+        ConfigRow::Removed(name) => Write::Delete { key: row_key(name) },
+        row => Write::put_json(row_key(&row.name()), row),
     }
-    for pool in &contract.pools {
-        if let Some(other) = others().find(|other| other.pool(&pool.name).is_some()) {
-            return Err(invalid(format!("pool `{}` belongs to `{}`", pool.name, other.customer)));
+}
+
+/// Removals of old change rows and of the rows of their operations.
+async fn compaction(table: &dyn Table, version: ConfigVersion) -> Result<Vec<Write>, Unavailable> {
+    let Some(last) = version.checked_sub(CHANGES_KEPT).filter(|last| *last > 0) else {
+        return Ok(Vec::new());
+    };
+    let scan = Scan { prefix: CHANGE_PREFIX.to_owned(), after: None, rows_max: COMPACTED_MAX };
+    let mut removals = Vec::new();
+    for row in table.scan(scan).await? {
+        let change: Change = decode(&row)?;
+        if change.version > last {
+            break;
         }
-    }
-    let mut rows = vec![ConfigRow::Contract(contract.clone())];
-    for spec in &contract.hosts {
-        match config.host(&spec.id) {
-            Some(held) if held.customer != contract.customer => {
-                return Err(invalid(format!("host `{}` belongs to `{}`", spec.id, held.customer)));
-            }
-            // A host keeps the pool that operators moved it to.
-            Some(_) => {}
-            None => {
-                let row = HostRow::new(contract.customer.clone(), spec.clone());
-                rows.push(ConfigRow::Host(row));
-            }
+        removals.push(Write::Delete { key: row.key });
+        if let Some(id) = change.operation_id {
+            removals.push(Write::Delete { key: operation_key(&id) });
+            removals.push(Write::Delete { key: platform::commit::operation_key(&id) });
         }
     }
-    Ok(rows)
+    Ok(removals)
+}
+
+async fn read_operation(
+    table: &dyn Table,
+    operation_id: &OperationId,
+) -> Result<Option<ConfigVersion>, Unavailable> {
+    let row = table.get(&operation_key(operation_id)).await?;
+    row.as_ref().map(decode).transpose()
+}
+
+/// Fails if a change after `base` wrote one of `rows`.
+async fn check_overlap(
+    table: &dyn Table,
+    base: ConfigVersion,
+    version: ConfigVersion,
+    rows: &[ConfigRow],
+) -> Result<(), ChangeError> {
+    let since = changes_after(table, base).await?;
+    let is_ours = |name: &String| rows.iter().any(|row| row.name() == *name);
+    if since.iter().any(|note| note.rows.iter().any(is_ours)) {
+        return Err(ChangeError::Raced { seen: base, version, since });
+    }
+    Ok(())
+}
+
+async fn raced(table: &dyn Table, seen: ConfigVersion, version: ConfigVersion) -> ChangeError {
+    match changes_after(table, seen).await {
+        Ok(since) => ChangeError::Raced { seen, version, since },
+        Err(unavailable) => unavailable.into(),
+    }
+}
+
+async fn changes_after(
+    table: &dyn Table,
+    version: ConfigVersion,
+) -> Result<Vec<ChangeNote>, Unavailable> {
+    let scan = Scan {
+        prefix: CHANGE_PREFIX.to_owned(),
+        after: Some(change_key(version)),
+        rows_max: NOTES_MAX,
+    };
+    let rows = table.scan(scan).await?;
+    rows.iter().map(|row| Ok(ChangeNote::from(&decode::<Change>(row)?))).collect()
 }
 
 fn invalid(reason: String) -> ChangeError {
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -13,6 +13,7 @@
 use crate::contract::Team;
 use crate::host::HostRow;
 use crate::ids::ConfigVersion;
+use crate::ids::OperationId;
 use crate::ids::TeamRef;
 use crate::key::KeyRow;
 use crate::key::KeyState;
@@ -31,6 +32,8 @@
     Host(HostRow),
     /// Maintenance wave.
     Wave(WaveRow),
+    /// No row of this name any more.
+    Removed(String),
 }
 
 impl ConfigRow {
@@ -41,6 +44,7 @@
             Self::Key(key) => format!("key/{}", key.id),
             Self::Host(host) => format!("host/{}", host.id()),
             Self::Wave(wave) => format!("wave/{}", wave.id),
+            Self::Removed(name) => name.clone(),
         }
     }
 }
@@ -52,8 +56,20 @@
     pub version: ConfigVersion,
     /// Rows that replace those of the same name.
     pub rows: Vec<ConfigRow>,
+    /// Who made the change.
+    #[serde(default)]
+    pub author: String,
+    /// Operation that made it.
+    #[serde(default)]
+    pub operation_id: Option<OperationId>,
+    /// Digest of the configuration after it.
+    #[serde(default)]
+    pub digest: Option<Digest>,
 }
 
+/// BLAKE3 hash of a configuration, in hexadecimal.
+pub type Digest = String;
+
 /// Why a change could not be applied to a snapshot.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("change {found} does not follow version {held}")]
@@ -175,6 +191,18 @@
         contracts.chain(keys).chain(hosts).chain(waves).collect()
     }
 
+    /// Digest of all rows and the version.
+    pub fn digest(&self) -> Digest {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.version.to_le_bytes());
+        for row in self.rows() {
+            let bytes = serde_json::to_vec(&row).expect("rows have string keys only");
+            hasher.update(&(bytes.len() as u64).to_le_bytes());
+            hasher.update(&bytes);
+        }
+        hasher.finalize().to_hex().to_string()
+    }
+
     fn replace(&mut self, rows: Vec<ConfigRow>) {
         for row in rows {
             match row {
@@ -184,9 +212,23 @@
                 ConfigRow::Key(key) => put(&mut self.keys, key, |k| k.hash.clone()),
                 ConfigRow::Host(host) => put(&mut self.hosts, host, |h| h.id().to_string()),
                 ConfigRow::Wave(wave) => put(&mut self.waves, wave, |w| w.id.to_string()),
+                ConfigRow::Removed(name) => self.remove(&name),
             }
         }
     }
+
+    fn remove(&mut self, name: &str) {
+        let Some((kind, id)) = name.split_once('/') else {
+            return;
+        };
+        match kind {
+            "contract" => self.contracts.retain(|contract| *contract.customer != *id),
+            "key" => self.keys.retain(|key| *key.id != *id),
+            "host" => self.hosts.retain(|host| **host.id() != *id),
+            "wave" => self.waves.retain(|wave| *wave.id != *id),
+            _ => {}
+        }
+    }
 }
 
 /// Replaces the item with the same sort key, or inserts it in order.
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -3,6 +3,7 @@
 mod contracts;
 mod hosts;
 mod keys;
+mod operations;
 mod queues;
 mod status;
 mod teams;
@@ -10,6 +11,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use axum::Json;
 use axum::Router;
@@ -20,11 +22,13 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use control::ChangeError;
+use control::Operation;
 use gateway::Authority;
 use http::StatusCode;
 use http::header;
 use model::ConfigVersion;
 use model::Findings;
+use model::NodeId;
 use model::key::KeyHolder;
 use model::key::hash_key;
 
@@ -35,6 +39,13 @@
 /// Longest time that a change waits for this node's part of the ledger.
 const LEDGER_WAIT: Duration = Duration::from_secs(1);
 
+/// Longest time that a change waits for the reports of other nodes.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(5);
+/// Time between two looks at the reports.
+const IN_FORCE_POLL: Duration = Duration::from_millis(10);
+/// Longest operation id, in bytes.
+const OPERATION_ID_MAX_BYTES: usize = 64;
+
 /// State of all handlers.
 pub type Node = State<Arc<Shared>>;
 
@@ -44,6 +55,7 @@
         .merge(contracts::routes())
         .merge(hosts::routes())
         .merge(keys::routes())
+        .merge(operations::routes())
         .merge(queues::routes())
         .merge(status::routes())
         .merge(teams::routes())
@@ -84,36 +96,80 @@
 
 fn status_of(error: &ChangeError) -> StatusCode {
     match error {
-        ChangeError::Conflict => StatusCode::CONFLICT,
+        ChangeError::Conflict | ChangeError::Raced { .. } => StatusCode::CONFLICT,
         ChangeError::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
         ChangeError::NotAccepted { .. } => StatusCode::SERVICE_UNAVAILABLE,
         ChangeError::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
     }
 }
 
-async fn authorize(State(shared): Node, request: Request, next: Next) -> Response {
+async fn authorize(State(shared): Node, mut request: Request, next: Next) -> Response {
     let value = request.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
     let secret = value.and_then(|value| value.strip_prefix("Bearer "));
-    if secret.is_some_and(|secret| is_operator(&shared, secret)) {
-        return next.run(request).await;
+    let Some(operator) = secret.and_then(|secret| operator(&shared, secret)) else {
+        let detail = "an operator's key is needed: set SAVORYPITCH_KEY or --key".to_owned();
+        return (StatusCode::UNAUTHORIZED, Json(api::Problem { detail })).into_response();
+    };
+    let mut operation = Operation::new(operator);
+    let id = request.headers().get(api::OPERATION_ID).and_then(|value| value.to_str().ok());
+    if let Some(id) = id.filter(|id| is_operation_id(id)) {
+        operation.id = id.into();
     }
-    let detail = "an operator's key is needed: set SAVORYPITCH_KEY or --key".to_owned();
-    (StatusCode::UNAUTHORIZED, Json(api::Problem { detail })).into_response()
+    request.extensions_mut().insert(operation);
+    next.run(request).await
 }
 
-fn is_operator(shared: &Shared, secret: &str) -> bool {
+/// Name of the operator whose key this is.
+fn operator(shared: &Shared, secret: &str) -> Option<String> {
     if shared.settings.operator_key_hash.as_deref() == Some(&*hash_key(secret)) {
-        return true;
+        return Some("the operator of the settings".to_owned());
     }
     let config = shared.config();
-    config.granted_key(secret).is_some_and(|key| key.holder == KeyHolder::Operator)
+    let key = config.granted_key(secret)?;
+    (key.holder == KeyHolder::Operator).then(|| format!("key {}", key.id))
+}
+
+/// Ids become keys of rows, so they are short and plain.
+fn is_operation_id(id: &str) -> bool {
+    (1..=OPERATION_ID_MAX_BYTES).contains(&id.len())
+        && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
 }
 
-/// Waits until a change is in force and says on which nodes.
+/// Waits until all live nodes have reported `version`, and says which have and which have not.
 pub async fn accepted(shared: &Shared, version: ConfigVersion) -> api::Accepted {
     poll_once(shared).await;
     wait_for_ledger(shared, version).await;
-    api::Accepted { version, in_force: vec![shared.settings.node.clone()], missing: Vec::new() }
+    let until = Instant::now() + IN_FORCE_WAIT;
+    loop {
+        let report = in_force(shared, version);
+        if report.waits_for == 0 || Instant::now() >= until {
+            return api::Accepted { version, in_force: report.in_force, missing: report.missing };
+        }
+        tokio::time::sleep(IN_FORCE_POLL).await;
+    }
+}
+
+/// Which nodes have a version in force.
+struct InForce {
+    in_force: Vec<NodeId>,
+    missing: Vec<NodeId>,
+    /// Live nodes among the missing.
+    waits_for: usize,
+}
+
+fn in_force(shared: &Shared, version: ConfigVersion) -> InForce {
+    let mut report = InForce { in_force: Vec::new(), missing: Vec::new(), waits_for: 0 };
+    for member in shared.members().iter() {
+        let is_self = member.node == shared.settings.node;
+        let held = if is_self { shared.config().version } else { member.config_version };
+        if held >= version {
+            report.in_force.push(member.node.clone());
+            continue;
+        }
+        report.missing.push(member.node.clone());
+        report.waits_for += usize::from(member.alive);
+    }
+    report
 }
 
 /// Waits until this node's part of the ledger has seen `version`, so that its tokens can be used.
--- a/crates/node/src/admin/contracts.rs
+++ b/crates/node/src/admin/contracts.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+use axum::Extension;
 use axum::Json;
 use axum::Router;
 use axum::extract::Path;
 use axum::extract::State;
 use axum::routing::get;
 use axum::routing::post;
+use control::Operation;
 use events::EventKind;
 use gateway::Authority;
 use model::Contract;
@@ -29,12 +31,13 @@
 
 async fn apply_contract(
     State(shared): Node,
+    Extension(operation): Extension<Operation>,
     Json(call): Json<api::ApplyContract>,
 ) -> Result<Json<api::Accepted>, AdminError> {
     let contract = parse_contract(&call.source, &call.text).map_err(AdminError::Findings)?;
     let customer = contract.customer.to_string();
     let table = &*shared.platform.table;
-    let version = shared.writer.apply_contract(table, contract, call.seen).await?;
+    let version = shared.writer.apply_contract(table, &operation, contract, call.seen).await?;
     let kind = EventKind::ContractApplied { customer, version };
     shared.events.record(kind, SystemTime::now());
     Ok(Json(accepted(&shared, version).await))
--- a/crates/node/src/admin/keys.rs
+++ b/crates/node/src/admin/keys.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+use axum::Extension;
 use axum::Json;
 use axum::Router;
 use axum::extract::Path;
 use axum::extract::State;
 use axum::routing::delete;
 use axum::routing::get;
+use control::Operation;
 use events::EventKind;
 use gateway::Authority;
 use model::key::hash_key;
@@ -28,10 +30,12 @@
 
 async fn grant_key(
     State(shared): Node,
+    Extension(operation): Extension<Operation>,
     Json(call): Json<api::GrantKey>,
 ) -> Result<Json<api::GrantedKey>, AdminError> {
     let holder = call.holder.to_string();
-    let (secret, version) = shared.writer.grant(&*shared.platform.table, call.holder).await?;
+    let table = &*shared.platform.table;
+    let (secret, version) = shared.writer.grant(table, &operation, call.holder).await?;
     let id = model::KeyId::from(&hash_key(&secret)[..12]);
     shared.events.record(EventKind::KeyGranted { key: id.clone(), holder }, SystemTime::now());
     let accepted = accepted(&shared, version).await;
@@ -40,9 +44,10 @@
 
 async fn withdraw_key(
     State(shared): Node,
+    Extension(operation): Extension<Operation>,
     Path(id): Path<String>,
 ) -> Result<Json<api::Accepted>, AdminError> {
-    let version = shared.writer.withdraw(&*shared.platform.table, &id).await?;
+    let version = shared.writer.withdraw(&*shared.platform.table, &operation, &id).await?;
     shared.events.record(EventKind::KeyWithdrawn { key: id.into() }, SystemTime::now());
     Ok(Json(accepted(&shared, version).await))
 }
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -25,6 +25,8 @@
 
 /// Prefix of all paths of the operators' interface.
 pub const PREFIX: &str = "/admin/v1";
+/// Header with the id of an operation; a repeat under the same id changes nothing.
+pub const OPERATION_ID: &str = "savorypitch-operation-id";
 
 /// `POST /contracts`: a contract to check and accept.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -28,6 +28,10 @@
         Ok(Poll::Later(config)) => {
             shared.put_in_force(config);
         }
+        Ok(Poll::Reloaded(config)) => {
+            shared.telemetry.count("config.digest_mismatch");
+            shared.put_in_force(config);
+        }
         Ok(Poll::Unchanged) => {}
         Err(_) => shared.telemetry.count("table.unavailable"),
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -78,12 +78,12 @@
         telemetry: Telemetry,
     ) -> Self {
         Self {
+            writer: ConfigWriter::new(&*settings.node),
             settings,
             platform,
             limits: Arc::default(),
             events,
             telemetry,
-            writer: ConfigWriter::default(),
             committer: Committer::default(),
             shipper: Shipper::default(),
             poll_now: Notify::new(),
@@ -108,6 +108,7 @@
             }
             self.limits.freeze_lowered(&held, &config);
             *held = Arc::new(config);
+            self.writer.hold(held.clone());
         }
         self.ledger_now.notify_one();
         self.telemetry.gauge("config.version", version);
@@ -120,8 +121,12 @@
         self.members.read().expect("no holder panics").clone()
     }
 
-    /// Replaces the view of the members.
+    /// Replaces the view of the members; polls at once if one of them has a later configuration.
     pub fn set_members(&self, members: Vec<MemberView>) {
+        let version = self.config().version;
+        if members.iter().any(|member| member.config_version > version) {
+            self.poll_now.notify_one();
+        }
         *self.members.write().expect("no holder panics") = Arc::new(members);
     }
 
--- a/crates/platform/src/commit.rs
+++ b/crates/platform/src/commit.rs
@@ -5,7 +5,9 @@
 //! its own row says that an earlier try has committed. A transaction that is given up is closed by
 //! writing the same row with another value, so that a delayed try can no longer commit.
 //!
-//! Rows of settled operations are removed as part of later transactions of the same writer.
+//! Rows of committed operations are removed as part of later transactions of the same writer. A
+//! delayed try could then commit again, unless a precondition is on a row that the transaction
+//! itself writes; so each should have one.
 
 use std::sync::Mutex;
 use std::time::Duration;
@@ -83,23 +85,52 @@
         writes: Vec<Write>,
         patience: Duration,
     ) -> (Settled, Option<RowVersion>) {
-        let deadline = Instant::now() + patience;
         let removed = self.take_settled();
         let transaction = build(random_id(), preconditions, writes, &removed);
+        let committed = self.send(table, &transaction, patience).await;
+        // The row of an operation that was closed stays: a delayed try must find it.
+        if committed.0 == Settled::Committed {
+            self.remember(&transaction.operation_id);
+        }
+        committed
+    }
+
+    /// As [`Self::commit`], under an id of the caller's choice. The row of the id stays, so that the
+    /// caller can send the same operation again, here or elsewhere, and it commits once at most.
+    pub async fn commit_as(
+        &self,
+        table: &dyn Table,
+        operation_id: OperationId,
+        preconditions: Vec<Precondition>,
+        writes: Vec<Write>,
+        patience: Duration,
+    ) -> Settled {
+        let transaction = build(operation_id, preconditions, writes, &[]);
+        self.send(table, &transaction, patience).await.0
+    }
+
+    async fn send(
+        &self,
+        table: &dyn Table,
+        transaction: &Transaction,
+        patience: Duration,
+    ) -> (Settled, Option<RowVersion>) {
+        let deadline = Instant::now() + patience;
         let mut delay = RETRY_DELAY_MIN;
         let mut unanswered = false;
         loop {
-            let outcome = table.commit(&transaction).await;
+            let outcome = table.commit(transaction).await;
             let version = match &outcome {
                 CommitOutcome::Committed { version } => Some(*version),
                 _ => None,
             };
-            if let Some(settled) = self.settle(table, &transaction, outcome, unanswered).await {
+            if let Some(settled) = self.settle(table, transaction, outcome, unanswered).await {
                 return (settled, version);
             }
             unanswered = true;
             if Instant::now() + delay >= deadline {
-                return (Settled::Unknown { operation_id: transaction.operation_id }, None);
+                let operation_id = transaction.operation_id.clone();
+                return (Settled::Unknown { operation_id }, None);
             }
             tokio::time::sleep(delay).await;
             delay = (delay * 2).min(RETRY_DELAY_MAX);
@@ -134,13 +165,9 @@
     ) -> Option<Settled> {
         let own_key = operation_key(&transaction.operation_id);
         match outcome {
-            CommitOutcome::Committed { .. } => {
-                self.remember(&transaction.operation_id);
-                Some(Settled::Committed)
-            }
+            CommitOutcome::Committed { .. } => Some(Settled::Committed),
             CommitOutcome::Conflict { key } if key == own_key => {
                 let row = table.get(&own_key).await.ok()?;
-                self.remember(&transaction.operation_id);
                 let committed = row.is_some_and(|row| row.value == COMMITTED);
                 Some(if committed { Settled::Committed } else { Settled::Conflict { key } })
             }
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -63,6 +63,11 @@
     /// Show teams and their limits.
     #[command(subcommand)]
     Team(TeamCommand),
+    /// Tell what became of a change whose outcome was unknown; gives it up if it is not in force.
+    Operation {
+        /// Id of the operation, as shown with the unknown outcome.
+        id: String,
+    },
     /// Show the state of a node.
     Status,
     /// Show the time line of events of all nodes, also of those that are gone.
--- a/crates/savorypitch/src/client.rs
+++ b/crates/savorypitch/src/client.rs
@@ -12,6 +12,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use model::Findings;
+use model::OperationId;
+use model::ids::random_id;
 use node::api;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -65,14 +67,14 @@
             .map_err(|error| self.unreachable(error))?;
         let body = serde_json::to_vec(body).expect("calls have string keys only");
         let changes = method != Method::GET;
-        let exchange = self.exchange(method, path, body.into());
+        let operation_id = random_id();
+        let exchange = self.exchange(method, path, &operation_id, body.into());
         let answered =
             runtime.block_on(async { tokio::time::timeout(CALL_TIMEOUT, exchange).await });
         let (status, answer) = match answered {
             Ok(answer) => answer?,
             Err(_) if changes => {
-                let detail = "no answer in time; the change may be in force";
-                return Err(Failure::Unknown(detail.to_owned()));
+                return Err(unknown(&operation_id, "no answer in time"));
             }
             Err(_) => return Err(self.unreachable("no answer in time")),
         };
@@ -86,6 +88,7 @@
         &self,
         method: Method,
         path: &str,
+        operation_id: &OperationId,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), Failure> {
         let stream = TcpStream::connect(self.target.node);
@@ -100,13 +103,14 @@
             .header(header::HOST, self.target.node.to_string())
             .header(header::AUTHORIZATION, format!("Bearer {key}"))
             .header(header::CONTENT_TYPE, "application/json")
+            .header(api::OPERATION_ID, &**operation_id)
             .body(Full::new(body))
             .map_err(|error| Failure::Refused(error.to_string()))?;
         let response = sender.send_request(request).await;
-        let response = response.map_err(|error| Failure::Unknown(error.to_string()))?;
+        let response = response.map_err(|error| unknown(operation_id, error))?;
         let status = response.status();
         let body = response.into_body().collect().await;
-        let body = body.map_err(|error| Failure::Unknown(error.to_string()))?;
+        let body = body.map_err(|error| unknown(operation_id, error))?;
         Ok((status, body.to_bytes()))
     }
 
@@ -115,6 +119,13 @@
     }
 }
 
+fn unknown(operation_id: &OperationId, reason: impl ToString) -> Failure {
+    let reason = reason.to_string();
+    Failure::Unknown(format!(
+        "{reason}; a change may be in force: `savorypitch operation {operation_id}` tells"
+    ))
+}
+
 fn refusal(status: StatusCode, answer: &Bytes) -> Failure {
     if let Ok(findings) = serde_json::from_slice::<Findings>(answer) {
         return Failure::Findings(findings);
--- a/crates/savorypitch/src/command.rs
+++ b/crates/savorypitch/src/command.rs
@@ -3,6 +3,7 @@
 mod contract;
 mod host;
 mod key;
+mod operation;
 mod queue;
 mod serve;
 mod status;
@@ -31,6 +32,7 @@
         Command::Host(command) => host::run(&client, command, json),
         Command::Wave(command) => wave::run(&client, command, json),
         Command::Team(command) => team::run(&client, command, json),
+        Command::Operation { id } => operation::run(&client, &id, json),
         Command::Status => status::run(&client, json),
         Command::Timeline(timeline_args) => timeline::run(&client, &timeline_args, json),
         Command::Completions { shell } => {
--- /dev/null
+++ b/crates/savorypitch/src/command/operation.rs
@@ -0,0 +1,21 @@
+//! `operation`: tells what became of a change whose outcome was unknown.
+
+use control::Resolved;
+
+use crate::client::Client;
+use crate::failure::Failure;
+use crate::output::print_json;
+
+/// Runs `operation`.
+pub fn run(client: &Client, id: &str, json: bool) -> Result<(), Failure> {
+    let resolved: Resolved = client.post(&format!("/operations/{id}"), &())?;
+    if json {
+        print_json(&resolved);
+        return Ok(());
+    }
+    match resolved {
+        Resolved::InForce(version) => println!("in force since version {version}"),
+        Resolved::Never => println!("not in force, and never will be; make the change again"),
+    }
+    Ok(())
+}
