Keep duties refreshed, and compact events under one of them

Cause: a batch a second would pile up in the object store; duties were not wired. Change: each node refreshes maintenance/{pool}, placement/{pool} and events/compact; the holder of the last joins the batches of a past hour and removes those past the retention. Conclusion: covered by a test of the plan; with the late-batch margin at 0 it fails.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`render_html`] draws them.
 
 mod batch;
+mod compact;
 mod event;
 mod filter;
 mod html;
@@ -17,6 +18,8 @@
 pub use batch::BatchError;
 pub use batch::BatchName;
 pub use batch::OBJECT_PREFIX;
+pub use compact::Compaction;
+pub use compact::plan_compaction;
 pub use event::Detail;
 pub use event::Event;
 pub use event::EventKind;
--- a/crates/events/tests/timeline.rs
+++ b/crates/events/tests/timeline.rs
@@ -11,6 +11,7 @@
 use events::Filter;
 use events::Recorder;
 use events::merge;
+use events::plan_compaction;
 use events::render_html;
 use model::HostState;
 use model::TeamRef;
@@ -124,3 +125,27 @@
     recorder.record(EventKind::NodeStarted, at(1));
     assert_eq!(render_html(&recorder.since(0)).matches("<script>").count(), 1);
 }
+
+fn named(first_ms: u64, node: &str) -> BatchName {
+    BatchName { first_ms, node: node.into(), incarnation: 1, first_sequence: 0 }
+}
+
+#[test]
+fn only_batches_of_one_settled_hour_are_joined_and_only_old_ones_removed() {
+    const HOUR_MS: u64 = 3_600_000;
+    let names = [
+        named(10, "a"),
+        named(HOUR_MS * 400, "joined"),
+        named(HOUR_MS * 400 + 1, "a"),
+        named(HOUR_MS * 400 + 2, "b"),
+        named(HOUR_MS * 401 + 1, "a"),
+        named(HOUR_MS * 401 + 2, "b"),
+    ];
+    let retention = Duration::from_secs(100 * 3_600);
+    let plan = plan_compaction(&names, HOUR_MS * 402, retention);
+    assert_eq!(plan.remove, names[..1]);
+    assert_eq!(plan.join, names[2..4], "the last hour may still get late batches");
+    let plan = plan_compaction(&names[4..], HOUR_MS * 402 + 600_001, retention);
+    assert_eq!(plan.join, names[4..]);
+    assert!(plan.remove.is_empty());
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod api;
 
 mod admin;
+mod compact;
+mod duty;
 mod follower;
 mod maintain;
 mod run;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -21,6 +21,8 @@
 use tokio::task::JoinHandle;
 
 use crate::admin;
+use crate::compact;
+use crate::duty;
 use crate::follower;
 use crate::maintain;
 use crate::settings::Platform;
@@ -73,7 +75,7 @@
         let events = Arc::new(Recorder::new(settings.node.clone(), incarnation));
         let telemetry = Telemetry::new(settings.metrics_address).map_err(StartError::Metrics)?;
         events.record(EventKind::NodeStarted, started_at);
-        let shared = Arc::new(Shared::new(settings, platform, events, telemetry));
+        let shared = Arc::new(Shared::new(settings, platform, events, telemetry, incarnation));
         follower::poll_once(&shared).await;
 
         let gateway = start_gateway(&shared);
@@ -92,6 +94,8 @@
             counts: shared.counts(),
         }]);
         let tasks = vec![
+            tokio::spawn(compact::keep(shared.clone())),
+            tokio::spawn(duty::keep(shared.clone())),
             tokio::spawn(follower::follow(shared.clone())),
             tokio::spawn(maintain::run(shared.clone())),
             tokio::spawn(ship::ship(shared.clone())),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,6 +8,8 @@
 use std::time::SystemTime;
 
 use control::ConfigWriter;
+use duties::Duties;
+use duties::Holder;
 use events::EventKind;
 use events::Recorder;
 use gateway::Authority;
@@ -15,6 +17,8 @@
 use limits::LimitTable;
 use membership::MemberView;
 use model::Config;
+use model::Incarnation;
+use model::NodeId;
 use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
@@ -40,6 +44,8 @@
     pub writer: ConfigWriter,
     /// Other transactions.
     pub committer: Committer,
+    /// Duties of this node.
+    pub duties: Duties,
     /// Shipment of events.
     pub shipper: Shipper,
     /// Wakes the follower before its next poll.
@@ -57,10 +63,14 @@
         platform: Platform,
         events: Arc<Recorder>,
         telemetry: Telemetry,
+        incarnation: Incarnation,
     ) -> Self {
+        let me = Holder { node: settings.node.clone(), incarnation };
+        let duties = Duties::new(me, platform.table.clone(), events.clone());
         Self {
             settings,
             platform,
+            duties,
             limits: Arc::default(),
             events,
             telemetry,
@@ -101,6 +111,13 @@
         *self.members.write().expect("no holder panics") = Arc::new(members);
     }
 
+    /// True only if that run of a node can no longer act on anything that it held.
+    pub fn is_member_gone(&self, node: &NodeId, incarnation: Incarnation) -> bool {
+        let members = self.members();
+        let index = members.binary_search_by(|member| member.node.cmp(node));
+        index.is_ok_and(|index| members[index].incarnation > incarnation)
+    }
+
     /// Counts that the next heartbeats carry.
     pub fn counts(&self) -> Vec<Count> {
         self.counts.read().expect("no holder panics").clone()
--- a/crates/node/src/ship.rs
+++ b/crates/node/src/ship.rs
@@ -23,7 +23,7 @@
 const SHIP_INTERVAL: Duration = Duration::from_secs(1);
 /// Events of one batch at most; one a second stays below 10 KB/s after compression.
 const BATCH_EVENTS_MAX: usize = 128;
-/// Longest time that one batch covers, in milliseconds; a reader looks back this far.
+/// Longest time that one batch covers, in milliseconds.
 const BATCH_SPAN_MAX_MS: u64 = 60_000;
 
 /// Position up to which events have been shipped.
@@ -76,20 +76,24 @@
         let Some(batch_name) = BatchName::parse(&name).filter(|name| may_hold(name, filter)) else {
             continue;
         };
-        let Some(bytes) = shared.platform.objects.get(&name).await? else {
-            continue;
-        };
-        let batch = Batch::decode(&bytes).map_err(|error| {
-            Unavailable::new(format!("batch of {} is broken: {error}", batch_name.node))
-        })?;
-        events.extend(batch.events);
+        events.extend(read_batch(shared, &batch_name).await?);
     }
     events.retain(|event| filter.matches(event));
     Ok(merge(events))
 }
 
+/// Events of one batch; none if it has been joined with others meanwhile.
+pub async fn read_batch(shared: &Shared, name: &BatchName) -> Result<Vec<Event>, Unavailable> {
+    let Some(bytes) = shared.platform.objects.get(&name.to_object_name()).await? else {
+        return Ok(Vec::new());
+    };
+    let batch = Batch::decode(&bytes)
+        .map_err(|error| Unavailable::new(format!("batch of {} is broken: {error}", name.node)))?;
+    Ok(batch.events)
+}
+
 fn may_hold(name: &BatchName, filter: &Filter) -> bool {
     filter.until_ms.is_none_or(|until_ms| name.first_ms <= until_ms)
-        && filter.since_ms.is_none_or(|since_ms| name.first_ms + BATCH_SPAN_MAX_MS >= since_ms)
-        && filter.node.as_deref().is_none_or(|node| node == &*name.node)
+        && filter.since_ms.is_none_or(|since_ms| name.first_ms + name.span_max_ms() >= since_ms)
+        && filter.node.as_deref().is_none_or(|node| name.is_joined() || node == &*name.node)
 }
