--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,3 +35,4 @@
 pub use server::serve;
 pub use server::serve_with;
 pub use settings::GatewaySettings;
+pub use waiting::Waiting;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod compact;
 mod duty;
 mod follower;
+mod ledger;
 mod maintain;
 mod run;
 mod settings;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -24,6 +24,7 @@
 use crate::compact;
 use crate::duty;
 use crate::follower;
+use crate::ledger;
 use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
@@ -79,6 +80,8 @@
         follower::poll_once(&shared).await;
 
         let gateway = start_gateway(&shared);
+        let waiting = Arc::downgrade(&gateway);
+        shared.set_waiting(move || waiting.upgrade().map_or_else(Vec::new, |g| g.waiting()));
         let settings = &shared.settings;
         let caller_server =
             listen(settings.caller_address, caller_router(&shared, &gateway)).await?;
@@ -97,6 +100,7 @@
             tokio::spawn(compact::keep(shared.clone())),
             tokio::spawn(duty::keep(shared.clone())),
             tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(ledger::run(shared.clone())),
             tokio::spawn(maintain::run(shared.clone())),
             tokio::spawn(ship::ship(shared.clone())),
         ];
@@ -124,6 +128,7 @@
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
         self.tasks.iter().for_each(JoinHandle::abort);
+        ledger::hand_back(&self.shared).await;
         ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
--- a/crates/savorypitch/src/command/contract.rs
+++ b/crates/savorypitch/src/command/contract.rs
@@ -10,6 +10,7 @@
 use crate::client::Client;
 use crate::failure::Failure;
 use crate::output::print_json;
+use crate::output::print_line;
 
 /// Runs a `contract` command.
 pub fn run(client: &Client, command: ContractCommand, json: bool) -> Result<(), Failure> {
@@ -27,7 +28,7 @@
         print_json(&contract);
         return Ok(());
     }
-    println!(
+    print_line(format_args!(
         "ok: customer {}: {} services, {} queues, {} teams, {} pools, {} hosts",
         contract.customer,
         contract.services.len(),
@@ -35,7 +36,7 @@
         contract.teams.len(),
         contract.pools.len(),
         contract.hosts.len(),
-    );
+    ));
     Ok(())
 }
 
@@ -60,10 +61,10 @@
     let before = lines(&held);
     let after = lines(&wanted);
     for line in before.iter().filter(|line| !after.contains(line)) {
-        println!("- {line}");
+        print_line(format_args!("- {line}"));
     }
     for line in after.iter().filter(|line| !before.contains(line)) {
-        println!("+ {line}");
+        print_line(format_args!("+ {line}"));
     }
     Ok(())
 }
@@ -74,9 +75,13 @@
         print_json(accepted);
         return;
     }
-    println!("version {} is in force on {}", accepted.version, accepted.in_force.join(", "));
+    print_line(format_args!(
+        "version {} is in force on {}",
+        accepted.version,
+        accepted.in_force.join(", ")
+    ));
     if !accepted.missing.is_empty() {
-        println!("not yet reported by {}", accepted.missing.join(", "));
+        print_line(format_args!("not yet reported by {}", accepted.missing.join(", ")));
     }
 }
 
--- a/crates/savorypitch/src/command/status.rs
+++ b/crates/savorypitch/src/command/status.rs
@@ -5,6 +5,7 @@
 use crate::client::Client;
 use crate::failure::Failure;
 use crate::output::print_json;
+use crate::output::print_line;
 
 /// Runs `status`.
 pub fn run(client: &Client, json: bool) -> Result<(), Failure> {
@@ -13,12 +14,12 @@
         print_json(&status);
         return Ok(());
     }
-    println!("node {} in {}", status.node, status.zone);
-    println!("configuration {}", status.config_version);
-    println!("takes new work: {}", if status.admits { "yes" } else { "no" });
+    print_line(format_args!("node {} in {}", status.node, status.zone));
+    print_line(format_args!("configuration {}", status.config_version));
+    print_line(format_args!("takes new work: {}", if status.admits { "yes" } else { "no" }));
     for member in status.members {
         let state = if member.alive { "alive" } else { "silent" };
-        println!(
+        print_line(format_args!(
             "member {} in {}: {state}, incarnation {}, configuration {}, callers {}, operators {}",
             member.node,
             member.zone,
@@ -26,10 +27,10 @@
             member.config_version,
             member.caller_address,
             member.admin_address
-        );
+        ));
     }
     for (name, value) in status.metrics {
-        println!("{name} {value}");
+        print_line(format_args!("{name} {value}"));
     }
     Ok(())
 }
--- a/crates/savorypitch/src/command/timeline.rs
+++ b/crates/savorypitch/src/command/timeline.rs
@@ -11,6 +11,7 @@
 use crate::client::Client;
 use crate::failure::Failure;
 use crate::output::print_json;
+use crate::output::print_line;
 
 /// Time between reads in follow mode.
 const FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
@@ -69,25 +70,25 @@
     for event in events {
         if json {
             let line = serde_json::to_string(event).expect("events have string keys only");
-            println!("{line}");
+            print_line(format_args!("{line}"));
             continue;
         }
         let stamp = event.stamp;
         let kind = event.kind_name();
-        println!(
+        print_line(format_args!(
             "{}.{:03} {:10} {:16} {}",
             stamp.wall_ms / 1_000,
             stamp.wall_ms % 1_000,
             event.node,
             kind,
             event.describe_details()
-        );
+        ));
     }
 }
 
 fn write_html(file: &Path, events: &[Event]) -> Result<(), Failure> {
     std::fs::write(file, render_html(events))
         .map_err(|source| Failure::File { path: file.display().to_string(), source })?;
-    println!("{} events in {}", events.len(), file.display());
+    print_line(format_args!("{} events in {}", events.len(), file.display()));
     Ok(())
 }
