--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod backend;
 pub mod caller;
+pub mod fault;
 pub mod platform_server;
