--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod backend;
 pub mod caller;
 pub mod fault;
+pub mod fleet;
 pub mod platform_server;
