--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -65,8 +65,6 @@
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time between two rounds of upkeep.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two sweeps of old claims.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Time between two looks at what still runs.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -313,9 +311,9 @@
 }
 
 async fn sweep(gateway: Weak<Gateway>) {
-    loop {
+    while let Some(interval) = gateway.upgrade().map(|gateway| gateway.settings.sweep_interval) {
         // Jitter keeps the nodes from sweeping the same rows at once.
-        tokio::time::sleep(SWEEP_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
+        tokio::time::sleep(interval.mul_f64(0.5 + rand::random::<f64>())).await;
         let Some(gateway) = gateway.upgrade() else { return };
         gateway.claims.sweep(SystemTime::now()).await;
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub kept_answer_max_bytes: usize,
     /// Time for which the claim of an idempotency key is kept.
     pub claim_retention: Duration,
+    /// Mean time between two sweeps of old claims.
+    pub sweep_interval: Duration,
     /// Time for one write of a claim before the request is refused.
     pub claim_patience: Duration,
     /// Secret that all nodes share; without it no request is forwarded to another node.
@@ -41,6 +43,7 @@
             probe_interval: Duration::from_secs(1),
             kept_answer_max_bytes: 1 << 20,
             claim_retention: Duration::from_secs(24 * 60 * 60),
+            sweep_interval: Duration::from_secs(60),
             claim_patience: Duration::from_secs(2),
             cluster_secret: None,
         }
--- a/crates/node/tests/common/cell.rs
+++ b/crates/node/tests/common/cell.rs
@@ -161,7 +161,7 @@
 
     /// Names of the events of the first node.
     pub async fn events(&self) -> String {
-        let events: serde_json::Value = admin(&self.nodes[0], Method::GET, "/events", &()).await;
+        let events: serde_json::Value = admin(&self.nodes[0], Method::GET, "/timeline", &()).await;
         events.to_string()
     }
 
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -2,7 +2,8 @@
 //!
 //! Every request is counted by its `Savorypitch-Request-Id` and, if the caller sent one, by its
 //! `Standin-Job` header, so that a test can see what ran twice. `Standin-Delay-Ms` sets how long the
-//! work takes, and `Standin-Fault` how it fails; see [`Fault`].
+//! work takes, and `Standin-Fault` how it fails; see [`Fault`]. The body is echoed as it comes, or
+//! after its end if the request has a `Standin-Collect` header.
 //!
 //! It answers probes for running requests. A request id that it has reported as not running is
 //! remembered, and refused if the request still comes.
@@ -222,11 +223,19 @@
     let _ = waited.await;
     let is_failing = backend.failing.load(Ordering::Relaxed);
     match fault.or(is_failing.then_some(Fault::Fail)) {
+        None if request.headers().contains_key("standin-collect") => collected(request).await,
         None => Response::new(Body::new(request.into_body())),
         Some(fault) => answer_with(fault, request).await,
     }
 }
 
+async fn collected(request: Request) -> Response {
+    match request.into_body().collect().await {
+        Ok(body) => Response::new(Body::from(body.to_bytes())),
+        Err(_) => std::future::pending().await,
+    }
+}
+
 async fn answer_with(fault: Fault, request: Request) -> Response {
     if fault == Fault::Silent {
         return std::future::pending().await;
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -4,10 +4,15 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use axum::body::Bytes;
 use http_body::Body;
 use http_body::Frame;
+use tokio::time::Sleep;
+
+/// Time between the half of a body and its cut.
+const CUT_DELAY: Duration = Duration::from_millis(20);
 
 /// Value of the `Standin-Fault` header.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,13 +54,16 @@
     fault: Fault,
     whole_bytes: u64,
     half: Option<Bytes>,
+    /// Lets the half be written before the fault.
+    pause: Pin<Box<Sleep>>,
 }
 
 impl FaultyBody {
     /// First half of `whole`, followed by `fault`.
     pub fn new(fault: Fault, whole: Bytes) -> Self {
         let half = Some(whole.slice(..whole.len() / 2));
-        Self { fault, whole_bytes: whole.len() as u64, half }
+        let pause = Box::pin(tokio::time::sleep(CUT_DELAY));
+        Self { fault, whole_bytes: whole.len() as u64, half, pause }
     }
 
     /// Length that the head announces.
@@ -75,11 +83,9 @@
         if let Some(half) = self.half.take() {
             return Poll::Ready(Some(Ok(Frame::data(half))));
         }
-        // The half is written before the fault; a second poll brings it.
-        if self.fault == Fault::SilentMidway {
+        if self.fault == Fault::SilentMidway || self.pause.as_mut().poll(context).is_pending() {
             return Poll::Pending;
         }
-        let _ = context;
         Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())))
     }
 }
