--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -58,6 +58,7 @@
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
 use crate::waiting::Lines;
+use crate::waiting::Waiting;
 
 /// Path under which queues are served.
 const QUEUE_PREFIX: &str = "/q/";
@@ -136,6 +137,12 @@
             telemetry,
             settings,
         });
+        let lines = Arc::downgrade(&gateway.lines);
+        gateway.lines.limits.listen(move || {
+            if let Some(lines) = lines.upgrade() {
+                lines.serve_all(Instant::now());
+            }
+        });
         tokio::spawn(upkeep(Arc::downgrade(&gateway)));
         tokio::spawn(sweep(Arc::downgrade(&gateway)));
         gateway
@@ -165,6 +172,11 @@
         response
     }
 
+    /// Requests that wait, by queue and team; sorted.
+    pub fn waiting(&self) -> Vec<Waiting> {
+        self.lines.waiting_by_team()
+    }
+
     /// Tells callers from now on to use other connections.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -22,6 +22,7 @@
 
 use crate::admin;
 use crate::follower;
+use crate::ledger;
 use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
@@ -77,6 +78,8 @@
         follower::poll_once(&shared).await;
 
         let gateway = start_gateway(&shared);
+        let waiting = Arc::downgrade(&gateway);
+        shared.set_waiting(move || waiting.upgrade().map_or_else(Vec::new, |g| g.waiting()));
         let settings = &shared.settings;
         let caller_server =
             listen(settings.caller_address, caller_router(&shared, &gateway)).await?;
@@ -93,6 +96,7 @@
         }]);
         let tasks = vec![
             tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(ledger::run(shared.clone())),
             tokio::spawn(maintain::run(shared.clone())),
             tokio::spawn(ship::ship(shared.clone())),
         ];
@@ -120,6 +124,7 @@
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
         self.tasks.iter().for_each(JoinHandle::abort);
+        ledger::hand_back(&self.shared).await;
         ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
