--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -58,6 +58,7 @@
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
 use crate::waiting::Lines;
+use crate::waiting::Waiting;
 
 /// Path under which queues are served.
 const QUEUE_PREFIX: &str = "/q/";
@@ -65,8 +66,6 @@
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time between two rounds of upkeep.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two sweeps of old claims.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Time between two looks at what still runs.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -138,6 +137,12 @@
             telemetry,
             settings,
         });
+        let lines = Arc::downgrade(&gateway.lines);
+        gateway.lines.limits.listen(move || {
+            if let Some(lines) = lines.upgrade() {
+                lines.serve_all(Instant::now());
+            }
+        });
         tokio::spawn(upkeep(Arc::downgrade(&gateway)));
         tokio::spawn(sweep(Arc::downgrade(&gateway)));
         gateway
@@ -167,6 +172,11 @@
         response
     }
 
+    /// Requests that wait, by queue and team; sorted.
+    pub fn waiting(&self) -> Vec<Waiting> {
+        self.lines.waiting_by_team()
+    }
+
     /// Tells callers from now on to use other connections.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
@@ -313,9 +323,9 @@
 }
 
 async fn sweep(gateway: Weak<Gateway>) {
-    loop {
+    while let Some(interval) = gateway.upgrade().map(|gateway| gateway.settings.sweep_interval) {
         // Jitter keeps the nodes from sweeping the same rows at once.
-        tokio::time::sleep(SWEEP_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
+        tokio::time::sleep(interval.mul_f64(0.5 + rand::random::<f64>())).await;
         let Some(gateway) = gateway.upgrade() else { return };
         gateway.claims.sweep(SystemTime::now()).await;
     }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -17,6 +17,7 @@
 use limits::LimitTable;
 use model::HostId;
 use model::QueueId;
+use model::TeamRef;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shares::Entry;
@@ -43,6 +44,17 @@
     pub wait_max: Duration,
 }
 
+/// Waiting requests of one team in one queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// Queue.
+    pub queue: QueueId,
+    /// Team.
+    pub team: TeamRef,
+    /// Requests.
+    pub count: u32,
+}
+
 /// Why a waiting request was not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitEnd {
@@ -170,6 +182,17 @@
         self.waiting.load(Ordering::SeqCst)
     }
 
+    /// Requests that wait, by queue and team; sorted.
+    pub fn waiting_by_team(&self) -> Vec<Waiting> {
+        let mut counts: Vec<Waiting> = Vec::new();
+        for line in self.lines.read().expect("no holder panics").iter() {
+            for waiter in &line.lock().waiters {
+                count_waiter(&mut counts, &line.queue, &waiter.running);
+            }
+        }
+        counts
+    }
+
     /// Queues a request, or says when to come back.
     pub fn enter(
         self: &Arc<Self>,
@@ -283,7 +306,7 @@
             return None;
         }
         let backend = self.take_slot_with(rng, service, None, now)?;
-        let may_run = |team: &model::TeamRef| {
+        let may_run = |team: &TeamRef| {
             let running = LimitKey::Running(team.clone());
             self.limits.get(&running).is_some_and(|allotment| allotment.spare() > 0)
         };
@@ -347,3 +370,17 @@
         self.lines.leave(&self.line, self.ticket);
     }
 }
+
+fn count_waiter(counts: &mut Vec<Waiting>, queue: &QueueId, running: &LimitKey) {
+    let LimitKey::Running(team) = running else {
+        return;
+    };
+    let found = counts.binary_search_by(|other| (&other.queue, &other.team).cmp(&(queue, team)));
+    match found {
+        Ok(index) => counts[index].count += 1,
+        Err(index) => {
+            let waiting = Waiting { queue: queue.clone(), team: team.clone(), count: 1 };
+            counts.insert(index, waiting);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod api;
 
 mod admin;
+mod compact;
+mod duty;
 mod follower;
+mod ledger;
 mod maintain;
 mod run;
 mod settings;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -21,7 +21,10 @@
 use tokio::task::JoinHandle;
 
 use crate::admin;
+use crate::compact;
+use crate::duty;
 use crate::follower;
+use crate::ledger;
 use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
@@ -73,10 +76,12 @@
         let events = Arc::new(Recorder::new(settings.node.clone(), incarnation));
         let telemetry = Telemetry::new(settings.metrics_address).map_err(StartError::Metrics)?;
         events.record(EventKind::NodeStarted, started_at);
-        let shared = Arc::new(Shared::new(settings, platform, events, telemetry));
+        let shared = Arc::new(Shared::new(settings, platform, events, telemetry, incarnation));
         follower::poll_once(&shared).await;
 
         let gateway = start_gateway(&shared);
+        let waiting = Arc::downgrade(&gateway);
+        shared.set_waiting(move || waiting.upgrade().map_or_else(Vec::new, |g| g.waiting()));
         let settings = &shared.settings;
         let caller_server =
             listen(settings.caller_address, caller_router(&shared, &gateway)).await?;
@@ -92,7 +97,10 @@
             counts: shared.counts(),
         }]);
         let tasks = vec![
+            tokio::spawn(compact::keep(shared.clone())),
+            tokio::spawn(duty::keep(shared.clone())),
             tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(ledger::run(shared.clone())),
             tokio::spawn(maintain::run(shared.clone())),
             tokio::spawn(ship::ship(shared.clone())),
         ];
@@ -120,6 +128,7 @@
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
         self.tasks.iter().for_each(JoinHandle::abort);
+        ledger::hand_back(&self.shared).await;
         ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
--- a/crates/savorypitch/src/command/key.rs
+++ b/crates/savorypitch/src/command/key.rs
@@ -9,6 +9,7 @@
 use crate::client::Client;
 use crate::failure::Failure;
 use crate::output::print_json;
+use crate::output::print_line;
 use crate::output::print_table;
 
 /// Runs a `key` command.
@@ -27,8 +28,8 @@
         print_json(&granted);
         return Ok(());
     }
-    println!("key {}: {}", granted.id, granted.secret);
-    println!("This key is not shown again.");
+    print_line(format_args!("key {}: {}", granted.id, granted.secret));
+    print_line(format_args!("This key is not shown again."));
     report_accepted(&granted.accepted, json);
     Ok(())
 }
