Look a service's hosts up once a planning step

Cause: each wave scanned all hosts of the fleet several times a step.

Change: a layout of services and their hosts, built once a step; the waves' next steps have their own module; the tests' fakes are no test target of their own. Evidence may be a minute old, which the reserve covers, so that the host list need not be read every few seconds.

--- a/crates/maintenance/src/budget.rs
+++ b/crates/maintenance/src/budget.rs
@@ -12,6 +12,7 @@
 use model::HostRow;
 use model::HostState;
 use model::ServiceId;
+use model::contract::Service;
 
 use crate::life::Moment;
 
@@ -82,8 +83,20 @@
         // Hosts of a spare pool serve nobody.
         return Ok(());
     };
-    let unavailable: Vec<Unavailable> = config
-        .hosts_of(contract, &service.name)
+    let hosts = config.hosts_of(contract, &service.name);
+    check_budget(service, hosts, host, absent, reserve, moment)
+}
+
+/// True if `host` may start to drain beside the other `hosts` of its service.
+pub fn check_budget<'a>(
+    service: &Service,
+    hosts: impl Iterator<Item = &'a HostRow>,
+    host: &HostRow,
+    absent: &[HostId],
+    reserve: u32,
+    moment: Moment,
+) -> Result<(), BudgetRefusal> {
+    let unavailable: Vec<Unavailable> = hosts
         .filter(|other| other.id() != host.id())
         .filter(|other| !is_available(other, absent))
         .map(|other| Unavailable {
--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod life;
 pub mod list;
 pub mod round;
+pub mod service;
 pub mod step;
 pub mod wave;
 
--- a/crates/maintenance/src/round.rs
+++ b/crates/maintenance/src/round.rs
@@ -12,10 +12,9 @@
 use crate::advance::advance_host;
 use crate::life::Moment;
 use crate::wave::advance_waves;
-use crate::wave::put_host;
 
 /// Age from which evidence starts nothing new.
-pub const EVIDENCE_MAX: Duration = Duration::from_secs(10);
+pub const EVIDENCE_MAX: Duration = Duration::from_secs(60);
 
 /// Rows that follow from one planning step.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -38,7 +37,7 @@
         hosts.chain(self.waves.iter().cloned().map(ConfigRow::Wave)).collect()
     }
 
-    fn put(&mut self, host: HostRow) {
+    pub(crate) fn put(&mut self, host: HostRow) {
         match self.hosts.binary_search_by(|other| other.id().cmp(host.id())) {
             Ok(index) => self.hosts[index] = host,
             Err(index) => self.hosts.insert(index, host),
@@ -74,3 +73,10 @@
     step.waves = waves.waves;
     step
 }
+
+/// Replaces the row of a host.
+pub(crate) fn put_host(config: &mut Config, row: &HostRow) {
+    if let Ok(index) = config.hosts.binary_search_by(|other| other.id().cmp(row.id())) {
+        config.hosts[index] = row.clone();
+    }
+}
--- a/crates/maintenance/tests/idle.rs
+++ b/crates/maintenance/tests/idle.rs
@@ -7,6 +7,7 @@
 use model::contract::parse_contract;
 use rstest::rstest;
 
+#[path = "support/fake.rs"]
 mod support;
 
 fn report(config_version: u64, running: u32) -> NodeReport {
