--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod fault;
 pub mod faulty_table;
 pub mod fleet;
 pub mod load;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -92,8 +92,7 @@
 withdrawn_secret=
 while read -r holder; do
     granted=$(operate 1 key grant "$holder" | head -n 1)
-    id=$(cut -d' ' -f2 <<<"$granted" | tr -d :)
-    secret=$(cut -d' ' -f3 <<<"$granted")
+    read -r _ id secret <<<"${granted/:/}"
     echo "$holder $secret" >>"$OUT/keys"
     if [ "$holder" = "$WITHDRAWN" ]; then
         withdrawn_id=$id
