--- a/crates/control/src/write.rs
+++ b/crates/control/src/write.rs
@@ -76,7 +76,7 @@
     }
 
     /// Accepts a contract; `seen` is the version that the operator decided on, if it matters.
-    pub async fn apply_contract(
+    pub async fn apply_contract_as(
         &self,
         table: &dyn Table,
         operation: &Operation,
@@ -88,7 +88,7 @@
     }
 
     /// Grants a key; returns its secret and the version.
-    pub async fn grant(
+    pub async fn grant_as(
         &self,
         table: &dyn Table,
         operation: &Operation,
@@ -112,7 +112,7 @@
     }
 
     /// Withdraws a key for good.
-    pub async fn withdraw(
+    pub async fn withdraw_as(
         &self,
         table: &dyn Table,
         operation: &Operation,
@@ -131,6 +131,34 @@
         Ok(self.operate(table, operation, None, decide).await?.version)
     }
 
+    /// As [`Self::apply_contract_as`], in the name of this writer.
+    pub async fn apply_contract(
+        &self,
+        table: &dyn Table,
+        contract: Contract,
+        seen: Option<ConfigVersion>,
+    ) -> Result<ConfigVersion, ChangeError> {
+        self.apply_contract_as(table, &self.operation(), contract, seen).await
+    }
+
+    /// As [`Self::grant_as`], in the name of this writer.
+    pub async fn grant(
+        &self,
+        table: &dyn Table,
+        holder: KeyHolder,
+    ) -> Result<(String, ConfigVersion), ChangeError> {
+        self.grant_as(table, &self.operation(), holder).await
+    }
+
+    /// As [`Self::withdraw_as`], in the name of this writer.
+    pub async fn withdraw(
+        &self,
+        table: &dyn Table,
+        key_id: &str,
+    ) -> Result<ConfigVersion, ChangeError> {
+        self.withdraw_as(table, &self.operation(), key_id).await
+    }
+
     /// Replaces a host's row, if it is still at the epoch before.
     pub async fn put_host(
         &self,
@@ -170,7 +198,7 @@
             return Err(ChangeError::Conflict);
         }
         let rows = decide(&latest.config)?;
-        let operation = Operation::new(self.author.clone());
+        let operation = self.operation();
         self.commit(table, &operation, &latest, rows, fences).await
     }
 
@@ -221,6 +249,10 @@
         Some(Resolved::InForce(version))
     }
 
+    fn operation(&self) -> Operation {
+        Operation::new(self.author.clone())
+    }
+
     async fn latest(&self, table: &dyn Table) -> Result<Latest, Unavailable> {
         let mut held = self.held.read().expect("no holder panics").clone();
         loop {
--- a/crates/control/tests/contracts.rs
+++ b/crates/control/tests/contracts.rs
@@ -67,7 +67,7 @@
 
     async fn apply(&self, text: &str) -> Result<u64, ChangeError> {
         let contract = parse_contract("levy.toml", text).unwrap();
-        self.writer.apply_contract(&self.table, &Operation::new("anna"), contract, None).await
+        self.writer.apply_contract_as(&self.table, &Operation::new("anna"), contract, None).await
     }
 
     async fn set_state(&self, id: &str, state: HostState) {
@@ -134,9 +134,9 @@
     let fixture = Fixture::new().await;
     let holder = KeyHolder::Team(TeamRef::new("levy", "verifiers"));
     let grant = Operation::new("anna");
-    let granted = fixture.writer.grant(&fixture.table, &grant, holder.clone()).await;
+    let granted = fixture.writer.grant_as(&fixture.table, &grant, holder.clone()).await;
     let (secret, _) = granted.unwrap();
-    let repeat = fixture.writer.grant(&fixture.table, &grant, holder).await;
+    let repeat = fixture.writer.grant_as(&fixture.table, &grant, holder).await;
     assert!(matches!(repeat, Err(ChangeError::Invalid { .. })), "{repeat:?}");
 
     let text = WHOLE
@@ -156,9 +156,9 @@
     let seen = Some(1);
     let table = &fixture.table;
     let anna = Operation::new("anna");
-    fixture.writer.apply_contract(table, &anna, contract.clone(), seen).await.unwrap();
+    fixture.writer.apply_contract_as(table, &anna, contract.clone(), seen).await.unwrap();
     let ben = Operation::new("ben");
-    let raced = fixture.writer.apply_contract(table, &ben, contract, seen).await.unwrap_err();
+    let raced = fixture.writer.apply_contract_as(table, &ben, contract, seen).await.unwrap_err();
     assert_eq!(
         raced.to_string(),
         "version 1 is no longer in force: version 2 by anna changed contract/levy"
--- a/crates/control/tests/races.rs
+++ b/crates/control/tests/races.rs
@@ -106,10 +106,10 @@
         };
         let operation = Operation::new(format!("operator {operator}"));
         let wanted = contract(rng.random_range(1..100));
-        let mut answer = writer.apply_contract(&*table, &operation, wanted.clone(), seen).await;
+        let mut answer = writer.apply_contract_as(&*table, &operation, wanted.clone(), seen).await;
         if rng.random_bool(0.3) && answer.is_ok() {
             // A repeat under the same id, as after an answer that the operator did not get.
-            let again = writer.apply_contract(&*table, &operation, wanted, seen).await;
+            let again = writer.apply_contract_as(&*table, &operation, wanted, seen).await;
             answer = if again.is_ok() { again } else { answer };
         }
         let in_force = match answer {
--- a/crates/node/src/admin/keys.rs
+++ b/crates/node/src/admin/keys.rs
@@ -35,7 +35,7 @@
 ) -> Result<Json<api::GrantedKey>, AdminError> {
     let holder = call.holder.to_string();
     let table = &*shared.platform.table;
-    let (secret, version) = shared.writer.grant(table, &operation, call.holder).await?;
+    let (secret, version) = shared.writer.grant_as(table, &operation, call.holder).await?;
     let id = model::KeyId::from(&hash_key(&secret)[..12]);
     shared.events.record(EventKind::KeyGranted { key: id.clone(), holder }, SystemTime::now());
     let accepted = accepted(&shared, version).await;
@@ -47,7 +47,7 @@
     Extension(operation): Extension<Operation>,
     Path(id): Path<String>,
 ) -> Result<Json<api::Accepted>, AdminError> {
-    let version = shared.writer.withdraw(&*shared.platform.table, &operation, &id).await?;
+    let version = shared.writer.withdraw_as(&*shared.platform.table, &operation, &id).await?;
     shared.events.record(EventKind::KeyWithdrawn { key: id.into() }, SystemTime::now());
     Ok(Json(accepted(&shared, version).await))
 }
