--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -44,9 +44,10 @@
 }
 
 /// Why an exchange brought no answer.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
     /// No byte of the request was sent; here it is back.
+    #[error("the request was not sent: {reason}")]
     NotSent {
         /// The request.
         request: Box<Request<OutboundBody>>,
@@ -54,6 +55,7 @@
         reason: String,
     },
     /// Some of the request was sent.
+    #[error("the connection ended without an answer: {0}")]
     NoAnswer(hyper::Error),
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -324,9 +324,7 @@
                 let detail = "the connection went silent and the request is no longer running";
                 (StatusCode::BAD_GATEWAY, detail.to_owned())
             }
-            (None, NoHead::Exchange(error)) => {
-                (StatusCode::BAD_GATEWAY, format!("the backend server gave no answer: {error:?}"))
-            }
+            (None, NoHead::Exchange(error)) => (StatusCode::BAD_GATEWAY, error.to_string()),
         };
         Box::new(Self {
             failure: AttemptFailure::NoAnswer,
--- a/crates/node/tests/common/cell.rs
+++ b/crates/node/tests/common/cell.rs
@@ -197,7 +197,7 @@
     }
 }
 
-fn settings(plan: &Plan, index: u32) -> Settings {
+pub fn settings(plan: &Plan, index: u32) -> Settings {
     Settings {
         node: format!("n{index}").into(),
         zone: "a".into(),
--- /dev/null
+++ b/crates/node/tests/sessions.rs
@@ -0,0 +1,232 @@
+//! Golden files: a whole session of callers and operators at each cluster, with the example contracts.
+//!
+//! `sessions/NAME.session` is replayed against one node; what callers saw, what the backend servers
+//! ran and which state changes the node recorded is compared with `sessions/NAME.golden`. Ids are
+//! numbered in the order of their appearance. `SAVORYPITCH_REGENERATE=1` writes the golden files anew.
+
+#[path = "common/cell.rs"]
+mod cell;
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use model::TeamRef;
+use model::key::KeyHolder;
+use node::Node;
+use node::Platform;
+use node::api;
+use rstest::rstest;
+use standin::backend::StandinBackend;
+use standin::caller::call;
+use standin::platform_server::Faults;
+use standin::platform_server::StandinPlatform;
+
+use crate::cell::Plan;
+use crate::cell::admin;
+
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Headers that callers rely on.
+const HEADERS: [&str; 3] = ["savorypitch-outcome", "savorypitch-request-id", "retry-after"];
+/// State changes of the path.
+const KINDS: [&str; 7] = [
+    "contract-applied",
+    "key-granted",
+    "key-withdrawn",
+    "request-unknown",
+    "backend-silent",
+    "token-in-doubt",
+    "token-freed",
+];
+const ID_LENGTH: usize = 32;
+
+struct Session {
+    customer: &'static str,
+    node: Node,
+    platform: Arc<StandinPlatform>,
+    backend: Arc<StandinBackend>,
+    /// Last key of each team, by its public name and its secret.
+    keys: Vec<(String, api::GrantedKey)>,
+    ids: Vec<String>,
+    seen: String,
+}
+
+#[rstest]
+#[tokio::test]
+async fn session_is_as_recorded(#[values("levy", "studio")] customer: &'static str) {
+    let files = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/sessions");
+    let script = std::fs::read_to_string(files.join(format!("{customer}.session"))).unwrap();
+    let mut session = Session::start(customer).await;
+    for line in script.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
+        session.step(line).await;
+    }
+    let seen = session.end().await;
+    let golden = files.join(format!("{customer}.golden"));
+    if std::env::var_os("SAVORYPITCH_REGENERATE").is_some() {
+        std::fs::write(&golden, &seen).unwrap();
+    }
+    let expected = std::fs::read_to_string(&golden).unwrap();
+    for (number, (seen, expected)) in seen.lines().zip(expected.lines()).enumerate() {
+        assert_eq!(seen, expected, "line {} of {}", number + 1, golden.display());
+    }
+    assert_eq!(seen.lines().count(), expected.lines().count());
+}
+
+impl Session {
+    async fn start(customer: &'static str) -> Self {
+        let platform = Arc::new(StandinPlatform::default());
+        let (platform_address, _) =
+            standin::platform_server::serve(platform.clone(), ANY_PORT).await.unwrap();
+        let backend = Arc::new(StandinBackend::default());
+        let remote = Platform::remote(platform_address, Duration::from_secs(5));
+        let node = Node::start(cell::settings(&Plan::default(), 0), remote).await.unwrap();
+        let text = contract(customer, &backend).await;
+        let source = format!("{customer}.toml");
+        let apply = api::ApplyContract { source, text, seen: None };
+        let _: api::Accepted = admin(&node, Method::POST, "/contracts", &apply).await;
+        let (keys, ids, seen) = (Vec::new(), Vec::new(), String::new());
+        Self { customer, node, platform, backend, keys, ids, seen }
+    }
+
+    async fn step(&mut self, line: &str) {
+        writeln!(self.seen, "> {line}").unwrap();
+        let (verb, rest) = line.split_once(' ').unwrap();
+        match verb {
+            "grant" => self.grant(rest).await,
+            "withdraw" => self.withdraw(rest).await,
+            "table" => self.platform.set_faults(faults(rest)),
+            "send" => self.send(rest).await,
+            _ => panic!("unknown step: {line}"),
+        }
+    }
+
+    async fn grant(&mut self, team: &str) {
+        let holder = KeyHolder::Team(TeamRef::new(self.customer, team));
+        let grant = api::GrantKey { holder };
+        let key = admin(&self.node, Method::POST, "/keys", &grant).await;
+        self.keys.retain(|(other, _)| other != team);
+        self.keys.push((team.to_owned(), key));
+    }
+
+    async fn withdraw(&mut self, team: &str) {
+        let path = format!("/keys/{}", self.key_of(team).id);
+        let _: api::Accepted = admin(&self.node, Method::DELETE, &path, &()).await;
+    }
+
+    async fn send(&mut self, step: &str) {
+        let (head, body) = step.split_once(" | ").unwrap_or((step, ""));
+        let mut words = head.split(' ');
+        let team = words.next().unwrap();
+        let method: Method = words.next().unwrap().parse().unwrap();
+        let target = words.next().unwrap_or_default();
+        let path = format!("/q/{target}");
+        let authorization = match team {
+            "-" => None,
+            "!" => Some("Bearer spk_nobody".to_owned()),
+            team => Some(format!("Bearer {}", self.key_of(team).secret)),
+        };
+        let job = format!("{method} {target}");
+        let mut headers = vec![("standin-job", &*job)];
+        headers.extend(authorization.as_deref().map(|value| ("authorization", value)));
+        headers.extend(words.filter_map(|word| word.split_once('=')));
+        let address = self.node.caller_address;
+        match call(address, method, &path, &headers, body.to_owned()).await {
+            Ok(answer) => {
+                writeln!(self.seen, "< {}", answer.status).unwrap();
+                for name in HEADERS.into_iter().filter(|name| !answer.header(name).is_empty()) {
+                    let value = self.numbered(answer.header(name));
+                    writeln!(self.seen, "< {name}: {value}").unwrap();
+                }
+                if !answer.body.is_empty() {
+                    let body = self.numbered(&String::from_utf8_lossy(&answer.body));
+                    writeln!(self.seen, "< {body}").unwrap();
+                }
+            }
+            Err(_) => writeln!(self.seen, "< the answer was cut").unwrap(),
+        }
+    }
+
+    async fn end(mut self) -> String {
+        self.wait_until_free().await;
+        writeln!(self.seen, "\nruns").unwrap();
+        for runs in self.backend.seen().runs {
+            writeln!(self.seen, "{} {}", runs.count, runs.job).unwrap();
+        }
+        let timeline: serde_json::Value = admin(&self.node, Method::GET, "/timeline", &()).await;
+        let timeline = timeline.to_string();
+        writeln!(self.seen, "\nstate changes").unwrap();
+        for kind in KINDS {
+            let count = timeline.matches(&format!("\"{kind}\"")).count();
+            writeln!(self.seen, "{count} {kind}").unwrap();
+        }
+        let stopped = self.node.stop(Duration::ZERO, Duration::from_secs(10)).await;
+        writeln!(self.seen, "\nstopped gracefully: {}", stopped.graceful).unwrap();
+        self.seen
+    }
+
+    async fn wait_until_free(&self) {
+        let waited = tokio::time::timeout(Duration::from_secs(20), async {
+            loop {
+                let hosts: Vec<api::HostView> = admin(&self.node, Method::GET, "/hosts", &()).await;
+                if hosts.iter().all(|host| host.in_doubt == 0 && host.running == 0) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+        waited.await.expect("all slots become free");
+    }
+
+    fn key_of(&self, team: &str) -> &api::GrantedKey {
+        let found = self.keys.iter().find(|(other, _)| other == team);
+        &found.expect("the session granted a key").1
+    }
+
+    /// Replaces each id by its number.
+    fn numbered(&mut self, text: &str) -> String {
+        let is_part = |c: char| c.is_ascii_hexdigit();
+        let mut out = String::new();
+        for part in text.split_inclusive(|c: char| !is_part(c)) {
+            let word = part.trim_end_matches(|c: char| !is_part(c));
+            if word.len() != ID_LENGTH {
+                out.push_str(part);
+                continue;
+            }
+            let known = self.ids.iter().position(|id| id == word);
+            let number = known.unwrap_or_else(|| {
+                self.ids.push(word.to_owned());
+                self.ids.len() - 1
+            });
+            write!(out, "id-{number}{}", &part[word.len()..]).unwrap();
+        }
+        out
+    }
+}
+
+fn faults(state: &str) -> Faults {
+    match state {
+        "down" => Faults { down: true, ..Faults::default() },
+        "lose" => Faults { lose_answers: 1, ..Faults::default() },
+        _ => Faults::default(),
+    }
+}
+
+/// The example contract, with a stand-in backend server for each of its hosts.
+async fn contract(customer: &str, backend: &Arc<StandinBackend>) -> String {
+    let examples = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let text = std::fs::read_to_string(examples.join(format!("{customer}.toml"))).unwrap();
+    let mut lines = Vec::new();
+    for line in text.lines() {
+        if !line.starts_with("address = ") {
+            lines.push(line.to_owned());
+            continue;
+        }
+        let (address, _) = standin::backend::serve(backend.clone(), ANY_PORT).await.unwrap();
+        lines.push(format!("address = \"{address}\""));
+    }
+    lines.join("\n")
+}
