--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -13,10 +13,12 @@
 use crate::contract::Team;
 use crate::host::HostRow;
 use crate::ids::ConfigVersion;
+use crate::ids::OperationId;
 use crate::ids::TeamRef;
 use crate::key::KeyRow;
 use crate::key::KeyState;
 use crate::key::hash_key;
+use crate::wave::WaveRow;
 
 /// One row of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +30,10 @@
     Key(KeyRow),
     /// Host.
     Host(HostRow),
+    /// Maintenance wave.
+    Wave(WaveRow),
+    /// No row of this name any more.
+    Removed(String),
 }
 
 impl ConfigRow {
@@ -37,6 +43,8 @@
             Self::Contract(contract) => format!("contract/{}", contract.customer),
             Self::Key(key) => format!("key/{}", key.id),
             Self::Host(host) => format!("host/{}", host.id()),
+            Self::Wave(wave) => format!("wave/{}", wave.id),
+            Self::Removed(name) => name.clone(),
         }
     }
 }
@@ -48,8 +56,20 @@
     pub version: ConfigVersion,
     /// Rows that replace those of the same name.
     pub rows: Vec<ConfigRow>,
+    /// Who made the change.
+    #[serde(default)]
+    pub author: String,
+    /// Operation that made it.
+    #[serde(default)]
+    pub operation_id: Option<OperationId>,
+    /// Digest of the configuration after it.
+    #[serde(default)]
+    pub digest: Option<Digest>,
 }
 
+/// BLAKE3 hash of a configuration, in hexadecimal.
+pub type Digest = String;
+
 /// Why a change could not be applied to a snapshot.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("change {found} does not follow version {held}")]
@@ -71,6 +91,9 @@
     pub keys: Vec<KeyRow>,
     /// Hosts, sorted by id.
     pub hosts: Vec<HostRow>,
+    /// Maintenance waves, sorted by id.
+    #[serde(default)]
+    pub waves: Vec<WaveRow>,
 }
 
 impl Config {
@@ -105,6 +128,12 @@
         Some(&self.hosts[index])
     }
 
+    /// Maintenance wave by id.
+    pub fn wave(&self, id: &str) -> Option<&WaveRow> {
+        let index = self.waves.binary_search_by(|wave| (*wave.id).cmp(id)).ok()?;
+        Some(&self.waves[index])
+    }
+
     /// Granted key whose secret text is `secret`.
     pub fn granted_key(&self, secret: &str) -> Option<&KeyRow> {
         let hash = hash_key(secret);
@@ -158,7 +187,20 @@
         let contracts = self.contracts.iter().cloned().map(ConfigRow::Contract);
         let keys = self.keys.iter().cloned().map(ConfigRow::Key);
         let hosts = self.hosts.iter().cloned().map(ConfigRow::Host);
-        contracts.chain(keys).chain(hosts).collect()
+        let waves = self.waves.iter().cloned().map(ConfigRow::Wave);
+        contracts.chain(keys).chain(hosts).chain(waves).collect()
+    }
+
+    /// Digest of all rows and the version.
+    pub fn digest(&self) -> Digest {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.version.to_le_bytes());
+        for row in self.rows() {
+            let bytes = serde_json::to_vec(&row).expect("rows have string keys only");
+            hasher.update(&(bytes.len() as u64).to_le_bytes());
+            hasher.update(&bytes);
+        }
+        hasher.finalize().to_hex().to_string()
     }
 
     fn replace(&mut self, rows: Vec<ConfigRow>) {
@@ -169,9 +211,24 @@
                 }
                 ConfigRow::Key(key) => put(&mut self.keys, key, |k| k.hash.clone()),
                 ConfigRow::Host(host) => put(&mut self.hosts, host, |h| h.id().to_string()),
+                ConfigRow::Wave(wave) => put(&mut self.waves, wave, |w| w.id.to_string()),
+                ConfigRow::Removed(name) => self.remove(&name),
             }
         }
     }
+
+    fn remove(&mut self, name: &str) {
+        let Some((kind, id)) = name.split_once('/') else {
+            return;
+        };
+        match kind {
+            "contract" => self.contracts.retain(|contract| *contract.customer != *id),
+            "key" => self.keys.retain(|key| *key.id != *id),
+            "host" => self.hosts.retain(|host| **host.id() != *id),
+            "wave" => self.waves.retain(|wave| *wave.id != *id),
+            _ => {}
+        }
+    }
 }
 
 /// Replaces the item with the same sort key, or inserts it in order.
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -12,15 +12,21 @@
 use model::PoolId;
 use model::QueueId;
 use model::ServiceId;
+use model::StopReason;
 use model::TeamRef;
+use model::WaveId;
+use model::WaveState;
 use model::ZoneId;
 use model::key::KeyHolder;
 use model::key::KeyState;
+use model::wave::WaveHost;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// Prefix of all paths of the operators' interface.
 pub const PREFIX: &str = "/admin/v1";
+/// Header with the id of an operation; a repeat under the same id changes nothing.
+pub const OPERATION_ID: &str = "savorypitch-operation-id";
 
 /// `POST /contracts`: a contract to check and accept.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -99,6 +105,9 @@
     pub zone: ZoneId,
     /// Step of its life cycle.
     pub state: HostState,
+    /// Why it takes no work.
+    #[serde(default)]
+    pub reason: Option<StopReason>,
     /// Pool that it moves to.
     pub move_to: Option<PoolId>,
     /// Requests that this node has running there.
@@ -107,6 +116,40 @@
     pub in_doubt: u32,
 }
 
+/// `POST /hosts/{id}/move`: the pool to move a host to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MoveHost {
+    /// Pool.
+    pub pool: PoolId,
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WaveView {
+    /// Name; that of its pool.
+    pub id: WaveId,
+    /// Number of the wave among those of its pool.
+    pub round: u32,
+    /// Customer.
+    pub customer: CustomerId,
+    /// What it does.
+    pub state: WaveState,
+    /// Hosts whose turn has not begun.
+    pub waiting: usize,
+    /// Hosts in work.
+    pub started: usize,
+    /// Hosts rebooted and serving again.
+    pub done: usize,
+    /// Hosts that did not return.
+    pub failed: usize,
+    /// When every host must have had its turn, in milliseconds since the Unix epoch.
+    pub deadline_ms: u64,
+    /// Part of the time left that the wave still needs; above 1 it will be late.
+    pub pressure: f64,
+    /// Hosts in the order of their turns.
+    pub hosts: Vec<WaveHost>,
+}
+
 /// A team.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TeamView {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,10 +6,15 @@
 pub mod api;
 
 mod admin;
+mod compact;
+mod duty;
 mod follower;
+mod ledger;
+mod maintain;
 mod run;
 mod settings;
 mod shared;
+mod ship;
 
 pub use run::Node;
 pub use run::StartError;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -21,10 +21,15 @@
 use tokio::task::JoinHandle;
 
 use crate::admin;
+use crate::compact;
+use crate::duty;
 use crate::follower;
+use crate::ledger;
+use crate::maintain;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::ship;
 
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
@@ -56,9 +61,10 @@
     /// Address for operators.
     pub admin_address: SocketAddr,
     shared: Arc<Shared>,
+    gateway: Arc<Gateway>,
     caller_server: Server,
     admin_server: Server,
-    follower: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Node {
@@ -70,11 +76,15 @@
         let events = Arc::new(Recorder::new(settings.node.clone(), incarnation));
         let telemetry = Telemetry::new(settings.metrics_address).map_err(StartError::Metrics)?;
         events.record(EventKind::NodeStarted, started_at);
-        let shared = Arc::new(Shared::new(settings, platform, events, telemetry));
+        let shared = Arc::new(Shared::new(settings, platform, events, telemetry, incarnation));
         follower::poll_once(&shared).await;
 
+        let gateway = start_gateway(&shared);
+        let waiting = Arc::downgrade(&gateway);
+        shared.set_waiting(move || waiting.upgrade().map_or_else(Vec::new, |g| g.waiting()));
         let settings = &shared.settings;
-        let caller_server = listen(settings.caller_address, caller_router(&shared)).await?;
+        let caller_server =
+            listen(settings.caller_address, caller_router(&shared, &gateway)).await?;
         let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
         shared.set_members(vec![MemberView {
             node: settings.node.clone(),
@@ -86,27 +96,40 @@
             alive: true,
             counts: shared.counts(),
         }]);
-        let follower = tokio::spawn(follower::follow(shared.clone()));
+        let tasks = vec![
+            tokio::spawn(compact::keep(shared.clone())),
+            tokio::spawn(duty::keep(shared.clone())),
+            tokio::spawn(follower::follow(shared.clone())),
+            tokio::spawn(ledger::run(shared.clone())),
+            tokio::spawn(maintain::run(shared.clone())),
+            tokio::spawn(ship::ship(shared.clone())),
+        ];
         Ok(Self {
             caller_address: caller_server.address,
             admin_address: admin_server.address,
             shared,
+            gateway,
             caller_server,
             admin_server,
-            follower,
+            tasks,
         })
     }
 
-    /// Refuses new work, waits `notice` so that the balancer sees it, then ends what runs.
+    /// Turns readiness off, serves on for `notice` so that the balancer sees it, closes the
+    /// listener, and waits at most `grace` for what runs.
     pub async fn stop(self, notice: Duration, grace: Duration) -> Stopped {
         let record = |kind| self.shared.events.record(kind, SystemTime::now());
         self.shared.begin_stop();
+        self.gateway.begin_stop();
         record(EventKind::NodeStopping { running: 0 });
         tokio::time::sleep(notice).await;
-        let graceful = self.caller_server.stop(grace).await;
+        let answered = self.caller_server.stop(grace).await;
+        let graceful = self.gateway.finish_running(grace).await && answered;
         record(EventKind::NodeStopped { cut: u32::from(!graceful) });
         self.admin_server.stop(Duration::ZERO).await;
-        self.follower.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        ledger::hand_back(&self.shared).await;
+        ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
 }
@@ -115,21 +138,24 @@
     gateway::serve(address, router).await.map_err(|source| StartError::Listen { address, source })
 }
 
-fn caller_router(shared: &Arc<Shared>) -> Router {
-    let gateway = Arc::new(Gateway::new(
-        shared.clone(),
-        shared.limits.clone(),
-        shared.events.clone(),
-        shared.telemetry.clone(),
-        shared.settings.gateway.clone(),
-    ));
+fn start_gateway(shared: &Arc<Shared>) -> Arc<Gateway> {
+    Gateway::start(gateway::Parts {
+        authority: shared.clone(),
+        limits: shared.limits.clone(),
+        events: shared.events.clone(),
+        telemetry: shared.telemetry.clone(),
+        table: shared.platform.table.clone(),
+        objects: shared.platform.objects.clone(),
+        settings: shared.settings.gateway.clone(),
+    })
+}
+
+fn caller_router(shared: &Arc<Shared>, gateway: &Arc<Gateway>) -> Router {
+    let gateway = gateway.clone();
     Router::new()
         .route("/healthz", get(|| async { "ok" }))
         .route("/readyz", get(ready).with_state(shared.clone()))
-        .fallback(move |request: Request| {
-            let gateway = gateway.clone();
-            async move { gateway.handle(request).await }
-        })
+        .fallback(move |request: Request| gateway.clone().handle(request))
 }
 
 async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -54,16 +54,24 @@
     /// Show queues.
     #[command(subcommand)]
     Queue(QueueCommand),
-    /// Show hosts.
+    /// Show, drain, move and return hosts.
     #[command(subcommand)]
     Host(HostCommand),
+    /// Plan, start, pause and show maintenance waves.
+    #[command(subcommand)]
+    Wave(WaveCommand),
     /// Show teams and their limits.
     #[command(subcommand)]
     Team(TeamCommand),
+    /// Tell what became of a change whose outcome was unknown; gives it up if it is not in force.
+    Operation {
+        /// Id of the operation, as shown with the unknown outcome.
+        id: String,
+    },
     /// Show the state of a node.
     Status,
-    /// Show the time line of events.
-    Timeline,
+    /// Show the time line of events of all nodes, also of those that are gone.
+    Timeline(TimelineArgs),
     /// Print shell completions.
     Completions {
         /// Shell to print them for.
@@ -178,6 +186,45 @@
 pub enum HostCommand {
     /// List the hosts.
     List,
+    /// Move a host to another pool of its customer; it is drained first.
+    Move {
+        /// Host.
+        host: String,
+        /// Pool.
+        pool: String,
+    },
+    /// Drain a host; it stays out of service until it is returned.
+    Drain {
+        /// Host.
+        host: String,
+    },
+    /// Return a drained or failed host to its pool, or cancel its drain or move.
+    Return {
+        /// Host.
+        host: String,
+    },
+}
+
+/// `wave` commands.
+#[derive(Subcommand)]
+pub enum WaveCommand {
+    /// Plan a wave over all hosts of a pool; it starts nothing yet.
+    Plan {
+        /// Pool.
+        pool: String,
+    },
+    /// Start a planned wave, or let a paused or halted one go on.
+    Start {
+        /// Pool.
+        pool: String,
+    },
+    /// Pause a wave; hosts in work are finished.
+    Pause {
+        /// Pool.
+        pool: String,
+    },
+    /// List the waves.
+    List,
 }
 
 /// `team` commands.
@@ -186,3 +233,35 @@
     /// List the teams.
     List,
 }
+
+/// Filters and forms of `timeline`.
+#[derive(ClapArgs)]
+pub struct TimelineArgs {
+    /// Only events of this request.
+    #[arg(long)]
+    pub request: Option<String>,
+    /// Only events of this team, as in `levy/verifiers`.
+    #[arg(long)]
+    pub team: Option<String>,
+    /// Only events of this host.
+    #[arg(long)]
+    pub host: Option<String>,
+    /// Only events that this node saw.
+    #[arg(long)]
+    pub seen_by: Option<String>,
+    /// Only events of this kind, as in `host-step`.
+    #[arg(long)]
+    pub kind: Option<String>,
+    /// Only events from this time on, in milliseconds since the Unix epoch.
+    #[arg(long)]
+    pub since_ms: Option<u64>,
+    /// Only events up to this time, in milliseconds since the Unix epoch.
+    #[arg(long)]
+    pub until_ms: Option<u64>,
+    /// Go on showing events as they come.
+    #[arg(long, conflicts_with = "html")]
+    pub follow: bool,
+    /// Write a picture to this file; any browser opens it offline.
+    #[arg(long)]
+    pub html: Option<PathBuf>,
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,4 +5,8 @@
 
 pub mod backend;
 pub mod caller;
+pub mod fault;
+pub mod faulty_table;
+pub mod fleet;
+pub mod load;
 pub mod platform_server;
