Run the membership at each node: proofs, take-over, leave, configuration from peers

Cause: nodes did not know of each other; a node that was cut off went on forever. Duties can begin a new run. is_member_gone now rests on take-overs: a later run alone does not show that the earlier one has ended.

--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -8,6 +8,7 @@
 
 use events::EventKind;
 use events::Recorder;
+use model::Incarnation;
 use model::NodeId;
 use platform::Committer;
 use platform::Precondition;
@@ -45,7 +46,7 @@
 
 /// Duties of one node.
 pub struct Duties {
-    me: Holder,
+    me: Mutex<Holder>,
     table: Arc<dyn Table>,
     events: Arc<Recorder>,
     committer: Committer,
@@ -62,7 +63,19 @@
 impl Duties {
     /// Holds nothing yet.
     pub fn new(me: Holder, table: Arc<dyn Table>, events: Arc<Recorder>) -> Self {
-        Self { me, table, events, committer: Committer::default(), held: Mutex::default() }
+        Self {
+            me: Mutex::new(me),
+            table,
+            events,
+            committer: Committer::default(),
+            held: Mutex::default(),
+        }
+    }
+
+    /// Begins a new run of the node; it holds no duty yet.
+    pub fn begin_run(&self, incarnation: Incarnation) {
+        self.me.lock().expect("no holder panics").incarnation = incarnation;
+        self.held.lock().expect("no holder panics").clear();
     }
 
     /// The duty, if this node holds it and may act on it.
@@ -114,15 +127,16 @@
         members: &dyn Members,
     ) -> Vec<Planned> {
         let live = members.live();
+        let me = self.me.lock().expect("no holder panics").clone();
         let mut planned = Vec::new();
         for name in wanted {
             let key = duty_key(name);
             let index = rows.binary_search_by(|(row, _)| row.key.as_str().cmp(&key));
             let found = index.ok().map(|index| &rows[index]);
             let duty_row = found.map(|(_, duty_row)| duty_row);
-            let step = decide(name, duty_row, &self.me, &live, |holder| members.is_gone(holder));
+            let step = decide(name, duty_row, &me, &live, |holder| members.is_gone(holder));
             let value = match step {
-                Step::Take { epoch } => DutyRow { holder: Some(self.me.clone()), epoch },
+                Step::Take { epoch } => DutyRow { holder: Some(me.clone()), epoch },
                 Step::GiveUp { epoch } => DutyRow { holder: None, epoch },
                 Step::Leave => continue,
             };
@@ -149,9 +163,10 @@
 
     /// Keeps what the table says that this node holds, and records what changed.
     fn keep(&self, rows: &[(Row, DutyRow)]) {
+        let me = self.me.lock().expect("no holder panics").clone();
         let now_held: Vec<Duty> = rows
             .iter()
-            .filter(|(_, value)| value.holder.as_ref() == Some(&self.me))
+            .filter(|(_, value)| value.holder.as_ref() == Some(&me))
             .map(|(row, value)| Duty {
                 name: row.key[DUTY_PREFIX.len()..].to_owned(),
                 epoch: value.epoch,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -17,6 +18,7 @@
 use gateway::Server;
 use http::StatusCode;
 use membership::MemberView;
+use model::Incarnation;
 use telemetry::Telemetry;
 use tokio::task::JoinHandle;
 
@@ -26,6 +28,8 @@
 use crate::follower;
 use crate::ledger;
 use crate::maintain;
+use crate::members;
+use crate::members::Members;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -42,6 +46,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Peers could not be listened for.
+    #[error(transparent)]
+    Peers(#[from] wire::LinkError),
     /// Metrics could not be set up.
     #[error("cannot send metrics: {0}")]
     Metrics(std::io::Error),
@@ -64,6 +71,7 @@
     gateway: Arc<Gateway>,
     caller_server: Server,
     admin_server: Server,
+    members: Option<Members>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -72,7 +80,9 @@
     pub async fn start(settings: Settings, platform: Platform) -> Result<Self, StartError> {
         let started_at = SystemTime::now();
         let since_epoch = started_at.duration_since(UNIX_EPOCH).unwrap_or_default();
-        let incarnation = since_epoch.as_millis() as u64;
+        let listening = members::listen(&settings)?;
+        let wall_ms = since_epoch.as_millis() as u64;
+        let incarnation = members::allocate(&settings, &platform, wall_ms).await;
         let events = Arc::new(Recorder::new(settings.node.clone(), incarnation));
         let telemetry = Telemetry::new(settings.metrics_address).map_err(StartError::Metrics)?;
         events.record(EventKind::NodeStarted, started_at);
@@ -86,7 +96,7 @@
         let caller_server =
             listen(settings.caller_address, caller_router(&shared, &gateway)).await?;
         let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
-        shared.set_members(vec![MemberView {
+        let own = MemberView {
             node: settings.node.clone(),
             incarnation,
             zone: settings.zone.clone(),
@@ -95,7 +105,12 @@
             config_version: shared.config().version,
             alive: true,
             counts: shared.counts(),
-        }]);
+        };
+        shared.set_members(vec![own.clone()]);
+        let members = match (listening, settings.peering.clone()) {
+            (Some(listening), Some(peering)) => Some(listening.start(shared.clone(), peering, own)),
+            _ => None,
+        };
         let tasks = vec![
             tokio::spawn(compact::keep(shared.clone())),
             tokio::spawn(duty::keep(shared.clone())),
@@ -111,10 +126,26 @@
             gateway,
             caller_server,
             admin_server,
+            members,
             tasks,
         })
     }
 
+    /// True if what a run of another node held may be taken.
+    pub fn is_member_gone(&self, node: &str, incarnation: Incarnation) -> bool {
+        self.shared.is_member_gone(&node.into(), incarnation)
+    }
+
+    /// Ends at once and says nothing, as a process that failed.
+    pub async fn fail(self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+        if let Some(members) = self.members {
+            members.abort();
+        }
+        self.admin_server.stop(Duration::ZERO).await;
+        self.caller_server.stop(Duration::ZERO).await;
+    }
+
     /// Turns readiness off, serves on for `notice` so that the balancer sees it, closes the
     /// listener, and waits at most `grace` for what runs.
     pub async fn stop(self, notice: Duration, grace: Duration) -> Stopped {
@@ -129,6 +160,9 @@
         self.admin_server.stop(Duration::ZERO).await;
         self.tasks.iter().for_each(JoinHandle::abort);
         ledger::hand_back(&self.shared).await;
+        if let Some(members) = self.members {
+            members.leave().await;
+        }
         ship::ship_rest(&self.shared).await;
         Stopped { graceful }
     }
@@ -159,6 +193,7 @@
 }
 
 async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
-    let ready = !shared.is_stopping() && shared.config().version > 0;
+    let admits = shared.may_admit(Instant::now());
+    let ready = !shared.is_stopping() && admits && shared.config().version > 0;
     if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use gateway::GatewaySettings;
+use membership::MemberEntry;
 use model::NodeId;
 use model::ZoneId;
 use model::key::KeyHash;
@@ -15,6 +16,7 @@
 use platform::MemoryTable;
 use platform::Objects;
 use platform::Table;
+use wire::MemoryNetwork;
 
 /// Settings of one node.
 #[derive(Clone)]
@@ -29,6 +31,8 @@
     pub admin_address: SocketAddr,
     /// Hash of the operator key that is valid before any key is granted.
     pub operator_key_hash: Option<KeyHash>,
+    /// Links to the other nodes; `None` for a node without peers.
+    pub peering: Option<Peering>,
     /// Nodes that share the fleet's limits, this one included.
     pub node_count: u32,
     /// Time between polls of the configuration.
@@ -39,6 +43,34 @@
     pub gateway: GatewaySettings,
 }
 
+/// Settings of the links between nodes; all nodes of a cluster have the same, but for `listen`.
+#[derive(Clone)]
+pub struct Peering {
+    /// Address for peers.
+    pub listen: SocketAddr,
+    /// All members, this node included.
+    pub members: Vec<MemberEntry>,
+    /// Name of the cluster.
+    pub cluster: String,
+    /// Secret that messages are authenticated with.
+    pub secret: String,
+    /// How long a proof of membership lasts.
+    pub ttl: Duration,
+    /// Time between rounds of heartbeats.
+    pub heartbeat_interval: Duration,
+    /// What carries the messages.
+    pub transport: Transport,
+}
+
+/// What carries the messages between nodes.
+#[derive(Clone)]
+pub enum Transport {
+    /// TCP.
+    Tcp,
+    /// Memory of one process, for tests.
+    Memory(MemoryNetwork),
+}
+
 /// The platform's services as a node uses them.
 #[derive(Clone)]
 pub struct Platform {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -34,6 +34,7 @@
 use wire::Count;
 
 use crate::ledger;
+use crate::members::Standing;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::ship::Shipper;
@@ -57,6 +58,8 @@
     pub writer: ConfigWriter,
     /// Other transactions.
     pub committer: Committer,
+    /// Whether this node may act.
+    pub standing: Standing,
     /// Duties of this node.
     pub duties: Duties,
     /// Shipment of events.
@@ -87,6 +90,7 @@
         let me = Holder { node: settings.node.clone(), incarnation };
         let duties = Duties::new(me, platform.table.clone(), events.clone());
         Self {
+            standing: Standing::new(settings.peering.is_some()),
             writer: ConfigWriter::new(&*settings.node),
             settings,
             platform,
@@ -142,6 +146,10 @@
 
     /// True only if that run of a node can no longer act on anything that it held.
     pub fn is_member_gone(&self, node: &NodeId, incarnation: Incarnation) -> bool {
+        if self.settings.peering.is_some() {
+            return self.standing.is_gone(node, incarnation);
+        }
+        // Without peers, only this node itself can have run before.
         let members = self.members();
         let index = members.binary_search_by(|member| member.node.cmp(node));
         index.is_ok_and(|index| members[index].incarnation > incarnation)
@@ -206,8 +214,8 @@
         self.config.read().expect("no holder panics").clone()
     }
 
-    fn may_admit(&self, _now: Instant) -> bool {
-        true
+    fn may_admit(&self, now: Instant) -> bool {
+        self.standing.may_act(now)
     }
 
     fn spare_peers(&self, team: &TeamRef, service: &ServiceId) -> Vec<Peer> {
--- a/crates/node/tests/common/cell.rs
+++ b/crates/node/tests/common/cell.rs
@@ -204,6 +204,7 @@
         caller_address: ANY_PORT,
         admin_address: ANY_PORT,
         operator_key_hash: Some(hash_key(OPERATOR_KEY)),
+        peering: None,
         node_count: plan.nodes,
         poll_interval: Duration::from_millis(50),
         metrics_address: None,
--- a/crates/node/tests/hosts.rs
+++ b/crates/node/tests/hosts.rs
@@ -38,6 +38,7 @@
         caller_address: ANY_PORT,
         admin_address: ANY_PORT,
         operator_key_hash: Some(hash_key(OPERATOR_KEY)),
+        peering: None,
         node_count,
         poll_interval: Duration::from_millis(40),
         metrics_address: None,
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -31,6 +31,7 @@
         caller_address: ANY_PORT,
         admin_address: ANY_PORT,
         operator_key_hash: Some(hash_key(OPERATOR_KEY)),
+        peering: None,
         node_count: 1,
         poll_interval: Duration::from_millis(50),
         metrics_address: None,
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -103,6 +103,24 @@
     /// Operator's key that is valid before any key is granted.
     #[arg(long, env = "SAVORYPITCH_OPERATOR_KEY", hide_env_values = true)]
     pub operator_key: Option<String>,
+    /// Address for the other nodes; without it the node has no peers.
+    #[arg(long, env = "SAVORYPITCH_PEER_LISTEN")]
+    pub peer_listen: Option<SocketAddr>,
+    /// All nodes of the cluster, this one included, as `n1=10.0.0.1:7802,n2=10.0.0.2:7802`.
+    #[arg(long, env = "SAVORYPITCH_PEERS", value_delimiter = ',')]
+    pub peers: Vec<String>,
+    /// Name of the cluster; messages of other clusters are refused.
+    #[arg(long, env = "SAVORYPITCH_CLUSTER_ID", default_value = "savorypitch")]
+    pub cluster_id: String,
+    /// Secret that messages between nodes are authenticated with.
+    #[arg(long, env = "SAVORYPITCH_CLUSTER_SECRET", hide_env_values = true)]
+    pub cluster_secret: Option<String>,
+    /// How long a proof of membership lasts, in milliseconds; the same on all nodes.
+    #[arg(long, env = "SAVORYPITCH_MEMBER_TTL_MS", default_value_t = 4_000)]
+    pub member_ttl_ms: u64,
+    /// Time between heartbeats, in milliseconds; the same on all nodes.
+    #[arg(long, env = "SAVORYPITCH_HEARTBEAT_INTERVAL_MS", default_value_t = 500)]
+    pub heartbeat_interval_ms: u64,
     /// Nodes that share the fleet's limits, this one included.
     #[arg(long, env = "SAVORYPITCH_NODE_COUNT", default_value_t = 1)]
     pub node_count: u32,
--- a/crates/savorypitch/src/command/serve.rs
+++ b/crates/savorypitch/src/command/serve.rs
@@ -1,5 +1,7 @@
 //! `serve`: runs a node until a signal ends it.
 
+mod peers;
+
 use std::time::Duration;
 
 use gateway::GatewaySettings;
@@ -78,12 +80,14 @@
         let hint = format!("use at least {OPERATOR_KEY_MIN_BYTES} random characters");
         findings.push(Place::setting("SAVORYPITCH_OPERATOR_KEY"), "the key is too short", hint);
     }
+    let peering = peers::check(args, &mut findings);
     findings.into_result(Settings {
         node: args.node_id.as_str().into(),
         zone: args.zone.as_str().into(),
         caller_address: args.listen,
         admin_address: args.admin_listen,
         operator_key_hash: args.operator_key.as_deref().map(hash_key),
+        peering,
         node_count: args.node_count,
         poll_interval: Duration::from_millis(args.poll_interval_ms),
         metrics_address: args.metrics,
