--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -70,6 +70,16 @@
     request: Option<Box<Request<OutboundBody>>>,
     /// Its tokens, if it has not run.
     held: Option<Held>,
+    /// True if no other attempt can end otherwise.
+    is_final: bool,
+}
+
+/// Why a request that has its tokens and its connection is not sent.
+enum Stop {
+    /// The host takes no new work; another may.
+    HostLeaves,
+    /// Nobody may send it.
+    Refused(Refusal),
 }
 
 /// Why no head of an answer came.
@@ -107,6 +117,9 @@
             };
             may_have_run |= failed.failure == AttemptFailure::NoAnswer;
             let refusal = truthful(failed.refusal, may_have_run);
+            if failed.is_final {
+                return Err(refusal);
+            }
             let Some(next) =
                 failed.request.map(|request| *request).or_else(|| replay.map(Replay::into_request))
             else {
@@ -117,6 +130,7 @@
             if order.deadline.has_passed(Instant::now()) || !self.may_retry(attempt) {
                 return Err(refusal);
             }
+            let service = order.line.service();
             let Some(tokens) = self.tokens_elsewhere(&order, &service, &backend, failed.held)
             else {
                 return Err(refusal);
@@ -162,6 +176,14 @@
             Err(reason) => return Err(Failed::not_sent(reason, Box::new(request), held)),
         };
         let started = Instant::now();
+        match self.check_before_send(order, &backend, started) {
+            Ok(()) => {}
+            Err(Stop::HostLeaves) => {
+                let reason = "the host takes no new work";
+                return Err(Failed::not_sent(reason, Box::new(request), held));
+            }
+            Err(Stop::Refused(refusal)) => return Err(Failed::refused(refusal, held)),
+        }
         let request = match address_to(&backend, request, order.deadline, started) {
             Ok(request) => request,
             Err((request, reason)) => return Err(Failed::not_sent(reason, request, held)),
@@ -188,6 +210,29 @@
         }
     }
 
+    /// The last look at the node's right, the key and the host before the first byte.
+    fn check_before_send(
+        &self,
+        order: &Order,
+        backend: &Backend,
+        now: Instant,
+    ) -> Result<(), Stop> {
+        if !self.authority.may_admit(now) {
+            let detail = "this node may no longer send work";
+            let refusal = Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER);
+            return Err(Stop::Refused(refusal));
+        }
+        let config = self.authority.config();
+        order.check_again(&config).map_err(Stop::Refused)?;
+        let takes_work = config.host(&backend.host).is_some_and(|host| host.state.takes_work());
+        if !takes_work {
+            // The next choice is among those that take work in this version.
+            self.routes(&config);
+            return Err(Stop::HostLeaves);
+        }
+        Ok(())
+    }
+
     async fn connection_to(
         &self,
         backend: &Backend,
@@ -301,6 +346,17 @@
             refusal: Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_AFTER),
             request: Some(request),
             held: Some(held),
+            is_final: false,
+        })
+    }
+
+    fn refused(refusal: Refusal, held: Held) -> Box<Self> {
+        Box::new(Self {
+            failure: AttemptFailure::NotSent,
+            refusal,
+            request: None,
+            held: Some(held),
+            is_final: true,
         })
     }
 
@@ -311,6 +367,7 @@
             refusal: Refusal::retry(StatusCode::SERVICE_UNAVAILABLE, detail, RETRY_AFTER),
             request: None,
             held: Some(held),
+            is_final: false,
         })
     }
 
@@ -331,6 +388,7 @@
             refusal: Refusal::unknown(status, detail),
             request: None,
             held: None,
+            is_final: false,
         })
     }
 }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -244,12 +244,6 @@
             queued = work.enqueue(&self.lines, Instant::now()).map_err(refused)?;
         }
         let work = queued.dispatch(Instant::now()).await.map_err(refused)?;
-        let work = work.check_again(&self.authority.config()).map_err(refused)?;
-        if !self.authority.may_admit(Instant::now()) {
-            let detail = "this node may no longer send work";
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Err(refused(Refusal::retry(status, detail, RETRY_AFTER)));
-        }
         Ok(Ready { work, request })
     }
 
@@ -262,7 +256,8 @@
         Ok(Answered { id, outcome: Outcome::Complete, response })
     }
 
-    fn routes(self: &Arc<Self>, config: &Config) -> Arc<Routes> {
+    /// Routes of `config`, or of a later version.
+    pub(crate) fn routes(&self, config: &Config) -> Arc<Routes> {
         let routes = self.routes.read().expect("no holder panics").clone();
         if routes.version == config.version {
             return routes;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -27,6 +27,7 @@
 use crate::handler::RETRY_AFTER;
 use crate::header::CLASS;
 use crate::header::bearer;
+use crate::header::bearer_value;
 use crate::header::deadline;
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
@@ -177,15 +178,14 @@
     }
 }
 
-impl Work<Dispatched> {
+impl Order {
     /// Checks the key and its right again, if the configuration has changed meanwhile.
-    pub fn check_again(self, config: &Config) -> Result<Self, Refusal> {
-        let order = &self.step.order;
-        if order.version != config.version {
-            let secret = order.authorization.as_ref().and_then(crate::header::bearer_value);
-            admit(config, &order.admitted.queue, secret)?;
+    pub fn check_again(&self, config: &Config) -> Result<(), Refusal> {
+        if self.version == config.version {
+            return Ok(());
         }
-        Ok(self)
+        let secret = self.authorization.as_ref().and_then(bearer_value);
+        admit(config, &self.admitted.queue, secret).map(|_| ())
     }
 }
 
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -39,6 +39,9 @@
     let answer = cell.send(job).await;
     assert_eq!((answer.status, answer.outcome()), (StatusCode::BAD_GATEWAY, "unknown"));
     assert_eq!(cell.runs_of("post"), 1);
+    let empty = Job { name: "empty-post", headers: &headers, body: b"", ..Job::default() };
+    assert_eq!(cell.send(empty).await.outcome(), "unknown");
+    assert_eq!(cell.runs_of("empty-post"), 1, "it could be sent again, and must not be");
 
     let job = Job { name: "get", method: Method::GET, headers: &headers, body: b"" };
     let answer = cell.send(job).await;
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -217,7 +217,9 @@
     // Runs to its end also when the caller goes away.
     let worker = backend.clone();
     let waited = tokio::spawn(async move {
-        tokio::time::sleep(Duration::from_millis(delay_ms.unwrap_or(0))).await;
+        if let Some(delay_ms) = delay_ms {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
         worker.end(&request_id);
     });
     let _ = waited.await;
