--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -61,6 +61,10 @@
     "$BIN/standin-load" once --node "127.0.0.1:78${1}0" --path /q/levy-validate/check --key "$2"
 }
 
+serves() { # node number, key
+    [ "$(once "$1" "$2")" = "200 complete" ]
+}
+
 rm -rf "$OUT"
 mkdir -p "$OUT"
 
@@ -101,7 +105,7 @@
 done < <(operate 1 team list | awk 'NR > 1 { print $1 }')
 echo "$(wc -l <"$OUT/keys") keys granted"
 for number in 1 2 3; do
-    wait_for grep -q '^200 complete' <(once "$number" "$withdrawn_secret") ||
+    wait_for serves "$number" "$withdrawn_secret" ||
         fail "node-$number does not serve a granted key"
 done
 
