Measure the configuration's cost and fit slopes for the capacity page

Cause: docs/CAPACITY.md has to come from measured slopes. Change: samples as JSON lines, a least-squares fit with its residual, bench-config, and a tool that writes the page's tables.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,10 @@
-//! Measurements: drivers of the decision functions and loads over loopback; no released program depends on them.
+//! Measurements: drivers of the decision functions and loads over loopback.
+//!
+//! No released program depends on this crate. Each `bench-*` binary prints one JSON line a
+//! measurement with `--json`; `capacity` fits their slopes and writes the tables of
+//! docs/CAPACITY.md.
+
+pub mod fit;
+pub mod sample;
+pub mod target;
+pub mod usage;
