--- a/crates/bench/src/bin/bench-config.rs
+++ b/crates/bench/src/bin/bench-config.rs
@@ -66,8 +66,15 @@
         black_box(routing::admit(config, &queue, Some(secret)).is_ok());
     });
     let change_us = mean_us(|| {
-        let change = Change { version: config.version + 1, rows: vec![host.clone()] };
-        black_box(config.with_change(change).is_ok());
+        let change = Change {
+            version: config.version + 1,
+            rows: vec![host.clone()],
+            author: String::new(),
+            operation_id: None,
+            digest: None,
+        };
+        let next = config.with_change(change);
+        black_box(next.map(|next| next.digest()).is_ok());
     });
     let live: Vec<NodeId> = (0..NODES).map(|node| format!("node-{node}").into()).collect();
     let me = Holder { node: live[0].clone(), incarnation: 1 };
