--- a/crates/bench/src/bin/bench-path/setup.rs
+++ b/crates/bench/src/bin/bench-path/setup.rs
@@ -167,6 +167,7 @@
         caller_address: ANY_PORT,
         admin_address: ANY_PORT,
         operator_key_hash: Some(hash_key(OPERATOR_KEY)),
+        peering: None,
         node_count: 1,
         poll_interval: Duration::from_secs(1),
         metrics_address: None,
