Free what a gone node held on the backend servers' evidence

Cause: holdings of a run that ended stayed held for ever. Change: each request names the run that dispatches it; a backend server tells whether it is running any of a run's requests, and refuses that run from then on. One live node asks all servers where the gone one held slots, frees those that run nothing, and keeps of the team's tokens as many as slots are open. Conclusion: tokens of a gone run are usable again as soon as its work has ended.

--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -26,6 +26,11 @@
     /// True while the node may take new work.
     fn may_admit(&self, now: Instant) -> bool;
 
+    /// Name of this run of the node's process, as backend servers report about it.
+    fn dispatcher(&self) -> Option<Arc<str>> {
+        None
+    }
+
     /// Nodes that hold spare tokens for `team` on `service`, the best first.
     fn spare_peers(&self, _team: &TeamRef, _service: &ServiceId) -> Vec<Peer> {
         Vec::new()
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -42,6 +42,7 @@
 use crate::forward::PeerConnections;
 use crate::forward::forwarded_id;
 use crate::header::CLASS;
+use crate::header::DISPATCHER;
 use crate::header::FORWARDED;
 use crate::header::IDEMPOTENCY_KEY;
 use crate::header::OUTCOME;
@@ -172,6 +173,11 @@
         response
     }
 
+    /// What asks backend servers what they are running.
+    pub fn prober(&self) -> Prober {
+        self.prober.clone()
+    }
+
     /// Requests that wait, by queue and team; sorted.
     pub fn waiting(&self) -> Vec<Waiting> {
         self.lines.waiting_by_team()
@@ -256,7 +262,8 @@
     /// Sends a request that has its tokens.
     pub(crate) async fn finish(&self, ready: Ready) -> Result<Answered, Refusal> {
         let Work { id, step: Dispatched { order, held } } = ready.work;
-        let request = to_backend(ready.request, &order, &id)?;
+        let request =
+            to_backend(ready.request, &order, &id, self.authority.dispatcher().as_deref())?;
         let outbound = Outbound { id: id.clone(), order, request };
         let response = self.send(outbound, held).await?;
         Ok(Answered { id, outcome: Outcome::Complete, response })
@@ -377,6 +384,7 @@
     mut request: Request<OutboundBody>,
     order: &Order,
     id: &RequestId,
+    dispatcher: Option<&str>,
 ) -> Result<Request<OutboundBody>, Refusal> {
     let malformed = || Refusal::not_run(StatusCode::BAD_REQUEST, "the target is malformed");
     *request.uri_mut() = backend_target(request.uri()).ok_or_else(malformed)?;
@@ -384,9 +392,15 @@
     let team = HeaderValue::from_str(&order.admitted.team.to_string()).map_err(|_| malformed())?;
     let headers = request.headers_mut();
     remove_hop_by_hop(headers);
-    for name in [&header::AUTHORIZATION, &header::EXPECT, &FORWARDED, &OUTCOME, &CLASS] {
+    let private =
+        [&header::AUTHORIZATION, &header::EXPECT, &FORWARDED, &OUTCOME, &CLASS, &DISPATCHER];
+    for name in private {
         headers.remove(name);
     }
+    if let Some(dispatcher) = dispatcher {
+        let dispatcher = HeaderValue::from_str(dispatcher).map_err(|_| malformed())?;
+        headers.insert(DISPATCHER, dispatcher);
+    }
     headers.insert(REQUEST_ID, id);
     headers.insert(TEAM, team);
     Ok(request)
--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -13,6 +13,8 @@
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("savorypitch-request-id");
 /// Time that the caller still waits, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("savorypitch-deadline-ms");
+/// Node and incarnation that dispatched a request; sent to the backend server.
+pub const DISPATCHER: HeaderName = HeaderName::from_static("savorypitch-dispatcher");
 /// Team that the work counts for; sent to the backend server.
 pub const TEAM: HeaderName = HeaderName::from_static("savorypitch-team");
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,8 @@
 pub use authority::Peer;
 pub use handler::Gateway;
 pub use handler::Parts;
+pub use probe::Prober;
+pub use probe::Report;
 pub use server::Server;
 pub use server::Timeouts;
 pub use server::serve;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,5 +1,6 @@
 //! Asks a backend server, on a new connection, whether it is running a request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
 
 /// Path below which a backend server says whether a request id is running: `true` or `false`.
 pub const RUNNING_PATH: &str = "/.savorypitch/running/";
+/// Path below which a backend server says whether it is running any request of a dispatcher. Once it
+/// has said `false`, it must refuse requests of that dispatcher.
+pub const DISPATCHED_PATH: &str = "/.savorypitch/dispatched/";
 /// Largest report, in bytes.
 const REPORT_MAX_BYTES: usize = 16;
 
@@ -46,20 +50,44 @@
 impl Prober {
     /// Asks `backend` on a new connection whether `request` is running.
     pub async fn ask(&self, backend: &Backend, request: &RequestId) -> Report {
-        let asked = tokio::time::timeout(self.timeout, self.try_ask(backend, request)).await;
-        match asked {
+        let Some(token) = ConnectionToken::take(&self.limits, &backend.connections) else {
+            return Report::Unreachable;
+        };
+        let path = format!("{RUNNING_PATH}{request}");
+        self.ask_path(backend.address, Some(token), path).await
+    }
+
+    /// Asks the backend server at `address` whether it is running any request of `dispatcher`, which
+    /// is gone. The new connection counts as one of those that the dispatcher has left.
+    pub async fn ask_dispatched(&self, address: SocketAddr, dispatcher: &str) -> Report {
+        let path = format!("{DISPATCHED_PATH}{dispatcher}");
+        self.ask_path(address, None, path).await
+    }
+
+    async fn ask_path(
+        &self,
+        address: SocketAddr,
+        token: Option<ConnectionToken>,
+        path: String,
+    ) -> Report {
+        let asked = self.try_ask(address, token, path);
+        match tokio::time::timeout(self.timeout, asked).await {
             Ok(Some(true)) => Report::Running,
             Ok(Some(false)) => Report::NotRunning,
             Ok(None) | Err(_) => Report::Unreachable,
         }
     }
 
-    async fn try_ask(&self, backend: &Backend, request: &RequestId) -> Option<bool> {
-        let token = ConnectionToken::take(&self.limits, &backend.connections)?;
-        let opened = Connection::open(backend.address, self.timeout, Some(token)).await;
+    async fn try_ask(
+        &self,
+        address: SocketAddr,
+        token: Option<ConnectionToken>,
+        path: String,
+    ) -> Option<bool> {
+        let opened = Connection::open(address, self.timeout, token).await;
         let mut connection = opened.ok()?;
-        let question = Request::get(format!("{RUNNING_PATH}{request}"))
-            .header(header::HOST, HeaderValue::from_str(&backend.address.to_string()).ok()?)
+        let question = Request::get(path)
+            .header(header::HOST, HeaderValue::from_str(&address.to_string()).ok()?)
             .body(OutboundBody::held(Bytes::new()))
             .ok()?;
         let answer = connection.exchange(question).await.ok()?;
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use gateway::Authority;
+use gateway::Prober;
 use limits::DemandMeter;
 use limits::Holder;
 use limits::Ledger;
@@ -18,9 +19,11 @@
 use platform::Unavailable;
 use rand::RngExt;
 
+use crate::ledger::reclaim::Reclaim;
 use crate::shared::Shared;
 
 pub use counts::spare_peers;
+pub use reclaim::dispatcher;
 
 /// Time between two looks of a node at the ledger, for each node of the fleet: the looks of all
 /// nodes together, and so their transactions, stay at a fixed rate.
@@ -33,8 +36,8 @@
 const HAND_BACK_MAX: Duration = Duration::from_secs(5);
 
 /// Looks at the ledger for as long as the node runs.
-pub async fn run(shared: Arc<Shared>) {
-    let mut part = Part::default();
+pub async fn run(shared: Arc<Shared>, prober: Prober) {
+    let mut part = Part { reclaim: Some(Reclaim::new(prober)), ..Part::default() };
     loop {
         if part.look(&shared, false).await.is_err() {
             shared.telemetry.count("ledger.unavailable");
@@ -69,7 +72,7 @@
     meter: DemandMeter,
     limits: Vec<Limit>,
     limits_version: ConfigVersion,
-    reclaim: reclaim::Reclaim,
+    reclaim: Option<Reclaim>,
 }
 
 impl Part {
@@ -105,8 +108,8 @@
         let table = &*shared.platform.table;
         let tick = ledger.tick(table, tokens, &view).await?;
         count(shared, tick);
-        if !leaving {
-            self.reclaim.look(shared, ledger, &view).await?;
+        if let Some(reclaim) = &mut self.reclaim {
+            reclaim.look(shared, ledger, &view).await?;
         }
         shared.ledger_version.send_replace(config.version);
         Ok(tick)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -100,7 +100,7 @@
             tokio::spawn(compact::keep(shared.clone())),
             tokio::spawn(duty::keep(shared.clone())),
             tokio::spawn(follower::follow(shared.clone())),
-            tokio::spawn(ledger::run(shared.clone())),
+            tokio::spawn(ledger::run(shared.clone(), gateway.prober())),
             tokio::spawn(maintain::run(shared.clone())),
             tokio::spawn(ship::ship(shared.clone())),
         ];
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -210,6 +210,13 @@
         true
     }
 
+    fn dispatcher(&self) -> Option<Arc<str>> {
+        let members = self.members();
+        let found = members.binary_search_by(|member| member.node.cmp(&self.settings.node));
+        let me = &members[found.ok()?];
+        Some(ledger::dispatcher(&me.node, me.incarnation).into())
+    }
+
     fn spare_peers(&self, team: &TeamRef, service: &ServiceId) -> Vec<Peer> {
         // The gateway asks when it has no tokens itself.
         self.count_miss(DemandKey::Team(team.clone()));
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -44,6 +44,9 @@
 /// Path below which a backend server tells whether a request id is running.
 pub const RUNNING_PATH: &str = "/.savorypitch/running/";
 
+/// Path below which a backend server tells whether it is running any request of a dispatcher.
+pub const DISPATCHED_PATH: &str = "/.savorypitch/dispatched/";
+
 /// Runs of one job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Runs {
@@ -71,6 +74,12 @@
     /// Request ids that were reported as not running, sorted.
     #[serde(default)]
     pub fenced: Vec<String>,
+    /// Dispatchers of the running requests, sorted; one entry for each request.
+    #[serde(default)]
+    pub dispatchers: Vec<String>,
+    /// Dispatchers of which nothing was reported as running, sorted.
+    #[serde(default)]
+    pub fenced_dispatchers: Vec<String>,
     /// Last `Savorypitch-Deadline-Ms`.
     #[serde(default)]
     pub last_deadline_ms: Option<u64>,
@@ -101,11 +110,13 @@
         self.failing.store(failing, Ordering::Relaxed);
     }
 
-    fn begin(&self, job: Option<&str>, request_id: &str) -> bool {
+    fn begin(&self, job: Option<&str>, request_id: &str, dispatcher: &str) -> bool {
         let mut seen = self.lock();
-        if seen.fenced.binary_search_by(|id| id.as_str().cmp(request_id)).is_ok() {
+        if contains(&seen.fenced, request_id) || contains(&seen.fenced_dispatchers, dispatcher) {
             return false;
         }
+        let index = seen.dispatchers.partition_point(|other| other.as_str() < dispatcher);
+        seen.dispatchers.insert(index, dispatcher.to_owned());
         if let Some(job) = job {
             match seen.runs.binary_search_by(|runs| runs.job.as_str().cmp(job)) {
                 Ok(index) => seen.runs[index].count += 1,
@@ -119,8 +130,11 @@
         true
     }
 
-    fn end(&self, request_id: &str) {
+    fn end(&self, request_id: &str, dispatcher: &str) {
         let mut seen = self.lock();
+        if let Ok(index) = seen.dispatchers.binary_search_by(|d| d.as_str().cmp(dispatcher)) {
+            seen.dispatchers.remove(index);
+        }
         if let Ok(index) = seen.running.binary_search_by(|id| id.as_str().cmp(request_id)) {
             seen.running.remove(index);
         }
@@ -137,6 +151,18 @@
         false
     }
 
+    fn report_dispatcher(&self, dispatcher: &str) -> bool {
+        let mut seen = self.lock();
+        if contains(&seen.dispatchers, dispatcher) {
+            return true;
+        }
+        let fenced = &mut seen.fenced_dispatchers;
+        if let Err(index) = fenced.binary_search_by(|other| other.as_str().cmp(dispatcher)) {
+            fenced.insert(index, dispatcher.to_owned());
+        }
+        false
+    }
+
     fn connected(&self) {
         let mut seen = self.lock();
         seen.connections += 1;
@@ -162,6 +188,7 @@
     let router = Router::new()
         .route("/standin/seen", get(seen))
         .route(&format!("{RUNNING_PATH}{{id}}"), get(running))
+        .route(&format!("{DISPATCHED_PATH}{{dispatcher}}"), get(dispatched))
         .fallback(work)
         .with_state(backend.clone());
     let task = tokio::spawn(async move {
@@ -204,6 +231,10 @@
     Json(backend.report(&id))
 }
 
+async fn dispatched(State(backend): Shared, Path(dispatcher): Path<String>) -> Json<bool> {
+    Json(backend.report_dispatcher(&dispatcher))
+}
+
 async fn work(State(backend): Shared, request: Request) -> Response {
     let headers = request.headers();
     let request_id = text(headers, "savorypitch-request-id").unwrap_or_default().to_owned();
@@ -211,14 +242,16 @@
     let fault = text(headers, "standin-fault").and_then(Fault::parse);
     let deadline_ms = text(headers, "savorypitch-deadline-ms").and_then(|text| text.parse().ok());
     backend.lock().last_deadline_ms = deadline_ms;
-    if fault == Some(Fault::NotRun) || !backend.begin(text(headers, "standin-job"), &request_id) {
+    let dispatcher = text(headers, "savorypitch-dispatcher").unwrap_or_default().to_owned();
+    let job = text(headers, "standin-job");
+    if fault == Some(Fault::NotRun) || !backend.begin(job, &request_id, &dispatcher) {
         return not_run();
     }
     // Runs to its end also when the caller goes away.
     let worker = backend.clone();
     let waited = tokio::spawn(async move {
         tokio::time::sleep(Duration::from_millis(delay_ms.unwrap_or(0))).await;
-        worker.end(&request_id);
+        worker.end(&request_id, &dispatcher);
     });
     let _ = waited.await;
     let is_failing = backend.failing.load(Ordering::Relaxed);
@@ -266,3 +299,7 @@
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
+
+fn contains(sorted: &[String], wanted: &str) -> bool {
+    sorted.binary_search_by(|other| other.as_str().cmp(wanted)).is_ok()
+}
