--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,8 @@
 //! docs/CAPACITY.md.
 
 pub mod fit;
+pub mod live_fleet;
 pub mod sample;
 pub mod target;
 pub mod usage;
+pub mod virtual_fleet;
