--- a/crates/bench/src/live_fleet.rs
+++ b/crates/bench/src/live_fleet.rs
@@ -197,9 +197,11 @@
                 }
                 Output::Mark { node, incarnation } => {
                     self.write(&node, |row| row.marked(incarnation));
+                    self.read();
                 }
                 Output::Take { node, incarnation } => {
                     self.write(&node, |row| row.taken(incarnation));
+                    self.read();
                 }
                 Output::Redial { peer } => self.link.redial(&peer),
                 _ => {}
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -220,8 +220,8 @@
         if now >= self.next_beat_at {
             self.next_beat_at = now + self.settings.heartbeat_interval;
             self.beat(now, outputs);
-            self.suspect(now, outputs);
         }
+        self.suspect(now, outputs);
         for peer in self.watch.take_silent_links(now) {
             outputs.push(Output::Redial { peer });
         }
@@ -320,6 +320,8 @@
             .collect();
         for (node, incarnation) in &claims {
             if !self.seen_claims.contains(&(node.clone(), *incarnation)) {
+                // The others are asked for their agreement at the next tick.
+                self.next_beat_at = now;
                 outputs.push(Output::Marked { node: node.clone(), incarnation: *incarnation });
             }
         }
--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -186,6 +186,8 @@
         }
         sleep(Duration::from_millis(100)).await;
     }
+    let writes = counter(&nodes[0], "member.table_writes").await;
+    assert!(writes <= 2, "{writes} writes: a registration and the first list");
     for other in ["n1", "n2"] {
         cluster.network.cut("n0", other);
         cluster.network.cut(other, "n0");
@@ -264,7 +266,9 @@
     let mut nodes = cluster.start_all().await;
     cluster.platform.set_faults(DOWN);
     let stopped = nodes.remove(3);
+    let run = incarnation(&stopped, "n3").await;
     stopped.stop(Duration::ZERO, Duration::from_secs(5)).await;
+    until("its goodbye has arrived", || async { nodes[0].is_member_gone("n3", run) }).await;
     let cold = cluster.start(3, SECRET).await;
     until("the cold node is ready", || async { is_ready(&cold).await }).await;
     assert_eq!(status(&cold).await.config_version, 1);
