Report all wrong settings together, with flag, variable and hint

Cause: clap stops at the first malformed value. Change: values that cannot be read are kept and reported by one check; forwarded requests are authenticated with a key derived from the cluster secret; the demo's nodes are peers. Before: one finding at a time. Conclusion: a wrong set-up is mended in one go.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -62,6 +62,13 @@
     pub transport: Transport,
 }
 
+impl Peering {
+    /// Key that forwarded requests are authenticated with.
+    pub fn forward_key(&self) -> [u8; 32] {
+        blake3::derive_key("savorypitch forwarded requests", self.secret.as_bytes())
+    }
+}
+
 /// What carries the messages between nodes.
 #[derive(Clone)]
 pub enum Transport {
--- /dev/null
+++ b/crates/savorypitch/tests/settings.rs
@@ -0,0 +1,66 @@
+//! Wrong settings and calls are answered with what to do, and with the documented exit code.
+
+use std::process::Command;
+use std::process::Output;
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_savorypitch"))
+        .args(args)
+        .env_remove("SAVORYPITCH_KEY")
+        .env_remove("SAVORYPITCH_NODE")
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn all_wrong_settings_are_reported_together() {
+    let output = run(&[
+        "serve",
+        "--node-id=a b",
+        "--listen=here",
+        "--platform=10.0.0.1",
+        "--poll-interval-ms=0",
+        "--stop-grace-ms=soon",
+        "--operator-key=short",
+        "--peer-listen=127.0.0.1:7802",
+        "--cluster-secret=short",
+    ]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    for expected in [
+        "--node-id (SAVORYPITCH_NODE_ID)",
+        "--listen (SAVORYPITCH_LISTEN)",
+        "--platform (SAVORYPITCH_PLATFORM)",
+        "--poll-interval-ms (SAVORYPITCH_POLL_INTERVAL_MS)",
+        "--stop-grace-ms (SAVORYPITCH_STOP_GRACE_MS)",
+        "--operator-key (SAVORYPITCH_OPERATOR_KEY)",
+        "--peers (SAVORYPITCH_PEERS)",
+        "--cluster-secret (SAVORYPITCH_CLUSTER_SECRET)",
+        "8 finding(s)",
+    ] {
+        assert!(text.contains(expected), "{expected} is missing in:\n{text}");
+    }
+    assert_eq!(text.matches("hint: ").count(), 8);
+}
+
+#[test]
+fn unreachable_node_has_its_own_exit_code_and_a_hint() {
+    // Port 1 on loopback refuses connections.
+    let output = run(&["--node=127.0.0.1:1", "status"]);
+    assert_eq!(output.status.code(), Some(4));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("hint: is it running?"));
+}
+
+#[test]
+fn missing_file_and_wrong_contract_exit_with_two() {
+    let output = run(&["contract", "check", "no-such-file.toml"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("no-such-file.toml"));
+}
+
+#[test]
+fn completions_are_printed_for_a_shell() {
+    let output = run(&["completions", "bash"]);
+    assert_eq!(output.status.code(), Some(0));
+    assert!(String::from_utf8(output.stdout).unwrap().contains("_savorypitch"));
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -8,6 +8,7 @@
 readonly OUT=target/demo
 readonly PLATFORM=127.0.0.1:7900
 readonly CONTRACTS=(examples/levy.toml examples/studio.toml)
+readonly PEERS=node-1=127.0.0.1:7812,node-2=127.0.0.1:7822,node-3=127.0.0.1:7832
 readonly WITHDRAWN=levy/customs-liaison
 readonly DRAINED=levy-06
 readonly DRAINED_BACKEND=127.0.0.1:7106
@@ -79,8 +80,9 @@
 node_pids=()
 for number in 1 2 3; do
     start "node-$number" "$BIN/savorypitch" serve \
-        --node-id "node-$number" --zone "zone-$number" --node-count 3 \
-        --listen "127.0.0.1:78${number}0" --admin-listen "127.0.0.1:78${number}1"
+        --node-id "node-$number" --zone "zone-$number" --peers "$PEERS" \
+        --listen "127.0.0.1:78${number}0" --admin-listen "127.0.0.1:78${number}1" \
+        --peer-listen "127.0.0.1:78${number}2"
     node_pids[number]=${pids[-1]}
 done
 for number in 1 2 3; do
