Publish heartbeats instead of pushing them, so that a library fault cannot end the node

Cause: the push socket of nng can put a connection back into its ready list after the connection's end; the next send uses it and the library aborts the process (pthread_mutex_lock: Invalid argument, seen in a run of the members test; the stack goes through push0_sock_send). Ruled out: the exit of the process, and our own close of the socket at a redial. Change: publishing and subscribing sockets, which drop a connection under one lock. Conclusion: heartbeats may be lost, so publishing fits them.

--- a/crates/wire/src/nng_link.rs
+++ b/crates/wire/src/nng_link.rs
@@ -1,8 +1,11 @@
 //! Links over `nng`: one listener a node, one dialer a peer.
 //!
-//! Each direction of a pair has its own connection: a pull socket receives from all peers, and a
-//! push socket sends to each. The library redials a connection that is closed; one that is silent
-//! is closed by [`Link::redial`].
+//! Each direction of a pair has its own connection: a subscribing socket receives from all peers,
+//! and a publishing socket sends to each. The library redials a connection that is closed; one that
+//! is silent is closed by [`Link::redial`].
+//!
+//! Push and pull sockets would bound what is lost, but the library's push socket can use a
+//! connection after its end, which aborts the process. Heartbeats may be lost, so publishing fits.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -21,6 +24,7 @@
 use nng::options::RecvBufferSize;
 use nng::options::RecvMaxSize;
 use nng::options::SendBufferSize;
+use nng::options::protocol::pubsub::Subscribe;
 use nng::options::transport::tcp::BoundPort;
 use nng::options::transport::tcp::KeepAlive;
 use nng::options::transport::tcp::NoDelay;
@@ -59,7 +63,8 @@
     /// Listens on `address`; received frames go to `frames`.
     pub fn listen(address: SocketAddr, frames: mpsc::Sender<Bytes>) -> Result<Self, LinkError> {
         let fail = |error: Error| LinkError { address, reason: error.to_string() };
-        let receiver = Socket::new(Protocol::Pull0).map_err(fail)?;
+        let receiver = Socket::new(Protocol::Sub0).map_err(fail)?;
+        receiver.set_opt::<Subscribe>(Vec::new()).map_err(fail)?;
         receiver.set_opt::<RecvBufferSize>(RECEIVE_BUFFER_FRAMES).map_err(fail)?;
         receiver.set_opt::<RecvMaxSize>(FRAME_MAX_BYTES).map_err(fail)?;
         receiver.set_opt::<KeepAlive>(true).map_err(fail)?;
@@ -128,7 +133,7 @@
 }
 
 fn dial(address: SocketAddr) -> Result<Socket, Error> {
-    let sender = Socket::new(Protocol::Push0)?;
+    let sender = Socket::new(Protocol::Pub0)?;
     sender.set_opt::<SendBufferSize>(SEND_BUFFER_FRAMES)?;
     sender.set_opt::<ReconnectMinTime>(Some(REDIAL_DELAY_MIN))?;
     sender.set_opt::<ReconnectMaxTime>(Some(REDIAL_DELAY_MAX))?;
