Leave a pool's hosts and wave to the node whose duty they are

Cause: every node read the host list and tried every step.

Change: only the holder of maintenance/{pool} gathers evidence and takes steps, under the duty's row as a further precondition. The host list is read less often the longer it is. A node reports a draining host as idle only after two ticks in a row, and writes its report only when it changes.

--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod advance;
 pub mod budget;
+pub mod lend;
 pub mod life;
 pub mod list;
 pub mod round;
--- a/crates/node/src/maintain.rs
+++ b/crates/node/src/maintain.rs
@@ -1,27 +1,35 @@
 //! Carries hosts through their life cycle: gathers evidence, decides, and commits the steps.
 //!
-//! Every node runs this task. A step is a change of the configuration, so that of two nodes that
-//! take the same step one loses, and a node that dies in the middle leaves everything that another
-//! needs in the host's row.
+//! Every node reports the draining hosts that it runs nothing on; the node whose duty a pool is
+//! takes the steps of its hosts and its wave. A step is a change of the configuration under the
+//! duty's row, so that of two nodes that take the same step one loses, and a node that dies in the
+//! middle leaves everything that another needs in the host's row.
 
 mod evidence;
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Instant;
 use std::time::SystemTime;
 
 use control::ChangeError;
+use duties::Duty;
 use events::EventKind;
 use gateway::Authority;
 use maintenance::Moment;
 use maintenance::Step;
 use model::Config;
 use model::ConfigVersion;
+use model::PoolId;
+use platform::Precondition;
 use rand::RngExt;
 
+use crate::duty::maintenance_duty;
 use crate::follower::poll_once;
 use crate::shared::Shared;
 
+use evidence::Watch;
+
 pub use evidence::absent_hosts;
 
 /// Tries of a change that loses against others.
@@ -29,35 +37,68 @@
 
 /// Runs for as long as the node does.
 pub async fn run(shared: Arc<Shared>) {
+    let mut watch = Watch::default();
     loop {
         let wait = shared.settings.poll_interval.mul_f64(rand::rng().random_range(0.75..1.25));
         tokio::time::sleep(wait).await;
-        tick(&shared).await;
+        tick(&shared, &mut watch).await;
     }
 }
 
-/// Takes every step that there is evidence for.
-async fn tick(shared: &Shared) {
+/// Reports what is idle here, and takes every step that there is evidence for in the pools whose
+/// maintenance is this node's duty.
+async fn tick(shared: &Shared, watch: &mut Watch) {
     let config = shared.config();
-    let evidence = evidence::gather(shared, &config).await;
+    watch.report_idle(shared, &config).await;
+    let duties = held_duties(shared, &config);
+    if duties.is_empty() {
+        return;
+    }
+    let is_mine = |pool: &PoolId| duties.binary_search_by(|duty| duty.pool.cmp(pool)).is_ok();
+    let evidence = watch.gather(shared, &config, &is_mine).await;
     let decide = |config: &Config| {
-        let step = maintenance::advance_all(config, &evidence, |_| true, moment(config));
+        let step = maintenance::advance_all(config, &evidence, is_mine, moment(config));
         if step.is_empty() {
             let reason = "another node was faster".to_owned();
             return Err(ChangeError::Invalid { reason });
         }
         Ok(step)
     };
-    if decide(&config).is_err() {
+    let Ok(step) = decide(&config) else {
         return;
-    }
-    match change(shared, decide).await {
+    };
+    let fences = duties.iter().filter(|duty| touches(&step, &duty.pool));
+    let fences = fences.map(|duty| duty.duty.precondition()).collect();
+    match change_if(shared, fences, decide).await {
         Ok(_) | Err(ChangeError::Invalid { .. }) => {}
         Err(ChangeError::Conflict) => shared.telemetry.count("maintenance.conflict"),
         Err(_) => shared.telemetry.count("maintenance.step-failed"),
     }
 }
 
+/// A pool whose maintenance is this node's duty.
+struct PoolDuty {
+    pool: PoolId,
+    duty: Duty,
+}
+
+/// Pools whose maintenance is this node's duty, sorted.
+fn held_duties(shared: &Shared, config: &Config) -> Vec<PoolDuty> {
+    let pools = config.contracts.iter().flat_map(|contract| &contract.pools);
+    let held = pools.filter_map(|pool| {
+        let duty = shared.duty(&maintenance_duty(&pool.name), Instant::now())?;
+        Some(PoolDuty { pool: pool.name.clone(), duty })
+    });
+    let mut held: Vec<PoolDuty> = held.collect();
+    held.sort_by(|a, b| a.pool.cmp(&b.pool));
+    held
+}
+
+fn touches(step: &Step, pool: &PoolId) -> bool {
+    step.hosts.iter().any(|row| row.spec.pool == *pool)
+        || step.waves.iter().any(|wave| wave.pool == *pool)
+}
+
 /// Version and time of a change that follows `config`.
 pub fn moment(config: &Config) -> Moment {
     Moment { version: config.version + 1, now: SystemTime::now() }
@@ -68,6 +109,15 @@
 pub async fn change(
     shared: &Shared,
     decide: impl Fn(&Config) -> Result<Step, ChangeError>,
+) -> Result<ConfigVersion, ChangeError> {
+    change_if(shared, Vec::new(), decide).await
+}
+
+/// Like [`change`], and only while `fences` hold.
+async fn change_if(
+    shared: &Shared,
+    fences: Vec<Precondition>,
+    decide: impl Fn(&Config) -> Result<Step, ChangeError>,
 ) -> Result<ConfigVersion, ChangeError> {
     let table = &*shared.platform.table;
     let mut tried = 0;
@@ -80,7 +130,7 @@
             *decided.lock().expect("no holder panics") = step;
             Ok(rows)
         };
-        match shared.writer.change(table, None, decide_rows).await {
+        match shared.writer.change_if(table, None, fences.clone(), decide_rows).await {
             Ok(version) => {
                 record(shared, &decided.into_inner().expect("no holder panics"));
                 poll_once(shared).await;
--- a/crates/node/src/maintain/evidence.rs
+++ b/crates/node/src/maintain/evidence.rs
@@ -4,6 +4,7 @@
 //! names the host's epoch, so that a report about an earlier drain counts for nothing.
 
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 
 use limits::LimitKey;
@@ -18,6 +19,7 @@
 use model::HostRow;
 use model::HostState;
 use model::NodeId;
+use model::PoolId;
 use platform::Scan;
 use platform::Settled;
 use platform::Unavailable;
@@ -32,6 +34,10 @@
 const IDLE_PREFIX: &str = "idle/";
 /// Time that a backend server has to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes of an entry of the host list, about.
+const ENTRY_BYTES: u64 = 140;
+/// Part of a node's traffic that reads of the host list may take.
+const LIST_BYTES_PER_SECOND: u64 = 5_000;
 /// Time that a report may take to settle.
 const REPORT_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -46,77 +52,125 @@
     pub hosts: Vec<(HostId, u64)>,
 }
 
-/// Evidence about all hosts; what did not answer is left out, and so starts nothing.
-pub async fn gather(shared: &Shared, config: &Config) -> Evidence {
-    let gathered_at = SystemTime::now();
-    let Ok(listed) = shared.platform.fleet.hosts().await else {
-        shared.telemetry.count("maintenance.no-host-list");
-        // Old from the start: whatever is planned needs a list.
-        let gathered_at = SystemTime::UNIX_EPOCH;
-        return Evidence { gathered_at, hosts: Vec::new(), list: HostList::default() };
-    };
-    let draining = config.hosts.iter().any(|row| row.state == HostState::Draining);
-    let reports = if draining { node_reports(shared, config).await.ok() } else { None };
-    let mut hosts = Vec::new();
-    for row in &config.hosts {
-        match row.state {
-            HostState::Draining => {
-                hosts.extend(reports.as_ref().map(|reports| drain_evidence(row, reports)));
+/// What this node has seen at earlier ticks.
+#[derive(Default)]
+pub struct Watch {
+    /// The host list as last read, and when its reading began.
+    list: HostList,
+    listed_at: Option<SystemTime>,
+    next_list: Option<Instant>,
+    /// Draining hosts that were idle at the last tick, with their epochs, sorted.
+    idle: Vec<(HostId, u64)>,
+    /// Report as last written.
+    reported: Option<IdleReport>,
+}
+
+impl Watch {
+    /// Writes which draining hosts this node runs nothing on, if that has changed.
+    ///
+    /// A host is reported once it was idle at two ticks in a row: a request that was given its
+    /// tokens under the configuration before the drain shows at the second.
+    pub async fn report_idle(&mut self, shared: &Shared, config: &Config) {
+        let now = idle_hosts(shared, config);
+        let before = std::mem::replace(&mut self.idle, now);
+        let hosts = self.idle.iter().filter(|host| before.binary_search(host).is_ok());
+        let report = IdleReport {
+            node: shared.settings.node.clone(),
+            config_version: config.version,
+            hosts: hosts.cloned().collect(),
+        };
+        let known = self.reported.as_ref().map(|reported| &reported.hosts);
+        if known == Some(&report.hosts) || (known.is_none() && report.hosts.is_empty()) {
+            return;
+        }
+        if shared.settings.node_count.max(1) > 1 {
+            let write = Write::put_json(format!("{IDLE_PREFIX}{}", report.node), &report);
+            let table = &*shared.platform.table;
+            let committed =
+                shared.committer.commit(table, Vec::new(), vec![write], REPORT_PATIENCE).await;
+            if committed != Settled::Committed {
+                return;
             }
-            HostState::Rebooting => hosts.push(reboot_evidence(shared, row).await),
-            HostState::Returning => hosts.push(return_evidence(row).await),
-            HostState::Serving | HostState::Drained | HostState::Failed => {}
         }
+        self.reported = Some(report);
     }
-    Evidence { gathered_at, hosts, list: HostList::new(listed) }
-}
 
-/// Hosts that the platform's list has lost, as of now.
-pub async fn absent_hosts(shared: &Shared, config: &Config) -> Result<Vec<HostId>, Unavailable> {
-    Ok(HostList::new(shared.platform.fleet.hosts().await?).absent(config))
-}
+    /// Evidence about the hosts of all pools that `is_mine` accepts; what did not answer is left
+    /// out, and so starts nothing.
+    pub async fn gather(
+        &mut self,
+        shared: &Shared,
+        config: &Config,
+        is_mine: impl Fn(&PoolId) -> bool,
+    ) -> Evidence {
+        self.read_list(shared).await;
+        let mine = || config.hosts.iter().filter(|row| is_mine(&row.spec.pool));
+        let draining = mine().any(|row| row.state == HostState::Draining);
+        let reports = if draining { self.node_reports(shared).await.ok() } else { None };
+        let mut hosts = Vec::new();
+        for row in mine() {
+            match row.state {
+                HostState::Draining => {
+                    hosts.extend(reports.as_ref().map(|reports| drain_evidence(row, reports)));
+                }
+                HostState::Rebooting => hosts.push(reboot_evidence(shared, row).await),
+                HostState::Returning => hosts.push(return_evidence(row).await),
+                HostState::Serving | HostState::Drained | HostState::Failed => {}
+            }
+        }
+        let gathered_at = self.listed_at.unwrap_or(SystemTime::UNIX_EPOCH);
+        Evidence { gathered_at, hosts, list: self.list.clone() }
+    }
 
-/// Reports of all nodes, this one included and written first.
-async fn node_reports(
-    shared: &Shared,
-    config: &Config,
-) -> Result<Vec<Option<IdleReport>>, Unavailable> {
-    let own = own_report(shared, config);
-    let expected = shared.settings.node_count.max(1) as usize;
-    if expected == 1 {
-        return Ok(vec![Some(own)]);
+    /// Reads the host list, if it is time; a larger list is read less often.
+    async fn read_list(&mut self, shared: &Shared) {
+        if self.next_list.is_some_and(|next| Instant::now() < next) {
+            return;
+        }
+        let began = SystemTime::now();
+        let Ok(listed) = shared.platform.fleet.hosts().await else {
+            shared.telemetry.count("maintenance.no-host-list");
+            return;
+        };
+        let interval = list_interval(listed.len()).max(shared.settings.poll_interval);
+        self.next_list = Some(Instant::now() + interval);
+        self.listed_at = Some(began);
+        self.list = HostList::new(listed);
     }
-    let rows = shared.platform.table.scan(Scan::prefix(IDLE_PREFIX)).await?;
-    let decode = |row: &platform::Row| serde_json::from_slice::<IdleReport>(&row.value).ok();
-    let mut reports: Vec<IdleReport> = rows.iter().filter_map(decode).collect();
-    if !reports.contains(&own) {
-        let write = Write::put_json(format!("{IDLE_PREFIX}{}", own.node), &own);
-        let table = &*shared.platform.table;
-        let settled =
-            shared.committer.commit(table, Vec::new(), vec![write], REPORT_PATIENCE).await;
-        if settled != Settled::Committed {
-            return Err(Unavailable::new("the report was not written"));
+
+    /// Reports of all nodes.
+    async fn node_reports(&self, shared: &Shared) -> Result<Vec<Option<IdleReport>>, Unavailable> {
+        let expected = shared.settings.node_count.max(1) as usize;
+        if expected == 1 {
+            return Ok(vec![self.reported.clone()]);
         }
-        reports.retain(|report| report.node != own.node);
-        reports.push(own);
+        let rows = shared.platform.table.scan(Scan::prefix(IDLE_PREFIX)).await?;
+        let decode = |row: &platform::Row| serde_json::from_slice::<IdleReport>(&row.value).ok();
+        let mut reports: Vec<_> = rows.iter().filter_map(decode).map(Some).collect();
+        // A node that has not reported may run anything.
+        reports.resize(reports.len().max(expected), None);
+        Ok(reports)
     }
-    let mut reports: Vec<_> = reports.into_iter().map(Some).collect();
-    // A node that has not reported may run anything.
-    reports.resize(reports.len().max(expected), None);
-    Ok(reports)
 }
 
-fn own_report(shared: &Shared, config: &Config) -> IdleReport {
+/// Time between reads of a host list, so that they stay inside their part of a node's traffic.
+fn list_interval(entries: usize) -> Duration {
+    Duration::from_millis((entries as u64 * ENTRY_BYTES * 1_000) / LIST_BYTES_PER_SECOND)
+}
+
+/// Hosts that the platform's list has lost, as of now.
+pub async fn absent_hosts(shared: &Shared, config: &Config) -> Result<Vec<HostId>, Unavailable> {
+    Ok(HostList::new(shared.platform.fleet.hosts().await?).absent(config))
+}
+
+/// Draining hosts that this node runs nothing on, with their epochs, sorted.
+fn idle_hosts(shared: &Shared, config: &Config) -> Vec<(HostId, u64)> {
     let draining = config.hosts.iter().filter(|row| row.state == HostState::Draining);
     let idle = draining.filter(|row| {
         let slots = shared.limits.get(&LimitKey::Slots(row.id().clone()));
         slots.is_none_or(|slots| slots.running + slots.in_doubt == 0)
     });
-    IdleReport {
-        node: shared.settings.node.clone(),
-        config_version: config.version,
-        hosts: idle.map(|row| (row.id().clone(), row.epoch)).collect(),
-    }
+    idle.map(|row| (row.id().clone(), row.epoch)).collect()
 }
 
 fn drain_evidence(row: &HostRow, reports: &[Option<IdleReport>]) -> HostEvidence {
