--- a/crates/node/src/maintain.rs
+++ b/crates/node/src/maintain.rs
@@ -24,12 +24,11 @@
 use platform::Precondition;
 use rand::RngExt;
 
+use self::evidence::Watch;
 use crate::duty::maintenance_duty;
 use crate::follower::poll_once;
 use crate::shared::Shared;
 
-use evidence::Watch;
-
 pub use evidence::absent_hosts;
 
 /// Tries of a change that loses against others.
