--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Measurements: drivers of the decision functions and loads over loopback; no released program depends on them.
+
+pub mod maintenance;
--- a/crates/maintenance/src/advance.rs
+++ b/crates/maintenance/src/advance.rs
@@ -67,6 +67,19 @@
     pub hosts: Vec<HostEvidence>,
     /// The platform's host list.
     pub list: HostList,
+    /// Hosts whose backend servers did not answer just now, sorted; in doubt until they do.
+    pub silent: Vec<HostId>,
+}
+
+impl Evidence {
+    /// Hosts that the list has lost, and those in doubt; sorted.
+    pub fn unavailable(&self, config: &Config) -> Vec<HostId> {
+        let mut hosts = self.list.absent(config);
+        hosts.extend(self.silent.iter().cloned());
+        hosts.sort();
+        hosts.dedup();
+        hosts
+    }
 }
 
 /// Operation id of the reboot that a host's row asks for; the same on every node.
--- a/crates/maintenance/src/round.rs
+++ b/crates/maintenance/src/round.rs
@@ -5,7 +5,9 @@
 use model::Config;
 use model::ConfigRow;
 use model::HostRow;
+use model::HostState;
 use model::PoolId;
+use model::StopReason;
 use model::WaveRow;
 
 use crate::advance::Evidence;
@@ -26,6 +28,13 @@
 }
 
 impl Step {
+    /// Hosts that begin to drain for a wave; sorted.
+    pub fn drains(&self) -> impl Iterator<Item = &HostRow> {
+        self.hosts.iter().filter(|row| {
+            row.state == HostState::Draining && matches!(row.reason, Some(StopReason::Wave(_)))
+        })
+    }
+
     /// True if nothing changes.
     pub fn is_empty(&self) -> bool {
         self.hosts.is_empty() && self.waves.is_empty()
@@ -67,8 +76,9 @@
         }
     }
     let config = after.as_ref().unwrap_or(config);
-    let absent = evidence.list.absent(config);
-    let waves = advance_waves(config, &absent, is_mine, moment);
+    let lost = evidence.list.absent(config);
+    let unavailable = evidence.unavailable(config);
+    let waves = advance_waves(config, &lost, &unavailable, is_mine, moment);
     waves.hosts.into_iter().for_each(|host| step.put(host));
     step.waves = waves.waves;
     step
--- a/crates/maintenance/src/wave/advance.rs
+++ b/crates/maintenance/src/wave/advance.rs
@@ -31,10 +31,11 @@
 /// Pressure from which a wave uses the whole width of the budget, whatever the profile.
 const PRESSURE_HIGH: f64 = 0.5;
 
-/// Next step of the waves of all pools that `is_mine` accepts; `absent` are the hosts that the
-/// platform's list has lost, sorted.
+/// Next step of the waves of all pools that `is_mine` accepts; `lost` are the hosts that the
+/// platform's list has lost, and `absent` those and the ones in doubt, both sorted.
 pub fn advance_waves(
     config: &Config,
+    lost: &[HostId],
     absent: &[HostId],
     is_mine: impl Fn(&PoolId) -> bool,
     moment: Moment,
@@ -50,7 +51,7 @@
     }
     let layout = Layout::new(config);
     // Waves are decided one after the other, each on what the earlier ones left.
-    let mut planner = Planner { config: config.clone(), layout, absent, moment };
+    let mut planner = Planner { config: config.clone(), layout, lost, absent, moment };
     for wave in open {
         let (next, hosts) = planner.advance(wave);
         hosts.into_iter().for_each(|host| step.put(host));
@@ -65,6 +66,7 @@
 struct Planner<'a> {
     config: Config,
     layout: Layout,
+    lost: &'a [HostId],
     absent: &'a [HostId],
     moment: Moment,
 }
@@ -130,7 +132,7 @@
                     row.state == HostState::Rebooting && age > REBOOT_TIME * OVERDUE_FACTOR
                 }
                 Turn::Waiting | Turn::Done => {
-                    row.state == HostState::Failed || self.absent.binary_search(row.id()).is_ok()
+                    row.state == HostState::Failed || self.lost.binary_search(row.id()).is_ok()
                 }
             }
         };
--- a/crates/maintenance/tests/failures.rs
+++ b/crates/maintenance/tests/failures.rs
@@ -400,8 +400,22 @@
     own.epoch = evidence_epoch;
     own.reboot = Some(RebootState::Done);
     let list = HostList::default();
-    let evidence = Evidence { gathered_at: world.now, hosts: vec![own], list };
+    let evidence = Evidence { gathered_at: world.now, hosts: vec![own], list, silent: Vec::new() };
     let moment = Moment { version: config.version + 1, now: world.now };
     let next = maintenance::advance::advance_host(&config, &row, &evidence, moment);
     assert_eq!(next.map(|row| row.state), wanted);
 }
+
+#[tokio::test]
+async fn hosts_that_do_not_answer_count_before_the_list_shows_it() {
+    let mut world = World::new(&contract(9, 1, 3)).await;
+    world.tick().await;
+    world.start_wave("validate").await;
+    let config = world.config().await;
+    let mut evidence = world.gather(&config);
+    evidence.silent = vec!["h01".into(), "h04".into(), "h07".into()];
+    assert!(!world.act(&evidence).await);
+    evidence.silent.clear();
+    assert!(world.act(&evidence).await);
+    assert_eq!(in_state(&world.config().await, HostState::Draining), ["h00"]);
+}
--- a/crates/maintenance/tests/support/fake.rs
+++ b/crates/maintenance/tests/support/fake.rs
@@ -237,7 +237,7 @@
             hosts.push(own);
         }
         let list = self.stale_list.clone().unwrap_or_else(|| self.list());
-        Evidence { gathered_at: self.now, hosts, list: HostList::new(list) }
+        Evidence { gathered_at: self.now, hosts, list: HostList::new(list), silent: Vec::new() }
     }
 
     fn reboot(&mut self, row: &HostRow) -> RebootState {
--- a/crates/node/src/admin/hosts.rs
+++ b/crates/node/src/admin/hosts.rs
@@ -21,9 +21,9 @@
 use super::Node;
 use super::accepted;
 use crate::api;
-use crate::maintain::absent_hosts;
 use crate::maintain::change;
 use crate::maintain::moment;
+use crate::maintain::unavailable_beside;
 use crate::shared::Shared;
 
 /// Routes.
@@ -58,7 +58,7 @@
     State(shared): Node,
     Path(id): Path<String>,
 ) -> Result<Json<api::Accepted>, AdminError> {
-    let absent = absent(&shared).await?;
+    let absent = absent(&shared, &id).await?;
     let version = change(&shared, |config| {
         let reason = StopReason::Operator;
         let row = maintenance::drain(config, &id, reason, &absent, moment(config));
@@ -72,7 +72,7 @@
     Path(id): Path<String>,
     Json(call): Json<api::MoveHost>,
 ) -> Result<Json<api::Accepted>, AdminError> {
-    let absent = absent(&shared).await?;
+    let absent = absent(&shared, &id).await?;
     let version = change(&shared, |config| {
         let row = maintenance::move_host(config, &id, &call.pool, &absent, moment(config));
         row.map(host_step).map_err(invalid)
@@ -91,9 +91,9 @@
     Ok(Json(accepted(&shared, version.await?).await))
 }
 
-async fn absent(shared: &Shared) -> Result<Vec<HostId>, AdminError> {
+async fn absent(shared: &Shared, host: &str) -> Result<Vec<HostId>, AdminError> {
     let config = shared.config();
-    Ok(absent_hosts(shared, &config).await.map_err(ChangeError::from)?)
+    Ok(unavailable_beside(shared, &config, host).await.map_err(ChangeError::from)?)
 }
 
 fn invalid(error: StepError) -> ChangeError {
--- a/crates/node/src/maintain.rs
+++ b/crates/node/src/maintain.rs
@@ -20,6 +20,7 @@
 use maintenance::Step;
 use model::Config;
 use model::ConfigVersion;
+use model::HostRow;
 use model::PoolId;
 use platform::Precondition;
 use rand::RngExt;
@@ -29,7 +30,7 @@
 use crate::follower::poll_once;
 use crate::shared::Shared;
 
-pub use evidence::absent_hosts;
+pub use evidence::unavailable_beside;
 
 /// Tries of a change that loses against others.
 const CHANGE_TRIES: usize = 5;
@@ -54,11 +55,14 @@
         return;
     }
     let is_mine = |pool: &PoolId| duties.binary_search_by(|duty| duty.pool.cmp(pool)).is_ok();
-    let evidence = watch.gather(shared, &config, &is_mine).await;
+    let mut evidence = watch.gather(shared, &config, &is_mine).await;
+    let planned = maintenance::advance_all(&config, &evidence, is_mine, moment(&config));
+    evidence.silent = evidence::silent_beside(&config, planned.drains()).await;
     let decide = |config: &Config| {
         let step = maintenance::advance_all(config, &evidence, is_mine, moment(config));
-        if step.is_empty() {
-            let reason = "another node was faster".to_owned();
+        let is_probed = |row: &HostRow| planned.drains().any(|other| other.id() == row.id());
+        if step.is_empty() || !step.drains().all(is_probed) {
+            let reason = "the configuration changed meanwhile".to_owned();
             return Err(ChangeError::Invalid { reason });
         }
         Ok(step)
--- a/crates/node/src/maintain/evidence.rs
+++ b/crates/node/src/maintain/evidence.rs
@@ -3,6 +3,7 @@
 //! A node that runs nothing on a draining host any more says so in its row `idle/{node}`; the row
 //! names the host's epoch, so that a report about an earlier drain counts for nothing.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -27,6 +28,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 use crate::shared::Shared;
 
@@ -119,7 +121,7 @@
             }
         }
         let gathered_at = self.listed_at.unwrap_or(SystemTime::UNIX_EPOCH);
-        Evidence { gathered_at, hosts, list: self.list.clone() }
+        Evidence { gathered_at, hosts, list: self.list.clone(), silent: Vec::new() }
     }
 
     /// Reads the host list, if it is time; a larger list is read less often.
@@ -158,9 +160,51 @@
     Duration::from_millis((entries as u64 * ENTRY_BYTES * 1_000) / LIST_BYTES_PER_SECOND)
 }
 
-/// Hosts that the platform's list has lost, as of now.
-pub async fn absent_hosts(shared: &Shared, config: &Config) -> Result<Vec<HostId>, Unavailable> {
-    Ok(HostList::new(shared.platform.fleet.hosts().await?).absent(config))
+/// Hosts that the platform's list has lost, and those of the host's service that do not answer.
+pub async fn unavailable_beside(
+    shared: &Shared,
+    config: &Config,
+    host: &str,
+) -> Result<Vec<HostId>, Unavailable> {
+    let list = HostList::new(shared.platform.fleet.hosts().await?);
+    let silent = match config.host(host) {
+        Some(row) => silent_beside(config, std::iter::once(row)).await,
+        None => Vec::new(),
+    };
+    let hosts = Vec::new();
+    let evidence = Evidence { gathered_at: SystemTime::now(), hosts, list, silent };
+    Ok(evidence.unavailable(config))
+}
+
+/// Serving hosts of the services of `rows` whose backend servers do not answer now, sorted.
+///
+/// The host list lags, and what it does not show yet must not be spent from a budget.
+pub async fn silent_beside<'a>(
+    config: &Config,
+    rows: impl Iterator<Item = &'a HostRow>,
+) -> Vec<HostId> {
+    let mut probed: Vec<&HostRow> = Vec::new();
+    for row in rows {
+        let (Some(service), Some(contract)) =
+            (config.service_of(row), config.contract(&row.customer))
+        else {
+            continue;
+        };
+        let serving = |other: &&HostRow| other.state == HostState::Serving;
+        probed.extend(config.hosts_of(contract, &service.name).filter(serving));
+    }
+    probed.sort_by(|a, b| a.id().cmp(b.id()));
+    probed.dedup_by(|a, b| a.id() == b.id());
+    let mut probes = JoinSet::new();
+    for row in probed {
+        let (id, address) = (row.id().clone(), row.spec.address);
+        probes.spawn(async move { (id, answers(address).await) });
+    }
+    let answers = probes.join_all().await;
+    let mut silent: Vec<HostId> =
+        answers.into_iter().filter(|(_, answered)| !answered).map(|(id, _)| id).collect();
+    silent.sort();
+    silent
 }
 
 /// Draining hosts that this node runs nothing on, with their epochs, sorted.
@@ -194,8 +238,12 @@
 
 async fn return_evidence(row: &HostRow) -> HostEvidence {
     let at = SystemTime::now();
-    let connect = TcpStream::connect(row.spec.address);
-    let answered = matches!(tokio::time::timeout(PROBE_TIMEOUT, connect).await, Ok(Ok(_)));
-    let probe = if answered { Probe::Healthy { at } } else { Probe::Silent };
+    let probe = if answers(row.spec.address).await { Probe::Healthy { at } } else { Probe::Silent };
     HostEvidence { probe: Some(probe), ..HostEvidence::none(row) }
 }
+
+/// True if the backend server accepts a connection.
+async fn answers(address: SocketAddr) -> bool {
+    let connect = TcpStream::connect(address);
+    matches!(tokio::time::timeout(PROBE_TIMEOUT, connect).await, Ok(Ok(_)))
+}
