Let only the holder end a claim, bound a keyed request by its deadline, probe apart from upkeep

Cause: a claim could be settled after its retention, by then another's; a slow table could hold an answer past the deadline; probes of a silent host held up the serving of lines. Change: the end of a claim is written only onto the holder's own row; the caller of a keyed request gets its end by the deadline; doubts are resolved by a task of their own. Tests for evidence: no report frees nothing, a reboot frees all.

--- a/crates/bench/src/bin/bench-path/setup.rs
+++ b/crates/bench/src/bin/bench-path/setup.rs
@@ -122,6 +122,8 @@
     /// Most bytes of heap that the node needs more while `size_bytes` are sent and echoed.
     pub fn heap_peak_with_body(&self, size_bytes: u64) -> i64 {
         self.callers.block_on(async {
+            // Connections of earlier measurements are closed meanwhile.
+            tokio::time::sleep(SETTLE).await;
             let before = heap::live_bytes();
             heap::reset_peak();
             let stream = TcpStream::connect(self.node_address).await.expect("the node listens");
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -66,7 +66,19 @@
 struct Job {
     row_key: String,
     claim: Claim,
-    end: oneshot::Sender<ClaimEnd>,
+    claimed: oneshot::Sender<ClaimEnd>,
+}
+
+/// A claim that comes to its end.
+struct End {
+    row_key: String,
+    request: RequestId,
+}
+
+impl Job {
+    fn end(&self) -> End {
+        End { row_key: self.row_key.clone(), request: self.claim.request.clone() }
+    }
 }
 
 /// Claims of this node.
@@ -111,8 +123,8 @@
 
     /// Claims a key for a request that has not been dispatched.
     pub async fn claim(&self, row_key: &str, claim: &Claim) -> ClaimEnd {
-        let (end, ended) = oneshot::channel();
-        let job = Job { row_key: row_key.to_owned(), claim: claim.clone(), end };
+        let (claimed, ended) = oneshot::channel();
+        let job = Job { row_key: row_key.to_owned(), claim: claim.clone(), claimed };
         if self.jobs.try_send(job).is_err() {
             return ClaimEnd::Unavailable;
         }
@@ -121,15 +133,15 @@
 
     /// Writes how a claimed request ended; goes on in the background if the table is away.
     pub async fn settle(self: &Arc<Self>, row_key: &str, claim: Claim) {
-        let write = Write::put_json(row_key, &claim);
-        if !self.write(write.clone()).await {
-            self.write_later(write);
+        let end = End { row_key: row_key.to_owned(), request: claim.request.clone() };
+        if !self.write_end(&end, Some(&claim)).await {
+            self.write_end_later(end, Some(claim));
         }
     }
 
     /// Gives a key back whose request has not run.
-    pub fn release(self: &Arc<Self>, row_key: String) {
-        self.write_later(Write::Delete { key: row_key });
+    pub fn release(self: &Arc<Self>, row_key: String, request: RequestId) {
+        self.write_end_later(End { row_key, request }, None);
     }
 
     /// Keeps an answer for repeats.
@@ -200,8 +212,7 @@
                 }
                 Settled::Refused { .. } => return end_all(batch, ClaimEnd::Unavailable),
                 Settled::Unknown { operation_id } => {
-                    let keys = batch.iter().map(|job| job.row_key.clone()).collect();
-                    self.undo_later(operation_id, keys);
+                    self.undo_later(operation_id, batch.iter().map(Job::end).collect());
                     return end_all(batch, ClaimEnd::Unavailable);
                 }
             }
@@ -218,16 +229,29 @@
         (batch.iter().map(absent).collect(), writes)
     }
 
-    async fn write(&self, write: Write) -> bool {
-        let settled = self.committer.commit(&*self.table, Vec::new(), vec![write], self.patience);
+    /// Replaces or removes a claim; true once nothing is left to do.
+    async fn write_end(&self, end: &End, claim: Option<&Claim>) -> bool {
+        let Ok(row) = self.table.get(&end.row_key).await else {
+            return false;
+        };
+        // Its time may have been over, and the key claimed by another since.
+        let Some(row) = row.filter(|row| holder_of(row).as_ref() == Some(&end.request)) else {
+            return true;
+        };
+        let write = match claim {
+            Some(claim) => Write::put_json(&end.row_key, claim),
+            None => Write::Delete { key: end.row_key.clone() },
+        };
+        let unchanged = vec![Precondition::unchanged(&end.row_key, Some(&row))];
+        let settled = self.committer.commit(&*self.table, unchanged, vec![write], self.patience);
         settled.await == Settled::Committed
     }
 
-    fn write_later(self: &Arc<Self>, write: Write) {
+    fn write_end_later(self: &Arc<Self>, end: End, claim: Option<Claim>) {
         let claims = self.clone();
         tokio::spawn(async move {
             for _ in 0..SETTLE_TRIES_MAX {
-                if claims.write(write.clone()).await {
+                if claims.write_end(&end, claim.as_ref()).await {
                     return;
                 }
                 tokio::time::sleep(SETTLE_RETRY).await;
@@ -236,7 +260,7 @@
     }
 
     /// Settles a write of claims whose answer was lost; none of the requests has run.
-    fn undo_later(self: &Arc<Self>, operation_id: OperationId, keys: Vec<String>) {
+    fn undo_later(self: &Arc<Self>, operation_id: OperationId, ends: Vec<End>) {
         let claims = self.clone();
         tokio::spawn(async move {
             for _ in 0..SETTLE_TRIES_MAX {
@@ -246,7 +270,9 @@
                     None => tokio::time::sleep(SETTLE_RETRY).await,
                 }
             }
-            keys.into_iter().for_each(|key| claims.release(key));
+            for end in ends {
+                claims.write_end_later(end, None);
+            }
         });
     }
 }
@@ -294,7 +320,7 @@
 fn end_all(batch: Vec<Job>, end: ClaimEnd) {
     for job in batch {
         // A request that has gone needs no answer.
-        let _ = job.end.send(end);
+        let _ = job.claimed.send(end);
     }
 }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -144,6 +144,7 @@
             }
         });
         tokio::spawn(upkeep(Arc::downgrade(&gateway)));
+        tokio::spawn(resolve_doubts(Arc::downgrade(&gateway)));
         tokio::spawn(sweep(Arc::downgrade(&gateway)));
         gateway
     }
@@ -291,7 +292,7 @@
         Ok(request.map(|body| OutboundBody::streamed(body, bounds)))
     }
 
-    async fn keep_up(self: &Arc<Self>) {
+    fn keep_up(&self) {
         let config = self.authority.config();
         let routes = self.routes(&config);
         let now = Instant::now();
@@ -300,23 +301,34 @@
             backend.idle.close_old(now, all);
         }
         self.peers.close_old(now);
-        self.lines.doubts.resolve(&self.lines, &self.prober, &config).await;
         self.telemetry.gauge("requests.waiting", self.lines.waiting() as u64);
         self.telemetry.gauge("tokens.in-doubt", self.lines.doubts.len() as u64);
         self.lines.serve_all(Instant::now());
     }
 }
 
-/// Resolves tokens in doubt, closes old connections and serves the lines.
+/// Closes old connections and serves the lines.
 async fn upkeep(gateway: Weak<Gateway>) {
     loop {
         let Some(gateway) = gateway.upgrade() else { return };
-        gateway.keep_up().await;
+        gateway.keep_up();
         drop(gateway);
         tokio::time::sleep(UPKEEP_INTERVAL).await;
     }
 }
 
+/// Looks for evidence about tokens in doubt; a server that does not answer delays only this task.
+async fn resolve_doubts(gateway: Weak<Gateway>) {
+    loop {
+        let Some(gateway) = gateway.upgrade() else { return };
+        let config = gateway.authority.config();
+        gateway.lines.doubts.resolve(&gateway.lines, &gateway.prober, &config).await;
+        let interval = gateway.settings.probe_interval.min(UPKEEP_INTERVAL);
+        drop(gateway);
+        tokio::time::sleep(interval).await;
+    }
+}
+
 async fn sweep(gateway: Weak<Gateway>) {
     while let Some(interval) = gateway.upgrade().map(|gateway| gateway.settings.sweep_interval) {
         // Jitter keeps the nodes from sweeping the same rows at once.
--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -47,6 +47,8 @@
 
 /// Time beyond its deadline after which a claim whose holder is silent reads as unknown.
 const CLAIM_MARGIN: Duration = Duration::from_secs(60);
+/// Time beyond its deadline in which the task that carries a request says how it ended.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 /// Longest idempotency key, in bytes.
 const KEY_MAX_BYTES: usize = 255;
 
@@ -94,6 +96,7 @@
             Err(ended) => return *ended,
         };
         let (sender, ended) = oneshot::channel();
+        let answer_by = ready.work.step.order.deadline.at + ANSWER_MARGIN;
         let gateway = self.clone();
         let running = self.running.clone();
         tokio::spawn(async move {
@@ -102,10 +105,17 @@
             drop(sender.send(end));
             drop(running);
         });
-        ended.await.unwrap_or_else(|_| {
-            let detail = "the request was lost inside the node";
-            Err(Refusal::unknown(StatusCode::INTERNAL_SERVER_ERROR, detail))
-        })
+        match tokio::time::timeout_at(answer_by.into(), ended).await {
+            Ok(Ok(end)) => end,
+            Ok(Err(_)) => {
+                let detail = "the request was lost inside the node";
+                Err(Refusal::unknown(StatusCode::INTERNAL_SERVER_ERROR, detail))
+            }
+            Err(_) => {
+                let detail = "no answer came in time; a repeat with the same key may get it";
+                Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, detail))
+            }
+        }
     }
 
     async fn claim_and_send(
@@ -128,7 +138,7 @@
         match self.finish(ready).await {
             Ok(answered) => Ok(self.keep(&keyed, claim, answered).await),
             Err(refusal) if refusal.outcome == Outcome::NotRun => {
-                self.claims.release(keyed.row_key);
+                self.claims.release(keyed.row_key, claim.request);
                 Err(refusal)
             }
             Err(refusal) => {
--- /dev/null
+++ b/crates/gateway/tests/common/entry.rs
@@ -0,0 +1,157 @@
+//! A gateway with a view that the test sets, and one backend server.
+#![allow(dead_code)]
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Router;
+use axum::extract::Request;
+use events::Recorder;
+use gateway::Authority;
+use gateway::Gateway;
+use gateway::GatewaySettings;
+use gateway::Parts;
+use gateway::Peer;
+use gateway::Server;
+use http::Method;
+use limits::LimitKey;
+use limits::LimitTable;
+use model::Config;
+use model::ConfigRow;
+use model::HostRow;
+use model::HostState;
+use model::ServiceId;
+use model::TeamRef;
+use model::contract::parse_contract;
+use platform::MemoryObjects;
+use platform::MemoryTable;
+use standin::backend::StandinBackend;
+use standin::caller::Answer;
+use standin::caller::call;
+use telemetry::Telemetry;
+
+pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub const SECRET: [u8; 32] = [9; 32];
+
+/// A node's view that the test sets.
+pub struct View {
+    pub config: Mutex<Arc<Config>>,
+    pub peers: Mutex<Vec<Peer>>,
+}
+
+impl Authority for View {
+    fn config(&self) -> Arc<Config> {
+        self.config.lock().unwrap().clone()
+    }
+
+    fn may_admit(&self, _now: Instant) -> bool {
+        true
+    }
+
+    fn spare_peers(&self, _team: &TeamRef, _service: &ServiceId) -> Vec<Peer> {
+        self.peers.lock().unwrap().clone()
+    }
+}
+
+pub struct Entry {
+    pub view: Arc<View>,
+    pub server: Server,
+    pub limits: Arc<LimitTable>,
+    pub telemetry: Telemetry,
+}
+
+impl Entry {
+    /// Node with `slots` of the only backend server.
+    pub async fn start(config: &Arc<Config>, slots: u32, secret: [u8; 32]) -> Self {
+        let limits = Arc::new(LimitTable::default());
+        limits.grant(&LimitKey::Slots("w1".into()), slots);
+        limits.grant(&LimitKey::Connections("w1".into()), slots * 2);
+        limits.grant(&LimitKey::Running(TeamRef::new("levy", "desk")), 8);
+        let view = Arc::new(View { config: Mutex::new(config.clone()), peers: Mutex::default() });
+        let telemetry = Telemetry::new(None).unwrap();
+        let gateway = Gateway::start(Parts {
+            authority: view.clone(),
+            limits: limits.clone(),
+            events: Arc::new(Recorder::new("n".into(), 1)),
+            telemetry: telemetry.clone(),
+            table: Arc::new(MemoryTable::default()),
+            objects: Arc::new(MemoryObjects::default()),
+            settings: GatewaySettings {
+                cluster_secret: Some(secret),
+                connect_timeout: Duration::from_secs(5),
+                probe_interval: Duration::from_millis(20),
+                ..GatewaySettings::default()
+            },
+        });
+        let router =
+            Router::new().fallback(move |request: Request| gateway.clone().handle(request));
+        let server = gateway::serve(ANY_PORT, router).await.unwrap();
+        Self { view, server, limits, telemetry }
+    }
+
+    pub fn may_send_to(&self, others: &[&Self]) {
+        let peer = |other: &&Self| Peer { node: "peer".into(), address: other.server.address };
+        *self.view.peers.lock().unwrap() = others.iter().map(peer).collect();
+    }
+
+    pub async fn send(&self, job: &str, body: &str) -> Answer {
+        let headers = [("standin-job", job)];
+        let sent = call(self.server.address, Method::POST, "/q/q/x?y=1", &headers, body.to_owned());
+        sent.await.unwrap()
+    }
+
+    pub fn forwards(&self) -> u64 {
+        let totals = self.telemetry.totals();
+        totals.iter().find(|(name, _)| name.ends_with("request.forwarded")).map_or(0, |t| t.1)
+    }
+}
+
+pub async fn start() -> (Arc<StandinBackend>, Arc<Config>) {
+    let backend = Arc::new(StandinBackend::default());
+    let (address, _) = standin::backend::serve(backend.clone(), ANY_PORT).await.unwrap();
+    (backend, config(1, address, HostState::Serving))
+}
+
+/// Configuration with the only host in `state`.
+pub fn config(version: u64, address: SocketAddr, state: HostState) -> Arc<Config> {
+    let text = format!(
+        r#"
+customer = "levy"
+profile = "share"
+[[services]]
+name = "s"
+unavailable_max = 0
+[[queues]]
+name = "q"
+service = "s"
+open = true
+open_team = "desk"
+wait_max_ms = 300
+[[teams]]
+name = "desk"
+running_max = 8
+[[pools]]
+name = "p"
+service = "s"
+[[hosts]]
+name = "w1"
+pool = "p"
+address = "{address}"
+zone = "a"
+rack = "r1"
+slots = 8
+connections_max = 64
+processors = 16
+memory_mib = 32768
+"#
+    );
+    let contract = parse_contract("levy.toml", &text).unwrap();
+    let mut host = HostRow::new(contract.customer.clone(), contract.hosts[0].clone());
+    host.state = state;
+    let rows = vec![ConfigRow::Contract(contract), ConfigRow::Host(host)];
+    Arc::new(Config::from_rows(version, rows))
+}
--- /dev/null
+++ b/crates/gateway/tests/doubt.rs
@@ -0,0 +1,82 @@
+//! Tokens in doubt stay so until there is evidence.
+
+#[path = "common/entry.rs"]
+mod entry;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::StatusCode;
+use limits::LimitKey;
+use model::HostState;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+use crate::entry::ANY_PORT;
+use crate::entry::Entry;
+use crate::entry::SECRET;
+use crate::entry::config;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Server that reads a little of each connection and closes it.
+async fn cutter() -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind(ANY_PORT).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = Arc::new(AtomicU32::new(0));
+    let count = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            let _ = stream.read(&mut [0; 64]).await;
+        }
+    });
+    (address, accepted)
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    waited.await.expect("the state is reached in time");
+}
+
+#[tokio::test]
+async fn no_report_frees_nothing_and_a_reboot_frees_all() {
+    let (address, accepted) = cutter().await;
+    let entry = Entry::start(&config(1, address, HostState::Serving), 4, SECRET).await;
+    let answer = entry.send("cut", "steel").await;
+    assert_eq!((answer.status, answer.outcome()), (StatusCode::BAD_GATEWAY, "unknown"));
+    let in_doubt = || {
+        let slots = entry.limits.get(&LimitKey::Slots("w1".into())).unwrap();
+        (slots.running, slots.in_doubt)
+    };
+    // One connection for the request, the others for probes that bring no report.
+    until(|| accepted.load(Ordering::Relaxed) > 5).await;
+    assert_eq!(in_doubt(), (0, 1));
+
+    // A host that is drained and returned has not been rebooted.
+    let mut version = 1;
+    let mut set = |state| {
+        version += 1;
+        *entry.view.config.lock().unwrap() = config(version, address, state);
+    };
+    let probed = || accepted.load(Ordering::Relaxed);
+    for state in [HostState::Draining, HostState::Drained, HostState::Serving] {
+        set(state);
+        let seen = probed();
+        until(|| probed() > seen + 1).await;
+        assert_eq!(in_doubt(), (0, 1), "{state}");
+    }
+    set(HostState::Rebooting);
+    let seen = probed();
+    until(|| probed() > seen + 1).await;
+    assert_eq!(in_doubt(), (0, 1), "it may still be going down");
+    set(HostState::Returning);
+    until(|| in_doubt() == (0, 0)).await;
+}
