--- a/crates/bench/src/target.rs
+++ b/crates/bench/src/target.rs
@@ -26,7 +26,7 @@
 }
 
 /// All series of the page.
-pub const TARGETS: [Target; 5] = [
+pub const TARGETS: [Target; 8] = [
     Target {
         series: "config-admit-us",
         grows_with: "hosts",
@@ -62,4 +62,25 @@
         role: "configuration follower",
         mechanism: "one snapshot a node, replaced as a whole",
     },
+    Target {
+        series: "membership-sent-bytes",
+        grows_with: "nodes of a cell",
+        size: CELL_NODES,
+        role: "membership",
+        mechanism: "changed counts only; a full mesh within a cell",
+    },
+    Target {
+        series: "membership-cpu-us",
+        grows_with: "nodes of a cell",
+        size: CELL_NODES,
+        role: "membership",
+        mechanism: "one heartbeat and one answer a peer and round",
+    },
+    Target {
+        series: "membership-held-bytes",
+        grows_with: "nodes of a cell",
+        size: CELL_NODES,
+        role: "membership",
+        mechanism: "one entry and one connection each way a peer",
+    },
 ];
