--- a/crates/shares/src/queue.rs
+++ b/crates/shares/src/queue.rs
@@ -45,7 +45,6 @@
 struct Started {
     ticket: Ticket,
     team: usize,
-    charged_s: f64,
     at: Instant,
 }
 
@@ -72,6 +71,8 @@
     next_ticket: Ticket,
     waiting: usize,
     last: Option<Instant>,
+    /// When counts of the fleet last came.
+    observed: Option<Instant>,
 }
 
 impl FairQueue {
@@ -91,6 +92,7 @@
             next_ticket: 0,
             waiting: 0,
             last: None,
+            observed: None,
         }
     }
 
@@ -137,8 +139,9 @@
             Class::Normal => self.urgent.earn(),
         }
         self.virtual_s = self.virtual_s.max(self.teams[team].virtual_s);
-        let charged_s = self.teams[team].charge();
-        let started = Started { ticket: waiting.ticket, team, charged_s, at: now };
+        self.teams[team].running += 1;
+        self.teams[team].rate.started();
+        let started = Started { ticket: waiting.ticket, team, at: now };
         let index = self.started.partition_point(|other| other.ticket < started.ticket);
         self.started.insert(index, started);
         self.left(team, 1);
@@ -154,7 +157,7 @@
         };
         let started = self.started.remove(index);
         let ran = now.saturating_duration_since(started.at);
-        self.teams[started.team].settle(started.charged_s, ran);
+        self.teams[started.team].settle(ran);
         self.run_s += RUN_TIME_GAIN * (ran.as_secs_f64() - self.run_s);
     }
 
@@ -196,13 +199,18 @@
     /// Takes in what the other nodes have; a team that is missing has nothing there.
     pub fn observe_fleet(&mut self, counts: &[FleetCounts], now: Instant) {
         self.advance(now);
-        self.teams.iter_mut().for_each(TeamState::clear_others);
+        let since_last = self.observed.replace(now).map(|last| now.saturating_duration_since(last));
+        let mut named = Vec::with_capacity(counts.len());
         for count in counts {
             let team = self.team_position(&count.team, count.share_weight);
-            let state = &mut self.teams[team];
-            state.others_running = count.running;
-            state.others_queued = count.queued;
-            state.others_nodes = count.nodes;
+            self.teams[team].observe(count, since_last);
+            named.push(team);
+        }
+        named.sort_unstable();
+        for (team, state) in self.teams.iter_mut().enumerate() {
+            if named.binary_search(&team).is_err() {
+                state.forget_others();
+            }
         }
         self.bound_credit();
     }
@@ -217,15 +225,17 @@
         self.waiting == 0
     }
 
-    /// Counts of each team that has entries here, sorted by team.
-    pub fn counts(&self) -> Vec<TeamCounts> {
+    /// Counts of each team that has entries here or had any, sorted by team.
+    pub fn counts(&mut self, now: Instant) -> Vec<TeamCounts> {
+        self.advance(now);
         let teams = self.by_name.iter().map(|&team| &self.teams[team]);
         teams
-            .filter(|state| state.queued() > 0 || state.running > 0)
+            .filter(|state| state.queued() > 0 || state.served_s > 0.0)
             .map(|state| TeamCounts {
                 team: state.team.clone(),
                 queued: state.queued() as u32,
                 running: state.running,
+                served: Duration::from_secs_f64(state.served_s),
             })
             .collect()
     }
@@ -235,16 +245,25 @@
         if self.waiting == 0 {
             return Some(Duration::ZERO);
         }
-        let rate_per_s = self.rate.per_s()?;
         let position = self.find(team).ok().map(|index| self.by_name[index]);
-        let weight = position.map_or(1.0, |position| self.teams[position].weight);
         let queued = position.map_or(0, |position| self.teams[position].queued());
+        let own_rate = position.and_then(|position| self.teams[position].rate.per_s());
+        let wait_s = match own_rate {
+            Some(per_s) => (queued + 1) as f64 / per_s,
+            None => self.wait_by_share(position, queued)?,
+        };
+        Some(Duration::from_secs_f64(wait_s.min(RETRY_MAX.as_secs_f64())))
+    }
+
+    /// Time in seconds that an entry waits if its team is served by its weight.
+    fn wait_by_share(&self, position: Option<usize>, queued: usize) -> Option<f64> {
+        let rate_per_s = self.rate.per_s()?;
+        let weight = position.map_or(1.0, |position| self.teams[position].weight);
         let others = self.active.iter().filter(|&&other| Some(other) != position);
         let weights: f64 = weight + others.map(|&other| self.teams[other].weight).sum::<f64>();
         let by_share_s = (queued + 1) as f64 * weights / (weight * rate_per_s);
         let all_s = (self.waiting + 1) as f64 / rate_per_s;
-        let wait_s = by_share_s.min(all_s).min(RETRY_MAX.as_secs_f64());
-        Some(Duration::from_secs_f64(wait_s))
+        Some(by_share_s.min(all_s))
     }
 
     fn check_deadline(&self, team: usize, entry: &Entry, now: Instant) -> Result<(), Refused> {
@@ -365,7 +384,7 @@
     fn bound_credit(&mut self) {
         let backlogged = self.teams.iter().filter(|state| state.is_backlogged());
         let weights: f64 = backlogged.map(|state| state.weight).sum();
-        let running: u32 = self.teams.iter().map(|s| s.running + s.others_running).sum();
+        let running: u32 = self.teams.iter().map(|s| s.running + s.others.running).sum();
         let credit_s = CREDIT.as_secs_f64() * f64::from(running.max(1)) / weights.max(1.0);
         for state in &mut self.teams {
             let behind = if state.is_backlogged() { credit_s } else { 0.0 };
--- a/crates/shares/src/team.rs
+++ b/crates/shares/src/team.rs
@@ -6,6 +6,8 @@
 
 use model::TeamRef;
 
+use crate::rate::ServiceRate;
+
 /// Number of a waiting entry; never used twice.
 pub type Ticket = u64;
 
@@ -41,6 +43,8 @@
     pub team: TeamRef,
     /// Share weight of the team.
     pub share_weight: u32,
+    /// Slot time that the other nodes have given the team, since they started.
+    pub served: Duration,
     /// Requests that run through the other nodes.
     pub running: u32,
     /// Requests that wait at the other nodes.
@@ -58,6 +62,8 @@
     pub queued: u32,
     /// Entries that were started and have not ended.
     pub running: u32,
+    /// Slot time that this node has given the team.
+    pub served: Duration,
 }
 
 /// An entry that waits.
@@ -74,38 +80,56 @@
     pub weight: f64,
     /// Slot seconds over the fleet, by weight.
     pub virtual_s: f64,
-    /// Service that other nodes are taken to give until their next counts say so.
-    pub assumed_s: f64,
     /// Mean time that a request of the team runs.
     pub run_s: f64,
     pub running: u32,
-    pub others_running: u32,
-    pub others_queued: u32,
-    pub others_nodes: u32,
+    /// Slot seconds that this node gave.
+    pub served_s: f64,
+    /// Rate of the team's starts here while it waits.
+    pub rate: ServiceRate,
+    pub others: Others,
     pub urgent: VecDeque<Waiting>,
     pub normal: VecDeque<Waiting>,
 }
 
+/// What is known of the team at the other nodes.
+#[derive(Clone, Debug, Default)]
+pub struct Others {
+    /// Slot seconds that they had given at the last counts.
+    pub served_s: Option<f64>,
+    /// Slot seconds that they are taken to have given since, by weight.
+    pub assumed_s: f64,
+    /// Slot seconds that they give in a second.
+    pub rate: f64,
+    pub running: u32,
+    pub queued: u32,
+    pub nodes: u32,
+}
+
 impl TeamState {
     pub fn new(team: TeamRef, share_weight: u32, virtual_s: f64, run_s: f64) -> Self {
         Self {
             team,
             weight: weight_of(share_weight),
             virtual_s,
-            assumed_s: 0.0,
             run_s,
             running: 0,
-            others_running: 0,
-            others_queued: 0,
-            others_nodes: 0,
+            served_s: 0.0,
+            rate: ServiceRate::default(),
+            others: Others::default(),
             urgent: VecDeque::new(),
             normal: VecDeque::new(),
         }
     }
 
     /// Virtual time that decides who is next.
+    ///
+    /// What runs here counts with the time that it will still take, and as often as there are nodes
+    /// that the team waits at: they all see the same lag, and each makes up for its part.
     pub fn key(&self) -> f64 {
-        self.virtual_s + self.assumed_s
+        let nodes = f64::from(1 + self.others.nodes);
+        let ahead_s = f64::from(self.running) * nodes * self.run_s;
+        self.virtual_s + self.others.assumed_s + ahead_s / self.weight
     }
 
     pub fn queued(&self) -> usize {
@@ -114,7 +138,7 @@
 
     /// True if the team wants service anywhere.
     pub fn is_backlogged(&self) -> bool {
-        self.queued() > 0 || self.others_queued > 0
+        self.queued() > 0 || self.others.queued > 0
     }
 
     pub fn lane(&mut self, class: Class) -> &mut VecDeque<Waiting> {
@@ -124,33 +148,47 @@
         }
     }
 
-    /// Charges an entry that starts now; returns the charge in seconds.
-    pub fn charge(&mut self) -> f64 {
-        self.running += 1;
-        self.virtual_s += self.run_s / self.weight;
-        self.assumed_s += self.run_s * f64::from(self.others_nodes) / self.weight;
-        self.run_s
-    }
-
-    /// Replaces the charge of an entry by the time that it ran.
-    pub fn settle(&mut self, charged_s: f64, ran: Duration) {
-        let ran_s = ran.as_secs_f64();
+    /// The run of an entry has ended.
+    pub fn settle(&mut self, ran: Duration) {
         self.running = self.running.saturating_sub(1);
-        self.virtual_s += (ran_s - charged_s) / self.weight;
-        self.run_s += RUN_TIME_GAIN * (ran_s - self.run_s);
+        self.run_s += RUN_TIME_GAIN * (ran.as_secs_f64() - self.run_s);
     }
 
-    /// Counts what the other nodes gave the team in `elapsed`.
+    /// Counts what the team was given in `elapsed`, here and, as far as known, elsewhere.
     pub fn advance(&mut self, elapsed: Duration) {
-        self.virtual_s += f64::from(self.others_running) * elapsed.as_secs_f64() / self.weight;
+        let elapsed_s = elapsed.as_secs_f64();
+        if self.queued() > 0 {
+            self.rate.waited(elapsed);
+        }
+        let own_s = f64::from(self.running) * elapsed_s;
+        self.served_s += own_s;
+        self.virtual_s += own_s / self.weight;
+        self.others.assumed_s += self.others.rate * elapsed_s / self.weight;
+    }
+
+    /// Replaces what was assumed of the other nodes by what they say, `since_last` after they last
+    /// said it.
+    pub fn observe(&mut self, counts: &FleetCounts, since_last: Option<Duration>) {
+        let served_s = counts.served.as_secs_f64();
+        let given_s = self.others.served_s.map_or(0.0, |before| (served_s - before).max(0.0));
+        self.virtual_s += given_s / self.weight;
+        let rate = match since_last {
+            Some(since) if !since.is_zero() => given_s / since.as_secs_f64(),
+            _ => f64::from(counts.running),
+        };
+        self.others = Others {
+            served_s: Some(served_s),
+            assumed_s: 0.0,
+            rate,
+            running: counts.running,
+            queued: counts.queued,
+            nodes: counts.nodes,
+        };
     }
 
-    /// Forgets the counts of other nodes.
-    pub fn clear_others(&mut self) {
-        self.assumed_s = 0.0;
-        self.others_running = 0;
-        self.others_queued = 0;
-        self.others_nodes = 0;
+    /// The other nodes have nothing of the team now.
+    pub fn forget_others(&mut self) {
+        self.others = Others { served_s: self.others.served_s, ..Others::default() };
     }
 }
 
--- a/crates/shares/tests/properties.rs
+++ b/crates/shares/tests/properties.rs
@@ -95,8 +95,14 @@
                 }
             }
             Call::Observe { running, queued } => {
-                let counts =
-                    FleetCounts { team: team(0), share_weight: 1, running, queued, nodes: 3 };
+                let counts = FleetCounts {
+                    team: team(0),
+                    share_weight: 1,
+                    served: Duration::from_secs(u64::from(running)),
+                    running,
+                    queued,
+                    nodes: 3,
+                };
                 self.queue.observe_fleet(&[counts], self.now);
             }
             Call::Wait { elapsed_ms } => self.now += Duration::from_millis(elapsed_ms),
--- a/crates/shares/tests/queue.rs
+++ b/crates/shares/tests/queue.rs
@@ -52,6 +52,11 @@
     owners
 }
 
+/// What another node has of a team.
+fn elsewhere(name: &str, served: Duration, running: u32) -> FleetCounts {
+    FleetCounts { team: team(name), share_weight: 1, served, running, queued: 10, nodes: 1 }
+}
+
 fn count(served: &[String], name: &str) -> usize {
     served.iter().filter(|owner| *owner == name).count()
 }
@@ -112,16 +117,53 @@
     let mut queue = FairQueue::new(settings());
     let owners = fill(&mut queue, &[("a", 1, 150), ("b", 1, 150)], now);
     let mut served = Vec::new();
+    let mut given = Duration::ZERO;
     for _ in 0..20 {
         // Another node runs three of `a` all the time, this node runs one entry at a time.
-        let others =
-            FleetCounts { team: team("a"), share_weight: 1, running: 3, queued: 10, nodes: 1 };
-        queue.observe_fleet(&[others], now);
+        queue.observe_fleet(&[elsewhere("a", given, 3)], now);
+        given += RUN * 15;
         served.extend(serve(&mut queue, &owners, 5, &mut now));
     }
     assert!(count(&served, "a") <= 5, "a was served {} times", count(&served, "a"));
 }
 
+#[test]
+fn service_at_other_nodes_is_taken_to_go_on_between_counts() {
+    let mut now = Instant::now();
+    let mut queue = FairQueue::new(settings());
+    let owners = fill(&mut queue, &[("a", 1, 150), ("b", 1, 150)], now);
+    for served in [Duration::ZERO, RUN * 15] {
+        queue.observe_fleet(&[elsewhere("a", served, 3)], now);
+        serve(&mut queue, &owners, 5, &mut now);
+    }
+    let served = serve(&mut queue, &owners, 60, &mut now);
+    assert!(count(&served, "a") <= 2, "a was served {} times", count(&served, "a"));
+}
+
+#[test]
+fn time_at_the_limit_gives_bounded_credit() {
+    let mut now = Instant::now();
+    let mut queue = FairQueue::new(settings());
+    fill(&mut queue, &[("a", 1, 100), ("b", 1, 200)], now);
+    let limited = team("a");
+    for _ in 0..90 {
+        let ticket = queue.pop(now, |team| *team != limited).unwrap();
+        now += RUN;
+        queue.finished(ticket, now);
+        queue.observe_fleet(&[], now);
+    }
+    let mut starts_of_b = 0;
+    for _ in 0..40 {
+        let before = queue.counts(now);
+        let ticket = queue.pop(now, |_| true).unwrap();
+        now += RUN;
+        queue.finished(ticket, now);
+        starts_of_b += before[1].queued - queue.counts(now)[1].queued;
+    }
+    // Two seconds of credit, half of them its share.
+    assert!(starts_of_b >= 14, "b was served {starts_of_b} times");
+}
+
 #[rstest]
 #[case::some_portion(25, 30)]
 #[case::no_portion(0, 0)]
