--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,8 @@
 //! State that the parts of a node share.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -8,22 +10,37 @@
 use std::time::SystemTime;
 
 use control::ConfigWriter;
+use duties::Duties;
+use duties::Holder;
 use events::EventKind;
 use events::Recorder;
 use gateway::Authority;
-use limits::LimitKey;
+use gateway::Peer;
+use gateway::Waiting;
+use limits::Demand;
+use limits::DemandKey;
 use limits::LimitTable;
 use membership::MemberView;
 use model::Config;
+use model::ConfigVersion;
+use model::Incarnation;
+use model::NodeId;
+use model::ServiceId;
+use model::TeamRef;
 use platform::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use wire::Count;
 
+use crate::ledger;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::ship::Shipper;
 
+/// Tells what waits at the gateway.
+type TellWaiting = Box<dyn Fn() -> Vec<Waiting> + Send + Sync>;
+
 /// State that the parts of a node share.
 pub struct Shared {
     /// Settings.
@@ -40,13 +57,21 @@
     pub writer: ConfigWriter,
     /// Other transactions.
     pub committer: Committer,
+    /// Duties of this node.
+    pub duties: Duties,
     /// Shipment of events.
     pub shipper: Shipper,
     /// Wakes the follower before its next poll.
     pub poll_now: Notify,
+    /// Wakes the ledger before its next look.
+    pub ledger_now: Notify,
+    /// Version of the configuration that this node's part of the ledger has last seen.
+    pub ledger_version: watch::Sender<ConfigVersion>,
     config: RwLock<Arc<Config>>,
     members: RwLock<Arc<Vec<MemberView>>>,
     counts: RwLock<Vec<Count>>,
+    waiting: OnceLock<TellWaiting>,
+    misses: Mutex<Vec<Demand>>,
     stopping: AtomicBool,
 }
 
@@ -57,20 +82,28 @@
         platform: Platform,
         events: Arc<Recorder>,
         telemetry: Telemetry,
+        incarnation: Incarnation,
     ) -> Self {
+        let me = Holder { node: settings.node.clone(), incarnation };
+        let duties = Duties::new(me, platform.table.clone(), events.clone());
         Self {
+            writer: ConfigWriter::new(&*settings.node),
             settings,
             platform,
+            duties,
             limits: Arc::default(),
             events,
             telemetry,
-            writer: ConfigWriter::default(),
             committer: Committer::default(),
             shipper: Shipper::default(),
             poll_now: Notify::new(),
+            ledger_now: Notify::new(),
+            ledger_version: watch::Sender::new(0),
             config: RwLock::default(),
             members: RwLock::default(),
             counts: RwLock::default(),
+            waiting: OnceLock::new(),
+            misses: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -83,9 +116,11 @@
             if version <= held.version {
                 return false;
             }
+            self.limits.freeze_lowered(&held, &config);
             *held = Arc::new(config);
+            self.writer.hold(held.clone());
         }
-        self.split_limits();
+        self.ledger_now.notify_one();
         self.telemetry.gauge("config.version", version);
         self.events.record(EventKind::ConfigInForce { version }, SystemTime::now());
         true
@@ -96,22 +131,65 @@
         self.members.read().expect("no holder panics").clone()
     }
 
-    /// Replaces the view of the members.
+    /// Replaces the view of the members; polls at once if one of them has a later configuration.
     pub fn set_members(&self, members: Vec<MemberView>) {
+        let version = self.config().version;
+        if members.iter().any(|member| member.config_version > version) {
+            self.poll_now.notify_one();
+        }
         *self.members.write().expect("no holder panics") = Arc::new(members);
     }
 
+    /// True only if that run of a node can no longer act on anything that it held.
+    pub fn is_member_gone(&self, node: &NodeId, incarnation: Incarnation) -> bool {
+        let members = self.members();
+        let index = members.binary_search_by(|member| member.node.cmp(node));
+        index.is_ok_and(|index| members[index].incarnation > incarnation)
+    }
+
     /// Counts that the next heartbeats carry.
     pub fn counts(&self) -> Vec<Count> {
         self.counts.read().expect("no holder panics").clone()
     }
 
     /// Replaces the counts that heartbeats carry, sorted by key.
-    #[allow(dead_code)]
     pub fn set_counts(&self, counts: Vec<Count>) {
         *self.counts.write().expect("no holder panics") = counts;
     }
 
+    /// Replaces the counts of this node in its own view of the members.
+    pub fn set_own_counts(&self, counts: Vec<Count>) {
+        let mut members = self.members.write().expect("no holder panics");
+        let found = members.binary_search_by(|member| member.node.cmp(&self.settings.node));
+        if let Ok(index) = found {
+            Arc::make_mut(&mut members)[index].counts = counts;
+        }
+    }
+
+    /// Says what waits at this node; set once the gateway runs.
+    pub fn set_waiting(&self, waiting: impl Fn() -> Vec<Waiting> + Send + Sync + 'static) {
+        // There is one gateway in a node.
+        let _ = self.waiting.set(Box::new(waiting));
+    }
+
+    /// Requests that wait at this node, by queue and team.
+    pub fn waiting(&self) -> Vec<Waiting> {
+        self.waiting.get().map_or_else(Vec::new, |waiting| waiting())
+    }
+
+    /// Requests since the last call that found no tokens here, by team and by service; sorted.
+    pub fn take_misses(&self) -> Vec<Demand> {
+        std::mem::take(&mut *self.misses.lock().expect("no holder panics"))
+    }
+
+    fn count_miss(&self, key: DemandKey) {
+        let mut misses = self.misses.lock().expect("no holder panics");
+        match misses.binary_search_by(|miss| miss.key.cmp(&key)) {
+            Ok(index) => misses[index].count += 1,
+            Err(index) => misses.insert(index, Demand { key, count: 1 }),
+        }
+    }
+
     /// Turns readiness off; work that still comes is taken until the listener is closed.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
@@ -121,23 +199,6 @@
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
-
-    /// Gives this node an equal part of each limit.
-    fn split_limits(&self) {
-        let config = self.config();
-        let part = |limit: u32| limit / self.settings.node_count.max(1);
-        for contract in &config.contracts {
-            for team in &contract.teams {
-                let team_ref = model::TeamRef::new(contract.customer.clone(), team.name.clone());
-                self.limits.grant(&LimitKey::Running(team_ref), part(team.running_max));
-            }
-        }
-        for host in &config.hosts {
-            self.limits.grant(&LimitKey::Slots(host.id().clone()), part(host.spec.slots));
-            let connections = LimitKey::Connections(host.id().clone());
-            self.limits.grant(&connections, part(host.spec.connections_max));
-        }
-    }
 }
 
 impl Authority for Shared {
@@ -148,4 +209,11 @@
     fn may_admit(&self, _now: Instant) -> bool {
         true
     }
+
+    fn spare_peers(&self, team: &TeamRef, service: &ServiceId) -> Vec<Peer> {
+        // The gateway asks when it has no tokens itself.
+        self.count_miss(DemandKey::Team(team.clone()));
+        self.count_miss(DemandKey::Service(team.customer.clone(), service.clone()));
+        ledger::spare_peers(&self.members(), &self.settings.node, team, service)
+    }
 }
--- a/crates/savorypitch/src/output.rs
+++ b/crates/savorypitch/src/output.rs
@@ -1,11 +1,29 @@
 //! Prints results as a table or as JSON.
 
+use std::fmt;
+use std::io;
+use std::io::Write;
+use std::process;
+
 use serde::Serialize;
 
+/// Prints a line; a reader that has seen enough ends the process without an error.
+pub fn print_line(text: fmt::Arguments<'_>) {
+    let written = writeln!(io::stdout().lock(), "{text}");
+    let Err(error) = written else {
+        return;
+    };
+    if error.kind() == io::ErrorKind::BrokenPipe {
+        process::exit(0);
+    }
+    eprintln!("error: cannot write the output: {error}");
+    process::exit(1);
+}
+
 /// Prints `value` as JSON.
 pub fn print_json(value: &impl Serialize) {
     let text = serde_json::to_string_pretty(value).expect("views have string keys only");
-    println!("{text}");
+    print_line(format_args!("{text}"));
 }
 
 /// Prints rows below a header, in columns as wide as their widest cell.
@@ -25,5 +43,5 @@
 fn print_row<const N: usize>(cells: &[String; N], widths: &[usize; N]) {
     let padded: Vec<String> =
         cells.iter().zip(widths).map(|(cell, width)| format!("{cell:width$}")).collect();
-    println!("{}", padded.join("  ").trim_end());
+    print_line(format_args!("{}", padded.join("  ").trim_end()));
 }
