--- a/crates/placement/src/pool/ends.rs
+++ b/crates/placement/src/pool/ends.rs
@@ -123,12 +123,22 @@
         Cancelled { waiting, running }
     }
 
+    /// Takes back a job whose task was never started; the attempt does not count.
+    pub fn take_back(&mut self, job: &JobId) {
+        if let Some(index) = self.find_task(job) {
+            let mut pending = self.remove(index).pending;
+            pending.attempts -= 1;
+            self.backlog.push_front(pending);
+        }
+    }
+
     fn after(&self, task: Task, end: End, worker: &HostId, now: Instant) -> After {
         let mut pending = task.pending;
         let job = &pending.job;
         // The first few stops cost no attempt.
         let is_spared = end == End::Stopped && pending.displaced < DISPLACED_MAX;
         let has_attempts = is_spared || pending.attempts < job.attempts_max;
+        let may_succeed = !self.evidence.is_hopeless(&job.kind);
         let is_harmful = end == End::Lost && self.losses.is_harmful(&job.id);
         let ending = match end {
             End::Succeeded => Some(Ending::Succeeded),
@@ -138,7 +148,7 @@
             End::Stopped if has_attempts && (job.idempotent || task.is_checkpointed) => None,
             End::Stopped => Some(Ending::Stopped),
             End::NotStarted if has_attempts => None,
-            End::Failed if has_attempts && job.idempotent => None,
+            End::Failed if has_attempts && may_succeed && job.idempotent => None,
             End::Failed | End::NotStarted => Some(Ending::Failed),
             End::Lost if task.is_cancelled && job.idempotent => Some(Ending::Cancelled),
             End::Lost if has_attempts && job.idempotent => None,
@@ -161,7 +171,7 @@
     }
 
     fn remove(&mut self, index: usize) -> Task {
-        let task = self.tasks.remove(index);
+        let task = *self.tasks.remove(index);
         let job = &task.pending.job;
         let worker = &mut self.workers[task.worker];
         worker.used = worker.used.minus(&task.reserved);
