--- a/crates/bench/src/best_fit.rs
+++ b/crates/bench/src/best_fit.rs
@@ -42,7 +42,7 @@
     }
 
     /// Places the first job, if it fits anywhere.
-    pub fn next(&mut self) -> Option<(Pending, HostId)> {
+    pub fn place_next(&mut self) -> Option<(Pending, HostId)> {
         let size = self.waiting.front()?.job.declared;
         let fits = self.workers.iter().enumerate().filter(|(_, (_, free))| size.fits_in(free));
         let (worker, _) = fits.min_by_key(|(_, (_, free))| {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod best_fit;
 pub mod fit;
+pub mod live_fleet;
 pub mod placement_world;
 pub mod sample;
 pub mod shares_world;
 pub mod target;
 pub mod usage;
+pub mod virtual_fleet;
 pub mod virtual_time;
--- a/crates/bench/src/placement_world.rs
+++ b/crates/bench/src/placement_world.rs
@@ -265,7 +265,7 @@
                 Placer::Learnt(pool) => {
                     pool.next(at, |_| true).map(|p| (p.pending, p.worker.clone()))
                 }
-                Placer::BestFit(best_fit) => best_fit.next(),
+                Placer::BestFit(best_fit) => best_fit.place_next(),
             };
             self.seen.decide_s += started.elapsed().as_secs_f64();
             let Some((pending, worker)) = placed else {
