--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod best_fit;
 pub mod fit;
 pub mod live_fleet;
+pub mod maintenance;
 pub mod placement_world;
 pub mod sample;
 pub mod shares_world;
