Follow the ledger by a log, so that copies are exact

Notices told only the receiver of tokens, so the copies of all other givers were stale and their transactions lost. Change: each transaction logs the holdings that it changed, under its own version; a node reads the log from where it stopped. Holdings are stored as short lists, and rows of teams are planned first.

--- a/crates/bench/src/bin/bench-ledger/fleet.rs
+++ b/crates/bench/src/bin/bench-ledger/fleet.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
 
 use async_trait::async_trait;
 use limits::Demand;
@@ -150,6 +152,7 @@
             limits: &self.limits,
             config_version: 1,
             members: member.meter.members(),
+            now: SystemTime::UNIX_EPOCH + Duration::from_millis(self.step * STEP_MS),
             leaving: false,
         };
         // The table in memory always answers.
--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -8,9 +8,12 @@
 //! Only the holder itself lowers its holding, or whoever has evidence that nothing of a gone holder
 //! runs. So a node may use whatever a row said that it holds, for as long as it gives nothing away.
 
+mod log;
 mod read;
 mod write;
 
+use std::time::SystemTime;
+
 use model::ConfigVersion;
 use model::OperationId;
 use platform::Committer;
@@ -25,9 +28,11 @@
 use crate::row::Holder;
 use crate::row::LedgerRow;
 
-pub(crate) use read::notices_of;
+pub(crate) use log::log_rows_of;
 pub(crate) use write::asked;
 
+use self::log::Log;
+
 /// Window on the tokens that work at this node uses.
 pub trait Tokens: Send + Sync {
     /// Tokens that no work has.
@@ -60,6 +65,8 @@
     pub config_version: ConfigVersion,
     /// Live nodes, this one included, sorted by holder.
     pub members: &'a [MemberDemand],
+    /// Present time.
+    pub now: SystemTime,
     /// True if this node is about to stop.
     pub leaving: bool,
 }
@@ -93,8 +100,8 @@
     config_version: ConfigVersion,
     /// Last key that the sweep has read.
     swept: Option<String>,
-    /// Notices that were read, sorted; removed with a later transaction.
-    read_notices: Vec<String>,
+    /// Which log rows were read and written.
+    log: Log,
     unresolved: Option<Unresolved>,
     committer: Committer,
 }
@@ -102,7 +109,8 @@
 struct Entry {
     key: LimitKey,
     row: Option<LedgerRow>,
-    version: Option<RowVersion>,
+    /// Version of the row, or of the last row that is known to have been there; 0 for none.
+    version: RowVersion,
     /// True if the row has changed since it was read, as far as is known.
     stale: bool,
 }
@@ -122,7 +130,7 @@
             tick_count: 0,
             config_version: 0,
             swept: None,
-            read_notices: Vec::new(),
+            log: Log::default(),
             unresolved: None,
             committer: Committer::default(),
         }
@@ -178,7 +186,7 @@
         let index = match self.find(key) {
             Ok(index) => index,
             Err(index) => {
-                let entry = Entry { key: key.clone(), row: None, version: None, stale: false };
+                let entry = Entry { key: key.clone(), row: None, version: 0, stale: false };
                 self.entries.insert(index, entry);
                 index
             }
--- a/crates/limits/src/ledger/read.rs
+++ b/crates/limits/src/ledger/read.rs
@@ -1,9 +1,10 @@
 //! Keeps the copy of the ledger up to date with few reads.
 //!
-//! Whoever adds to another node's holding leaves a notice for it in the same transaction, so a node
-//! with nothing new reads one empty range. A slow sweep over all rows finds what notices missed.
+//! A node with nothing new reads one short range of the log. Rows that it knows to have missed are
+//! read one by one, and a slow sweep over all rows finds what it does not know to have missed.
 
 use platform::Row;
+use platform::RowVersion;
 use platform::Scan;
 use platform::Table;
 use platform::Unavailable;
@@ -15,11 +16,8 @@
 use super::put_in_use;
 use crate::key::LEDGER_PREFIX;
 use crate::key::LimitKey;
-use crate::row::Holder;
 use crate::row::LedgerRow;
 
-/// Prefix of the notices.
-pub const NOTICE_PREFIX: &str = "ledger-notice/";
 /// Rows read one by one in a tick; more are read as a range.
 const SINGLE_READS_MAX: usize = 16;
 /// Ticks from one page of the sweep to the next.
@@ -28,7 +26,7 @@
 const SWEEP_ROWS: usize = 64;
 
 impl Ledger {
-    /// Reads notices, rows that are known to have changed, and now and then a page of the sweep.
+    /// Reads the log, rows that are known to have changed, and now and then a page of the sweep.
     pub(crate) async fn refresh(
         &mut self,
         table: &dyn Table,
@@ -36,12 +34,12 @@
         view: &View<'_>,
     ) -> Result<(), Unavailable> {
         self.freeze_lowered(tokens, view);
+        self.read_log(table, tokens, view).await?;
         if !self.loaded {
             self.load(table, tokens, view).await?;
             self.loaded = true;
             return Ok(());
         }
-        self.read_notices(table).await?;
         if self.tick_count.is_multiple_of(SWEEP_TICKS) {
             self.sweep(table, tokens, view).await?;
         }
@@ -52,7 +50,7 @@
         }
         for key in stale {
             let row = table.get(&key.row_key()).await?;
-            self.learn(&key, row.as_ref(), tokens, view)?;
+            self.learn_row(&key, row.as_ref(), tokens, view)?;
         }
         Ok(())
     }
@@ -97,21 +95,6 @@
         Ok(())
     }
 
-    async fn read_notices(&mut self, table: &dyn Table) -> Result<(), Unavailable> {
-        let notices = table.scan(Scan::prefix(notices_of(&self.me))).await?;
-        for notice in notices {
-            let Err(index) = self.read_notices.binary_search(&notice.key) else {
-                continue;
-            };
-            let keys: Vec<String> = decode(&notice)?;
-            for key in keys.iter().filter_map(|key| LimitKey::parse(key)) {
-                self.entry(&key).stale = true;
-            }
-            self.read_notices.insert(index, notice.key);
-        }
-        Ok(())
-    }
-
     /// Takes note of all rows after `after` up to `last`; those that are not in `rows` are gone.
     fn learn_range(
         &mut self,
@@ -133,33 +116,44 @@
             })
             .collect();
         for key in gone {
-            self.learn(&key, None, tokens, view)?;
+            self.learn(&key, None, None, tokens, view);
         }
         for row in rows {
             if let Some(key) = LimitKey::from_row_key(&row.key) {
-                self.learn(&key, Some(row), tokens, view)?;
+                self.learn_row(&key, Some(row), tokens, view)?;
             }
         }
         Ok(())
     }
 
-    /// Takes note of a row as read, and puts this node's holding in use.
-    fn learn(
+    fn learn_row(
         &mut self,
         key: &LimitKey,
         row: Option<&Row>,
         tokens: &dyn Tokens,
         view: &View<'_>,
     ) -> Result<(), Unavailable> {
-        let decoded: Option<LedgerRow> = row.map(decode).transpose()?;
+        let decoded = row.map(decode).transpose()?;
+        self.learn(key, decoded, row.map(|row| row.version), tokens, view);
+        Ok(())
+    }
+
+    /// Takes note of a row as read, and puts this node's holding in use.
+    pub(super) fn learn(
+        &mut self,
+        key: &LimitKey,
+        row: Option<LedgerRow>,
+        version: Option<RowVersion>,
+        tokens: &dyn Tokens,
+        view: &View<'_>,
+    ) {
         let me = self.me.clone();
-        let fits = put_in_use(&me, key, decoded.as_ref(), tokens, view);
+        let fits = put_in_use(&me, key, row.as_ref(), tokens, view);
         let entry = self.entry(key);
-        entry.version = row.map(|row| row.version);
-        entry.row = decoded;
+        entry.version = version.unwrap_or(entry.version);
+        entry.row = row;
         // While it does not fit, others have to change it before this node may use its tokens.
         entry.stale = !fits;
-        Ok(())
     }
 
     /// Stops the use of tokens of each limit that the configuration has lowered since; their rows
@@ -182,12 +176,8 @@
     }
 }
 
-/// Prefix of the notices to `holder`.
-pub fn notices_of(holder: &Holder) -> String {
-    format!("{NOTICE_PREFIX}{}/{:016x}/", holder.node, holder.incarnation)
-}
-
-fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> Result<T, Unavailable> {
+/// Value of a row in JSON.
+pub fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> Result<T, Unavailable> {
     serde_json::from_slice(&row.value)
         .map_err(|error| Unavailable::new(format!("row `{}` is malformed: {error}", row.key)))
 }
--- a/crates/limits/src/ledger/write.rs
+++ b/crates/limits/src/ledger/write.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use model::ids::random_id;
 use platform::Precondition;
 use platform::RowVersion;
 use platform::Settled;
@@ -17,7 +16,6 @@
 use super::View;
 use super::limit_of;
 use super::put_in_use;
-use super::read::notices_of;
 use crate::demand::DemandKey;
 use crate::key::LimitKey;
 use crate::plan::Draft;
@@ -29,8 +27,6 @@
 
 /// Rows changed in one transaction.
 const ROWS_MAX: usize = 64;
-/// Notices that were read and not yet removed, before they get a transaction of their own.
-const READ_NOTICES_MAX: usize = 32;
 /// Time that a transaction may take to settle.
 const PATIENCE: Duration = Duration::from_secs(2);
 
@@ -65,10 +61,18 @@
         view: &View<'_>,
     ) -> Vec<(LimitKey, Draft)> {
         let keys = self.keys(view);
-        let start =
-            if keys.is_empty() { 0 } else { self.tick_count as usize * ROWS_MAX % keys.len() };
+        // Teams come first, since work waits for their tokens most; the rest takes turns.
+        let is_team = |(key, _): &&(LimitKey, DemandKey)| matches!(key, LimitKey::Running(_));
+        let turn = |count: usize| match count {
+            0 => 0,
+            count => self.tick_count as usize * ROWS_MAX % count,
+        };
+        let (mut teams, mut others): (Vec<_>, Vec<_>) = keys.iter().partition(is_team);
+        let (teams_turn, others_turn) = (turn(teams.len()), turn(others.len()));
+        teams.rotate_left(teams_turn);
+        others.rotate_left(others_turn);
         let mut drafts = Vec::new();
-        for (key, demand) in keys[start..].iter().chain(&keys[..start]) {
+        for (key, demand) in teams.into_iter().chain(others) {
             if drafts.len() == ROWS_MAX {
                 break;
             }
@@ -123,7 +127,7 @@
         view: &View<'_>,
         drafts: Vec<(LimitKey, Draft)>,
     ) -> Result<Tick, Unavailable> {
-        if drafts.is_empty() && self.read_notices.len() < READ_NOTICES_MAX {
+        if drafts.is_empty() {
             return Ok(Tick::Idle);
         }
         let rows = drafts.len();
@@ -133,14 +137,11 @@
             preconditions.push(self.precondition(key));
             writes.push(row_write(key, &draft.next));
         }
-        writes.extend(self.notices(&drafts));
-        let removed: Vec<String> = self.read_notices.clone();
-        writes.extend(removed.iter().map(|key| Write::Delete { key: key.clone() }));
+        writes.extend(self.log_writes(&drafts, view.now));
         let (settled, version) =
             self.committer.commit_versioned(table, preconditions, writes, PATIENCE).await;
         match settled {
             Settled::Committed => {
-                self.read_notices.clear();
                 self.committed(drafts, version, tokens, view);
                 Ok(Tick::Written { rows })
             }
@@ -174,10 +175,10 @@
     ) {
         let me = self.me.clone();
         for (key, draft) in drafts {
-            let row = if is_gone(&draft.next) { None } else { Some(draft.next) };
+            let row = draft.next.if_any().cloned();
             let fits = put_in_use(&me, &key, row.as_ref(), tokens, view);
             let entry = self.entry(&key);
-            entry.version = version.filter(|_| row.is_some());
+            entry.version = version.unwrap_or(entry.version);
             entry.stale = version.is_none() || !fits;
             entry.row = row;
         }
@@ -200,35 +201,13 @@
     }
 
     fn precondition(&self, key: &LimitKey) -> Precondition {
-        let version = self.find(key).ok().and_then(|index| self.entries[index].version);
-        match version {
-            Some(version) => Precondition::VersionIs { key: key.row_key(), version },
+        let entry = self.find(key).ok().map(|index| &self.entries[index]);
+        match entry.filter(|entry| entry.row.is_some()) {
+            Some(entry) => Precondition::VersionIs { key: key.row_key(), version: entry.version },
             None => Precondition::Absent { key: key.row_key() },
         }
     }
 
-    /// One notice for each other node whose holding grows.
-    fn notices(&self, drafts: &[(LimitKey, Draft)]) -> Vec<Write> {
-        let mut grown: Vec<(&Holder, Vec<String>)> = Vec::new();
-        for (key, draft) in drafts {
-            let before = self.row(key);
-            for holding in &draft.next.holdings {
-                let held = before.map_or(0, |row| row.held(&holding.holder));
-                if holding.holder == self.me || holding.count <= held {
-                    continue;
-                }
-                match grown.binary_search_by(|(holder, _)| (*holder).cmp(&holding.holder)) {
-                    Ok(index) => grown[index].1.push(key.to_string()),
-                    Err(index) => grown.insert(index, (&holding.holder, vec![key.to_string()])),
-                }
-            }
-        }
-        let notice = |(holder, keys): (&Holder, Vec<String>)| {
-            Write::put_json(format!("{}{}", notices_of(holder), random_id()), &keys)
-        };
-        grown.into_iter().map(notice).collect()
-    }
-
     /// Keys of all limits and of all rows, with what their tokens are asked for under.
     fn keys(&self, view: &View<'_>) -> Vec<(LimitKey, DemandKey)> {
         let limits = view.limits.iter().map(|limit| (limit.key.clone(), limit.demand.clone()));
@@ -253,13 +232,8 @@
 }
 
 fn row_write(key: &LimitKey, row: &LedgerRow) -> Write {
-    if is_gone(row) {
-        return Write::Delete { key: key.row_key() };
+    match row.if_any() {
+        Some(row) => Write::put_json(key.row_key(), row),
+        None => Write::Delete { key: key.row_key() },
     }
-    Write::put_json(key.row_key(), row)
-}
-
-/// True for the row of a limit that is gone and that nobody holds tokens of.
-fn is_gone(row: &LedgerRow) -> bool {
-    row.limit == 0 && row.holdings.is_empty()
 }
--- a/crates/limits/src/reclaim.rs
+++ b/crates/limits/src/reclaim.rs
@@ -8,7 +8,6 @@
 
 use model::CustomerId;
 use model::HostId;
-use platform::Scan;
 use platform::Table;
 use platform::Unavailable;
 use platform::Write;
@@ -21,7 +20,7 @@
 use crate::ledger::View;
 use crate::ledger::asked;
 use crate::ledger::effective_limit;
-use crate::ledger::notices_of;
+use crate::ledger::log_rows_of;
 use crate::plan::Draft;
 use crate::plan::Situation;
 use crate::plan::hand_out;
@@ -99,7 +98,7 @@
         };
         let left = self.tokens_held(gone);
         if left == 0 {
-            self.remove_notices(table, gone).await?;
+            self.remove_log(table, gone).await?;
         }
         Ok(Reclaimed { tick, left })
     }
@@ -162,16 +161,12 @@
         }
     }
 
-    async fn remove_notices(
-        &mut self,
-        table: &dyn Table,
-        gone: &Holder,
-    ) -> Result<(), Unavailable> {
-        let notices = table.scan(Scan::prefix(notices_of(gone))).await?;
-        if notices.is_empty() {
+    async fn remove_log(&mut self, table: &dyn Table, gone: &Holder) -> Result<(), Unavailable> {
+        let keys = log_rows_of(table, gone).await?;
+        if keys.is_empty() {
             return Ok(());
         }
-        let removals = notices.into_iter().map(|notice| Write::Delete { key: notice.key });
+        let removals = keys.into_iter().map(|key| Write::Delete { key });
         // Left rows do no harm; the next look at the gone node tries again.
         let _ = self.commit_plain(table, removals.collect()).await;
         Ok(())
--- a/crates/limits/src/row.rs
+++ b/crates/limits/src/row.rs
@@ -22,16 +22,28 @@
     }
 }
 
-/// Tokens of one holder.
+/// Tokens of one holder; stored as a short list, since rows hold many.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(NodeId, Incarnation, u32)", into = "(NodeId, Incarnation, u32)")]
 pub struct Holding {
     /// Who holds them.
-    #[serde(flatten)]
     pub holder: Holder,
     /// Tokens.
     pub count: u32,
 }
 
+impl From<(NodeId, Incarnation, u32)> for Holding {
+    fn from((node, incarnation, count): (NodeId, Incarnation, u32)) -> Self {
+        Self { holder: Holder { node, incarnation }, count }
+    }
+}
+
+impl From<Holding> for (NodeId, Incarnation, u32) {
+    fn from(holding: Holding) -> Self {
+        (holding.holder.node, holding.holder.incarnation, holding.count)
+    }
+}
+
 /// A limit and who holds its tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerRow {
@@ -69,6 +81,21 @@
         self.total().saturating_sub(self.limit)
     }
 
+    /// Holdings that `next` has changed, with zero for those that are gone.
+    pub fn changed(&self, next: &Self) -> Vec<Holding> {
+        let gone = self.holdings.iter().filter(|holding| next.held(&holding.holder) == 0);
+        let gone = gone.map(|holding| Holding { holder: holding.holder.clone(), count: 0 });
+        let other = next.holdings.iter().filter(|h| self.held(&h.holder) != h.count);
+        gone.chain(other.cloned()).collect()
+    }
+
+    /// Sets the tokens of a holding.
+    pub fn set(&mut self, holding: Holding) {
+        let held = self.held(&holding.holder);
+        self.remove(&holding.holder, held);
+        self.add(&holding.holder, holding.count);
+    }
+
     /// Adds tokens to a holding.
     pub fn add(&mut self, holder: &Holder, count: u32) {
         if count == 0 {
@@ -92,6 +119,12 @@
         }
     }
 
+    /// The row; `None` for the row of a limit that is gone and that nobody holds tokens of.
+    pub fn if_any(&self) -> Option<&Self> {
+        let is_gone = self.limit == 0 && self.holdings.is_empty();
+        (!is_gone).then_some(self)
+    }
+
     /// True if `next` may follow this row: no token beyond the limit is handed out.
     pub fn allows(&self, next: &Self) -> bool {
         next.config_version >= self.config_version && next.total() <= next.limit.max(self.total())
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use gateway::Authority;
 use gateway::Prober;
@@ -103,6 +104,7 @@
             limits: &self.limits,
             config_version: config.version,
             members: self.meter.members(),
+            now: SystemTime::now(),
             leaving,
         };
         let table = &*shared.platform.table;
