--- a/crates/gateway/tests/common/entry.rs
+++ b/crates/gateway/tests/common/entry.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -41,6 +43,7 @@
 pub struct View {
     pub config: Mutex<Arc<Config>>,
     pub peers: Mutex<Vec<Peer>>,
+    pub is_fenced: AtomicBool,
 }
 
 impl Authority for View {
@@ -49,7 +52,7 @@
     }
 
     fn may_admit(&self, _now: Instant) -> bool {
-        true
+        !self.is_fenced.load(Ordering::Relaxed)
     }
 
     fn spare_peers(&self, _team: &TeamRef, _service: &ServiceId) -> Vec<Peer> {
@@ -71,7 +74,11 @@
         limits.grant(&LimitKey::Slots("w1".into()), slots);
         limits.grant(&LimitKey::Connections("w1".into()), slots * 2);
         limits.grant(&LimitKey::Running(TeamRef::new("levy", "desk")), 8);
-        let view = Arc::new(View { config: Mutex::new(config.clone()), peers: Mutex::default() });
+        let view = Arc::new(View {
+            config: Mutex::new(config.clone()),
+            peers: Mutex::default(),
+            is_fenced: AtomicBool::new(false),
+        });
         let telemetry = Telemetry::new(None).unwrap();
         let gateway = Gateway::start(Parts {
             authority: view.clone(),
@@ -99,7 +106,12 @@
     }
 
     pub async fn send(&self, job: &str, body: &str) -> Answer {
-        let headers = [("standin-job", job)];
+        self.send_slow(job, body, 0).await
+    }
+
+    pub async fn send_slow(&self, job: &str, body: &str, delay_ms: u64) -> Answer {
+        let delay_ms = delay_ms.to_string();
+        let headers = [("standin-job", job), ("standin-delay-ms", &*delay_ms)];
         let sent = call(self.server.address, Method::POST, "/q/q/x?y=1", &headers, body.to_owned());
         sent.await.unwrap()
     }
--- a/crates/gateway/tests/doubt.rs
+++ b/crates/gateway/tests/doubt.rs
@@ -1,4 +1,4 @@
-//! Tokens in doubt stay so until there is evidence.
+//! Tokens in doubt stay so until there is evidence, and nothing is sent on a right that has lapsed.
 
 #[path = "common/entry.rs"]
 mod entry;
@@ -19,6 +19,7 @@
 use crate::entry::Entry;
 use crate::entry::SECRET;
 use crate::entry::config;
+use crate::entry::start;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -46,6 +47,35 @@
     waited.await.expect("the state is reached in time");
 }
 
+#[tokio::test]
+async fn work_that_waits_is_not_sent_once_the_right_or_the_host_is_gone() {
+    for host_leaves in [false, true] {
+        let (backend, first) = start().await;
+        let entry = Entry::start(&first, 1, SECRET).await;
+        let wait = async {
+            until(|| backend.runs_of("first") == 1).await;
+            entry.send("second", "").await
+        };
+        let change = async {
+            until(|| backend.runs_of("first") == 1).await;
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            if host_leaves {
+                let address = first.hosts[0].spec.address;
+                let draining = config(2, address, HostState::Draining);
+                *entry.view.config.lock().unwrap() = draining;
+            } else {
+                entry.view.is_fenced.store(true, Ordering::Relaxed);
+            }
+        };
+        let running = entry.send_slow("first", "", 150);
+        let (running, waited, ()) = tokio::join!(running, wait, change);
+        assert_eq!(running.outcome(), "complete");
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        assert_eq!((waited.status, waited.outcome()), (status, "not-run"));
+        assert_eq!(backend.runs_of("second"), 0);
+    }
+}
+
 #[tokio::test]
 async fn no_report_frees_nothing_and_a_reboot_frees_all() {
     let (address, accepted) = cutter().await;
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -51,6 +51,22 @@
     cell.all_free().await;
 }
 
+#[tokio::test]
+async fn attempt_that_was_not_sent_does_not_hide_one_that_was() {
+    let plan = Plan { dead_host: true, unavailable_max: 0, ..Plan::default() };
+    let cell = Cell::start(plan).await;
+    let headers = [("standin-fault", "cut-head")];
+    for number in 1..=40 {
+        let job = Job { name: "mixed", method: Method::GET, headers: &headers, body: b"" };
+        let before = cell.runs_of("mixed");
+        let answer = cell.send(job).await;
+        let ran = cell.runs_of("mixed") > before;
+        let outcome = if ran { "unknown" } else { "not-run" };
+        assert_eq!(answer.outcome(), outcome, "request {number}");
+    }
+    cell.all_free().await;
+}
+
 #[tokio::test]
 async fn late_answer_goes_to_nobody_else() {
     let cell = Cell::start(Plan { slots: 2, ..Plan::default() }).await;
