--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod fit;
 pub mod live_fleet;
+pub mod maintenance;
 pub mod sample;
 pub mod target;
 pub mod usage;
