--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo tools check
+.PHONY: test demo capacity tools check
 
 # Formatting, lints, style checks and all tests.
 test: tools check
@@ -11,6 +11,10 @@
 	cargo build --release --workspace --locked
 	tools/demo.sh
 
+# Measures the slopes and writes the tables of docs/CAPACITY.md.
+capacity: tools
+	tools/measure.sh
+
 check:
 	tools/check-style.sh
 
