Test a move between peers while only one node runs work on the host

Change: the test of a move runs without and with peers and with the work at either node; it waits until the pool's maintenance is somebody's duty, and moves a host on which only the busy node runs work. (As it was before, the work had ended before anybody held the duty, so it could not fail.)

--- a/crates/node/tests/hosts.rs
+++ b/crates/node/tests/hosts.rs
@@ -8,17 +8,21 @@
 use gateway::GatewaySettings;
 use http::Method;
 use http::StatusCode;
+use membership::MemberEntry;
 use model::HostState;
 use model::TeamRef;
 use model::WaveState;
 use model::key::KeyHolder;
 use model::key::hash_key;
 use node::Node;
+use node::Peering;
 use node::Platform;
 use node::Settings;
+use node::Transport;
 use node::api;
 use platform::FleetHost;
 use platform::FleetHostState;
+use rstest::rstest;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use standin::backend::StandinBackend;
@@ -26,19 +30,20 @@
 use standin::caller::call;
 use standin::fleet::FleetFaults;
 use standin::fleet::StandinFleet;
+use wire::MemoryNetwork;
 
 const OPERATOR_KEY: &str = "operator-key-of-the-test";
 const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
-fn settings(name: &str, node_count: u32) -> Settings {
+fn settings(name: &str, node_count: u32, peering: Option<Peering>) -> Settings {
     Settings {
         node: name.into(),
         zone: "a".into(),
         caller_address: ANY_PORT,
         admin_address: ANY_PORT,
         operator_key_hash: Some(hash_key(OPERATOR_KEY)),
-        peering: None,
+        peering,
         node_count,
         poll_interval: Duration::from_millis(40),
         metrics_address: None,
@@ -127,6 +132,33 @@
     panic!("host is still {:?}", host(node, id).await);
 }
 
+async fn wait_until_served(node: &Node, key: &api::GrantedKey) {
+    let authorization = format!("Bearer {}", key.secret);
+    let mut last = String::new();
+    for _ in 0..500 {
+        let headers = [("authorization", &*authorization)];
+        let path = "/q/levy-validate/x";
+        let answer = call(node.caller_address, Method::POST, path, &headers, "x").await.unwrap();
+        if answer.outcome() == "complete" {
+            return;
+        }
+        last = format!("{} {:?}", answer.status, answer.body);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the node serves nobody: {last}");
+}
+
+/// Waits until the maintenance of the pool is the duty of a node.
+async fn wait_until_planned(platform: &Platform) {
+    for _ in 0..500 {
+        if platform.table.get("duty/maintenance/levy-validate").await.unwrap().is_some() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("nobody took the duty");
+}
+
 async fn wait_until_listed(node: &Node) {
     for _ in 0..500 {
         let hosts: Vec<api::HostView> = admin(node, Method::GET, "/hosts", &()).await;
@@ -139,19 +171,44 @@
 }
 
 async fn start(nodes: u32) -> Vec<Node> {
-    start_on(nodes, Platform::embedded()).await.0
+    start_on(nodes, Platform::embedded(), false).await.0
+}
+
+/// Peerings of nodes that share a network in memory.
+fn peerings(nodes: u32) -> Vec<Peering> {
+    let network = MemoryNetwork::default();
+    let member = |index: u32| MemberEntry {
+        node: format!("n{index}").into(),
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1 + index as u16)),
+    };
+    let members: Vec<MemberEntry> = (0..nodes).map(member).collect();
+    let peering = |entry: &MemberEntry| Peering {
+        listen: entry.peer_address,
+        members: members.clone(),
+        cluster: "test".to_owned(),
+        secret: "secret-of-the-test-cluster".to_owned(),
+        ttl: Duration::from_millis(1_500),
+        heartbeat_interval: Duration::from_millis(50),
+        transport: Transport::Memory(network.clone()),
+    };
+    members.iter().map(peering).collect()
 }
 
-async fn start_on(nodes: u32, platform: Platform) -> (Vec<Node>, Vec<SocketAddr>) {
+async fn start_on(nodes: u32, platform: Platform, peered: bool) -> (Vec<Node>, Vec<SocketAddr>) {
     let mut backends = Vec::new();
     for _ in 0..3 {
         let served = standin::backend::serve(Arc::new(StandinBackend::default()), ANY_PORT).await;
         backends.push(served.unwrap().0);
     }
     let mut started = Vec::new();
+    let peerings = peerings(nodes);
     for index in 0..nodes {
         let name = format!("n{index}");
-        started.push(Node::start(settings(&name, nodes), platform.clone()).await.unwrap());
+        let settings = match peered {
+            true => settings(&name, 1, Some(peerings[index as usize].clone())),
+            false => settings(&name, nodes, None),
+        };
+        started.push(Node::start(settings, platform.clone()).await.unwrap());
     }
     let apply = api::ApplyContract {
         source: "levy.toml".to_owned(),
@@ -168,17 +225,24 @@
     }
 }
 
+#[rstest]
 #[tokio::test]
-async fn move_waits_for_running_work_of_every_node_and_budget_refuses_the_next() {
-    let nodes = start(2).await;
+async fn move_waits_for_running_work_of_every_node_and_budget_refuses_the_next(
+    #[values(false, true)] peered: bool,
+    #[values(0, 1)] busy: usize,
+) {
+    let platform = Platform::embedded();
+    let (nodes, _) = start_on(2, platform.clone(), peered).await;
     let holder = KeyHolder::Team(TeamRef::new("levy", "officers"));
     let key: api::GrantedKey =
         admin(&nodes[0], Method::POST, "/keys", &api::GrantKey { holder }).await;
-    wait_until_listed(&nodes[1]).await;
-    // Enough requests at the second node that every host runs some of them.
+    wait_until_listed(&nodes[busy]).await;
+    wait_until_served(&nodes[busy], &key).await;
+    wait_until_planned(&platform).await;
+    // Few enough that the node has the tokens itself.
     let mut requests = Vec::new();
-    for _ in 0..12 {
-        let address = nodes[1].caller_address;
+    for _ in 0..2 {
+        let address = nodes[busy].caller_address;
         let authorization = format!("Bearer {}", key.secret);
         requests.push(tokio::spawn(async move {
             let headers = [("authorization", &*authorization), ("standin-delay-ms", "1500")];
@@ -186,24 +250,35 @@
         }));
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert!(host(&nodes[1], "w0").await.running > 0);
+    let hosts: Vec<api::HostView> = admin(&nodes[busy], Method::GET, "/hosts", &()).await;
+    let mover =
+        hosts.iter().find(|host| host.running > 0).expect("a host runs something").id.clone();
+    let other = hosts.iter().find(|host| host.id != mover).expect("there are three").id.clone();
+    let elsewhere = host(&nodes[1 - busy], &mover).await.running;
+    assert_eq!(elsewhere, 0, "only one node runs work there");
 
     let to_spare = api::MoveHost { pool: "levy-spare".into() };
-    let _: api::Accepted = admin(&nodes[0], Method::POST, "/hosts/w0/move", &to_spare).await;
-    let refused = admin_raw(&nodes[0], Method::POST, "/hosts/w1/drain", &()).await;
+    let _: api::Accepted =
+        admin(&nodes[0], Method::POST, &format!("/hosts/{mover}/move"), &to_spare).await;
+    let refused = admin_raw(&nodes[0], Method::POST, &format!("/hosts/{other}/drain"), &()).await;
     assert_eq!(refused.status, StatusCode::UNPROCESSABLE_ENTITY);
     let detail = serde_json::from_slice::<api::Problem>(&refused.body).unwrap().detail;
-    assert!(detail.contains("service `validate`") && detail.contains("w0 (draining)"), "{detail}");
+    assert!(
+        detail.contains("service `validate`") && detail.contains(&format!("{mover} (draining)")),
+        "{detail}"
+    );
     assert!(detail.contains("may be free in about"), "{detail}");
 
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let moving = host(&nodes[0], "w0").await;
+    let moving = host(&nodes[0], &mover).await;
     assert_eq!((moving.state, &*moving.pool), (HostState::Draining, "levy-validate"));
     for request in requests {
         assert_eq!(request.await.unwrap().outcome(), "complete");
     }
-    wait_for(&nodes[0], "w0", |host| &*host.pool == "levy-spare" && host.state.takes_work()).await;
-    let _: api::Accepted = admin(&nodes[1], Method::POST, "/hosts/w1/drain", &()).await;
+    wait_for(&nodes[0], &mover, |host| &*host.pool == "levy-spare" && host.state.takes_work())
+        .await;
+    let _: api::Accepted =
+        admin(&nodes[1], Method::POST, &format!("/hosts/{other}/drain"), &()).await;
     stop(nodes).await;
 }
 
@@ -236,7 +311,7 @@
 async fn wave_reboots_each_host_once_although_answers_are_lost_and_nodes_race() {
     let fleet = Arc::new(StandinFleet::default());
     let platform = Platform { fleet: fleet.clone(), ..Platform::embedded() };
-    let (nodes, backends) = start_on(2, platform).await;
+    let (nodes, backends) = start_on(2, platform, false).await;
     wait_until_listed(&nodes[1]).await;
     let listed = backends.iter().enumerate().map(|(index, address)| FleetHost {
         id: format!("w{index}").into(),
