Keep the floor when hosts leave after an ejection, and an ended claim off its successor

Cause: two ejections at once could pass the floor; hosts that left after an ejection left the service with less than its floor; that a claim is ended only by its holder was not shown. Change: ejections are decided one at a time; an ejected server takes what no other has a slot for while more hosts are out than the service may lack. Tests for both.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -59,13 +59,16 @@
         self.health().is_ejected(now)
     }
 
-    fn cost(&self, limits: &LimitTable, now: Instant) -> Option<f64> {
+    /// Cost of one more request; `None` if it has no slot, or is ejected and `may_be_ejected` is not
+    /// set.
+    fn cost(&self, limits: &LimitTable, may_be_ejected: bool, now: Instant) -> Option<f64> {
         let slots = limits.get(&self.slots)?;
         if slots.spare() == 0 {
             return None;
         }
         let health = self.health();
-        (!health.is_ejected(now)).then(|| health.cost(slots.running, now))
+        let is_out = health.is_ejected(now) && !may_be_ejected;
+        (!is_out).then(|| health.cost(slots.running, now))
     }
 
     fn health(&self) -> MutexGuard<'_, Health> {
@@ -85,7 +88,8 @@
 }
 
 impl Service {
-    /// Chooses a backend server with a spare slot, other than `not_this`.
+    /// Chooses a backend server with a spare slot, other than `not_this`. One that is ejected is
+    /// taken only if no other has a slot, and more hosts are out than the service may lack.
     pub fn choose(
         &self,
         limits: &LimitTable,
@@ -93,13 +97,21 @@
         not_this: Option<&HostId>,
         now: Instant,
     ) -> Option<&Arc<Backend>> {
-        let chosen = routing::choose(self.backends.len(), rng, |index| {
-            let backend = &self.backends[index];
-            if not_this == Some(&backend.host) {
-                return None;
-            }
-            backend.cost(limits, now)
-        })?;
+        let mut choose = |may_be_ejected| {
+            routing::choose(self.backends.len(), rng, |index| {
+                let backend = &self.backends[index];
+                if not_this == Some(&backend.host) {
+                    return None;
+                }
+                backend.cost(limits, may_be_ejected, now)
+            })
+        };
+        let chosen = match choose(false) {
+            Some(chosen) => chosen,
+            // Hosts may have left for other reasons after an ejection.
+            None if self.out(now) > self.unavailable_max => choose(true)?,
+            None => return None,
+        };
         Some(&self.backends[chosen])
     }
 
@@ -116,6 +128,8 @@
     pub events: Arc<Recorder>,
     /// Metrics.
     pub telemetry: Telemetry,
+    /// Held while an ejection is decided, so that two at once keep the floor.
+    pub ejecting: Mutex<()>,
 }
 
 impl HealthKeeper {
@@ -143,6 +157,7 @@
         if !wants_ejection {
             return;
         }
+        let _ejecting = self.ejecting.lock().expect("no holder panics");
         if !routing::may_eject(service.out(now), service.unavailable_max) {
             self.telemetry.count("backend.kept");
             return;
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -127,7 +127,11 @@
             lines: Arc::new(Lines::new(limits.clone(), Arc::new(doubts))),
             claims: Claims::start(table, objects, patience, retention),
             prober: Prober { limits, timeout: settings.connect_timeout },
-            health: HealthKeeper { events: events.clone(), telemetry: telemetry.clone() },
+            health: HealthKeeper {
+                events: events.clone(),
+                telemetry: telemetry.clone(),
+                ejecting: Mutex::default(),
+            },
             peers: PeerConnections::default(),
             retry_budget: Mutex::default(),
             running: Arc::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,7 +21,7 @@
     pub probe_interval: Duration,
     /// Largest answer that is kept for repeats of an idempotency key, in bytes.
     pub kept_answer_max_bytes: usize,
-    /// Time for which the claim of an idempotency key is kept.
+    /// Time for which the claim of an idempotency key is kept; longer than any request may take.
     pub claim_retention: Duration,
     /// Mean time between two sweeps of old claims.
     pub sweep_interval: Duration,
--- a/crates/node/tests/claims.rs
+++ b/crates/node/tests/claims.rs
@@ -193,3 +193,28 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn claim_that_outlived_its_time_does_not_overwrite_the_next() {
+    let mut plan = Plan::default();
+    plan.gateway.claim_retention = Duration::from_secs(1);
+    plan.gateway.sweep_interval = Duration::from_millis(20);
+    let cell = Cell::start(plan).await;
+    let next = || {
+        let headers = &[("idempotency-key", "again")];
+        cell.send(Job { body: b"next", ..keyed("next", headers) })
+    };
+    let slow = async {
+        let headers = [("idempotency-key", "again"), ("standin-delay-ms", "1800")];
+        cell.send(keyed("slow", &headers)).await
+    };
+    let after_sweep = async {
+        cell.settled(|cell| async { cell.runs_of("slow") == 1 }).await;
+        cell.settled(|cell| async { cell.platform.table.count("idem/") == 0 }).await;
+        next().await
+    };
+    let (slow, first) = tokio::join!(slow, after_sweep);
+    assert_eq!((slow.outcome(), first.outcome()), ("complete", "complete"));
+    let repeat = next().await;
+    assert_eq!((repeat.outcome(), &*repeat.body), ("complete", &b"next"[..]));
+}
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -149,6 +149,28 @@
     assert_eq!(cell.runs_of("all"), 40, "two of three servers stay in, whatever they answer");
 }
 
+#[tokio::test]
+async fn ejected_server_helps_out_when_another_host_leaves() {
+    let plan = Plan { backends: 3, slots: 1, unavailable_max: 1, ..Plan::default() };
+    let cell = Cell::start(plan).await;
+    cell.backends[0].set_failing(true);
+    cell.settled(|cell| async {
+        cell.send(Job { name: "eject", ..Job::default() }).await;
+        cell.events().await.contains("backend-ejected")
+    })
+    .await;
+    let path = "/hosts/w1/drain";
+    admin::<serde_json::Value>(&cell.nodes[0], Method::POST, path, &()).await;
+    let send = || {
+        let headers = &[("standin-delay-ms", "500")];
+        cell.send(Job { name: "floor", headers, ..Job::default() })
+    };
+    let answers = futures_all([send(), send()]).await;
+    assert!(answers.iter().all(|answer| answer.outcome() == "complete"));
+    let runs = cell.backends.iter().map(|backend| backend.runs_of("floor"));
+    assert_eq!(runs.collect::<Vec<_>>(), [1, 0, 1]);
+}
+
 #[tokio::test]
 async fn unreachable_and_unwilling_servers_are_passed_over() {
     let cell = Cell::start(Plan { backends: 1, dead_host: true, ..Plan::default() }).await;
