--- a/crates/placement/src/task.rs
+++ b/crates/placement/src/task.rs
@@ -120,6 +120,7 @@
             avoid: self.avoid.clone(),
             attempts: self.attempts,
             displaced: self.displaced,
+            tried: None,
         }
     }
 
