--- a/crates/placement/src/evidence.rs
+++ b/crates/placement/src/evidence.rs
@@ -15,6 +15,8 @@
 
 /// Results kept for a worker.
 const RESULTS_MAX: usize = 32;
+/// Workers that one review judges.
+const REVIEWED_MAX: usize = 16;
 /// Time after which a result no longer counts.
 const RESULT_AGE_MAX: Duration = Duration::from_secs(600);
 /// Probability that a broken worker fails a task.
@@ -23,6 +25,8 @@
 const QUARANTINE_AT: f64 = 6.9;
 /// Sum from which on a worker gets one task at a time.
 const SUSPECT_AT: f64 = 1.2;
+/// Results of a kind, all failed, from which on the kind is taken to fail always.
+const HOPELESS_FAILURES: u32 = 12;
 /// Time of the first quarantine; each further one is twice as long.
 const QUARANTINE_FIRST: Duration = Duration::from_secs(60);
 /// Longest quarantine.
@@ -75,6 +79,12 @@
     records: Vec<Record>,
     /// Counts by kind over all workers that are not quarantined, sorted.
     kinds: Vec<KindCounts>,
+    /// Workers that are not fully trusted, sorted.
+    distrusted: Vec<HostId>,
+    /// True if trust in a worker has come back since the last look.
+    regained: bool,
+    /// First record of the next review.
+    next_reviewed: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -111,22 +121,28 @@
         self.judge(index, now)
     }
 
-    /// Judges again the workers with failures, as results from elsewhere came in; returns those
-    /// that go into quarantine.
+    /// Judges again the next few workers with failures, as results from elsewhere came in; returns
+    /// those that go into quarantine.
     pub fn review(&mut self, now: Instant) -> Vec<HostId> {
         let mut quarantined = Vec::new();
-        for index in 0..self.records.len() {
+        let count = self.records.len();
+        for step in 0..count.min(REVIEWED_MAX) {
+            let index = (self.next_reviewed + step) % count;
             let record = &self.records[index];
             let has_failed = record.results.iter().any(|r| r.verdict == Verdict::Failed);
             if record.until.is_none() && has_failed && self.judge(index, now) {
                 quarantined.push(self.records[index].worker.clone());
             }
         }
+        self.next_reviewed = (self.next_reviewed + REVIEWED_MAX) % count.max(1);
         quarantined
     }
 
     /// How far a worker is trusted.
     pub fn trust(&self, worker: &HostId, now: Instant) -> Trust {
+        if self.distrusted.binary_search(worker).is_err() {
+            return Trust::Full;
+        }
         let Ok(index) = self.records.binary_search_by(|record| record.worker.cmp(worker)) else {
             return Trust::Full;
         };
@@ -138,12 +154,37 @@
         }
     }
 
-    /// Portion of the tasks of a kind that fail on workers that are not quarantined.
-    pub fn failure_rate(&self, kind: &KindId) -> Option<f64> {
-        let index = self.kinds.binary_search_by(|counts| counts.kind.cmp(kind)).ok()?;
-        let counts = &self.kinds[index];
-        let total = counts.succeeded + counts.failed;
-        (total > 0).then(|| f64::from(counts.failed) / f64::from(total))
+    /// True if tasks of the kind have only failed, many times and on trusted workers.
+    pub fn is_hopeless(&self, kind: &KindId) -> bool {
+        let found = self.kinds.binary_search_by(|counts| counts.kind.cmp(kind));
+        found.is_ok_and(|index| {
+            let counts = &self.kinds[index];
+            counts.succeeded == 0 && counts.failed >= HOPELESS_FAILURES
+        })
+    }
+
+    /// True if a worker has become more trusted since the last call.
+    pub fn take_regained(&mut self, now: Instant) -> bool {
+        let over = |record: &Record| record.until.is_some_and(|until| now >= until);
+        let is_over = self.distrusted.iter().any(|worker| {
+            let found = self.records.binary_search_by(|record| record.worker.cmp(worker));
+            found.is_ok_and(|index| over(&self.records[index]))
+        });
+        std::mem::take(&mut self.regained) || is_over
+    }
+
+    /// Keeps the list of distrusted workers in step with a record.
+    fn list(&mut self, index: usize) {
+        let record = &self.records[index];
+        let is_distrusted = record.until.is_some() || record.weight >= SUSPECT_AT;
+        match (self.distrusted.binary_search(&record.worker), is_distrusted) {
+            (Err(position), true) => self.distrusted.insert(position, record.worker.clone()),
+            (Ok(position), false) => {
+                self.distrusted.remove(position);
+                self.regained = true;
+            }
+            (Ok(_), true) | (Err(_), false) => {}
+        }
     }
 
     /// Weighs the evidence anew; true if the worker goes into quarantine.
@@ -154,6 +195,7 @@
         if is_broken {
             self.quarantine(index, now);
         }
+        self.list(index);
         is_broken
     }
 
@@ -203,6 +245,7 @@
             (Some(until), _) if now < until => true,
             (Some(_), Verdict::Succeeded) => {
                 self.records[index].until = None;
+                self.list(index);
                 true
             }
             (Some(_), Verdict::Failed) => {
--- a/crates/placement/src/pool/pressure.rs
+++ b/crates/placement/src/pool/pressure.rs
@@ -128,8 +128,9 @@
         for worker in self.evidence.review(now) {
             self.actions.push(Action::Quarantined { worker });
         }
-        // Trust comes back with time.
-        self.blocked.clear();
+        if self.evidence.take_regained(now) {
+            self.growth.add_all();
+        }
         for worker in 0..self.workers.len() {
             if self.is_overloaded(worker) {
                 self.relieve(worker, now);
