Count refusals by status and late answers, and time each request to its head

Cause: the metrics told outcomes but not why a request was refused. Change: refusal.{status}, answer.late_dropped, request.time_to_head; the picture says when it begins.

--- a/crates/events/src/html.rs
+++ b/crates/events/src/html.rs
@@ -46,7 +46,13 @@
     let height = AXIS_HEIGHT_PX + LANE_HEIGHT_PX * lanes.len() as f64 + 10.0;
     let width = LABEL_WIDTH_PX + PLOT_WIDTH_PX + 20.0;
     let mut page = String::from(HEAD);
-    let _ = write!(page, "<p>{} events of {} processes</p>", events.len(), lanes.len());
+    let first_ms = events.first().map_or(0, |event| event.stamp.wall_ms);
+    let _ = write!(
+        page,
+        "<p>{} events of {} processes, from <time data-ms={first_ms}></time></p>",
+        events.len(),
+        lanes.len()
+    );
     page.push_str("<p class=legend>");
     for group in &GROUPS {
         let _ = write!(
@@ -198,6 +204,9 @@
 </style></head><body><h1>Time line</h1>"#;
 
 const TAIL: &str = r#"<div id="tip"></div><script>
+for (const time of document.querySelectorAll("time")) {
+  time.textContent = new Date(Number(time.dataset.ms)).toISOString();
+}
 const tip = document.getElementById("tip");
 for (const mark of document.querySelectorAll("circle")) {
   const text = mark.querySelector("title").textContent;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -324,6 +324,10 @@
             self.telemetry.count("backend.silent");
             self.events.record(EventKind::BackendSilent { host: host.clone() }, now);
         }
+        if matches!(no_head, NoHead::Late) {
+            // The connection is closed with the request, so an answer that still comes is dropped.
+            self.telemetry.count("answer.late_dropped");
+        }
         let team = order.admitted.team.clone();
         self.events.record(EventKind::RequestUnknown { request: id.clone(), team, host }, now);
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -160,7 +160,8 @@
         let forwarded = forwarded_id(secret, request.headers(), request.uri());
         let may_forward = forwarded.is_none();
         let id = forwarded.unwrap_or_else(random_id);
-        let work = Work { id: id.clone(), step: Received { at: Instant::now() } };
+        let received_at = Instant::now();
+        let work = Work { id: id.clone(), step: Received { at: received_at } };
         let mut response = match self.carry(work, request, may_forward).await {
             Ok(Answered { id, outcome, mut response }) => {
                 self.telemetry.count(counter(outcome));
@@ -169,9 +170,11 @@
             }
             Err(refusal) => {
                 self.telemetry.count(counter(refusal.outcome));
+                self.telemetry.count(&format!("refusal.{}", refusal.status.as_u16()));
                 refusal.into_response(&id)
             }
         };
+        self.telemetry.time("request.time_to_head", received_at.elapsed());
         if self.stopping.load(Ordering::Relaxed) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
