Run jobs end to end under the placement of their pool

Cause: jobs could be decided about but neither submitted nor run.

Change: callers submit, watch, cancel (single and in bulk) and read results of jobs at any node. The node that holds a pool's placement stores each lease before it asks the worker to start, renews and reads reports once a second, stores results before ends, and writes in groups under its duty's precondition. A new holder rebuilds its state from the table and the workers' reports. Jobs that can never run are refused at once with the reason. A small stand-in worker.

Found on the way: a run's number was used again after its lease was taken back, so that a late "forget it" for the first run removed the second from the worker, and it was started twice. Runs are numbered by a count that never goes back; the test of attempts that do not count now also checks the number.

Switched off one at a time, and seen to fail: sending a lost start again, the boot number in reports, the boot number at a take-over; the reuse of run numbers failed the test of a holder that ends between lease and start (2 starts).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,11 +12,14 @@
 mod ledger;
 mod maintain;
 mod members;
+mod place;
 mod run;
 mod settings;
 mod shared;
 mod ship;
 
+pub use place::jobs;
+pub use place::workers;
 pub use run::Node;
 pub use run::StartError;
 pub use run::Stopped;
--- /dev/null
+++ b/crates/node/src/place.rs
@@ -0,0 +1,89 @@
+//! Placement of jobs: the callers' interface, and the pools whose placement this node holds.
+//!
+//! A job is submitted through any node, as a row of the table and a letter in the inbox of its pool.
+//! The node that holds the pool's placement takes it from there.
+
+pub mod jobs;
+pub mod workers;
+
+mod holder;
+mod rows;
+
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::time::Duration;
+use std::time::Instant;
+
+use duties::Duty;
+use gateway::Authority;
+use model::PoolId;
+use platform::Row;
+use platform::Scan;
+use tokio::task::JoinHandle;
+
+use crate::duty::placement_duty;
+use crate::place::workers::Workers;
+use crate::shared::Shared;
+
+/// Time between reads of the inbox.
+const INBOX_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The inbox as last read.
+#[derive(Clone)]
+pub struct Inbox {
+    /// When the read began.
+    pub read_at: Instant,
+    /// Rows.
+    pub rows: Arc<Vec<Row>>,
+}
+
+/// Inbox that the holders of this node share.
+pub type SharedInbox = Arc<RwLock<Option<Inbox>>>;
+
+/// A pool that is being placed by this node.
+struct Held {
+    pool: PoolId,
+    duty: Duty,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Places the jobs of the pools that this node holds, for as long as it runs.
+pub async fn run(shared: Arc<Shared>, workers: Arc<dyn Workers>) {
+    let inbox = SharedInbox::default();
+    let mut held: Vec<Held> = Vec::new();
+    loop {
+        let read_at = Instant::now();
+        let scan = Scan::prefix(rows::INBOX_PREFIX);
+        match shared.platform.table.scan(scan).await {
+            Ok(rows) => {
+                let read = Inbox { read_at, rows: Arc::new(rows) };
+                *inbox.write().expect("no holder panics") = Some(read);
+            }
+            Err(_) => shared.telemetry.count("placement.inbox_unavailable"),
+        }
+        held.retain(|held| !held.task.is_finished());
+        let config = shared.config();
+        let pools = config.contracts.iter().flat_map(|contract| &contract.pools);
+        for pool in pools.filter(|pool| pool.service.is_some()) {
+            let name = placement_duty(&pool.name);
+            let Some(duty) = shared.duty(&name, Instant::now()) else {
+                continue;
+            };
+            if held.iter().any(|held| held.pool == pool.name) {
+                continue;
+            }
+            let (shared, workers) = (shared.clone(), workers.clone());
+            let run = holder::run(shared, workers, pool.name.clone(), duty.clone(), inbox.clone());
+            held.push(Held { pool: pool.name.clone(), duty, task: tokio::spawn(run) });
+        }
+        shared.telemetry.gauge("placement.pools", held.len() as u64);
+        held.sort_by(|a, b| a.duty.name.cmp(&b.duty.name));
+        tokio::time::sleep(INBOX_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/place/holder/store.rs
@@ -0,0 +1,216 @@
+//! What a holder writes to the table, in groups, each under the precondition of its duty.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use model::OperationId;
+use placement::AnyTask;
+use placement::Ending;
+use placement::JobId;
+use placement::Pending;
+use placement::Placed;
+use placement::Task;
+use placement::task::TaskId;
+use platform::Settled;
+use platform::Write;
+
+use super::Entry;
+use super::Holder;
+use super::Lease;
+use crate::place::rows;
+use crate::shared::Shared;
+
+/// Writes of one transaction at most, but for those that belong together.
+const GROUP_MAX: usize = 128;
+/// Time that a transaction may take to settle.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Writes that wait, and what follows them.
+#[derive(Default)]
+pub struct Store {
+    waiting: Group,
+    /// A group whose outcome is not known yet.
+    unresolved: Option<(OperationId, Group)>,
+}
+
+/// Writes of one transaction, and what may be done once it is in force.
+#[derive(Default)]
+struct Group {
+    writes: Vec<Write>,
+    /// Jobs whose tasks are to be started.
+    starts: Vec<JobId>,
+    /// Ends that workers may forget, by worker.
+    forget: Vec<(model::HostId, TaskId)>,
+}
+
+impl Store {
+    /// True if nothing waits to be stored.
+    pub fn is_settled(&self) -> bool {
+        self.unresolved.is_none() && self.waiting.writes.len() < GROUP_MAX
+    }
+
+    /// True while a lease is planned that may not be in force.
+    pub fn has_unstored_leases(&self) -> bool {
+        self.unresolved.is_some() || !self.waiting.starts.is_empty()
+    }
+
+    /// Removes the letter of a new job that was taken in.
+    pub fn drop_letter(&mut self, job: &JobId) {
+        self.waiting.writes.push(Write::Delete { key: rows::new_key(job) });
+    }
+
+    /// Removes a cancellation that was taken in.
+    pub fn drop_cancellation(&mut self, job: &JobId) {
+        self.waiting.writes.push(Write::Delete { key: rows::cancel_key(job) });
+    }
+}
+
+impl Holder {
+    /// Plans the lease of a placed task.
+    pub(super) fn lease(&mut self, placed: Placed) {
+        let job = placed.pending.job.id.clone();
+        let Ok(index) = self.find(&job) else {
+            return;
+        };
+        let boot = self.find_heard(&placed.worker).map_or(0, |index| self.heard[index].boot);
+        let entry = &mut self.entries[index];
+        let AnyTask::Waiting(task) = entry.stored.task.clone() else {
+            return;
+        };
+        let leased = task.lease(placed.worker.clone(), self.duty.epoch, boot, placed.size);
+        entry.lease = Some(Lease { worker: placed.worker, task: leased.task_id(), boot });
+        entry.has_token = true;
+        entry.stored.task = AnyTask::Leased(leased);
+        self.store.waiting.writes.push(Write::put_json(rows::live_key(&job), &entry.stored));
+        self.store.waiting.starts.push(job);
+    }
+
+    /// Plans that a job waits for another attempt.
+    pub(super) fn wait_again(&mut self, pending: &Pending) {
+        let Ok(index) = self.find(&pending.job.id) else {
+            return;
+        };
+        self.end_lease(index);
+        let stored = &mut self.entries[index].stored;
+        stored.task = AnyTask::Waiting(Task::again(pending));
+        let write = Write::put_json(rows::live_key(&pending.job.id), stored);
+        self.store.waiting.writes.push(write);
+    }
+
+    /// Plans the end of a job.
+    pub(super) fn finish_entry(&mut self, pending: &Pending, ending: Ending) {
+        let Ok(index) = self.find(&pending.job.id) else {
+            return;
+        };
+        self.end_lease(index);
+        let Entry { mut stored, .. } = self.entries.remove(index);
+        stored.task = AnyTask::Ended(Task::again(pending).end(ending));
+        self.store.waiting.writes.extend(rows::end_writes(&stored));
+        self.record(&pending.job.id, &ending.to_string(), None);
+    }
+
+    /// Gives back the token of a job whose task has ended, and lets its worker forget it.
+    fn end_lease(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        if let Some(lease) = entry.lease.take() {
+            self.store.waiting.forget.push((lease.worker, lease.task));
+        }
+        if std::mem::take(&mut entry.has_token) {
+            self.release(self.entries[index].stored.job());
+        }
+    }
+
+    /// Stores what waits, and starts tasks whose leases are stored; false if the duty is lost.
+    pub(super) async fn flush(&mut self) -> bool {
+        let table = self.shared.platform.table.clone();
+        if let Some((operation, group)) = self.store.unresolved.take() {
+            match self.shared.committer.resolve(&*table, &operation).await {
+                None => {
+                    self.store.unresolved = Some((operation, group));
+                    return true;
+                }
+                Some(true) => self.carry_out(group).await,
+                // Nothing of it is in force: it goes first in the next group.
+                Some(false) => self.store.put_first(group),
+            }
+        }
+        if self.store.waiting.writes.is_empty() {
+            return true;
+        }
+        let group = std::mem::take(&mut self.store.waiting);
+        let preconditions = vec![self.duty.precondition()];
+        let writes = group.writes.clone();
+        let committer = &self.shared.committer;
+        match committer.commit(&*table, preconditions, writes, PATIENCE).await {
+            Settled::Committed => {
+                self.shared.telemetry.count("placement.commit");
+                self.carry_out(group).await;
+                true
+            }
+            Settled::Conflict { .. } => {
+                self.shared.telemetry.count("placement.superseded");
+                false
+            }
+            Settled::Refused { .. } => {
+                self.store.put_first(group);
+                true
+            }
+            Settled::Unknown { operation_id } => {
+                self.store.unresolved = Some((operation_id, group));
+                true
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, group: Group) {
+        for (worker, task) in group.forget {
+            if let Some(index) = self.find_heard(&worker) {
+                self.heard[index].stored.push(task);
+            }
+        }
+        for job in &group.starts {
+            self.record_start(job);
+        }
+        self.start(&group.starts).await;
+    }
+
+    fn record_start(&self, job: &JobId) {
+        if let Ok(index) = self.find(job)
+            && let Some(lease) = &self.entries[index].lease
+        {
+            self.record(job, "leased", Some(lease.worker.clone()));
+        }
+    }
+
+    fn record(&self, job: &JobId, state: &str, host: Option<model::HostId>) {
+        self.shared.telemetry.count(&format!("task.{state}"));
+        let kind =
+            events::EventKind::TaskStep { job: job.to_string(), state: state.to_owned(), host };
+        self.shared.events.record(kind, std::time::SystemTime::now());
+    }
+
+    /// True if this node may not act on its duty now.
+    pub(super) fn is_fenced(&self) -> bool {
+        self.shared.duty(&self.duty.name, Instant::now()).is_none()
+    }
+}
+
+impl Store {
+    fn put_first(&mut self, mut group: Group) {
+        group.writes.append(&mut self.waiting.writes);
+        group.starts.append(&mut self.waiting.starts);
+        group.forget.append(&mut self.waiting.forget);
+        self.waiting = group;
+    }
+}
+
+/// True unless the table says that the job is over or waits.
+pub async fn may_run(shared: &Shared, job: &JobId) -> bool {
+    let Ok(row) = shared.platform.table.get(&rows::live_key(job)).await else {
+        return true;
+    };
+    let Some(row) = row else {
+        return false;
+    };
+    rows::decode(&row).map_or(true, |stored| matches!(stored.task, AnyTask::Leased(_)))
+}
--- /dev/null
+++ b/crates/node/src/place/workers.rs
@@ -0,0 +1,102 @@
+//! Window on the task interface of workers, and its HTTP client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use placement::protocol::Answer;
+use placement::protocol::ORDER_PATH;
+use placement::protocol::Order;
+use placement::protocol::RENEW_PATH;
+use placement::protocol::Renew;
+use placement::protocol::START_PATH;
+use placement::protocol::Start;
+use serde::Serialize;
+use tokio::net::TcpStream;
+
+/// Time that a call to a worker may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// No answer came; the worker may have done what it was asked.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the worker did not answer: {reason}")]
+pub struct Silent {
+    /// What was seen.
+    pub reason: String,
+}
+
+/// Window on the task interface of workers.
+#[async_trait]
+pub trait Workers: Send + Sync {
+    /// Starts a task under a lease; a repeat starts nothing new.
+    async fn start(&self, worker: SocketAddr, start: &Start) -> Result<Answer, Silent>;
+
+    /// Renews leases, and reads the report of usage and ends.
+    async fn renew(&self, worker: SocketAddr, renew: &Renew) -> Result<Answer, Silent>;
+
+    /// Checkpoints, throttles or stops a task.
+    async fn order(&self, worker: SocketAddr, order: &Order) -> Result<Answer, Silent>;
+}
+
+/// Talks to workers over HTTP; each call has a connection of its own, so none goes silent unseen.
+pub struct HttpWorkers;
+
+#[async_trait]
+impl Workers for HttpWorkers {
+    async fn start(&self, worker: SocketAddr, start: &Start) -> Result<Answer, Silent> {
+        call(worker, START_PATH, start).await
+    }
+
+    async fn renew(&self, worker: SocketAddr, renew: &Renew) -> Result<Answer, Silent> {
+        call(worker, RENEW_PATH, renew).await
+    }
+
+    async fn order(&self, worker: SocketAddr, order: &Order) -> Result<Answer, Silent> {
+        call(worker, ORDER_PATH, order).await
+    }
+}
+
+async fn call(address: SocketAddr, path: &str, message: &impl Serialize) -> Result<Answer, Silent> {
+    match tokio::time::timeout(CALL_TIMEOUT, exchange(address, path, message)).await {
+        Ok(answer) => answer,
+        Err(_) => Err(silent("timeout")),
+    }
+}
+
+async fn exchange(
+    address: SocketAddr,
+    path: &str,
+    message: &impl Serialize,
+) -> Result<Answer, Silent> {
+    let body = serde_json::to_vec(message).map_err(silent)?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(silent)?;
+    let stream = TcpStream::connect(address).await.map_err(silent)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(silent)?;
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.map_err(silent)?;
+    let status = response.status();
+    let body = response.into_body().collect().await.map_err(silent)?.to_bytes();
+    if status != StatusCode::OK {
+        return Err(silent(format!("status {status}")));
+    }
+    serde_json::from_slice(&body).map_err(silent)
+}
+
+fn silent(reason: impl ToString) -> Silent {
+    Silent { reason: reason.to_string() }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -30,6 +30,8 @@
 use crate::maintain;
 use crate::members;
 use crate::members::Members;
+use crate::place;
+use crate::place::workers::HttpWorkers;
 use crate::settings::Platform;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -117,6 +119,7 @@
             tokio::spawn(follower::follow(shared.clone())),
             tokio::spawn(ledger::run(shared.clone(), gateway.prober())),
             tokio::spawn(maintain::run(shared.clone())),
+            tokio::spawn(place::run(shared.clone(), Arc::new(HttpWorkers))),
             tokio::spawn(ship::ship(shared.clone())),
         ];
         Ok(Self {
@@ -187,6 +190,7 @@
 fn caller_router(shared: &Arc<Shared>, gateway: &Arc<Gateway>) -> Router {
     let gateway = gateway.clone();
     Router::new()
+        .merge(place::jobs::router(shared.clone()))
         .route("/healthz", get(|| async { "ok" }))
         .route("/readyz", get(ready).with_state(shared.clone()))
         .fallback(move |request: Request| gateway.clone().handle(request))
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -57,8 +57,10 @@
     pub since: Instant,
     /// Workers on which it has failed, sorted.
     pub avoid: Vec<HostId>,
-    /// Runs so far.
+    /// Runs that count against the most that there may be.
     pub attempts: u32,
+    /// All runs, also those that were taken back; numbers the next.
+    pub runs: u32,
     /// Times that it was stopped to make room.
     pub displaced: u32,
     /// Growth of the pool at which it last fitted nowhere.
@@ -74,6 +76,7 @@
             since: now,
             avoid: Vec::new(),
             attempts: 0,
+            runs: 0,
             displaced: 0,
             tried: None,
         }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod evidence;
 pub mod job;
 pub mod pool;
+pub mod protocol;
 pub mod recover;
 pub mod size;
 pub mod task;
--- a/crates/placement/src/pool/choose.rs
+++ b/crates/placement/src/pool/choose.rs
@@ -105,6 +105,7 @@
         now: Instant,
     ) -> Placed {
         pending.attempts += 1;
+        pending.runs += 1;
         let placed =
             Placed { pending: pending.clone(), worker: self.workers[worker].spec.id.clone(), size };
         self.start(pending, worker, size, now);
--- a/crates/placement/src/pool/ends.rs
+++ b/crates/placement/src/pool/ends.rs
@@ -1,5 +1,6 @@
 //! Ends of tasks, lost workers and cancellations.
 
+use std::fmt;
 use std::time::Instant;
 
 use model::HostId;
@@ -48,6 +49,19 @@
     Harmful,
 }
 
+impl fmt::Display for Ending {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Succeeded => "succeeded",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+            Self::Stopped => "stopped",
+            Self::Unknown => "unknown",
+            Self::Harmful => "harmful",
+        })
+    }
+}
+
 /// What becomes of a job after a task of it has ended.
 #[derive(Clone, Debug)]
 pub enum After {
--- a/crates/placement/src/task.rs
+++ b/crates/placement/src/task.rs
@@ -28,6 +28,8 @@
     pub worker: HostId,
     /// Epoch of the holder that leased it.
     pub epoch: u64,
+    /// Number of the worker's last start, as the holder knew it.
+    pub boot: u64,
     /// Size that is reserved.
     pub reserved: Size,
 }
@@ -46,8 +48,10 @@
     pub job: Job,
     /// Share weight of its team when it was submitted.
     pub share_weight: u32,
-    /// Runs so far.
+    /// Runs that count against the most that there may be.
     pub attempts: u32,
+    /// All runs, also those that were taken back; numbers the next.
+    pub runs: u32,
     /// Times that it was stopped to make room.
     pub displaced: u32,
     /// Workers on which it failed, sorted.
@@ -71,8 +75,8 @@
 impl Task<Waiting> {
     /// A new job.
     pub fn new(job: Job, share_weight: u32) -> Self {
-        let (attempts, displaced, avoid) = (0, 0, Vec::new());
-        Self { job, share_weight, attempts, displaced, avoid, state: Waiting }
+        let (attempts, runs, displaced, avoid) = (0, 0, 0, Vec::new());
+        Self { job, share_weight, attempts, runs, displaced, avoid, state: Waiting }
     }
 
     /// State of a job that waits for another attempt.
@@ -81,24 +85,25 @@
     }
 
     /// Leases the next attempt to a worker.
-    pub fn lease(mut self, worker: HostId, epoch: u64, reserved: Size) -> Task<Leased> {
+    pub fn lease(mut self, worker: HostId, epoch: u64, boot: u64, reserved: Size) -> Task<Leased> {
         self.attempts += 1;
-        self.with(Leased { worker, epoch, reserved })
+        self.runs += 1;
+        self.with(Leased { worker, epoch, boot, reserved })
     }
 
     /// Ends the job before any further attempt.
-    pub fn cancel(self) -> Task<Ended> {
-        self.with(Ended { ending: Ending::Cancelled })
+    pub fn end(self, ending: Ending) -> Task<Ended> {
+        self.with(Ended { ending })
     }
 }
 
 impl Task<Leased> {
     /// Id of the attempt.
     pub fn task_id(&self) -> TaskId {
-        task_id(&self.job.id, self.attempts)
+        task_id(&self.job.id, self.runs)
     }
 
-    /// The attempt has not started and never will; it does not count.
+    /// The attempt has not started and never will; it does not count, but keeps its number.
     pub fn not_started(mut self) -> Task<Waiting> {
         self.attempts -= 1;
         self.with(Waiting)
@@ -119,6 +124,7 @@
             since,
             avoid: self.avoid.clone(),
             attempts: self.attempts,
+            runs: self.runs,
             displaced: self.displaced,
             tried: None,
         }
@@ -129,6 +135,7 @@
             job: pending.job.clone(),
             share_weight: pending.share_weight,
             attempts: pending.attempts,
+            runs: pending.runs,
             displaced: pending.displaced,
             avoid: pending.avoid.clone(),
             state,
@@ -136,12 +143,12 @@
     }
 
     fn with<T>(self, state: T) -> Task<T> {
-        let Self { job, share_weight, attempts, displaced, avoid, .. } = self;
-        Task { job, share_weight, attempts, displaced, avoid, state }
+        let Self { job, share_weight, attempts, runs, displaced, avoid, .. } = self;
+        Task { job, share_weight, attempts, runs, displaced, avoid, state }
     }
 }
 
-/// Id of an attempt of a job.
-pub fn task_id(job: &JobId, attempt: u32) -> TaskId {
-    format!("{job}.{attempt}")
+/// Id of a run of a job.
+pub fn task_id(job: &JobId, run: u32) -> TaskId {
+    format!("{job}.{run}")
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod fleet;
 pub mod load;
 pub mod platform_server;
+pub mod worker;
