Tell the queues of each node what the others have given each team

Change: heartbeats carry, for each queue with waiting requests somewhere, what each team has running, waiting and was given (a new tagged field of counts, so old and new versions run side by side); the receiver sums increments of each run of each member and informs its queues four times a second.

--- a/crates/bench/src/live_fleet.rs
+++ b/crates/bench/src/live_fleet.rs
@@ -162,6 +162,7 @@
             running: 1 + if key.is_multiple_of(3) { self.beats } else { 0 },
             queued: 0,
             spare: 4,
+            served_ms: 0,
         };
         self.member.set_counts((0..COUNTS).map(count).collect());
         self.step(Input::Tick);
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -22,11 +22,13 @@
 use limits::LimitTable;
 use model::Config;
 use model::Outcome;
+use model::QueueId;
 use model::RequestId;
 use model::ids::random_id;
 use platform::Objects;
 use platform::Table;
 use routing::RetryBudget;
+use shares::FleetCounts;
 use telemetry::Telemetry;
 
 use crate::answer::Refusal;
@@ -59,6 +61,7 @@
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
 use crate::waiting::Lines;
+use crate::waiting::QueueShares;
 use crate::waiting::Waiting;
 
 /// Path under which queues are served.
@@ -188,6 +191,16 @@
         self.lines.waiting_by_team()
     }
 
+    /// What each team has in each queue at this node.
+    pub fn shares(&self, now: Instant) -> Vec<QueueShares> {
+        self.lines.shares(now)
+    }
+
+    /// Tells a queue what the other nodes have given its teams.
+    pub fn observe_fleet(&self, queue: &QueueId, counts: &[FleetCounts], now: Instant) {
+        self.lines.observe_fleet(queue, counts, now);
+    }
+
     /// Tells callers from now on to use other connections.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,4 +37,5 @@
 pub use server::serve;
 pub use server::serve_with;
 pub use settings::GatewaySettings;
+pub use waiting::QueueShares;
 pub use waiting::Waiting;
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -22,7 +22,9 @@
 use rand::rngs::SmallRng;
 use shares::Entry;
 use shares::FairQueue;
+use shares::FleetCounts;
 use shares::Refused;
+use shares::TeamCounts;
 use shares::Ticket;
 use tokio::sync::oneshot;
 
@@ -55,6 +57,15 @@
     pub count: u32,
 }
 
+/// What each team has in one queue at this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueueShares {
+    /// Queue.
+    pub queue: QueueId,
+    /// Teams, sorted.
+    pub teams: Vec<TeamCounts>,
+}
+
 /// Why a waiting request was not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitEnd {
@@ -193,6 +204,24 @@
         counts
     }
 
+    /// What each team has in each line.
+    pub fn shares(&self, now: Instant) -> Vec<QueueShares> {
+        let lines = self.lines.read().expect("no holder panics").clone();
+        let shares = lines.iter().map(|line| QueueShares {
+            queue: line.queue.clone(),
+            teams: line.lock().fair.counts(now),
+        });
+        shares.collect()
+    }
+
+    /// Tells the lines of a queue what the other nodes have.
+    pub fn observe_fleet(&self, queue: &QueueId, counts: &[FleetCounts], now: Instant) {
+        let lines = self.lines.read().expect("no holder panics").clone();
+        for line in lines.iter().filter(|line| line.queue == *queue) {
+            line.lock().fair.observe_fleet(counts, now);
+        }
+    }
+
     /// Queues a request, or says when to come back.
     pub fn enter(
         self: &Arc<Self>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod compact;
 mod duty;
+mod fleet_shares;
 mod follower;
 mod ledger;
 mod maintain;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -25,6 +25,7 @@
 use crate::admin;
 use crate::compact;
 use crate::duty;
+use crate::fleet_shares;
 use crate::follower;
 use crate::ledger;
 use crate::maintain;
@@ -116,6 +117,7 @@
         let tasks = vec![
             tokio::spawn(compact::keep(shared.clone())),
             tokio::spawn(duty::keep(shared.clone())),
+            tokio::spawn(fleet_shares::run(shared.clone(), Arc::downgrade(&gateway))),
             tokio::spawn(follower::follow(shared.clone())),
             tokio::spawn(ledger::run(shared.clone(), gateway.prober())),
             tokio::spawn(maintain::run(shared.clone())),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -73,6 +73,7 @@
     config: RwLock<Arc<Config>>,
     members: RwLock<Arc<Vec<MemberView>>>,
     counts: RwLock<Vec<Count>>,
+    share_counts: RwLock<Vec<Count>>,
     waiting: OnceLock<TellWaiting>,
     misses: Mutex<Vec<Demand>>,
     stopping: AtomicBool,
@@ -106,6 +107,7 @@
             config: RwLock::default(),
             members: RwLock::default(),
             counts: RwLock::default(),
+            share_counts: RwLock::default(),
             waiting: OnceLock::new(),
             misses: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -157,7 +159,10 @@
 
     /// Counts that the next heartbeats carry.
     pub fn counts(&self) -> Vec<Count> {
-        self.counts.read().expect("no holder panics").clone()
+        let mut counts = self.counts.read().expect("no holder panics").clone();
+        // Their keys sort after those of the limits.
+        counts.extend_from_slice(&self.share_counts.read().expect("no holder panics"));
+        counts
     }
 
     /// Replaces the counts that heartbeats carry, sorted by key.
@@ -165,6 +170,11 @@
         *self.counts.write().expect("no holder panics") = counts;
     }
 
+    /// Replaces the counts of shares that heartbeats carry, sorted by key.
+    pub fn set_share_counts(&self, counts: Vec<Count>) {
+        *self.share_counts.write().expect("no holder panics") = counts;
+    }
+
     /// Replaces the counts of this node in its own view of the members.
     pub fn set_own_counts(&self, counts: Vec<Count>) {
         let mut members = self.members.write().expect("no holder panics");
--- a/crates/wire/src/count.rs
+++ b/crates/wire/src/count.rs
@@ -17,4 +17,7 @@
     /// Tokens that new work may take.
     #[prost(uint32, tag = "4")]
     pub spare: u32,
+    /// Slot time given since the node started, in milliseconds; 0 where it is not counted.
+    #[prost(uint64, tag = "5")]
+    pub served_ms: u64,
 }
