--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -173,6 +173,11 @@
         self.next_beat_at = now;
     }
 
+    /// Brings the next round of heartbeats forward to the next tick.
+    pub fn beat_soon(&mut self, now: Instant) {
+        self.next_beat_at = now;
+    }
+
     /// Replaces the counts that heartbeats carry, sorted by key.
     pub fn set_counts(&mut self, counts: Vec<Count>) {
         self.counts = counts;
--- a/crates/node/src/members/driver.rs
+++ b/crates/node/src/members/driver.rs
@@ -23,6 +23,7 @@
 use membership::TableView;
 use membership::Timing;
 use membership::next_list;
+use model::ConfigVersion;
 use model::Incarnation;
 use model::NodeId;
 use platform::Unavailable;
@@ -96,6 +97,8 @@
     own: MemberView,
     informers: Informers,
     rejoin: Rejoin,
+    /// Version of the configuration that the last heartbeats told.
+    told_version: ConfigVersion,
     reports: mpsc::Sender<Report>,
     reported: mpsc::Receiver<Report>,
     next_read_at: Instant,
@@ -141,6 +144,7 @@
             own,
             informers: Informers::default(),
             rejoin: Rejoin::Idle,
+            told_version: 0,
             reports,
             reported,
             next_read_at: now,
@@ -171,6 +175,12 @@
     fn on_tick(&mut self) {
         let now = Instant::now();
         self.member.set_counts(self.shared.counts());
+        let version = self.shared.config().version;
+        if version != self.told_version {
+            // The peers hear of it at once instead of at their next poll.
+            self.told_version = version;
+            self.member.beat_soon(now);
+        }
         self.step(Input::Tick, now);
         self.rejoin_if_marked(now);
         self.ask_for_config(now);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -18,6 +18,7 @@
 use gateway::Server;
 use http::StatusCode;
 use membership::MemberView;
+use model::ConfigVersion;
 use model::Incarnation;
 use telemetry::Telemetry;
 use tokio::task::JoinHandle;
@@ -131,6 +132,16 @@
         })
     }
 
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.shared.config().version
+    }
+
+    /// Polls the configuration at once.
+    pub async fn poll_config(&self) {
+        follower::poll_once(&self.shared).await;
+    }
+
     /// True if what a run of another node held may be taken.
     pub fn is_member_gone(&self, node: &str, incarnation: Incarnation) -> bool {
         self.shared.is_member_gone(&node.into(), incarnation)
