--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -31,6 +31,8 @@
 const TICK_PER_NODE: Duration = Duration::from_millis(100);
 /// Shortest time between two looks.
 const TICK_MIN: Duration = Duration::from_millis(200);
+/// Time between two counts of what runs, waits and is spare.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 /// Transactions in which a node that stops gives away what it holds, at most.
 const HAND_BACK_TRIES: usize = 64;
 /// Longest time that a stopping node tries to give away what it holds.
@@ -38,13 +40,25 @@
 
 /// Looks at the ledger for as long as the node runs.
 pub async fn run(shared: Arc<Shared>, prober: Prober) {
+    tokio::join!(publish(&shared), follow(&shared, prober));
+}
+
+/// Publishes this node's counts, also while the table does not answer.
+async fn publish(shared: &Shared) {
+    loop {
+        counts::publish(shared, &shared.config());
+        tokio::time::sleep(PUBLISH_INTERVAL).await;
+    }
+}
+
+async fn follow(shared: &Arc<Shared>, prober: Prober) {
     let mut part = Part { reclaim: Some(Reclaim::new(prober)), ..Part::default() };
     loop {
-        if part.look(&shared, false).await.is_err() {
+        if part.look(shared, false).await.is_err() {
             shared.telemetry.count("ledger.unavailable");
         }
         tokio::select! {
-            () = tokio::time::sleep(tick_interval(&shared)) => {}
+            () = tokio::time::sleep(tick_interval(shared)) => {}
             () = shared.ledger_now.notified() => {}
         }
     }
@@ -86,7 +100,6 @@
             self.limits = limits_of(&config);
             self.limits_version = config.version;
         }
-        counts::publish(shared, &config);
         if shared.members().len() == 1 && shared.settings.node_count > 1 {
             self.split(shared);
             shared.ledger_version.send_replace(config.version);
--- a/crates/node/tests/common/cell.rs
+++ b/crates/node/tests/common/cell.rs
@@ -212,7 +212,7 @@
     }
 }
 
-fn contract(plan: &Plan, addresses: &[SocketAddr]) -> String {
+pub fn contract(plan: &Plan, addresses: &[SocketAddr]) -> String {
     let Plan { slots, connections_max, running_max, waiting_max, wait_max_ms, .. } = plan;
     let mut text = format!(
         r#"
