--- a/crates/placement/src/backlog.rs
+++ b/crates/placement/src/backlog.rs
@@ -4,6 +4,7 @@
 
 use model::TeamRef;
 
+use crate::growth::Generation;
 use crate::job::Class;
 use crate::job::JobId;
 use crate::job::Pending;
@@ -89,6 +90,13 @@
         Some(taken)
     }
 
+    /// Notes that a job fitted nowhere.
+    pub fn set_tried(&mut self, (team, class, position): (usize, Class, usize), tried: Generation) {
+        if let Some(pending) = self.teams[team].lane_mut(class).get_mut(position) {
+            pending.tried = Some(tried);
+        }
+    }
+
     /// Place of a waiting job of a team.
     pub fn find(&self, team: &TeamRef, job: &JobId) -> Option<(usize, Class, usize)> {
         let index = self.teams.binary_search_by(|backlog| backlog.team.cmp(team)).ok()?;
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::growth::Generation;
 use crate::size::Size;
 
 /// Unique id of a job.
@@ -56,16 +57,29 @@
     pub since: Instant,
     /// Workers on which it has failed, sorted.
     pub avoid: Vec<HostId>,
-    /// Runs so far.
+    /// Runs that count against the most that there may be.
     pub attempts: u32,
+    /// All runs, also those that were taken back; numbers the next.
+    pub runs: u32,
     /// Times that it was stopped to make room.
     pub displaced: u32,
+    /// Growth of the pool at which it last fitted nowhere.
+    pub(crate) tried: Option<Generation>,
 }
 
 impl Pending {
     /// A new job.
     pub fn new(job: Job, share_weight: u32, now: Instant) -> Self {
-        Self { job, share_weight, since: now, avoid: Vec::new(), attempts: 0, displaced: 0 }
+        Self {
+            job,
+            share_weight,
+            since: now,
+            avoid: Vec::new(),
+            attempts: 0,
+            runs: 0,
+            displaced: 0,
+            tried: None,
+        }
     }
 
     /// Adds a worker to those that the job should not run on again.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod evidence;
 pub mod job;
 pub mod pool;
+pub mod protocol;
 pub mod recover;
 pub mod size;
 pub mod task;
 
 mod backlog;
+mod growth;
 mod harm;
 mod index;
 mod learn;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -20,6 +20,7 @@
 use crate::backlog::Backlog;
 use crate::evidence::Evidence;
 use crate::evidence::Trust;
+use crate::growth::Growth;
 use crate::harm::Losses;
 use crate::index::FreeIndex;
 use crate::index::WorkerIndex;
@@ -142,17 +143,18 @@
     whole: Size,
     backlog: Backlog,
     /// Sorted by job.
-    tasks: Vec<Task>,
+    #[expect(clippy::vec_box, reason = "an insertion moves pointers instead of whole tasks")]
+    tasks: Vec<Box<Task>>,
     /// Sorted by kind.
     kinds: Vec<(KindId, Peaks)>,
     spread: Spread,
     evidence: Evidence,
     losses: Losses,
     holds: Vec<Hold>,
+    no_hold_until: Option<Instant>,
     /// Sum of the running urgent tasks.
     urgent_running: Size,
-    /// Sizes that fitted nowhere since capacity last grew.
-    blocked: Vec<Size>,
+    growth: Growth,
     actions: Vec<Action>,
     cursor: usize,
 }
@@ -257,7 +259,7 @@
             is_checkpointed: false,
             is_cancelled: false,
         };
-        self.tasks.insert(position, task);
+        self.tasks.insert(position, Box::new(task));
     }
 
     fn new_worker(&mut self, spec: WorkerSpec) -> Worker {
@@ -296,7 +298,7 @@
         }
         let taking = self.workers.iter().filter(|worker| worker.spec.takes_work);
         self.whole = taking.fold(Size::default(), |sum, w| sum.plus(&w.spec.capacity));
-        self.blocked.clear();
+        self.growth.add_all();
     }
 
     /// Brings the index up to date with what a worker has free.
@@ -315,8 +317,10 @@
         if let Some(free) = &wanted {
             self.free[worker.zone].insert(index, free);
         }
-        if wanted.is_some_and(|free| before.is_none_or(|before| !free.fits_in(&before))) {
-            self.blocked.clear();
+        if let Some(free) = wanted
+            && before.is_none_or(|before| !free.fits_in(&before))
+        {
+            self.growth.add(free);
         }
     }
 
--- a/crates/placement/src/pool/choose.rs
+++ b/crates/placement/src/pool/choose.rs
@@ -14,14 +14,14 @@
 use crate::spread::GroupView;
 
 /// Waiting jobs of a team that are tried before the next team's turn.
-const LOOK_AHEAD: usize = 8;
+const LOOK_AHEAD: usize = 32;
 /// Workers of a zone that are compared.
 const CANDIDATES: usize = 6;
-/// Sizes remembered as fitting nowhere.
-const BLOCKED_MAX: usize = 16;
+/// Jobs that one decision searches a worker for; the next decision goes on with others.
+const SEARCHES_MAX: usize = 64;
 
 /// Place of a waiting job: team, class and position in its lane.
-type Place = (usize, Class, usize);
+pub(super) type Place = (usize, Class, usize);
 
 /// Lower is better, field by field.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -69,12 +69,27 @@
     }
 
     fn next_of(&mut self, teams: &[usize], classes: &[Class], now: Instant) -> Option<Placed> {
+        let mut searches = 0;
         for &team in teams {
             for &class in classes {
                 let waiting = self.backlog.teams()[team].lane(class).len().min(LOOK_AHEAD);
                 for position in 0..waiting {
-                    if let Some(placed) = self.try_place((team, class, position), now) {
-                        return Some(placed);
+                    let place: Place = (team, class, position);
+                    let pending = &self.backlog.teams()[team].lane(class)[position];
+                    let size = self.size_of(&pending.job.kind, &pending.job.declared);
+                    if pending.tried.is_some_and(|tried| !self.growth.may_fit(&size, tried)) {
+                        self.want_hold(place, &size, now);
+                        continue;
+                    }
+                    if let Some(worker) = self.choose_worker(pending, &size, now) {
+                        let pending = self.backlog.take(team, class, position)?;
+                        return Some(self.place(pending, worker, size, now));
+                    }
+                    self.backlog.set_tried(place, self.growth.generation());
+                    self.want_hold(place, &size, now);
+                    searches += 1;
+                    if searches == SEARCHES_MAX {
+                        return None;
                     }
                 }
             }
@@ -82,25 +97,6 @@
         None
     }
 
-    fn try_place(&mut self, (team, class, position): Place, now: Instant) -> Option<Placed> {
-        let pending = &self.backlog.teams()[team].lane(class)[position];
-        let size = self.size_of(&pending.job.kind, &pending.job.declared);
-        if self.blocked.iter().any(|blocked| blocked.fits_in(&size)) {
-            self.want_hold((team, class, position), &size, now);
-            return None;
-        }
-        let Some(worker) = self.choose_worker(pending, &size, now) else {
-            let plain = pending.avoid.is_empty() && !self.losses.is_suspect(&pending.job.id);
-            if plain && self.blocked.len() < BLOCKED_MAX {
-                self.blocked.push(size);
-            }
-            self.want_hold((team, class, position), &size, now);
-            return None;
-        };
-        let pending = self.backlog.take(team, class, position)?;
-        Some(self.place(pending, worker, size, now))
-    }
-
     pub(super) fn place(
         &mut self,
         mut pending: Pending,
@@ -109,6 +105,7 @@
         now: Instant,
     ) -> Placed {
         pending.attempts += 1;
+        pending.runs += 1;
         let placed =
             Placed { pending: pending.clone(), worker: self.workers[worker].spec.id.clone(), size };
         self.start(pending, worker, size, now);
--- a/crates/placement/src/pool/urgent.rs
+++ b/crates/placement/src/pool/urgent.rs
@@ -8,6 +8,7 @@
 use super::Hold;
 use super::Placed;
 use super::Pool;
+use super::choose::Place;
 use super::pressure::Winding;
 use crate::index::WorkerIndex;
 use crate::job::Class;
@@ -19,6 +20,8 @@
 const HOLDS_NORMAL_MAX: usize = 2;
 /// Time that a worker is held at most.
 const HOLD_MAX: Duration = Duration::from_secs(60);
+/// Time without another search after none was found to hold.
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
 /// Workers that are looked at for an urgent job.
 const LOOK_MAX: usize = 64;
 /// Times that a job is displaced at most.
@@ -55,12 +58,7 @@
     }
 
     /// Holds a worker for a job that fits nowhere: at once if it is urgent, else after a while.
-    pub(super) fn want_hold(
-        &mut self,
-        (team, class, position): (usize, Class, usize),
-        size: &Size,
-        now: Instant,
-    ) {
+    pub(super) fn want_hold(&mut self, (team, class, position): Place, size: &Size, now: Instant) {
         let pending = &self.backlog.teams()[team].lane(class)[position];
         let waited = now.saturating_duration_since(pending.since);
         let holds_max = match class {
@@ -72,7 +70,11 @@
             return;
         }
         let (job, team) = (pending.job.id.clone(), pending.job.team.clone());
+        if self.no_hold_until.is_some_and(|until| now < until) {
+            return;
+        }
         let Some((worker, displaced)) = self.cheapest_to_clear(class, size, now) else {
+            self.no_hold_until = Some(now + HOLD_PAUSE);
             return;
         };
         if class == Class::Urgent {
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -29,7 +29,7 @@
 use crate::world::worker;
 
 /// Waiting jobs of a team that one decision looks at.
-const LOOK_AHEAD: usize = 8;
+const LOOK_AHEAD: usize = 32;
 
 #[test]
 fn tasks_of_a_group_spread_over_zones_and_racks() {
