--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -18,6 +18,7 @@
 use gateway::Server;
 use http::StatusCode;
 use membership::MemberView;
+use model::ConfigVersion;
 use model::Incarnation;
 use telemetry::Telemetry;
 use tokio::task::JoinHandle;
@@ -25,6 +26,7 @@
 use crate::admin;
 use crate::compact;
 use crate::duty;
+use crate::fleet_shares;
 use crate::follower;
 use crate::ledger;
 use crate::maintain;
@@ -116,6 +118,7 @@
         let tasks = vec![
             tokio::spawn(compact::keep(shared.clone())),
             tokio::spawn(duty::keep(shared.clone())),
+            tokio::spawn(fleet_shares::run(shared.clone(), Arc::downgrade(&gateway))),
             tokio::spawn(follower::follow(shared.clone())),
             tokio::spawn(ledger::run(shared.clone(), gateway.prober())),
             tokio::spawn(maintain::run(shared.clone())),
@@ -134,6 +137,16 @@
         })
     }
 
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.shared.config().version
+    }
+
+    /// Polls the configuration at once.
+    pub async fn poll_config(&self) {
+        follower::poll_once(&self.shared).await;
+    }
+
     /// True if what a run of another node held may be taken.
     pub fn is_member_gone(&self, node: &str, incarnation: Incarnation) -> bool {
         self.shared.is_member_gone(&node.into(), incarnation)
