--- a/crates/bench/src/bin/bench-maintenance.rs
+++ b/crates/bench/src/bin/bench-maintenance.rs
@@ -42,6 +42,9 @@
     /// Seeded days of lending.
     #[arg(long, default_value_t = 10)]
     days: u64,
+    /// Measure the planning step only.
+    #[arg(long)]
+    steps_only: bool,
 }
 
 /// Sums over runs.
@@ -74,6 +77,9 @@
     let args = Args::parse();
     let printer = Printer { json: args.json };
     planning_steps(&printer);
+    if args.steps_only {
+        return;
+    }
     for profile in [Profile::Share, Profile::Buffer] {
         let harsh = "today, harsh failures";
         let policies: &[Policy] = match profile {
--- a/crates/bench/src/live_fleet.rs
+++ b/crates/bench/src/live_fleet.rs
@@ -204,7 +204,7 @@
                     self.write(&node, |row| row.taken(incarnation));
                     self.read();
                 }
-                Output::Redial { peer } => self.link.redial(&peer),
+                Output::Redial { peer, .. } => self.link.redial(&peer),
                 _ => {}
             }
         }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -17,6 +17,7 @@
 use crate::row::TableView;
 use crate::view::MemberView;
 use crate::watch::Place;
+use crate::watch::SilentLink;
 use crate::watch::Watch;
 
 /// Rounds after which a heartbeat carries the sender's place again.
@@ -90,6 +91,8 @@
     Redial {
         /// Peer.
         peer: NodeId,
+        /// True if the link carried answers since it was last dialled.
+        was_good: bool,
     },
     /// The member list is another one.
     ListChanged,
@@ -227,8 +230,8 @@
             self.beat(now, outputs);
         }
         self.suspect(now, outputs);
-        for peer in self.watch.take_silent_links(now) {
-            outputs.push(Output::Redial { peer });
+        for SilentLink { peer, was_good } in self.watch.take_silent_links(now) {
+            outputs.push(Output::Redial { peer, was_good });
         }
     }
 
--- a/crates/membership/src/watch.rs
+++ b/crates/membership/src/watch.rs
@@ -30,6 +30,8 @@
     pub was_heard: bool,
     /// When an answer last came, or the link was dialled.
     pub link_good_at: Instant,
+    /// True if an answer has come since the link was last dialled.
+    pub link_was_good: bool,
     /// Version of its member list, as last reported.
     pub list_version: ListVersion,
     /// Configuration in force there, as last reported.
@@ -42,6 +44,15 @@
     silent: Vec<u32>,
 }
 
+/// A link that is to be dialled anew.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SilentLink {
+    /// Peer.
+    pub peer: NodeId,
+    /// True if it carried answers since it was last dialled.
+    pub was_good: bool,
+}
+
 /// Where a peer is reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -145,6 +156,7 @@
     pub fn on_answer(&mut self, from: &str, now: Instant) {
         if let Some(peer) = self.find_mut(from) {
             peer.link_good_at = now;
+            peer.link_was_good = true;
         }
     }
 
@@ -201,12 +213,13 @@
     }
 
     /// Peers whose link is silent; each counts as dialled anew from `now` on.
-    pub fn take_silent_links(&mut self, now: Instant) -> Vec<NodeId> {
+    pub fn take_silent_links(&mut self, now: Instant) -> Vec<SilentLink> {
         let mut silent = Vec::new();
         for peer in &mut self.peers {
             if now >= peer.link_good_at + self.silence_limit {
                 peer.link_good_at = now;
-                silent.push(peer.node.clone());
+                silent.push(SilentLink { peer: peer.node.clone(), was_good: peer.link_was_good });
+                peer.link_was_good = false;
             }
         }
         silent
@@ -226,6 +239,7 @@
                 heard_at: now,
                 was_heard: false,
                 link_good_at: now,
+                link_was_good: false,
                 list_version: 0,
                 config_version: 0,
                 place: None,
--- a/crates/node/src/members/driver.rs
+++ b/crates/node/src/members/driver.rs
@@ -295,13 +295,17 @@
             Output::Take { node, incarnation } => self.write(move |rows| async move {
                 rows.take(&node, incarnation).await;
             }),
-            Output::Redial { peer } => {
+            Output::Redial { peer, was_good } => {
                 self.shared.telemetry.count("peer.redialled");
-                record(EventKind::LinkRedialled { peer: peer.clone() });
+                // Further tries change no state.
+                if was_good {
+                    record(EventKind::LinkRedialled { peer: peer.clone() });
+                }
                 self.link.redial(&peer);
             }
             Output::ListChanged => self.connect(),
             Output::Fenced { reason } => {
+                self.shared.telemetry.count("member.fenced");
                 record(EventKind::NodeFenced { reason: reason.to_owned() });
                 spdlog::warn!("node {} takes no new work: {reason}", self.own.node);
             }
@@ -313,6 +317,7 @@
                 record(EventKind::PeerMarked { peer: node, incarnation });
             }
             Output::Taken { node, incarnation } => {
+                self.shared.telemetry.count("peer.taken");
                 self.shared.standing.set_gone(&node, incarnation);
                 record(EventKind::PeerTaken { peer: node, incarnation });
                 self.shared.ledger_now.notify_one();
--- a/crates/standin/src/bin/standin-load.rs
+++ b/crates/standin/src/bin/standin-load.rs
@@ -61,6 +61,9 @@
         /// Key.
         #[arg(long, default_value = "")]
         key: String,
+        /// Print the body instead.
+        #[arg(long)]
+        print_body: bool,
     },
     /// Print how many jobs a backend server has run.
     Runs {
@@ -87,10 +90,13 @@
             print_report(&report);
             if report.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
         }
-        Command::Once { node, path, key } => {
+        Command::Once { node, path, key, print_body } => {
             let authorization = format!("Bearer {key}");
             let headers = [("authorization", &*authorization)];
             match call(node, Method::GET, &path, &headers, "").await {
+                Ok(answer) if print_body => {
+                    println!("{}", String::from_utf8_lossy(&answer.body));
+                }
                 Ok(answer) => println!("{} {}", answer.status.as_u16(), answer.outcome()),
                 Err(error) => println!("no answer: {error}"),
             }
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -20,7 +20,7 @@
 keep config
 keep control
 keep ledger
-keep maintenance
+keep maintenance --steps-only
 keep placement
 keep shares
 target/release/capacity
