Give each restarted node of the tests an IP number of its own

The failure of the processes test (node not ready within 60 s) came in a run at whose end the disk was full; whether it was the disk or the same race is not known. Change: such nodes listen on a loopback number of their own, where no outgoing connection takes a port. Asserts as before. Conclusion: the race is gone by construction.

--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use gateway::GatewaySettings;
@@ -52,11 +54,8 @@
         let platform = Arc::new(StandinPlatform::default());
         let served = standin::platform_server::serve(platform.clone(), ANY_PORT).await;
         let mut members = Vec::new();
-        let mut listeners = Vec::new();
         for index in 0..count {
-            let listener = std::net::TcpListener::bind(ANY_PORT).unwrap();
-            let peer_address = listener.local_addr().unwrap();
-            listeners.push(listener);
+            let peer_address = free_address();
             members.push(MemberEntry { node: name(index), peer_address });
         }
         let network = MemoryNetwork::default();
@@ -120,6 +119,15 @@
     }
 }
 
+/// A free address that a restarted node can listen on again: no outgoing connection takes its port,
+/// since those leave from 127.0.0.1.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = [127, high | 1, low, NEXT.fetch_add(1, Ordering::Relaxed)];
+    std::net::TcpListener::bind(SocketAddr::from((own, 0))).unwrap().local_addr().unwrap()
+}
+
 fn name(index: usize) -> model::NodeId {
     format!("n{index}").into()
 }
--- a/crates/savorypitch/tests/processes.rs
+++ b/crates/savorypitch/tests/processes.rs
@@ -5,6 +5,8 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::Method;
@@ -73,8 +75,13 @@
     }
 }
 
+/// A free address that a restarted node can listen on again: no outgoing connection takes its port,
+/// since those leave from 127.0.0.1.
 fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind(ANY_PORT).unwrap().local_addr().unwrap()
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = [127, high | 1, low, NEXT.fetch_add(1, Ordering::Relaxed)];
+    std::net::TcpListener::bind(SocketAddr::from((own, 0))).unwrap().local_addr().unwrap()
 }
 
 fn signal(process: &Process, name: &str) {
--- a/crates/wire/tests/restarts.rs
+++ b/crates/wire/tests/restarts.rs
@@ -19,10 +19,11 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sender_outlives_every_restart_of_its_receiver() {
-    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    // Outgoing connections leave from 127.0.0.1 and never take a port of this address.
+    let own: SocketAddr = ([127, 0, 1, 1], 0).into();
     let stop = Arc::new(AtomicBool::new(false));
     let (first_frames, _) = mpsc::channel(1);
-    let first = NngLink::listen(any, first_frames).unwrap();
+    let first = NngLink::listen(own, first_frames).unwrap();
     let address = first.local_address();
     let senders: Vec<_> = (0..SENDERS).map(|_| send_until(stop.clone(), address)).collect();
     drop(first);
