--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -187,7 +187,12 @@
     let mut fleet = Fleet::start().await;
     let second = || tokio::time::sleep(Duration::from_secs(1));
     for index in [0, 2] {
-        assert!(fleet.load(index, fleet.wait_for_tokens(index, MOVED)).await > 0);
+        // Tokens may come at once; the second gives requests the time to end.
+        let moved = async {
+            fleet.wait_for_tokens(index, MOVED).await;
+            second().await;
+        };
+        assert!(fleet.load(index, moved).await > 0);
         assert!(fleet.load(index, second()).await > 0);
     }
     fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
@@ -203,7 +208,11 @@
     assert!(stopped.graceful);
     let node = fleet.start_node(0).await;
     fleet.nodes.insert(0, node);
-    assert!(fleet.load(0, fleet.wait_for_tokens(0, MOVED)).await > 0);
+    let moved = async {
+        fleet.wait_for_tokens(0, MOVED).await;
+        second().await;
+    };
+    assert!(fleet.load(0, moved).await > 0);
     fleet.check_slots();
 }
 
