--- a/crates/node/tests/common/cell.rs
+++ b/crates/node/tests/common/cell.rs
@@ -1,13 +1,15 @@
 //! Nodes, stand-in backend servers and a contract for one test.
 #![allow(dead_code)]
 
+#[path = "operator.rs"]
+mod operator;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gateway::GatewaySettings;
 use http::Method;
-use http::StatusCode;
 use model::TeamRef;
 use model::key::KeyHolder;
 use model::key::hash_key;
@@ -15,17 +17,17 @@
 use node::Platform;
 use node::Settings;
 use node::api;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use standin::backend::StandinBackend;
 use standin::caller::Answer;
 use standin::caller::call;
 use standin::platform_server::StandinPlatform;
 
-pub const OPERATOR_KEY: &str = "operator-key-of-the-test";
+use self::operator::ANY_PORT;
+
+pub use self::operator::OPERATOR_KEY;
+pub use self::operator::admin;
+
 pub const QUEUE: &str = "levy-validate";
-const ANY_PORT: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 /// Bound on every wait of a test.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -255,21 +257,6 @@
     text
 }
 
-pub async fn admin<T: DeserializeOwned>(
-    node: &Node,
-    method: Method,
-    path: &str,
-    body: &impl Serialize,
-) -> T {
-    let authorization = format!("Bearer {OPERATOR_KEY}");
-    let headers = [("authorization", &*authorization), ("content-type", "application/json")];
-    let path = format!("{}{path}", api::PREFIX);
-    let body = serde_json::to_vec(body).unwrap();
-    let answer = call(node.admin_address, method, &path, &headers, body).await.unwrap();
-    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
-    serde_json::from_slice(&answer.body).unwrap()
-}
-
 pub async fn grant(node: &Node, team: &str) -> api::GrantedKey {
     let holder = KeyHolder::Team(TeamRef::new("levy", team));
     admin(node, Method::POST, "/keys", &api::GrantKey { holder }).await
--- a/crates/node/tests/hosts.rs
+++ b/crates/node/tests/hosts.rs
@@ -1,5 +1,8 @@
 //! Hosts drained, moved, rebooted and returned while work runs on them.
 
+#[path = "common/operator.rs"]
+mod operator;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,18 +26,16 @@
 use platform::FleetHost;
 use platform::FleetHostState;
 use rstest::rstest;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use standin::backend::StandinBackend;
-use standin::caller::Answer;
 use standin::caller::call;
 use standin::fleet::FleetFaults;
 use standin::fleet::StandinFleet;
 use wire::MemoryNetwork;
 
-const OPERATOR_KEY: &str = "operator-key-of-the-test";
-const ANY_PORT: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+use self::operator::ANY_PORT;
+use self::operator::OPERATOR_KEY;
+use self::operator::admin;
+use self::operator::admin_raw;
 
 fn settings(name: &str, node_count: u32, peering: Option<Peering>) -> Settings {
     Settings {
@@ -96,27 +97,6 @@
     text
 }
 
-async fn admin_raw(node: &Node, method: Method, path: &str, body: &impl Serialize) -> Answer {
-    let headers = [
-        ("authorization", &*format!("Bearer {OPERATOR_KEY}")),
-        ("content-type", "application/json"),
-    ];
-    let path = format!("{}{path}", api::PREFIX);
-    let body = serde_json::to_vec(body).unwrap();
-    call(node.admin_address, method, &path, &headers, body).await.unwrap()
-}
-
-async fn admin<T: DeserializeOwned>(
-    node: &Node,
-    method: Method,
-    path: &str,
-    body: &impl Serialize,
-) -> T {
-    let answer = admin_raw(node, method, path, body).await;
-    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
-    serde_json::from_slice(&answer.body).unwrap()
-}
-
 async fn host(node: &Node, id: &str) -> api::HostView {
     let hosts: Vec<api::HostView> = admin(node, Method::GET, "/hosts", &()).await;
     hosts.into_iter().find(|host| &*host.id == id).unwrap()
--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -1,6 +1,9 @@
 //! Several nodes over links in memory and over TCP: silence, cuts, outages of the table, take-over,
 //! replacement of all nodes, and a cold start from peers.
 
+#[path = "common/operator.rs"]
+mod operator;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
@@ -18,8 +21,6 @@
 use node::Settings;
 use node::Transport;
 use node::api;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use standin::caller::call;
 use standin::platform_server::Faults;
 use standin::platform_server::StandinPlatform;
@@ -27,10 +28,11 @@
 use tokio::time::sleep;
 use wire::MemoryNetwork;
 
-const OPERATOR_KEY: &str = "operator-key-of-the-test";
+use self::operator::ANY_PORT;
+use self::operator::OPERATOR_KEY;
+use self::operator::admin;
+
 const SECRET: &str = "secret-of-the-test-cluster";
-const ANY_PORT: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 const TTL: Duration = Duration::from_millis(2_500);
 const HEARTBEAT: Duration = Duration::from_millis(150);
 /// Bound on every wait of a test.
@@ -132,23 +134,6 @@
     format!("n{index}").into()
 }
 
-async fn admin<T: DeserializeOwned>(
-    node: &Node,
-    method: Method,
-    path: &str,
-    body: &impl Serialize,
-) -> T {
-    let headers = [
-        ("authorization", &*format!("Bearer {OPERATOR_KEY}")),
-        ("content-type", "application/json"),
-    ];
-    let path = format!("{}{path}", api::PREFIX);
-    let body = serde_json::to_vec(body).unwrap();
-    let answer = call(node.admin_address, method, &path, &headers, body).await.unwrap();
-    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
-    serde_json::from_slice(&answer.body).unwrap()
-}
-
 async fn status(node: &Node) -> api::StatusView {
     admin(node, Method::GET, "/status", &()).await
 }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -1,5 +1,8 @@
 //! The whole path: contract, key, request, withdrawal.
 
+#[path = "common/operator.rs"]
+mod operator;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,15 +17,13 @@
 use node::Platform;
 use node::Settings;
 use node::api;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use standin::backend::StandinBackend;
 use standin::caller::Answer;
 use standin::caller::call;
 
-const OPERATOR_KEY: &str = "operator-key-of-the-test";
-const ANY_PORT: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+use self::operator::ANY_PORT;
+use self::operator::OPERATOR_KEY;
+use self::operator::admin;
 
 fn settings() -> Settings {
     Settings {
@@ -79,23 +80,6 @@
     )
 }
 
-async fn admin<T: DeserializeOwned>(
-    node: &Node,
-    method: Method,
-    path: &str,
-    body: &impl Serialize,
-) -> T {
-    let headers = [
-        ("authorization", &*format!("Bearer {OPERATOR_KEY}")),
-        ("content-type", "application/json"),
-    ];
-    let path = format!("{}{path}", api::PREFIX);
-    let body = serde_json::to_vec(body).unwrap();
-    let answer = call(node.admin_address, method, &path, &headers, body).await.unwrap();
-    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
-    serde_json::from_slice(&answer.body).unwrap()
-}
-
 async fn grant(node: &Node, team: &str) -> api::GrantedKey {
     let holder = KeyHolder::Team(TeamRef::new("levy", team));
     admin(node, Method::POST, "/keys", &api::GrantKey { holder }).await
