--- /dev/null
+++ b/crates/coordinator/src/election.rs
@@ -0,0 +1,126 @@
+//! Who owns the scheduling: decisions of a node that is not the owner.
+//!
+//! A node asks the owner at short intervals whether it works. While the owner does not say so, the
+//! node reads the owner's row; it takes over when the row has not changed for [`SILENCE_MAX`], when
+//! the owner has released it, or at once when another process answers at the owner's address, since
+//! the owner's process has ended then.
+
+use std::time::Duration;
+
+use scheduler::Moment;
+
+use crate::rows::OwnerRow;
+
+/// Time between two looks at the owner.
+pub const LOOK_PERIOD: Duration = Duration::from_millis(300);
+/// Time without a change of the owner's row after which it is taken; above the time of a few
+/// transactions of a slow store.
+pub const SILENCE_MAX: Duration = Duration::from_millis(1_300);
+/// Age of the owner's last transaction up to which it counts as working.
+pub const RENEWAL_AGE_MAX: Duration = Duration::from_millis(1_200);
+
+/// What the owner has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is the owner; age of its last transaction.
+    Owner {
+        /// Number of its process.
+        incarnation: u64,
+        /// Age of its last committed transaction.
+        renewal_age: Duration,
+    },
+    /// It is not the owner.
+    NotOwner {
+        /// Number of its process.
+        incarnation: u64,
+    },
+    /// No answer.
+    Silent,
+}
+
+/// What a look at the owner calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The owner works.
+    Rest,
+    /// Read the owner's row.
+    Read,
+}
+
+/// What a read of the owner's row calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Leave it.
+    Wait,
+    /// Take the row over.
+    Take(Reason),
+}
+
+/// Why a node takes over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// There has been no owner.
+    First,
+    /// The owner has released the row.
+    Released,
+    /// The owner's process has ended.
+    Ended,
+    /// The row has not changed for long.
+    Silent,
+}
+
+/// What a node knows of the owner's silence.
+#[derive(Clone, Debug, Default)]
+pub struct Election {
+    /// Epoch and sequence of the row as read, and when it was first read so.
+    unchanged: Option<(u64, u64, Moment)>,
+    /// Process of which is known that it is not the owner, at the owner's address.
+    ended: Option<u64>,
+}
+
+impl Election {
+    /// Takes in the owner's answer.
+    pub fn heard(&mut self, row: &OwnerRow, answer: Answer) -> Step {
+        self.ended = None;
+        match answer {
+            Answer::Owner { incarnation, renewal_age }
+                if incarnation == row.incarnation && renewal_age <= RENEWAL_AGE_MAX =>
+            {
+                self.unchanged = None;
+                Step::Rest
+            }
+            Answer::NotOwner { incarnation } | Answer::Owner { incarnation, .. }
+                if incarnation != row.incarnation =>
+            {
+                self.ended = Some(row.incarnation);
+                Step::Read
+            }
+            _ => Step::Read,
+        }
+    }
+
+    /// Takes in the owner's row; none if there is no row yet.
+    pub fn read(&mut self, row: Option<&OwnerRow>, now: Moment) -> Verdict {
+        let Some(row) = row else {
+            return Verdict::Take(Reason::First);
+        };
+        if row.is_released {
+            return Verdict::Take(Reason::Released);
+        }
+        if self.ended == Some(row.incarnation) {
+            return Verdict::Take(Reason::Ended);
+        }
+        match self.unchanged {
+            Some((epoch, sequence, since)) if (epoch, sequence) == (row.epoch, row.sequence) => {
+                match now.saturating_sub(since) >= SILENCE_MAX {
+                    true => Verdict::Take(Reason::Silent),
+                    false => Verdict::Wait,
+                }
+            }
+            _ => {
+                self.unchanged = Some((row.epoch, row.sequence, now));
+                Verdict::Wait
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/entry.rs
@@ -0,0 +1,370 @@
+//! Answers to callers, at any node: by the owner if it can be reached, from the store otherwise.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use scheduler::JobRecord;
+use scheduler::JobView;
+use scheduler::Moment;
+use scheduler::Progress;
+use scheduler::QueueName;
+use scheduler::TeamName;
+
+use crate::clock;
+use crate::config::EntryConfig;
+use crate::node::Node;
+use crate::peers::OwnerClient;
+use crate::peers::PeerError;
+use crate::ports::Platform;
+use crate::ports::ReadError;
+use crate::ports::Table;
+use crate::ports::Transaction;
+use crate::ports::Written;
+use crate::rows;
+use crate::rows::InboxRow;
+use crate::shared::CancelReply;
+use crate::shared::OwnerRequest;
+use crate::shared::StateReply;
+use crate::shared::SubmitReply;
+
+/// Age of the configuration up to which a caller is told that there is no such queue or key.
+const DENIAL_AGE_MAX: Duration = Duration::from_millis(1_700);
+/// Time for which calls go to the store after the owner did not answer one.
+const AVOID_OWNER: Duration = Duration::from_millis(600);
+/// Time after which a caller may try again while the node knows no configuration of late.
+const STALE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a request is about and who sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Access {
+    /// Queue.
+    pub queue: QueueName,
+    /// Team of the key; none on a queue that is open to all.
+    pub team: Option<TeamName>,
+    /// Rest of the path after the queue's prefix.
+    pub rest: String,
+    /// Largest body, in bytes.
+    pub body_bytes_max: usize,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// There is no such queue.
+    #[error("no queue has this host name and path")]
+    NoQueue,
+    /// The key is not known.
+    #[error("the key is missing, unknown or withdrawn")]
+    UnknownKey,
+    /// The node cannot tell which configuration is in force.
+    #[error("this node does not know the newest configuration; nothing was done")]
+    Stale {
+        /// When to try again.
+        retry_after: Duration,
+    },
+}
+
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// The job is stored.
+    Accepted,
+    /// It is not stored and never runs.
+    NotStored {
+        /// When to try again.
+        retry_after: Duration,
+    },
+    /// It may be stored.
+    Unknown,
+}
+
+/// What is known of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// Its state.
+    Found(JobView),
+    /// There is no such job.
+    NoJob,
+    /// It is another team's.
+    OtherTeam,
+    /// It cannot be told now.
+    Unknown,
+}
+
+/// What became of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelAnswer {
+    /// The job is cancelled, or had ended before.
+    Done,
+    /// There is no such job.
+    NoJob,
+    /// It is another team's.
+    OtherTeam,
+    /// It cannot be told now.
+    Unknown,
+}
+
+impl<P: Platform> Node<P> {
+    /// Finds the queue of a request and checks its key.
+    pub fn access(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        now: Moment,
+    ) -> Result<Access, Refusal> {
+        let stale = Refusal::Stale { retry_after: STALE_RETRY_AFTER };
+        let (config, age) = self.shared.config(now).ok_or(stale)?;
+        let is_sure = age <= DENIAL_AGE_MAX;
+        let deny = |refusal| if is_sure { refusal } else { stale };
+        let route = config.route(host, path).ok_or_else(|| deny(Refusal::NoQueue))?;
+        let rest = path[route.path_prefix.len()..].to_owned();
+        let access = |team| Access {
+            queue: route.queue.clone(),
+            team,
+            rest: rest.clone(),
+            body_bytes_max: config.body_bytes_max,
+        };
+        if route.is_open {
+            return Ok(access(None));
+        }
+        let team = team_of(&config, key).ok_or_else(|| deny(Refusal::UnknownKey))?;
+        // A withdrawn key must not work for longer than its bound.
+        if age > self.shared.settings.key_age_max {
+            return Err(stale);
+        }
+        Ok(access(Some(team)))
+    }
+
+    /// The configuration in force at this node.
+    pub fn config(&self) -> Option<Arc<EntryConfig>> {
+        self.shared.config(clock::now()).map(|(config, _)| config)
+    }
+
+    /// Accepts a job: it is stored once this says so.
+    pub async fn submit(&self, record: JobRecord) -> Submitted {
+        let record = Arc::new(record);
+        let by_owner = match self.owner_here() {
+            true => self.submit_here(record.clone()).await,
+            false => self.submit_to_owner(&record).await,
+        };
+        match by_owner {
+            Ok(SubmitReply::Accepted) => Submitted::Accepted,
+            Ok(SubmitReply::Unknown) => self.submit_to_inbox(&record, true).await,
+            Err(error) => {
+                let may_be_stored = matches!(error, PeerError::NoAnswer(_));
+                self.avoid_owner(&error);
+                self.submit_to_inbox(&record, may_be_stored).await
+            }
+        }
+    }
+
+    /// State of a job.
+    pub async fn job(&self, id: &str, team: Option<&TeamName>) -> JobAnswer {
+        let asker = team.cloned();
+        let reply = if self.owner_here() {
+            let job = id.to_owned();
+            let asked = self.ask_here(|reply| OwnerRequest::State { job, asker, reply }).await;
+            asked.ok_or(PeerError::NotTaken("the ownership was lost".to_owned()))
+        } else {
+            match self.owner_client() {
+                Some(owner) => owner.state(id, team.map(|team| &**team)).await,
+                None => Err(PeerError::NotTaken("no owner is known".to_owned())),
+            }
+        };
+        match reply {
+            Ok(StateReply::Found(view)) => JobAnswer::Found(view),
+            Ok(StateReply::OtherTeam) => JobAnswer::OtherTeam,
+            Ok(StateReply::NoJob) => self.job_from_store(id, team).await,
+            Err(error) => {
+                self.avoid_owner(&error);
+                self.job_from_store(id, team).await
+            }
+        }
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, id: &str, team: Option<&TeamName>) -> CancelAnswer {
+        let asker = team.cloned();
+        let reply = if self.owner_here() {
+            let job = id.to_owned();
+            let asked = self.ask_here(|reply| OwnerRequest::Cancel { job, asker, reply }).await;
+            asked.ok_or(PeerError::NotTaken("the ownership was lost".to_owned()))
+        } else {
+            match self.owner_client() {
+                Some(owner) => owner.cancel(id, team.map(|team| &**team)).await,
+                None => Err(PeerError::NotTaken("no owner is known".to_owned())),
+            }
+        };
+        match reply {
+            Ok(CancelReply::Done) => CancelAnswer::Done,
+            Ok(CancelReply::OtherTeam) => CancelAnswer::OtherTeam,
+            Ok(CancelReply::NoJob | CancelReply::Unknown) => self.cancel_in_inbox(id, team).await,
+            Err(error) => {
+                self.avoid_owner(&error);
+                self.cancel_in_inbox(id, team).await
+            }
+        }
+    }
+
+    /// Number of jobs of a queue that wait; none if the owner does not answer.
+    pub async fn waiting(&self, queue: &QueueName) -> Option<usize> {
+        if self.owner_here() {
+            let queue = queue.clone();
+            return self.ask_here(|reply| OwnerRequest::Waiting { queue, reply }).await;
+        }
+        let owner = self.owner_client()?;
+        match owner.waiting(queue).await {
+            Ok(count) => Some(count),
+            Err(error) => {
+                self.avoid_owner(&error);
+                None
+            }
+        }
+    }
+
+    fn owner_here(&self) -> bool {
+        self.shared.owning().is_some_and(|owning| owning.is_ready)
+    }
+
+    fn owner_client(&self) -> Option<OwnerClient<'_>> {
+        let place = self.shared.owner_place();
+        let address = place.row.address?;
+        let is_own = place.row.incarnation == self.shared.settings.incarnation;
+        let is_usable = !is_own && !place.row.is_released && clock::now() >= place.avoided_until;
+        is_usable.then_some(OwnerClient { client: &self.shared.client, address })
+    }
+
+    fn avoid_owner(&self, error: &PeerError) {
+        if matches!(error, PeerError::NoAnswer(_)) {
+            self.shared.avoid_owner(clock::now() + AVOID_OWNER);
+        }
+    }
+
+    async fn ask_here<T>(
+        &self,
+        request: impl FnOnce(tokio::sync::oneshot::Sender<T>) -> OwnerRequest,
+    ) -> Option<T> {
+        let owning = self.shared.owning()?;
+        let (reply, answer) = tokio::sync::oneshot::channel();
+        owning.requests.send(request(reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    async fn submit_here(&self, record: Arc<JobRecord>) -> Result<SubmitReply, PeerError> {
+        let asked = self.ask_here(|reply| OwnerRequest::Submit { record, reply });
+        match tokio::time::timeout(self.shared.settings.own_write_timeout, asked).await {
+            Ok(Some(reply)) => Ok(reply),
+            // The owner may have sent the transaction before it gave up.
+            Ok(None) => Ok(SubmitReply::Unknown),
+            Err(_) => Err(PeerError::NoAnswer("this node's store writes are late".to_owned())),
+        }
+    }
+
+    async fn submit_to_owner(&self, record: &JobRecord) -> Result<SubmitReply, PeerError> {
+        match self.owner_client() {
+            Some(owner) => owner.submit(record).await,
+            None => Err(PeerError::NotTaken("no owner is known".to_owned())),
+        }
+    }
+
+    /// Stores a job for the owner to find.
+    async fn submit_to_inbox(&self, record: &JobRecord, may_be_stored: bool) -> Submitted {
+        let key = inbox_key("submit", &record.id);
+        let value = rows::encode(&InboxRow::Submit(record.clone()));
+        let transaction =
+            Transaction { puts: vec![(Table::Inbox, key, value)], ..Transaction::default() };
+        match self.shared.platform.write(transaction).await {
+            Written::Committed(_) => Submitted::Accepted,
+            Written::Unknown(_) => Submitted::Unknown,
+            Written::Conflict(_) | Written::Refused(_) if may_be_stored => Submitted::Unknown,
+            Written::Conflict(_) | Written::Refused(_) => {
+                Submitted::NotStored { retry_after: STALE_RETRY_AFTER }
+            }
+        }
+    }
+
+    /// Reads the state of a job that the owner does not know, or that it cannot be asked about.
+    async fn job_from_store(&self, id: &str, team: Option<&TeamName>) -> JobAnswer {
+        match self.find_stored(id).await {
+            Ok(Some((view, owner_team))) => match is_allowed(owner_team.as_ref(), team) {
+                true => JobAnswer::Found(view),
+                false => JobAnswer::OtherTeam,
+            },
+            Ok(None) => JobAnswer::NoJob,
+            Err(error) => {
+                telemetry::log::line("job-not-read").text("job", id).text("why", error).write();
+                JobAnswer::Unknown
+            }
+        }
+    }
+
+    /// Stores a cancellation for the owner to find.
+    async fn cancel_in_inbox(&self, id: &str, team: Option<&TeamName>) -> CancelAnswer {
+        match self.job_from_store(id, team).await {
+            JobAnswer::Found(JobView::Ended(_)) => return CancelAnswer::Done,
+            JobAnswer::Found(_) => {}
+            JobAnswer::NoJob => return CancelAnswer::NoJob,
+            JobAnswer::OtherTeam => return CancelAnswer::OtherTeam,
+            JobAnswer::Unknown => return CancelAnswer::Unknown,
+        }
+        let value = rows::encode(&InboxRow::Cancel { job: id.to_owned() });
+        let transaction = Transaction {
+            puts: vec![(Table::Inbox, inbox_key("cancel", id), value)],
+            ..Transaction::default()
+        };
+        match self.shared.platform.write(transaction).await {
+            Written::Committed(_) => CancelAnswer::Done,
+            _ => CancelAnswer::Unknown,
+        }
+    }
+
+    async fn find_stored(
+        &self,
+        id: &str,
+    ) -> Result<Option<(JobView, Option<TeamName>)>, ReadError> {
+        let platform = &self.shared.platform;
+        // The inbox is read first: a job leaves it only after its record has been written.
+        let inbox = platform.read(Table::Inbox, &inbox_key("submit", id)).await?;
+        let progress = platform.read(Table::Progress, id).await?;
+        let progress: Option<Progress> = read_first(&progress);
+        if let Some(state) = progress.as_ref().and_then(|progress| progress.ended) {
+            let team = progress.and_then(|progress| progress.team).map(Into::into);
+            return Ok(Some((JobView::Ended(state), team)));
+        }
+        let record = platform.read(Table::Jobs, id).await?;
+        if let Some(record) = read_first::<JobRecord>(&record) {
+            let view = if progress.is_some() { JobView::Running } else { JobView::Queued };
+            return Ok(Some((view, record.team)));
+        }
+        match read_first::<InboxRow>(&inbox) {
+            Some(InboxRow::Submit(record)) => Ok(Some((JobView::Queued, record.team))),
+            _ => Ok(None),
+        }
+    }
+}
+
+/// Key of a row in the inbox.
+pub(crate) fn inbox_key(kind: &str, job: &str) -> String {
+    format!("{kind}/{job}")
+}
+
+/// True if a job of `owner` may be seen by `asker`.
+pub(crate) fn is_allowed(owner: Option<&TeamName>, asker: Option<&TeamName>) -> bool {
+    owner.is_none() || owner == asker
+}
+
+fn team_of(config: &EntryConfig, key: Option<&str>) -> Option<TeamName> {
+    config.keys.get(key?).cloned()
+}
+
+fn read_first<T: serde::de::DeserializeOwned>(rows: &[crate::ports::Row]) -> Option<T> {
+    let row = rows.first()?;
+    match rows::decode(&row.key, &row.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            telemetry::log::line("row-unreadable").text("why", error).write();
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/http.rs
@@ -0,0 +1,11 @@
+//! A small HTTP/1.1 client that keeps connections, and a server that closes them gracefully.
+
+mod client;
+mod server;
+
+pub use client::CallError;
+pub use client::Client;
+pub use client::Lane;
+pub use client::Request;
+pub use client::Response;
+pub use server::Server;
--- /dev/null
+++ b/crates/coordinator/src/http/client.rs
@@ -0,0 +1,235 @@
+//! HTTP/1.1 client with a bounded number of connections for each address and lane.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use scheduler::SortedMap;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+/// Time in which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Connections that serve one purpose, so that calls that wait do not hold up others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lane {
+    /// Short calls.
+    Short,
+    /// Calls whose answer waits for something to happen.
+    Waiting,
+}
+
+impl Lane {
+    /// Connections to one address at most.
+    fn connections_max(self) -> usize {
+        match self {
+            Self::Short => 6,
+            Self::Waiting => 4,
+        }
+    }
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body; JSON if not empty.
+    pub body: Bytes,
+    /// Time for all of it.
+    pub timeout: Duration,
+}
+
+impl Request {
+    /// A request without headers.
+    pub fn new(
+        method: Method,
+        path: impl Into<String>,
+        body: impl Into<Bytes>,
+        timeout: Duration,
+    ) -> Self {
+        Self { method, path: path.into(), headers: Vec::new(), body: body.into(), timeout }
+    }
+
+    /// Adds a header; a value that is not one is left out.
+    pub fn header(mut self, name: HeaderName, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.headers.push((name, value));
+        }
+        self
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A request got no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// It was not sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The address refused the connection: no process listens there.
+    #[error("connection refused")]
+    ConnectionRefused,
+    /// It was sent, and may have been carried out.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Pool {
+    permits: Semaphore,
+    idle: Mutex<Vec<Sender>>,
+}
+
+type Pools = SortedMap<(SocketAddr, Lane), Arc<Pool>>;
+
+/// HTTP/1.1 client.
+///
+/// Lock order: the table of pools, then the idle connections of one; neither is held across an await.
+#[derive(Clone, Default)]
+pub struct Client {
+    pools: Arc<Mutex<Pools>>,
+}
+
+impl Client {
+    /// Sends a request and reads the whole answer.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        lane: Lane,
+        request: Request,
+    ) -> Result<Response, CallError> {
+        let limit = request.timeout;
+        let mut was_sent = false;
+        match timeout(limit, self.exchange(address, lane, request, &mut was_sent)).await {
+            Ok(result) => result,
+            Err(_) if was_sent => {
+                // The other connections may have gone silent as well.
+                self.forget(address);
+                Err(CallError::NoAnswer("timed out".to_owned()))
+            }
+            Err(_) => Err(CallError::NotSent("timed out".to_owned())),
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut pools = self.pools.lock().expect("no holder panics");
+        pools.retain(|(other, _), _| *other != address);
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        lane: Lane,
+        request: Request,
+        was_sent: &mut bool,
+    ) -> Result<Response, CallError> {
+        let pool = self.pool(address, lane);
+        let _permit = pool.permits.acquire().await.expect("never closed");
+        let mut sender = match pool.take_idle() {
+            Some(sender) => sender,
+            None => connect(address).await?,
+        };
+        *was_sent = true;
+        let answer = sender.send_request(encode(address, request)?).await;
+        let answer = answer.map_err(|error| CallError::NoAnswer(error.to_string()))?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await;
+        let body = body.map_err(|error| CallError::NoAnswer(error.to_string()))?.to_bytes();
+        pool.keep(sender);
+        Ok(Response { status: head.status, headers: head.headers, body })
+    }
+
+    fn pool(&self, address: SocketAddr, lane: Lane) -> Arc<Pool> {
+        let mut pools = self.pools.lock().expect("no holder panics");
+        let new = || {
+            let permits = Semaphore::new(lane.connections_max());
+            Arc::new(Pool { permits, idle: Mutex::new(Vec::new()) })
+        };
+        pools.entry_or((address, lane), new).clone()
+    }
+}
+
+impl Pool {
+    /// An idle connection that the other end has not closed.
+    fn take_idle(&self) -> Option<Sender> {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, sender: Sender) {
+        if !sender.is_closed() {
+            self.idle.lock().expect("no holder panics").push(sender);
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, CallError> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            return Err(CallError::ConnectionRefused);
+        }
+        Ok(Err(error)) => return Err(CallError::NotSent(error.to_string())),
+        Err(_) => return Err(CallError::NotSent("connecting timed out".to_owned())),
+    };
+    stream.set_nodelay(true).map_err(|error| CallError::NotSent(error.to_string()))?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| CallError::NotSent(error.to_string()))?;
+    tokio::spawn(async move {
+        // How a connection ended is told to the request that was on it.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+fn encode(address: SocketAddr, request: Request) -> Result<http::Request<Full<Bytes>>, CallError> {
+    let has_body = !request.body.is_empty();
+    let mut encoded = http::Request::builder()
+        .method(request.method)
+        .uri(request.path)
+        .header(http::header::HOST, address.to_string());
+    if has_body {
+        encoded = encoded.header(http::header::CONTENT_TYPE, "application/json");
+    }
+    for (name, value) in request.headers {
+        encoded = encoded.header(name, value);
+    }
+    encoded
+        .body(Full::new(request.body))
+        .map_err(|error| CallError::NotSent(format!("malformed request: {error}")))
+}
--- /dev/null
+++ b/crates/coordinator/src/lib.rs
@@ -0,0 +1,33 @@
+//! A node of a fleet whose workers fence orders and hold leases.
+//!
+//! All nodes take callers' requests; one of them, the owner, decides what runs where. The owner's row
+//! in the platform's table names it and carries its epoch, which is the fencing token of all its
+//! orders. Each transaction of the owner rests on the version of that row and changes it, so that a
+//! transaction of an owner before, or one that comes late, has no effect.
+//!
+//! [`Node`] runs it all; the platform is behind the traits of [`ports`]. `election` decides who takes
+//! over, `owner` carries out what [`scheduler`] decides, `entry` answers callers, `peers` is how nodes
+//! talk to each other.
+
+pub mod clock;
+pub mod config;
+pub mod entry;
+pub mod http;
+pub mod ports;
+pub mod rows;
+
+mod election;
+mod follow;
+mod node;
+mod owner;
+mod peers;
+mod shared;
+
+pub use config::EntryConfig;
+pub use config::Route;
+pub use entry::Access;
+pub use entry::JobAnswer;
+pub use entry::Refusal;
+pub use entry::Submitted;
+pub use node::Node;
+pub use node::NodeSettings;
--- /dev/null
+++ b/crates/coordinator/src/node.rs
@@ -0,0 +1,232 @@
+//! A node: follows the configuration, answers callers and peers, and owns the scheduling if it is its
+//! turn.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rand::RngExt;
+use scheduler::Settings;
+use telemetry::Telemetry;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::clock;
+use crate::election::Answer;
+use crate::election::Election;
+use crate::election::LOOK_PERIOD;
+use crate::election::Reason;
+use crate::election::Step;
+use crate::election::Verdict;
+use crate::follow;
+use crate::http::Client;
+use crate::http::Server;
+use crate::owner;
+use crate::owner::Won;
+use crate::peers;
+use crate::peers::OwnerClient;
+use crate::ports::Platform;
+use crate::ports::ReadError;
+use crate::ports::RowVersion;
+use crate::ports::Table;
+use crate::ports::Transaction;
+use crate::ports::Written;
+use crate::rows;
+use crate::rows::OWNER_KEY;
+use crate::rows::OwnerRow;
+use crate::shared::Operated;
+use crate::shared::OwnerPlace;
+use crate::shared::OwnerRequest;
+use crate::shared::Shared;
+
+/// Time for giving up the ownership when the node stops.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Part of [`LOOK_PERIOD`] by which looks are spread, in milliseconds.
+const LOOK_SPREAD_MS: u64 = 100;
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name.
+    pub name: String,
+    /// Unique number of this process.
+    pub incarnation: u64,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
+    /// Age of the configuration up to which keys are taken.
+    pub key_age_max: Duration,
+    /// Time for a write of the owner in this process.
+    pub own_write_timeout: Duration,
+    /// Times and limits of the scheduler.
+    pub scheduling: Settings,
+}
+
+/// A running node.
+pub struct Node<P> {
+    pub(crate) shared: Arc<Shared<P>>,
+    tasks: Vec<JoinHandle<()>>,
+    peers: Mutex<Option<Server>>,
+}
+
+impl<P: Platform> Node<P> {
+    /// Starts a node.
+    pub async fn start(
+        settings: NodeSettings,
+        platform: P,
+        client: Client,
+        telemetry: Telemetry,
+    ) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            settings,
+            platform,
+            client,
+            operated: watch::Sender::new(Operated::default()),
+            place: Mutex::new(OwnerPlace::default()),
+            owner: Mutex::new(None),
+            is_stopping: watch::Sender::new(false),
+            telemetry,
+        });
+        let router = peers::router(shared.clone());
+        let peers = Server::start(shared.settings.peer_address, router).await?;
+        let tasks =
+            vec![tokio::spawn(follow::run(shared.clone())), tokio::spawn(elect(shared.clone()))];
+        Ok(Self { shared, tasks, peers: Mutex::new(Some(peers)) })
+    }
+
+    /// True if callers can be served here.
+    pub fn is_ready(&self) -> bool {
+        let config = self.shared.config(clock::now());
+        let is_fresh = config.is_some_and(|(_, age)| age <= self.shared.settings.key_age_max);
+        is_fresh && !self.shared.is_stopping()
+    }
+
+    /// Totals of the counters.
+    pub fn telemetry(&self) -> &Telemetry {
+        &self.shared.telemetry
+    }
+
+    /// Gives up the ownership and is not ready from now on; callers are still answered.
+    pub async fn begin_stop(&self) {
+        self.shared.is_stopping.send_replace(true);
+        let Some(owning) = self.shared.owning() else {
+            return;
+        };
+        let (reply, released) = oneshot::channel();
+        if owning.requests.send(OwnerRequest::Release { reply }).await.is_err() {
+            return;
+        }
+        if tokio::time::timeout(RELEASE_TIMEOUT, released).await.is_err() {
+            telemetry::log::line("release-late").field("epoch", owning.epoch).write();
+        }
+    }
+
+    /// Ends what is left.
+    pub async fn stop(&self, grace: Duration) {
+        let peers = self.peers.lock().expect("no holder panics").take();
+        if let Some(peers) = peers {
+            peers.stop(grace).await;
+        }
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Looks at the owner for as long as the process runs, and takes over when it must.
+async fn elect<P: Platform>(shared: Arc<Shared<P>>) {
+    let mut election = Election::default();
+    loop {
+        if shared.is_stopping() {
+            return;
+        }
+        if let Some(won) = look(&shared, &mut election).await {
+            owner::run(shared.clone(), won).await;
+            election = Election::default();
+        }
+        let spread = Duration::from_millis(rand::rng().random_range(0..LOOK_SPREAD_MS));
+        tokio::time::sleep(LOOK_PERIOD + spread).await;
+    }
+}
+
+async fn look<P: Platform>(shared: &Shared<P>, election: &mut Election) -> Option<Won> {
+    let place = shared.owner_place();
+    if let Some(address) = place.row.address {
+        let answer = match place.row.incarnation == shared.settings.incarnation {
+            // The row names this process, which has lost or given up the ownership.
+            true => Answer::Silent,
+            false => OwnerClient { client: &shared.client, address }.ping().await,
+        };
+        if election.heard(&place.row, answer) == Step::Rest {
+            return None;
+        }
+    }
+    let found = match read_owner(shared).await {
+        Ok(found) => found,
+        Err(error) => {
+            telemetry::log::line("owner-row-not-read").text("why", error).write();
+            return None;
+        }
+    };
+    if let Some((row, version)) = &found {
+        shared.set_owner_row(row.clone(), *version);
+    }
+    match election.read(found.as_ref().map(|(row, _)| row), clock::now()) {
+        Verdict::Wait => None,
+        Verdict::Take(reason) => take(shared, found, reason).await,
+    }
+}
+
+async fn read_owner<P: Platform>(
+    shared: &Shared<P>,
+) -> Result<Option<(OwnerRow, RowVersion)>, ReadError> {
+    let found = shared.platform.read(Table::Owner, OWNER_KEY).await?;
+    let Some(found) = found.into_iter().next() else {
+        return Ok(None);
+    };
+    let row = rows::decode(&found.key, &found.value);
+    let row = row.map_err(|error| ReadError::Malformed(error.to_string()))?;
+    Ok(Some((row, found.version)))
+}
+
+async fn take<P: Platform>(
+    shared: &Shared<P>,
+    found: Option<(OwnerRow, RowVersion)>,
+    reason: Reason,
+) -> Option<Won> {
+    let (before, version) = found.unwrap_or_default();
+    let row = OwnerRow {
+        epoch: before.epoch + 1,
+        sequence: before.sequence + 1,
+        node: shared.settings.name.clone(),
+        incarnation: shared.settings.incarnation,
+        address: Some(shared.settings.peer_address),
+        is_released: false,
+        lost: before.lost.clone(),
+    };
+    let sent_at = clock::now();
+    let transaction = Transaction {
+        preconditions: vec![(Table::Owner, OWNER_KEY.to_owned(), version)],
+        puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row))],
+        ..Transaction::default()
+    };
+    let written = shared.platform.write(transaction).await;
+    let version = match written {
+        Written::Committed(version) => version,
+        // The row tells whether it was written, at the next look.
+        Written::Unknown(_) => match read_owner(shared).await {
+            Ok(Some((found, version))) if found == row => version,
+            _ => return None,
+        },
+        Written::Conflict(_) | Written::Refused(_) => return None,
+    };
+    shared.set_owner_row(row.clone(), version);
+    telemetry::log::line("ownership-taken")
+        .field("epoch", row.epoch)
+        .text("reason", format!("{reason:?}"))
+        .field("before", before.node.as_str())
+        .write();
+    Some(Won { row, version, sent_at, before, reason })
+}
--- /dev/null
+++ b/crates/coordinator/src/owner.rs
@@ -0,0 +1,209 @@
+//! The owner: carries out what the scheduler decides and stores what follows.
+//!
+//! One task holds the [`Scheduler`]. Calls to workers, hosts, the advisor and the store run beside it
+//! and send what became of them back as [`Event`]s.
+
+mod commit;
+mod event;
+mod leases;
+mod load;
+mod orders;
+mod requests;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use scheduler::Moment;
+use scheduler::Scheduler;
+use scheduler::SortedMap;
+use scheduler::WaveId;
+use scheduler::WaveState;
+use scheduler::WorkerId;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use self::commit::Pipeline;
+use self::event::Event;
+use self::leases::Watch;
+use crate::clock;
+use crate::election::Reason;
+use crate::ports::Platform;
+use crate::ports::RowVersion;
+use crate::rows::OwnerRow;
+use crate::shared::OwnerRequest;
+use crate::shared::Owning;
+use crate::shared::Shared;
+
+/// Time for which an owner may act after the last transaction that was committed was sent.
+const VALIDITY: Duration = Duration::from_secs(8);
+/// Time between two rounds in which nothing else happens.
+const TICK: Duration = Duration::from_millis(100);
+/// Requests that wait for the owner at most.
+const REQUESTS_MAX: usize = 1_024;
+/// Events that are taken in before the next round of decisions.
+const EVENTS_PER_ROUND: usize = 64;
+
+/// The ownership as it was taken.
+pub(crate) struct Won {
+    /// The row that was written.
+    pub row: OwnerRow,
+    /// Its version.
+    pub version: RowVersion,
+    /// When it was sent.
+    pub sent_at: Moment,
+    /// The row before.
+    pub before: OwnerRow,
+    /// Why it was taken.
+    pub reason: Reason,
+}
+
+/// Why an owner ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// Another has taken over.
+    Superseded,
+    /// It has given up the ownership.
+    Released,
+}
+
+struct Owner<P> {
+    shared: Arc<Shared<P>>,
+    scheduler: Scheduler,
+    pipeline: Pipeline,
+    epoch: u64,
+    events: mpsc::Sender<Event>,
+    /// Calls in progress; they end with the owner.
+    calls: JoinSet<()>,
+    watches: SortedMap<WorkerId, Watch>,
+    waves_told: SortedMap<WaveId, WaveState>,
+    hosts_asked_at: Moment,
+    hosts_in_flight: bool,
+    config_version: u64,
+    end: Option<End>,
+    release: Option<tokio::sync::oneshot::Sender<()>>,
+}
+
+/// Works as the owner until the ownership is lost or given up.
+pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>, won: Won) {
+    let epoch = won.row.epoch;
+    let (requests_sender, requests) = mpsc::channel(REQUESTS_MAX);
+    let owning =
+        Owning { epoch, requests: requests_sender, renewed_at: won.sent_at, is_ready: false };
+    *shared.owner.lock().expect("no holder panics") = Some(owning);
+    let end = match load::load(&shared, won).await {
+        Some((scheduler, pipeline)) => work(&shared, scheduler, pipeline, epoch, requests).await,
+        None => End::Superseded,
+    };
+    *shared.owner.lock().expect("no holder panics") = None;
+    telemetry::log::line("ownership-ended")
+        .field("epoch", epoch)
+        .text("why", format!("{end:?}"))
+        .write();
+}
+
+async fn work<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    scheduler: Scheduler,
+    pipeline: Pipeline,
+    epoch: u64,
+    mut requests: mpsc::Receiver<OwnerRequest>,
+) -> End {
+    let (events, mut received) = mpsc::channel(REQUESTS_MAX);
+    let mut owner = Owner {
+        shared: shared.clone(),
+        scheduler,
+        pipeline,
+        epoch,
+        events,
+        calls: JoinSet::new(),
+        watches: SortedMap::default(),
+        waves_told: SortedMap::default(),
+        hosts_asked_at: Moment::ZERO,
+        hosts_in_flight: false,
+        config_version: 0,
+        end: None,
+        release: None,
+    };
+    owner.follow_registry();
+    owner.follow_inbox();
+    if let Some(owning) = shared.owner.lock().expect("no holder panics").as_mut() {
+        owning.is_ready = true;
+    }
+    let mut operated = shared.operated.subscribe();
+    operated.mark_changed();
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Some(event) = received.recv() => owner.take_event(event),
+            Some(request) = requests.recv() => owner.take_request(request),
+            Ok(()) = operated.changed() => owner.take_operated(),
+            _ = ticks.tick() => {}
+        }
+        for _ in 0..EVENTS_PER_ROUND {
+            if let Ok(event) = received.try_recv() {
+                owner.take_event(event);
+            } else if let Ok(request) = requests.try_recv() {
+                owner.take_request(request);
+            } else {
+                break;
+            }
+        }
+        while owner.calls.try_join_next().is_some() {}
+        if let Some(end) = owner.end {
+            return end;
+        }
+        owner.round();
+    }
+}
+
+impl<P: Platform> Owner<P> {
+    /// One round of decisions.
+    fn round(&mut self) {
+        let now = clock::now();
+        if self.scheduler.is_fenced() {
+            telemetry::log::line("orders-fenced").field("epoch", self.epoch).write();
+            self.end = Some(End::Superseded);
+            return;
+        }
+        let is_valid = now.saturating_sub(self.pipeline.renewed_at()) <= VALIDITY;
+        if is_valid && self.release.is_none() {
+            self.scheduler.plan(now);
+        }
+        for action in self.scheduler.take_actions() {
+            self.carry_out(action);
+        }
+        if is_valid {
+            self.renew_leases(now);
+            self.ask_hosts(now);
+        }
+        self.commit_next(now);
+    }
+
+    fn take_operated(&mut self) {
+        let now = clock::now();
+        let (config, waves) = {
+            let operated = self.shared.operated.borrow();
+            (operated.config.clone(), operated.waves.clone())
+        };
+        if let Some(config) = config
+            && config.version > self.config_version
+        {
+            self.config_version = config.version;
+            self.scheduler.set_config(config.scheduling.clone());
+        }
+        self.scheduler.set_waves(waves.values().cloned().collect(), now);
+    }
+
+    /// Runs a call beside the owner; what became of it comes back as an event.
+    fn spawn(&mut self, call: impl Future<Output = Event> + Send + 'static) {
+        let events = self.events.clone();
+        self.calls.spawn(async move {
+            let event = call.await;
+            // The owner has ended if nobody receives it.
+            let _ = events.send(event).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/owner/commit.rs
@@ -0,0 +1,338 @@
+//! The transactions of an owner: one at a time, each on the version that the last one has left.
+//!
+//! Each changes the owner's row, so that a transaction whose answer was lost either has taken effect,
+//! which the row shows, or cannot take effect any more once a later one has.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use scheduler::Batch;
+use scheduler::JobId;
+use scheduler::JobRecord;
+use scheduler::Moment;
+use scheduler::UnitKey;
+use tokio::sync::oneshot;
+
+use super::End;
+use super::Owner;
+use super::event::Event;
+use super::requests::answer;
+use crate::clock;
+use crate::ports::Platform;
+use crate::ports::Row;
+use crate::ports::RowVersion;
+use crate::ports::Table;
+use crate::ports::Transaction;
+use crate::ports::Written;
+use crate::rows;
+use crate::rows::LostRow;
+use crate::rows::OWNER_KEY;
+use crate::rows::OwnerRow;
+use crate::shared::CancelReply;
+use crate::shared::SubmitReply;
+
+/// Jobs that one transaction accepts at most.
+const ACCEPTS_MAX: usize = 24;
+/// Jobs whose progress one transaction stores at most; an ended job takes two entries.
+const PROGRESS_MAX: usize = 24;
+/// Rows of the inbox that one transaction removes at most.
+const INBOX_MAX: usize = 20;
+/// Time after which the ownership is renewed if nothing else is to be stored.
+const RENEW_AFTER: Duration = Duration::from_millis(500);
+/// Pause after a transaction that was refused or not answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// A job that is to be stored.
+pub(super) struct Accept {
+    pub record: Arc<JobRecord>,
+    pub reply: Option<oneshot::Sender<SubmitReply>>,
+}
+
+/// What a transaction in progress holds.
+struct InFlight {
+    transaction: Transaction,
+    row: OwnerRow,
+    batch: Batch,
+    accepts: Vec<Accept>,
+    cancels: Vec<oneshot::Sender<CancelReply>>,
+    sent_at: Moment,
+}
+
+/// What is to be stored, and what is on its way.
+pub(super) struct Pipeline {
+    row: OwnerRow,
+    version: RowVersion,
+    renewed_at: Moment,
+    sent_at: Moment,
+    accepts: Vec<Accept>,
+    /// Jobs to be cancelled once they are stored.
+    cancels_later: Vec<JobId>,
+    cancels: Vec<(JobId, oneshot::Sender<CancelReply>)>,
+    inbox: Vec<String>,
+    in_flight: Option<InFlight>,
+    retry_at: Option<Moment>,
+}
+
+impl Pipeline {
+    pub fn new(row: OwnerRow, version: RowVersion, sent_at: Moment) -> Self {
+        Self {
+            row,
+            version,
+            renewed_at: sent_at,
+            sent_at,
+            accepts: Vec::new(),
+            cancels_later: Vec::new(),
+            cancels: Vec::new(),
+            inbox: Vec::new(),
+            in_flight: None,
+            retry_at: None,
+        }
+    }
+
+    /// When the last transaction that was committed was sent.
+    pub fn renewed_at(&self) -> Moment {
+        self.renewed_at
+    }
+
+    /// Stores a job with the next transaction.
+    pub fn accept(&mut self, accept: Accept) {
+        self.accepts.push(accept);
+    }
+
+    /// True if the job is about to be stored.
+    pub fn is_accepting(&self, job: &str) -> bool {
+        let is_it = |accept: &Accept| *accept.record.id == *job;
+        self.accepts.iter().any(is_it)
+            || self.in_flight.as_ref().is_some_and(|flight| flight.accepts.iter().any(is_it))
+    }
+
+    /// Cancels a job once it is stored.
+    pub fn cancel_when_stored(&mut self, job: &str) {
+        self.cancels_later.push(job.into());
+    }
+
+    /// Answers a cancellation once it is stored.
+    pub fn answer_cancel(&mut self, job: JobId, reply: oneshot::Sender<CancelReply>) {
+        self.cancels.push((job, reply));
+    }
+
+    /// Removes a row of the inbox once what it asks for is stored.
+    pub fn drop_inbox(&mut self, key: String) {
+        if !self.inbox.contains(&key) {
+            self.inbox.push(key);
+        }
+    }
+}
+
+impl<P: Platform> Owner<P> {
+    /// Sends the next transaction if there is something to store and none is on its way.
+    pub(super) fn commit_next(&mut self, now: Moment) {
+        if self.pipeline.in_flight.is_some() {
+            self.resend(now);
+            return;
+        }
+        let batch = self.scheduler.take_batch(PROGRESS_MAX, now);
+        let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
+        let has_rows = !batch.writes_nothing()
+            || !self.pipeline.accepts.is_empty()
+            || !self.pipeline.inbox.is_empty();
+        if !has_rows && !is_due && self.release.is_none() {
+            if !batch.ends.is_empty() {
+                self.scheduler.committed(&batch, now);
+                self.wake_watches(now);
+            }
+            return;
+        }
+        let flight = self.prepare(batch, now);
+        self.send(flight, now);
+    }
+
+    /// Takes in what became of a transaction.
+    pub(super) fn take_written(&mut self, outcome: Written) {
+        let now = clock::now();
+        let Some(flight) = self.pipeline.in_flight.take() else {
+            return;
+        };
+        match outcome {
+            Written::Committed(version) => self.take_committed(flight, version, now),
+            Written::Conflict(found) => match own_version(&found, &flight.row) {
+                Some(version) => self.take_committed(flight, version, now),
+                None => self.give_up(flight),
+            },
+            Written::Refused(why) | Written::Unknown(why) => {
+                telemetry::log::line("store-write-failed")
+                    .field("sequence", flight.row.sequence)
+                    .text("why", why)
+                    .write();
+                self.pipeline.in_flight = Some(flight);
+                self.pipeline.retry_at = Some(now + RETRY_PAUSE);
+            }
+        }
+    }
+
+    fn prepare(&mut self, batch: Batch, now: Moment) -> InFlight {
+        let accepts_left = self.pipeline.accepts.len().saturating_sub(ACCEPTS_MAX);
+        let mut accepts = std::mem::take(&mut self.pipeline.accepts);
+        self.pipeline.accepts = accepts.split_off(accepts.len() - accepts_left);
+        let pipeline = &mut self.pipeline;
+        let lost = self.scheduler.lost_workers(now);
+        let row = OwnerRow {
+            sequence: pipeline.row.sequence + 1,
+            is_released: self.release.is_some(),
+            lost: lost.into_iter().map(lost_row).collect(),
+            ..pipeline.row.clone()
+        };
+        let mut transaction = Transaction {
+            preconditions: vec![(Table::Owner, OWNER_KEY.to_owned(), pipeline.version)],
+            puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row))],
+            removals: Vec::new(),
+        };
+        for accept in &accepts {
+            let record = &accept.record;
+            let value = rows::encode(&**record);
+            transaction.puts.push((Table::Jobs, record.id.to_string(), value));
+        }
+        for (id, progress) in &batch.progress {
+            transaction.puts.push((Table::Progress, id.to_string(), rows::encode(progress)));
+            if progress.ended.is_some() {
+                transaction.removals.push((Table::Jobs, id.to_string()));
+            }
+        }
+        for (wave, begun) in &batch.waves {
+            let value = rows::encode(begun);
+            transaction.puts.push((Table::Progress, rows::wave_key(*wave), value));
+        }
+        let forgotten = batch.forgotten.iter();
+        let removals = forgotten.map(|id| (Table::Progress, id.to_string()));
+        transaction.removals.extend(removals);
+        let inbox = pipeline.ready_inbox(&accepts);
+        transaction.removals.extend(inbox.into_iter().map(|key| (Table::Inbox, key)));
+        let cancels = pipeline.ready_cancels(&batch);
+        InFlight { transaction, row, batch, accepts, cancels, sent_at: now }
+    }
+
+    fn send(&mut self, flight: InFlight, now: Moment) {
+        let transaction = flight.transaction.clone();
+        self.pipeline.sent_at = now;
+        self.pipeline.retry_at = None;
+        self.pipeline.in_flight = Some(InFlight { sent_at: now, ..flight });
+        let shared = self.shared.clone();
+        self.spawn(
+            async move { Event::Written { outcome: shared.platform.write(transaction).await } },
+        );
+    }
+
+    fn resend(&mut self, now: Moment) {
+        let is_due = self.pipeline.retry_at.is_some_and(|at| now >= at);
+        if !is_due {
+            return;
+        }
+        if let Some(flight) = self.pipeline.in_flight.take() {
+            self.send(flight, now);
+        }
+    }
+
+    fn take_committed(&mut self, flight: InFlight, version: RowVersion, now: Moment) {
+        self.pipeline.version = version;
+        self.pipeline.renewed_at = flight.sent_at;
+        self.pipeline.row = flight.row.clone();
+        if let Some(owning) = self.shared.owner.lock().expect("no holder panics").as_mut() {
+            owning.renewed_at = flight.sent_at;
+        }
+        self.shared.set_owner_row(flight.row.clone(), version);
+        for accept in flight.accepts {
+            telemetry::log::line("job-accepted")
+                .field("job", &*accept.record.id)
+                .field("queue", &*accept.record.queue)
+                .field("epoch", self.epoch)
+                .field("config_version", self.config_version)
+                .write();
+            self.scheduler.add_job(accept.record, now);
+            if let Some(reply) = accept.reply {
+                answer(reply, SubmitReply::Accepted);
+            }
+        }
+        self.scheduler.committed(&flight.batch, now);
+        for (id, progress) in &flight.batch.progress {
+            if let Some(state) = progress.ended {
+                telemetry::log::line("job-ended")
+                    .field("job", &**id)
+                    .text("state", format!("{state:?}"))
+                    .write();
+            }
+        }
+        for reply in flight.cancels {
+            answer(reply, CancelReply::Done);
+        }
+        for job in std::mem::take(&mut self.pipeline.cancels_later) {
+            self.scheduler.cancel(&job);
+        }
+        self.wake_watches(now);
+        if flight.row.is_released {
+            if let Some(reply) = self.release.take() {
+                answer(reply, ());
+            }
+            self.end = Some(End::Released);
+        }
+    }
+
+    fn give_up(&mut self, flight: InFlight) {
+        for accept in flight.accepts {
+            if let Some(reply) = accept.reply {
+                answer(reply, SubmitReply::Unknown);
+            }
+        }
+        for reply in flight.cancels {
+            answer(reply, CancelReply::Unknown);
+        }
+        self.end = Some(End::Superseded);
+    }
+}
+
+impl Pipeline {
+    /// Rows of the inbox whose jobs are stored, or are with `accepts`.
+    fn ready_inbox(&mut self, accepts: &[Accept]) -> Vec<String> {
+        let waits = |key: &String| {
+            let job = key.rsplit('/').next().unwrap_or(key);
+            self.accepts.iter().any(|accept| *accept.record.id == *job)
+                && !accepts.iter().any(|accept| *accept.record.id == *job)
+        };
+        let (waiting, mut ready): (Vec<String>, Vec<String>) =
+            std::mem::take(&mut self.inbox).into_iter().partition(waits);
+        let rest = ready.split_off(ready.len().min(INBOX_MAX));
+        self.inbox = waiting;
+        self.inbox.extend(rest);
+        ready
+    }
+
+    /// Cancellations that a batch holds.
+    fn ready_cancels(&mut self, batch: &Batch) -> Vec<oneshot::Sender<CancelReply>> {
+        let mut ready = Vec::new();
+        let mut left = Vec::new();
+        for (job, reply) in std::mem::take(&mut self.cancels) {
+            let is_in = batch.progress.iter().any(|(id, p)| *id == job && p.ended.is_some());
+            match is_in {
+                true => ready.push(reply),
+                false => left.push((job, reply)),
+            }
+        }
+        self.cancels = left;
+        ready
+    }
+}
+
+/// Version of the owner's row if it is the one that was sent.
+fn own_version(found: &[Row], sent: &OwnerRow) -> Option<RowVersion> {
+    let row = found.iter().find(|row| row.key == OWNER_KEY)?;
+    let owner = rows::decode::<OwnerRow>(&row.key, &row.value).ok()?;
+    (owner == *sent).then_some(row.version)
+}
+
+fn lost_row(lost: scheduler::LostWorker) -> LostRow {
+    let run = |(unit, run): (UnitKey, u32)| (unit.to_string(), run);
+    LostRow {
+        worker: lost.worker.to_string(),
+        lease_left_ms: lost.lease_left.as_millis() as u64,
+        runs: lost.runs.into_iter().map(run).collect(),
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/owner/load.rs
@@ -0,0 +1,131 @@
+//! Taking over: reads what is stored and asks all workers what they run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use scheduler::HostName;
+use scheduler::JobId;
+use scheduler::JobRecord;
+use scheduler::LostWorker;
+use scheduler::Progress;
+use scheduler::Scheduler;
+use scheduler::SortedMap;
+
+use super::VALIDITY;
+use super::Won;
+use super::commit::Pipeline;
+use crate::clock;
+use crate::election::Reason;
+use crate::ports::Platform;
+use crate::ports::ReadError;
+use crate::ports::Row;
+use crate::ports::Table;
+use crate::rows;
+use crate::rows::LostRow;
+use crate::shared::Shared;
+
+/// Time for which the reads are tried before the ownership is given up.
+const LOAD_MAX: Duration = Duration::from_secs(6);
+/// Pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time that is added to a lease for clocks that run slow.
+const LEASE_SLACK: Duration = Duration::from_millis(250);
+
+/// The state of a new owner; none if the store does not answer for long.
+pub(super) async fn load<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    won: Won,
+) -> Option<(Scheduler, Pipeline)> {
+    let began_at = clock::now();
+    loop {
+        match read_all(shared, &won).await {
+            Ok(scheduler) => {
+                telemetry::log::line("ownership-loaded")
+                    .field("epoch", won.row.epoch)
+                    .field("jobs", scheduler.live_jobs())
+                    .field("workers", scheduler.workers().count())
+                    .field("took_ms", (clock::now() - began_at).as_millis() as u64)
+                    .write();
+                return Some((scheduler, Pipeline::new(won.row, won.version, won.sent_at)));
+            }
+            Err(error) => {
+                telemetry::log::line("ownership-not-loaded").text("why", error).write();
+            }
+        }
+        if clock::now().saturating_sub(began_at) > LOAD_MAX {
+            return None;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn read_all<P: Platform>(shared: &Shared<P>, won: &Won) -> Result<Scheduler, ReadError> {
+    let settings = shared.settings.scheduling.clone();
+    let lease = settings.lease;
+    let (jobs, progress) = tokio::try_join!(
+        shared.platform.read(Table::Jobs, ""),
+        shared.platform.read(Table::Progress, ""),
+    )?;
+    let workers = shared.platform.registered(None, Duration::ZERO).await?;
+    let now = clock::now();
+    let mut scheduler = Scheduler::new(settings, won.row.epoch, clock::unix_now_ms(), now);
+    if let Some((config, _)) = shared.config(now) {
+        scheduler.set_config(config.scheduling.clone());
+    }
+    scheduler.set_workers(workers.changed, lease_left(won, lease), now);
+    let (waves, progress): (Vec<Row>, Vec<Row>) =
+        progress.into_iter().partition(|row| row.key.starts_with(rows::WAVE_PREFIX));
+    for (key, begun) in decode_all::<Vec<HostName>>(waves).iter() {
+        if let Ok(wave) = key[rows::WAVE_PREFIX.len()..].parse() {
+            scheduler.restore_wave(wave, begun.clone(), now);
+        }
+    }
+    let mut progress: SortedMap<String, Progress> = decode_all(progress);
+    for (id, record) in decode_all::<JobRecord>(jobs).iter() {
+        let known = progress.remove(id).unwrap_or_default();
+        scheduler.restore_job(Arc::new(record.clone()), &known, now);
+    }
+    for (id, known) in progress.iter() {
+        scheduler.restore_ended(JobId::from(id.as_str()), known, now);
+    }
+    let lost: Vec<LostWorker> = won.before.lost.iter().map(lost_worker).collect();
+    scheduler.restore_lost(&lost, now);
+    Ok(scheduler)
+}
+
+/// Longest time for which a lease that the owner before has asked for may last.
+fn lease_left(won: &Won, lease: Duration) -> Duration {
+    let longest = lease + lease / 40 + LEASE_SLACK;
+    match won.reason {
+        Reason::First => Duration::ZERO,
+        // It has ended, so it renews no lease any more.
+        Reason::Released | Reason::Ended => longest,
+        Reason::Silent => longest + VALIDITY,
+    }
+}
+
+fn decode_all<T: serde::de::DeserializeOwned>(rows: Vec<Row>) -> SortedMap<String, T> {
+    let decode = |row: Row| match rows::decode::<T>(&row.key, &row.value) {
+        Ok(value) => Some((row.key, value)),
+        Err(error) => {
+            telemetry::log::line("row-unreadable").text("why", error).write();
+            None
+        }
+    };
+    rows.into_iter().filter_map(decode).collect()
+}
+
+fn lost_worker(row: &LostRow) -> LostWorker {
+    let run = |(unit, run): &(String, u32)| match unit.parse() {
+        Ok(unit) => Some((unit, *run)),
+        Err(error) => {
+            telemetry::log::line("row-unreadable").text("why", error).write();
+            None
+        }
+    };
+    LostWorker {
+        worker: row.worker.as_str().into(),
+        lease_left: Duration::from_millis(row.lease_left_ms) + LEASE_SLACK,
+        runs: row.runs.iter().filter_map(run).collect(),
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/owner/orders.rs
@@ -0,0 +1,185 @@
+//! Carrying out what the scheduler decides.
+
+use std::time::Duration;
+
+use scheduler::Action;
+use scheduler::HostName;
+use scheduler::Moment;
+use scheduler::StartOrder;
+use scheduler::WaveId;
+use scheduler::WaveState;
+
+use super::Owner;
+use super::event::Event;
+use super::event::HostOrder;
+use crate::clock;
+use crate::ports::Platform;
+use crate::ports::Written;
+
+/// Time between two lists of the hosts.
+const HOSTS_PERIOD: Duration = Duration::from_millis(1_000);
+
+impl<P: Platform> Owner<P> {
+    /// Takes in what became of a call.
+    pub(super) fn take_event(&mut self, event: Event) {
+        let now = clock::now();
+        match event {
+            Event::Reported { worker, sent_at, result } => {
+                self.take_report(worker, sent_at, result);
+            }
+            Event::Started { worker, unit, run, reply } => {
+                telemetry::log::line("run-ordered")
+                    .text("unit", &unit)
+                    .field("run", run)
+                    .field("worker", &*worker)
+                    .field("epoch", self.epoch)
+                    .text("reply", format!("{reply:?}"))
+                    .write();
+                self.scheduler.start_reply(&worker, &unit, run, reply, now);
+            }
+            Event::Stopped { worker, unit, run, is_answered } => {
+                telemetry::log::line("run-stopped")
+                    .text("unit", &unit)
+                    .field("run", run)
+                    .field("worker", &*worker)
+                    .field("is_answered", is_answered)
+                    .write();
+                self.scheduler.stop_reply(&worker, &unit, run, is_answered, now);
+            }
+            Event::Paced { unit, run, percent, is_answered } => {
+                self.scheduler.paced(&unit, run, percent, is_answered);
+            }
+            Event::Advised { unit, asked, asked_at, result } => match result {
+                Ok(good) => self.scheduler.advised(&unit, &asked, &good, asked_at),
+                Err(error) => {
+                    telemetry::log::line("advice-failed").text("why", error).write();
+                    self.scheduler.not_advised();
+                }
+            },
+            Event::Written { outcome } => self.take_written(outcome),
+            Event::Registered { changes } => {
+                if changes.is_whole {
+                    self.scheduler.set_workers(changes.changed, Duration::ZERO, now);
+                } else {
+                    for entry in changes.changed {
+                        self.scheduler.set_worker(entry, Duration::ZERO, now);
+                    }
+                }
+                for id in changes.removed {
+                    self.scheduler.unlist_worker(&id);
+                }
+            }
+            Event::Inbox { rows } => self.take_inbox(rows),
+            Event::Hosts { result } => {
+                self.hosts_in_flight = false;
+                match result {
+                    Ok(hosts) => self.scheduler.set_hosts(hosts, now),
+                    Err(error) => {
+                        telemetry::log::line("hosts-not-listed").text("why", error).write();
+                    }
+                }
+            }
+            Event::HostOrdered { host, order, reply } => {
+                telemetry::log::line("host-ordered")
+                    .field("host", &*host)
+                    .text("order", format!("{order:?}"))
+                    .text("reply", format!("{reply:?}"))
+                    .write();
+                self.scheduler.host_reply(&host, reply, now);
+                self.hosts_asked_at = Moment::ZERO;
+            }
+            Event::WaveTold { wave, state, outcome } => match outcome {
+                Written::Committed(_) => {}
+                _ => {
+                    if self.waves_told.get(&wave) == Some(&state) {
+                        self.waves_told.remove(&wave);
+                    }
+                }
+            },
+        }
+    }
+
+    /// Carries out an action.
+    pub(super) fn carry_out(&mut self, action: Action) {
+        let shared = self.shared.clone();
+        let token = self.epoch;
+        match action {
+            Action::Start(order) => self.start(order),
+            Action::Stop { worker, address, unit, run } => self.spawn(async move {
+                let is_answered = shared.platform.stop(&worker, address, &unit, run, token).await;
+                Event::Stopped { worker, unit, run, is_answered }
+            }),
+            Action::Pace { worker, address, unit, run, percent } => self.spawn(async move {
+                let platform = &shared.platform;
+                let is_answered = platform.pace(&worker, address, &unit, run, percent, token).await;
+                Event::Paced { unit, run, percent, is_answered }
+            }),
+            Action::Advise { unit, workers } => self.spawn(async move {
+                let asked_at = clock::now();
+                let result = shared.platform.advise(&unit, &workers).await;
+                Event::Advised { unit, asked: workers, asked_at, result }
+            }),
+            Action::MoveHost { host, pool } => self.order_host(host, HostOrder::Move(pool)),
+            Action::MaintainHost { host, wave } => {
+                self.order_host(host, HostOrder::Maintain(wave));
+            }
+            Action::WaveStatus { wave, state } => self.tell_wave(wave, state),
+            Action::Note { what, subject, why } => telemetry::log::line("decision")
+                .field("what", what)
+                .field("subject", subject)
+                .field("why", why)
+                .field("epoch", token)
+                .write(),
+        }
+    }
+
+    /// Lists the hosts again if that is due.
+    pub(super) fn ask_hosts(&mut self, now: Moment) {
+        let is_due = now.saturating_sub(self.hosts_asked_at) >= HOSTS_PERIOD;
+        if self.hosts_in_flight || !is_due {
+            return;
+        }
+        self.hosts_in_flight = true;
+        self.hosts_asked_at = now;
+        let shared = self.shared.clone();
+        self.spawn(async move { Event::Hosts { result: shared.platform.hosts().await } });
+    }
+
+    fn start(&mut self, order: StartOrder) {
+        let shared = self.shared.clone();
+        let token = self.epoch;
+        self.spawn(async move {
+            let reply = shared.platform.start(&order, token).await;
+            let StartOrder { worker, unit, run, .. } = order;
+            Event::Started { worker, unit, run, reply }
+        });
+    }
+
+    fn order_host(&mut self, host: HostName, order: HostOrder) {
+        let shared = self.shared.clone();
+        let token = self.epoch;
+        self.spawn(async move {
+            let holder = &shared.settings.name;
+            let platform = &shared.platform;
+            let reply = match &order {
+                HostOrder::Move(pool) => platform.move_host(&host, pool, holder, token).await,
+                HostOrder::Maintain(wave) => {
+                    platform.maintain_host(&host, *wave, holder, token).await
+                }
+            };
+            Event::HostOrdered { host, order, reply }
+        });
+    }
+
+    fn tell_wave(&mut self, wave: WaveId, state: WaveState) {
+        if self.waves_told.get(&wave) == Some(&state) {
+            return;
+        }
+        self.waves_told.insert(wave, state);
+        let shared = self.shared.clone();
+        self.spawn(async move {
+            let outcome = shared.platform.tell_wave(wave, state).await;
+            Event::WaveTold { wave, state, outcome }
+        });
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/owner/requests.rs
@@ -0,0 +1,105 @@
+//! Requests of callers, as nodes hand them to the owner.
+
+use scheduler::Cancelled;
+use scheduler::JobView;
+use tokio::sync::oneshot;
+
+use super::Owner;
+use super::commit::Accept;
+use crate::entry::is_allowed;
+use crate::ports::Platform;
+use crate::ports::Row;
+use crate::rows;
+use crate::rows::InboxRow;
+use crate::shared::Asker;
+use crate::shared::CancelReply;
+use crate::shared::OwnerRequest;
+use crate::shared::StateReply;
+use crate::shared::SubmitReply;
+
+impl<P: Platform> Owner<P> {
+    pub(super) fn take_request(&mut self, request: OwnerRequest) {
+        match request {
+            OwnerRequest::Submit { record, reply } => {
+                if self.scheduler.view(&record.id).is_some() {
+                    answer(reply, SubmitReply::Accepted);
+                    return;
+                }
+                self.pipeline.accept(Accept { record, reply: Some(reply) });
+            }
+            OwnerRequest::State { job, asker, reply } => answer(reply, self.state(&job, &asker)),
+            OwnerRequest::Cancel { job, asker, reply } => self.take_cancel(&job, &asker, reply),
+            OwnerRequest::Waiting { queue, reply } => {
+                answer(reply, self.scheduler.waiting(&queue));
+            }
+            OwnerRequest::Release { reply } => self.release = Some(reply),
+        }
+    }
+
+    /// Takes in the requests that nodes have stored.
+    pub(super) fn take_inbox(&mut self, stored: Vec<Row>) {
+        for row in stored {
+            let request = rows::decode::<InboxRow>(&row.key, &row.value);
+            match request {
+                Ok(InboxRow::Submit(record)) => {
+                    if self.scheduler.view(&record.id).is_none() {
+                        let record = std::sync::Arc::new(record);
+                        self.pipeline.accept(Accept { record, reply: None });
+                    }
+                    self.pipeline.drop_inbox(row.key);
+                }
+                Ok(InboxRow::Cancel { job }) => self.take_stored_cancel(&job, row.key),
+                Err(error) => {
+                    telemetry::log::line("row-unreadable").text("why", error).write();
+                    self.pipeline.drop_inbox(row.key);
+                }
+            }
+        }
+    }
+
+    fn take_stored_cancel(&mut self, job: &str, key: String) {
+        if self.scheduler.cancel(job) == Cancelled::Unknown && self.pipeline.is_accepting(job) {
+            self.pipeline.cancel_when_stored(job);
+        }
+        self.pipeline.drop_inbox(key);
+    }
+
+    fn state(&self, job: &str, asker: &Asker) -> StateReply {
+        match (self.scheduler.view(job), self.scheduler.team_of(job)) {
+            (Some(view), Some(team)) if is_allowed(team.as_ref(), asker.as_ref()) => {
+                StateReply::Found(view)
+            }
+            (Some(_), _) => StateReply::OtherTeam,
+            (None, _) if self.pipeline.is_accepting(job) => StateReply::Found(JobView::Queued),
+            (None, _) => StateReply::NoJob,
+        }
+    }
+
+    fn take_cancel(&mut self, job: &str, asker: &Asker, reply: oneshot::Sender<CancelReply>) {
+        match self.state(job, asker) {
+            StateReply::OtherTeam => return answer(reply, CancelReply::OtherTeam),
+            StateReply::NoJob => return answer(reply, CancelReply::NoJob),
+            StateReply::Found(JobView::Ended(_)) => return answer(reply, CancelReply::Done),
+            StateReply::Found(_) => {}
+        }
+        match self.scheduler.cancel(job) {
+            Cancelled::Pending => {
+                telemetry::log::line("job-cancelled")
+                    .field("job", job)
+                    .field("epoch", self.epoch)
+                    .write();
+                self.pipeline.answer_cancel(job.into(), reply);
+            }
+            Cancelled::Ended => answer(reply, CancelReply::Done),
+            Cancelled::Unknown => {
+                self.pipeline.cancel_when_stored(job);
+                self.pipeline.answer_cancel(job.into(), reply);
+            }
+        }
+    }
+}
+
+/// Answers a request; a caller that has gone needs no answer.
+pub(super) fn answer<T>(reply: oneshot::Sender<T>, value: T) {
+    let _ = reply.send(value);
+}
--- /dev/null
+++ b/crates/coordinator/src/peers.rs
@@ -0,0 +1,268 @@
+//! How nodes talk to each other: short HTTP/1.1 calls with JSON bodies.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::post;
+use bytes::Bytes;
+use http::Method;
+use scheduler::FinalState;
+use scheduler::JobRecord;
+use scheduler::JobView;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::election::Answer;
+use crate::http::CallError;
+use crate::http::Client;
+use crate::http::Lane;
+use crate::http::Request;
+use crate::ports::Platform;
+use crate::shared::CancelReply;
+use crate::shared::OwnerRequest;
+use crate::shared::Shared;
+use crate::shared::StateReply;
+use crate::shared::SubmitReply;
+
+/// Time for the answer of a peer to a ping.
+const PING_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time for the owner's answer to a call that it answers from memory.
+const STATE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for the owner's answer to a call that writes to the store.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1_300);
+
+/// Answer to a ping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Pong {
+    incarnation: u64,
+    /// Age of the owner's last committed transaction in milliseconds; none if it is not the owner.
+    renewal_age_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct JobCall {
+    job: String,
+    asker: Option<String>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct QueueCall {
+    queue: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum SubmitWire {
+    Accepted,
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum CancelWire {
+    Done,
+    NoJob,
+    OtherTeam,
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum StateWire {
+    Queued,
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+    NoJob,
+    OtherTeam,
+}
+
+/// The owner could not be asked.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum PeerError {
+    /// It has not carried the call out and will not.
+    #[error("the owner did not take the call: {0}")]
+    NotTaken(String),
+    /// It may have carried it out.
+    #[error("the owner did not answer: {0}")]
+    NoAnswer(String),
+}
+
+/// Calls to the node that owns the scheduling.
+pub(crate) struct OwnerClient<'a> {
+    pub client: &'a Client,
+    pub address: SocketAddr,
+}
+
+impl OwnerClient<'_> {
+    /// Asks whether the owner works.
+    pub async fn ping(&self) -> Answer {
+        let request = Request::new(Method::POST, "/peer/ping", "{}", PING_TIMEOUT);
+        let Ok(response) = self.client.call(self.address, Lane::Short, request).await else {
+            return Answer::Silent;
+        };
+        match serde_json::from_slice::<Pong>(&response.body) {
+            Ok(Pong { incarnation, renewal_age_ms: Some(age_ms) }) => {
+                Answer::Owner { incarnation, renewal_age: Duration::from_millis(age_ms) }
+            }
+            Ok(Pong { incarnation, renewal_age_ms: None }) => Answer::NotOwner { incarnation },
+            Err(_) => Answer::Silent,
+        }
+    }
+
+    /// Hands a job to the owner.
+    pub async fn submit(&self, record: &JobRecord) -> Result<SubmitReply, PeerError> {
+        let wire = self.call("/peer/submit", record, WRITE_TIMEOUT).await?;
+        Ok(match wire {
+            SubmitWire::Accepted => SubmitReply::Accepted,
+            SubmitWire::Unknown => SubmitReply::Unknown,
+        })
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: &str, asker: Option<&str>) -> Result<CancelReply, PeerError> {
+        let call = JobCall { job: job.to_owned(), asker: asker.map(str::to_owned) };
+        let wire = self.call("/peer/cancel", &call, WRITE_TIMEOUT).await?;
+        Ok(match wire {
+            CancelWire::Done => CancelReply::Done,
+            CancelWire::NoJob => CancelReply::NoJob,
+            CancelWire::OtherTeam => CancelReply::OtherTeam,
+            CancelWire::Unknown => CancelReply::Unknown,
+        })
+    }
+
+    /// Asks for the state of a job.
+    pub async fn state(&self, job: &str, asker: Option<&str>) -> Result<StateReply, PeerError> {
+        let call = JobCall { job: job.to_owned(), asker: asker.map(str::to_owned) };
+        let wire = self.call("/peer/state", &call, STATE_TIMEOUT).await?;
+        Ok(match wire {
+            StateWire::Queued => StateReply::Found(JobView::Queued),
+            StateWire::Running => StateReply::Found(JobView::Running),
+            StateWire::Completed => StateReply::Found(JobView::Ended(FinalState::Completed)),
+            StateWire::Failed => StateReply::Found(JobView::Ended(FinalState::Failed)),
+            StateWire::Cancelled => StateReply::Found(JobView::Ended(FinalState::Cancelled)),
+            StateWire::NoJob => StateReply::NoJob,
+            StateWire::OtherTeam => StateReply::OtherTeam,
+        })
+    }
+
+    /// Asks how many jobs of a queue wait.
+    pub async fn waiting(&self, queue: &str) -> Result<usize, PeerError> {
+        let call = QueueCall { queue: queue.to_owned() };
+        self.call("/peer/waiting", &call, STATE_TIMEOUT).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T, PeerError> {
+        let body = Bytes::from(serde_json::to_vec(body).expect("calls have string keys only"));
+        let request = Request::new(Method::POST, path, body, timeout);
+        let response = match self.client.call(self.address, Lane::Waiting, request).await {
+            Ok(response) => response,
+            Err(CallError::NoAnswer(why)) => return Err(PeerError::NoAnswer(why)),
+            Err(error) => return Err(PeerError::NotTaken(error.to_string())),
+        };
+        if response.status != StatusCode::OK {
+            return Err(PeerError::NotTaken(response.status.to_string()));
+        }
+        serde_json::from_slice(&response.body)
+            .map_err(|error| PeerError::NoAnswer(error.to_string()))
+    }
+}
+
+/// Serves the calls of other nodes.
+pub(crate) fn router<P: Platform>(shared: Arc<Shared<P>>) -> Router {
+    Router::new()
+        .route("/peer/ping", post(ping::<P>))
+        .route("/peer/submit", post(submit::<P>))
+        .route("/peer/cancel", post(cancel::<P>))
+        .route("/peer/state", post(state::<P>))
+        .route("/peer/waiting", post(waiting::<P>))
+        .with_state(shared)
+}
+
+async fn ping<P: Platform>(State(shared): State<Arc<Shared<P>>>) -> Json<Pong> {
+    let now = clock::now();
+    let age = |at| now.saturating_sub(at).as_millis() as u64;
+    Json(Pong {
+        incarnation: shared.settings.incarnation,
+        renewal_age_ms: shared.owning().map(|owning| age(owning.renewed_at)),
+    })
+}
+
+async fn submit<P: Platform>(
+    State(shared): State<Arc<Shared<P>>>,
+    Json(record): Json<JobRecord>,
+) -> Result<Json<SubmitWire>, StatusCode> {
+    let record = Arc::new(record);
+    let asked = ask(&shared, |reply| OwnerRequest::Submit { record, reply }).await?;
+    Ok(Json(match asked {
+        Some(SubmitReply::Accepted) => SubmitWire::Accepted,
+        Some(SubmitReply::Unknown) | None => SubmitWire::Unknown,
+    }))
+}
+
+async fn cancel<P: Platform>(
+    State(shared): State<Arc<Shared<P>>>,
+    Json(call): Json<JobCall>,
+) -> Result<Json<CancelWire>, StatusCode> {
+    let asker = call.asker.map(Into::into);
+    let asked = ask(&shared, |reply| OwnerRequest::Cancel { job: call.job, asker, reply }).await?;
+    Ok(Json(match asked {
+        Some(CancelReply::Done) => CancelWire::Done,
+        Some(CancelReply::NoJob) => CancelWire::NoJob,
+        Some(CancelReply::OtherTeam) => CancelWire::OtherTeam,
+        Some(CancelReply::Unknown) | None => CancelWire::Unknown,
+    }))
+}
+
+async fn state<P: Platform>(
+    State(shared): State<Arc<Shared<P>>>,
+    Json(call): Json<JobCall>,
+) -> Result<Json<StateWire>, StatusCode> {
+    let asker = call.asker.map(Into::into);
+    let asked = ask(&shared, |reply| OwnerRequest::State { job: call.job, asker, reply }).await?;
+    let reply = asked.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(Json(match reply {
+        StateReply::Found(JobView::Queued) => StateWire::Queued,
+        StateReply::Found(JobView::Running) => StateWire::Running,
+        StateReply::Found(JobView::Ended(FinalState::Completed)) => StateWire::Completed,
+        StateReply::Found(JobView::Ended(FinalState::Failed)) => StateWire::Failed,
+        StateReply::Found(JobView::Ended(FinalState::Cancelled)) => StateWire::Cancelled,
+        StateReply::NoJob => StateWire::NoJob,
+        StateReply::OtherTeam => StateWire::OtherTeam,
+    }))
+}
+
+async fn waiting<P: Platform>(
+    State(shared): State<Arc<Shared<P>>>,
+    Json(call): Json<QueueCall>,
+) -> Result<Json<usize>, StatusCode> {
+    let queue = call.queue.into();
+    let asked = ask(&shared, |reply| OwnerRequest::Waiting { queue, reply }).await?;
+    asked.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// Hands a request to the owner in this process; none if it gave up before it answered.
+async fn ask<P: Platform, T>(
+    shared: &Shared<P>,
+    request: impl FnOnce(oneshot::Sender<T>) -> OwnerRequest,
+) -> Result<Option<T>, StatusCode> {
+    let owning = shared.owning().ok_or(StatusCode::CONFLICT)?;
+    let (reply, answer) = oneshot::channel();
+    let sent = owning.requests.try_send(request(reply));
+    sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(answer.await.ok())
+}
--- /dev/null
+++ b/crates/coordinator/src/rows.rs
@@ -0,0 +1,85 @@
+//! Rows of the product's tables.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use scheduler::JobRecord;
+use scheduler::WaveId;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Key of the owner's row.
+pub const OWNER_KEY: &str = "owner";
+
+/// Begin of the keys of waves in the table of progress; no job's id begins so.
+pub const WAVE_PREFIX: &str = "wave/";
+
+/// Key of the row that says which hosts of a wave have been maintained.
+pub fn wave_key(wave: WaveId) -> String {
+    format!("{WAVE_PREFIX}{wave}")
+}
+
+/// Who owns the scheduling.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct OwnerRow {
+    /// Fencing token of its orders; each owner's is higher.
+    pub epoch: u64,
+    /// Number of its last transaction.
+    pub sequence: u64,
+    /// Node.
+    pub node: String,
+    /// Unique number of the node's process.
+    pub incarnation: u64,
+    /// Address for other nodes; none at the very first.
+    pub address: Option<SocketAddr>,
+    /// True if it has given up the ownership.
+    pub is_released: bool,
+    /// Workers of which it has lost sight.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub lost: Vec<LostRow>,
+}
+
+/// A worker of which an owner has lost sight.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LostRow {
+    /// Worker.
+    pub worker: String,
+    /// Time left until its lease is over, in milliseconds, when the row was written.
+    pub lease_left_ms: u64,
+    /// Runs that may be there: unit and number.
+    pub runs: Vec<(String, u32)>,
+}
+
+/// A request that a node stored since it could not reach the owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum InboxRow {
+    /// A job was submitted.
+    Submit(JobRecord),
+    /// A job was cancelled.
+    Cancel {
+        /// Id of the job.
+        job: String,
+    },
+}
+
+/// A row whose value could not be read.
+#[derive(Debug, thiserror::Error)]
+#[error("row {key} cannot be read: {source}")]
+pub struct BadRow {
+    key: String,
+    source: serde_json::Error,
+}
+
+/// Value of a row.
+pub fn encode<T: Serialize>(value: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(value).expect("rows have string keys only"))
+}
+
+/// Reads the value of a row.
+pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, BadRow> {
+    serde_json::from_slice(value).map_err(|source| BadRow { key: key.to_owned(), source })
+}
--- /dev/null
+++ b/crates/coordinator/src/shared.rs
@@ -0,0 +1,193 @@
+//! What the tasks of a node share.
+//!
+//! Lock order: `place` before `owner`; none is held across an await.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use scheduler::JobRecord;
+use scheduler::JobView;
+use scheduler::Moment;
+use scheduler::QueueName;
+use scheduler::SortedMap;
+use scheduler::TeamName;
+use scheduler::Wave;
+use scheduler::WaveId;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::config::EntryConfig;
+use crate::http::Client;
+use crate::node::NodeSettings;
+use crate::ports::RowVersion;
+use crate::rows::OwnerRow;
+
+/// What operators have set, as last read.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Operated {
+    /// Configuration; none before the first was read.
+    pub config: Option<Arc<EntryConfig>>,
+    /// Waves.
+    pub waves: SortedMap<WaveId, Wave>,
+    /// When the read that found this to be the newest was sent.
+    pub confirmed_at: Moment,
+}
+
+/// Where the owner is, as far as the node knows.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnerPlace {
+    /// The owner's row.
+    pub row: OwnerRow,
+    /// Version of the row.
+    pub version: RowVersion,
+    /// Calls go to the store instead until then, since the owner did not answer.
+    pub avoided_until: Moment,
+}
+
+/// The ownership that this node holds.
+#[derive(Clone, Debug)]
+pub(crate) struct Owning {
+    /// Fencing token.
+    pub epoch: u64,
+    /// Takes requests for the owner.
+    pub requests: mpsc::Sender<OwnerRequest>,
+    /// When the last transaction that was committed was sent.
+    pub renewed_at: Moment,
+    /// True once the owner has read what is stored.
+    pub is_ready: bool,
+}
+
+/// What became of a submission at the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SubmitReply {
+    /// The job is stored.
+    Accepted,
+    /// The job may be stored.
+    Unknown,
+}
+
+/// What became of a cancellation at the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CancelReply {
+    /// It is stored, or the job had ended before.
+    Done,
+    /// There is no such job.
+    NoJob,
+    /// The job is another team's.
+    OtherTeam,
+    /// It may be stored.
+    Unknown,
+}
+
+/// What the owner knows of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StateReply {
+    /// What callers are shown.
+    Found(JobView),
+    /// There is no such job.
+    NoJob,
+    /// The job is another team's.
+    OtherTeam,
+}
+
+/// Who asks about a job: a team, or anybody on an open queue.
+pub(crate) type Asker = Option<TeamName>;
+
+/// A request to the owner.
+#[derive(Debug)]
+pub(crate) enum OwnerRequest {
+    /// Accept a job.
+    Submit {
+        /// The job.
+        record: Arc<JobRecord>,
+        /// Gets the answer.
+        reply: oneshot::Sender<SubmitReply>,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// Id.
+        job: String,
+        /// Who asks.
+        asker: Asker,
+        /// Gets the answer.
+        reply: oneshot::Sender<CancelReply>,
+    },
+    /// Tell the state of a job.
+    State {
+        /// Id.
+        job: String,
+        /// Who asks.
+        asker: Asker,
+        /// Gets the answer.
+        reply: oneshot::Sender<StateReply>,
+    },
+    /// Count the jobs of a queue that wait.
+    Waiting {
+        /// Queue.
+        queue: QueueName,
+        /// Gets the answer.
+        reply: oneshot::Sender<usize>,
+    },
+    /// Give up the ownership.
+    Release {
+        /// Told when that is stored.
+        reply: oneshot::Sender<()>,
+    },
+}
+
+/// What the tasks of a node share.
+pub(crate) struct Shared<P> {
+    pub settings: NodeSettings,
+    pub platform: P,
+    pub client: Client,
+    pub operated: watch::Sender<Operated>,
+    pub place: Mutex<OwnerPlace>,
+    pub owner: Mutex<Option<Owning>>,
+    pub is_stopping: watch::Sender<bool>,
+    pub telemetry: telemetry::Telemetry,
+}
+
+impl<P> Shared<P> {
+    /// Configuration in force here, and how long ago it was surely the newest.
+    pub fn config(&self, now: Moment) -> Option<(Arc<EntryConfig>, Duration)> {
+        let operated = self.operated.borrow();
+        let config = operated.config.clone()?;
+        Some((config, now.saturating_sub(operated.confirmed_at)))
+    }
+
+    /// The ownership that this node holds.
+    pub fn owning(&self) -> Option<Owning> {
+        self.owner.lock().expect("no holder panics").clone()
+    }
+
+    /// Where the owner is.
+    pub fn owner_place(&self) -> OwnerPlace {
+        self.place.lock().expect("no holder panics").clone()
+    }
+
+    /// Notes the owner's row.
+    pub fn set_owner_row(&self, row: OwnerRow, version: RowVersion) {
+        let mut place = self.place.lock().expect("no holder panics");
+        if version < place.version {
+            return;
+        }
+        if row.incarnation != place.row.incarnation {
+            place.avoided_until = Moment::ZERO;
+        }
+        place.row = row;
+        place.version = version;
+    }
+
+    /// Sends calls to the store instead of the owner for a while.
+    pub fn avoid_owner(&self, until: Moment) {
+        let mut place = self.place.lock().expect("no holder panics");
+        place.avoided_until = place.avoided_until.max(until);
+    }
+
+    /// True once the node is to stop.
+    pub fn is_stopping(&self) -> bool {
+        *self.is_stopping.borrow()
+    }
+}
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -51,6 +51,12 @@
 pub enum Command {
     /// Run a node.
     Serve(Box<ServeArgs>),
+    /// Run a node on a platform whose workers fence orders.
+    ServePlatform {
+        /// Settings file that the platform writes, in JSON.
+        #[arg(long, env = "SAVORYPITCH_BOOT")]
+        settings: PathBuf,
+    },
     /// Check, accept and show contracts.
     #[command(subcommand)]
     Contract(ContractCommand),
--- a/crates/savorypitch/src/command.rs
+++ b/crates/savorypitch/src/command.rs
@@ -26,6 +26,9 @@
     let client = Client::new(args.target);
     match args.command {
         Command::Serve(serve_args) => serve::run(&serve_args),
+        Command::ServePlatform { settings } => {
+            platform_adapter::serve(&settings).map_err(Failure::from)
+        }
         Command::Contract(command) => contract::run(&client, command, json),
         Command::Key(command) => key::run(&client, command, json),
         Command::Queue(command) => queue::run(&client, command, json),
--- a/crates/savorypitch/src/failure.rs
+++ b/crates/savorypitch/src/failure.rs
@@ -37,6 +37,9 @@
     /// A node could not start.
     #[error("error: {0}")]
     Start(#[from] node::StartError),
+    /// A node on a platform could not start.
+    #[error("error: {0}")]
+    Serve(#[from] platform_adapter::ServeError),
 }
 
 impl Failure {
@@ -44,7 +47,7 @@
     pub fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
             Self::Refused(_) => 1,
-            Self::Findings(_) | Self::File { .. } | Self::Start(_) => 2,
+            Self::Findings(_) | Self::File { .. } | Self::Start(_) | Self::Serve(_) => 2,
             Self::Unknown(_) => 3,
             Self::Unreachable { .. } => 4,
         })
--- /dev/null
+++ b/crates/scheduler/src/commit.rs
@@ -0,0 +1,283 @@
+//! What is stored, and what follows once it is.
+//!
+//! One batch is on its way at a time. Ends of units count as stored when the batch that holds them is
+//! committed; only then do later steps start, are ends acknowledged to workers and do callers see a
+//! job as ended.
+
+use std::sync::Arc;
+
+use crate::JobId;
+use crate::Moment;
+use crate::job::JobRecord;
+use crate::job::UnitKey;
+use crate::progress::FinalState;
+use crate::progress::Progress;
+use crate::state::Batch;
+use crate::state::Done;
+use crate::state::EndedJob;
+use crate::state::Job;
+use crate::state::Occurrence;
+use crate::state::Scheduler;
+use crate::state::Unit;
+
+/// What became of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancelled {
+    /// It is to be stored with the next batch.
+    Pending,
+    /// The job had ended already.
+    Ended,
+    /// There is no such job.
+    Unknown,
+}
+
+impl Scheduler {
+    /// Takes in a job whose record is stored.
+    pub fn add_job(&mut self, record: Arc<JobRecord>, now: Moment) {
+        if self.jobs.contains(&record.id) || self.ended.contains(&record.id) {
+            return;
+        }
+        self.count_demand(&record, now);
+        let job = Job {
+            accepted_at: self.moment_of(record.accepted_ms).min(now),
+            record: record.clone(),
+            occurrences: Vec::new(),
+            next_occurrence: 0,
+            occurrences_over: 0,
+            ending: None,
+            is_ending_stored: false,
+            is_dirty: false,
+            has_begun: false,
+        };
+        self.jobs.insert(record.id.clone(), job);
+        self.begin_due_occurrences(&record.id, now);
+        self.needs_placing = true;
+    }
+
+    /// Cancels a job; its runs are stopped once that is stored.
+    pub fn cancel(&mut self, id: &str) -> Cancelled {
+        if self.ended.contains(id) {
+            return Cancelled::Ended;
+        }
+        let Some(job) = self.jobs.get_mut(id) else {
+            return Cancelled::Unknown;
+        };
+        match job.ending {
+            Some(_) if job.is_ending_stored => return Cancelled::Ended,
+            Some(_) => {}
+            None => {
+                job.ending = Some(FinalState::Cancelled);
+                job.is_dirty = true;
+            }
+        }
+        Cancelled::Pending
+    }
+
+    /// Makes the occurrences of a job that are due.
+    pub(crate) fn begin_due_occurrences(&mut self, id: &str, now: Moment) {
+        let unix_now_ms = self.unix_ms(now);
+        let (run_base, offset) = (self.run_base, self.unix_offset_ms);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        while job.next_occurrence < job.record.occurrences() {
+            let due_ms = job.record.due_ms(job.next_occurrence);
+            if job.record.is_timed() && due_ms > unix_now_ms {
+                return;
+            }
+            let due_at = Moment::from_millis((due_ms as i64 - offset).max(0) as u64).min(now);
+            let new_units = |step: &crate::job::Step| {
+                (0..step.count).map(|_| Unit::new(run_base, now)).collect::<Vec<Unit>>()
+            };
+            let steps = job.record.steps.iter().map(new_units).collect();
+            job.occurrences.push(Occurrence { number: job.next_occurrence, due_at, steps });
+            job.next_occurrence += 1;
+            self.needs_placing = true;
+        }
+    }
+
+    /// Changes that are not stored yet, of at most `rows_max` jobs.
+    pub fn take_batch(&mut self, rows_max: usize, now: Moment) -> Batch {
+        let mut batch = Batch::default();
+        let unix_now_ms = self.unix_ms(now);
+        let mut is_whole = true;
+        for (id, job) in self.jobs.iter_mut().filter(|(_, job)| job.is_dirty) {
+            if batch.progress.len() >= rows_max {
+                is_whole = false;
+                break;
+            }
+            job.is_dirty = false;
+            mark(job, Done::Ended, Done::Storing);
+            batch.progress.push((id.clone(), progress_of(job, unix_now_ms)));
+        }
+        // Ends are acknowledged only if nothing that they changed is left out.
+        if is_whole {
+            let unstored = self.workers.iter().filter(|(_, w)| w.ends_seen > w.ends_stored);
+            batch.ends = unstored
+                .map(|(id, worker)| (id.clone(), worker.entry.born_ms, worker.ends_seen))
+                .collect();
+        }
+        for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
+            wave.is_dirty = false;
+            batch.waves.push((*id, wave.begun.clone()));
+        }
+        let kept = self.settings.ended_kept;
+        let is_old = |job: &EndedJob| now.saturating_sub(job.ended_at) > kept;
+        let room = rows_max.saturating_sub(batch.progress.len());
+        let old = self.ended.iter().filter(|(_, job)| is_old(job)).take(room);
+        batch.forgotten = old.map(|(id, _)| id.clone()).collect();
+        batch
+    }
+
+    /// A batch has been stored.
+    pub fn committed(&mut self, batch: &Batch, now: Moment) {
+        for (id, progress) in &batch.progress {
+            self.job_stored(id, progress, now);
+        }
+        for (id, born_ms, number) in &batch.ends {
+            if let Some(worker) = self.workers.get_mut(id)
+                && worker.entry.born_ms == *born_ms
+            {
+                worker.ends_stored = worker.ends_stored.max(*number);
+            }
+        }
+        for id in &batch.forgotten {
+            self.ended.remove(id);
+        }
+        self.needs_placing = true;
+    }
+
+    fn job_stored(&mut self, id: &JobId, progress: &Progress, now: Moment) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        mark(job, Done::Storing, Done::Stored);
+        if progress.ended.is_some() {
+            job.is_ending_stored = true;
+            self.stop_runs_of(id, now);
+        }
+        self.drop_finished(id, now);
+    }
+
+    /// Forgets occurrences that are over, and the job once it has ended and its runs are gone.
+    pub(crate) fn drop_finished(&mut self, id: &str, now: Moment) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let before = job.occurrences.len();
+        job.occurrences.retain(|occurrence| !is_over(occurrence));
+        job.occurrences_over += (before - job.occurrences.len()) as u32;
+        let Some(state) = job.ending.filter(|_| job.is_ending_stored) else {
+            return;
+        };
+        if units(job).any(|unit| unit.run.is_some()) {
+            return;
+        }
+        let ended = EndedJob {
+            state,
+            queue: job.record.queue.clone(),
+            team: job.record.team.clone(),
+            ended_at: now,
+        };
+        if let Some(job) = self.jobs.remove(id) {
+            self.ended.insert(job.record.id.clone(), ended);
+        }
+    }
+
+    /// Keys of the units of a job that have a run.
+    pub(crate) fn runs_of(&self, id: &str) -> Vec<UnitKey> {
+        let Some(job) = self.jobs.get(id) else {
+            return Vec::new();
+        };
+        let mut keys = Vec::new();
+        for occurrence in &job.occurrences {
+            for (step, units) in occurrence.steps.iter().enumerate() {
+                let with_run = units.iter().enumerate().filter(|(_, unit)| unit.run.is_some());
+                keys.extend(with_run.map(|(index, _)| UnitKey {
+                    job: job.record.id.clone(),
+                    occurrence: occurrence.number,
+                    step,
+                    index,
+                }));
+            }
+        }
+        keys
+    }
+
+    fn stop_runs_of(&mut self, id: &str, now: Moment) {
+        for key in self.runs_of(id) {
+            self.order_stop(&key, now);
+        }
+    }
+}
+
+/// All units of a job.
+pub(crate) fn units(job: &Job) -> impl Iterator<Item = &Unit> {
+    job.occurrences.iter().flat_map(|occurrence| occurrence.steps.iter().flatten())
+}
+
+fn mark(job: &mut Job, from: Done, to: Done) {
+    let steps = job.occurrences.iter_mut().flat_map(|occurrence| &mut occurrence.steps);
+    for unit in steps.flatten().filter(|unit| unit.done == from) {
+        unit.done = to;
+    }
+}
+
+/// True if all units have ended as done, stored or not.
+pub(crate) fn has_ended(occurrence: &Occurrence) -> bool {
+    occurrence.steps.iter().flatten().all(|unit| unit.done != Done::No)
+}
+
+fn is_over(occurrence: &Occurrence) -> bool {
+    let over = |unit: &Unit| unit.done == Done::Stored && unit.run.is_none();
+    occurrence.steps.iter().flatten().all(over)
+}
+
+/// What is to be stored of a job.
+fn progress_of(job: &Job, unix_now_ms: u64) -> Progress {
+    let mut progress = Progress {
+        ended: job.ending,
+        ended_ms: job.ending.map(|_| unix_now_ms),
+        queue: job.record.queue.to_string(),
+        team: job.record.team.as_ref().map(|team| team.to_string()),
+        ..Progress::default()
+    };
+    if job.ending.is_some() {
+        return progress;
+    }
+    // Occurrences that are over were dropped; all before the first that is left are among them.
+    let first_left = job.occurrences.first().map_or(job.next_occurrence, |o| o.number);
+    let steps = job.record.steps.len();
+    for number in 0..job.next_occurrence {
+        let is_dropped = !job.occurrences.iter().any(|o| o.number == number);
+        if number < first_left || is_dropped {
+            progress.steps_done.extend((0..steps).map(|step| (number, step)));
+        }
+    }
+    for occurrence in &job.occurrences {
+        for (step, units) in occurrence.steps.iter().enumerate() {
+            note_step(&mut progress, occurrence.number, step, units);
+        }
+    }
+    progress
+}
+
+fn note_step(progress: &mut Progress, number: u32, step: usize, units: &[Unit]) {
+    if units.iter().all(|unit| unit.done != Done::No) {
+        progress.steps_done.push((number, step));
+        return;
+    }
+    for (index, unit) in units.iter().enumerate() {
+        let position = (number, step, index);
+        if unit.done != Done::No {
+            progress.units_done.push(position);
+            continue;
+        }
+        if unit.failures > 0 {
+            progress.failures.push((position, unit.failures, unit.failed_run));
+        }
+        if !unit.saved.is_empty() {
+            progress.saved.push((position, unit.saved.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/config.rs
@@ -0,0 +1,68 @@
+//! What operators have set: queues, pools and teams.
+
+use std::time::Duration;
+
+use crate::PoolName;
+use crate::QueueName;
+use crate::TeamName;
+use crate::job::Resources;
+use crate::sorted::SortedMap;
+
+/// Queues, pools and teams of one version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Version.
+    pub version: u64,
+    /// Queues by name.
+    pub queues: SortedMap<QueueName, Queue>,
+    /// Pools by name.
+    pub pools: SortedMap<PoolName, Pool>,
+    /// Teams by name.
+    pub teams: SortedMap<TeamName, Team>,
+}
+
+/// A queue of jobs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// Pool whose workers run its units.
+    pub pool: PoolName,
+    /// Rank; 0 comes first.
+    pub priority: u32,
+    /// Failed runs of a unit after which its job has failed.
+    pub attempts_max: u32,
+    /// Objective of a job's time, as a multiple of its longest chain of work.
+    pub stretch: f64,
+    /// Time that is added to the objective.
+    pub objective: Duration,
+    /// What is known of the advisor's times, if the queue needs advice on workers.
+    pub advice: Option<AdviceTimes>,
+}
+
+/// Times of the advisor of a queue.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdviceTimes {
+    /// Fixed time of a call.
+    pub call: Duration,
+    /// Time for each worker that is asked about.
+    pub each: Duration,
+    /// Life of a ticket.
+    pub valid: Duration,
+}
+
+/// A pool of hosts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pool {
+    /// True if its hosts are off and take no work.
+    pub is_spare: bool,
+    /// True if its workers refuse what does not fit.
+    pub rejects_overload: bool,
+}
+
+/// A team of a client account.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Team {
+    /// Share when all is full.
+    pub weight: u64,
+    /// What it may have running; a zero part is no limit.
+    pub bound: Resources,
+}
--- /dev/null
+++ b/crates/scheduler/src/ends.rs
@@ -0,0 +1,489 @@
+//! What workers report, and what became of orders to them.
+
+use crate::JobId;
+use crate::Moment;
+use crate::WorkerId;
+use crate::commit::has_ended;
+use crate::job::UnitKey;
+use crate::progress::FinalState;
+use crate::report::Action;
+use crate::report::Ending;
+use crate::report::Report;
+use crate::report::RunEnd;
+use crate::report::Running;
+use crate::report::StartReply;
+use crate::report::WorkerEntry;
+use crate::state::Done;
+use crate::state::Phase;
+use crate::state::Run;
+use crate::state::Scheduler;
+use crate::state::Stop;
+use crate::state::Unit;
+use crate::worker::Contact;
+
+/// Failures in a row to reach a worker after which it gets no new runs.
+const MISSES_MAX: u32 = 2;
+/// Time for which a worker that refused an order gets no new runs.
+const REFUSED_PAUSE: Moment = Moment::from_millis(800);
+/// Time for which a worker that did not answer an order gets no new runs.
+const UNANSWERED_PAUSE: Moment = Moment::from_millis(2_500);
+/// Time after which an unanswered stop is sent again.
+const STOP_AGAIN: Moment = Moment::from_millis(700);
+/// Numbers that are left out after a worker called the number of a run too low.
+const RUNS_SKIPPED: u32 = 8;
+/// Percentage of a lasting unit that is wholly at work.
+const AT_WORK_PERCENT: u32 = 100;
+
+impl Scheduler {
+    /// Takes in what a worker has reported in answer to a request that was sent at `sent_at`.
+    pub fn report(&mut self, id: &WorkerId, report: &Report, sent_at: Moment, now: Moment) {
+        if !self.take_contact(id, report, now) {
+            return;
+        }
+        self.take_ends(id, &report.ended, now);
+        for running in &report.running {
+            self.take_running(id, running, now);
+        }
+        self.take_absent(id, report, sent_at, now);
+    }
+
+    /// A request to a worker was not answered.
+    pub fn no_answer(&mut self, id: &WorkerId, now: Moment) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.misses += 1;
+        let (misses, age) = (worker.misses, worker.contact);
+        if misses == MISSES_MAX {
+            worker.shunned_until = worker.shunned_until.max(now + UNANSWERED_PAUSE);
+            let why = format!("misses={misses} contact={age:?}");
+            self.note("worker does not answer", id.clone(), why);
+        }
+    }
+
+    /// The address of a worker is known to be another's, or the worker to have ended.
+    pub fn worker_gone(&mut self, id: &WorkerId, why: &str, now: Moment) {
+        self.note("worker is gone", id.clone(), why.to_owned());
+        self.clear_runs_on(id, now);
+        self.workers.remove(id);
+    }
+
+    /// Takes in what became of an order to start a run.
+    pub fn start_reply(
+        &mut self,
+        worker: &WorkerId,
+        key: &UnitKey,
+        number: u32,
+        reply: StartReply,
+        now: Moment,
+    ) {
+        let is_current = |unit: &Unit| {
+            unit.run.as_ref().is_some_and(|run| run.number == number && run.worker == *worker)
+        };
+        if reply == StartReply::Fenced {
+            self.is_fenced = true;
+        }
+        if !self.unit(key).is_some_and(is_current) {
+            return;
+        }
+        match reply {
+            StartReply::Started => self.confirm(key, now),
+            StartReply::Unknown => self.doubt(worker, key, now),
+            StartReply::OtherInstance => self.worker_gone(worker, "another instance answers", now),
+            _ => self.not_started(worker, key, reply, now),
+        }
+    }
+
+    /// Takes in whether a stop was answered.
+    pub fn stop_reply(
+        &mut self,
+        worker: &WorkerId,
+        key: &UnitKey,
+        number: u32,
+        is_answered: bool,
+        now: Moment,
+    ) {
+        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+            return;
+        };
+        if run.number != number || run.worker != *worker {
+            return;
+        }
+        if let Some(stop) = run.stop.as_mut().filter(|_| is_answered) {
+            stop.answered_at = Some(now);
+        }
+    }
+
+    /// Orders the run of a unit to stop, unless that was ordered a moment ago.
+    pub(crate) fn order_stop(&mut self, key: &UnitKey, now: Moment) {
+        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+            return;
+        };
+        let is_due = match &run.stop {
+            None => true,
+            Some(Stop { answered_at: Some(_), .. }) => false,
+            Some(stop) => now.saturating_sub(stop.sent_at) >= STOP_AGAIN,
+        };
+        if !is_due {
+            return;
+        }
+        run.stop = Some(Stop { sent_at: now, answered_at: None });
+        let (worker, number) = (run.worker.clone(), run.number);
+        self.send_stop(&worker, key, number);
+    }
+
+    /// Sends again the stops that were not answered.
+    pub(crate) fn repeat_stops(&mut self, now: Moment) {
+        let mut due = Vec::new();
+        for worker in self.workers.values() {
+            for key in &worker.runs {
+                let stop = self.unit(key).and_then(|unit| unit.run.as_ref()?.stop);
+                if stop.is_some_and(|stop| stop.answered_at.is_none()) {
+                    due.push(key.clone());
+                }
+            }
+        }
+        for key in due {
+            self.order_stop(&key, now);
+        }
+    }
+
+    /// Ends the leases that are over: what ran on silent workers does not run any more.
+    pub(crate) fn expire_leases(&mut self, now: Moment) {
+        let is_over = |worker: &crate::worker::Worker| {
+            now >= worker.lease_over_at
+                && !worker.is_in_contact(self.settings.contact_max, now)
+                && (!worker.runs.is_empty() || worker.contact == Contact::Unheard)
+        };
+        let over = self.workers.iter().filter(|(_, worker)| is_over(worker));
+        let over: Vec<WorkerId> = over.map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.note("lease of a silent worker is over", id.clone(), String::new());
+            self.clear_runs_on(&id, now);
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.contact == Contact::Unheard
+            {
+                worker.contact = Contact::Heard(Moment::ZERO);
+            }
+        }
+        let is_left = |worker: &crate::worker::Worker| {
+            !worker.is_listed
+                && worker.runs.is_empty()
+                && now >= worker.lease_over_at
+                && !worker.is_in_contact(self.settings.contact_max, now)
+        };
+        let left = self.workers.iter().filter(|(_, worker)| is_left(worker));
+        let left: Vec<WorkerId> = left.map(|(id, _)| id.clone()).collect();
+        for id in left {
+            self.workers.remove(&id);
+        }
+    }
+
+    /// Notes that a worker answers; false if the answer is of an earlier life.
+    fn take_contact(&mut self, id: &WorkerId, report: &Report, now: Moment) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return false;
+        };
+        if worker.entry.born_ms != 0 && report.born_ms > worker.entry.born_ms {
+            let entry = WorkerEntry { born_ms: report.born_ms, ..worker.entry.clone() };
+            self.worker_reborn(id, entry, now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return false;
+        };
+        if report.born_ms != 0 && report.born_ms < worker.entry.born_ms {
+            return false;
+        }
+        if worker.entry.born_ms == 0 {
+            worker.entry.born_ms = report.born_ms;
+        }
+        if !worker.is_in_contact(self.settings.contact_max, now) {
+            self.needs_placing = true;
+        }
+        worker.contact = Contact::Heard(now);
+        worker.misses = 0;
+        worker.read_clock(report.clock_ms, now);
+        true
+    }
+
+    fn take_ends(&mut self, id: &WorkerId, ended: &[RunEnd], now: Moment) {
+        for end in ended {
+            let Some(worker) = self.workers.get_mut(id) else {
+                return;
+            };
+            if end.number <= worker.ends_seen {
+                continue;
+            }
+            worker.ends_seen = end.number;
+            self.take_end(id, end, now);
+        }
+    }
+
+    fn take_end(&mut self, id: &WorkerId, end: &RunEnd, now: Moment) {
+        let key = &end.unit;
+        let Some(unit) = self.unit_mut(key) else {
+            return;
+        };
+        unit.last_run = unit.last_run.max(end.run);
+        let is_current =
+            unit.run.as_ref().is_some_and(|run| run.worker == *id && run.number <= end.run);
+        if !end.saved.is_empty() && unit.done == Done::No {
+            unit.saved = end.saved.clone();
+        }
+        let is_first = end.ending == Ending::Done && unit.done == Done::No;
+        let is_new_failure = end.ending == Ending::Failed && end.run > unit.failed_run;
+        let since = unit.run.as_ref().filter(|_| is_current).map(|run| run.since);
+        if is_current {
+            self.clear_run(key, now);
+        }
+        self.learn(id, key, end.ending, since, now);
+        if is_first {
+            self.unit_done(key, now);
+        }
+        if is_new_failure {
+            self.unit_failed(id, key, end.run, now);
+        }
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.is_dirty |= is_first || is_new_failure || !end.saved.is_empty();
+        }
+        self.drop_finished(&key.job, now);
+    }
+
+    fn unit_done(&mut self, key: &UnitKey, now: Moment) {
+        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step))
+        else {
+            return;
+        };
+        let (is_gang, is_lasting) = (step.is_gang, step.is_lasting);
+        if is_lasting {
+            return;
+        }
+        for peer in self.peers_of(key, is_gang) {
+            let Some(unit) = self.unit_mut(&peer) else {
+                continue;
+            };
+            unit.done = Done::Ended;
+            // A run that is elsewhere, after a lapse, has nothing left to do.
+            self.order_stop(&peer, now);
+        }
+        self.conclude(&key.job, now);
+    }
+
+    /// Ends a job of which all units are done.
+    pub(crate) fn conclude(&mut self, id: &JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let all_begun = job.next_occurrence >= job.record.occurrences();
+        if job.ending.is_none() && all_begun && job.occurrences.iter().all(has_ended) {
+            job.ending = Some(FinalState::Completed);
+            job.is_dirty = true;
+        }
+        self.drop_finished(id, now);
+    }
+
+    fn unit_failed(&mut self, id: &WorkerId, key: &UnitKey, number: u32, now: Moment) {
+        let Some(unit) = self.unit_mut(key) else {
+            return;
+        };
+        unit.failures += 1;
+        unit.failed_run = number;
+        if !unit.avoid.contains(id) {
+            unit.avoid.push(id.clone());
+        }
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let step = &job.record.steps[key.step];
+        if step.is_lasting {
+            return;
+        }
+        let failures: u32 = self
+            .peers_of(key, step.is_gang)
+            .iter()
+            .filter_map(|peer| self.unit(peer))
+            .map(|unit| unit.failures)
+            .sum();
+        let attempts_max = self.attempts_max(&job.record.queue);
+        if failures < attempts_max || job.ending.is_some() {
+            return;
+        }
+        self.note("job failed", key, format!("failures={failures} attempts_max={attempts_max}"));
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.ending = Some(FinalState::Failed);
+        }
+        for run in self.runs_of(&key.job) {
+            self.order_stop(&run, now);
+        }
+    }
+
+    /// Units that end together with `key`: all of a gang, else itself.
+    fn peers_of(&self, key: &UnitKey, is_gang: bool) -> Vec<UnitKey> {
+        let count = self.jobs.get(&key.job).map_or(0, |job| job.record.steps[key.step].count);
+        match is_gang {
+            true => (0..count as usize).map(|index| UnitKey { index, ..key.clone() }).collect(),
+            false => vec![key.clone()],
+        }
+    }
+
+    /// Failed runs of a unit after which its job has failed.
+    pub(crate) fn attempts_max(&self, queue: &str) -> u32 {
+        self.config.queues.get(queue).map_or(DEFAULT_ATTEMPTS, |queue| queue.attempts_max.max(1))
+    }
+
+    fn take_running(&mut self, id: &WorkerId, running: &Running, now: Moment) {
+        let key = &running.unit;
+        let Some(unit) = self.unit(key) else {
+            self.send_stop(id, key, running.run);
+            return;
+        };
+        let is_wanted = unit.done == Done::No
+            && self.jobs.get(&key.job).is_some_and(|job| !job.is_ending_stored);
+        match &unit.run {
+            Some(run) if run.worker == *id => self.see_run(key, running, now),
+            // The unit runs elsewhere, so this run is left from before.
+            Some(_) => self.send_stop(id, key, running.run),
+            None => self.adopt(id, running, now),
+        }
+        if !is_wanted {
+            self.order_stop(key, now);
+        }
+    }
+
+    fn see_run(&mut self, key: &UnitKey, running: &Running, now: Moment) {
+        let is_lasting = self.is_lasting(key);
+        let Some(unit) = self.unit_mut(key) else {
+            return;
+        };
+        unit.last_run = unit.last_run.max(running.run);
+        if is_lasting && running.percent < AT_WORK_PERCENT {
+            unit.away_at = now;
+        }
+        let Some(run) = unit.run.as_mut() else {
+            return;
+        };
+        run.number = running.run;
+        run.phase = Phase::Listed;
+        if running.percent != run.percent {
+            run.percent = running.percent;
+            run.progressed_at = now;
+        }
+        run.load = running.load;
+    }
+
+    /// Takes in a run that an owner before has started, or that was started late.
+    fn adopt(&mut self, id: &WorkerId, running: &Running, now: Moment) {
+        let key = &running.unit;
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let Some(step) = job.record.steps.get(key.step) else {
+            return;
+        };
+        let run = Run {
+            number: running.run,
+            worker: id.clone(),
+            phase: Phase::Listed,
+            since: now,
+            deadline_ms: 0,
+            room: step.room(),
+            need: step.need,
+            stop: None,
+            percent: running.percent,
+            progressed_at: now,
+            load: running.load,
+            pace_percent: 100,
+            harmed_since: None,
+        };
+        self.add_run(key, run, now);
+    }
+
+    /// Clears the runs that the worker neither lists nor can have yet.
+    fn take_absent(&mut self, id: &WorkerId, report: &Report, sent_at: Moment, now: Moment) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let mut absent = Vec::new();
+        for key in &worker.runs {
+            let Some(run) = self.unit(key).and_then(|unit| unit.run.as_ref()) else {
+                continue;
+            };
+            if report.running.iter().any(|running| running.unit == *key) {
+                continue;
+            }
+            let is_stopped =
+                run.stop.and_then(|stop| stop.answered_at).is_some_and(|at| at <= sent_at);
+            let is_late = run.deadline_ms != 0 && worker.is_past(run.deadline_ms, sent_at);
+            let is_gone = match run.phase {
+                Phase::Ordered => false,
+                Phase::Confirmed(at) => at <= sent_at,
+                Phase::Listed => run.since <= sent_at,
+                Phase::InDoubt => is_stopped || is_late || run.deadline_ms == 0,
+            };
+            if is_gone || is_stopped {
+                absent.push(key.clone());
+            }
+        }
+        for key in absent {
+            self.clear_run(&key, now);
+            self.drop_finished(&key.job, now);
+        }
+    }
+
+    fn confirm(&mut self, key: &UnitKey, now: Moment) {
+        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+            return;
+        };
+        if run.phase != Phase::Listed {
+            run.phase = Phase::Confirmed(now);
+            run.progressed_at = now;
+        }
+    }
+
+    fn doubt(&mut self, worker: &WorkerId, key: &UnitKey, now: Moment) {
+        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+            return;
+        };
+        if run.phase == Phase::Ordered {
+            run.phase = Phase::InDoubt;
+            self.order_stop(key, now);
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.shunned_until = worker.shunned_until.max(now + UNANSWERED_PAUSE);
+        }
+    }
+
+    fn not_started(&mut self, id: &WorkerId, key: &UnitKey, reply: StartReply, now: Moment) {
+        self.clear_run(key, now);
+        let Some(unit) = self.unit_mut(key) else {
+            return;
+        };
+        match reply {
+            StartReply::OldRun => unit.last_run += RUNS_SKIPPED,
+            StartReply::BadTicket => self.tickets.forget(key, id),
+            StartReply::Refused | StartReply::NotSent | StartReply::NoRoom => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.shunned_until = worker.shunned_until.max(now + REFUSED_PAUSE);
+                }
+            }
+            _ => {}
+        }
+        self.drop_finished(&key.job, now);
+    }
+
+    fn send_stop(&mut self, worker: &WorkerId, key: &UnitKey, run: u32) {
+        let Some(entry) = self.workers.get(worker).map(|worker| &worker.entry) else {
+            return;
+        };
+        let (worker, address) = (worker.clone(), entry.address);
+        self.actions.push(Action::Stop { worker, address, unit: key.clone(), run });
+    }
+
+    pub(crate) fn is_lasting(&self, key: &UnitKey) -> bool {
+        let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
+        step.is_some_and(|step| step.is_lasting)
+    }
+}
+
+/// Failed runs after which a job has failed, if its queue is not configured any more.
+const DEFAULT_ATTEMPTS: u32 = 3;
--- /dev/null
+++ b/crates/scheduler/src/hosts.rs
@@ -0,0 +1,247 @@
+//! Hosts: their list, and how one is emptied before it is moved or maintained.
+//!
+//! A host that is to leave its pool is cordoned: it gets no new runs. Its units finish, save their
+//! state or start elsewhere; units of a step with a budget leave one after another, as the budget
+//! allows. The order goes out once nothing runs on the host.
+
+use std::time::Duration;
+
+use crate::HostName;
+use crate::Moment;
+use crate::PoolName;
+use crate::WaveId;
+use crate::WorkerId;
+use crate::job::UnitKey;
+use crate::report::Action;
+use crate::report::HostEntry;
+use crate::report::HostReply;
+use crate::report::HostState;
+use crate::state::Done;
+use crate::state::Scheduler;
+use crate::state::Unit;
+
+/// Time that units which save their state get to finish on a cordoned host.
+const SAVING_GRACE: Duration = Duration::from_millis(1_500);
+/// Time that other units get to finish on a cordoned host.
+const FINISH_GRACE: Duration = Duration::from_millis(6_000);
+/// Pause before an order that failed is sent again.
+const ORDER_AGAIN: Duration = Duration::from_millis(700);
+/// Time after an accepted order in which the list may still show the state before.
+const LIST_LAG: Duration = Duration::from_millis(1_500);
+/// Percentage of a lasting unit that is wholly at work.
+const AT_WORK_PERCENT: u32 = 100;
+
+/// What is to become of a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Goal {
+    /// It is to be maintained.
+    Maintain(WaveId),
+    /// It is to work in another pool.
+    Move(PoolName),
+}
+
+/// A host.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// As the platform lists it.
+    pub entry: HostEntry,
+    /// What is to become of it.
+    pub goal: Option<Goal>,
+    /// An order is on its way.
+    pub is_ordered: bool,
+    /// No order before this time.
+    pub not_before: Moment,
+    /// Until when an accepted order keeps it away.
+    pub away_until: Moment,
+}
+
+impl Host {
+    fn new(entry: HostEntry) -> Self {
+        let (not_before, away_until) = (Moment::ZERO, Moment::ZERO);
+        Self { entry, goal: None, is_ordered: false, not_before, away_until }
+    }
+
+    /// True if it works and nothing is planned for it.
+    pub fn is_free(&self, now: Moment) -> bool {
+        self.entry.state == HostState::Up && self.goal.is_none() && now >= self.away_until
+    }
+}
+
+impl Scheduler {
+    /// Takes in the platform's list of hosts.
+    pub fn set_hosts(&mut self, entries: Vec<HostEntry>, now: Moment) {
+        let names: Vec<HostName> = entries.iter().map(|entry| entry.name.clone()).collect();
+        self.hosts.retain(|name, _| names.contains(name));
+        for entry in entries {
+            let name = entry.name.clone();
+            let host = self.hosts.entry_or(name, || Host::new(entry.clone()));
+            if host.entry.worker != entry.worker {
+                host.away_until = host.away_until.min(now);
+            }
+            if now >= host.away_until {
+                host.entry = entry;
+            }
+        }
+        self.hosts_listed = true;
+    }
+
+    /// Takes in what became of an order to a host.
+    pub fn host_reply(&mut self, name: &HostName, reply: HostReply, now: Moment) {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        host.is_ordered = false;
+        host.not_before = now + ORDER_AGAIN;
+        match reply {
+            HostReply::Accepted => self.host_accepted(name, now),
+            HostReply::Fenced => self.is_fenced = true,
+            HostReply::Invalid => host.goal = None,
+            // A host that is busy may be on its way already; the list tells.
+            HostReply::Busy | HostReply::Refused | HostReply::Unknown => {}
+        }
+    }
+
+    /// Decides which hosts are moved or maintained, and empties them.
+    pub(crate) fn plan_hosts(&mut self, now: Moment) {
+        self.drop_tickets();
+        if !self.hosts_listed {
+            return;
+        }
+        self.plan_waves(now);
+        self.plan_moves(now);
+        self.set_cordons(now);
+        let names: Vec<HostName> = self.hosts.iter().map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.advance_host(&name, now);
+        }
+    }
+
+    /// Worker of a host.
+    pub(crate) fn worker_of(&self, host: &Host) -> Option<WorkerId> {
+        host.entry.worker.clone()
+    }
+
+    fn host_accepted(&mut self, name: &HostName, now: Moment) {
+        let (move_time, maintain_time) = (self.settings.move_time, self.settings.maintain_time);
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        let worker = host.entry.worker.take();
+        match host.goal.take() {
+            Some(Goal::Maintain(wave)) => {
+                host.entry.state = HostState::Maintained;
+                host.away_until = now + maintain_time + LIST_LAG;
+                self.wave_host_begun(wave, name);
+            }
+            Some(Goal::Move(pool)) => {
+                host.entry.state = HostState::Moving;
+                host.entry.pool = pool;
+                host.away_until = now + move_time + LIST_LAG;
+            }
+            None => {}
+        }
+        // The order has ended all that ran on the host.
+        if let Some(worker) = worker {
+            self.clear_runs_on(&worker, now);
+            self.unlist_worker(&worker);
+        }
+    }
+
+    fn set_cordons(&mut self, now: Moment) {
+        let goals: Vec<WorkerId> = self
+            .hosts
+            .values()
+            .filter(|host| host.goal.is_some())
+            .filter_map(|host| host.entry.worker.clone())
+            .collect();
+        let mut is_freed = false;
+        for worker in self.workers.values_mut() {
+            let is_cordoned = goals.contains(&worker.entry.id);
+            if is_cordoned && !worker.is_cordoned {
+                worker.cordoned_at = now;
+            }
+            is_freed |= worker.is_cordoned && !is_cordoned;
+            worker.is_cordoned = is_cordoned;
+        }
+        self.needs_placing |= is_freed;
+    }
+
+    fn advance_host(&mut self, name: &HostName, now: Moment) {
+        let Some(host) = self.hosts.get(name) else {
+            return;
+        };
+        let Some(goal) = host.goal.clone() else {
+            return;
+        };
+        if host.is_ordered || host.entry.state != HostState::Up {
+            return;
+        }
+        let worker = self.worker_of(host).and_then(|id| self.workers.get(&id));
+        if let Some(worker) = worker.filter(|worker| !worker.runs.is_empty()) {
+            let id = worker.entry.id.clone();
+            self.empty_worker(&id, now);
+            return;
+        }
+        let may_order = now >= host.not_before
+            && now.saturating_sub(self.owner_since) >= self.settings.host_lease
+            && self.may_order(&goal);
+        if !may_order {
+            return;
+        }
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.is_ordered = true;
+        }
+        let host = name.clone();
+        self.actions.push(match goal {
+            Goal::Maintain(wave) => Action::MaintainHost { host, wave },
+            Goal::Move(pool) => Action::MoveHost { host, pool },
+        });
+    }
+
+    /// Lets the runs on a cordoned worker go.
+    pub(crate) fn empty_worker(&mut self, id: &WorkerId, now: Moment) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let cordoned_for = now.saturating_sub(worker.cordoned_at);
+        for key in worker.runs.clone() {
+            let Some(job) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            let step = &job.record.steps[key.step];
+            let may_stop = if step.is_lasting {
+                self.may_be_away(&key)
+            } else if step.saves {
+                cordoned_for >= SAVING_GRACE
+            } else {
+                cordoned_for >= FINISH_GRACE
+            };
+            if may_stop {
+                self.order_stop(&key, now);
+            }
+        }
+    }
+
+    /// True if a lasting unit may be stopped now: its step's budget allows it, and another worker can
+    /// take it.
+    fn may_be_away(&self, key: &UnitKey) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        let Some(occurrence) = job.occurrences.iter().find(|o| o.number == key.occurrence) else {
+            return false;
+        };
+        let step = &job.record.steps[key.step];
+        let is_away = |unit: &Unit| {
+            unit.done == Done::No
+                && unit
+                    .run
+                    .as_ref()
+                    .is_none_or(|run| run.stop.is_some() || run.percent < AT_WORK_PERCENT)
+        };
+        let units = occurrence.steps[key.step].iter().enumerate();
+        let others = units.filter(|(index, _)| *index != key.index);
+        let away = others.filter(|(_, unit)| is_away(unit)).count();
+        away < (step.away_max as usize).max(1)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/plan.rs
@@ -0,0 +1,314 @@
+//! One round of decisions.
+
+use crate::Moment;
+use crate::PoolName;
+use crate::UnitKey;
+use crate::WorkerId;
+use crate::choose::Candidates;
+use crate::job::Step;
+use crate::order::Rank;
+use crate::report::Action;
+use crate::report::StartOrder;
+use crate::state::Done;
+use crate::state::Job;
+use crate::state::Occurrence;
+use crate::state::Phase;
+use crate::state::Run;
+use crate::state::Scheduler;
+use crate::state::Unit;
+use crate::worker::Contact;
+
+/// A step with units that wait.
+#[derive(Clone, Debug)]
+struct Waiting {
+    rank: Rank,
+    pool: PoolName,
+    first: UnitKey,
+    units: Vec<usize>,
+}
+
+impl Scheduler {
+    /// Decides what to do now; the actions are fetched with [`Scheduler::take_actions`].
+    pub fn plan(&mut self, now: Moment) {
+        self.expire_leases(now);
+        self.begin_due(now);
+        self.review_runs(now);
+        self.repeat_stops(now);
+        self.plan_hosts(now);
+        self.pace_runs(now);
+        self.place(now);
+    }
+
+    /// Pool in which the units of a job run.
+    pub(crate) fn pool_of(&self, job: &Job) -> PoolName {
+        let queue = self.config.queues.get(&job.record.queue);
+        queue.map_or_else(|| job.record.pool.clone(), |queue| queue.pool.clone())
+    }
+
+    fn begin_due(&mut self, now: Moment) {
+        let is_open =
+            |job: &&Job| job.ending.is_none() && job.next_occurrence < job.record.occurrences();
+        let open = self.jobs.values().filter(is_open).map(|job| job.record.id.clone());
+        for id in open.collect::<Vec<_>>() {
+            self.begin_due_occurrences(&id, now);
+        }
+    }
+
+    fn place(&mut self, now: Moment) {
+        if !std::mem::take(&mut self.needs_placing) {
+            return;
+        }
+        let mut waiting = self.waiting_steps(now);
+        waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then(a.rank.cmp(&b.rank)));
+        for of_pool in waiting.chunk_by(|a, b| a.pool == b.pool) {
+            let mut candidates = self.candidates(&of_pool[0].pool, now);
+            for step in of_pool {
+                self.place_step(step, &mut candidates, now);
+            }
+        }
+    }
+
+    fn waiting_steps(&self, now: Moment) -> Vec<Waiting> {
+        let unheard = self.pools_with_unheard();
+        let mut waiting = Vec::new();
+        for job in self.jobs.values().filter(|job| job.ending.is_none()) {
+            let pool = self.pool_of(job);
+            let may_run_unseen =
+                job.accepted_at < self.owner_since && unheard.binary_search(&pool).is_ok();
+            for occurrence in &job.occurrences {
+                self.waiting_of(job, occurrence, &pool, may_run_unseen, now, &mut waiting);
+            }
+        }
+        waiting
+    }
+
+    fn waiting_of(
+        &self,
+        job: &Job,
+        occurrence: &Occurrence,
+        pool: &PoolName,
+        may_run_unseen: bool,
+        now: Moment,
+        waiting: &mut Vec<Waiting>,
+    ) {
+        let mut rank = None;
+        for (index, step) in job.record.steps.iter().enumerate() {
+            if !is_ready(step, occurrence) {
+                continue;
+            }
+            let units = occurrence.steps[index].iter().enumerate();
+            let waits = |unit: &Unit| {
+                unit.done == Done::No
+                    && unit.run.is_none()
+                    && (!may_run_unseen || unit.last_run > self.run_base)
+            };
+            let units: Vec<usize> =
+                units.filter(|(_, unit)| waits(unit)).map(|(index, _)| index).collect();
+            if units.is_empty() || (step.is_gang && units.len() < step.count as usize) {
+                continue;
+            }
+            let rank = *rank.get_or_insert_with(|| self.rank(job, occurrence, now));
+            let first = UnitKey {
+                job: job.record.id.clone(),
+                occurrence: occurrence.number,
+                step: index,
+                index: 0,
+            };
+            waiting.push(Waiting { rank, pool: pool.clone(), first, units });
+        }
+    }
+
+    /// Pools with workers that may run what an owner before has started.
+    fn pools_with_unheard(&self) -> Vec<PoolName> {
+        let unheard = self.workers.values().filter(|worker| worker.contact == Contact::Unheard);
+        let mut pools: Vec<PoolName> = unheard.map(|worker| worker.entry.pool.clone()).collect();
+        pools.sort();
+        pools.dedup();
+        pools
+    }
+
+    fn place_step(&mut self, waiting: &Waiting, candidates: &mut Candidates, now: Moment) {
+        let Some(job) = self.jobs.get(&waiting.first.job) else {
+            return;
+        };
+        let record = job.record.clone();
+        let step = &record.steps[waiting.first.step];
+        if self.needs_advice(&record.queue)
+            && !self.ask_advice(waiting_key(waiting), step, candidates, now)
+        {
+            return;
+        }
+        if step.is_gang {
+            self.place_gang(waiting, step, candidates, now);
+            return;
+        }
+        for &index in &waiting.units {
+            let key = UnitKey { index, ..waiting.first.clone() };
+            if !self.is_within_bound(&record, step, 1) {
+                return;
+            }
+            let Some(chosen) = self.choose(&key, step, candidates, None, now) else {
+                // The other units of the step need as much.
+                return;
+            };
+            let number = self.unit(&key).map_or(0, |unit| unit.last_run) + 1;
+            candidates.place(chosen, &key, step);
+            let worker = candidates.workers()[chosen].id.clone();
+            self.order_start(&key, step, worker, number, now);
+        }
+    }
+
+    fn place_gang(
+        &mut self,
+        waiting: &Waiting,
+        step: &Step,
+        candidates: &mut Candidates,
+        now: Moment,
+    ) {
+        let Some(record) = self.jobs.get(&waiting.first.job).map(|job| job.record.clone()) else {
+            return;
+        };
+        if !self.is_within_bound(&record, step, u64::from(step.count)) {
+            return;
+        }
+        let racks = candidates.racks().into_iter().map(Some);
+        let wanted: Vec<_> = match step.same_rack {
+            true => racks.chain([None]).collect(),
+            false => vec![None],
+        };
+        let placed = wanted.iter().find_map(|rack| {
+            self.gang_places(waiting, step, candidates.clone(), rack.as_deref(), now)
+        });
+        let Some((places, after)) = placed else {
+            return;
+        };
+        *candidates = after;
+        let units = waiting.units.iter();
+        let keys: Vec<UnitKey> =
+            units.map(|&index| UnitKey { index, ..waiting.first.clone() }).collect();
+        let last = keys.iter().filter_map(|key| self.unit(key)).map(|unit| unit.last_run).max();
+        let number = last.unwrap_or(0) + 1;
+        let saved = keys.iter().filter_map(|key| self.unit(key)).find(|u| !u.saved.is_empty());
+        let saved = saved.map(|unit| unit.saved.clone()).unwrap_or_default();
+        for (key, worker) in keys.iter().zip(places) {
+            if let Some(unit) = self.unit_mut(key) {
+                unit.saved = saved.clone();
+            }
+            self.order_start(key, step, worker, number, now);
+        }
+    }
+
+    fn gang_places(
+        &self,
+        waiting: &Waiting,
+        step: &Step,
+        mut candidates: Candidates,
+        rack: Option<&str>,
+        now: Moment,
+    ) -> Option<(Vec<WorkerId>, Candidates)> {
+        let mut places = Vec::with_capacity(waiting.units.len());
+        for &index in &waiting.units {
+            let key = UnitKey { index, ..waiting.first.clone() };
+            let chosen = self.choose(&key, step, &candidates, rack, now)?;
+            candidates.place(chosen, &key, step);
+            places.push(candidates.workers()[chosen].id.clone());
+        }
+        Some((places, candidates))
+    }
+
+    fn choose(
+        &self,
+        key: &UnitKey,
+        step: &Step,
+        candidates: &Candidates,
+        rack: Option<&str>,
+        now: Moment,
+    ) -> Option<usize> {
+        let needs_advice =
+            self.jobs.get(&key.job).is_some_and(|job| self.needs_advice(&job.record.queue));
+        let may_run =
+            |worker: &WorkerId| !needs_advice || self.tickets.ticket(key, worker, now).is_some();
+        let avoid = self.unit(key).map_or(&[][..], |unit| &unit.avoid);
+        candidates.choose(key, step, avoid, rack, may_run)
+    }
+
+    /// True if `count` more units of a step keep the team of a job within its bound.
+    fn is_within_bound(&self, record: &crate::job::JobRecord, step: &Step, count: u64) -> bool {
+        let Some(team) = &record.team else {
+            return true;
+        };
+        let Some(bound) = self.config.teams.get(team).map(|team| team.bound) else {
+            return true;
+        };
+        let mut wanted = self.team_use(team);
+        for _ in 0..count {
+            wanted += step.need;
+        }
+        wanted.is_within(&bound)
+    }
+
+    fn order_start(
+        &mut self,
+        key: &UnitKey,
+        step: &Step,
+        worker: WorkerId,
+        number: u32,
+        now: Moment,
+    ) {
+        let Some(record) = self.jobs.get(&key.job).map(|job| job.record.clone()) else {
+            return;
+        };
+        let Some(target) = self.workers.get(&worker) else {
+            return;
+        };
+        let Some(clock_ms) = target.clock_least_ms(now) else {
+            return;
+        };
+        let deadline_ms = clock_ms + self.settings.start_valid.as_millis() as u64;
+        let address = target.entry.address;
+        let saved = self.unit(key).map(|unit| unit.saved.clone()).unwrap_or_default();
+        let ticket = self.tickets.ticket(key, &worker, now);
+        let run = Run {
+            number,
+            worker: worker.clone(),
+            phase: Phase::Ordered,
+            since: now,
+            deadline_ms,
+            room: step.room(),
+            need: step.need,
+            stop: None,
+            percent: 0,
+            progressed_at: now,
+            load: None,
+            pace_percent: 100,
+            harmed_since: None,
+        };
+        self.add_run(key, run, now);
+        if let Some(target) = self.workers.get_mut(&worker) {
+            target.lease_asked(deadline_ms);
+        }
+        self.actions.push(Action::Start(StartOrder {
+            worker,
+            address,
+            unit: key.clone(),
+            run: number,
+            spec: record.spec.clone(),
+            deadline_ms,
+            saved,
+            ticket,
+        }));
+    }
+}
+
+fn waiting_key(waiting: &Waiting) -> &UnitKey {
+    &waiting.first
+}
+
+/// True if all steps that a step depends on are done, and that is stored.
+fn is_ready(step: &Step, occurrence: &Occurrence) -> bool {
+    let is_done = |step: &usize| {
+        let units = occurrence.steps.get(*step);
+        units.is_some_and(|units| units.iter().all(|unit| unit.done == Done::Stored))
+    };
+    step.depends_on.iter().all(is_done)
+}
--- /dev/null
+++ b/crates/scheduler/src/restore.rs
@@ -0,0 +1,227 @@
+//! Taking over: what is stored, and what may still run on workers that do not answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::JobId;
+use crate::Moment;
+use crate::WorkerId;
+use crate::job::JobRecord;
+use crate::job::Resources;
+use crate::job::UnitKey;
+use crate::progress::Progress;
+use crate::report::LostWorker;
+use crate::report::WorkerEntry;
+use crate::state::Done;
+use crate::state::EndedJob;
+use crate::state::Phase;
+use crate::state::Run;
+use crate::state::Scheduler;
+use crate::worker::Contact;
+use crate::worker::Worker;
+
+impl Scheduler {
+    /// Takes in a stored job that is live.
+    pub fn restore_job(&mut self, record: Arc<JobRecord>, progress: &Progress, now: Moment) {
+        let id = record.id.clone();
+        self.add_job(record, now);
+        let steps = progress.steps_done.iter();
+        for (number, step) in steps.copied() {
+            self.restore_step(&id, number, step);
+        }
+        for (number, step, index) in progress.units_done.iter().copied() {
+            let key = UnitKey { job: id.clone(), occurrence: number, step, index };
+            if let Some(unit) = self.unit_mut(&key) {
+                unit.done = Done::Stored;
+            }
+        }
+        for ((number, step, index), failures, failed_run) in progress.failures.iter().copied() {
+            let key = UnitKey { job: id.clone(), occurrence: number, step, index };
+            if let Some(unit) = self.unit_mut(&key) {
+                unit.failures = failures;
+                unit.failed_run = failed_run;
+                unit.last_run = unit.last_run.max(failed_run);
+            }
+        }
+        for ((number, step, index), saved) in &progress.saved {
+            let (occurrence, step, index) = (*number, *step, *index);
+            let key = UnitKey { job: id.clone(), occurrence, step, index };
+            if let Some(unit) = self.unit_mut(&key) {
+                unit.saved = saved.clone();
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.has_begun = progress != &Progress::default();
+            job.ending = progress.ended;
+            job.is_ending_stored = progress.ended.is_some();
+        }
+        self.drop_finished(&id, now);
+        self.conclude(&id, now);
+    }
+
+    /// Takes in a stored job that has ended.
+    pub fn restore_ended(&mut self, id: JobId, progress: &Progress, now: Moment) {
+        let Some(state) = progress.ended else {
+            return;
+        };
+        let ended_at = progress.ended_ms.map_or(now, |at_ms| self.moment_of(at_ms).min(now));
+        let queue = progress.queue.as_str().into();
+        let team = progress.team.as_deref().map(Into::into);
+        self.ended.insert(id, EndedJob { state, queue, team, ended_at });
+    }
+
+    /// Takes in the registered workers; `lease_left` is the longest lease that an owner before may
+    /// have asked a worker for.
+    pub fn set_workers(&mut self, entries: Vec<WorkerEntry>, lease_left: Duration, now: Moment) {
+        for worker in self.workers.values_mut() {
+            worker.is_listed = false;
+        }
+        for entry in entries {
+            self.set_worker(entry, lease_left, now);
+        }
+    }
+
+    /// Takes in one registered worker.
+    pub fn set_worker(&mut self, entry: WorkerEntry, lease_left: Duration, now: Moment) {
+        self.needs_placing = true;
+        let Some(worker) = self.workers.get_mut(&entry.id) else {
+            let id = entry.id.clone();
+            let worker = Worker::new(entry, now + lease_left, now);
+            self.workers.insert(id, worker);
+            return;
+        };
+        worker.is_listed = true;
+        let is_reborn = entry.born_ms > worker.entry.born_ms && worker.entry.born_ms != 0;
+        if is_reborn {
+            let id = entry.id.clone();
+            self.worker_reborn(&id, entry, now);
+            return;
+        }
+        let born_ms = worker.entry.born_ms.max(entry.born_ms);
+        let host = entry.host.clone().or(worker.entry.host.clone());
+        worker.entry = WorkerEntry { born_ms, host, ..entry };
+    }
+
+    /// An entry has left the registry.
+    pub fn unlist_worker(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.is_listed = false;
+        }
+    }
+
+    /// A later life of a worker has been seen: nothing of the life before runs any more.
+    pub(crate) fn worker_reborn(&mut self, id: &str, entry: WorkerEntry, now: Moment) {
+        let subject = id.to_owned();
+        let why = format!("born_ms={}", entry.born_ms);
+        self.note("worker started again", subject, why);
+        self.clear_runs_on(id, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            *worker = Worker::new(entry, now, now);
+        }
+    }
+
+    /// Forgets all runs on a worker: none of them can be there any more.
+    pub(crate) fn clear_runs_on(&mut self, id: &str, now: Moment) {
+        let runs = self.workers.get(id).map(|worker| worker.runs.clone()).unwrap_or_default();
+        for key in runs {
+            self.clear_run(&key, now);
+            self.drop_finished(&key.job, now);
+        }
+    }
+
+    /// Takes in workers of which the owner before had lost sight.
+    pub fn restore_lost(&mut self, lost: &[LostWorker], now: Moment) {
+        for worker in lost {
+            let id = worker.worker.clone();
+            let known = self.workers.entry_or(id.clone(), || unlisted(id, now));
+            known.lease_over_at = now + worker.lease_left;
+            // Its runs are all known, so that other units need not wait for it.
+            if known.contact == Contact::Unheard {
+                known.contact = Contact::Heard(Moment::ZERO);
+            }
+            for (key, run) in &worker.runs {
+                self.adopt_in_doubt(key, *run, worker, now);
+            }
+        }
+    }
+
+    fn adopt_in_doubt(&mut self, key: &UnitKey, run: u32, lost: &LostWorker, now: Moment) {
+        let is_open = self.unit(key).is_some_and(|unit| unit.run.is_none());
+        if !is_open {
+            return;
+        }
+        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step))
+        else {
+            return;
+        };
+        let (room, need) = (step.room(), step.need);
+        let run = Run {
+            number: run,
+            worker: lost.worker.clone(),
+            phase: Phase::InDoubt,
+            since: now,
+            deadline_ms: 0,
+            room,
+            need,
+            stop: None,
+            percent: 0,
+            progressed_at: now,
+            load: None,
+            pace_percent: 100,
+            harmed_since: None,
+        };
+        self.add_run(key, run, now);
+    }
+
+    /// Workers that do not answer, with what they may run.
+    pub fn lost_workers(&self, now: Moment) -> Vec<LostWorker> {
+        let is_lost = |worker: &&Worker| {
+            !worker.runs.is_empty()
+                && !worker.is_in_contact(self.settings.contact_max, now)
+                && worker.contact != Contact::Unheard
+        };
+        let run_of = |key: &UnitKey| {
+            let run = self.unit(key)?.run.as_ref()?;
+            Some((key.clone(), run.number))
+        };
+        let lost = self.workers.values().filter(is_lost);
+        lost.map(|worker| LostWorker {
+            worker: worker.entry.id.clone(),
+            lease_left: worker.lease_over_at.saturating_sub(now),
+            runs: worker.runs.iter().filter_map(run_of).collect(),
+        })
+        .collect()
+    }
+
+    fn restore_step(&mut self, id: &JobId, number: u32, step: usize) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(occurrence) = job.occurrences.iter_mut().find(|o| o.number == number) else {
+            return;
+        };
+        for unit in occurrence.steps.get_mut(step).into_iter().flatten() {
+            unit.done = Done::Stored;
+        }
+    }
+}
+
+/// A worker that has left the registry and of which only its leases matter.
+fn unlisted(id: WorkerId, now: Moment) -> Worker {
+    let entry = WorkerEntry {
+        id,
+        born_ms: 0,
+        pool: Arc::from(""),
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        zone: Arc::from(""),
+        labels: Vec::new(),
+        capacity: Resources::default(),
+        is_draining: true,
+        clock_ms: 0,
+        host: None,
+    };
+    let mut worker = Worker::new(entry, now, now);
+    worker.is_listed = false;
+    worker
+}
--- /dev/null
+++ b/crates/scheduler/src/sorted.rs
@@ -0,0 +1,127 @@
+//! A map kept as a sorted vector with binary search.
+
+use std::borrow::Borrow;
+
+/// Map in a vector that is sorted by key.
+#[derive(Clone, Debug)]
+pub struct SortedMap<K, V> {
+    entries: Vec<(K, V)>,
+}
+
+impl<K, V> Default for SortedMap<K, V> {
+    fn default() -> Self {
+        Self { entries: Vec::new() }
+    }
+}
+
+impl<K: Ord, V> SortedMap<K, V> {
+    /// Position of a key, or where it would be inserted.
+    fn position<Q: Ord + ?Sized>(&self, key: &Q) -> Result<usize, usize>
+    where
+        K: Borrow<Q>,
+    {
+        self.entries.binary_search_by(|(other, _)| other.borrow().cmp(key))
+    }
+
+    /// Value of a key.
+    pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
+    where
+        K: Borrow<Q>,
+    {
+        self.position(key).ok().map(|index| &self.entries[index].1)
+    }
+
+    /// Value of a key.
+    pub fn get_mut<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<&mut V>
+    where
+        K: Borrow<Q>,
+    {
+        let index = self.position(key).ok()?;
+        Some(&mut self.entries[index].1)
+    }
+
+    /// True if there is such a key.
+    pub fn contains<Q: Ord + ?Sized>(&self, key: &Q) -> bool
+    where
+        K: Borrow<Q>,
+    {
+        self.position(key).is_ok()
+    }
+
+    /// Sets the value of a key; returns the one before.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        match self.position(&key) {
+            Ok(index) => Some(std::mem::replace(&mut self.entries[index].1, value)),
+            Err(index) => {
+                self.entries.insert(index, (key, value));
+                None
+            }
+        }
+    }
+
+    /// Value of a key, which is inserted if it is not there.
+    pub fn entry_or(&mut self, key: K, make: impl FnOnce() -> V) -> &mut V {
+        let index = match self.position(&key) {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(index, (key, make()));
+                index
+            }
+        };
+        &mut self.entries[index].1
+    }
+
+    /// Removes a key.
+    pub fn remove<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<V>
+    where
+        K: Borrow<Q>,
+    {
+        let index = self.position(key).ok()?;
+        Some(self.entries.remove(index).1)
+    }
+
+    /// Keeps the entries for which `keep` is true.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        self.entries.retain_mut(|(key, value)| keep(key, value));
+    }
+
+    /// Entries in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.entries.iter().map(|(key, value)| (key, value))
+    }
+
+    /// Entries in order.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
+    /// Values in the order of their keys.
+    pub fn values(&self) -> impl Iterator<Item = &V> {
+        self.entries.iter().map(|(_, value)| value)
+    }
+
+    /// Values in the order of their keys.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut V> {
+        self.entries.iter_mut().map(|(_, value)| value)
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// True if there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+impl<K: Ord, V> FromIterator<(K, V)> for SortedMap<K, V> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(entries: I) -> Self {
+        let mut map = Self::default();
+        for (key, value) in entries {
+            map.insert(key, value);
+        }
+        map
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/state.rs
@@ -0,0 +1,482 @@
+//! The state of one owner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::HostName;
+use crate::JobId;
+use crate::Moment;
+use crate::PoolName;
+use crate::QueueName;
+use crate::TeamName;
+use crate::WaveId;
+use crate::WorkerId;
+use crate::advice::Tickets;
+use crate::capacity::Demand;
+use crate::config::Config;
+use crate::evidence::Evidence;
+use crate::hosts::Host;
+use crate::job::JobRecord;
+use crate::job::Resources;
+use crate::job::UnitKey;
+use crate::progress::FinalState;
+use crate::progress::Progress;
+use crate::report::Action;
+use crate::sorted::SortedMap;
+use crate::waves::WaveProgress;
+use crate::worker::Worker;
+
+/// Times and limits of the scheduler.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Lease of a worker, counted from each renewal.
+    pub lease: Duration,
+    /// Time after which an order to start a run has no effect any more, by the worker's clock.
+    pub start_valid: Duration,
+    /// Age of a worker's last answer up to which it gets new runs.
+    pub contact_max: Duration,
+    /// Time in which a run that was told to stop is gone.
+    pub stop_max: Duration,
+    /// Time that a host needs to move to another pool.
+    pub move_time: Duration,
+    /// Time that the maintenance of a host takes.
+    pub maintain_time: Duration,
+    /// Time that must pass between orders of two holders to the same host.
+    pub host_lease: Duration,
+    /// Time for which ended jobs are remembered.
+    pub ended_kept: Duration,
+    /// How many times longer a unit takes away from its data.
+    pub remote_penalty: f64,
+    /// Time that a unit that resumes from saved state needs before it is at work.
+    pub restore: Duration,
+    /// Time over its target after which a unit that serves counts as harmed.
+    pub harm_max: Duration,
+    /// Time for which a unit counts as away after it was not at work.
+    pub away_notice: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(6),
+            start_valid: Duration::from_secs(2),
+            contact_max: Duration::from_millis(2_800),
+            stop_max: Duration::from_millis(200),
+            move_time: Duration::from_millis(1_500),
+            maintain_time: Duration::from_secs(2),
+            host_lease: Duration::from_secs(3),
+            ended_kept: Duration::from_secs(120),
+            remote_penalty: 3.0,
+            restore: Duration::from_millis(600),
+            harm_max: Duration::from_secs(4),
+            away_notice: Duration::from_millis(4_500),
+        }
+    }
+}
+
+/// Whether a unit is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Done {
+    /// It is not.
+    No,
+    /// It has ended as done.
+    Ended,
+    /// It has ended as done, which is being stored.
+    Storing,
+    /// It has ended as done, which is stored.
+    Stored,
+}
+
+/// What is known of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The order to start is on its way.
+    Ordered,
+    /// The worker has answered that it is there, at this time.
+    Confirmed(Moment),
+    /// The worker has listed it.
+    Listed,
+    /// It may be there: the order to start was not answered, or an owner before may have given it.
+    InDoubt,
+}
+
+/// A stop that was ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// When it was sent last.
+    pub sent_at: Moment,
+    /// When the worker answered it.
+    pub answered_at: Option<Moment>,
+}
+
+/// A run of a unit.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Number.
+    pub number: u32,
+    /// Worker.
+    pub worker: WorkerId,
+    /// What is known of it.
+    pub phase: Phase,
+    /// When it was ordered or found.
+    pub since: Moment,
+    /// Deadline of the order to start, by the worker's clock in milliseconds.
+    pub deadline_ms: u64,
+    /// What it takes of the worker.
+    pub room: Resources,
+    /// What it takes of its team's bound.
+    pub need: Resources,
+    /// Stop that was ordered.
+    pub stop: Option<Stop>,
+    /// How far it is, in percent.
+    pub percent: u32,
+    /// When the percentage changed last.
+    pub progressed_at: Moment,
+    /// Tail of the response times in milliseconds, or processors in use.
+    pub load: Option<u64>,
+    /// Share of its speed that it was told to work at, in percent.
+    pub pace_percent: u32,
+    /// Since when it has been over its target; none if it is not.
+    pub harmed_since: Option<Moment>,
+}
+
+/// A unit of a step.
+#[derive(Clone, Debug)]
+pub struct Unit {
+    /// Whether it is done.
+    pub done: Done,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Number of the last run that failed.
+    pub failed_run: u32,
+    /// Number of its last run.
+    pub last_run: u32,
+    /// State that it has saved; empty if none.
+    pub saved: String,
+    /// The run that is or may be there.
+    pub run: Option<Run>,
+    /// Workers on which it failed or stood still.
+    pub avoid: Vec<WorkerId>,
+    /// When it was last seen not at work, for units that last.
+    pub away_at: Moment,
+}
+
+impl Unit {
+    /// A unit that has not run.
+    pub fn new(run_base: u32, now: Moment) -> Self {
+        Self {
+            done: Done::No,
+            failures: 0,
+            failed_run: 0,
+            last_run: run_base,
+            saved: String::new(),
+            run: None,
+            avoid: Vec::new(),
+            away_at: now,
+        }
+    }
+}
+
+/// A run of all steps of a job.
+#[derive(Clone, Debug)]
+pub struct Occurrence {
+    /// Number, counted from 0.
+    pub number: u32,
+    /// When it was due.
+    pub due_at: Moment,
+    /// Units by step.
+    pub steps: Vec<Vec<Unit>>,
+}
+
+/// A live job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// As it was accepted.
+    pub record: Arc<JobRecord>,
+    /// When it was accepted.
+    pub accepted_at: Moment,
+    /// Occurrences that are due and not over.
+    pub occurrences: Vec<Occurrence>,
+    /// Number of the next occurrence that becomes due.
+    pub next_occurrence: u32,
+    /// Occurrences that are over and stored.
+    pub occurrences_over: u32,
+    /// How it ends.
+    pub ending: Option<FinalState>,
+    /// How it ends is stored; it is kept until its runs are gone.
+    pub is_ending_stored: bool,
+    /// The progress has changed since it was last handed out to be stored.
+    pub is_dirty: bool,
+    /// A unit has been started.
+    pub has_begun: bool,
+}
+
+/// An ended job.
+#[derive(Clone, Debug)]
+pub struct EndedJob {
+    /// How it ended.
+    pub state: FinalState,
+    /// Its queue.
+    pub queue: QueueName,
+    /// Its team.
+    pub team: Option<TeamName>,
+    /// When it ended.
+    pub ended_at: Moment,
+}
+
+/// What callers are shown of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobView {
+    /// No unit has been started.
+    Queued,
+    /// A unit has been started.
+    Running,
+    /// It has ended, and that is stored.
+    Ended(FinalState),
+}
+
+/// Changes to be stored in one transaction.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// Progress of jobs, by id.
+    pub progress: Vec<(JobId, Progress)>,
+    /// Ended jobs that need not be remembered any longer.
+    pub forgotten: Vec<JobId>,
+    /// Hosts of waves whose maintenance has begun, by wave.
+    pub waves: Vec<(WaveId, Vec<HostName>)>,
+    /// Highest end of each worker of which the consequences are in this batch or stored before.
+    pub ends: Vec<(WorkerId, u64, u64)>,
+}
+
+impl Batch {
+    /// True if no row has to be written.
+    pub fn writes_nothing(&self) -> bool {
+        self.progress.is_empty() && self.forgotten.is_empty() && self.waves.is_empty()
+    }
+}
+
+/// State of one owner.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    pub(crate) settings: Settings,
+    pub(crate) config: Arc<Config>,
+    /// Live jobs.
+    pub(crate) jobs: SortedMap<JobId, Job>,
+    /// Ended jobs.
+    pub(crate) ended: SortedMap<JobId, EndedJob>,
+    /// Workers.
+    pub(crate) workers: SortedMap<WorkerId, Worker>,
+    /// What the runs of each team take.
+    pub(crate) team_use: SortedMap<TeamName, Resources>,
+    /// Results of workers.
+    pub(crate) evidence: Evidence,
+    /// Tickets of the advisor.
+    pub(crate) tickets: Tickets,
+    /// Hosts of the platform's list.
+    pub(crate) hosts: SortedMap<HostName, Host>,
+    /// The hosts have been listed at least once.
+    pub(crate) hosts_listed: bool,
+    /// Waves.
+    pub(crate) waves: SortedMap<WaveId, WaveProgress>,
+    /// Demand by pool.
+    pub(crate) demand: SortedMap<PoolName, Demand>,
+    /// Number from which the runs of this owner count.
+    pub(crate) run_base: u32,
+    /// When this owner took over.
+    pub(crate) owner_since: Moment,
+    /// Difference between the Unix epoch and the clock of moments, in milliseconds.
+    pub(crate) unix_offset_ms: i64,
+    /// Actions to be carried out.
+    pub(crate) actions: Vec<Action>,
+    /// A worker has refused the fencing token.
+    pub(crate) is_fenced: bool,
+    /// Something has changed since units were last placed.
+    pub(crate) needs_placing: bool,
+}
+
+impl Scheduler {
+    /// State of an owner that has just taken over; `epoch` is its fencing token.
+    pub fn new(settings: Settings, epoch: u64, unix_now_ms: u64, now: Moment) -> Self {
+        Self {
+            settings,
+            run_base: run_base(epoch),
+            owner_since: now,
+            unix_offset_ms: unix_now_ms as i64 - now.as_millis() as i64,
+            needs_placing: true,
+            ..Self::default()
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_config(&mut self, config: Arc<Config>) {
+        self.config = config;
+        self.needs_placing = true;
+    }
+
+    /// Another owner is at work: a worker has refused the fencing token.
+    pub fn fenced(&mut self) {
+        self.is_fenced = true;
+    }
+
+    /// End of the lease that a worker is asked for now, by its clock in milliseconds; none if its
+    /// clock is not known yet.
+    pub fn ask_lease(&mut self, id: &str, now: Moment) -> Option<u64> {
+        let lease = self.settings.lease;
+        let worker = self.workers.get_mut(id)?;
+        let deadline_ms = worker.clock_least_ms(now)? + lease.as_millis() as u64;
+        worker.lease_asked(deadline_ms);
+        Some(deadline_ms)
+    }
+
+    /// Takes in whether the pace of a run was set.
+    pub fn paced(&mut self, key: &UnitKey, number: u32, percent: u32, is_answered: bool) {
+        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+            return;
+        };
+        if run.number == number && run.pace_percent == percent && !is_answered {
+            // Asked for again with the next report.
+            run.pace_percent = 100;
+        }
+    }
+
+    /// True if a worker has refused the fencing token, so that another owner is at work.
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    /// What callers are shown of a job; none if there is no such job.
+    pub fn view(&self, id: &str) -> Option<JobView> {
+        if let Some(ended) = self.ended.get(id) {
+            return Some(JobView::Ended(ended.state));
+        }
+        let job = self.jobs.get(id)?;
+        if let Some(state) = job.ending.filter(|_| job.is_ending_stored) {
+            return Some(JobView::Ended(state));
+        }
+        Some(if job.has_begun { JobView::Running } else { JobView::Queued })
+    }
+
+    /// Team of a job; the outer option is none if there is no such job.
+    pub fn team_of(&self, id: &str) -> Option<Option<TeamName>> {
+        if let Some(ended) = self.ended.get(id) {
+            return Some(ended.team.clone());
+        }
+        self.jobs.get(id).map(|job| job.record.team.clone())
+    }
+
+    /// Queue of a job.
+    pub fn queue_of(&self, id: &str) -> Option<QueueName> {
+        if let Some(ended) = self.ended.get(id) {
+            return Some(ended.queue.clone());
+        }
+        self.jobs.get(id).map(|job| job.record.queue.clone())
+    }
+
+    /// Jobs of a queue of which no unit has been started.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits =
+            |job: &&Job| *job.record.queue == *queue && !job.has_begun && job.ending.is_none();
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Live jobs.
+    pub fn live_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Workers that the owner knows.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// A worker.
+    pub fn worker(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// Actions that have been decided.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// What a team has running, or may have.
+    pub fn team_use(&self, team: &str) -> Resources {
+        self.team_use.get(team).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn note(&mut self, what: &'static str, subject: impl ToString, why: String) {
+        self.actions.push(Action::Note { what, subject: subject.to_string(), why });
+    }
+
+    /// Unix time of a moment, in milliseconds.
+    pub(crate) fn unix_ms(&self, now: Moment) -> u64 {
+        (now.as_millis() as i64 + self.unix_offset_ms).max(0) as u64
+    }
+
+    /// Moment of a Unix time.
+    pub(crate) fn moment_of(&self, unix_ms: u64) -> Moment {
+        Duration::from_millis((unix_ms as i64 - self.unix_offset_ms).max(0) as u64)
+    }
+
+    pub(crate) fn unit(&self, key: &UnitKey) -> Option<&Unit> {
+        let occurrence = self.occurrence(key)?;
+        occurrence.steps.get(key.step)?.get(key.index)
+    }
+
+    pub(crate) fn unit_mut(&mut self, key: &UnitKey) -> Option<&mut Unit> {
+        let job = self.jobs.get_mut(&key.job)?;
+        let occurrence = job.occurrences.iter_mut().find(|o| o.number == key.occurrence)?;
+        occurrence.steps.get_mut(key.step)?.get_mut(key.index)
+    }
+
+    fn occurrence(&self, key: &UnitKey) -> Option<&Occurrence> {
+        let job = self.jobs.get(&key.job)?;
+        job.occurrences.iter().find(|occurrence| occurrence.number == key.occurrence)
+    }
+
+    /// Notes a run of a unit, with what it takes of the worker and of its team.
+    pub(crate) fn add_run(&mut self, key: &UnitKey, run: Run, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        job.has_begun = true;
+        let team = job.record.team.clone();
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.add_run(key, &run.room, now);
+        }
+        if let Some(team) = team {
+            *self.team_use.entry_or(team, Resources::default) += run.need;
+        }
+        if let Some(unit) = self.unit_mut(key) {
+            unit.last_run = unit.last_run.max(run.number);
+            unit.run = Some(run);
+        }
+    }
+
+    /// Forgets the run of a unit: it is not there any more, for sure.
+    pub(crate) fn clear_run(&mut self, key: &UnitKey, now: Moment) -> Option<Run> {
+        let run = self.unit_mut(key)?.run.take()?;
+        let team = self.jobs.get(&key.job).and_then(|job| job.record.team.clone());
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.remove_run(key, &run.room, now);
+        }
+        if let Some(team) = team
+            && let Some(used) = self.team_use.get_mut(&team)
+        {
+            *used -= run.need;
+        }
+        if let Some(unit) = self.unit_mut(key) {
+            unit.away_at = now;
+        }
+        self.needs_placing = true;
+        Some(run)
+    }
+}
+
+/// Runs of a unit that one owner starts at most; the numbers of the next owner lie above.
+const RUNS_PER_EPOCH: u64 = 64;
+
+/// Number above which the runs of an owner count.
+fn run_base(epoch: u64) -> u32 {
+    u32::try_from(epoch.saturating_sub(1) * RUNS_PER_EPOCH).unwrap_or(u32::MAX / 2)
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,6 +3,8 @@
 //! Metrics go to a StatsD address over UDP if one is set. Totals are also kept in memory, so that
 //! `savorypitch status` can show them without a collector.
 
+pub mod log;
+
 use std::io;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
