--- a/crates/coordinator/src/entry.rs
+++ b/crates/coordinator/src/entry.rs
@@ -324,15 +324,16 @@
         id: &str,
     ) -> Result<Option<(JobView, Option<TeamName>)>, ReadError> {
         let platform = &self.shared.platform;
-        // The inbox is read first: a job leaves it only after its record has been written.
+        // A job leaves the inbox with the transaction that writes its record, and its record goes with
+        // the one that writes how it ended; read in this order, it is found at one of the places.
         let inbox = platform.read(Table::Inbox, &inbox_key("submit", id)).await?;
+        let record = platform.read(Table::Jobs, id).await?;
         let progress = platform.read(Table::Progress, id).await?;
         let progress: Option<Progress> = read_first(&progress);
         if let Some(state) = progress.as_ref().and_then(|progress| progress.ended) {
             let team = progress.and_then(|progress| progress.team).map(Into::into);
             return Ok(Some((JobView::Ended(state), team)));
         }
-        let record = platform.read(Table::Jobs, id).await?;
         if let Some(record) = read_first::<JobRecord>(&record) {
             let view = if progress.is_some() { JobView::Running } else { JobView::Queued };
             return Ok(Some((view, record.team)));
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use scheduler::Batch;
+use scheduler::Cancelled;
 use scheduler::JobId;
 use scheduler::JobRecord;
 use scheduler::Moment;
@@ -48,13 +49,22 @@
     pub reply: Option<oneshot::Sender<SubmitReply>>,
 }
 
+/// A cancellation that is to be stored.
+pub(super) struct Cancel {
+    pub job: JobId,
+    /// Gets the answer, if a caller waits for it.
+    pub reply: Option<oneshot::Sender<CancelReply>>,
+    /// Row of the inbox that asks for it.
+    pub inbox_key: Option<String>,
+}
+
 /// What a transaction in progress holds.
 struct InFlight {
     transaction: Transaction,
     row: OwnerRow,
     batch: Batch,
     accepts: Vec<Accept>,
-    cancels: Vec<oneshot::Sender<CancelReply>>,
+    cancels: Vec<Cancel>,
     sent_at: Moment,
 }
 
@@ -65,9 +75,7 @@
     renewed_at: Moment,
     sent_at: Moment,
     accepts: Vec<Accept>,
-    /// Jobs to be cancelled once they are stored.
-    cancels_later: Vec<JobId>,
-    cancels: Vec<(JobId, oneshot::Sender<CancelReply>)>,
+    cancels: Vec<Cancel>,
     inbox: Vec<String>,
     in_flight: Option<InFlight>,
     retry_at: Option<Moment>,
@@ -81,7 +89,6 @@
             renewed_at: sent_at,
             sent_at,
             accepts: Vec::new(),
-            cancels_later: Vec::new(),
             cancels: Vec::new(),
             inbox: Vec::new(),
             in_flight: None,
@@ -106,14 +113,9 @@
             || self.in_flight.as_ref().is_some_and(|flight| flight.accepts.iter().any(is_it))
     }
 
-    /// Cancels a job once it is stored.
-    pub fn cancel_when_stored(&mut self, job: &str) {
-        self.cancels_later.push(job.into());
-    }
-
-    /// Answers a cancellation once it is stored.
-    pub fn answer_cancel(&mut self, job: JobId, reply: oneshot::Sender<CancelReply>) {
-        self.cancels.push((job, reply));
+    /// Cancels a job, once it is stored itself.
+    pub fn cancel(&mut self, cancel: Cancel) {
+        self.cancels.push(cancel);
     }
 
     /// Removes a row of the inbox once what it asks for is stored.
@@ -131,6 +133,7 @@
             self.resend(now);
             return;
         }
+        self.review_cancels();
         let batch = self.scheduler.take_batch(PROGRESS_MAX, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
         let has_rows = !batch.writes_nothing()
@@ -170,6 +173,20 @@
         }
     }
 
+    /// Cancels the jobs that are to be cancelled and are stored.
+    fn review_cancels(&mut self) {
+        for cancel in std::mem::take(&mut self.pipeline.cancels) {
+            match self.scheduler.cancel(&cancel.job) {
+                Cancelled::Pending => self.pipeline.cancels.push(cancel),
+                Cancelled::Ended => self.pipeline.finish_cancel(cancel, CancelReply::Done),
+                Cancelled::Unknown if self.pipeline.is_accepting(&cancel.job) => {
+                    self.pipeline.cancels.push(cancel);
+                }
+                Cancelled::Unknown => self.pipeline.finish_cancel(cancel, CancelReply::NoJob),
+            }
+        }
+    }
+
     fn prepare(&mut self, batch: Batch, now: Moment) -> InFlight {
         let accepts_left = self.pipeline.accepts.len().saturating_sub(ACCEPTS_MAX);
         let mut accepts = std::mem::take(&mut self.pipeline.accepts);
@@ -261,11 +278,8 @@
                     .write();
             }
         }
-        for reply in flight.cancels {
-            answer(reply, CancelReply::Done);
-        }
-        for job in std::mem::take(&mut self.pipeline.cancels_later) {
-            self.scheduler.cancel(&job);
+        for cancel in flight.cancels {
+            self.pipeline.finish_cancel(cancel, CancelReply::Done);
         }
         self.wake_watches(now);
         if flight.row.is_released {
@@ -282,8 +296,8 @@
                 answer(reply, SubmitReply::Unknown);
             }
         }
-        for reply in flight.cancels {
-            answer(reply, CancelReply::Unknown);
+        for cancel in flight.cancels {
+            cancel.answer(CancelReply::Unknown);
         }
         self.end = Some(End::Superseded);
     }
@@ -306,19 +320,30 @@
     }
 
     /// Cancellations that a batch holds.
-    fn ready_cancels(&mut self, batch: &Batch) -> Vec<oneshot::Sender<CancelReply>> {
-        let mut ready = Vec::new();
-        let mut left = Vec::new();
-        for (job, reply) in std::mem::take(&mut self.cancels) {
-            let is_in = batch.progress.iter().any(|(id, p)| *id == job && p.ended.is_some());
-            match is_in {
-                true => ready.push(reply),
-                false => left.push((job, reply)),
-            }
-        }
+    fn ready_cancels(&mut self, batch: &Batch) -> Vec<Cancel> {
+        let is_in = |cancel: &Cancel| {
+            let progress = batch.progress.iter().find(|(id, _)| *id == cancel.job);
+            progress.is_some_and(|(_, progress)| progress.ended.is_some())
+        };
+        let (ready, left) = std::mem::take(&mut self.cancels).into_iter().partition(is_in);
         self.cancels = left;
         ready
     }
+
+    fn finish_cancel(&mut self, cancel: Cancel, reply: CancelReply) {
+        if let Some(key) = &cancel.inbox_key {
+            self.drop_inbox(key.clone());
+        }
+        cancel.answer(reply);
+    }
+}
+
+impl Cancel {
+    fn answer(self, reply: CancelReply) {
+        if let Some(sender) = self.reply {
+            answer(sender, reply);
+        }
+    }
 }
 
 /// Version of the owner's row if it is the one that was sent.
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -1,11 +1,11 @@
 //! Requests of callers, as nodes hand them to the owner.
 
-use scheduler::Cancelled;
 use scheduler::JobView;
 use tokio::sync::oneshot;
 
 use super::Owner;
 use super::commit::Accept;
+use super::commit::Cancel;
 use crate::entry::is_allowed;
 use crate::ports::Platform;
 use crate::ports::Row;
@@ -17,6 +17,9 @@
 use crate::shared::StateReply;
 use crate::shared::SubmitReply;
 
+/// Begin of the keys of submissions in the inbox.
+const SUBMIT_PREFIX: &str = "submit/";
+
 impl<P: Platform> Owner<P> {
     pub(super) fn take_request(&mut self, request: OwnerRequest) {
         match request {
@@ -37,7 +40,9 @@
     }
 
     /// Takes in the requests that nodes have stored.
-    pub(super) fn take_inbox(&mut self, stored: Vec<Row>) {
+    pub(super) fn take_inbox(&mut self, mut stored: Vec<Row>) {
+        // A job may have been submitted and cancelled there; the submission goes first.
+        stored.sort_by_key(|row| !row.key.starts_with(SUBMIT_PREFIX));
         for row in stored {
             let request = rows::decode::<InboxRow>(&row.key, &row.value);
             match request {
@@ -48,7 +53,10 @@
                     }
                     self.pipeline.drop_inbox(row.key);
                 }
-                Ok(InboxRow::Cancel { job }) => self.take_stored_cancel(&job, row.key),
+                Ok(InboxRow::Cancel { job }) => {
+                    let (job, reply) = (job.into(), None);
+                    self.pipeline.cancel(Cancel { job, reply, inbox_key: Some(row.key) });
+                }
                 Err(error) => {
                     telemetry::log::line("row-unreadable").text("why", error).write();
                     self.pipeline.drop_inbox(row.key);
@@ -57,13 +65,6 @@
         }
     }
 
-    fn take_stored_cancel(&mut self, job: &str, key: String) {
-        if self.scheduler.cancel(job) == Cancelled::Unknown && self.pipeline.is_accepting(job) {
-            self.pipeline.cancel_when_stored(job);
-        }
-        self.pipeline.drop_inbox(key);
-    }
-
     fn state(&self, job: &str, asker: &Asker) -> StateReply {
         match (self.scheduler.view(job), self.scheduler.team_of(job)) {
             (Some(view), Some(team)) if is_allowed(team.as_ref(), asker.as_ref()) => {
@@ -82,20 +83,8 @@
             StateReply::Found(JobView::Ended(_)) => return answer(reply, CancelReply::Done),
             StateReply::Found(_) => {}
         }
-        match self.scheduler.cancel(job) {
-            Cancelled::Pending => {
-                telemetry::log::line("job-cancelled")
-                    .field("job", job)
-                    .field("epoch", self.epoch)
-                    .write();
-                self.pipeline.answer_cancel(job.into(), reply);
-            }
-            Cancelled::Ended => answer(reply, CancelReply::Done),
-            Cancelled::Unknown => {
-                self.pipeline.cancel_when_stored(job);
-                self.pipeline.answer_cancel(job.into(), reply);
-            }
-        }
+        telemetry::log::line("job-cancelled").field("job", job).field("epoch", self.epoch).write();
+        self.pipeline.cancel(Cancel { job: job.into(), reply: Some(reply), inbox_key: None });
     }
 }
 
--- a/crates/scheduler/src/choose.rs
+++ b/crates/scheduler/src/choose.rs
@@ -152,6 +152,8 @@
         worker.is_listed
             && !worker.entry.is_draining
             && !worker.is_cordoned
+            // What a run that must go takes is not known in all cases.
+            && worker.strays == 0
             && now >= worker.shunned_until
             && worker.is_in_contact(self.settings.contact_max, now)
             && !self.evidence.is_quarantined(&worker.entry.id, now)
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -41,8 +41,14 @@
             return;
         }
         self.take_ends(id, &report.ended, now);
+        let mut strays = 0;
         for running in &report.running {
-            self.take_running(id, running, now);
+            let is_wanted = self.take_running(id, running, now);
+            strays += usize::from(!is_wanted);
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            self.needs_placing |= worker.strays > strays;
+            worker.strays = strays;
         }
         self.take_absent(id, report, sent_at, now);
     }
@@ -331,23 +337,33 @@
         self.config.queues.get(queue).map_or(DEFAULT_ATTEMPTS, |queue| queue.attempts_max.max(1))
     }
 
-    fn take_running(&mut self, id: &WorkerId, running: &Running, now: Moment) {
+    /// Takes in a listed run; false if it is a stray: known to this owner as no run there.
+    fn take_running(&mut self, id: &WorkerId, running: &Running, now: Moment) -> bool {
         let key = &running.unit;
         let Some(unit) = self.unit(key) else {
             self.send_stop(id, key, running.run);
-            return;
+            return false;
         };
         let is_wanted = unit.done == Done::No
             && self.jobs.get(&key.job).is_some_and(|job| !job.is_ending_stored);
         match &unit.run {
             Some(run) if run.worker == *id => self.see_run(key, running, now),
+            // An owner gives a higher number only once the run before is over for sure.
+            Some(run) if run.phase == Phase::InDoubt && run.number < running.run => {
+                self.clear_run(key, now);
+                self.adopt(id, running, now);
+            }
             // The unit runs elsewhere, so this run is left from before.
-            Some(_) => self.send_stop(id, key, running.run),
+            Some(_) => {
+                self.send_stop(id, key, running.run);
+                return false;
+            }
             None => self.adopt(id, running, now),
         }
         if !is_wanted {
             self.order_stop(key, now);
         }
+        true
     }
 
     fn see_run(&mut self, key: &UnitKey, running: &Running, now: Moment) {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -44,6 +44,8 @@
     pub used: Resources,
     /// Runs that are or may be there, sorted.
     pub runs: Vec<UnitKey>,
+    /// Runs that it listed last and that are to stop, since their units are not wanted there.
+    pub strays: usize,
     /// Highest number of an end that was taken in.
     pub ends_seen: u64,
     /// Highest number of an end of which the consequences are stored.
@@ -74,6 +76,7 @@
             is_listed: true,
             used: Resources::default(),
             runs: Vec::new(),
+            strays: 0,
             ends_seen: 0,
             ends_stored: 0,
             lease_over_at,
