Store which workers may run something, so that a take-over knows whom to wait for

Leases are 5 s and an owner acts 3.5 s after its last transaction, so that the wait for a silent worker is 7.6 s in place of 14.4 s.

--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -37,7 +37,7 @@
 use crate::shared::Shared;
 
 /// Time for which an owner may act after the last transaction that was committed was sent.
-const VALIDITY: Duration = Duration::from_secs(8);
+const VALIDITY: Duration = Duration::from_millis(3_500);
 /// Time between two rounds in which nothing else happens.
 const TICK: Duration = Duration::from_millis(100);
 /// Requests that wait for the owner at most.
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -29,6 +29,7 @@
 use crate::rows::LostRow;
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
+use crate::rows::ROSTER_KEY;
 use crate::shared::CancelReply;
 use crate::shared::SubmitReply;
 
@@ -215,6 +216,10 @@
                 transaction.removals.push((Table::Jobs, id.to_string()));
             }
         }
+        if let Some(roster) = &batch.roster {
+            let value = rows::encode(roster);
+            transaction.puts.push((Table::Owner, ROSTER_KEY.to_owned(), value));
+        }
         for (wave, begun) in &batch.waves {
             let value = rows::encode(begun);
             transaction.puts.push((Table::Progress, rows::wave_key(*wave), value));
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -5,6 +5,7 @@
 use scheduler::Moment;
 use scheduler::Report;
 use scheduler::WorkerId;
+use scheduler::worker::Contact;
 
 use super::Owner;
 use super::event::Event;
@@ -45,7 +46,9 @@
         let ids: Vec<WorkerId> = self
             .scheduler
             .workers()
-            .filter(|worker| worker.is_listed || !worker.runs.is_empty())
+            .filter(|worker| {
+                worker.is_listed || !worker.runs.is_empty() || worker.contact == Contact::Unheard
+            })
             .map(|worker| worker.entry.id.clone())
             .collect();
         let scheduler = &self.scheduler;
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -8,6 +8,7 @@
 use scheduler::JobRecord;
 use scheduler::LostWorker;
 use scheduler::Progress;
+use scheduler::RosterEntry;
 use scheduler::Scheduler;
 use scheduler::SortedMap;
 
@@ -16,12 +17,14 @@
 use super::commit::Pipeline;
 use crate::clock;
 use crate::election::Reason;
+use crate::election::SILENCE_MAX;
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::Row;
 use crate::ports::Table;
 use crate::rows;
 use crate::rows::LostRow;
+use crate::rows::ROSTER_KEY;
 use crate::shared::Shared;
 
 /// Time for which the reads are tried before the ownership is given up.
@@ -62,9 +65,10 @@
 async fn read_all<P: Platform>(shared: &Shared<P>, won: &Won) -> Result<Scheduler, ReadError> {
     let settings = shared.settings.scheduling.clone();
     let lease = settings.lease;
-    let (jobs, progress) = tokio::try_join!(
+    let (jobs, progress, roster) = tokio::try_join!(
         shared.platform.read(Table::Jobs, ""),
         shared.platform.read(Table::Progress, ""),
+        shared.platform.read(Table::Owner, ROSTER_KEY),
     )?;
     let workers = shared.platform.registered(None, Duration::ZERO).await?;
     let now = clock::now();
@@ -72,7 +76,11 @@
     if let Some((config, _)) = shared.config(now) {
         scheduler.set_config(config.scheduling.clone());
     }
-    scheduler.set_workers(workers.changed, lease_left(won, lease), now);
+    let lease_left = lease_left(won, lease);
+    scheduler.set_workers(workers.changed, lease_left, now);
+    for roster in decode_all::<Vec<RosterEntry>>(roster).values() {
+        scheduler.restore_roster(roster.clone(), lease_left, now);
+    }
     let (waves, progress): (Vec<Row>, Vec<Row>) =
         progress.into_iter().partition(|row| row.key.starts_with(rows::WAVE_PREFIX));
     for (key, begun) in decode_all::<Vec<HostName>>(waves).iter() {
@@ -100,7 +108,8 @@
         Reason::First => Duration::ZERO,
         // It has ended, so it renews no lease any more.
         Reason::Released | Reason::Ended => longest,
-        Reason::Silent => longest + VALIDITY,
+        // It may have renewed leases for as long as its last transaction let it.
+        Reason::Silent => longest + VALIDITY - SILENCE_MAX,
     }
 }
 
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -12,6 +12,9 @@
 /// Key of the owner's row.
 pub const OWNER_KEY: &str = "owner";
 
+/// Key of the row with the workers that may run something, in the owner's table.
+pub const ROSTER_KEY: &str = "workers";
+
 /// Begin of the keys of waves in the table of progress; no job's id begins so.
 pub const WAVE_PREFIX: &str = "wave/";
 
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -12,6 +12,8 @@
 use crate::job::UnitKey;
 use crate::progress::FinalState;
 use crate::progress::Progress;
+use crate::report::RosterEntry;
+use crate::report::WorkerEntry;
 use crate::state::Batch;
 use crate::state::Done;
 use crate::state::EndedJob;
@@ -117,6 +119,7 @@
                 .map(|(id, worker)| (id.clone(), worker.entry.born_ms, worker.ends_seen))
                 .collect();
         }
+        batch.roster = self.changed_roster();
         for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
             wave.is_dirty = false;
             batch.waves.push((*id, wave.begun.clone()));
@@ -144,9 +147,37 @@
         for id in &batch.forgotten {
             self.ended.remove(id);
         }
+        if let Some(roster) = &batch.roster {
+            self.roster_stored(roster);
+        }
         self.needs_placing = true;
     }
 
+    /// Workers that may run something, if they are not those that are stored.
+    fn changed_roster(&self) -> Option<Vec<RosterEntry>> {
+        let is_same = self.workers.len() == self.stored_roster.len()
+            && self.workers.iter().zip(&self.stored_roster).all(|((id, _), stored)| id == stored);
+        if is_same {
+            return None;
+        }
+        let entries = self.workers.values().map(|worker| &worker.entry);
+        let known = |entry: &WorkerEntry| RosterEntry {
+            id: entry.id.clone(),
+            pool: entry.pool.clone(),
+            address: entry.address,
+        };
+        Some(entries.map(known).collect())
+    }
+
+    fn roster_stored(&mut self, roster: &[RosterEntry]) {
+        self.stored_roster = roster.iter().map(|known| known.id.clone()).collect();
+        for id in &self.stored_roster {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.is_on_roster = true;
+            }
+        }
+    }
+
     fn job_stored(&mut self, id: &JobId, progress: &Progress, now: Moment) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -16,7 +16,6 @@
 use crate::report::HostEntry;
 use crate::report::HostReply;
 use crate::report::HostState;
-use crate::state::Done;
 use crate::state::Scheduler;
 use crate::state::Unit;
 
@@ -28,6 +27,9 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(700);
 /// Time after an accepted order in which the list may still show the state before.
 const LIST_LAG: Duration = Duration::from_millis(1_500);
+/// Age of a worker's last answer up to which its units count as at work; above the time that a worker
+/// may wait with an answer.
+const SEEN_AT_WORK_MAX: Duration = Duration::from_millis(1_600);
 /// Percentage of a lasting unit that is wholly at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -53,12 +55,14 @@
     pub not_before: Moment,
     /// Until when an accepted order keeps it away.
     pub away_until: Moment,
+    /// Worker that the last accepted order has ended.
+    pub ended_worker: Option<WorkerId>,
 }
 
 impl Host {
     fn new(entry: HostEntry) -> Self {
         let (not_before, away_until) = (Moment::ZERO, Moment::ZERO);
-        Self { entry, goal: None, is_ordered: false, not_before, away_until }
+        Self { entry, goal: None, is_ordered: false, not_before, away_until, ended_worker: None }
     }
 
     /// True if it works and nothing is planned for it.
@@ -75,7 +79,11 @@
         for entry in entries {
             let name = entry.name.clone();
             let host = self.hosts.entry_or(name, || Host::new(entry.clone()));
-            if host.entry.worker != entry.worker {
+            // Another worker on the host shows that the order has been carried out.
+            let is_back = entry.state == HostState::Up
+                && entry.worker.is_some()
+                && entry.worker != host.ended_worker;
+            if is_back {
                 host.away_until = host.away_until.min(now);
             }
             if now >= host.away_until {
@@ -127,6 +135,7 @@
             return;
         };
         let worker = host.entry.worker.take();
+        host.ended_worker = worker.clone();
         match host.goal.take() {
             Some(Goal::Maintain(wave)) => {
                 host.entry.state = HostState::Maintained;
@@ -210,7 +219,7 @@
             };
             let step = &job.record.steps[key.step];
             let may_stop = if step.is_lasting {
-                self.may_be_away(&key)
+                self.may_be_away(&key, now)
             } else if step.saves {
                 cordoned_for >= SAVING_GRACE
             } else {
@@ -224,7 +233,7 @@
 
     /// True if a lasting unit may be stopped now: its step's budget allows it, and another worker can
     /// take it.
-    fn may_be_away(&self, key: &UnitKey) -> bool {
+    fn may_be_away(&self, key: &UnitKey, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return false;
         };
@@ -232,12 +241,14 @@
             return false;
         };
         let step = &job.record.steps[key.step];
+        let is_silent = |worker: &str| {
+            let worker = self.workers.get(worker);
+            worker.is_none_or(|worker| !worker.is_in_contact(SEEN_AT_WORK_MAX, now))
+        };
         let is_away = |unit: &Unit| {
-            unit.done == Done::No
-                && unit
-                    .run
-                    .as_ref()
-                    .is_none_or(|run| run.stop.is_some() || run.percent < AT_WORK_PERCENT)
+            unit.run.as_ref().is_none_or(|run| {
+                run.stop.is_some() || run.percent < AT_WORK_PERCENT || is_silent(&run.worker)
+            })
         };
         let units = occurrence.steps[key.step].iter().enumerate();
         let others = units.filter(|(index, _)| *index != key.index);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -52,6 +52,7 @@
 pub use report::HostState;
 pub use report::LostWorker;
 pub use report::Report;
+pub use report::RosterEntry;
 pub use report::RunEnd;
 pub use report::Running;
 pub use report::StartOrder;
--- a/crates/scheduler/src/report.rs
+++ b/crates/scheduler/src/report.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::HostName;
 use crate::Moment;
 use crate::PoolName;
@@ -275,6 +278,20 @@
     },
 }
 
+/// A worker that may run something.
+///
+/// Workers leave the registry while it cannot be written, and may run on; an owner that takes over has
+/// to know of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// Worker.
+    pub id: WorkerId,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Address of its task interface.
+    pub address: SocketAddr,
+}
+
 /// A worker that an owner had lost sight of, with what it may still run there.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LostWorker {
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -8,10 +8,10 @@
 use crate::Moment;
 use crate::WorkerId;
 use crate::job::JobRecord;
-use crate::job::Resources;
 use crate::job::UnitKey;
 use crate::progress::Progress;
 use crate::report::LostWorker;
+use crate::report::RosterEntry;
 use crate::report::WorkerEntry;
 use crate::state::Done;
 use crate::state::EndedJob;
@@ -82,6 +82,15 @@
         }
     }
 
+    /// Takes in the workers that an owner before may have used; those that are registered are known
+    /// already.
+    pub fn restore_roster(&mut self, roster: Vec<RosterEntry>, lease_left: Duration, now: Moment) {
+        for known in roster {
+            let id = known.id.clone();
+            self.workers.entry_or(id, || Worker::unlisted(known, now + lease_left, now));
+        }
+    }
+
     /// Takes in one registered worker.
     pub fn set_worker(&mut self, entry: WorkerEntry, lease_left: Duration, now: Moment) {
         self.needs_placing = true;
@@ -117,7 +126,9 @@
         self.note("worker started again", subject, why);
         self.clear_runs_on(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
+            let is_on_roster = worker.is_on_roster;
             *worker = Worker::new(entry, now, now);
+            worker.is_on_roster = is_on_roster;
         }
     }
 
@@ -134,7 +145,7 @@
     pub fn restore_lost(&mut self, lost: &[LostWorker], now: Moment) {
         for worker in lost {
             let id = worker.worker.clone();
-            let known = self.workers.entry_or(id.clone(), || unlisted(id, now));
+            let known = self.workers.entry_or(id.clone(), || forgotten(id, now));
             known.lease_over_at = now + worker.lease_left;
             // Its runs are all known, so that other units need not wait for it.
             if known.contact == Contact::Unheard {
@@ -207,21 +218,8 @@
     }
 }
 
-/// A worker that has left the registry and of which only its leases matter.
-fn unlisted(id: WorkerId, now: Moment) -> Worker {
-    let entry = WorkerEntry {
-        id,
-        born_ms: 0,
-        pool: Arc::from(""),
-        address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        zone: Arc::from(""),
-        labels: Vec::new(),
-        capacity: Resources::default(),
-        is_draining: true,
-        clock_ms: 0,
-        host: None,
-    };
-    let mut worker = Worker::new(entry, now, now);
-    worker.is_listed = false;
-    worker
+/// A worker of which only its leases matter.
+fn forgotten(id: WorkerId, now: Moment) -> Worker {
+    let address = SocketAddr::from(([0, 0, 0, 0], 0));
+    Worker::unlisted(RosterEntry { id, pool: Arc::from(""), address }, now, now)
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -22,6 +22,7 @@
 use crate::progress::FinalState;
 use crate::progress::Progress;
 use crate::report::Action;
+use crate::report::RosterEntry;
 use crate::sorted::SortedMap;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
@@ -58,7 +59,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_secs(6),
+            lease: Duration::from_secs(5),
             start_valid: Duration::from_secs(2),
             contact_max: Duration::from_millis(2_800),
             stop_max: Duration::from_millis(200),
@@ -242,6 +243,8 @@
     pub progress: Vec<(JobId, Progress)>,
     /// Ended jobs that need not be remembered any longer.
     pub forgotten: Vec<JobId>,
+    /// All workers that may run something, if they are not those that are stored.
+    pub roster: Option<Vec<RosterEntry>>,
     /// Hosts of waves whose maintenance has begun, by wave.
     pub waves: Vec<(WaveId, Vec<HostName>)>,
     /// Highest end of each worker of which the consequences are in this batch or stored before.
@@ -251,7 +254,10 @@
 impl Batch {
     /// True if no row has to be written.
     pub fn writes_nothing(&self) -> bool {
-        self.progress.is_empty() && self.forgotten.is_empty() && self.waves.is_empty()
+        self.progress.is_empty()
+            && self.forgotten.is_empty()
+            && self.waves.is_empty()
+            && self.roster.is_none()
     }
 }
 
@@ -276,6 +282,8 @@
     pub(crate) hosts: SortedMap<HostName, Host>,
     /// The hosts have been listed at least once.
     pub(crate) hosts_listed: bool,
+    /// Workers that are stored as those that may run something, sorted.
+    pub(crate) stored_roster: Vec<WorkerId>,
     /// Waves.
     pub(crate) waves: SortedMap<WaveId, WaveProgress>,
     /// Demand by pool.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -6,6 +6,7 @@
 use crate::Moment;
 use crate::job::Resources;
 use crate::job::UnitKey;
+use crate::report::RosterEntry;
 use crate::report::WorkerEntry;
 
 /// How much slower than true time a worker's clock may run, in percent.
@@ -38,6 +39,8 @@
     pub rack: Option<Arc<str>>,
     /// Whether it answers.
     pub contact: Contact,
+    /// It is stored that it may run something.
+    pub is_on_roster: bool,
     /// When the entry was last seen in the registry; none if it has vanished.
     pub is_listed: bool,
     /// What its runs take.
@@ -73,6 +76,7 @@
             entry,
             rack,
             contact: Contact::Unheard,
+            is_on_roster: false,
             is_listed: true,
             used: Resources::default(),
             runs: Vec::new(),
@@ -89,6 +93,26 @@
         }
     }
 
+    /// A worker that is not in the registry.
+    pub fn unlisted(known: RosterEntry, lease_over_at: Moment, now: Moment) -> Self {
+        let RosterEntry { id, pool, address } = known;
+        let entry = WorkerEntry {
+            id,
+            born_ms: 0,
+            pool,
+            address,
+            zone: Arc::from(""),
+            labels: Vec::new(),
+            capacity: Resources::default(),
+            is_draining: true,
+            clock_ms: 0,
+            host: None,
+        };
+        let mut worker = Self::new(entry, lease_over_at, now);
+        worker.is_listed = false;
+        worker
+    }
+
     /// What is free.
     pub fn free(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
