Ask no lease of a silent worker, and empty workers that are leaving

Cause: each unanswered look asked for a new lease, so that the lease of a worker that was gone was never over and its units never ran again (LOST).

--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -115,6 +115,7 @@
         if !self.hosts_listed {
             return;
         }
+        self.empty_leaving(now);
         self.plan_waves(now);
         self.plan_moves(now);
         self.set_cordons(now);
@@ -124,6 +125,20 @@
         }
     }
 
+    /// Empties the workers that say that they are leaving.
+    fn empty_leaving(&mut self, now: Moment) {
+        let mut leaving = Vec::new();
+        for (id, worker) in self.workers.iter_mut() {
+            if worker.entry.is_draining && worker.is_listed && !worker.runs.is_empty() {
+                worker.cordoned_at = worker.cordoned_at.max(worker.draining_since);
+                leaving.push(id.clone());
+            }
+        }
+        for id in leaving {
+            self.empty_worker(&id, now);
+        }
+    }
+
     /// Worker of a host.
     pub(crate) fn worker_of(&self, host: &Host) -> Option<WorkerId> {
         host.entry.worker.clone()
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -107,6 +107,9 @@
             self.worker_reborn(&id, entry, now);
             return;
         }
+        if entry.is_draining && !worker.entry.is_draining {
+            worker.draining_since = now;
+        }
         let born_ms = worker.entry.born_ms.max(entry.born_ms);
         let host = entry.host.clone().or(worker.entry.host.clone());
         worker.entry = WorkerEntry { born_ms, host, ..entry };
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -327,10 +327,14 @@
     }
 
     /// End of the lease that a worker is asked for now, by its clock in milliseconds; none if its
-    /// clock is not known yet.
+    /// clock is not known yet, or if it has not answered of late: a lease that it may never hear of
+    /// would put off the time at which its units can run elsewhere.
     pub fn ask_lease(&mut self, id: &str, now: Moment) -> Option<u64> {
         let lease = self.settings.lease;
         let worker = self.workers.get_mut(id)?;
+        if !worker.is_in_contact(LEASE_CONTACT_MAX, now) {
+            return None;
+        }
         let deadline_ms = worker.clock_least_ms(now)? + lease.as_millis() as u64;
         worker.lease_asked(deadline_ms);
         Some(deadline_ms)
@@ -481,6 +485,10 @@
     }
 }
 
+/// Age of a worker's last answer up to which its lease is renewed; above the time between two looks
+/// while ends wait to be stored.
+const LEASE_CONTACT_MAX: Duration = Duration::from_millis(1_200);
+
 /// Runs of a unit that one owner starts at most; the numbers of the next owner lie above.
 const RUNS_PER_EPOCH: u64 = 64;
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -63,6 +63,8 @@
     pub is_cordoned: bool,
     /// When the cordon began.
     pub cordoned_at: Moment,
+    /// When it was first seen to be leaving.
+    pub draining_since: Moment,
     /// When it last had something to run.
     pub busy_at: Moment,
     clock: Option<ClockReading>,
@@ -88,6 +90,7 @@
             shunned_until: Moment::ZERO,
             is_cordoned: false,
             cordoned_at: Moment::ZERO,
+            draining_since: now,
             busy_at: now,
             clock: None,
         }
