--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -50,6 +50,7 @@
             is_ending_stored: false,
             is_dirty: false,
             has_begun: false,
+            is_restored: false,
         };
         self.jobs.insert(record.id.clone(), job);
         self.begin_due_occurrences(&record.id, now);
@@ -304,8 +305,8 @@
             progress.units_done.push(position);
             continue;
         }
-        if unit.failures > 0 {
-            progress.failures.push((position, unit.failures, unit.failed_run));
+        if !unit.failed_runs.is_empty() {
+            progress.failures.push((position, unit.failed_runs.clone()));
         }
         if !unit.saved.is_empty() {
             progress.saved.push((position, unit.saved.clone()));
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -237,7 +237,8 @@
             unit.saved = end.saved.clone();
         }
         let is_first = end.ending == Ending::Done && unit.done == Done::No;
-        let is_new_failure = end.ending == Ending::Failed && end.run > unit.failed_run;
+        // A new owner hears of several failures of a unit in any order.
+        let is_new_failure = end.ending == Ending::Failed && !unit.failed_runs.contains(&end.run);
         let since = unit.run.as_ref().filter(|_| is_current).map(|run| run.since);
         if is_current {
             self.clear_run(key, now);
@@ -289,11 +290,13 @@
     }
 
     fn unit_failed(&mut self, id: &WorkerId, key: &UnitKey, number: u32, now: Moment) {
+        let is_lasting = self.is_lasting(key);
         let Some(unit) = self.unit_mut(key) else {
             return;
         };
-        unit.failures += 1;
-        unit.failed_run = number;
+        if !is_lasting {
+            unit.failed_runs.push(number);
+        }
         if !unit.avoid.contains(id) {
             unit.avoid.push(id.clone());
         }
@@ -308,7 +311,7 @@
             .peers_of(key, step.is_gang)
             .iter()
             .filter_map(|peer| self.unit(peer))
-            .map(|unit| unit.failures)
+            .map(|unit| unit.failed_runs.len() as u32)
             .sum();
         let attempts_max = self.attempts_max(&job.record.queue);
         if failures < attempts_max || job.ending.is_some() {
--- a/crates/scheduler/src/evidence.rs
+++ b/crates/scheduler/src/evidence.rs
@@ -84,7 +84,7 @@
         since: Option<Moment>,
         now: Moment,
     ) {
-        let failed_before = self.unit(key).map_or(0, |unit| unit.failures);
+        let failed_before = self.unit(key).map_or(0, |unit| unit.failed_runs.len());
         match ending {
             Ending::Done => {
                 self.evidence.succeeded(worker);
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -1,5 +1,7 @@
 //! One round of decisions.
 
+use std::time::Duration;
+
 use crate::Moment;
 use crate::PoolName;
 use crate::UnitKey;
@@ -18,6 +20,9 @@
 use crate::state::Unit;
 use crate::worker::Contact;
 
+/// Time after which units are placed again though nothing has changed: pauses of workers end.
+const PLACE_AGAIN: Duration = Duration::from_millis(250);
+
 /// A step with units that wait.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -55,9 +60,11 @@
     }
 
     fn place(&mut self, now: Moment) {
-        if !std::mem::take(&mut self.needs_placing) {
+        let is_due = now.saturating_sub(self.placed_at) >= PLACE_AGAIN;
+        if !std::mem::take(&mut self.needs_placing) && !is_due {
             return;
         }
+        self.placed_at = now;
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then(a.rank.cmp(&b.rank)));
         for of_pool in waiting.chunk_by(|a, b| a.pool == b.pool) {
@@ -73,8 +80,7 @@
         let mut waiting = Vec::new();
         for job in self.jobs.values().filter(|job| job.ending.is_none()) {
             let pool = self.pool_of(job);
-            let may_run_unseen =
-                job.accepted_at < self.owner_since && unheard.binary_search(&pool).is_ok();
+            let may_run_unseen = job.is_restored && unheard.binary_search(&pool).is_ok();
             for occurrence in &job.occurrences {
                 self.waiting_of(job, occurrence, &pool, may_run_unseen, now, &mut waiting);
             }
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -40,9 +40,9 @@
     /// Units that are done, of the other steps.
     #[serde(rename = "d", skip_serializing_if = "Vec::is_empty")]
     pub units_done: Vec<UnitPosition>,
-    /// Failed runs of units: how many, and the number of the last one.
+    /// Numbers of the failed runs of units.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
-    pub failures: Vec<(UnitPosition, u32, u32)>,
+    pub failures: Vec<(UnitPosition, Vec<u32>)>,
     /// State that units have saved.
     #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub saved: Vec<(UnitPosition, String)>,
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -36,12 +36,12 @@
                 unit.done = Done::Stored;
             }
         }
-        for ((number, step, index), failures, failed_run) in progress.failures.iter().copied() {
+        for ((number, step, index), failed_runs) in &progress.failures {
+            let (number, step, index) = (*number, *step, *index);
             let key = UnitKey { job: id.clone(), occurrence: number, step, index };
             if let Some(unit) = self.unit_mut(&key) {
-                unit.failures = failures;
-                unit.failed_run = failed_run;
-                unit.last_run = unit.last_run.max(failed_run);
+                unit.failed_runs = failed_runs.clone();
+                unit.last_run = failed_runs.iter().copied().fold(unit.last_run, u32::max);
             }
         }
         for ((number, step, index), saved) in &progress.saved {
@@ -52,6 +52,7 @@
             }
         }
         if let Some(job) = self.jobs.get_mut(&id) {
+            job.is_restored = true;
             job.has_begun = progress != &Progress::default();
             job.ending = progress.ended;
             job.is_ending_stored = progress.ended.is_some();
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -146,10 +146,8 @@
 pub struct Unit {
     /// Whether it is done.
     pub done: Done,
-    /// Runs that failed.
-    pub failures: u32,
-    /// Number of the last run that failed.
-    pub failed_run: u32,
+    /// Numbers of the runs that failed; not kept for units that last.
+    pub failed_runs: Vec<u32>,
     /// Number of its last run.
     pub last_run: u32,
     /// State that it has saved; empty if none.
@@ -167,8 +165,7 @@
     pub fn new(run_base: u32, now: Moment) -> Self {
         Self {
             done: Done::No,
-            failures: 0,
-            failed_run: 0,
+            failed_runs: Vec::new(),
             last_run: run_base,
             saved: String::new(),
             run: None,
@@ -210,6 +207,8 @@
     pub is_dirty: bool,
     /// A unit has been started.
     pub has_begun: bool,
+    /// It was stored when this owner took over, so that an owner before may have started units of it.
+    pub is_restored: bool,
 }
 
 /// An ended job.
@@ -300,6 +299,8 @@
     pub(crate) is_fenced: bool,
     /// Something has changed since units were last placed.
     pub(crate) needs_placing: bool,
+    /// When units were last placed.
+    pub(crate) placed_at: Moment,
 }
 
 impl Scheduler {
--- /dev/null
+++ b/crates/scheduler/tests/common/world.rs
@@ -0,0 +1,303 @@
+//! A scheduler with workers that do as the test says, in virtual time.
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use scheduler::Action;
+use scheduler::Config;
+use scheduler::Ending;
+use scheduler::JobRecord;
+use scheduler::Moment;
+use scheduler::Pool;
+use scheduler::Progress;
+use scheduler::Queue;
+use scheduler::Report;
+use scheduler::Resources;
+use scheduler::RunEnd;
+use scheduler::Running;
+use scheduler::Scheduler;
+use scheduler::Settings;
+use scheduler::SortedMap;
+use scheduler::StartOrder;
+use scheduler::StartReply;
+use scheduler::Step;
+use scheduler::Team;
+use scheduler::UnitKey;
+use scheduler::WorkerEntry;
+use scheduler::WorkerId;
+
+/// Unix time of the moment zero, in milliseconds.
+pub const UNIX_MS: u64 = 1_700_000_000_000;
+
+/// A stand-in of a worker.
+#[derive(Clone, Debug)]
+pub struct FakeWorker {
+    pub id: WorkerId,
+    pub running: Vec<Running>,
+    pub ended: Vec<RunEnd>,
+    pub ends: u64,
+    pub answers: bool,
+}
+
+/// A scheduler and its workers.
+pub struct World {
+    pub scheduler: Scheduler,
+    pub workers: Vec<FakeWorker>,
+    pub stored: SortedMap<Arc<str>, Progress>,
+    pub now: Moment,
+    /// Actions other than starts and stops.
+    pub others: Vec<Action>,
+}
+
+pub fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+pub fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Configuration of one queue `q` on the pool `p` and one spare pool.
+pub fn config(attempts_max: u32, bound: Resources) -> Arc<Config> {
+    let queue = Queue {
+        pool: "p".into(),
+        priority: 0,
+        attempts_max,
+        stretch: 1.6,
+        objective: millis(600),
+        advice: None,
+    };
+    Arc::new(Config {
+        version: 1,
+        queues: [("q".into(), queue)].into_iter().collect(),
+        pools: [
+            ("p".into(), Pool::default()),
+            ("spare".into(), Pool { is_spare: true, rejects_overload: false }),
+        ]
+        .into_iter()
+        .collect(),
+        teams: [("t".into(), Team { weight: 1, bound })].into_iter().collect(),
+    })
+}
+
+pub fn entry(id: &str) -> WorkerEntry {
+    WorkerEntry {
+        id: id.into(),
+        born_ms: 1,
+        pool: "p".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "z".into(),
+        labels: vec!["a".to_owned(), "r1-1".to_owned()],
+        capacity: Resources { cpu_millis: 16_000, memory_mb: 32_768, gpus: 0 },
+        is_draining: false,
+        clock_ms: 0,
+        host: None,
+    }
+}
+
+pub fn step(count: u32, cpu_millis: u64) -> Step {
+    Step {
+        count,
+        need: Resources { cpu_millis, memory_mb: 1_000, gpus: 0 },
+        estimate_ms: 800,
+        ..Step::default()
+    }
+}
+
+pub fn job(id: &str, steps: Vec<Step>, accepted_at: Moment) -> Arc<JobRecord> {
+    Arc::new(JobRecord {
+        id: id.into(),
+        queue: "q".into(),
+        pool: "p".into(),
+        team: Some("t".into()),
+        spec: "spec".into(),
+        steps,
+        accepted_ms: UNIX_MS + accepted_at.as_millis() as u64,
+        ..JobRecord::default()
+    })
+}
+
+pub fn unit(job: &str, step: usize, index: usize) -> UnitKey {
+    UnitKey { job: job.into(), occurrence: 0, step, index }
+}
+
+impl World {
+    /// An owner of the first epoch with workers that have all answered.
+    pub fn new(ids: &[&str], config: Arc<Config>) -> Self {
+        let now = seconds(100);
+        let workers = ids.iter().map(|id| FakeWorker {
+            id: (*id).into(),
+            running: Vec::new(),
+            ended: Vec::new(),
+            ends: 0,
+            answers: true,
+        });
+        let mut world = Self {
+            scheduler: Scheduler::default(),
+            workers: workers.collect(),
+            stored: SortedMap::default(),
+            now,
+            others: Vec::new(),
+        };
+        world.scheduler = world.owner(1, config, Duration::ZERO);
+        world.report_all();
+        world.commit();
+        world
+    }
+
+    fn owner(&self, epoch: u64, config: Arc<Config>, lease_left: Duration) -> Scheduler {
+        let unix_now_ms = UNIX_MS + self.now.as_millis() as u64;
+        let mut scheduler = Scheduler::new(Settings::default(), epoch, unix_now_ms, self.now);
+        scheduler.set_config(config);
+        let entries = self.workers.iter().map(|worker| entry(&worker.id)).collect();
+        scheduler.set_workers(entries, lease_left, self.now);
+        scheduler
+    }
+
+    /// Another owner takes over with what is stored.
+    pub fn take_over(
+        &mut self,
+        epoch: u64,
+        config: Arc<Config>,
+        lease_left: Duration,
+        jobs: &[Arc<JobRecord>],
+    ) {
+        self.scheduler = self.owner(epoch, config, lease_left);
+        for record in jobs {
+            let progress = self.stored.get(&record.id).cloned().unwrap_or_default();
+            self.scheduler.restore_job(record.clone(), &progress, self.now);
+        }
+    }
+
+    pub fn worker(&mut self, id: &str) -> &mut FakeWorker {
+        self.workers.iter_mut().find(|worker| *worker.id == *id).expect("a worker of the world")
+    }
+
+    /// Reports of all workers that answer.
+    pub fn report_all(&mut self) {
+        let ids: Vec<WorkerId> = self.workers.iter().map(|worker| worker.id.clone()).collect();
+        for id in ids {
+            self.report(&id);
+        }
+    }
+
+    /// Report of one worker, if it answers.
+    pub fn report(&mut self, id: &str) {
+        let clock_ms = self.now.as_millis() as u64;
+        let worker = self.worker(id);
+        if !worker.answers {
+            return;
+        }
+        let report = Report {
+            born_ms: 1,
+            clock_ms,
+            running: worker.running.clone(),
+            ended: worker.ended.clone(),
+        };
+        let id = worker.id.clone();
+        self.scheduler.report(&id, &report, self.now, self.now);
+    }
+
+    /// Stores what there is to store.
+    pub fn commit(&mut self) {
+        loop {
+            let batch = self.scheduler.take_batch(100, self.now);
+            if batch.writes_nothing() && batch.ends.is_empty() {
+                return;
+            }
+            for (id, progress) in &batch.progress {
+                self.stored.insert(id.clone(), progress.clone());
+            }
+            self.scheduler.committed(&batch, self.now);
+            for (id, _, number) in &batch.ends {
+                self.worker(id).ended.retain(|end| end.number > *number);
+            }
+        }
+    }
+
+    /// One round of decisions; workers that answer start and stop at once. Returns the starts.
+    pub fn round(&mut self) -> Vec<StartOrder> {
+        self.scheduler.plan(self.now);
+        let mut starts = Vec::new();
+        for action in self.scheduler.take_actions() {
+            match action {
+                Action::Start(order) => {
+                    self.start(&order);
+                    starts.push(order);
+                }
+                Action::Stop { worker, unit, run, .. } => self.stop(&worker, &unit, run),
+                other => self.others.push(other),
+            }
+        }
+        starts
+    }
+
+    fn start(&mut self, order: &StartOrder) {
+        let worker = self.worker(&order.worker);
+        let reply = if worker.answers {
+            worker.running.push(Running {
+                unit: order.unit.clone(),
+                run: order.run,
+                saved: String::new(),
+                percent: 0,
+                load: None,
+            });
+            StartReply::Started
+        } else {
+            StartReply::Unknown
+        };
+        self.scheduler.start_reply(&order.worker, &order.unit, order.run, reply, self.now);
+    }
+
+    fn stop(&mut self, id: &str, unit: &UnitKey, run: u32) {
+        let now = self.now;
+        let worker = self.worker(id);
+        let answers = worker.answers;
+        let is_there = worker.running.iter().any(|r| r.unit == *unit && r.run == run);
+        if answers && is_there {
+            worker.end(unit, Ending::Stopped);
+        }
+        let id = worker.id.clone();
+        self.scheduler.stop_reply(&id, unit, run, answers, now);
+    }
+
+    /// Ends a run, wherever it is.
+    pub fn end(&mut self, unit: &UnitKey, ending: Ending) {
+        let runs = |worker: &&mut FakeWorker| worker.running.iter().any(|r| r.unit == *unit);
+        let worker = self.workers.iter_mut().find(runs).expect("the unit runs");
+        worker.end(unit, ending);
+    }
+
+    /// Lets time pass, with reports and rounds every 200 ms; returns the starts.
+    pub fn pass(&mut self, time: Duration) -> Vec<StartOrder> {
+        let until = self.now + time;
+        let mut starts = Vec::new();
+        while self.now < until {
+            self.now += millis(200);
+            for running in self.workers.iter_mut().flat_map(|worker| &mut worker.running) {
+                running.percent = (running.percent + 1) % 99;
+            }
+            self.report_all();
+            self.commit();
+            starts.extend(self.round());
+        }
+        starts
+    }
+}
+
+impl FakeWorker {
+    /// Ends a run that is here.
+    pub fn end(&mut self, unit: &UnitKey, ending: Ending) {
+        let index = self.running.iter().position(|r| r.unit == *unit).expect("the unit runs here");
+        let running = self.running.remove(index);
+        self.ends += 1;
+        self.ended.push(RunEnd {
+            number: self.ends,
+            unit: unit.clone(),
+            run: running.run,
+            ending,
+            saved: String::new(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/takeover.rs
@@ -0,0 +1,125 @@
+//! Taking over while workers are silent, ends are not stored and entries have left the registry.
+
+#[path = "common/world.rs"]
+mod world;
+
+use scheduler::Ending;
+use scheduler::JobView;
+use scheduler::LostWorker;
+use scheduler::Resources;
+use scheduler::RosterEntry;
+use world::World;
+use world::config;
+use world::job;
+use world::millis;
+use world::seconds;
+use world::step;
+use world::unit;
+
+const NO_BOUND: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+
+#[test]
+fn a_unit_found_running_goes_on() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    let record = job("a", vec![step(2, 1_000)], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    assert_eq!(world.round().len(), 2);
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[record]);
+    let starts = world.pass(seconds(2));
+    assert!(starts.is_empty(), "{starts:?}");
+    assert_eq!(world.scheduler.view("a"), Some(JobView::Running));
+}
+
+#[test]
+fn a_unit_found_nowhere_waits_for_the_lease_of_a_silent_worker() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    let record = job("a", vec![step(1, 1_000)], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    let started_on = world.round()[0].worker.clone();
+    world.worker(&started_on).answers = false;
+    world.now += seconds(1);
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[record]);
+    assert!(world.pass(millis(5_800)).is_empty());
+    let starts = world.pass(seconds(1));
+    assert_eq!(starts.len(), 1);
+    assert_ne!(starts[0].worker, started_on);
+    assert!(starts[0].run > 1, "the number of a run rises");
+}
+
+#[test]
+fn a_worker_that_left_the_registry_is_waited_for() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    let record = job("a", vec![step(1, 1_000)], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    let started_on = world.round()[0].worker.clone();
+    // The store was away: the entry has lapsed, but the worker lives and has ended the unit.
+    let gone = world.workers.iter().position(|worker| worker.id == started_on).unwrap();
+    let mut gone = world.workers.remove(gone);
+    gone.end(&unit("a", 0, 0), Ending::Done);
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[record]);
+    let known = RosterEntry {
+        id: gone.id.clone(),
+        pool: "p".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+    };
+    world.scheduler.restore_roster(vec![known], seconds(6), world.now);
+    assert!(world.pass(seconds(2)).is_empty());
+    world.workers.push(gone);
+    assert!(world.pass(seconds(2)).is_empty());
+    assert!(matches!(world.scheduler.view("a"), Some(JobView::Ended(_))));
+}
+
+#[test]
+fn failures_that_were_not_stored_count_in_any_order() {
+    let mut world = World::new(&["w1", "w2", "w3"], config(3, NO_BOUND));
+    let record = job("a", vec![step(1, 1_000)], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    // The store is away: nothing is committed and no end acknowledged.
+    for _ in 0..3 {
+        world.round();
+        world.end(&unit("a", 0, 0), Ending::Failed);
+        world.report_all();
+    }
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[record]);
+    for id in ["w3", "w2", "w1"] {
+        world.report(id);
+    }
+    world.commit();
+    assert!(world.round().is_empty(), "all attempts are used up");
+    assert!(matches!(world.scheduler.view("a"), Some(JobView::Ended(_))));
+}
+
+#[test]
+fn a_listed_run_supersedes_an_older_one_in_doubt() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    let record = job("a", vec![step(1, 1_000)], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    let order = world.round().remove(0);
+    let other: &str = if &*order.worker == "w1" { "w2" } else { "w1" };
+    // An owner before had lost sight of `other`; its row is older than the run that is listed.
+    let lost = LostWorker {
+        worker: other.into(),
+        lease_left: seconds(4),
+        runs: vec![(unit("a", 0, 0), 0)],
+    };
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[record]);
+    world.scheduler.restore_lost(&[lost], world.now);
+    world.worker(other).answers = false;
+    assert!(world.pass(seconds(8)).is_empty());
+    assert_eq!(world.worker(&order.worker).running.len(), 1, "the run is not stopped");
+}
+
+#[test]
+fn a_silent_worker_is_not_asked_for_new_leases() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    let record = job("a", vec![step(1, 1_000)], world.now);
+    world.scheduler.add_job(record, world.now);
+    let order = world.round().remove(0);
+    world.worker(&order.worker).answers = false;
+    let mut starts = Vec::new();
+    for _ in 0..50 {
+        world.scheduler.ask_lease(&order.worker, world.now);
+        starts.extend(world.pass(millis(200)));
+    }
+    assert_eq!(starts.len(), 1, "the unit runs elsewhere once the lease is over");
+}
