--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -311,7 +311,7 @@
 }
 
 /// True if all steps that a step depends on are done, and that is stored.
-fn is_ready(step: &Step, occurrence: &Occurrence) -> bool {
+pub(crate) fn is_ready(step: &Step, occurrence: &Occurrence) -> bool {
     let is_done = |step: &usize| {
         let units = occurrence.steps.get(*step);
         units.is_some_and(|units| units.iter().all(|unit| unit.done == Done::Stored))
