Refuse submissions at once while the store is away, and hand the ownership over

A rolling restart moved the ownership to nodes that were stopped next; it goes to the node that has started last. Nodes that the store turns away confirm their configuration by the owner.

--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -6,9 +6,11 @@
 use scheduler::QueueName;
 use scheduler::SortedMap;
 use scheduler::TeamName;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct EntryConfig {
     /// Version.
     pub version: u64,
@@ -23,7 +25,7 @@
 }
 
 /// Requests that belong to a queue.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Host name in the request.
     pub host: String,
--- a/crates/coordinator/src/entry.rs
+++ b/crates/coordinator/src/entry.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
 use scheduler::JobRecord;
 use scheduler::JobView;
 use scheduler::Moment;
@@ -31,6 +32,10 @@
 const DENIAL_AGE_MAX: Duration = Duration::from_millis(1_700);
 /// Time for which calls go to the store after the owner did not answer one.
 const AVOID_OWNER: Duration = Duration::from_millis(600);
+/// Pause between two writes of which the first may have been carried out.
+const INBOX_RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest time after which a caller may try again while the store is away, in seconds.
+const OUTAGE_RETRY_MAX_S: u64 = 2;
 /// Time after which a caller may try again while the node knows no configuration of late.
 const STALE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -141,8 +146,8 @@
         self.shared.config(clock::now()).map(|(config, _)| config)
     }
 
-    /// Accepts a job: it is stored once this says so.
-    pub async fn submit(&self, record: JobRecord) -> Submitted {
+    /// Accepts a job: it is stored once this says so. What is not known at `deadline` stays unknown.
+    pub async fn submit(&self, record: JobRecord, deadline: Moment) -> Submitted {
         let record = Arc::new(record);
         let by_owner = match self.owner_here() {
             true => self.submit_here(record.clone()).await,
@@ -150,11 +155,12 @@
         };
         match by_owner {
             Ok(SubmitReply::Accepted) => Submitted::Accepted,
-            Ok(SubmitReply::Unknown) => self.submit_to_inbox(&record, true).await,
+            Ok(SubmitReply::NotTaken) => self.submit_to_inbox(&record, false, deadline).await,
+            Ok(SubmitReply::Unknown) => self.submit_to_inbox(&record, true, deadline).await,
             Err(error) => {
                 let may_be_stored = matches!(error, PeerError::NoAnswer(_));
                 self.avoid_owner(&error);
-                self.submit_to_inbox(&record, may_be_stored).await
+                self.submit_to_inbox(&record, may_be_stored, deadline).await
             }
         }
     }
@@ -268,19 +274,41 @@
         }
     }
 
-    /// Stores a job for the owner to find.
-    async fn submit_to_inbox(&self, record: &JobRecord, may_be_stored: bool) -> Submitted {
+    /// Stores a job for the owner to find. While it may be stored already, the write is repeated, since
+    /// only a write that is committed tells the caller what is so.
+    async fn submit_to_inbox(
+        &self,
+        record: &JobRecord,
+        mut may_be_stored: bool,
+        deadline: Moment,
+    ) -> Submitted {
         let key = inbox_key("submit", &record.id);
         let value = rows::encode(&InboxRow::Submit(record.clone()));
-        let transaction =
-            Transaction { puts: vec![(Table::Inbox, key, value)], ..Transaction::default() };
-        match self.shared.platform.write(transaction).await {
-            Written::Committed(_) => Submitted::Accepted,
-            Written::Unknown(_) => Submitted::Unknown,
-            Written::Conflict(_) | Written::Refused(_) if may_be_stored => Submitted::Unknown,
-            Written::Conflict(_) | Written::Refused(_) => {
-                Submitted::NotStored { retry_after: STALE_RETRY_AFTER }
+        loop {
+            let not_stored = Submitted::NotStored { retry_after: outage_retry_after() };
+            if !may_be_stored && !self.shared.is_store_up() {
+                return not_stored;
+            }
+            let transaction = Transaction {
+                puts: vec![(Table::Inbox, key.clone(), value.clone())],
+                ..Transaction::default()
+            };
+            let written = self.shared.platform.write(transaction).await;
+            let now = clock::now();
+            match written {
+                Written::Committed(_) => {
+                    self.shared.note_store(true, now);
+                    return Submitted::Accepted;
+                }
+                Written::Unknown(_) => may_be_stored = true,
+                Written::Conflict(_) | Written::Refused(_) if !may_be_stored => return not_stored,
+                Written::Conflict(_) | Written::Refused(_) => {}
             }
+            self.shared.note_store(false, now);
+            if now + INBOX_RETRY_PAUSE >= deadline {
+                return Submitted::Unknown;
+            }
+            tokio::time::sleep(INBOX_RETRY_PAUSE).await;
         }
     }
 
@@ -345,6 +373,12 @@
     }
 }
 
+/// Time after which a caller may try again while the store is away; spread, so that not all return at
+/// the same moment.
+fn outage_retry_after() -> Duration {
+    Duration::from_secs(rand::rng().random_range(1..=OUTAGE_RETRY_MAX_S))
+}
+
 /// Key of a row in the inbox.
 pub(crate) fn inbox_key(kind: &str, job: &str) -> String {
     format!("{kind}/{job}")
--- a/crates/coordinator/src/follow.rs
+++ b/crates/coordinator/src/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use scheduler::Moment;
+use scheduler::SortedMap;
 
 use crate::clock;
 use crate::ports::Changes;
@@ -11,7 +12,6 @@
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::RowVersion;
-use crate::shared::Operated;
 use crate::shared::Shared;
 
 /// Longest wait of a call for changes; bounds the age of the configuration at rest.
@@ -27,6 +27,7 @@
         let sent_at = clock::now();
         match shared.platform.operated(version, CHANGES_WAIT).await {
             Ok(changes) => {
+                shared.note_store(true, clock::now());
                 if !std::mem::replace(&mut is_connected, true) {
                     telemetry::log::line("operators-regained").write();
                 }
@@ -35,6 +36,7 @@
             }
             Err(ReadError::HistoryGone) => version = None,
             Err(error) => {
+                shared.note_store(false, clock::now());
                 if std::mem::replace(&mut is_connected, false) {
                     telemetry::log::line("operators-lost").text("why", error).write();
                 }
@@ -45,32 +47,26 @@
 }
 
 fn apply<P: Platform>(shared: &Shared<P>, changes: Changes<Entry>, sent_at: Moment) {
-    shared.operated.send_modify(|operated| {
-        operated.confirmed_at = sent_at;
-        if changes.is_whole {
-            operated.waves = Default::default();
+    let mut config = None;
+    let mut waves = Vec::new();
+    for entry in changes.changed {
+        match entry {
+            Entry::Wave(wave) => waves.push(wave),
+            Entry::Config(found) => config = Some(found),
         }
-        for entry in changes.changed {
-            apply_entry(operated, entry);
-        }
-    });
-}
-
-fn apply_entry(operated: &mut Operated, entry: Entry) {
-    match entry {
-        Entry::Wave(wave) => {
-            operated.waves.insert(wave.id, wave);
-        }
-        Entry::Config(config) => {
-            let version_before = operated.config.as_ref().map_or(0, |config| config.version);
-            if config.version <= version_before {
-                return;
+    }
+    if changes.is_whole || !waves.is_empty() {
+        shared.operated.send_modify(|operated| {
+            if changes.is_whole {
+                operated.waves = SortedMap::default();
             }
-            telemetry::log::line("config-in-force")
-                .field("version", config.version)
-                .field("version_before", version_before)
-                .write();
-            operated.config = Some(config);
-        }
+            for wave in waves {
+                operated.waves.insert(wave.id, wave);
+            }
+        });
     }
+    // Without a newer one, the configuration that was known was the newest.
+    let known = shared.operated.borrow().config.as_ref().map_or(0, |config| config.version);
+    let version = config.as_ref().map_or(known, |config| config.version);
+    shared.set_config(config, version, sent_at);
 }
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use scheduler::Settings;
 use telemetry::Telemetry;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -28,6 +29,7 @@
 use crate::owner::Won;
 use crate::peers;
 use crate::peers::OwnerClient;
+use crate::peers::Ping;
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::RowVersion;
@@ -87,6 +89,10 @@
             place: Mutex::new(OwnerPlace::default()),
             owner: Mutex::new(None),
             is_stopping: watch::Sender::new(false),
+            store_health: Mutex::default(),
+            followers: Mutex::default(),
+            look_now: Notify::new(),
+            started_at: clock::now(),
             telemetry,
         });
         let router = peers::router(shared.clone());
@@ -120,7 +126,22 @@
         }
         if tokio::time::timeout(RELEASE_TIMEOUT, released).await.is_err() {
             telemetry::log::line("release-late").field("epoch", owning.epoch).write();
+            return;
         }
+        self.hand_over(owning.epoch).await;
+    }
+
+    /// Asks the best follower to take the ownership over that was given up.
+    async fn hand_over(&self, epoch: u64) {
+        let Some(address) = self.shared.successor(clock::now()) else {
+            return;
+        };
+        let asked = OwnerClient { client: &self.shared.client, address }.hand_over().await;
+        telemetry::log::line("ownership-handed-over")
+            .field("epoch", epoch)
+            .text("to", address)
+            .field("is_answered", asked.is_ok())
+            .write();
     }
 
     /// Ends what is left.
@@ -147,7 +168,10 @@
             election = Election::default();
         }
         let spread = Duration::from_millis(rand::rng().random_range(0..LOOK_SPREAD_MS));
-        tokio::time::sleep(LOOK_PERIOD + spread).await;
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_PERIOD + spread) => {}
+            () = shared.look_now.notified() => {}
+        }
     }
 }
 
@@ -157,7 +181,7 @@
         let answer = match place.row.incarnation == shared.settings.incarnation {
             // The row names this process, which has lost or given up the ownership.
             true => Answer::Silent,
-            false => OwnerClient { client: &shared.client, address }.ping().await,
+            false => ask_owner(shared, address).await,
         };
         if election.heard(&place.row, answer) == Step::Rest {
             return None;
@@ -179,6 +203,27 @@
     }
 }
 
+/// Asks the owner whether it works; takes in the configuration that it knows.
+async fn ask_owner<P: Platform>(shared: &Shared<P>, address: SocketAddr) -> Answer {
+    let owner = OwnerClient { client: &shared.client, address };
+    let sent_at = clock::now();
+    let uptime = sent_at.saturating_sub(shared.started_at);
+    let ping = Ping { address: shared.settings.peer_address, uptime_ms: uptime.as_millis() as u64 };
+    let (answer, claim) = owner.ping(&ping).await;
+    let Some(claim) = claim.filter(|claim| claim.version > 0) else {
+        return answer;
+    };
+    let confirmed_at = sent_at.saturating_sub(claim.age);
+    let known = shared.config(sent_at).map_or(0, |(config, _)| config.version);
+    // The store's own news come sooner; a node that the store turns away asks the owner.
+    let config = match claim.version > known && !shared.is_store_up() {
+        true => owner.config().await.ok().map(Arc::new),
+        false => None,
+    };
+    shared.set_config(config, claim.version, confirmed_at);
+    answer
+}
+
 async fn read_owner<P: Platform>(
     shared: &Shared<P>,
 ) -> Result<Option<(OwnerRow, RowVersion)>, ReadError> {
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -41,6 +41,9 @@
 const INBOX_MAX: usize = 20;
 /// Time after which the ownership is renewed if nothing else is to be stored.
 const RENEW_AFTER: Duration = Duration::from_millis(500);
+/// Age of a transaction in progress from which on no more jobs are taken; above the time of one of a
+/// slow store.
+const LATE_AFTER: Duration = Duration::from_millis(900);
 /// Pause after a transaction that was refused or not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -67,6 +70,8 @@
     accepts: Vec<Accept>,
     cancels: Vec<Cancel>,
     sent_at: Moment,
+    /// An attempt was not answered, so that it may take effect.
+    is_uncertain: bool,
 }
 
 /// What is to be stored, and what is on its way.
@@ -79,7 +84,10 @@
     cancels: Vec<Cancel>,
     inbox: Vec<String>,
     in_flight: Option<InFlight>,
+    /// When the transaction in flight is sent again, once it has failed.
     retry_at: Option<Moment>,
+    /// The transaction in flight is on its way.
+    is_sending: bool,
 }
 
 impl Pipeline {
@@ -94,6 +102,7 @@
             inbox: Vec::new(),
             in_flight: None,
             retry_at: None,
+            is_sending: false,
         }
     }
 
@@ -114,6 +123,24 @@
             || self.in_flight.as_ref().is_some_and(|flight| flight.accepts.iter().any(is_it))
     }
 
+    /// True if a transaction has failed or is late, so that the next one cannot be promised.
+    pub fn is_stuck(&self, now: Moment) -> bool {
+        self.in_flight.as_ref().is_some_and(|flight| {
+            self.retry_at.is_some() || now.saturating_sub(flight.sent_at) > LATE_AFTER
+        })
+    }
+
+    /// Refuses the jobs that are not part of a transaction yet.
+    fn refuse_accepts(&mut self) {
+        for accept in std::mem::take(&mut self.accepts) {
+            match accept.reply {
+                Some(reply) => answer(reply, SubmitReply::NotTaken),
+                // Stored in the inbox; it was accepted there.
+                None => self.accepts.push(accept),
+            }
+        }
+    }
+
     /// Cancels a job, once it is stored itself.
     pub fn cancel(&mut self, cancel: Cancel) {
         self.cancels.push(cancel);
@@ -127,6 +154,21 @@
     }
 }
 
+impl InFlight {
+    /// Takes the jobs out of a transaction that has not taken effect, and refuses them.
+    fn refuse_accepts(&mut self) {
+        for accept in std::mem::take(&mut self.accepts) {
+            let Some(reply) = accept.reply else {
+                self.accepts.push(accept);
+                continue;
+            };
+            let id = &*accept.record.id;
+            self.transaction.puts.retain(|(table, key, _)| *table != Table::Jobs || key != id);
+            answer(reply, SubmitReply::NotTaken);
+        }
+    }
+}
+
 impl<P: Platform> Owner<P> {
     /// Sends the next transaction if there is something to store and none is on its way.
     pub(super) fn commit_next(&mut self, now: Moment) {
@@ -154,9 +196,13 @@
     /// Takes in what became of a transaction.
     pub(super) fn take_written(&mut self, outcome: Written) {
         let now = clock::now();
-        let Some(flight) = self.pipeline.in_flight.take() else {
+        self.pipeline.is_sending = false;
+        let Some(mut flight) = self.pipeline.in_flight.take() else {
             return;
         };
+        let is_answered = matches!(outcome, Written::Committed(_) | Written::Conflict(_));
+        let is_unknown = matches!(outcome, Written::Unknown(_));
+        self.shared.note_store(is_answered, now);
         match outcome {
             Written::Committed(version) => self.take_committed(flight, version, now),
             Written::Conflict(found) => match own_version(&found, &flight.row) {
@@ -164,6 +210,11 @@
                 None => self.give_up(flight),
             },
             Written::Refused(why) | Written::Unknown(why) => {
+                flight.is_uncertain |= is_unknown;
+                if !flight.is_uncertain {
+                    flight.refuse_accepts();
+                }
+                self.pipeline.refuse_accepts();
                 telemetry::log::line("store-write-failed")
                     .field("sequence", flight.row.sequence)
                     .text("why", why)
@@ -230,13 +281,14 @@
         let inbox = pipeline.ready_inbox(&accepts);
         transaction.removals.extend(inbox.into_iter().map(|key| (Table::Inbox, key)));
         let cancels = pipeline.ready_cancels(&batch);
-        InFlight { transaction, row, batch, accepts, cancels, sent_at: now }
+        let is_uncertain = false;
+        InFlight { transaction, row, batch, accepts, cancels, sent_at: now, is_uncertain }
     }
 
     fn send(&mut self, flight: InFlight, now: Moment) {
         let transaction = flight.transaction.clone();
         self.pipeline.sent_at = now;
-        self.pipeline.retry_at = None;
+        self.pipeline.is_sending = true;
         self.pipeline.in_flight = Some(InFlight { sent_at: now, ..flight });
         let shared = self.shared.clone();
         self.spawn(
@@ -246,7 +298,7 @@
 
     fn resend(&mut self, now: Moment) {
         let is_due = self.pipeline.retry_at.is_some_and(|at| now >= at);
-        if !is_due {
+        if !is_due || self.pipeline.is_sending {
             return;
         }
         if let Some(flight) = self.pipeline.in_flight.take() {
@@ -255,6 +307,7 @@
     }
 
     fn take_committed(&mut self, flight: InFlight, version: RowVersion, now: Moment) {
+        self.pipeline.retry_at = None;
         self.pipeline.version = version;
         self.pipeline.renewed_at = flight.sent_at;
         self.pipeline.row = flight.row.clone();
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -6,6 +6,7 @@
 use super::Owner;
 use super::commit::Accept;
 use super::commit::Cancel;
+use crate::clock;
 use crate::entry::is_allowed;
 use crate::ports::Platform;
 use crate::ports::Row;
@@ -28,6 +29,10 @@
                     answer(reply, SubmitReply::Accepted);
                     return;
                 }
+                if self.release.is_some() || self.pipeline.is_stuck(clock::now()) {
+                    answer(reply, SubmitReply::NotTaken);
+                    return;
+                }
                 self.pipeline.accept(Accept { record, reply: Some(reply) });
             }
             OwnerRequest::State { job, asker, reply } => answer(reply, self.state(&job, &asker)),
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -20,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::config::EntryConfig;
 use crate::election::Answer;
 use crate::http::CallError;
 use crate::http::Client;
@@ -27,6 +28,7 @@
 use crate::http::Request;
 use crate::ports::Platform;
 use crate::shared::CancelReply;
+use crate::shared::Follower;
 use crate::shared::OwnerRequest;
 use crate::shared::Shared;
 use crate::shared::StateReply;
@@ -39,12 +41,34 @@
 /// Time for the owner's answer to a call that writes to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Question whether a node works as the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Ping {
+    /// Address of the asker for other nodes.
+    pub address: SocketAddr,
+    /// Time since the asker has started, in milliseconds.
+    pub uptime_ms: u64,
+}
+
 /// Answer to a ping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Pong {
     incarnation: u64,
     /// Age of the owner's last committed transaction in milliseconds; none if it is not the owner.
     renewal_age_ms: Option<u64>,
+    /// Version of the configuration in force there.
+    config_version: u64,
+    /// Time since that version was surely the newest, in milliseconds.
+    config_age_ms: u64,
+}
+
+/// The configuration of which a node says that it was the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConfigClaim {
+    /// Version.
+    pub version: u64,
+    /// Time since it was surely the newest, when the answer was given.
+    pub age: Duration,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -62,6 +86,7 @@
 #[serde(rename_all = "kebab-case")]
 enum SubmitWire {
     Accepted,
+    NotTaken,
     Unknown,
 }
 
@@ -104,19 +129,35 @@
 }
 
 impl OwnerClient<'_> {
-    /// Asks whether the owner works.
-    pub async fn ping(&self) -> Answer {
-        let request = Request::new(Method::POST, "/peer/ping", "{}", PING_TIMEOUT);
+    /// Asks whether the owner works, and which configuration it knows.
+    pub async fn ping(&self, ping: &Ping) -> (Answer, Option<ConfigClaim>) {
+        let body = serde_json::to_vec(ping).expect("a ping is a plain record");
+        let request = Request::new(Method::POST, "/peer/ping", body, PING_TIMEOUT);
         let Ok(response) = self.client.call(self.address, Lane::Short, request).await else {
-            return Answer::Silent;
+            return (Answer::Silent, None);
+        };
+        let Ok(pong) = serde_json::from_slice::<Pong>(&response.body) else {
+            return (Answer::Silent, None);
         };
-        match serde_json::from_slice::<Pong>(&response.body) {
-            Ok(Pong { incarnation, renewal_age_ms: Some(age_ms) }) => {
+        let incarnation = pong.incarnation;
+        let answer = match pong.renewal_age_ms {
+            Some(age_ms) => {
                 Answer::Owner { incarnation, renewal_age: Duration::from_millis(age_ms) }
             }
-            Ok(Pong { incarnation, renewal_age_ms: None }) => Answer::NotOwner { incarnation },
-            Err(_) => Answer::Silent,
-        }
+            None => Answer::NotOwner { incarnation },
+        };
+        let age = Duration::from_millis(pong.config_age_ms);
+        (answer, Some(ConfigClaim { version: pong.config_version, age }))
+    }
+
+    /// Fetches the configuration that the owner knows.
+    pub async fn config(&self) -> Result<EntryConfig, PeerError> {
+        self.call("/peer/config", &(), STATE_TIMEOUT).await
+    }
+
+    /// Asks a node to take the ownership over, since this one gives it up.
+    pub async fn hand_over(&self) -> Result<(), PeerError> {
+        self.call("/peer/take", &(), STATE_TIMEOUT).await
     }
 
     /// Hands a job to the owner.
@@ -124,6 +165,7 @@
         let wire = self.call("/peer/submit", record, WRITE_TIMEOUT).await?;
         Ok(match wire {
             SubmitWire::Accepted => SubmitReply::Accepted,
+            SubmitWire::NotTaken => SubmitReply::NotTaken,
             SubmitWire::Unknown => SubmitReply::Unknown,
         })
     }
@@ -186,6 +228,8 @@
 pub(crate) fn router<P: Platform>(shared: Arc<Shared<P>>) -> Router {
     Router::new()
         .route("/peer/ping", post(ping::<P>))
+        .route("/peer/config", post(config::<P>))
+        .route("/peer/take", post(take::<P>))
         .route("/peer/submit", post(submit::<P>))
         .route("/peer/cancel", post(cancel::<P>))
         .route("/peer/state", post(state::<P>))
@@ -193,15 +237,35 @@
         .with_state(shared)
 }
 
-async fn ping<P: Platform>(State(shared): State<Arc<Shared<P>>>) -> Json<Pong> {
+async fn ping<P: Platform>(
+    State(shared): State<Arc<Shared<P>>>,
+    Json(ping): Json<Ping>,
+) -> Json<Pong> {
     let now = clock::now();
     let age = |at| now.saturating_sub(at).as_millis() as u64;
+    let started_at = now.saturating_sub(Duration::from_millis(ping.uptime_ms));
+    shared.note_follower(Follower { address: ping.address, started_at, seen_at: now });
+    let config = shared.config(now);
     Json(Pong {
         incarnation: shared.settings.incarnation,
         renewal_age_ms: shared.owning().map(|owning| age(owning.renewed_at)),
+        config_version: config.as_ref().map_or(0, |(config, _)| config.version),
+        config_age_ms: config.map_or(u64::MAX, |(_, age)| age.as_millis() as u64),
     })
 }
 
+async fn config<P: Platform>(
+    State(shared): State<Arc<Shared<P>>>,
+) -> Result<Json<EntryConfig>, StatusCode> {
+    let (config, _) = shared.config(clock::now()).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(Json((*config).clone()))
+}
+
+async fn take<P: Platform>(State(shared): State<Arc<Shared<P>>>) -> Json<()> {
+    shared.look_now.notify_one();
+    Json(())
+}
+
 async fn submit<P: Platform>(
     State(shared): State<Arc<Shared<P>>>,
     Json(record): Json<JobRecord>,
@@ -210,6 +274,7 @@
     let asked = ask(&shared, |reply| OwnerRequest::Submit { record, reply }).await?;
     Ok(Json(match asked {
         Some(SubmitReply::Accepted) => SubmitWire::Accepted,
+        Some(SubmitReply::NotTaken) => SubmitWire::NotTaken,
         Some(SubmitReply::Unknown) | None => SubmitWire::Unknown,
     }))
 }
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -2,6 +2,7 @@
 //!
 //! Lock order: `place` before `owner`; none is held across an await.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use scheduler::TeamName;
 use scheduler::Wave;
 use scheduler::WaveId;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -35,6 +37,17 @@
     pub confirmed_at: Moment,
 }
 
+/// A node that follows the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Follower {
+    /// Its address for other nodes.
+    pub address: SocketAddr,
+    /// When it has started.
+    pub started_at: Moment,
+    /// When it has asked last.
+    pub seen_at: Moment,
+}
+
 /// Where the owner is, as far as the node knows.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnerPlace {
@@ -59,11 +72,20 @@
     pub is_ready: bool,
 }
 
+/// Whether the store answers this node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct StoreHealth {
+    /// When the first of the calls failed that have failed since the last success.
+    pub failing_since: Option<Moment>,
+}
+
 /// What became of a submission at the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SubmitReply {
     /// The job is stored.
     Accepted,
+    /// The job is not stored and will not be.
+    NotTaken,
     /// The job may be stored.
     Unknown,
 }
@@ -137,6 +159,9 @@
     },
 }
 
+/// Age of a follower's last question up to which it may become the successor.
+const FOLLOWER_AGE_MAX: Duration = Duration::from_millis(900);
+
 /// What the tasks of a node share.
 pub(crate) struct Shared<P> {
     pub settings: NodeSettings,
@@ -146,6 +171,12 @@
     pub place: Mutex<OwnerPlace>,
     pub owner: Mutex<Option<Owning>>,
     pub is_stopping: watch::Sender<bool>,
+    pub store_health: Mutex<StoreHealth>,
+    /// Nodes that have asked of late whether this one works.
+    pub followers: Mutex<Vec<Follower>>,
+    /// Makes the node look at the owner at once.
+    pub look_now: Notify,
+    pub started_at: Moment,
     pub telemetry: telemetry::Telemetry,
 }
 
@@ -186,6 +217,56 @@
         place.avoided_until = place.avoided_until.max(until);
     }
 
+    /// Notes whether a call to the store was answered.
+    pub fn note_store(&self, is_answered: bool, now: Moment) {
+        let mut health = self.store_health.lock().expect("no holder panics");
+        health.failing_since = match (is_answered, health.failing_since) {
+            (true, _) => None,
+            (false, since) => since.or(Some(now)),
+        };
+    }
+
+    /// True if the last call to the store was answered.
+    pub fn is_store_up(&self) -> bool {
+        self.store_health.lock().expect("no holder panics").failing_since.is_none()
+    }
+
+    /// Takes in a configuration that was surely the newest at `confirmed_at`.
+    pub fn set_config(&self, config: Option<Arc<EntryConfig>>, version: u64, confirmed_at: Moment) {
+        self.operated.send_if_modified(|operated| {
+            let before = operated.config.as_ref().map_or(0, |config| config.version);
+            let is_newer = config.as_ref().is_some_and(|config| config.version > before);
+            if is_newer {
+                telemetry::log::line("config-in-force")
+                    .field("version", version)
+                    .field("version_before", before)
+                    .write();
+                operated.config = config;
+            }
+            let known = operated.config.as_ref().map_or(0, |config| config.version);
+            if known >= version {
+                operated.confirmed_at = operated.confirmed_at.max(confirmed_at);
+            }
+            is_newer
+        });
+    }
+
+    /// Notes a node that follows this one.
+    pub fn note_follower(&self, follower: Follower) {
+        let mut followers = self.followers.lock().expect("no holder panics");
+        followers.retain(|other| other.address != follower.address);
+        followers.push(follower);
+    }
+
+    /// The follower that has started last: the others of a rolling restart are stopped before it.
+    pub fn successor(&self, now: Moment) -> Option<SocketAddr> {
+        let followers = self.followers.lock().expect("no holder panics");
+        let is_here =
+            |follower: &&Follower| now.saturating_sub(follower.seen_at) <= FOLLOWER_AGE_MAX;
+        let here = followers.iter().filter(is_here);
+        here.max_by_key(|follower| follower.started_at).map(|follower| follower.address)
+    }
+
     /// True once the node is to stop.
     pub fn is_stopping(&self) -> bool {
         *self.is_stopping.borrow()
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::PoolName;
 use crate::QueueName;
 use crate::TeamName;
@@ -9,7 +12,7 @@
 use crate::sorted::SortedMap;
 
 /// Queues, pools and teams of one version of the configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Config {
     /// Version.
     pub version: u64,
@@ -22,7 +25,7 @@
 }
 
 /// A queue of jobs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Pool whose workers run its units.
     pub pool: PoolName,
@@ -39,7 +42,7 @@
 }
 
 /// Times of the advisor of a queue.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdviceTimes {
     /// Fixed time of a call.
     pub call: Duration,
@@ -50,7 +53,7 @@
 }
 
 /// A pool of hosts.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Pool {
     /// True if its hosts are off and take no work.
     pub is_spare: bool,
@@ -59,7 +62,7 @@
 }
 
 /// A team of a client account.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Team {
     /// Share when all is full.
     pub weight: u64,
--- a/crates/scheduler/src/sorted.rs
+++ b/crates/scheduler/src/sorted.rs
@@ -2,8 +2,12 @@
 
 use std::borrow::Borrow;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Map in a vector that is sorted by key.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(transparent, bound(deserialize = "K: Deserialize<'de>, V: Deserialize<'de>"))]
 pub struct SortedMap<K, V> {
     entries: Vec<(K, V)>,
 }
