Let an owner that cannot write ask its successor, and store host orders before they are sent

Causes: an owner that the store turned away was replaced 2.9 s after; and a new owner waited for 3 s before it ordered any host, in the seconds after a fault in which the pools need hosts most. Host orders are stored first now, so that only the hosts ordered of late are waited for.

--- a/crates/coordinator/src/election.rs
+++ b/crates/coordinator/src/election.rs
@@ -1,9 +1,12 @@
 //! Who owns the scheduling: decisions of a node that is not the owner.
 //!
 //! A node asks the owner at short intervals whether it works. While the owner does not say so, the
-//! node reads the owner's row; it takes over when the row has not changed for [`SILENCE_MAX`], when
-//! the owner has released it, or at once when another process answers at the owner's address, since
-//! the owner's process has ended then.
+//! node reads the owner's row; it takes over when the row has not changed for [`SILENCE_MAX`], or for
+//! [`REFUSED_MAX`] if nothing listens at the owner's address; at once when the owner has released the
+//! row, when it says itself that it cannot write, or when another process answers at its address.
+//!
+//! A take-over is safe at any time, since workers and the store refuse the orders of the owner before;
+//! these times only keep it from being needless.
 
 use std::time::Duration;
 
@@ -16,6 +19,9 @@
 /// Time without a change of the owner's row after which it is taken; above the time of a few
 /// transactions of a slow store.
 pub const SILENCE_MAX: Duration = Duration::from_millis(1_300);
+/// Time without a change of the owner's row after which it is taken if nothing listens at the owner's
+/// address.
+pub const REFUSED_MAX: Duration = Duration::from_millis(250);
 /// Age of the owner's last transaction up to which it counts as working.
 pub const RENEWAL_AGE_MAX: Duration = Duration::from_millis(1_200);
 
@@ -34,6 +40,8 @@
         /// Number of its process.
         incarnation: u64,
     },
+    /// Nothing listens at its address.
+    Refused,
     /// No answer.
     Silent,
 }
@@ -67,6 +75,8 @@
     Ended,
     /// The row has not changed for long.
     Silent,
+    /// The owner cannot write to the store.
+    Stuck,
 }
 
 /// What a node knows of the owner's silence.
@@ -74,14 +84,25 @@
 pub struct Election {
     /// Epoch and sequence of the row as read, and when it was first read so.
     unchanged: Option<(u64, u64, Moment)>,
-    /// Process of which is known that it is not the owner, at the owner's address.
-    ended: Option<u64>,
+    /// What the owner's last answer calls for, about the process with this number.
+    hint: Option<(u64, Hint)>,
+}
+
+/// What an answer says of the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hint {
+    /// Its process has ended.
+    Ended,
+    /// It cannot write to the store.
+    Stuck,
+    /// Nothing listens at its address.
+    Refused,
 }
 
 impl Election {
     /// Takes in the owner's answer.
     pub fn heard(&mut self, row: &OwnerRow, answer: Answer) -> Step {
-        self.ended = None;
+        self.hint = None;
         match answer {
             Answer::Owner { incarnation, renewal_age }
                 if incarnation == row.incarnation && renewal_age <= RENEWAL_AGE_MAX =>
@@ -92,13 +113,26 @@
             Answer::NotOwner { incarnation } | Answer::Owner { incarnation, .. }
                 if incarnation != row.incarnation =>
             {
-                self.ended = Some(row.incarnation);
+                self.hint = Some((row.incarnation, Hint::Ended));
+                Step::Read
+            }
+            Answer::Owner { .. } => {
+                self.hint = Some((row.incarnation, Hint::Stuck));
                 Step::Read
             }
-            _ => Step::Read,
+            Answer::Refused => {
+                self.hint = Some((row.incarnation, Hint::Refused));
+                Step::Read
+            }
+            Answer::NotOwner { .. } | Answer::Silent => Step::Read,
         }
     }
 
+    /// The owner has asked this node to take over, since it cannot write to the store.
+    pub fn asked(&mut self, row: &OwnerRow) {
+        self.hint = Some((row.incarnation, Hint::Stuck));
+    }
+
     /// Takes in the owner's row; none if there is no row yet.
     pub fn read(&mut self, row: Option<&OwnerRow>, now: Moment) -> Verdict {
         let Some(row) = row else {
@@ -107,12 +141,16 @@
         if row.is_released {
             return Verdict::Take(Reason::Released);
         }
-        if self.ended == Some(row.incarnation) {
-            return Verdict::Take(Reason::Ended);
-        }
+        let hint = self.hint.filter(|(incarnation, _)| *incarnation == row.incarnation);
+        let silence_max = match hint {
+            Some((_, Hint::Ended)) => return Verdict::Take(Reason::Ended),
+            Some((_, Hint::Stuck)) => return Verdict::Take(Reason::Stuck),
+            Some((_, Hint::Refused)) => REFUSED_MAX,
+            None => SILENCE_MAX,
+        };
         match self.unchanged {
             Some((epoch, sequence, since)) if (epoch, sequence) == (row.epoch, row.sequence) => {
-                match now.saturating_sub(since) >= SILENCE_MAX {
+                match now.saturating_sub(since) >= silence_max {
                     true => Verdict::Take(Reason::Silent),
                     false => Verdict::Wait,
                 }
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -92,6 +94,7 @@
             store_health: Mutex::default(),
             followers: Mutex::default(),
             look_now: Notify::new(),
+            is_asked_to_take: AtomicBool::new(false),
             started_at: clock::now(),
             telemetry,
         });
@@ -176,14 +179,24 @@
 }
 
 async fn look<P: Platform>(shared: &Shared<P>, election: &mut Election) -> Option<Won> {
-    let place = shared.owner_place();
+    let mut place = shared.owner_place();
+    if place.row.address.is_none()
+        && let Ok(Some((row, version))) = read_owner(shared).await
+    {
+        shared.set_owner_row(row, version);
+        place = shared.owner_place();
+    }
+    let is_asked = shared.is_asked_to_take.swap(false, Ordering::Relaxed);
     if let Some(address) = place.row.address {
         let answer = match place.row.incarnation == shared.settings.incarnation {
             // The row names this process, which has lost or given up the ownership.
             true => Answer::Silent,
             false => ask_owner(shared, address).await,
         };
-        if election.heard(&place.row, answer) == Step::Rest {
+        let step = election.heard(&place.row, answer);
+        if is_asked {
+            election.asked(&place.row);
+        } else if step == Step::Rest {
             return None;
         }
     }
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -19,6 +19,7 @@
 use super::event::Event;
 use super::requests::answer;
 use crate::clock;
+use crate::peers::OwnerClient;
 use crate::ports::Platform;
 use crate::ports::Row;
 use crate::ports::RowVersion;
@@ -26,6 +27,7 @@
 use crate::ports::Transaction;
 use crate::ports::Written;
 use crate::rows;
+use crate::rows::HOST_ORDERS_KEY;
 use crate::rows::LostRow;
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
@@ -44,6 +46,8 @@
 /// Age of a transaction in progress from which on no more jobs are taken; above the time of one of a
 /// slow store.
 const LATE_AFTER: Duration = Duration::from_millis(900);
+/// Pause between two questions to followers to take over.
+const ASK_SUCCESSOR_AGAIN: Duration = Duration::from_millis(400);
 /// Pause after a transaction that was refused or not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -221,6 +225,7 @@
                     .write();
                 self.pipeline.in_flight = Some(flight);
                 self.pipeline.retry_at = Some(now + RETRY_PAUSE);
+                self.ask_successor(now);
             }
         }
     }
@@ -271,6 +276,10 @@
             let value = rows::encode(roster);
             transaction.puts.push((Table::Owner, ROSTER_KEY.to_owned(), value));
         }
+        if let Some(orders) = &batch.host_orders {
+            let value = rows::encode(orders);
+            transaction.puts.push((Table::Owner, HOST_ORDERS_KEY.to_owned(), value));
+        }
         for (wave, begun) in &batch.waves {
             let value = rows::encode(begun);
             transaction.puts.push((Table::Progress, rows::wave_key(*wave), value));
@@ -348,6 +357,22 @@
         }
     }
 
+    /// Asks a follower to take over, since it may reach the store.
+    fn ask_successor(&mut self, now: Moment) {
+        let is_asked = now.saturating_sub(self.successor_asked_at) < ASK_SUCCESSOR_AGAIN;
+        let Some(address) = self.shared.successor(now).filter(|_| !is_asked) else {
+            return;
+        };
+        self.successor_asked_at = now;
+        let shared = self.shared.clone();
+        self.calls.spawn(async move {
+            let successor = OwnerClient { client: &shared.client, address };
+            if let Err(error) = successor.hand_over().await {
+                telemetry::log::line("successor-not-asked").text("why", error).write();
+            }
+        });
+    }
+
     fn give_up(&mut self, flight: InFlight) {
         for accept in flight.accepts {
             if let Some(reply) = accept.reply {
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use scheduler::HostName;
+use scheduler::HostOrderRow;
 use scheduler::JobId;
 use scheduler::JobRecord;
 use scheduler::LostWorker;
@@ -16,13 +17,14 @@
 use super::Won;
 use super::commit::Pipeline;
 use crate::clock;
+use crate::election::REFUSED_MAX;
 use crate::election::Reason;
-use crate::election::SILENCE_MAX;
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::Row;
 use crate::ports::Table;
 use crate::rows;
+use crate::rows::HOST_ORDERS_KEY;
 use crate::rows::LostRow;
 use crate::rows::ROSTER_KEY;
 use crate::shared::Shared;
@@ -65,10 +67,11 @@
 async fn read_all<P: Platform>(shared: &Shared<P>, won: &Won) -> Result<Scheduler, ReadError> {
     let settings = shared.settings.scheduling.clone();
     let lease = settings.lease;
-    let (jobs, progress, roster) = tokio::try_join!(
+    let (jobs, progress, roster, host_orders) = tokio::try_join!(
         shared.platform.read(Table::Jobs, ""),
         shared.platform.read(Table::Progress, ""),
         shared.platform.read(Table::Owner, ROSTER_KEY),
+        shared.platform.read(Table::Owner, HOST_ORDERS_KEY),
     )?;
     let workers = shared.platform.registered(None, Duration::ZERO).await?;
     let now = clock::now();
@@ -81,6 +84,9 @@
     for roster in decode_all::<Vec<RosterEntry>>(roster).values() {
         scheduler.restore_roster(roster.clone(), lease_left, now);
     }
+    for orders in decode_all::<Vec<HostOrderRow>>(host_orders).values() {
+        scheduler.restore_host_orders(orders.clone(), now);
+    }
     let (waves, progress): (Vec<Row>, Vec<Row>) =
         progress.into_iter().partition(|row| row.key.starts_with(rows::WAVE_PREFIX));
     for (key, begun) in decode_all::<Vec<HostName>>(waves).iter() {
@@ -109,7 +115,8 @@
         // It has ended, so it renews no lease any more.
         Reason::Released | Reason::Ended => longest,
         // It may have renewed leases for as long as its last transaction let it.
-        Reason::Silent => longest + VALIDITY - SILENCE_MAX,
+        Reason::Silent => longest + VALIDITY - REFUSED_MAX,
+        Reason::Stuck => longest + VALIDITY,
     }
 }
 
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Json;
@@ -133,8 +134,10 @@
     pub async fn ping(&self, ping: &Ping) -> (Answer, Option<ConfigClaim>) {
         let body = serde_json::to_vec(ping).expect("a ping is a plain record");
         let request = Request::new(Method::POST, "/peer/ping", body, PING_TIMEOUT);
-        let Ok(response) = self.client.call(self.address, Lane::Short, request).await else {
-            return (Answer::Silent, None);
+        let response = match self.client.call(self.address, Lane::Short, request).await {
+            Ok(response) => response,
+            Err(CallError::ConnectionRefused) => return (Answer::Refused, None),
+            Err(_) => return (Answer::Silent, None),
         };
         let Ok(pong) = serde_json::from_slice::<Pong>(&response.body) else {
             return (Answer::Silent, None);
@@ -262,6 +265,7 @@
 }
 
 async fn take<P: Platform>(State(shared): State<Arc<Shared<P>>>) -> Json<()> {
+    shared.is_asked_to_take.store(true, Ordering::Relaxed);
     shared.look_now.notify_one();
     Json(())
 }
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -15,6 +15,9 @@
 /// Key of the row with the workers that may run something, in the owner's table.
 pub const ROSTER_KEY: &str = "workers";
 
+/// Key of the row with the hosts that were ordered of late, in the owner's table.
+pub const HOST_ORDERS_KEY: &str = "hosts";
+
 /// Begin of the keys of waves in the table of progress; no job's id begins so.
 pub const WAVE_PREFIX: &str = "wave/";
 
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use scheduler::JobRecord;
@@ -176,6 +177,8 @@
     pub followers: Mutex<Vec<Follower>>,
     /// Makes the node look at the owner at once.
     pub look_now: Notify,
+    /// The owner has asked this node to take over.
+    pub is_asked_to_take: AtomicBool,
     pub started_at: Moment,
     pub telemetry: telemetry::Telemetry,
 }
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -121,6 +121,7 @@
                 .collect();
         }
         batch.roster = self.changed_roster();
+        batch.host_orders = self.changed_host_orders(now);
         for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
             wave.is_dirty = false;
             batch.waves.push((*id, wave.begun.clone()));
@@ -151,6 +152,9 @@
         if let Some(roster) = &batch.roster {
             self.roster_stored(roster);
         }
+        if let Some(orders) = &batch.host_orders {
+            self.host_orders_stored(orders);
+        }
         self.needs_placing = true;
     }
 
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -6,6 +6,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::HostName;
 use crate::Moment;
 use crate::PoolName;
@@ -30,6 +33,8 @@
 /// Age of a worker's last answer up to which its units count as at work; above the time that a worker
 /// may wait with an answer.
 const SEEN_AT_WORK_MAX: Duration = Duration::from_millis(1_600);
+/// How far the clocks of two nodes may differ.
+const CLOCKS_DIFFER: Duration = Duration::from_millis(500);
 /// Percentage of a lasting unit that is wholly at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -42,6 +47,22 @@
     Move(PoolName),
 }
 
+/// An order to a host, as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostOrderRow {
+    /// Host.
+    pub host: HostName,
+    /// When it was ordered, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+/// An order to a host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostOrdered {
+    at: Moment,
+    is_stored: bool,
+}
+
 /// A host.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -49,7 +70,7 @@
     pub entry: HostEntry,
     /// What is to become of it.
     pub goal: Option<Goal>,
-    /// An order is on its way.
+    /// An order is to be stored, or on its way.
     pub is_ordered: bool,
     /// No order before this time.
     pub not_before: Moment,
@@ -78,7 +99,9 @@
         self.hosts.retain(|name, _| names.contains(name));
         for entry in entries {
             let name = entry.name.clone();
+            let held_until = self.held_hosts.remove(&name).unwrap_or_default();
             let host = self.hosts.entry_or(name, || Host::new(entry.clone()));
+            host.not_before = host.not_before.max(held_until);
             // Another worker on the host shows that the order has been carried out.
             let is_back = entry.state == HostState::Up
                 && entry.worker.is_some()
@@ -206,20 +229,57 @@
             self.empty_worker(&id, now);
             return;
         }
-        let may_order = now >= host.not_before
-            && now.saturating_sub(self.owner_since) >= self.settings.host_lease
-            && self.may_order(&goal);
-        if !may_order {
+        if now < host.not_before || !self.may_order(&goal) {
             return;
         }
         if let Some(host) = self.hosts.get_mut(name) {
             host.is_ordered = true;
         }
-        let host = name.clone();
-        self.actions.push(match goal {
-            Goal::Maintain(wave) => Action::MaintainHost { host, wave },
-            Goal::Move(pool) => Action::MoveHost { host, pool },
+        self.host_orders.insert(name.clone(), HostOrdered { at: now, is_stored: false });
+    }
+
+    /// Hosts ordered of late, if they are not those that are stored: an owner that takes over orders
+    /// none of them before its predecessor's hold on the host is over.
+    pub(crate) fn changed_host_orders(&mut self, now: Moment) -> Option<Vec<HostOrderRow>> {
+        let lease = self.settings.host_lease;
+        let has_new = self.host_orders.values().any(|order| !order.is_stored);
+        if !has_new {
+            return None;
+        }
+        self.host_orders.retain(|_, order| now.saturating_sub(order.at) <= lease);
+        let rows = self.host_orders.iter().map(|(host, order)| HostOrderRow {
+            host: host.clone(),
+            at_ms: self.unix_ms(order.at),
         });
+        Some(rows.collect())
+    }
+
+    /// Sends the orders that are stored now.
+    pub(crate) fn host_orders_stored(&mut self, rows: &[HostOrderRow]) {
+        for row in rows {
+            let Some(order) = self.host_orders.get_mut(&row.host).filter(|o| !o.is_stored) else {
+                continue;
+            };
+            order.is_stored = true;
+            let host = row.host.clone();
+            match self.hosts.get(&host).and_then(|host| host.goal.clone()) {
+                Some(Goal::Maintain(wave)) => {
+                    self.actions.push(Action::MaintainHost { host, wave });
+                }
+                Some(Goal::Move(pool)) => self.actions.push(Action::MoveHost { host, pool }),
+                None => {}
+            }
+        }
+    }
+
+    /// Takes in the hosts that the owner before has ordered of late.
+    pub fn restore_host_orders(&mut self, rows: Vec<HostOrderRow>, now: Moment) {
+        for row in rows {
+            // The clocks of two nodes may differ; an order cannot be younger than now.
+            let at = self.moment_of(row.at_ms).min(now);
+            let free_at = at.max(now.saturating_sub(CLOCKS_DIFFER)) + self.settings.host_lease;
+            self.held_hosts.insert(row.host, free_at + CLOCKS_DIFFER);
+        }
     }
 
     /// Lets the runs on a cordoned worker go.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -39,6 +39,7 @@
 pub use config::Pool;
 pub use config::Queue;
 pub use config::Team;
+pub use hosts::HostOrderRow;
 pub use job::JobRecord;
 pub use job::Resources;
 pub use job::Step;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -16,6 +16,8 @@
 use crate::config::Config;
 use crate::evidence::Evidence;
 use crate::hosts::Host;
+use crate::hosts::HostOrderRow;
+use crate::hosts::HostOrdered;
 use crate::job::JobRecord;
 use crate::job::Resources;
 use crate::job::UnitKey;
@@ -244,6 +246,8 @@
     pub forgotten: Vec<JobId>,
     /// All workers that may run something, if they are not those that are stored.
     pub roster: Option<Vec<RosterEntry>>,
+    /// Hosts that were ordered of late, if there are new ones; the orders are sent once it is stored.
+    pub host_orders: Option<Vec<HostOrderRow>>,
     /// Hosts of waves whose maintenance has begun, by wave.
     pub waves: Vec<(WaveId, Vec<HostName>)>,
     /// Highest end of each worker of which the consequences are in this batch or stored before.
@@ -257,6 +261,7 @@
             && self.forgotten.is_empty()
             && self.waves.is_empty()
             && self.roster.is_none()
+            && self.host_orders.is_none()
     }
 }
 
@@ -279,6 +284,10 @@
     pub(crate) tickets: Tickets,
     /// Hosts of the platform's list.
     pub(crate) hosts: SortedMap<HostName, Host>,
+    /// Hosts that were ordered of late.
+    pub(crate) host_orders: SortedMap<HostName, HostOrdered>,
+    /// Hosts that the owner before has ordered of late, and from when on they may be ordered.
+    pub(crate) held_hosts: SortedMap<HostName, Moment>,
     /// The hosts have been listed at least once.
     pub(crate) hosts_listed: bool,
     /// Workers that are stored as those that may run something, sorted.
