--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -81,6 +81,7 @@
     hosts_asked_at: Moment,
     hosts_in_flight: bool,
     successor_asked_at: Moment,
+    pools_logged_at: Moment,
     config_version: u64,
     end: Option<End>,
     release: Option<tokio::sync::oneshot::Sender<()>>,
@@ -124,6 +125,7 @@
         hosts_asked_at: Moment::ZERO,
         hosts_in_flight: false,
         successor_asked_at: Moment::ZERO,
+        pools_logged_at: Moment::ZERO,
         config_version: 0,
         end: None,
         release: None,
@@ -180,6 +182,7 @@
         if is_valid {
             self.renew_leases(now);
             self.ask_hosts(now);
+            self.log_pools(now);
         }
         self.commit_next(now);
     }
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -32,6 +32,7 @@
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
 use crate::rows::ROSTER_KEY;
+use crate::rows::TURNS_KEY;
 use crate::shared::CancelReply;
 use crate::shared::SubmitReply;
 
@@ -280,6 +281,9 @@
             let value = rows::encode(orders);
             transaction.puts.push((Table::Owner, HOST_ORDERS_KEY.to_owned(), value));
         }
+        if let Some(turns) = &batch.turns {
+            transaction.puts.push((Table::Owner, TURNS_KEY.to_owned(), rows::encode(turns)));
+        }
         for (wave, begun) in &batch.waves {
             let value = rows::encode(begun);
             transaction.puts.push((Table::Progress, rows::wave_key(*wave), value));
--- a/crates/coordinator/src/owner/orders.rs
+++ b/crates/coordinator/src/owner/orders.rs
@@ -16,6 +16,8 @@
 use crate::ports::Platform;
 use crate::ports::Written;
 
+/// Time between two lines on the pools.
+const POOLS_LOG_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two lists of the hosts.
 const HOSTS_PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -145,6 +147,26 @@
         self.spawn(async move { Event::Hosts { result: shared.platform.hosts().await } });
     }
 
+    /// Logs what the pools hold and need, at intervals.
+    pub(super) fn log_pools(&mut self, now: Moment) {
+        if now.saturating_sub(self.pools_logged_at) < POOLS_LOG_PERIOD {
+            return;
+        }
+        self.pools_logged_at = now;
+        for (pool, load) in self.scheduler.pool_loads(now).iter() {
+            telemetry::log::line("pool-load")
+                .field("pool", &**pool)
+                .field("hosts", load.hosts)
+                .field("hosts_needed", load.hosts_needed())
+                .field("hosts_kept", load.hosts_kept())
+                .field("lasting_hosts", load.lasting_hosts)
+                .field("running_cpu_millis", load.running.cpu_millis)
+                .field("waiting_cpu_millis", load.waiting.cpu_millis)
+                .field("rate_cpu_millis", load.rate_cpu_millis)
+                .write();
+        }
+    }
+
     fn start(&mut self, order: StartOrder) {
         let shared = self.shared.clone();
         let token = self.epoch;
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -187,10 +187,12 @@
             }
             None => {}
         }
-        // The order has ended all that ran on the host.
+        // The order has ended the worker and all that ran there.
         if let Some(worker) = worker {
             self.clear_runs_on(&worker, now);
-            self.unlist_worker(&worker);
+            if let Some(ended) = self.workers.remove(&worker) {
+                self.ended_workers.insert(worker, ended.entry.born_ms);
+            }
         }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,6 +28,7 @@
 mod plan;
 mod restore;
 mod stuck;
+mod turns;
 mod waves;
 
 use std::sync::Arc;
@@ -66,6 +67,7 @@
 pub use state::JobView;
 pub use state::Scheduler;
 pub use state::Settings;
+pub use turns::Turns;
 
 /// Time since the machine's boot, suspension included.
 pub type Moment = Duration;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -23,6 +23,17 @@
 /// Time after which units are placed again though nothing has changed: pauses of workers end.
 const PLACE_AGAIN: Duration = Duration::from_millis(250);
 
+/// What became of the units of a step that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placed {
+    /// All were placed.
+    All,
+    /// No worker has room for the rest.
+    NoRoom,
+    /// The rest waits for the bound of its team, or for advice.
+    Held,
+}
+
 /// A step with units that wait.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -68,11 +79,20 @@
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then(a.rank.cmp(&b.rank)));
         for of_pool in waiting.chunk_by(|a, b| a.pool == b.pool) {
-            let mut candidates = self.candidates(&of_pool[0].pool, now);
+            let pool = &of_pool[0].pool;
+            let mut candidates = self.candidates(pool, now);
+            let mut is_starved = false;
             for step in of_pool {
-                self.place_step(step, &mut candidates, now);
+                is_starved |= self.place_step(step, &mut candidates, now) == Placed::NoRoom;
+            }
+            if is_starved {
+                self.starved_since.entry_or(pool.clone(), || now);
+            } else {
+                self.starved_since.remove(pool);
             }
         }
+        let is_waiting = |pool: &PoolName| waiting.iter().any(|step| step.pool == *pool);
+        self.starved_since.retain(|pool, _| is_waiting(pool));
     }
 
     fn waiting_steps(&self, now: Moment) -> Vec<Waiting> {
@@ -133,35 +153,40 @@
         pools
     }
 
-    fn place_step(&mut self, waiting: &Waiting, candidates: &mut Candidates, now: Moment) {
+    fn place_step(
+        &mut self,
+        waiting: &Waiting,
+        candidates: &mut Candidates,
+        now: Moment,
+    ) -> Placed {
         let Some(job) = self.jobs.get(&waiting.first.job) else {
-            return;
+            return Placed::All;
         };
         let record = job.record.clone();
         let step = &record.steps[waiting.first.step];
         if self.needs_advice(&record.queue)
             && !self.ask_advice(waiting_key(waiting), step, candidates, now)
         {
-            return;
+            return Placed::Held;
         }
         if step.is_gang {
-            self.place_gang(waiting, step, candidates, now);
-            return;
+            return self.place_gang(waiting, step, candidates, now);
         }
         for &index in &waiting.units {
             let key = UnitKey { index, ..waiting.first.clone() };
             if !self.is_within_bound(&record, step, 1) {
-                return;
+                return Placed::Held;
             }
             let Some(chosen) = self.choose(&key, step, candidates, None, now) else {
                 // The other units of the step need as much.
-                return;
+                return Placed::NoRoom;
             };
             let number = self.unit(&key).map_or(0, |unit| unit.last_run) + 1;
             candidates.place(chosen, &key, step);
             let worker = candidates.workers()[chosen].id.clone();
             self.order_start(&key, step, worker, number, now);
         }
+        Placed::All
     }
 
     fn place_gang(
@@ -170,12 +195,12 @@
         step: &Step,
         candidates: &mut Candidates,
         now: Moment,
-    ) {
+    ) -> Placed {
         let Some(record) = self.jobs.get(&waiting.first.job).map(|job| job.record.clone()) else {
-            return;
+            return Placed::All;
         };
         if !self.is_within_bound(&record, step, u64::from(step.count)) {
-            return;
+            return Placed::Held;
         }
         let racks = candidates.racks().into_iter().map(Some);
         let wanted: Vec<_> = match step.same_rack {
@@ -186,7 +211,7 @@
             self.gang_places(waiting, step, candidates.clone(), rack.as_deref(), now)
         });
         let Some((places, after)) = placed else {
-            return;
+            return Placed::NoRoom;
         };
         *candidates = after;
         let units = waiting.units.iter();
@@ -202,6 +227,7 @@
             }
             self.order_start(key, step, worker, number, now);
         }
+        Placed::All
     }
 
     fn gang_places(
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -94,6 +94,9 @@
 
     /// Takes in one registered worker.
     pub fn set_worker(&mut self, entry: WorkerEntry, lease_left: Duration, now: Moment) {
+        if self.ended_workers.get(&entry.id).is_some_and(|born_ms| entry.born_ms <= *born_ms) {
+            return;
+        }
         self.needs_placing = true;
         let Some(worker) = self.workers.get_mut(&entry.id) else {
             let id = entry.id.clone();
@@ -118,6 +121,7 @@
 
     /// An entry has left the registry.
     pub fn unlist_worker(&mut self, id: &str) {
+        self.ended_workers.remove(id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.is_listed = false;
         }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -26,6 +26,7 @@
 use crate::report::Action;
 use crate::report::RosterEntry;
 use crate::sorted::SortedMap;
+use crate::turns::Turns;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
 
@@ -248,6 +249,8 @@
     pub roster: Option<Vec<RosterEntry>>,
     /// Hosts that were ordered of late, if there are new ones; the orders are sent once it is stored.
     pub host_orders: Option<Vec<HostOrderRow>>,
+    /// What is known of the pools' peaks, if it has changed.
+    pub turns: Option<Turns>,
     /// Hosts of waves whose maintenance has begun, by wave.
     pub waves: Vec<(WaveId, Vec<HostName>)>,
     /// Highest end of each worker of which the consequences are in this batch or stored before.
@@ -262,6 +265,7 @@
             && self.waves.is_empty()
             && self.roster.is_none()
             && self.host_orders.is_none()
+            && self.turns.is_none()
     }
 }
 
@@ -284,6 +288,9 @@
     pub(crate) tickets: Tickets,
     /// Hosts of the platform's list.
     pub(crate) hosts: SortedMap<HostName, Host>,
+    /// Workers that orders to their hosts have ended, and the begin of the life that ended; their
+    /// entries leave the registry later.
+    pub(crate) ended_workers: SortedMap<WorkerId, u64>,
     /// Hosts that were ordered of late.
     pub(crate) host_orders: SortedMap<HostName, HostOrdered>,
     /// Hosts that the owner before has ordered of late, and from when on they may be ordered.
@@ -294,8 +301,14 @@
     pub(crate) stored_roster: Vec<WorkerId>,
     /// Waves.
     pub(crate) waves: SortedMap<WaveId, WaveProgress>,
+    /// Peaks of the pools.
+    pub(crate) turns: Turns,
+    /// The peaks have changed since they were last handed out to be stored.
+    pub(crate) is_turns_dirty: bool,
     /// Demand by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
+    /// Pools in which a unit found no worker with room, and since when.
+    pub(crate) starved_since: SortedMap<PoolName, Moment>,
     /// Number from which the runs of this owner count.
     pub(crate) run_base: u32,
     /// When this owner took over.
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -7,6 +7,8 @@
 use scheduler::Action;
 use scheduler::Config;
 use scheduler::Ending;
+use scheduler::HostEntry;
+use scheduler::HostState;
 use scheduler::JobRecord;
 use scheduler::Moment;
 use scheduler::Pool;
@@ -301,3 +303,16 @@
         });
     }
 }
+
+impl World {
+    /// Lists hosts of the pool `p` with their workers.
+    pub fn list_hosts(&mut self, hosts: &[(&str, &str)]) {
+        let host = |(name, worker): &(&str, &str)| HostEntry {
+            name: (*name).into(),
+            pool: "p".into(),
+            state: HostState::Up,
+            worker: (!worker.is_empty()).then(|| (*worker).into()),
+        };
+        self.scheduler.set_hosts(hosts.iter().map(host).collect(), self.now);
+    }
+}
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -123,3 +123,17 @@
     }
     assert_eq!(starts.len(), 1, "the unit runs elsewhere once the lease is over");
 }
+
+#[test]
+fn a_worker_that_an_order_has_ended_is_forgotten_at_once() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    world.list_hosts(&[("h1", "w1"), ("h2", "w2")]);
+    let reply = scheduler::HostReply::Accepted;
+    world.scheduler.host_reply(&"h1".into(), reply, world.now);
+    // The registry still lists it for a while.
+    world.scheduler.set_worker(world::entry("w1"), seconds(0), world.now);
+    let batch = world.scheduler.take_batch(100, world.now);
+    let roster = batch.roster.expect("the roster has changed");
+    assert_eq!(roster.len(), 1);
+    assert_eq!(&*roster[0].id, "w2");
+}
