Divide the hosts among the pools by what they ask for, and keep each pool's own

Jobs of one large burst no longer make the pool hoard hosts: the rate of work is taken over a time in which enough jobs came.

--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -29,10 +29,10 @@
 use crate::rows;
 use crate::rows::HOST_ORDERS_KEY;
 use crate::rows::LostRow;
+use crate::rows::OWN_HOSTS_KEY;
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
 use crate::rows::ROSTER_KEY;
-use crate::rows::TURNS_KEY;
 use crate::shared::CancelReply;
 use crate::shared::SubmitReply;
 
@@ -281,8 +281,9 @@
             let value = rows::encode(orders);
             transaction.puts.push((Table::Owner, HOST_ORDERS_KEY.to_owned(), value));
         }
-        if let Some(turns) = &batch.turns {
-            transaction.puts.push((Table::Owner, TURNS_KEY.to_owned(), rows::encode(turns)));
+        if let Some(own_hosts) = &batch.own_hosts {
+            let value = rows::encode(own_hosts);
+            transaction.puts.push((Table::Owner, OWN_HOSTS_KEY.to_owned(), value));
         }
         for (wave, begun) in &batch.waves {
             let value = rows::encode(begun);
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use scheduler::HostCounts;
 use scheduler::HostName;
 use scheduler::HostOrderRow;
 use scheduler::JobId;
@@ -12,7 +13,6 @@
 use scheduler::RosterEntry;
 use scheduler::Scheduler;
 use scheduler::SortedMap;
-use scheduler::Turns;
 
 use super::VALIDITY;
 use super::Won;
@@ -27,8 +27,8 @@
 use crate::rows;
 use crate::rows::HOST_ORDERS_KEY;
 use crate::rows::LostRow;
+use crate::rows::OWN_HOSTS_KEY;
 use crate::rows::ROSTER_KEY;
-use crate::rows::TURNS_KEY;
 use crate::shared::Shared;
 
 /// Time for which the reads are tried before the ownership is given up.
@@ -69,12 +69,12 @@
 async fn read_all<P: Platform>(shared: &Shared<P>, won: &Won) -> Result<Scheduler, ReadError> {
     let settings = shared.settings.scheduling.clone();
     let lease = settings.lease;
-    let (jobs, progress, roster, host_orders, turns) = tokio::try_join!(
+    let (jobs, progress, roster, host_orders, own_hosts) = tokio::try_join!(
         shared.platform.read(Table::Jobs, ""),
         shared.platform.read(Table::Progress, ""),
         shared.platform.read(Table::Owner, ROSTER_KEY),
         shared.platform.read(Table::Owner, HOST_ORDERS_KEY),
-        shared.platform.read(Table::Owner, TURNS_KEY),
+        shared.platform.read(Table::Owner, OWN_HOSTS_KEY),
     )?;
     let workers = shared.platform.registered(None, Duration::ZERO).await?;
     let now = clock::now();
@@ -90,8 +90,8 @@
     for orders in decode_all::<Vec<HostOrderRow>>(host_orders).values() {
         scheduler.restore_host_orders(orders.clone(), now);
     }
-    for turns in decode_all::<Turns>(turns).values() {
-        scheduler.restore_turns(turns.clone());
+    for own_hosts in decode_all::<HostCounts>(own_hosts).values() {
+        scheduler.restore_own_hosts(own_hosts.clone());
     }
     let (waves, progress): (Vec<Row>, Vec<Row>) =
         progress.into_iter().partition(|row| row.key.starts_with(rows::WAVE_PREFIX));
--- a/crates/coordinator/src/owner/orders.rs
+++ b/crates/coordinator/src/owner/orders.rs
@@ -158,7 +158,7 @@
                 .field("pool", &**pool)
                 .field("hosts", load.hosts)
                 .field("hosts_needed", load.hosts_needed())
-                .field("hosts_kept", load.hosts_kept())
+                .field("hosts_kept", load.own_hosts)
                 .field("lasting_hosts", load.lasting_hosts)
                 .field("running_cpu_millis", load.running.cpu_millis)
                 .field("waiting_cpu_millis", load.waiting.cpu_millis)
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -18,8 +18,8 @@
 /// Key of the row with the hosts that were ordered of late, in the owner's table.
 pub const HOST_ORDERS_KEY: &str = "hosts";
 
-/// Key of the row with what is known of the pools' peaks, in the owner's table.
-pub const TURNS_KEY: &str = "turns";
+/// Key of the row with the hosts that the pools had at first, in the owner's table.
+pub const OWN_HOSTS_KEY: &str = "pools";
 
 /// Begin of the keys of waves in the table of progress; no job's id begins so.
 pub const WAVE_PREFIX: &str = "wave/";
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -1,8 +1,10 @@
-//! Hosts follow the demand: a pool that asks for more than it holds gets idle hosts of other pools.
+//! Hosts follow the demand: a pool that asks for more than it holds gets hosts of other pools.
 //!
 //! The pattern that this answers: the queues of the pools have their peaks by turns. Each asks for a
 //! few seconds for more than its pool holds, and for next to nothing in between, so that most hosts
-//! of the other pools are idle meanwhile. A host moves only while nothing runs on it.
+//! of the other pools are idle meanwhile. A host moves only once nothing runs on it. When the pools ask
+//! for more than there is, each keeps what is its own, and the rest is divided by what they ask for
+//! beyond that.
 
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use crate::Moment;
 use crate::PoolName;
 use crate::hosts::Goal;
+use crate::hosts::Host;
 use crate::job::JobRecord;
 use crate::job::Resources;
 use crate::job::Step;
@@ -19,34 +22,28 @@
 use crate::state::Done;
 use crate::state::Job;
 use crate::state::Scheduler;
-use crate::turns::Expected;
-use crate::turns::Turns;
 
-/// Time over which the rate of new work is taken.
-const RATE_WINDOW: Duration = Duration::from_millis(700);
+/// Times over which the rate of new work is taken, the shortest first: the first one in which
+/// [`ARRIVALS_MIN`] jobs came, else the last.
+const RATE_WINDOWS: [Duration; 3] =
+    [Duration::from_millis(700), Duration::from_millis(1_500), Duration::from_millis(3_000)];
+/// Jobs from which on a rate says more than chance.
+const ARRIVALS_MIN: usize = 6;
+/// What new work counts for at most, as a multiple of what runs and waits.
+const RATE_PER_WANTED_MAX: u64 = 2;
 /// Part of a host's processors that is planned to be in use, in percent; the rest is lost to units that
 /// do not fit together.
 const FILL_PERCENT: u64 = 90;
 /// Time for which a host must have been idle before another pool may have it.
 const IDLE_MIN: Duration = Duration::from_millis(300);
+/// Time for which a host must have been idle before it goes to the spare pool: what it costs to stand
+/// for this long is about what a move costs.
+const PARK_IDLE_MIN: Duration = Duration::from_millis(1_500);
 /// Hosts that a pool with units that last holds beside those on which they run, for those that have to
 /// start again.
 const LASTING_RESERVE: usize = 1;
-/// What new work counts for at most, as a multiple of what runs and waits.
-const RATE_PER_WANTED_MAX: u64 = 2;
 /// Time for which units must have waited before another host is fetched for them.
 const STARVED_AFTER: Duration = Duration::from_millis(300);
-/// Time before an expected peak at which hosts are fetched for it: a host moves in about this time.
-const EXPECTED_LEAD: Duration = Duration::from_millis(2_200);
-/// Time after an expected peak for which hosts are held for it.
-const EXPECTED_HELD: Duration = Duration::from_millis(1_500);
-/// Part of the hosts of a pool's last peak that are fetched before the next, in percent.
-const EXPECTED_PERCENT: u64 = 70;
-/// Hosts that a pool keeps beside those that it needs for units that last, for the begin of its peak.
-const RESERVE_HOSTS: usize = 2;
-/// Time for which a host must have been idle before it goes to the spare pool: what it costs to stand
-/// for this long is about what a move costs.
-const PARK_IDLE_MIN: Duration = Duration::from_millis(1_500);
 
 /// Work that a queue has asked for of late.
 #[derive(Clone, Debug, Default)]
@@ -60,20 +57,18 @@
 pub struct PoolLoad {
     /// Hosts that work in it or are on their way to it.
     pub hosts: usize,
+    /// Hosts that it had at first.
+    pub own_hosts: usize,
     /// Hosts on which units that last run.
     pub lasting_hosts: usize,
     /// Units have waited for a while that fit on none of its workers.
     pub is_starved: bool,
-    /// Hosts that a peak needs that is about to begin.
-    pub expected_hosts: usize,
-    /// Hosts that it has of its own.
-    pub own_hosts: usize,
+    /// Workers that take new runs.
+    pub ready_workers: usize,
     /// Hosts over which the units of a step must be spread.
     pub spread_hosts: usize,
     /// What runs.
     pub running: Resources,
-    /// What of it lasts.
-    pub lasting: Resources,
     /// What waits and could run now.
     pub waiting: Resources,
     /// Thousandths of cores that the work of late needs while it goes on so.
@@ -82,21 +77,29 @@
     pub host: Resources,
 }
 
+/// Loads of the pools that are no spare ones.
+pub type PoolLoads = SortedMap<PoolName, PoolLoad>;
+
+/// Number of hosts by pool.
+pub type HostCounts = SortedMap<PoolName, usize>;
+
 impl Demand {
     fn add(&mut self, work: u64, now: Moment) {
-        self.drop_old(now);
+        let longest = RATE_WINDOWS[RATE_WINDOWS.len() - 1];
+        self.arrivals.retain(|(at, _)| now.saturating_sub(*at) <= longest);
         self.arrivals.push((now, work));
     }
 
-    fn drop_old(&mut self, now: Moment) {
-        self.arrivals.retain(|(at, _)| now.saturating_sub(*at) <= RATE_WINDOW);
-    }
-
-    /// Thousandths of cores that the work of the last window would keep busy.
+    /// Thousandths of cores that the work of late would keep busy.
     fn rate_cpu_millis(&self, now: Moment) -> u64 {
-        let recent = self.arrivals.iter().filter(|(at, _)| now.saturating_sub(*at) <= RATE_WINDOW);
-        let work: u64 = recent.map(|(_, work)| work).sum();
-        work * 1_000 / RATE_WINDOW.as_millis() as u64
+        let within = |window: Duration| {
+            self.arrivals.iter().filter(move |(at, _)| now.saturating_sub(*at) <= window)
+        };
+        let enough = |window: &&Duration| within(**window).count() >= ARRIVALS_MIN;
+        let longest = &RATE_WINDOWS[RATE_WINDOWS.len() - 1];
+        let window = *RATE_WINDOWS.iter().find(enough).unwrap_or(longest);
+        let work: u64 = within(window).map(|(_, work)| work).sum();
+        work * 1_000 / window.as_millis() as u64
     }
 }
 
@@ -104,25 +107,34 @@
     /// Hosts that the pool needs now.
     pub fn hosts_needed(&self) -> usize {
         let wanted = self.running.plus(&self.waiting);
-        // A few large jobs make a high rate, of which only the first steps can run at once.
         let coming = self.rate_cpu_millis.min(wanted.cpu_millis * RATE_PER_WANTED_MAX);
-        let cpu_millis = wanted.cpu_millis.max(coming);
-        let for_cpu = hosts_for(cpu_millis, self.host.cpu_millis);
+        let for_cpu = hosts_for(wanted.cpu_millis.max(coming), self.host.cpu_millis);
         let for_memory = hosts_for(wanted.memory_mb, self.host.memory_mb);
-        let for_starved = if self.is_starved { self.hosts + 1 } else { 0 };
+        // Hosts that are still to come may have room.
+        let have_all_come = self.ready_workers >= self.hosts;
+        let for_starved = if self.is_starved && have_all_come { self.hosts + 1 } else { 0 };
         let for_lasting = match self.lasting_hosts {
             0 => 0,
             hosts => hosts + LASTING_RESERVE,
         };
-        let for_work = for_cpu.max(for_memory).max(for_starved).max(self.expected_hosts);
-        for_work.max(self.spread_hosts).max(for_lasting)
+        for_cpu.max(for_memory).max(for_starved).max(self.spread_hosts).max(for_lasting)
     }
+}
 
-    /// Hosts that the pool keeps though they are idle.
-    pub fn hosts_kept(&self) -> usize {
-        let for_lasting = self.lasting_hosts.max(self.spread_hosts) + RESERVE_HOSTS;
-        self.hosts_needed().max(for_lasting).max(self.own_hosts)
-    }
+/// Hosts that each pool should hold, if there are `total`.
+pub fn host_targets(loads: &PoolLoads, total: usize) -> HostCounts {
+    let base = |load: &PoolLoad| load.hosts_needed().min(load.own_hosts);
+    let base_sum: usize = loads.values().map(base).sum();
+    let extra_sum: usize = loads.values().map(|load| load.hosts_needed() - base(load)).sum();
+    let rest = total.saturating_sub(base_sum);
+    let target = |load: &PoolLoad| {
+        let extra = load.hosts_needed() - base(load);
+        match extra_sum > rest {
+            true => base(load) + rest * extra / extra_sum,
+            false => load.hosts_needed(),
+        }
+    };
+    loads.iter().map(|(name, load)| (name.clone(), target(load))).collect()
 }
 
 impl Scheduler {
@@ -140,88 +152,60 @@
     /// Learns how long a unit took.
     pub(crate) fn learn_time(&mut self, _key: &UnitKey, _since: Option<Moment>, _now: Moment) {}
 
+    /// Takes in how many hosts the pools had at first.
+    pub fn restore_own_hosts(&mut self, own_hosts: HostCounts) {
+        self.own_hosts = own_hosts;
+    }
+
     /// Decides which hosts work in another pool.
     pub(crate) fn plan_moves(&mut self, now: Moment) {
-        self.note_turns(now);
         let loads = self.pool_loads(now);
-        self.park_idle(&loads, now);
-        let needy = loads.iter().filter(|(_, load)| load.hosts_needed() > load.hosts);
-        let mut needy: Vec<(usize, PoolName)> =
-            needy.map(|(p, load)| (load.hosts_needed() - load.hosts, p.clone())).collect();
+        self.note_own_hosts(&loads);
+        let total = self.hosts.values().filter(|host| host.entry.state != HostState::Down).count();
+        let targets = host_targets(&loads, total);
+        let missing = |(name, load): (&PoolName, &PoolLoad)| {
+            let target = targets.get(name).copied().unwrap_or(0);
+            (target > load.hosts).then(|| (target - load.hosts, name.clone()))
+        };
+        let mut needy: Vec<(usize, PoolName)> = loads.iter().filter_map(missing).collect();
         needy.sort_by(|a, b| b.0.cmp(&a.0));
         if needy.is_empty() {
+            self.park_idle(&loads, &targets, now);
             return;
         }
-        let mut donors = self.donors(&loads, now);
+        let mut donors = self.donors(&loads, &targets, now);
         for (missing, pool) in needy {
             for _ in 0..missing {
                 let Some(host) = donors.pop() else {
                     return;
                 };
-                if let Some(host) = self.hosts.get_mut(&host) {
-                    host.goal = Some(Goal::Move(pool.clone()));
-                }
+                self.move_to(&host, &pool);
             }
         }
     }
 
-    /// Learns from the work of the pools when they have their peaks.
-    fn note_turns(&mut self, now: Moment) {
-        let now_ms = self.unix_ms(now);
-        for (pool, load) in self.pool_loads(now).iter() {
-            self.turns.note_pool(pool, load.hosts);
-            let work = load.running.plus(&load.waiting).minus(&load.lasting);
-            let hosts = hosts_for(work.cpu_millis, load.host.cpu_millis);
-            self.is_turns_dirty |= self.turns.note_work(pool, hosts, now_ms);
-        }
-    }
-
-    /// Takes in what is stored of the pools' peaks.
-    pub fn restore_turns(&mut self, turns: Turns) {
-        self.turns = turns;
-    }
-
     /// How much each pool that is no spare one holds and needs.
-    pub fn pool_loads(&self, now: Moment) -> SortedMap<PoolName, PoolLoad> {
+    pub fn pool_loads(&self, now: Moment) -> PoolLoads {
         let pools = self.config.pools.iter().filter(|(_, pool)| !pool.is_spare);
-        let mut loads: SortedMap<PoolName, PoolLoad> =
+        let mut loads: PoolLoads =
             pools.map(|(name, _)| (name.clone(), PoolLoad::default())).collect();
-        let expected = self.turns.expected();
         for (name, load) in loads.iter_mut() {
-            load.own_hosts = self.turns.own_hosts(name);
-            let is_near = |expected: &&Expected| {
-                let at = self.moment_of(expected.at_ms);
-                expected.pool == *name && now + EXPECTED_LEAD >= at && now <= at + EXPECTED_HELD
-            };
-            load.expected_hosts = expected.as_ref().filter(is_near).map_or(0, |expected| {
-                (expected.hosts as u64 * EXPECTED_PERCENT).div_ceil(100) as usize
-            });
-            load.is_starved = self
-                .starved_since
-                .get(name)
-                .is_some_and(|since| now.saturating_sub(*since) >= STARVED_AFTER);
+            let starved_since = self.starved_since.get(name);
+            load.is_starved =
+                starved_since.is_some_and(|since| now.saturating_sub(*since) >= STARVED_AFTER);
             load.rate_cpu_millis =
                 self.demand.get(name).map_or(0, |demand| demand.rate_cpu_millis(now));
+            load.own_hosts = self.own_hosts.get(name).copied().unwrap_or(0);
         }
-        for host in self.hosts.values() {
-            let pool = match &host.goal {
-                Some(Goal::Move(pool)) => pool,
-                _ => &host.entry.pool,
-            };
-            if let Some(load) = loads.get_mut(pool)
-                && host.entry.state != HostState::Down
-            {
+        for host in self.hosts.values().filter(|host| host.entry.state != HostState::Down) {
+            if let Some(load) = loads.get_mut(host.pool_to_be()) {
                 load.hosts += 1;
             }
         }
         for worker in self.workers.values() {
             if let Some(load) = loads.get_mut(&worker.entry.pool) {
                 load.running += worker.used;
-                for key in worker.runs.iter().filter(|key| self.is_lasting(key)) {
-                    if let Some(run) = self.unit(key).and_then(|unit| unit.run.as_ref()) {
-                        load.lasting += run.room;
-                    }
-                }
+                load.ready_workers += usize::from(self.takes_runs(worker, now));
                 let capacity = worker.entry.capacity;
                 load.host.cpu_millis = load.host.cpu_millis.max(capacity.cpu_millis);
                 load.host.memory_mb = load.host.memory_mb.max(capacity.memory_mb);
@@ -237,49 +221,71 @@
         loads
     }
 
+    /// Notes how many hosts the pools have, until one is moved.
+    fn note_own_hosts(&mut self, loads: &PoolLoads) {
+        if self.has_moved {
+            return;
+        }
+        for (name, load) in loads.iter() {
+            let own = self.own_hosts.entry_or(name.clone(), || 0);
+            if load.hosts > *own {
+                *own = load.hosts;
+                self.is_own_hosts_dirty = true;
+            }
+        }
+    }
+
+    fn move_to(&mut self, host: &HostName, pool: &PoolName) {
+        self.has_moved = true;
+        if let Some(host) = self.hosts.get_mut(host) {
+            host.goal = Some(Goal::Move(pool.clone()));
+        }
+    }
+
     /// Sends hosts that have been idle for long to the spare pool, where they cost nothing.
-    fn park_idle(&mut self, loads: &SortedMap<PoolName, PoolLoad>, now: Moment) {
-        let mut spare = self.config.pools.iter().filter(|(_, pool)| pool.is_spare);
-        let Some(spare) = spare.next().map(|(name, _)| name.clone()) else {
+    fn park_idle(&mut self, loads: &PoolLoads, targets: &HostCounts, now: Moment) {
+        let config = self.config.clone();
+        let Some((spare, _)) = config.pools.iter().find(|(_, pool)| pool.is_spare) else {
             return;
         };
-        let (_, idle) = self.idle_hosts(loads, PoolLoad::hosts_kept, PARK_IDLE_MIN, now);
-        for name in idle {
-            if let Some(host) = self.hosts.get_mut(&name) {
-                host.goal = Some(Goal::Move(spare.clone()));
-            }
+        let kept = |name: &PoolName, load: &PoolLoad| {
+            load.own_hosts.max(targets.get(name).copied().unwrap_or(0))
+        };
+        for host in self.idle_hosts(loads, kept, PARK_IDLE_MIN, now) {
+            self.move_to(&host, spare);
         }
     }
 
-    /// Hosts that other pools may have, the best last.
-    fn donors(&self, loads: &SortedMap<PoolName, PoolLoad>, now: Moment) -> Vec<HostName> {
-        let (mut spare, mut idle) = self.idle_hosts(loads, PoolLoad::hosts_needed, IDLE_MIN, now);
-        spare.append(&mut idle);
-        spare
+    /// Hosts that other pools may have, the best last: idle ones, those of the spare pool, and those
+    /// of pools that hold more than they should, which are emptied first.
+    fn donors(&self, loads: &PoolLoads, targets: &HostCounts, now: Moment) -> Vec<HostName> {
+        let target = |name: &PoolName, _: &PoolLoad| targets.get(name).copied().unwrap_or(0);
+        let mut idle = self.idle_hosts(loads, target, IDLE_MIN, now);
+        let mut donors = self.busy_donors(loads, target, idle.len(), now);
+        let is_spare = |host: &&Host| {
+            self.config.pools.get(&host.entry.pool).is_some_and(|pool| pool.is_spare)
+        };
+        let free = self.hosts.values().filter(|host| host.is_free(now));
+        donors.extend(free.filter(is_spare).map(|host| host.entry.name.clone()));
+        donors.append(&mut idle);
+        donors
     }
 
-    /// Hosts of the spare pool, and hosts of others beyond what these keep that have been idle for a
-    /// time.
+    /// Hosts beyond what their pools keep that have been idle for a time.
     fn idle_hosts(
         &self,
-        loads: &SortedMap<PoolName, PoolLoad>,
-        kept: impl Fn(&PoolLoad) -> usize,
+        loads: &PoolLoads,
+        kept: impl Fn(&PoolName, &PoolLoad) -> usize,
         idle_min: Duration,
         now: Moment,
-    ) -> (Vec<HostName>, Vec<HostName>) {
-        let mut spare = Vec::new();
-        let mut idle = Vec::new();
-        let mut left: SortedMap<PoolName, usize> = loads
+    ) -> Vec<HostName> {
+        let mut left: HostCounts = loads
             .iter()
-            .map(|(name, load)| (name.clone(), load.hosts.saturating_sub(kept(load))))
+            .map(|(name, load)| (name.clone(), load.hosts.saturating_sub(kept(name, load))))
             .collect();
+        let mut idle = Vec::new();
         for (name, host) in self.hosts.iter().filter(|(_, host)| host.is_free(now)) {
-            let pool = &host.entry.pool;
-            if self.config.pools.get(pool).is_some_and(|pool| pool.is_spare) {
-                spare.push(name.clone());
-                continue;
-            }
-            let Some(left) = left.get_mut(pool).filter(|left| **left > 0) else {
+            let Some(left) = left.get_mut(&host.entry.pool).filter(|left| **left > 0) else {
                 continue;
             };
             let worker = self.worker_of(host).and_then(|id| self.workers.get(&id));
@@ -291,7 +297,41 @@
                 idle.push(name.clone());
             }
         }
-        (spare, idle)
+        idle
+    }
+
+    /// Hosts at work without lasting units, of pools that hold more than `kept`; the least busy last.
+    fn busy_donors(
+        &self,
+        loads: &PoolLoads,
+        kept: impl Fn(&PoolName, &PoolLoad) -> usize,
+        idle: usize,
+        now: Moment,
+    ) -> Vec<HostName> {
+        let mut left: HostCounts = loads
+            .iter()
+            .map(|(name, load)| (name.clone(), load.hosts.saturating_sub(kept(name, load) + idle)))
+            .collect();
+        let mut busy: Vec<(u64, HostName, PoolName)> = Vec::new();
+        for (name, host) in self.hosts.iter().filter(|(_, host)| host.is_free(now)) {
+            let Some(worker) = self.worker_of(host).and_then(|id| self.workers.get(&id)) else {
+                continue;
+            };
+            let has_lasting = worker.runs.iter().any(|key| self.is_lasting(key));
+            if !worker.runs.is_empty() && !has_lasting {
+                busy.push((worker.used.cpu_millis, name.clone(), host.entry.pool.clone()));
+            }
+        }
+        busy.sort();
+        let mut donors = Vec::new();
+        for (_, name, pool) in busy {
+            if let Some(left) = left.get_mut(&pool).filter(|left| **left > 0) {
+                *left -= 1;
+                donors.push(name);
+            }
+        }
+        donors.reverse();
+        donors
     }
 }
 
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -121,7 +121,8 @@
                 .collect();
         }
         batch.roster = self.changed_roster();
-        batch.turns = std::mem::take(&mut self.is_turns_dirty).then(|| self.turns.clone());
+        let is_dirty = std::mem::take(&mut self.is_own_hosts_dirty);
+        batch.own_hosts = is_dirty.then(|| self.own_hosts.clone());
         batch.host_orders = self.changed_host_orders(now);
         for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
             wave.is_dirty = false;
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -86,6 +86,14 @@
         Self { entry, goal: None, is_ordered: false, not_before, away_until, ended_worker: None }
     }
 
+    /// The pool in which it works, or is to work.
+    pub fn pool_to_be(&self) -> &PoolName {
+        match &self.goal {
+            Some(Goal::Move(pool)) => pool,
+            _ => &self.entry.pool,
+        }
+    }
+
     /// True if it works and nothing is planned for it.
     pub fn is_free(&self, now: Moment) -> bool {
         self.entry.state == HostState::Up && self.goal.is_none() && now >= self.away_until
@@ -290,6 +298,9 @@
             return;
         };
         let cordoned_for = now.saturating_sub(worker.cordoned_at);
+        let is_moved = self.hosts.values().any(|host| {
+            host.entry.worker.as_ref() == Some(id) && matches!(host.goal, Some(Goal::Move(_)))
+        });
         for key in worker.runs.clone() {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
@@ -297,6 +308,9 @@
             let step = &job.record.steps[key.step];
             let may_stop = if step.is_lasting {
                 self.may_be_away(&key, now)
+            } else if is_moved {
+                // Nothing is lost by waiting, and another pool is not worth lost work.
+                false
             } else if step.saves {
                 cordoned_for >= SAVING_GRACE
             } else {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,12 +28,15 @@
 mod plan;
 mod restore;
 mod stuck;
-mod turns;
 mod waves;
 
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use capacity::HostCounts;
+pub use capacity::PoolLoad;
+pub use capacity::PoolLoads;
+pub use capacity::host_targets;
 pub use commit::Cancelled;
 pub use config::AdviceTimes;
 pub use config::Config;
@@ -67,7 +70,6 @@
 pub use state::JobView;
 pub use state::Scheduler;
 pub use state::Settings;
-pub use turns::Turns;
 
 /// Time since the machine's boot, suspension included.
 pub type Moment = Duration;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -13,6 +13,7 @@
 use crate::WorkerId;
 use crate::advice::Tickets;
 use crate::capacity::Demand;
+use crate::capacity::HostCounts;
 use crate::config::Config;
 use crate::evidence::Evidence;
 use crate::hosts::Host;
@@ -26,7 +27,6 @@
 use crate::report::Action;
 use crate::report::RosterEntry;
 use crate::sorted::SortedMap;
-use crate::turns::Turns;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
 
@@ -249,8 +249,8 @@
     pub roster: Option<Vec<RosterEntry>>,
     /// Hosts that were ordered of late, if there are new ones; the orders are sent once it is stored.
     pub host_orders: Option<Vec<HostOrderRow>>,
-    /// What is known of the pools' peaks, if it has changed.
-    pub turns: Option<Turns>,
+    /// Hosts that the pools had at first, if that has changed.
+    pub own_hosts: Option<HostCounts>,
     /// Hosts of waves whose maintenance has begun, by wave.
     pub waves: Vec<(WaveId, Vec<HostName>)>,
     /// Highest end of each worker of which the consequences are in this batch or stored before.
@@ -265,7 +265,7 @@
             && self.waves.is_empty()
             && self.roster.is_none()
             && self.host_orders.is_none()
-            && self.turns.is_none()
+            && self.own_hosts.is_none()
     }
 }
 
@@ -301,10 +301,12 @@
     pub(crate) stored_roster: Vec<WorkerId>,
     /// Waves.
     pub(crate) waves: SortedMap<WaveId, WaveProgress>,
-    /// Peaks of the pools.
-    pub(crate) turns: Turns,
-    /// The peaks have changed since they were last handed out to be stored.
-    pub(crate) is_turns_dirty: bool,
+    /// Hosts that the pools had at first.
+    pub(crate) own_hosts: HostCounts,
+    /// These have changed since they were last handed out to be stored.
+    pub(crate) is_own_hosts_dirty: bool,
+    /// A host was moved.
+    pub(crate) has_moved: bool,
     /// Demand by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Pools in which a unit found no worker with room, and since when.
