Order no host before its worker has answered the owner

Cause: an owner that had just taken over saw no runs on the worker of a host and moved it, with lasting units at work (AVAIL). Tests of waves, of host orders and of how hosts are divided.

--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -233,11 +233,15 @@
         if host.is_ordered || host.entry.state != HostState::Up {
             return;
         }
-        let worker = self.worker_of(host).and_then(|id| self.workers.get(&id));
-        if let Some(worker) = worker.filter(|worker| !worker.runs.is_empty()) {
-            let id = worker.entry.id.clone();
-            self.empty_worker(&id, now);
-            return;
+        if let Some(id) = self.worker_of(host) {
+            // What a worker that has not answered runs is not known.
+            let contact_max = self.settings.contact_max;
+            let seen = self.workers.get(&id).filter(|w| w.is_in_contact(contact_max, now));
+            match seen.map(|worker| worker.runs.is_empty() && worker.strays == 0) {
+                Some(true) => {}
+                Some(false) => return self.empty_worker(&id, now),
+                None => return,
+            }
         }
         if now < host.not_before || !self.may_order(&goal) {
             return;
--- /dev/null
+++ b/crates/scheduler/tests/capacity.rs
@@ -0,0 +1,69 @@
+//! How the hosts are divided: peaks by turns, peaks at the same time, and hosts that are idle.
+
+#[path = "common/world.rs"]
+mod world;
+
+use rstest::rstest;
+use scheduler::Action;
+use scheduler::PoolLoad;
+use scheduler::PoolLoads;
+use scheduler::Resources;
+use scheduler::host_targets;
+use world::World;
+use world::config;
+use world::job;
+use world::seconds;
+use world::step;
+
+const HOST: Resources = Resources { cpu_millis: 16_000, memory_mb: 32_768, gpus: 0 };
+
+fn load(own_hosts: usize, waiting_cores: u64) -> PoolLoad {
+    PoolLoad {
+        hosts: own_hosts,
+        own_hosts,
+        waiting: Resources { cpu_millis: waiting_cores * 1_000, memory_mb: 0, gpus: 0 },
+        host: HOST,
+        ..PoolLoad::default()
+    }
+}
+
+#[rstest]
+// One pool has its peak: it gets what it asks for.
+#[case(&[(9, 216), (9, 0)], 20, &[15, 0])]
+// Two peaks at a time: each keeps its own, and the rest is divided.
+#[case(&[(9, 432), (9, 216)], 24, &[13, 10])]
+// There are no more hosts than these.
+#[case(&[(9, 432), (9, 432)], 18, &[9, 9])]
+fn hosts_are_divided_by_what_is_asked_for(
+    #[case] pools: &[(usize, u64)],
+    #[case] total: usize,
+    #[case] expected: &[usize],
+) {
+    let named = pools.iter().zip(["p", "q"]);
+    let loads: PoolLoads =
+        named.map(|((own, cores), name)| (name.into(), load(*own, *cores))).collect();
+    let targets = host_targets(&loads, total);
+    let found: Vec<usize> = targets.values().copied().collect();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_peak_gets_the_spare_hosts() {
+    let no_bound = Resources::default();
+    let mut world = World::new(&["w1"], config(3, no_bound));
+    world.list_hosts_in(&[("h1", "p", "w1"), ("h2", "spare", ""), ("h3", "spare", "")]);
+    world.pass(seconds(1));
+    // Twice what one host holds, and more than that comes.
+    world.scheduler.add_job(job("a", vec![step(32, 1_000)], world.now), world.now);
+    world.pass(seconds(1));
+    let moves = |world: &World| -> Vec<(String, String)> {
+        let moves = world.others.iter().filter_map(|action| match action {
+            Action::MoveHost { host, pool } => Some((host.to_string(), pool.to_string())),
+            _ => None,
+        });
+        moves.collect()
+    };
+    let mut lent = moves(&world);
+    lent.sort();
+    assert_eq!(lent, [("h2".into(), "p".into()), ("h3".into(), "p".into())]);
+}
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -307,9 +307,16 @@
 impl World {
     /// Lists hosts of the pool `p` with their workers.
     pub fn list_hosts(&mut self, hosts: &[(&str, &str)]) {
-        let host = |(name, worker): &(&str, &str)| HostEntry {
+        let in_pool: Vec<(&str, &str, &str)> =
+            hosts.iter().map(|(name, worker)| (*name, "p", *worker)).collect();
+        self.list_hosts_in(&in_pool);
+    }
+
+    /// Lists hosts with their pools and workers.
+    pub fn list_hosts_in(&mut self, hosts: &[(&str, &str, &str)]) {
+        let host = |(name, pool, worker): &(&str, &str, &str)| HostEntry {
             name: (*name).into(),
-            pool: "p".into(),
+            pool: (*pool).into(),
             state: HostState::Up,
             worker: (!worker.is_empty()).then(|| (*worker).into()),
         };
--- /dev/null
+++ b/crates/scheduler/tests/hosts.rs
@@ -0,0 +1,90 @@
+//! Hosts that are moved or maintained: emptied first, within the budgets of lasting steps.
+
+#[path = "common/world.rs"]
+mod world;
+
+use scheduler::Action;
+use scheduler::HostReply;
+use scheduler::Resources;
+use scheduler::Step;
+use scheduler::Wave;
+use world::World;
+use world::config;
+use world::job;
+use world::millis;
+use world::seconds;
+use world::step;
+
+const NO_BOUND: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+
+fn wave(hosts: &[&str], down_max: usize) -> Wave {
+    let hosts = hosts.iter().map(|host| (*host).into()).collect();
+    Wave { id: 1, hosts, duration_ms: 20_000, down_max }
+}
+
+fn maintained(world: &World) -> Vec<String> {
+    let maintained = world.others.iter().filter_map(|action| match action {
+        Action::MaintainHost { host, .. } => Some(host.to_string()),
+        _ => None,
+    });
+    maintained.collect()
+}
+
+#[test]
+fn a_host_is_not_ordered_before_its_worker_has_answered() {
+    let mut world = World::new(&["w1", "w2", "w3"], config(3, NO_BOUND));
+    let lasting = Step { is_lasting: true, per_worker_max: 1, away_max: 1, ..step(2, 1_000) };
+    let record = job("a", vec![lasting], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    let used = world.round()[0].worker.clone();
+    world.worker(&used).answers = false;
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[record]);
+    world.list_hosts(&[("h1", &used)]);
+    world.scheduler.set_waves(vec![wave(&["h1"], 1)], world.now);
+    world.pass(seconds(2));
+    assert!(maintained(&world).is_empty());
+}
+
+#[test]
+fn no_more_hosts_of_a_wave_are_down_than_may_be() {
+    let mut world = World::new(&["w1", "w2", "w3"], config(3, NO_BOUND));
+    world.list_hosts(&[("h1", "w1"), ("h2", "w2"), ("h3", "w3")]);
+    world.scheduler.set_waves(vec![wave(&["h1", "h2", "h3"], 1)], world.now);
+    world.pass(millis(600));
+    assert_eq!(maintained(&world).len(), 1);
+    let first = maintained(&world)[0].as_str().into();
+    world.scheduler.host_reply(&first, HostReply::Accepted, world.now);
+    // A list that is older than the order shows the host as it was.
+    world.list_hosts(&[("h1", "w1"), ("h2", "w2"), ("h3", "w3")]);
+    world.pass(millis(600));
+    assert_eq!(maintained(&world).len(), 1);
+}
+
+#[test]
+fn lasting_units_leave_a_host_one_after_another() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    let lasting = Step { is_lasting: true, per_worker_max: 2, away_max: 1, ..step(2, 1_000) };
+    world.scheduler.add_job(job("a", vec![lasting], world.now), world.now);
+    let used = world.round()[0].worker.clone();
+    for running in &mut world.worker(&used).running {
+        running.percent = 100;
+    }
+    world.report_all();
+    world.list_hosts(&[("h1", &used)]);
+    world.scheduler.set_waves(vec![wave(&["h1"], 1)], world.now);
+    world.round();
+    world.round();
+    assert_eq!(world.worker(&used).running.len(), 1, "the other goes once this one is at work");
+}
+
+#[test]
+fn a_host_order_is_sent_once_it_is_stored() {
+    let mut world = World::new(&["w1"], config(3, NO_BOUND));
+    world.list_hosts(&[("h1", "w1")]);
+    world.scheduler.set_waves(vec![wave(&["h1"], 1)], world.now);
+    world.round();
+    assert!(maintained(&world).is_empty());
+    world.commit();
+    world.round();
+    assert_eq!(maintained(&world).len(), 1);
+}
