--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -80,6 +80,8 @@
     waves_told: SortedMap<WaveId, WaveState>,
     hosts_asked_at: Moment,
     hosts_in_flight: bool,
+    /// Orders to hosts that were given.
+    host_orders: u64,
     successor_asked_at: Moment,
     pools_logged_at: Moment,
     config_version: u64,
@@ -124,6 +126,7 @@
         waves_told: SortedMap::default(),
         hosts_asked_at: Moment::ZERO,
         hosts_in_flight: false,
+        host_orders: 0,
         successor_asked_at: Moment::ZERO,
         pools_logged_at: Moment::ZERO,
         config_version: 0,
--- a/crates/coordinator/src/owner/orders.rs
+++ b/crates/coordinator/src/owner/orders.rs
@@ -16,6 +16,8 @@
 use crate::ports::Platform;
 use crate::ports::Written;
 
+/// Orders to hosts that one owner gives at most; the numbers of the next owner lie above.
+const HOST_ORDERS_PER_EPOCH: u64 = 1 << 20;
 /// Time between two lines on the pools.
 const POOLS_LOG_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two lists of the hosts.
@@ -179,7 +181,10 @@
 
     fn order_host(&mut self, host: HostName, order: HostOrder) {
         let shared = self.shared.clone();
-        let token = self.epoch;
+        // Each order has a number of its own, so that one that is carried out late, after a newer one,
+        // is refused.
+        self.host_orders += 1;
+        let token = self.epoch * HOST_ORDERS_PER_EPOCH + self.host_orders;
         self.spawn(async move {
             let holder = &shared.settings.name;
             let platform = &shared.platform;
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -36,6 +36,7 @@
 use scheduler::HostEntry;
 use scheduler::HostName;
 use scheduler::HostReply;
+use scheduler::HostState;
 use scheduler::Pool;
 use scheduler::PoolName;
 use scheduler::Queue;
@@ -80,6 +81,8 @@
     ended: Vec<RunEnd>,
     ends: u64,
     token: FencingToken,
+    /// Tokens of the orders to the host; none of them is answered.
+    host_tokens: Vec<FencingToken>,
     /// Units that were started, with their run and token.
     pub starts: Vec<(UnitKey, u32, FencingToken)>,
 }
@@ -95,6 +98,9 @@
 /// Numbers of the processes that the nodes of a test stand for.
 static INCARNATIONS: AtomicU64 = AtomicU64::new(1);
 
+/// The one host.
+pub const HOST: &str = "h1";
+
 /// The one worker.
 pub const WORKER: &str = "w1";
 
@@ -114,6 +120,15 @@
         self.data.lock().unwrap().starts.clone()
     }
 
+    pub fn add_wave(&self) {
+        let wave = Wave { id: 1, hosts: vec![HOST.into()], duration_ms: 20_000, down_max: 1 };
+        self.data.lock().unwrap().waves.push(wave);
+    }
+
+    pub fn host_tokens(&self) -> Vec<FencingToken> {
+        self.data.lock().unwrap().host_tokens.clone()
+    }
+
     /// True if the table holds the record of a job.
     pub fn has_job(&self, id: &str) -> bool {
         let key = (table_number(Table::Jobs), id.to_owned());
@@ -377,7 +392,13 @@
 
 impl Hosts for Memory {
     async fn hosts(&self) -> Result<Vec<HostEntry>, ReadError> {
-        Ok(Vec::new())
+        let host = HostEntry {
+            name: HOST.into(),
+            pool: "p".into(),
+            state: HostState::Up,
+            worker: Some(WORKER.into()),
+        };
+        Ok(vec![host])
     }
 
     async fn move_host(
@@ -395,9 +416,10 @@
         _host: &HostName,
         _wave: WaveId,
         _holder: &str,
-        _token: FencingToken,
+        token: FencingToken,
     ) -> HostReply {
-        HostReply::Invalid
+        self.data.lock().unwrap().host_tokens.push(token);
+        HostReply::Unknown
     }
 }
 
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -164,6 +164,21 @@
     assert_eq!(starts[2].2, 2, "the last one carries the token of the second owner");
 }
 
+#[tokio::test]
+async fn a_host_order_that_was_not_answered_is_followed_by_one_with_a_higher_token() {
+    let memory = Memory::new(Duration::from_millis(50));
+    memory.add_wave();
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    let until = clock::now() + PATIENCE;
+    while memory.host_tokens().len() < 2 {
+        assert!(clock::now() < until, "no second order");
+        tokio::time::sleep(PAUSE).await;
+    }
+    let tokens = memory.host_tokens();
+    assert!(tokens[0] < tokens[1], "{tokens:?}");
+}
+
 #[tokio::test]
 async fn a_request_is_refused_for_its_path_and_its_key() {
     let memory = Memory::new(Duration::from_millis(50));
