Store runs before they are ordered

A run is now stored with the worker's row before its order is sent, in the transaction that is due anyway; it replaces the list of workers and of lost ones.

--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -265,7 +265,6 @@
         incarnation: shared.settings.incarnation,
         address: Some(shared.settings.peer_address),
         is_released: false,
-        lost: before.lost.clone(),
     };
     let sent_at = clock::now();
     let transaction = Transaction {
@@ -289,5 +288,5 @@
         .text("reason", format!("{reason:?}"))
         .field("before", before.node.as_str())
         .write();
-    Some(Won { row, version, sent_at, before, reason })
+    Some(Won { row, version, sent_at, reason })
 }
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -53,8 +53,6 @@
     pub version: RowVersion,
     /// When it was sent.
     pub sent_at: Moment,
-    /// The row before.
-    pub before: OwnerRow,
     /// Why it was taken.
     pub reason: Reason,
 }
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -11,7 +11,6 @@
 use scheduler::JobId;
 use scheduler::JobRecord;
 use scheduler::Moment;
-use scheduler::UnitKey;
 use tokio::sync::oneshot;
 
 use super::End;
@@ -28,20 +27,18 @@
 use crate::ports::Written;
 use crate::rows;
 use crate::rows::HOST_ORDERS_KEY;
-use crate::rows::LostRow;
 use crate::rows::OWN_HOSTS_KEY;
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
-use crate::rows::ROSTER_KEY;
 use crate::shared::CancelReply;
 use crate::shared::SubmitReply;
 
 /// Jobs that one transaction accepts at most.
-const ACCEPTS_MAX: usize = 24;
+const ACCEPTS_MAX: usize = 16;
 /// Jobs whose progress one transaction stores at most; an ended job takes two entries.
-const PROGRESS_MAX: usize = 24;
+const PROGRESS_MAX: usize = 16;
 /// Rows of the inbox that one transaction removes at most.
-const INBOX_MAX: usize = 20;
+const INBOX_MAX: usize = 10;
 /// Time after which the ownership is renewed if nothing else is to be stored.
 const RENEW_AFTER: Duration = Duration::from_millis(500);
 /// Age of a transaction in progress from which on no more jobs are taken; above the time of one of a
@@ -250,11 +247,9 @@
         let mut accepts = std::mem::take(&mut self.pipeline.accepts);
         self.pipeline.accepts = accepts.split_off(accepts.len() - accepts_left);
         let pipeline = &mut self.pipeline;
-        let lost = self.scheduler.lost_workers(now);
         let row = OwnerRow {
             sequence: pipeline.row.sequence + 1,
             is_released: self.release.is_some(),
-            lost: lost.into_iter().map(lost_row).collect(),
             ..pipeline.row.clone()
         };
         let mut transaction = Transaction {
@@ -273,10 +268,13 @@
                 transaction.removals.push((Table::Jobs, id.to_string()));
             }
         }
-        if let Some(roster) = &batch.roster {
-            let value = rows::encode(roster);
-            transaction.puts.push((Table::Owner, ROSTER_KEY.to_owned(), value));
+        for (worker, row) in &batch.assignments {
+            let value = rows::encode(row);
+            transaction.puts.push((Table::Assignments, worker.to_string(), value));
         }
+        let unassigned = batch.unassigned.iter();
+        let removals = unassigned.map(|worker| (Table::Assignments, worker.to_string()));
+        transaction.removals.extend(removals);
         if let Some(orders) = &batch.host_orders {
             let value = rows::encode(orders);
             transaction.puts.push((Table::Owner, HOST_ORDERS_KEY.to_owned(), value));
@@ -440,12 +438,3 @@
     let owner = rows::decode::<OwnerRow>(&row.key, &row.value).ok()?;
     (owner == *sent).then_some(row.version)
 }
-
-fn lost_row(lost: scheduler::LostWorker) -> LostRow {
-    let run = |(unit, run): (UnitKey, u32)| (unit.to_string(), run);
-    LostRow {
-        worker: lost.worker.to_string(),
-        lease_left_ms: lost.lease_left.as_millis() as u64,
-        runs: lost.runs.into_iter().map(run).collect(),
-    }
-}
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -5,7 +5,6 @@
 use scheduler::Moment;
 use scheduler::Report;
 use scheduler::WorkerId;
-use scheduler::worker::Contact;
 
 use super::Owner;
 use super::event::Event;
@@ -46,9 +45,7 @@
         let ids: Vec<WorkerId> = self
             .scheduler
             .workers()
-            .filter(|worker| {
-                worker.is_listed || !worker.runs.is_empty() || worker.contact == Contact::Unheard
-            })
+            .filter(|worker| worker.is_listed || !worker.runs.is_empty())
             .map(|worker| worker.entry.id.clone())
             .collect();
         let scheduler = &self.scheduler;
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use scheduler::AssignmentRow;
 use scheduler::HostCounts;
 use scheduler::HostOrderRow;
 use scheduler::JobId;
 use scheduler::JobRecord;
-use scheduler::LostWorker;
 use scheduler::Progress;
-use scheduler::RosterEntry;
 use scheduler::Scheduler;
 use scheduler::SortedMap;
 use scheduler::WaveRow;
@@ -26,9 +25,7 @@
 use crate::ports::Table;
 use crate::rows;
 use crate::rows::HOST_ORDERS_KEY;
-use crate::rows::LostRow;
 use crate::rows::OWN_HOSTS_KEY;
-use crate::rows::ROSTER_KEY;
 use crate::shared::Shared;
 
 /// Time for which the reads are tried before the ownership is given up.
@@ -69,10 +66,10 @@
 async fn read_all<P: Platform>(shared: &Shared<P>, won: &Won) -> Result<Scheduler, ReadError> {
     let settings = shared.settings.scheduling.clone();
     let lease = settings.lease;
-    let (jobs, progress, roster, host_orders, own_hosts) = tokio::try_join!(
+    let (jobs, progress, assignments, host_orders, own_hosts) = tokio::try_join!(
         shared.platform.read(Table::Jobs, ""),
         shared.platform.read(Table::Progress, ""),
-        shared.platform.read(Table::Owner, ROSTER_KEY),
+        shared.platform.read(Table::Assignments, ""),
         shared.platform.read(Table::Owner, HOST_ORDERS_KEY),
         shared.platform.read(Table::Owner, OWN_HOSTS_KEY),
     )?;
@@ -84,9 +81,6 @@
     }
     let lease_left = lease_left(won, lease);
     scheduler.set_workers(workers.changed, lease_left, now);
-    for roster in decode_all::<Vec<RosterEntry>>(roster).values() {
-        scheduler.restore_roster(roster.clone(), lease_left, now);
-    }
     for orders in decode_all::<Vec<HostOrderRow>>(host_orders).values() {
         scheduler.restore_host_orders(orders.clone(), now);
     }
@@ -108,8 +102,9 @@
     for (id, known) in progress.iter() {
         scheduler.restore_ended(JobId::from(id.as_str()), known, now);
     }
-    let lost: Vec<LostWorker> = won.before.lost.iter().map(lost_worker).collect();
-    scheduler.restore_lost(&lost, now);
+    let assignments = decode_all::<AssignmentRow>(assignments);
+    let assignments = assignments.iter().map(|(id, row)| (id.as_str().into(), row.clone()));
+    scheduler.restore_assignments(assignments.collect(), lease_left, now);
     Ok(scheduler)
 }
 
@@ -136,18 +131,3 @@
     };
     rows.into_iter().filter_map(decode).collect()
 }
-
-fn lost_worker(row: &LostRow) -> LostWorker {
-    let run = |(unit, run): &(String, u32)| match unit.parse() {
-        Ok(unit) => Some((unit, *run)),
-        Err(error) => {
-            telemetry::log::line("row-unreadable").text("why", error).write();
-            None
-        }
-    };
-    LostWorker {
-        worker: row.worker.as_str().into(),
-        lease_left: Duration::from_millis(row.lease_left_ms) + LEASE_SLACK,
-        runs: row.runs.iter().filter_map(run).collect(),
-    }
-}
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -34,6 +34,8 @@
     Owner,
     /// Records of live jobs.
     Jobs,
+    /// What workers run, or are to run.
+    Assignments,
     /// Progress of jobs, and how they ended.
     Progress,
     /// Requests that a node stored since it could not reach the owner.
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -12,9 +12,6 @@
 /// Key of the owner's row.
 pub const OWNER_KEY: &str = "owner";
 
-/// Key of the row with the workers that may run something, in the owner's table.
-pub const ROSTER_KEY: &str = "workers";
-
 /// Key of the row with the hosts that were ordered of late, in the owner's table.
 pub const HOST_ORDERS_KEY: &str = "hosts";
 
@@ -45,21 +42,6 @@
     pub address: Option<SocketAddr>,
     /// True if it has given up the ownership.
     pub is_released: bool,
-    /// Workers of which it has lost sight.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub lost: Vec<LostRow>,
-}
-
-/// A worker of which an owner has lost sight.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct LostRow {
-    /// Worker.
-    pub worker: String,
-    /// Time left until its lease is over, in milliseconds, when the row was written.
-    pub lease_left_ms: u64,
-    /// Runs that may be there: unit and number.
-    pub runs: Vec<(String, u32)>,
 }
 
 /// A request that a node stored since it could not reach the owner.
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -148,6 +148,7 @@
         Table::Jobs => 1,
         Table::Progress => 2,
         Table::Inbox => 3,
+        Table::Assignments => 4,
     }
 }
 
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -3,10 +3,10 @@
 use crate::JobId;
 use crate::WaveId;
 use crate::WorkerId;
+use crate::assignments::AssignmentRow;
 use crate::capacity::HostCounts;
 use crate::hosts::HostOrderRow;
 use crate::progress::Progress;
-use crate::report::RosterEntry;
 use crate::waves::WaveRow;
 
 /// Changes to be stored in one transaction.
@@ -16,8 +16,10 @@
     pub progress: Vec<(JobId, Progress)>,
     /// Ended jobs that need not be remembered any longer.
     pub forgotten: Vec<JobId>,
-    /// All workers that may run something, if they are not those that are stored.
-    pub roster: Option<Vec<RosterEntry>>,
+    /// What workers run or are to run, of those whose row lacks a run.
+    pub assignments: Vec<(WorkerId, AssignmentRow)>,
+    /// Workers that run nothing any more.
+    pub unassigned: Vec<WorkerId>,
     /// Hosts that were ordered of late, if there are new ones; the orders are sent once it is stored.
     pub host_orders: Option<Vec<HostOrderRow>>,
     /// Hosts that the pools had at first, if that has changed.
@@ -34,7 +36,8 @@
         self.progress.is_empty()
             && self.forgotten.is_empty()
             && self.waves.is_empty()
-            && self.roster.is_none()
+            && self.assignments.is_empty()
+            && self.unassigned.is_empty()
             && self.host_orders.is_none()
             && self.own_hosts.is_none()
     }
--- a/crates/scheduler/src/choose.rs
+++ b/crates/scheduler/src/choose.rs
@@ -150,7 +150,6 @@
     /// True if the worker takes new runs.
     pub(crate) fn takes_runs(&self, worker: &Worker, now: Moment) -> bool {
         worker.is_listed
-            && worker.is_on_roster
             && !worker.entry.is_draining
             && !worker.is_cordoned
             // What a run that must go takes is not known in all cases.
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -18,8 +18,6 @@
 use crate::live::Unit;
 use crate::progress::FinalState;
 use crate::progress::Progress;
-use crate::report::RosterEntry;
-use crate::report::WorkerEntry;
 use crate::state::Scheduler;
 
 /// What became of a cancellation.
@@ -50,7 +48,6 @@
             is_ending_stored: false,
             is_dirty: false,
             has_begun: false,
-            is_restored: false,
         };
         self.jobs.insert(record.id.clone(), job);
         self.begin_due_occurrences(&record.id, now);
@@ -120,7 +117,7 @@
                 .map(|(id, worker)| (id.clone(), worker.entry.born_ms, worker.ends_seen))
                 .collect();
         }
-        batch.roster = self.changed_roster();
+        self.add_assignments(&mut batch);
         let is_dirty = std::mem::take(&mut self.is_own_hosts_dirty);
         batch.own_hosts = is_dirty.then(|| self.own_hosts.clone());
         batch.host_orders = self.changed_host_orders(now);
@@ -151,40 +148,13 @@
         for id in &batch.forgotten {
             self.ended.remove(id);
         }
-        if let Some(roster) = &batch.roster {
-            self.roster_stored(roster);
-        }
+        self.assignments_stored(&batch.assignments, now);
         if let Some(orders) = &batch.host_orders {
             self.host_orders_stored(orders);
         }
         self.needs_placing = true;
     }
 
-    /// Workers that may run something, if they are not those that are stored.
-    fn changed_roster(&self) -> Option<Vec<RosterEntry>> {
-        let is_same = self.workers.len() == self.stored_roster.len()
-            && self.workers.iter().zip(&self.stored_roster).all(|((id, _), stored)| id == stored);
-        if is_same {
-            return None;
-        }
-        let entries = self.workers.values().map(|worker| &worker.entry);
-        let known = |entry: &WorkerEntry| RosterEntry {
-            id: entry.id.clone(),
-            pool: entry.pool.clone(),
-            address: entry.address,
-        };
-        Some(entries.map(known).collect())
-    }
-
-    fn roster_stored(&mut self, roster: &[RosterEntry]) {
-        self.stored_roster = roster.iter().map(|known| known.id.clone()).collect();
-        for id in &self.stored_roster {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.is_on_roster = true;
-            }
-        }
-    }
-
     fn job_stored(&mut self, id: &JobId, progress: &Progress, now: Moment) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -60,7 +60,7 @@
     pub fn worker_gone(&mut self, id: &WorkerId, why: &str, now: Moment) {
         self.note("worker is gone", id.clone(), why.to_owned());
         self.clear_runs_on(id, now);
-        self.workers.remove(id);
+        self.forget_worker(id);
     }
 
     /// Ends the leases that are over: what ran on silent workers does not run any more.
@@ -68,18 +68,13 @@
         let is_over = |worker: &crate::worker::Worker| {
             now >= worker.lease_over_at
                 && !worker.is_in_contact(self.settings.contact_max, now)
-                && (!worker.runs.is_empty() || worker.contact == Contact::Unheard)
+                && !worker.runs.is_empty()
         };
         let over = self.workers.iter().filter(|(_, worker)| is_over(worker));
         let over: Vec<WorkerId> = over.map(|(id, _)| id.clone()).collect();
         for id in over {
             self.note("lease of a silent worker is over", id.clone(), String::new());
             self.clear_runs_on(&id, now);
-            if let Some(worker) = self.workers.get_mut(&id)
-                && worker.contact == Contact::Unheard
-            {
-                worker.contact = Contact::Heard(Moment::ZERO);
-            }
         }
         let is_left = |worker: &crate::worker::Worker| {
             !worker.is_listed
@@ -90,7 +85,7 @@
         let left = self.workers.iter().filter(|(_, worker)| is_left(worker));
         let left: Vec<WorkerId> = left.map(|(id, _)| id.clone()).collect();
         for id in left {
-            self.workers.remove(&id);
+            self.forget_worker(&id);
         }
     }
 
@@ -343,7 +338,7 @@
                 run.stop.and_then(|stop| stop.answered_at).is_some_and(|at| at <= sent_at);
             let is_late = run.deadline_ms != 0 && worker.is_past(run.deadline_ms, sent_at);
             let is_gone = match run.phase {
-                Phase::Ordered => false,
+                Phase::Planned | Phase::Ordered => false,
                 Phase::Confirmed(at) => at <= sent_at,
                 Phase::Listed => run.since <= sent_at,
                 Phase::InDoubt => is_stopped || is_late || run.deadline_ms == 0,
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -198,7 +198,7 @@
         // The order has ended the worker and all that ran there.
         if let Some(worker) = worker {
             self.clear_runs_on(&worker, now);
-            if let Some(ended) = self.workers.remove(&worker) {
+            if let Some(ended) = self.forget_worker(&worker) {
                 self.ended_workers.insert(worker, ended.entry.born_ms);
             }
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod worker;
 
 mod advice;
+mod assignments;
 mod capacity;
 mod choose;
 mod commit;
@@ -37,6 +38,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use assignments::AssignmentRow;
 pub use batch::Batch;
 pub use capacity::HostCounts;
 pub use capacity::PoolLoad;
@@ -61,9 +63,7 @@
 pub use report::HostEntry;
 pub use report::HostReply;
 pub use report::HostState;
-pub use report::LostWorker;
 pub use report::Report;
-pub use report::RosterEntry;
 pub use report::RunEnd;
 pub use report::Running;
 pub use report::StartOrder;
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -26,6 +26,8 @@
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// It is to be stored; the order to start is sent once it is.
+    Planned,
     /// The order to start is on its way.
     Ordered,
     /// The worker has answered that it is there, at this time.
@@ -142,8 +144,6 @@
     pub is_dirty: bool,
     /// A unit has been started.
     pub has_begun: bool,
-    /// It was stored when this owner took over, so that an owner before may have started units of it.
-    pub is_restored: bool,
 }
 
 /// An ended job.
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -71,6 +71,11 @@
         let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
             return;
         };
+        if run.phase == Phase::Planned {
+            // The order to start was not sent, and is not any more.
+            self.clear_run(key, now);
+            return;
+        }
         let is_due = match &run.stop {
             None => true,
             Some(Stop { answered_at: Some(_), .. }) => false,
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -15,10 +15,7 @@
 use crate::live::Run;
 use crate::live::Unit;
 use crate::order::Rank;
-use crate::report::Action;
-use crate::report::StartOrder;
 use crate::state::Scheduler;
-use crate::worker::Contact;
 
 /// Time after which units are placed again though nothing has changed: pauses of workers end.
 const PLACE_AGAIN: Duration = Duration::from_millis(250);
@@ -96,13 +93,11 @@
     }
 
     fn waiting_steps(&self, now: Moment) -> Vec<Waiting> {
-        let unheard = self.pools_with_unheard();
         let mut waiting = Vec::new();
         for job in self.jobs.values().filter(|job| job.ending.is_none()) {
             let pool = self.pool_of(job);
-            let may_run_unseen = job.is_restored && unheard.binary_search(&pool).is_ok();
             for occurrence in &job.occurrences {
-                self.waiting_of(job, occurrence, &pool, may_run_unseen, now, &mut waiting);
+                self.waiting_of(job, occurrence, &pool, now, &mut waiting);
             }
         }
         waiting
@@ -113,7 +108,6 @@
         job: &Job,
         occurrence: &Occurrence,
         pool: &PoolName,
-        may_run_unseen: bool,
         now: Moment,
         waiting: &mut Vec<Waiting>,
     ) {
@@ -123,11 +117,7 @@
                 continue;
             }
             let units = occurrence.steps[index].iter().enumerate();
-            let waits = |unit: &Unit| {
-                unit.done == Done::No
-                    && unit.run.is_none()
-                    && (!may_run_unseen || unit.last_run > self.run_base)
-            };
+            let waits = |unit: &Unit| unit.done == Done::No && unit.run.is_none();
             let units: Vec<usize> =
                 units.filter(|(_, unit)| waits(unit)).map(|(index, _)| index).collect();
             if units.is_empty() || (step.is_gang && units.len() < step.count as usize) {
@@ -144,15 +134,6 @@
         }
     }
 
-    /// Pools with workers that may run what an owner before has started.
-    fn pools_with_unheard(&self) -> Vec<PoolName> {
-        let unheard = self.workers.values().filter(|worker| worker.contact == Contact::Unheard);
-        let mut pools: Vec<PoolName> = unheard.map(|worker| worker.entry.pool.clone()).collect();
-        pools.sort();
-        pools.dedup();
-        pools
-    }
-
     fn place_step(
         &mut self,
         waiting: &Waiting,
@@ -279,6 +260,7 @@
         wanted.is_within(&bound)
     }
 
+    /// Plans a run: the order to start is sent once it is stored that the worker may run it.
     fn order_start(
         &mut self,
         key: &UnitKey,
@@ -287,25 +269,12 @@
         number: u32,
         now: Moment,
     ) {
-        let Some(record) = self.jobs.get(&key.job).map(|job| job.record.clone()) else {
-            return;
-        };
-        let Some(target) = self.workers.get(&worker) else {
-            return;
-        };
-        let Some(clock_ms) = target.clock_least_ms(now) else {
-            return;
-        };
-        let deadline_ms = clock_ms + self.settings.start_valid.as_millis() as u64;
-        let address = target.entry.address;
-        let saved = self.unit(key).map(|unit| unit.saved.clone()).unwrap_or_default();
-        let ticket = self.tickets.ticket(key, &worker, now);
         let run = Run {
             number,
             worker: worker.clone(),
-            phase: Phase::Ordered,
+            phase: Phase::Planned,
             since: now,
-            deadline_ms,
+            deadline_ms: 0,
             room: step.room(),
             need: step.need,
             stop: None,
@@ -316,19 +285,9 @@
             harmed_since: None,
         };
         self.add_run(key, run, now);
-        if let Some(target) = self.workers.get_mut(&worker) {
-            target.lease_asked(deadline_ms);
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.lacks_run = true;
         }
-        self.actions.push(Action::Start(StartOrder {
-            worker,
-            address,
-            unit: key.clone(),
-            run: number,
-            spec: record.spec.clone(),
-            deadline_ms,
-            saved,
-            ticket,
-        }));
     }
 }
 
--- a/crates/scheduler/src/report.rs
+++ b/crates/scheduler/src/report.rs
@@ -3,11 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::HostName;
-use crate::Moment;
 use crate::PoolName;
 use crate::WaveId;
 use crate::WorkerId;
@@ -277,28 +273,3 @@
         why: String,
     },
 }
-
-/// A worker that may run something.
-///
-/// Workers leave the registry while it cannot be written, and may run on; an owner that takes over has
-/// to know of them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RosterEntry {
-    /// Worker.
-    pub id: WorkerId,
-    /// Its pool.
-    pub pool: PoolName,
-    /// Address of its task interface.
-    pub address: SocketAddr,
-}
-
-/// A worker that an owner had lost sight of, with what it may still run there.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LostWorker {
-    /// Worker.
-    pub worker: WorkerId,
-    /// Time left until its lease is over for sure.
-    pub lease_left: Moment,
-    /// Runs that may be there: unit and number of the run.
-    pub runs: Vec<(UnitKey, u32)>,
-}
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -1,24 +1,17 @@
 //! Taking over: what is stored, and what may still run on workers that do not answer.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::JobId;
 use crate::Moment;
-use crate::WorkerId;
 use crate::job::JobRecord;
 use crate::job::UnitKey;
 use crate::live::Done;
 use crate::live::EndedJob;
-use crate::live::Phase;
-use crate::live::Run;
 use crate::progress::Progress;
-use crate::report::LostWorker;
-use crate::report::RosterEntry;
 use crate::report::WorkerEntry;
 use crate::state::Scheduler;
-use crate::worker::Contact;
 use crate::worker::Worker;
 
 impl Scheduler {
@@ -52,7 +45,6 @@
             }
         }
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.is_restored = true;
             job.has_begun = progress != &Progress::default();
             job.ending = progress.ended;
             job.is_ending_stored = progress.ended.is_some();
@@ -83,15 +75,6 @@
         }
     }
 
-    /// Takes in the workers that an owner before may have used; those that are registered are known
-    /// already.
-    pub fn restore_roster(&mut self, roster: Vec<RosterEntry>, lease_left: Duration, now: Moment) {
-        for known in roster {
-            let id = known.id.clone();
-            self.workers.entry_or(id, || Worker::unlisted(known, now + lease_left, now));
-        }
-    }
-
     /// Takes in one registered worker.
     pub fn set_worker(&mut self, entry: WorkerEntry, lease_left: Duration, now: Moment) {
         if self.ended_workers.get(&entry.id).is_some_and(|born_ms| entry.born_ms <= *born_ms) {
@@ -134,9 +117,9 @@
         self.note("worker started again", subject, why);
         self.clear_runs_on(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
-            let is_on_roster = worker.is_on_roster;
+            let has_row = worker.has_row;
             *worker = Worker::new(entry, now, now);
-            worker.is_on_roster = is_on_roster;
+            worker.has_row = has_row;
         }
     }
 
@@ -149,70 +132,6 @@
         }
     }
 
-    /// Takes in workers of which the owner before had lost sight.
-    pub fn restore_lost(&mut self, lost: &[LostWorker], now: Moment) {
-        for worker in lost {
-            let id = worker.worker.clone();
-            let known = self.workers.entry_or(id.clone(), || forgotten(id, now));
-            known.lease_over_at = now + worker.lease_left;
-            // Its runs are all known, so that other units need not wait for it.
-            if known.contact == Contact::Unheard {
-                known.contact = Contact::Heard(Moment::ZERO);
-            }
-            for (key, run) in &worker.runs {
-                self.adopt_in_doubt(key, *run, worker, now);
-            }
-        }
-    }
-
-    fn adopt_in_doubt(&mut self, key: &UnitKey, run: u32, lost: &LostWorker, now: Moment) {
-        let is_open = self.unit(key).is_some_and(|unit| unit.run.is_none());
-        if !is_open {
-            return;
-        }
-        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step))
-        else {
-            return;
-        };
-        let (room, need) = (step.room(), step.need);
-        let run = Run {
-            number: run,
-            worker: lost.worker.clone(),
-            phase: Phase::InDoubt,
-            since: now,
-            deadline_ms: 0,
-            room,
-            need,
-            stop: None,
-            percent: 0,
-            progressed_at: now,
-            load: None,
-            pace_percent: 100,
-            harmed_since: None,
-        };
-        self.add_run(key, run, now);
-    }
-
-    /// Workers that do not answer, with what they may run.
-    pub fn lost_workers(&self, now: Moment) -> Vec<LostWorker> {
-        let is_lost = |worker: &&Worker| {
-            !worker.runs.is_empty()
-                && !worker.is_in_contact(self.settings.contact_max, now)
-                && worker.contact != Contact::Unheard
-        };
-        let run_of = |key: &UnitKey| {
-            let run = self.unit(key)?.run.as_ref()?;
-            Some((key.clone(), run.number))
-        };
-        let lost = self.workers.values().filter(is_lost);
-        lost.map(|worker| LostWorker {
-            worker: worker.entry.id.clone(),
-            lease_left: worker.lease_over_at.saturating_sub(now),
-            runs: worker.runs.iter().filter_map(run_of).collect(),
-        })
-        .collect()
-    }
-
     fn restore_step(&mut self, id: &JobId, number: u32, step: usize) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -225,9 +144,3 @@
         }
     }
 }
-
-/// A worker of which only its leases matter.
-fn forgotten(id: WorkerId, now: Moment) -> Worker {
-    let address = SocketAddr::from(([0, 0, 0, 0], 0));
-    Worker::unlisted(RosterEntry { id, pool: Arc::from(""), address }, now, now)
-}
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -60,8 +60,8 @@
     pub(crate) held_hosts: SortedMap<HostName, Moment>,
     /// The hosts have been listed at least once.
     pub(crate) hosts_listed: bool,
-    /// Workers that are stored as those that may run something, sorted.
-    pub(crate) stored_roster: Vec<WorkerId>,
+    /// Workers that are forgotten, with rows that are to be removed.
+    pub(crate) unassigned: Vec<WorkerId>,
     /// Waves.
     pub(crate) waves: SortedMap<WaveId, WaveProgress>,
     /// Hosts that the pools had at first.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,12 +1,14 @@
 //! Workers as the owner sees them: contact, lease, room and runs.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Moment;
+use crate::PoolName;
+use crate::WorkerId;
 use crate::job::Resources;
 use crate::job::UnitKey;
-use crate::report::RosterEntry;
 use crate::report::WorkerEntry;
 
 /// How much slower than true time a worker's clock may run, in percent.
@@ -39,8 +41,10 @@
     pub rack: Option<Arc<str>>,
     /// Whether it answers.
     pub contact: Contact,
-    /// It is stored that it may run something.
-    pub is_on_roster: bool,
+    /// A row says what it runs.
+    pub has_row: bool,
+    /// A run was added that its row lacks.
+    pub lacks_run: bool,
     /// When the entry was last seen in the registry; none if it has vanished.
     pub is_listed: bool,
     /// What its runs take.
@@ -78,7 +82,8 @@
             entry,
             rack,
             contact: Contact::Unheard,
-            is_on_roster: false,
+            has_row: false,
+            lacks_run: false,
             is_listed: true,
             used: Resources::default(),
             runs: Vec::new(),
@@ -97,8 +102,13 @@
     }
 
     /// A worker that is not in the registry.
-    pub fn unlisted(known: RosterEntry, lease_over_at: Moment, now: Moment) -> Self {
-        let RosterEntry { id, pool, address } = known;
+    pub fn unlisted(
+        id: WorkerId,
+        pool: PoolName,
+        address: SocketAddr,
+        lease_over_at: Moment,
+        now: Moment,
+    ) -> Self {
         let entry = WorkerEntry {
             id,
             born_ms: 0,
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -82,9 +82,10 @@
     let mut world = World::new(&["w1"], config(3, NO_BOUND));
     world.list_hosts(&[("h1", "w1")]);
     world.scheduler.set_waves(vec![wave(&["h1"], 1)], world.now);
-    world.round();
+    world.scheduler.plan(world.now);
+    world.carry_out();
     assert!(maintained(&world).is_empty());
     world.commit();
-    world.round();
+    world.carry_out();
     assert_eq!(maintained(&world).len(), 1);
 }
