Read the inbox before a new owner decides anything

A call for changes of the inbox waits 2 s at most now, not 20 s, so that a silent connection hides nothing for long.

--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -27,6 +27,7 @@
 use self::commit::Pipeline;
 use self::event::Event;
 use self::leases::Watch;
+use self::load::Loaded;
 use crate::clock;
 use crate::election::Reason;
 use crate::ports::Platform;
@@ -95,7 +96,7 @@
         Owning { epoch, requests: requests_sender, renewed_at: won.sent_at, is_ready: false };
     *shared.owner.lock().expect("no holder panics") = Some(owning);
     let end = match load::load(&shared, won).await {
-        Some((scheduler, pipeline)) => work(&shared, scheduler, pipeline, epoch, requests).await,
+        Some(loaded) => work(&shared, loaded, epoch, requests).await,
         None => End::Superseded,
     };
     *shared.owner.lock().expect("no holder panics") = None;
@@ -107,16 +108,15 @@
 
 async fn work<P: Platform>(
     shared: &Arc<Shared<P>>,
-    scheduler: Scheduler,
-    pipeline: Pipeline,
+    loaded: Loaded,
     epoch: u64,
     mut requests: mpsc::Receiver<OwnerRequest>,
 ) -> End {
     let (events, mut received) = mpsc::channel(REQUESTS_MAX);
     let mut owner = Owner {
         shared: shared.clone(),
-        scheduler,
-        pipeline,
+        scheduler: loaded.scheduler,
+        pipeline: loaded.pipeline,
         epoch,
         events,
         calls: JoinSet::new(),
@@ -131,6 +131,7 @@
         end: None,
         release: None,
     };
+    owner.take_inbox(loaded.inbox);
     owner.follow_registry();
     owner.follow_inbox();
     if let Some(owning) = shared.owner.lock().expect("no holder panics").as_mut() {
@@ -173,6 +174,7 @@
             self.end = Some(End::Superseded);
             return;
         }
+        self.review_cancels();
         let is_valid = now.saturating_sub(self.pipeline.renewed_at()) <= VALIDITY;
         if is_valid && self.release.is_none() {
             self.scheduler.plan(now);
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -178,7 +178,6 @@
             self.resend(now);
             return;
         }
-        self.review_cancels();
         let batch = self.scheduler.take_batch(PROGRESS_MAX, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
         let has_rows = !batch.writes_nothing()
@@ -229,7 +228,7 @@
     }
 
     /// Cancels the jobs that are to be cancelled and are stored.
-    fn review_cancels(&mut self) {
+    pub(super) fn review_cancels(&mut self) {
         for cancel in std::mem::take(&mut self.pipeline.cancels) {
             match self.scheduler.cancel(&cancel.job) {
                 Cancelled::Pending => self.pipeline.cancels.push(cancel),
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -24,8 +24,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time between two looks while ends wait to be stored.
 const UNSTORED_PAUSE: Duration = Duration::from_millis(900);
-/// Longest wait of a call for changes of the registry or the inbox.
-const CHANGES_WAIT: Duration = Duration::from_millis(20_000);
+/// Longest wait of a call for changes of the registry or the inbox; bounds the time for which a
+/// connection that has gone silent keeps them from the owner.
+const CHANGES_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause between two calls for changes of the registry, so that changes come together.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a call that failed.
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -35,22 +35,30 @@
 /// Time that is added to a lease for clocks that run slow.
 const LEASE_SLACK: Duration = Duration::from_millis(250);
 
+/// What a new owner has read.
+pub(super) struct Loaded {
+    /// Jobs, workers and hosts.
+    pub scheduler: Scheduler,
+    /// Transactions.
+    pub pipeline: Pipeline,
+    /// Requests that nodes have stored; they come before any decision.
+    pub inbox: Vec<Row>,
+}
+
 /// The state of a new owner; none if the store does not answer for long.
-pub(super) async fn load<P: Platform>(
-    shared: &Arc<Shared<P>>,
-    won: Won,
-) -> Option<(Scheduler, Pipeline)> {
+pub(super) async fn load<P: Platform>(shared: &Arc<Shared<P>>, won: Won) -> Option<Loaded> {
     let began_at = clock::now();
     loop {
         match read_all(shared, &won).await {
-            Ok(scheduler) => {
+            Ok((scheduler, inbox)) => {
                 telemetry::log::line("ownership-loaded")
                     .field("epoch", won.row.epoch)
                     .field("jobs", scheduler.live_jobs())
                     .field("workers", scheduler.workers().count())
                     .field("took_ms", (clock::now() - began_at).as_millis() as u64)
                     .write();
-                return Some((scheduler, Pipeline::new(won.row, won.version, won.sent_at)));
+                let pipeline = Pipeline::new(won.row, won.version, won.sent_at);
+                return Some(Loaded { scheduler, pipeline, inbox });
             }
             Err(error) => {
                 telemetry::log::line("ownership-not-loaded").text("why", error).write();
@@ -63,9 +71,14 @@
     }
 }
 
-async fn read_all<P: Platform>(shared: &Shared<P>, won: &Won) -> Result<Scheduler, ReadError> {
+async fn read_all<P: Platform>(
+    shared: &Shared<P>,
+    won: &Won,
+) -> Result<(Scheduler, Vec<Row>), ReadError> {
     let settings = shared.settings.scheduling.clone();
     let lease = settings.lease;
+    // A job leaves the inbox for the table of jobs, so that it is found in one of them in this order.
+    let inbox = shared.platform.read(Table::Inbox, "").await?;
     let (jobs, progress, assignments, host_orders, own_hosts) = tokio::try_join!(
         shared.platform.read(Table::Jobs, ""),
         shared.platform.read(Table::Progress, ""),
@@ -105,7 +118,7 @@
     let assignments = decode_all::<AssignmentRow>(assignments);
     let assignments = assignments.iter().map(|(id, row)| (id.as_str().into(), row.clone()));
     scheduler.restore_assignments(assignments.collect(), lease_left, now);
-    Ok(scheduler)
+    Ok((scheduler, inbox))
 }
 
 /// Longest time for which a lease that the owner before has asked for may last.
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -31,6 +31,8 @@
 use coordinator::ports::WorkerError;
 use coordinator::ports::Workers;
 use coordinator::ports::Written;
+use coordinator::rows;
+use coordinator::rows::InboxRow;
 use scheduler::Config;
 use scheduler::Ending;
 use scheduler::HostEntry;
@@ -120,6 +122,13 @@
         self.data.lock().unwrap().starts.clone()
     }
 
+    pub fn put_inbox(&self, key: &str, row: &InboxRow) {
+        let mut data = self.data.lock().unwrap();
+        data.version += 1;
+        let (key, version) = ((table_number(Table::Inbox), key.to_owned()), data.version);
+        data.rows.insert(key, (rows::encode(row), version));
+    }
+
     pub fn add_wave(&self) {
         let wave = Wave { id: 1, hosts: vec![HOST.into()], duration_ms: 20_000, down_max: 1 };
         self.data.lock().unwrap().waves.push(wave);
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -13,6 +13,7 @@
 use coordinator::clock;
 use coordinator::entry::CancelAnswer;
 use coordinator::ports::Table;
+use coordinator::rows::InboxRow;
 use memory::Memory;
 use memory::Mood;
 use memory::start_node;
@@ -164,6 +165,21 @@
     assert_eq!(starts[2].2, 2, "the last one carries the token of the second owner");
 }
 
+#[tokio::test]
+async fn a_cancellation_in_the_inbox_comes_before_any_start_of_a_new_owner() {
+    let memory = Memory::new(Duration::from_secs(60));
+    memory.put_inbox("submit/a", &InboxRow::Submit(record("a")));
+    memory.put_inbox("cancel/a", &InboxRow::Cancel { job: "a".to_owned() });
+    let node = start_node("n1", &memory).await;
+    wait_for(&node, "a", JobAnswer::Found(JobView::Ended(FinalState::Cancelled))).await;
+    assert!(memory.starts().is_empty());
+    let until = clock::now() + PATIENCE;
+    while !memory.rows(Table::Inbox).is_empty() {
+        assert!(clock::now() < until, "the rows of the inbox are not removed");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 #[tokio::test]
 async fn a_host_order_that_was_not_answered_is_followed_by_one_with_a_higher_token() {
     let memory = Memory::new(Duration::from_millis(50));
