--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -17,7 +17,6 @@
 use crate::job::JobRecord;
 use crate::job::Resources;
 use crate::job::Step;
-use crate::job::UnitKey;
 use crate::live::Done;
 use crate::live::Job;
 use crate::report::HostState;
@@ -150,9 +149,6 @@
         }
     }
 
-    /// Learns how long a unit took.
-    pub(crate) fn learn_time(&mut self, _key: &UnitKey, _since: Option<Moment>, _now: Moment) {}
-
     /// Takes in how many hosts the pools had at first.
     pub fn restore_own_hosts(&mut self, own_hosts: HostCounts) {
         self.own_hosts = own_hosts;
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -143,11 +143,10 @@
         let is_first = end.ending == Ending::Done && unit.done == Done::No;
         // A new owner hears of several failures of a unit in any order.
         let is_new_failure = end.ending == Ending::Failed && !unit.failed_runs.contains(&end.run);
-        let since = unit.run.as_ref().filter(|_| is_current).map(|run| run.since);
         if is_current {
             self.clear_run(key, now);
         }
-        self.learn(id, key, end.ending, since, now);
+        self.learn(id, key, end.ending, now);
         if is_first {
             self.unit_done(key, now);
         }
--- a/crates/scheduler/src/evidence.rs
+++ b/crates/scheduler/src/evidence.rs
@@ -76,20 +76,10 @@
 
 impl Scheduler {
     /// Learns from the end of a run.
-    pub(crate) fn learn(
-        &mut self,
-        worker: &WorkerId,
-        key: &UnitKey,
-        ending: Ending,
-        since: Option<Moment>,
-        now: Moment,
-    ) {
+    pub(crate) fn learn(&mut self, worker: &WorkerId, key: &UnitKey, ending: Ending, now: Moment) {
         let failed_before = self.unit(key).map_or(0, |unit| unit.failed_runs.len());
         match ending {
-            Ending::Done => {
-                self.evidence.succeeded(worker);
-                self.learn_time(key, since, now);
-            }
+            Ending::Done => self.evidence.succeeded(worker),
             // A unit that fails elsewhere too says nothing about the worker.
             Ending::Failed if failed_before == 0 && !self.is_lasting(key) => {
                 self.hold_against(worker, key, "failed", now);
