Acknowledge ends job by job, review the state at intervals, and plan between transactions

Cause: under load more jobs changed than one transaction stores; then no end was acknowledged at all, so that workers listed the same ends again and again, and jobs with high ids were stored last.

--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -176,8 +176,11 @@
         }
         self.review_cancels();
         let is_valid = now.saturating_sub(self.pipeline.renewed_at()) <= VALIDITY;
-        if is_valid && self.release.is_none() {
-            self.scheduler.plan(now);
+        // Runs that are planned while a transaction is on its way could only wait for the next one.
+        match (is_valid && self.release.is_none(), self.pipeline.is_idle()) {
+            (true, true) => self.scheduler.plan(now),
+            (true, false) => self.scheduler.review(now),
+            (false, _) => {}
         }
         for action in self.scheduler.take_actions() {
             self.carry_out(action);
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -125,6 +125,11 @@
             || self.in_flight.as_ref().is_some_and(|flight| flight.accepts.iter().any(is_it))
     }
 
+    /// True if no transaction is on its way.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight.is_none()
+    }
+
     /// True if a transaction has failed or is late, so that the next one cannot be promised.
     pub fn is_stuck(&self, now: Moment) -> bool {
         self.in_flight.as_ref().is_some_and(|flight| {
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -313,7 +313,7 @@
             pool: "p".into(),
             address: "127.0.0.1:1".parse().unwrap(),
             zone: "z".into(),
-            labels: Vec::new(),
+            labels: Arc::from([]),
             capacity: Resources { cpu_millis: 16_000, memory_mb: 32_768, gpus: 0 },
             is_draining: false,
             clock_ms: 0,
--- a/crates/scheduler/src/choose.rs
+++ b/crates/scheduler/src/choose.rs
@@ -17,7 +17,7 @@
     pub id: WorkerId,
     pub free: Resources,
     rack: Option<Arc<str>>,
-    labels: Vec<String>,
+    labels: Arc<[String]>,
     runs: Vec<RunKind>,
     is_trusted: bool,
 }
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -67,7 +67,8 @@
             Some(_) => {}
             None => {
                 job.ending = Some(FinalState::Cancelled);
-                job.is_dirty = true;
+                let id = job.record.id.clone();
+                self.touch(&id);
             }
         }
         Cancelled::Pending
@@ -100,23 +101,17 @@
     pub fn take_batch(&mut self, rows_max: usize, now: Moment) -> Batch {
         let mut batch = Batch::default();
         let unix_now_ms = self.unix_ms(now);
-        let mut is_whole = true;
-        for (id, job) in self.jobs.iter_mut().filter(|(_, job)| job.is_dirty) {
-            if batch.progress.len() >= rows_max {
-                is_whole = false;
-                break;
-            }
+        while batch.progress.len() < rows_max
+            && let Some(id) = self.dirty.pop_front()
+        {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
             job.is_dirty = false;
             mark(job, Done::Ended, Done::Storing);
-            batch.progress.push((id.clone(), progress_of(job, unix_now_ms)));
-        }
-        // Ends are acknowledged only if nothing that they changed is left out.
-        if is_whole {
-            let unstored = self.workers.iter().filter(|(_, w)| w.ends_seen > w.ends_stored);
-            batch.ends = unstored
-                .map(|(id, worker)| (id.clone(), worker.entry.born_ms, worker.ends_seen))
-                .collect();
+            batch.progress.push((id, progress_of(job, unix_now_ms)));
         }
+        self.add_ends(&mut batch);
         self.add_assignments(&mut batch);
         let is_dirty = std::mem::take(&mut self.is_own_hosts_dirty);
         batch.own_hosts = is_dirty.then(|| self.own_hosts.clone());
@@ -133,6 +128,29 @@
         batch
     }
 
+    /// The progress of a job has changed and is to be stored.
+    pub(crate) fn touch(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && !std::mem::replace(&mut job.is_dirty, true)
+        {
+            self.dirty.push_back(id.clone());
+        }
+    }
+
+    /// Adds the ends of which all that they changed is stored or in the batch.
+    fn add_ends(&mut self, batch: &mut Batch) {
+        let jobs = &self.jobs;
+        let is_open = |job: &JobId| jobs.get(job).is_some_and(|job| job.is_dirty);
+        for (id, worker) in self.workers.iter_mut().filter(|(_, w)| w.ends_seen > w.ends_stored) {
+            let first_open = worker.ends_open.iter().find(|(_, job)| is_open(job));
+            let number = first_open.map_or(worker.ends_seen, |(number, _)| number - 1);
+            worker.ends_open.retain(|(other, _)| *other > number);
+            if number > worker.ends_stored {
+                batch.ends.push((id.clone(), worker.entry.born_ms, number));
+            }
+        }
+    }
+
     /// A batch has been stored.
     pub fn committed(&mut self, batch: &Batch, now: Moment) {
         for (id, progress) in &batch.progress {
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -153,8 +153,11 @@
         if is_new_failure {
             self.unit_failed(id, key, end.run, now);
         }
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            job.is_dirty |= is_first || is_new_failure || !end.saved.is_empty();
+        if is_first || is_new_failure || !end.saved.is_empty() {
+            self.touch(&key.job);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.ends_open.push((end.number, key.job.clone()));
+            }
         }
         self.drop_finished(&key.job, now);
     }
@@ -187,7 +190,7 @@
         let all_begun = job.next_occurrence >= job.record.occurrences();
         if job.ending.is_none() && all_begun && job.occurrences.iter().all(has_ended) {
             job.ending = Some(FinalState::Completed);
-            job.is_dirty = true;
+            self.touch(id);
         }
         self.drop_finished(id, now);
     }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -17,6 +17,8 @@
 use crate::order::Rank;
 use crate::state::Scheduler;
 
+/// Time between two reviews.
+const REVIEW_PERIOD: Duration = Duration::from_millis(80);
 /// Time after which units are placed again though nothing has changed: pauses of workers end.
 const PLACE_AGAIN: Duration = Duration::from_millis(250);
 
@@ -43,13 +45,22 @@
 impl Scheduler {
     /// Decides what to do now; the actions are fetched with [`Scheduler::take_actions`].
     pub fn plan(&mut self, now: Moment) {
+        self.review(now);
+        self.place(now);
+    }
+
+    /// Decides all but which units start: what ends, stops, moves and is due.
+    pub fn review(&mut self, now: Moment) {
+        if now.saturating_sub(self.reviewed_at) < REVIEW_PERIOD {
+            return;
+        }
+        self.reviewed_at = now;
         self.expire_leases(now);
         self.begin_due(now);
         self.review_runs(now);
         self.repeat_stops(now);
         self.plan_hosts(now);
         self.pace_runs(now);
-        self.place(now);
     }
 
     /// Pool in which the units of a job run.
--- a/crates/scheduler/src/report.rs
+++ b/crates/scheduler/src/report.rs
@@ -24,7 +24,7 @@
     /// Availability zone.
     pub zone: Arc<str>,
     /// Its labels; its rack is one of them.
-    pub labels: Vec<String>,
+    pub labels: Arc<[String]>,
     /// What it has.
     pub capacity: Resources,
     /// True if it is leaving.
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -1,5 +1,6 @@
 //! The state of one owner.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
     pub(crate) config: Arc<Config>,
     /// Live jobs.
     pub(crate) jobs: SortedMap<JobId, Job>,
+    /// Live jobs with progress that is to be stored, the first to change first.
+    pub(crate) dirty: VecDeque<JobId>,
     /// Ended jobs.
     pub(crate) ended: SortedMap<JobId, EndedJob>,
     /// Workers.
@@ -84,6 +87,8 @@
     pub(crate) is_fenced: bool,
     /// Something has changed since units were last placed.
     pub(crate) needs_placing: bool,
+    /// When the state was last reviewed.
+    pub(crate) reviewed_at: Moment,
     /// When units were last placed.
     pub(crate) placed_at: Moment,
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::JobId;
 use crate::Moment;
 use crate::PoolName;
 use crate::WorkerId;
@@ -55,6 +56,8 @@
     pub strays: usize,
     /// Highest number of an end that was taken in.
     pub ends_seen: u64,
+    /// Ends that changed a job, with the job, until what they changed is stored.
+    pub ends_open: Vec<(u64, JobId)>,
     /// Highest number of an end of which the consequences are stored.
     pub ends_stored: u64,
     /// Nothing may run there after this time, unless the lease is renewed.
@@ -89,6 +92,7 @@
             runs: Vec::new(),
             strays: 0,
             ends_seen: 0,
+            ends_open: Vec::new(),
             ends_stored: 0,
             lease_over_at,
             misses: 0,
@@ -115,7 +119,7 @@
             pool,
             address,
             zone: Arc::from(""),
-            labels: Vec::new(),
+            labels: Arc::from([]),
             capacity: Resources::default(),
             is_draining: true,
             clock_ms: 0,
@@ -167,11 +171,6 @@
         }
     }
 
-    /// True if it has the label.
-    pub fn has_label(&self, label: &str) -> bool {
-        self.entry.labels.iter().any(|other| other == label)
-    }
-
     /// Adds a run.
     pub fn add_run(&mut self, unit: &UnitKey, room: &Resources, now: Moment) {
         if let Err(index) = self.runs.binary_search(unit) {
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -92,7 +92,7 @@
         pool: "p".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: "z".into(),
-        labels: vec!["a".to_owned(), "r1-1".to_owned()],
+        labels: vec!["a".to_owned(), "r1-1".to_owned()].into(),
         capacity: Resources { cpu_millis: 16_000, memory_mb: 32_768, gpus: 0 },
         is_draining: false,
         clock_ms: 0,
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -72,8 +72,10 @@
     world.report_all();
     world.list_hosts(&[("h1", &used)]);
     world.scheduler.set_waves(vec![wave(&["h1"], 1)], world.now);
-    world.round();
-    world.round();
+    for _ in 0..5 {
+        world.now += millis(100);
+        world.round();
+    }
     assert_eq!(world.worker(&used).running.len(), 1, "the other goes once this one is at work");
 }
 
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -148,3 +148,24 @@
     world.pass(millis(400));
     assert_eq!(world.scheduler.view("a"), Some(JobView::Ended(FinalState::Completed)));
 }
+
+#[test]
+fn ends_are_acknowledged_as_far_as_their_jobs_fit_into_a_batch() {
+    let mut world = World::new(&["w1"], config(3, NO_BOUND));
+    for id in ["c", "b", "a"] {
+        world.scheduler.add_job(job(id, vec![step(1, 1_000)], world.now), world.now);
+    }
+    world.round();
+    for id in ["c", "b", "a"] {
+        world.end(&unit(id, 0, 0), Ending::Done);
+    }
+    world.report_all();
+    // The jobs are stored in the order in which they changed, not in that of their ids.
+    for (id, number) in [("c", 1), ("b", 2), ("a", 3)] {
+        let batch = world.scheduler.take_batch(1, world.now);
+        let stored: Vec<&str> = batch.progress.iter().map(|(id, _)| &**id).collect();
+        assert_eq!(stored, [id]);
+        assert_eq!(batch.ends.iter().map(|(_, _, n)| *n).collect::<Vec<u64>>(), [number]);
+        world.scheduler.committed(&batch, world.now);
+    }
+}
