Store jobs with their first runs, and ends with the runs that they let start

Cause: with a slow store each step of a job took two transactions of 0.3 to 0.6 s one after the other, to store its ends and then its runs. Both are in one now; a run of a job whose progress is not in the batch is held back.

--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -174,6 +174,7 @@
             self.end = Some(End::Superseded);
             return;
         }
+        self.admit_accepts(now);
         self.review_cancels();
         let is_valid = now.saturating_sub(self.pipeline.renewed_at()) <= VALIDITY;
         // Runs that are planned while a transaction is on its way could only wait for the next one.
@@ -182,6 +183,7 @@
             (true, false) => self.scheduler.review(now),
             (false, _) => {}
         }
+        self.commit_next(now);
         for action in self.scheduler.take_actions() {
             self.carry_out(action);
         }
@@ -190,7 +192,6 @@
             self.ask_hosts(now);
             self.log_pools(now);
         }
-        self.commit_next(now);
     }
 
     fn take_operated(&mut self) {
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -82,7 +82,11 @@
     version: RowVersion,
     renewed_at: Moment,
     sent_at: Moment,
+    /// Jobs that are to be stored.
     accepts: Vec<Accept>,
+    /// Jobs that the next transaction stores; they are planned already, so that it also stores their
+    /// first runs.
+    admitted: Vec<Accept>,
     cancels: Vec<Cancel>,
     inbox: Vec<String>,
     in_flight: Option<InFlight>,
@@ -100,6 +104,7 @@
             renewed_at: sent_at,
             sent_at,
             accepts: Vec::new(),
+            admitted: Vec::new(),
             cancels: Vec::new(),
             inbox: Vec::new(),
             in_flight: None,
@@ -122,6 +127,7 @@
     pub fn is_accepting(&self, job: &str) -> bool {
         let is_it = |accept: &Accept| *accept.record.id == *job;
         self.accepts.iter().any(is_it)
+            || self.admitted.iter().any(is_it)
             || self.in_flight.as_ref().is_some_and(|flight| flight.accepts.iter().any(is_it))
     }
 
@@ -162,8 +168,9 @@
 }
 
 impl InFlight {
-    /// Takes the jobs out of a transaction that has not taken effect, and refuses them.
-    fn refuse_accepts(&mut self) {
+    /// Takes the jobs out of a transaction that has not taken effect, and refuses them; returns them.
+    fn refuse_accepts(&mut self) -> Vec<JobId> {
+        let mut refused = Vec::new();
         for accept in std::mem::take(&mut self.accepts) {
             let Some(reply) = accept.reply else {
                 self.accepts.push(accept);
@@ -172,7 +179,9 @@
             let id = &*accept.record.id;
             self.transaction.puts.retain(|(table, key, _)| *table != Table::Jobs || key != id);
             answer(reply, SubmitReply::NotTaken);
+            refused.push(accept.record.id.clone());
         }
+        refused
     }
 }
 
@@ -186,7 +195,7 @@
         let batch = self.scheduler.take_batch(PROGRESS_MAX, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
         let has_rows = !batch.writes_nothing()
-            || !self.pipeline.accepts.is_empty()
+            || !self.pipeline.admitted.is_empty()
             || !self.pipeline.inbox.is_empty();
         if !has_rows && !is_due && self.release.is_none() {
             if !batch.ends.is_empty() {
@@ -218,7 +227,9 @@
             Written::Refused(why) | Written::Unknown(why) => {
                 flight.is_uncertain |= is_unknown;
                 if !flight.is_uncertain {
-                    flight.refuse_accepts();
+                    for job in flight.refuse_accepts() {
+                        self.scheduler.withdraw_job(&job, now);
+                    }
                 }
                 self.pipeline.refuse_accepts();
                 telemetry::log::line("store-write-failed")
@@ -232,6 +243,21 @@
         }
     }
 
+    /// Takes in the jobs that the next transaction stores, so that their first runs are planned and
+    /// stored with them; nothing is ordered before that.
+    pub(super) fn admit_accepts(&mut self, now: Moment) {
+        if !self.pipeline.is_idle() {
+            return;
+        }
+        let room = ACCEPTS_MAX.saturating_sub(self.pipeline.admitted.len());
+        let left = self.pipeline.accepts.split_off(self.pipeline.accepts.len().min(room));
+        let admitted = std::mem::replace(&mut self.pipeline.accepts, left);
+        for accept in admitted {
+            self.scheduler.add_job(accept.record.clone(), now);
+            self.pipeline.admitted.push(accept);
+        }
+    }
+
     /// Cancels the jobs that are to be cancelled and are stored.
     pub(super) fn review_cancels(&mut self) {
         for cancel in std::mem::take(&mut self.pipeline.cancels) {
@@ -247,9 +273,7 @@
     }
 
     fn prepare(&mut self, batch: Batch, now: Moment) -> InFlight {
-        let accepts_left = self.pipeline.accepts.len().saturating_sub(ACCEPTS_MAX);
-        let mut accepts = std::mem::take(&mut self.pipeline.accepts);
-        self.pipeline.accepts = accepts.split_off(accepts.len() - accepts_left);
+        let accepts = std::mem::take(&mut self.pipeline.admitted);
         let pipeline = &mut self.pipeline;
         let row = OwnerRow {
             sequence: pipeline.row.sequence + 1,
@@ -338,7 +362,6 @@
                 .field("epoch", self.epoch)
                 .field("config_version", self.config_version)
                 .write();
-            self.scheduler.add_job(accept.record, now);
             if let Some(reply) = accept.reply {
                 answer(reply, SubmitReply::Accepted);
             }
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -25,7 +25,8 @@
     pub(super) fn take_request(&mut self, request: OwnerRequest) {
         match request {
             OwnerRequest::Submit { record, reply } => {
-                if self.scheduler.view(&record.id).is_some() {
+                let is_accepting = self.pipeline.is_accepting(&record.id);
+                if self.scheduler.view(&record.id).is_some() && !is_accepting {
                     answer(reply, SubmitReply::Accepted);
                     return;
                 }
@@ -52,7 +53,9 @@
             let request = rows::decode::<InboxRow>(&row.key, &row.value);
             match request {
                 Ok(InboxRow::Submit(record)) => {
-                    if self.scheduler.view(&record.id).is_none() {
+                    // A job in a transaction that is on its way may yet be refused.
+                    let is_accepting = self.pipeline.is_accepting(&record.id);
+                    if self.scheduler.view(&record.id).is_none() || is_accepting {
                         let record = std::sync::Arc::new(record);
                         self.pipeline.accept(Accept { record, reply: None });
                     }
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -42,12 +42,18 @@
 impl Scheduler {
     /// Adds the rows of workers that have got new runs.
     pub(crate) fn add_assignments(&mut self, batch: &mut Batch) {
-        let lacking = self.workers.iter().filter(|(_, worker)| worker.lacks_run);
+        let lacking = self.workers.iter().filter(|(_, worker)| {
+            worker.lacks_run && worker.runs.iter().any(|key| self.may_store_planned(key))
+        });
         let rows = lacking.take(ROWS_MAX).map(|(id, worker)| (id.clone(), self.row_of(worker)));
         batch.assignments = rows.collect();
         for (id, _) in &batch.assignments {
+            let Some(worker) = self.workers.get(id) else {
+                continue;
+            };
+            let lacks_run = worker.runs.iter().any(|key| self.is_held(key));
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.lacks_run = false;
+                worker.lacks_run = lacks_run;
                 worker.has_row = true;
             }
         }
@@ -101,10 +107,25 @@
         Some(worker)
     }
 
+    /// True if the unit has a planned run.
+    fn is_planned(&self, key: &UnitKey) -> bool {
+        let run = self.unit(key).and_then(|unit| unit.run.as_ref());
+        run.is_some_and(|run| run.phase == Phase::Planned)
+    }
+
+    /// True if a planned run waits for the ends before it, which have to be stored with it or before.
+    fn is_held(&self, key: &UnitKey) -> bool {
+        self.is_planned(key) && self.jobs.get(&key.job).is_some_and(|job| job.is_dirty)
+    }
+
+    fn may_store_planned(&self, key: &UnitKey) -> bool {
+        self.is_planned(key) && !self.is_held(key)
+    }
+
     fn row_of(&self, worker: &Worker) -> AssignmentRow {
         let run = |key: &UnitKey| {
             let run = self.unit(key)?.run.as_ref()?;
-            Some((key.to_string(), run.number))
+            (!self.is_held(key)).then(|| (key.to_string(), run.number))
         };
         AssignmentRow {
             pool: worker.entry.pool.clone(),
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -54,6 +54,14 @@
         self.needs_placing = true;
     }
 
+    /// Takes a job back that could not be stored; none of its runs was ordered.
+    pub fn withdraw_job(&mut self, id: &str, now: Moment) {
+        for key in self.runs_of(id) {
+            self.clear_run(&key, now);
+        }
+        self.jobs.remove(id);
+    }
+
     /// Cancels a job; its runs are stopped once that is stored.
     pub fn cancel(&mut self, id: &str) -> Cancelled {
         if self.ended.contains(id) {
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -306,11 +306,12 @@
     &waiting.first
 }
 
-/// True if all steps that a step depends on are done, and that is stored.
+/// True if all steps that a step depends on are done. That may not be stored yet: an order to start goes
+/// out only once it is, with the run or before.
 pub(crate) fn is_ready(step: &Step, occurrence: &Occurrence) -> bool {
     let is_done = |step: &usize| {
         let units = occurrence.steps.get(*step);
-        units.is_some_and(|units| units.iter().all(|unit| unit.done == Done::Stored))
+        units.is_some_and(|units| units.iter().all(|unit| unit.done != Done::No))
     };
     step.depends_on.iter().all(is_done)
 }
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -41,6 +41,34 @@
     assert_eq!(world.scheduler.view("a"), Some(JobView::Ended(FinalState::Completed)));
 }
 
+#[test]
+fn a_run_is_not_stored_before_the_ends_that_it_waited_for() {
+    let mut world = World::new(&["w1"], config(3, NO_BOUND));
+    let second = Step { depends_on: vec![0], ..step(1, 1_000) };
+    world.scheduler.add_job(job("a", vec![step(1, 1_000), second], world.now), world.now);
+    world.round();
+    world.end(&unit("a", 0, 0), Ending::Done);
+    world.report_all();
+    world.scheduler.plan(world.now);
+    // A batch without room for the progress of the job holds no run of it either.
+    world.commit_at_most(0);
+    assert!(world.carry_out().is_empty());
+    // One that has room holds both, so that the run is ordered after one transaction.
+    world.commit();
+    assert_eq!(world.carry_out().len(), 1);
+}
+
+#[test]
+fn a_job_that_could_not_be_stored_leaves_nothing_behind() {
+    let mut world = World::new(&["w1"], config(3, NO_BOUND));
+    world.scheduler.add_job(job("a", vec![step(16, 1_000)], world.now), world.now);
+    world.scheduler.plan(world.now);
+    world.scheduler.withdraw_job("a", world.now);
+    assert_eq!(world.scheduler.view("a"), None);
+    world.scheduler.add_job(job("b", vec![step(16, 1_000)], world.now), world.now);
+    assert_eq!(world.round().len(), 16);
+}
+
 #[test]
 fn a_unit_that_fails_too_often_fails_its_job() {
     let mut world = World::new(&["w1", "w2", "w3"], config(2, NO_BOUND));
