--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -131,6 +131,11 @@
             || self.in_flight.as_ref().is_some_and(|flight| flight.accepts.iter().any(is_it))
     }
 
+    /// Jobs of a queue that no transaction holds yet.
+    pub fn accepting(&self, queue: &str) -> usize {
+        self.accepts.iter().filter(|accept| *accept.record.queue == *queue).count()
+    }
+
     /// True if no transaction is on its way.
     pub fn is_idle(&self) -> bool {
         self.in_flight.is_none()
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -39,7 +39,8 @@
             OwnerRequest::State { job, asker, reply } => answer(reply, self.state(&job, &asker)),
             OwnerRequest::Cancel { job, asker, reply } => self.take_cancel(&job, &asker, reply),
             OwnerRequest::Waiting { queue, reply } => {
-                answer(reply, self.scheduler.waiting(&queue));
+                let waiting = self.scheduler.waiting(&queue) + self.pipeline.accepting(&queue);
+                answer(reply, waiting);
             }
             OwnerRequest::Release { reply } => self.release = Some(reply),
         }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -294,6 +294,7 @@
             run.progressed_at = now;
         }
         run.load = running.load;
+        self.note_begun(&key.job);
     }
 
     /// Takes in a run that an owner before has started, or that was started late.
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -46,6 +46,13 @@
         }
     }
 
+    /// A unit of a job is known to have begun.
+    pub(crate) fn note_begun(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.has_begun = true;
+        }
+    }
+
     /// Takes in whether a stop was answered.
     pub fn stop_reply(
         &mut self,
@@ -113,6 +120,7 @@
             run.phase = Phase::Confirmed(now);
             run.progressed_at = now;
         }
+        self.note_begun(&key.job);
     }
 
     fn doubt(&mut self, worker: &WorkerId, key: &UnitKey, now: Moment) {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -25,6 +25,7 @@
 use crate::live::Job;
 use crate::live::JobView;
 use crate::live::Occurrence;
+use crate::live::Phase;
 use crate::live::Run;
 use crate::live::Unit;
 use crate::report::Action;
@@ -241,7 +242,8 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        job.has_begun = true;
+        // A run that is planned, ordered or in doubt may not have begun.
+        job.has_begun |= run.phase == Phase::Listed;
         let team = job.record.team.clone();
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.add_run(key, &run.room, now);
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -58,6 +58,19 @@
     assert_eq!(world.carry_out().len(), 1);
 }
 
+#[test]
+fn a_job_waits_until_a_unit_of_it_has_been_started() {
+    let mut world = World::new(&["w1"], config(3, NO_BOUND));
+    world.scheduler.add_job(job("a", vec![step(1, 1_000)], world.now), world.now);
+    world.scheduler.plan(world.now);
+    world.commit();
+    assert_eq!(world.scheduler.view("a"), Some(JobView::Queued));
+    assert_eq!(world.scheduler.waiting("q"), 1);
+    world.carry_out();
+    assert_eq!(world.scheduler.view("a"), Some(JobView::Running));
+    assert_eq!(world.scheduler.waiting("q"), 0);
+}
+
 #[test]
 fn a_job_that_could_not_be_stored_leaves_nothing_behind() {
     let mut world = World::new(&["w1"], config(3, NO_BOUND));
