--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -127,11 +127,12 @@
             let run = self.unit(key)?.run.as_ref()?;
             (!self.is_held(key)).then(|| (key.to_string(), run.number))
         };
-        AssignmentRow {
-            pool: worker.entry.pool.clone(),
-            address: worker.entry.address,
-            runs: worker.runs.iter().filter_map(run).collect(),
-        }
+        let mut runs: Vec<(String, u32)> = worker.runs.iter().filter_map(run).collect();
+        // A run whose end is not stored yet is known to the worker alone.
+        let is_open = |job: &str| self.jobs.get(job).is_some_and(|job| job.is_dirty);
+        let ended = worker.ends_open.iter().filter(|end| is_open(&end.unit.job));
+        runs.extend(ended.map(|end| (end.unit.to_string(), end.run)));
+        AssignmentRow { pool: worker.entry.pool.clone(), address: worker.entry.address, runs }
     }
 
     fn send_start(&mut self, id: &WorkerId, key: &UnitKey, number: u32, now: Moment) {
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -150,9 +150,9 @@
         let jobs = &self.jobs;
         let is_open = |job: &JobId| jobs.get(job).is_some_and(|job| job.is_dirty);
         for (id, worker) in self.workers.iter_mut().filter(|(_, w)| w.ends_seen > w.ends_stored) {
-            let first_open = worker.ends_open.iter().find(|(_, job)| is_open(job));
-            let number = first_open.map_or(worker.ends_seen, |(number, _)| number - 1);
-            worker.ends_open.retain(|(other, _)| *other > number);
+            let first_open = worker.ends_open.iter().find(|end| is_open(&end.unit.job));
+            let number = first_open.map_or(worker.ends_seen, |end| end.number - 1);
+            worker.ends_open.retain(|end| end.number > number);
             if number > worker.ends_stored {
                 batch.ends.push((id.clone(), worker.entry.born_ms, number));
             }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -17,6 +17,7 @@
 use crate::report::WorkerEntry;
 use crate::state::Scheduler;
 use crate::worker::Contact;
+use crate::worker::OpenEnd;
 
 /// Failures in a row to reach a worker after which it gets no new runs.
 const MISSES_MAX: u32 = 2;
@@ -156,7 +157,8 @@
         if is_first || is_new_failure || !end.saved.is_empty() {
             self.touch(&key.job);
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.ends_open.push((end.number, key.job.clone()));
+                let (number, unit, run) = (end.number, key.clone(), end.run);
+                worker.ends_open.push(OpenEnd { number, unit, run });
             }
         }
         self.drop_finished(&key.job, now);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::JobId;
 use crate::Moment;
 use crate::PoolName;
 use crate::WorkerId;
@@ -33,6 +32,17 @@
     received_at: Moment,
 }
 
+/// An end of a run that changed a job.
+#[derive(Clone, Debug)]
+pub struct OpenEnd {
+    /// Number of the end in this life of the worker.
+    pub number: u64,
+    /// Unit.
+    pub unit: UnitKey,
+    /// Number of the run.
+    pub run: u32,
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -56,8 +66,8 @@
     pub strays: usize,
     /// Highest number of an end that was taken in.
     pub ends_seen: u64,
-    /// Ends that changed a job, with the job, until what they changed is stored.
-    pub ends_open: Vec<(u64, JobId)>,
+    /// Ends that changed a job, until what they changed is in a batch.
+    pub ends_open: Vec<OpenEnd>,
     /// Highest number of an end of which the consequences are stored.
     pub ends_stored: u64,
     /// Nothing may run there after this time, unless the lease is renewed.
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -130,13 +130,7 @@
     /// An owner of the first epoch with workers that have all answered.
     pub fn new(ids: &[&str], config: Arc<Config>) -> Self {
         let now = seconds(100);
-        let workers = ids.iter().map(|id| FakeWorker {
-            id: (*id).into(),
-            running: Vec::new(),
-            ended: Vec::new(),
-            ends: 0,
-            answers: true,
-        });
+        let workers = ids.iter().map(|id| FakeWorker::new(id));
         let mut world = Self {
             scheduler: Scheduler::default(),
             workers: workers.collect(),
@@ -181,6 +175,11 @@
         self.workers.iter_mut().find(|worker| *worker.id == *id).expect("a worker of the world")
     }
 
+    /// Adds a worker that the next owner finds in the registry.
+    pub fn add_worker(&mut self, id: &str) {
+        self.workers.push(FakeWorker::new(id));
+    }
+
     /// Reports of all workers that answer.
     pub fn report_all(&mut self) {
         let ids: Vec<WorkerId> = self.workers.iter().map(|worker| worker.id.clone()).collect();
@@ -306,6 +305,11 @@
 }
 
 impl FakeWorker {
+    fn new(id: &str) -> Self {
+        let (running, ended) = (Vec::new(), Vec::new());
+        Self { id: id.into(), running, ended, ends: 0, answers: true }
+    }
+
     /// Runs a unit.
     pub fn run(&mut self, unit: &UnitKey, run: u32) {
         let (unit, saved, percent, load) = (unit.clone(), String::new(), 0, None);
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -76,6 +76,29 @@
     assert!(matches!(world.scheduler.view("a"), Some(JobView::Ended(_))));
 }
 
+#[test]
+fn a_run_stays_in_its_row_until_its_end_is_stored() {
+    let mut world = World::new(&["w1"], config(3, NO_BOUND));
+    let first = job("a", vec![step(1, 1_000)], world.now);
+    world.scheduler.add_job(first.clone(), world.now);
+    world.round();
+    world.end(&unit("a", 0, 0), Ending::Done);
+    world.report_all();
+    // A batch without room for the progress of the job, but with a new run on the same worker.
+    let second = job("b", vec![step(1, 1_000)], world.now);
+    world.scheduler.add_job(second.clone(), world.now);
+    world.scheduler.plan(world.now);
+    world.commit_at_most(0);
+    // The owner ends, and the worker does not answer the next one, which may use another worker.
+    world.add_worker("w2");
+    world.worker("w1").answers = false;
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[first, second]);
+    assert!(world.pass(seconds(2)).is_empty());
+    world.worker("w1").answers = true;
+    assert!(world.pass(seconds(2)).iter().all(|order| order.unit != unit("a", 0, 0)));
+    assert!(matches!(world.scheduler.view("a"), Some(JobView::Ended(_))));
+}
+
 #[test]
 fn failures_that_were_not_stored_count_in_any_order() {
     let mut world = World::new(&["w1", "w2", "w3"], config(3, NO_BOUND));
