--- a/crates/bench/src/bin/bench-ledger/fleet.rs
+++ b/crates/bench/src/bin/bench-ledger/fleet.rs
@@ -18,16 +18,16 @@
 use limits::MemberDemand;
 use limits::View;
 use model::TeamRef;
-use platform::CommitOutcome;
-use platform::MemoryTable;
-use platform::Row;
-use platform::Scan;
-use platform::Table;
-use platform::Transaction;
-use platform::Unavailable;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use services::CommitOutcome;
+use services::MemoryTable;
+use services::Row;
+use services::Scan;
+use services::Table;
+use services::Transaction;
+use services::Unavailable;
 
 /// Virtual time between two steps, in milliseconds.
 pub const STEP_MS: u64 = 100;
--- a/crates/bench/src/bin/bench-rollout.rs
+++ b/crates/bench/src/bin/bench-rollout.rs
@@ -17,8 +17,8 @@
 use node::Platform;
 use node::Settings;
 use node::Transport;
-use platform::MemoryTable;
-use platform::Table;
+use services::MemoryTable;
+use services::Table;
 use wire::MemoryNetwork;
 
 /// Time between two looks at the versions in force.
--- a/crates/bench/src/maintenance/cost.rs
+++ b/crates/bench/src/maintenance/cost.rs
@@ -14,8 +14,8 @@
 use model::ConfigRow;
 use model::HostState;
 use model::contract::Profile;
-use platform::FleetHost;
-use platform::FleetHostState;
+use services::FleetHost;
+use services::FleetHostState;
 
 use super::fleet::Shape;
 use super::fleet::after;
--- a/crates/bench/src/maintenance/waves.rs
+++ b/crates/bench/src/maintenance/waves.rs
@@ -22,12 +22,12 @@
 use model::WaveState;
 use model::contract::Profile;
 use model::wave::Turn;
-use platform::FleetHost;
-use platform::FleetHostState;
-use platform::RebootState;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use services::FleetHost;
+use services::FleetHostState;
+use services::RebootState;
 
 use super::fleet::Shape;
 use super::fleet::after;
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -6,7 +6,7 @@
 use model::ConfigRow;
 use model::ConfigVersion;
 use model::OperationId;
-use platform::Unavailable;
+use services::Unavailable;
 
 /// Why a change is not in force.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -2,10 +2,10 @@
 
 use model::Change;
 use model::Config;
-use platform::Row;
-use platform::Scan;
-use platform::Table;
-use platform::Unavailable;
+use services::Row;
+use services::Scan;
+use services::Table;
+use services::Unavailable;
 
 use crate::rows::CHANGE_PREFIX;
 use crate::rows::HEAD_KEY;
--- a/crates/control/src/rows.rs
+++ b/crates/control/src/rows.rs
@@ -3,11 +3,11 @@
 use model::ConfigVersion;
 use model::OperationId;
 use model::config::Digest;
-use platform::Row;
-use platform::Unavailable;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use services::Row;
+use services::Unavailable;
 
 /// Key of the head row.
 pub const HEAD_KEY: &str = "config/head";
--- a/crates/control/src/write.rs
+++ b/crates/control/src/write.rs
@@ -14,14 +14,14 @@
 use model::key::KeyHolder;
 use model::key::KeyState;
 use model::key::grant_key;
-use platform::Committer;
-use platform::Precondition;
-use platform::Row;
-use platform::Scan;
-use platform::Settled;
-use platform::Table;
-use platform::Unavailable;
-use platform::Write;
+use services::Committer;
+use services::Precondition;
+use services::Row;
+use services::Scan;
+use services::Settled;
+use services::Table;
+use services::Unavailable;
+use services::Write;
 
 use crate::contract::contract_rows;
 use crate::error::ChangeError;
@@ -304,7 +304,7 @@
                 self.hold(Arc::new(next));
                 Ok(version)
             }
-            Settled::Conflict { key } if key == platform::commit::operation_key(&operation.id) => {
+            Settled::Conflict { key } if key == services::commit::operation_key(&operation.id) => {
                 let reason = format!("operation {} was given up before", operation.id);
                 Err(ChangeError::NotAccepted { reason })
             }
@@ -343,7 +343,7 @@
         removals.push(Write::Delete { key: row.key });
         if let Some(id) = change.operation_id {
             removals.push(Write::Delete { key: operation_key(&id) });
-            removals.push(Write::Delete { key: platform::commit::operation_key(&id) });
+            removals.push(Write::Delete { key: services::commit::operation_key(&id) });
         }
     }
     Ok(removals)
--- a/crates/control/tests/contracts.rs
+++ b/crates/control/tests/contracts.rs
@@ -11,8 +11,8 @@
 use model::contract::parse_contract;
 use model::key::KeyHolder;
 use model::key::KeyState;
-use platform::MemoryTable;
 use rstest::rstest;
+use services::MemoryTable;
 
 const WHOLE: &str = r#"
 customer = "levy"
@@ -84,7 +84,7 @@
 }
 
 async fn head_digest(table: &MemoryTable) -> Option<String> {
-    let row = platform::Table::get(table, "config/head").await.unwrap().unwrap();
+    let row = services::Table::get(table, "config/head").await.unwrap().unwrap();
     serde_json::from_slice::<control::Head>(&row.value).unwrap().digest
 }
 
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -17,10 +17,10 @@
 
 use model::Incarnation;
 use model::NodeId;
-use platform::Precondition;
-use platform::RowVersion;
 use serde::Deserialize;
 use serde::Serialize;
+use services::Precondition;
+use services::RowVersion;
 
 /// Prefix of the rows of duties.
 pub const DUTY_PREFIX: &str = "duty/";
--- a/crates/duties/tests/duties.rs
+++ b/crates/duties/tests/duties.rs
@@ -11,10 +11,10 @@
 use duties::Members;
 use events::Recorder;
 use model::NodeId;
-use platform::Committer;
-use platform::MemoryTable;
-use platform::Settled;
-use platform::Write;
+use services::Committer;
+use services::MemoryTable;
+use services::Settled;
+use services::Write;
 
 #[derive(Default)]
 struct FakeMembers {
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -13,19 +13,19 @@
 use model::OperationId;
 use model::RequestId;
 use model::ids::random_id;
-use platform::Committer;
-use platform::Objects;
-use platform::Precondition;
-use platform::Scan;
-use platform::Settled;
-use platform::Table;
-use platform::Unavailable;
-use platform::Write;
 use routing::Admitted;
 use routing::Claim;
 use routing::ClaimState;
 use serde::Deserialize;
 use serde::Serialize;
+use services::Committer;
+use services::Objects;
+use services::Precondition;
+use services::Scan;
+use services::Settled;
+use services::Table;
+use services::Unavailable;
+use services::Write;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -172,7 +172,7 @@
         }
     }
 
-    async fn remove(&self, index_row: &platform::Row, index: &Index) {
+    async fn remove(&self, index_row: &services::Row, index: &Index) {
         let mut preconditions = vec![Precondition::unchanged(&*index_row.key, Some(index_row))];
         let mut writes = vec![Write::Delete { key: index_row.key.clone() }];
         for (row_key, request) in &index.claims {
@@ -324,7 +324,7 @@
     }
 }
 
-fn holder_of(row: &platform::Row) -> Option<RequestId> {
+fn holder_of(row: &services::Row) -> Option<RequestId> {
     Some(serde_json::from_slice::<Claim>(&row.value).ok()?.request)
 }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -25,9 +25,9 @@
 use model::QueueId;
 use model::RequestId;
 use model::ids::random_id;
-use platform::Objects;
-use platform::Table;
 use routing::RetryBudget;
+use services::Objects;
+use services::Table;
 use shares::FleetCounts;
 use telemetry::Telemetry;
 
--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -16,10 +16,10 @@
 
 use model::ConfigVersion;
 use model::OperationId;
-use platform::Committer;
-use platform::RowVersion;
-use platform::Table;
-use platform::Unavailable;
+use services::Committer;
+use services::RowVersion;
+use services::Table;
+use services::Unavailable;
 
 use crate::demand::Limit;
 use crate::demand::MemberDemand;
--- a/crates/limits/src/ledger/log.rs
+++ b/crates/limits/src/ledger/log.rs
@@ -11,14 +11,14 @@
 
 use model::ConfigVersion;
 use model::ids::random_id;
-use platform::Row;
-use platform::RowVersion;
-use platform::Scan;
-use platform::Table;
-use platform::Unavailable;
-use platform::Write;
 use serde::Deserialize;
 use serde::Serialize;
+use services::Row;
+use services::RowVersion;
+use services::Scan;
+use services::Table;
+use services::Unavailable;
+use services::Write;
 
 use super::Ledger;
 use super::Tokens;
--- a/crates/limits/src/ledger/read.rs
+++ b/crates/limits/src/ledger/read.rs
@@ -3,11 +3,11 @@
 //! A node with nothing new reads one short range of the log. Rows that it knows to have missed are
 //! read one by one, and a slow sweep over all rows finds what it does not know to have missed.
 
-use platform::Row;
-use platform::RowVersion;
-use platform::Scan;
-use platform::Table;
-use platform::Unavailable;
+use services::Row;
+use services::RowVersion;
+use services::Scan;
+use services::Table;
+use services::Unavailable;
 
 use super::Ledger;
 use super::Tokens;
--- a/crates/limits/src/ledger/write.rs
+++ b/crates/limits/src/ledger/write.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use platform::Precondition;
-use platform::RowVersion;
-use platform::Settled;
-use platform::Table;
-use platform::Unavailable;
-use platform::Write;
+use services::Precondition;
+use services::RowVersion;
+use services::Settled;
+use services::Table;
+use services::Unavailable;
+use services::Write;
 
 use super::Ledger;
 use super::Tick;
--- a/crates/limits/src/reclaim.rs
+++ b/crates/limits/src/reclaim.rs
@@ -8,9 +8,9 @@
 
 use model::CustomerId;
 use model::HostId;
-use platform::Table;
-use platform::Unavailable;
-use platform::Write;
+use services::Table;
+use services::Unavailable;
+use services::Write;
 
 use crate::demand::DemandKey;
 use crate::key::LimitKey;
--- a/crates/maintenance/src/advance.rs
+++ b/crates/maintenance/src/advance.rs
@@ -12,7 +12,7 @@
 use model::HostRow;
 use model::OperationId;
 use model::StopReason;
-use platform::RebootState;
+use services::RebootState;
 
 use crate::life::AnyHost;
 use crate::life::Booted;
--- a/crates/maintenance/src/list.rs
+++ b/crates/maintenance/src/list.rs
@@ -12,8 +12,8 @@
 use model::HostId;
 use model::HostRow;
 use model::HostState;
-use platform::FleetHost;
-use platform::FleetHostState;
+use services::FleetHost;
+use services::FleetHostState;
 
 /// What the list says about a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/maintenance/tests/support/fake.rs
+++ b/crates/maintenance/tests/support/fake.rs
@@ -26,17 +26,17 @@
 use model::HostState;
 use model::OperationId;
 use model::contract::parse_contract;
-use platform::CommitOutcome;
-use platform::FleetHost;
-use platform::FleetHostState;
-use platform::MemoryTable;
-use platform::Precondition;
-use platform::RebootState;
-use platform::Row;
-use platform::Scan;
-use platform::Table;
-use platform::Transaction;
-use platform::Unavailable;
+use services::CommitOutcome;
+use services::FleetHost;
+use services::FleetHostState;
+use services::MemoryTable;
+use services::Precondition;
+use services::RebootState;
+use services::Row;
+use services::Scan;
+use services::Table;
+use services::Transaction;
+use services::Unavailable;
 
 /// Time of one tick.
 pub const TICK: Duration = Duration::from_secs(5);
--- a/crates/node/src/compact.rs
+++ b/crates/node/src/compact.rs
@@ -14,7 +14,7 @@
 use events::OBJECT_PREFIX;
 use events::merge;
 use events::plan_compaction;
-use platform::Unavailable;
+use services::Unavailable;
 
 use crate::duty::COMPACT_EVENTS;
 use crate::shared::Shared;
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -17,8 +17,8 @@
 use limits::View;
 use limits::limits_of;
 use model::ConfigVersion;
-use platform::Unavailable;
 use rand::RngExt;
+use services::Unavailable;
 
 use crate::ledger::reclaim::Reclaim;
 use crate::shared::Shared;
--- a/crates/node/src/ledger/reclaim.rs
+++ b/crates/node/src/ledger/reclaim.rs
@@ -18,7 +18,7 @@
 use model::HostId;
 use model::Incarnation;
 use model::NodeId;
-use platform::Unavailable;
+use services::Unavailable;
 use tokio::task::JoinSet;
 
 use crate::shared::Shared;
--- a/crates/node/src/maintain.rs
+++ b/crates/node/src/maintain.rs
@@ -23,8 +23,8 @@
 use model::ConfigVersion;
 use model::HostRow;
 use model::PoolId;
-use platform::Precondition;
 use rand::RngExt;
+use services::Precondition;
 
 use self::evidence::Watch;
 use self::lending::Lending;
--- a/crates/node/src/maintain/evidence.rs
+++ b/crates/node/src/maintain/evidence.rs
@@ -25,12 +25,12 @@
 use model::Incarnation;
 use model::NodeId;
 use model::PoolId;
-use platform::Scan;
-use platform::Settled;
-use platform::Unavailable;
-use platform::Write;
 use serde::Deserialize;
 use serde::Serialize;
+use services::Scan;
+use services::Settled;
+use services::Unavailable;
+use services::Write;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
@@ -158,7 +158,7 @@
             return Ok(self.reported.iter().cloned().collect());
         }
         let rows = shared.platform.table.scan(Scan::prefix(IDLE_PREFIX)).await?;
-        let decode = |row: &platform::Row| serde_json::from_slice(&row.value).ok();
+        let decode = |row: &services::Row| serde_json::from_slice(&row.value).ok();
         Ok(rows.iter().filter_map(decode).collect())
     }
 }
--- a/crates/node/src/maintain/lending.rs
+++ b/crates/node/src/maintain/lending.rs
@@ -18,7 +18,7 @@
 use model::Contract;
 use model::CustomerId;
 use model::PoolId;
-use platform::Precondition;
+use services::Precondition;
 
 use super::change_if;
 use super::evidence::unavailable_beside;
--- a/crates/node/src/members/rows.rs
+++ b/crates/node/src/members/rows.rs
@@ -13,15 +13,15 @@
 use membership::TableView;
 use model::Incarnation;
 use model::NodeId;
-use platform::Committer;
-use platform::Precondition;
-use platform::Row;
-use platform::Scan;
-use platform::Settled;
-use platform::Table;
-use platform::Unavailable;
-use platform::Write;
 use serde::de::DeserializeOwned;
+use services::Committer;
+use services::Precondition;
+use services::Row;
+use services::Scan;
+use services::Settled;
+use services::Table;
+use services::Unavailable;
+use services::Write;
 
 /// Prefix of all rows of the membership.
 const PREFIX: &str = "member/";
--- a/crates/node/src/place.rs
+++ b/crates/node/src/place.rs
@@ -17,8 +17,8 @@
 use duties::Duty;
 use gateway::Authority;
 use model::PoolId;
-use platform::Row;
-use platform::Scan;
+use services::Row;
+use services::Scan;
 use tokio::task::JoinHandle;
 
 use crate::duty::placement_duty;
--- a/crates/node/src/place/holder/store.rs
+++ b/crates/node/src/place/holder/store.rs
@@ -11,8 +11,8 @@
 use placement::Placed;
 use placement::Task;
 use placement::task::TaskId;
-use platform::Settled;
-use platform::Write;
+use services::Settled;
+use services::Write;
 
 use super::Entry;
 use super::Holder;
--- a/crates/node/src/place/holder/takeover.rs
+++ b/crates/node/src/place/holder/takeover.rs
@@ -11,9 +11,9 @@
 use placement::protocol::Answer;
 use placement::protocol::Report;
 use placement::recover;
-use platform::Row;
-use platform::Scan;
-use platform::Unavailable;
+use services::Row;
+use services::Scan;
+use services::Unavailable;
 
 use super::Entry;
 use super::Holder;
--- a/crates/node/src/place/jobs.rs
+++ b/crates/node/src/place/jobs.rs
@@ -40,12 +40,12 @@
 use placement::Task;
 use placement::admit::check_team;
 use placement::admit::choose_pool;
-use platform::Precondition;
-use platform::Settled;
-use platform::Write;
 use routing::Denied;
 use serde::Deserialize;
 use serde::Serialize;
+use services::Precondition;
+use services::Settled;
+use services::Write;
 
 use crate::place::rows;
 use crate::place::rows::Stored;
--- a/crates/node/src/place/rows.rs
+++ b/crates/node/src/place/rows.rs
@@ -13,11 +13,11 @@
 use placement::AnyTask;
 use placement::Job;
 use placement::JobId;
-use platform::Row;
-use platform::Unavailable;
-use platform::Write;
 use serde::Deserialize;
 use serde::Serialize;
+use services::Row;
+use services::Unavailable;
+use services::Write;
 
 /// Prefix of live jobs.
 pub const LIVE_PREFIX: &str = "job/";
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -9,13 +9,13 @@
 use model::NodeId;
 use model::ZoneId;
 use model::key::KeyHash;
-use platform::Fleet;
-use platform::HttpPlatform;
-use platform::MemoryFleet;
-use platform::MemoryObjects;
-use platform::MemoryTable;
-use platform::Objects;
-use platform::Table;
+use services::Fleet;
+use services::HttpPlatform;
+use services::MemoryFleet;
+use services::MemoryObjects;
+use services::MemoryTable;
+use services::Objects;
+use services::Table;
 use wire::MemoryNetwork;
 
 /// Settings of one node.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -27,7 +27,7 @@
 use model::NodeId;
 use model::ServiceId;
 use model::TeamRef;
-use platform::Committer;
+use services::Committer;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use tokio::sync::watch;
--- a/crates/node/src/ship.rs
+++ b/crates/node/src/ship.rs
@@ -15,7 +15,7 @@
 use events::Filter;
 use events::OBJECT_PREFIX;
 use events::merge;
-use platform::Unavailable;
+use services::Unavailable;
 
 use crate::shared::Shared;
 
--- a/crates/savorypitch/tests/processes.rs
+++ b/crates/savorypitch/tests/processes.rs
@@ -12,7 +12,7 @@
 use http::Method;
 use http::StatusCode;
 use membership::MemberRow;
-use platform::Table;
+use services::Table;
 use standin::caller::call;
 use standin::platform_server::StandinPlatform;
 use tokio::time::Instant;
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -196,7 +196,6 @@
             progressed_at: now,
             load: None,
             pace_percent: 100,
-            harmed_since: None,
         };
         self.add_run(key, run, now);
     }
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -9,6 +9,17 @@
 use crate::progress::Progress;
 use crate::waves::WaveRow;
 
+/// Ends of a worker of which all that they changed is stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndsStored {
+    /// Worker.
+    pub worker: WorkerId,
+    /// When the life of the worker began that they belong to, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// Number of the last one.
+    pub number: u64,
+}
+
 /// Changes to be stored in one transaction.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
@@ -26,8 +37,8 @@
     pub own_hosts: Option<HostCounts>,
     /// Progress of waves.
     pub waves: Vec<(WaveId, WaveRow)>,
-    /// Highest end of each worker of which the consequences are in this batch or stored before.
-    pub ends: Vec<(WorkerId, u64, u64)>,
+    /// Ends that can be acknowledged once this batch is stored.
+    pub ends: Vec<EndsStored>,
 }
 
 impl Batch {
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -9,6 +9,7 @@
 use crate::JobId;
 use crate::Moment;
 use crate::batch::Batch;
+use crate::batch::EndsStored;
 use crate::job::JobRecord;
 use crate::job::UnitKey;
 use crate::live::Done;
@@ -154,7 +155,8 @@
             let number = first_open.map_or(worker.ends_seen, |end| end.number - 1);
             worker.ends_open.retain(|end| end.number > number);
             if number > worker.ends_stored {
-                batch.ends.push((id.clone(), worker.entry.born_ms, number));
+                let (worker, born_ms) = (id.clone(), worker.entry.born_ms);
+                batch.ends.push(EndsStored { worker, born_ms, number });
             }
         }
     }
@@ -164,11 +166,11 @@
         for (id, progress) in &batch.progress {
             self.job_stored(id, progress, now);
         }
-        for (id, born_ms, number) in &batch.ends {
-            if let Some(worker) = self.workers.get_mut(id)
-                && worker.entry.born_ms == *born_ms
+        for ends in &batch.ends {
+            if let Some(worker) = self.workers.get_mut(&ends.worker)
+                && worker.entry.born_ms == ends.born_ms
             {
-                worker.ends_stored = worker.ends_stored.max(*number);
+                worker.ends_stored = worker.ends_stored.max(ends.number);
             }
         }
         for id in &batch.forgotten {
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -321,7 +321,6 @@
             progressed_at: now,
             load: running.load,
             pace_percent: 100,
-            harmed_since: None,
         };
         self.add_run(key, run, now);
     }
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -74,8 +74,6 @@
     pub load: Option<u64>,
     /// Share of its speed that it was told to work at, in percent.
     pub pace_percent: u32,
-    /// Since when it has been over its target; none if it is not.
-    pub harmed_since: Option<Moment>,
 }
 
 /// A unit of a step.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -157,7 +157,7 @@
         let record = job.record.clone();
         let step = &record.steps[waiting.first.step];
         if self.needs_advice(&record.queue)
-            && !self.ask_advice(waiting_key(waiting), step, candidates, now)
+            && !self.ask_advice(&waiting.first, step, candidates, now)
         {
             return Placed::Held;
         }
@@ -293,7 +293,6 @@
             progressed_at: now,
             load: None,
             pace_percent: 100,
-            harmed_since: None,
         };
         self.add_run(key, run, now);
         if let Some(worker) = self.workers.get_mut(&worker) {
@@ -302,10 +301,6 @@
     }
 }
 
-fn waiting_key(waiting: &Waiting) -> &UnitKey {
-    &waiting.first
-}
-
 /// True if all steps that a step depends on are done. That may not be stored yet: an order to start goes
 /// out only once it is, with the run or before.
 pub(crate) fn is_ready(step: &Step, occurrence: &Occurrence) -> bool {
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -227,8 +227,8 @@
                 self.assignments.remove(id);
             }
             self.scheduler.committed(&batch, self.now);
-            for (id, _, number) in &batch.ends {
-                self.worker(id).ended.retain(|end| end.number > *number);
+            for stored in &batch.ends {
+                self.worker(&stored.worker).ended.retain(|end| end.number > stored.number);
             }
         }
     }
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -206,7 +206,7 @@
         let batch = world.scheduler.take_batch(1, world.now);
         let stored: Vec<&str> = batch.progress.iter().map(|(id, _)| &**id).collect();
         assert_eq!(stored, [id]);
-        assert_eq!(batch.ends.iter().map(|(_, _, n)| *n).collect::<Vec<u64>>(), [number]);
+        assert_eq!(batch.ends.iter().map(|ends| ends.number).collect::<Vec<u64>>(), [number]);
         world.scheduler.committed(&batch, world.now);
     }
 }
--- a/crates/standin/src/faulty_table.rs
+++ b/crates/standin/src/faulty_table.rs
@@ -9,16 +9,16 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use platform::CommitOutcome;
-use platform::MemoryTable;
-use platform::Row;
-use platform::Scan;
-use platform::Table;
-use platform::Transaction;
-use platform::Unavailable;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use services::CommitOutcome;
+use services::MemoryTable;
+use services::Row;
+use services::Scan;
+use services::Table;
+use services::Transaction;
+use services::Unavailable;
 
 /// How often each fault happens, in percent of the calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,13 +10,13 @@
 use async_trait::async_trait;
 use model::HostId;
 use model::OperationId;
-use platform::Fleet;
-use platform::FleetHost;
-use platform::FleetHostState;
-use platform::RebootState;
-use platform::Unavailable;
 use serde::Deserialize;
 use serde::Serialize;
+use services::Fleet;
+use services::FleetHost;
+use services::FleetHostState;
+use services::RebootState;
+use services::Unavailable;
 
 /// Faults of the host list and of reboots.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -4,16 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::CommitOutcome;
-use platform::Committer;
-use platform::HttpPlatform;
-use platform::Objects;
-use platform::Precondition;
-use platform::Scan;
-use platform::Settled;
-use platform::Table;
-use platform::Transaction;
-use platform::Write;
+use services::CommitOutcome;
+use services::Committer;
+use services::HttpPlatform;
+use services::Objects;
+use services::Precondition;
+use services::Scan;
+use services::Settled;
+use services::Table;
+use services::Transaction;
+use services::Write;
 use standin::platform_server::Faults;
 use standin::platform_server::StandinPlatform;
 use standin::platform_server::serve;
@@ -41,7 +41,7 @@
         let outcome = client.commit(&transaction).await;
         assert_eq!(outcome, CommitOutcome::Conflict { key: key.to_owned() });
     }
-    let keys = |rows: Vec<platform::Row>| rows.into_iter().map(|row| row.key).collect::<Vec<_>>();
+    let keys = |rows: Vec<services::Row>| rows.into_iter().map(|row| row.key).collect::<Vec<_>>();
     assert_eq!(keys(client.scan(Scan::prefix("a/")).await.unwrap()), ["a/1", "a/2"]);
     let after = Scan { after: Some("a/1".to_owned()), ..Scan::prefix("a/") };
     assert_eq!(keys(client.scan(after).await.unwrap()), ["a/2"]);
@@ -96,7 +96,7 @@
     platform.set_faults(Faults::default());
     assert_eq!(committer.resolve(&client, &operation_id).await, Some(false));
     // The delayed try arrives now.
-    let key = platform::commit::operation_key(&operation_id);
+    let key = services::commit::operation_key(&operation_id);
     let (mut preconditions, writes) = create("row");
     preconditions.insert(0, Precondition::Absent { key: key.clone() });
     let late = Transaction { operation_id, preconditions, writes };
