--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -81,7 +81,7 @@
         let mut due_at = now;
         match result {
             Ok(report) => self.scheduler.report(&id, &report, sent_at, now),
-            Err(WorkerError::Fenced) => self.scheduler.fenced(),
+            Err(WorkerError::Fenced) => self.scheduler.note_fenced(),
             Err(WorkerError::OtherInstance) => {
                 self.scheduler.worker_gone(&id, "another instance answers", now);
             }
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -183,20 +183,7 @@
         let Some(step) = step.filter(|_| is_open) else {
             return;
         };
-        let run = Run {
-            number,
-            worker,
-            phase: Phase::InDoubt,
-            since: now,
-            deadline_ms: 0,
-            room: step.room(),
-            need: step.need,
-            stop: None,
-            percent: 0,
-            progressed_at: now,
-            load: None,
-            pace_percent: 100,
-        };
+        let run = Run::new(number, worker, Phase::InDoubt, step, now);
         self.add_run(key, run, now);
     }
 }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -308,20 +308,9 @@
         let Some(step) = job.record.steps.get(key.step) else {
             return;
         };
-        let run = Run {
-            number: running.run,
-            worker: id.clone(),
-            phase: Phase::Listed,
-            since: now,
-            deadline_ms: 0,
-            room: step.room(),
-            need: step.need,
-            stop: None,
-            percent: running.percent,
-            progressed_at: now,
-            load: running.load,
-            pace_percent: 100,
-        };
+        let mut run = Run::new(running.run, id.clone(), Phase::Listed, step, now);
+        run.percent = running.percent;
+        run.load = running.load;
         self.add_run(key, run, now);
     }
 
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -8,6 +8,7 @@
 use crate::WorkerId;
 use crate::job::JobRecord;
 use crate::job::Resources;
+use crate::job::Step;
 use crate::progress::FinalState;
 
 /// Whether a unit is done.
@@ -76,6 +77,26 @@
     pub pace_percent: u32,
 }
 
+impl Run {
+    /// A run of a unit of `step` on a worker.
+    pub fn new(number: u32, worker: WorkerId, phase: Phase, step: &Step, now: Moment) -> Self {
+        Self {
+            number,
+            worker,
+            phase,
+            since: now,
+            deadline_ms: 0,
+            room: step.room(),
+            need: step.need,
+            stop: None,
+            percent: 0,
+            progressed_at: now,
+            load: None,
+            pace_percent: 100,
+        }
+    }
+}
+
 /// A unit of a step.
 #[derive(Clone, Debug)]
 pub struct Unit {
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -7,6 +7,7 @@
 use crate::UnitKey;
 use crate::WorkerId;
 use crate::choose::Candidates;
+use crate::job::JobRecord;
 use crate::job::Step;
 use crate::live::Done;
 use crate::live::Job;
@@ -176,7 +177,7 @@
             let number = self.unit(&key).map_or(0, |unit| unit.last_run) + 1;
             candidates.place(chosen, &key, step);
             let worker = candidates.workers()[chosen].id.clone();
-            self.order_start(&key, step, worker, number, now);
+            self.plan_run(&key, step, worker, number, now);
         }
         Placed::All
     }
@@ -217,7 +218,7 @@
             if let Some(unit) = self.unit_mut(key) {
                 unit.saved = saved.clone();
             }
-            self.order_start(key, step, worker, number, now);
+            self.plan_run(key, step, worker, number, now);
         }
         Placed::All
     }
@@ -257,7 +258,7 @@
     }
 
     /// True if `count` more units of a step keep the team of a job within its bound.
-    fn is_within_bound(&self, record: &crate::job::JobRecord, step: &Step, count: u64) -> bool {
+    fn is_within_bound(&self, record: &JobRecord, step: &Step, count: u64) -> bool {
         let Some(team) = &record.team else {
             return true;
         };
@@ -272,28 +273,8 @@
     }
 
     /// Plans a run: the order to start is sent once it is stored that the worker may run it.
-    fn order_start(
-        &mut self,
-        key: &UnitKey,
-        step: &Step,
-        worker: WorkerId,
-        number: u32,
-        now: Moment,
-    ) {
-        let run = Run {
-            number,
-            worker: worker.clone(),
-            phase: Phase::Planned,
-            since: now,
-            deadline_ms: 0,
-            room: step.room(),
-            need: step.need,
-            stop: None,
-            percent: 0,
-            progressed_at: now,
-            load: None,
-            pace_percent: 100,
-        };
+    fn plan_run(&mut self, key: &UnitKey, step: &Step, worker: WorkerId, number: u32, now: Moment) {
+        let run = Run::new(number, worker.clone(), Phase::Planned, step, now);
         self.add_run(key, run, now);
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.lacks_run = true;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -113,7 +113,7 @@
     }
 
     /// Another owner is at work: a worker has refused the fencing token.
-    pub fn fenced(&mut self) {
+    pub fn note_fenced(&mut self) {
         self.is_fenced = true;
     }
 
