--- a/crates/coordinator/src/follow.rs
+++ b/crates/coordinator/src/follow.rs
@@ -34,7 +34,10 @@
                 version = Some(changes.version);
                 apply(&shared, changes, sent_at);
             }
-            Err(ReadError::HistoryGone) => version = None,
+            Err(ReadError::HistoryGone) => {
+                version = None;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
             Err(error) => {
                 shared.note_store(false, clock::now());
                 if std::mem::replace(&mut is_connected, false) {
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -9,7 +9,6 @@
 use super::Owner;
 use super::event::Event;
 use crate::clock;
-use crate::ports::Changes;
 use crate::ports::LeaseRequest;
 use crate::ports::Platform;
 use crate::ports::ReadError;
@@ -122,7 +121,10 @@
                         }
                         tokio::time::sleep(REGISTRY_PAUSE).await;
                     }
-                    Err(ReadError::HistoryGone) => version = None,
+                    Err(ReadError::HistoryGone) => {
+                        version = None;
+                        tokio::time::sleep(FAILED_PAUSE).await;
+                    }
                     Err(error) => {
                         telemetry::log::line("registry-not-read").text("why", error).write();
                         tokio::time::sleep(FAILED_PAUSE).await;
@@ -140,7 +142,7 @@
             let mut version = None;
             loop {
                 let changes = match version {
-                    None => whole_inbox(&*shared).await,
+                    None => shared.platform.read_whole(Table::Inbox).await,
                     Some(version) => {
                         shared.platform.changes(Table::Inbox, version, CHANGES_WAIT).await
                     }
@@ -155,7 +157,10 @@
                             }
                         }
                     }
-                    Err(ReadError::HistoryGone) => version = None,
+                    Err(ReadError::HistoryGone) => {
+                        version = None;
+                        tokio::time::sleep(FAILED_PAUSE).await;
+                    }
                     Err(error) => {
                         telemetry::log::line("inbox-not-read").text("why", error).write();
                         tokio::time::sleep(FAILED_PAUSE).await;
@@ -192,12 +197,3 @@
         });
     }
 }
-
-async fn whole_inbox<P: Platform>(
-    shared: &crate::shared::Shared<P>,
-) -> Result<Changes<crate::ports::Row>, ReadError> {
-    let rows = shared.platform.read(Table::Inbox, "").await?;
-    // Changes that come while the rows are read have later versions than all of them.
-    let version = rows.iter().map(|row| row.version).max().unwrap_or(0);
-    Ok(Changes { changed: rows, removed: Vec::new(), is_whole: true, version })
-}
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -165,6 +165,12 @@
         prefix: &str,
     ) -> impl Future<Output = Result<Vec<Row>, ReadError>> + Send;
 
+    /// All rows of a table, with the version from which on changes are to be asked for.
+    fn read_whole(
+        &self,
+        table: Table,
+    ) -> impl Future<Output = Result<Changes<Row>, ReadError>> + Send;
+
     /// Rows that were written since a version; waits up to `wait` for one.
     fn changes(
         &self,
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -76,6 +76,10 @@
 struct Data {
     rows: BTreeMap<(u8, String), (Bytes, RowVersion)>,
     version: RowVersion,
+    /// Changes before this version are not kept.
+    history_from: RowVersion,
+    /// Calls for changes that were refused for that.
+    history_gone: u32,
     config: Option<Arc<EntryConfig>>,
     waves: Vec<Wave>,
     mood: Mood,
@@ -129,11 +133,27 @@
         data.rows.insert(key, (rows::encode(row), version));
     }
 
+    pub fn remove_inbox(&self, key: &str) {
+        let mut data = self.data.lock().unwrap();
+        data.version += 1;
+        data.rows.remove(&(table_number(Table::Inbox), key.to_owned()));
+    }
+
     pub fn add_wave(&self) {
         let wave = Wave { id: 1, hosts: vec![HOST.into()], duration_ms: 20_000, down_max: 1 };
         self.data.lock().unwrap().waves.push(wave);
     }
 
+    /// Forgets all changes up to now.
+    pub fn forget_history(&self) {
+        let mut data = self.data.lock().unwrap();
+        data.history_from = data.version;
+    }
+
+    pub fn history_gone(&self) -> u32 {
+        self.data.lock().unwrap().history_gone
+    }
+
     pub fn host_tokens(&self) -> Vec<FencingToken> {
         self.data.lock().unwrap().host_tokens.clone()
     }
@@ -222,12 +242,22 @@
         Ok(rows.map(row).collect())
     }
 
+    async fn read_whole(&self, table: Table) -> Result<Changes<Row>, ReadError> {
+        let changed = self.read(table, "").await?;
+        let version = self.data.lock().unwrap().version;
+        Ok(Changes { changed, removed: Vec::new(), is_whole: true, version })
+    }
+
     async fn changes(
         &self,
         table: Table,
         after: RowVersion,
         wait: Duration,
     ) -> Result<Changes<Row>, ReadError> {
+        if after < self.data.lock().unwrap().history_from {
+            self.data.lock().unwrap().history_gone += 1;
+            return Err(ReadError::HistoryGone);
+        }
         let until = tokio::time::Instant::now() + wait;
         loop {
             let rows = self.read(table, "").await?;
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -180,6 +180,20 @@
     }
 }
 
+#[tokio::test]
+async fn an_owner_that_begins_late_asks_for_no_changes_that_are_not_kept() {
+    let memory = Memory::new(Duration::from_millis(50));
+    // Something was written, and forgotten, long before the owner begins; its inbox is empty.
+    memory.put_inbox("submit/a", &InboxRow::Submit(record("a")));
+    memory.remove_inbox("submit/a");
+    memory.forget_history();
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    assert_eq!(submit(&node, "b").await, Submitted::Accepted);
+    wait_for(&node, "b", COMPLETED).await;
+    assert_eq!(memory.history_gone(), 0);
+}
+
 #[tokio::test]
 async fn a_host_order_that_was_not_answered_is_followed_by_one_with_a_higher_token() {
     let memory = Memory::new(Duration::from_millis(50));
