Send the owner's replies between nodes as they are, without a second set of enums

Three enums of the wire repeated the replies variant by variant, with a mapping each way; the replies carry serde themselves now. A doc comment is put right.

--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -12,9 +12,7 @@
 use axum::routing::post;
 use bytes::Bytes;
 use http::Method;
-use scheduler::FinalState;
 use scheduler::JobRecord;
-use scheduler::JobView;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -83,35 +81,6 @@
     queue: String,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum SubmitWire {
-    Accepted,
-    NotTaken,
-    Unknown,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum CancelWire {
-    Done,
-    NoJob,
-    OtherTeam,
-    Unknown,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum StateWire {
-    Queued,
-    Running,
-    Completed,
-    Failed,
-    Cancelled,
-    NoJob,
-    OtherTeam,
-}
-
 /// The owner could not be asked.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum PeerError {
@@ -165,39 +134,19 @@
 
     /// Hands a job to the owner.
     pub async fn submit(&self, record: &JobRecord) -> Result<SubmitReply, PeerError> {
-        let wire = self.call("/peer/submit", record, WRITE_TIMEOUT).await?;
-        Ok(match wire {
-            SubmitWire::Accepted => SubmitReply::Accepted,
-            SubmitWire::NotTaken => SubmitReply::NotTaken,
-            SubmitWire::Unknown => SubmitReply::Unknown,
-        })
+        self.call("/peer/submit", record, WRITE_TIMEOUT).await
     }
 
     /// Cancels a job.
     pub async fn cancel(&self, job: &str, asker: Option<&str>) -> Result<CancelReply, PeerError> {
         let call = JobCall { job: job.to_owned(), asker: asker.map(str::to_owned) };
-        let wire = self.call("/peer/cancel", &call, WRITE_TIMEOUT).await?;
-        Ok(match wire {
-            CancelWire::Done => CancelReply::Done,
-            CancelWire::NoJob => CancelReply::NoJob,
-            CancelWire::OtherTeam => CancelReply::OtherTeam,
-            CancelWire::Unknown => CancelReply::Unknown,
-        })
+        self.call("/peer/cancel", &call, WRITE_TIMEOUT).await
     }
 
     /// Asks for the state of a job.
     pub async fn state(&self, job: &str, asker: Option<&str>) -> Result<StateReply, PeerError> {
         let call = JobCall { job: job.to_owned(), asker: asker.map(str::to_owned) };
-        let wire = self.call("/peer/state", &call, STATE_TIMEOUT).await?;
-        Ok(match wire {
-            StateWire::Queued => StateReply::Found(JobView::Queued),
-            StateWire::Running => StateReply::Found(JobView::Running),
-            StateWire::Completed => StateReply::Found(JobView::Ended(FinalState::Completed)),
-            StateWire::Failed => StateReply::Found(JobView::Ended(FinalState::Failed)),
-            StateWire::Cancelled => StateReply::Found(JobView::Ended(FinalState::Cancelled)),
-            StateWire::NoJob => StateReply::NoJob,
-            StateWire::OtherTeam => StateReply::OtherTeam,
-        })
+        self.call("/peer/state", &call, STATE_TIMEOUT).await
     }
 
     /// Asks how many jobs of a queue wait.
@@ -273,46 +222,28 @@
 async fn submit<P: Platform>(
     State(shared): State<Arc<Shared<P>>>,
     Json(record): Json<JobRecord>,
-) -> Result<Json<SubmitWire>, StatusCode> {
+) -> Result<Json<SubmitReply>, StatusCode> {
     let record = Arc::new(record);
     let asked = ask(&shared, |reply| OwnerRequest::Submit { record, reply }).await?;
-    Ok(Json(match asked {
-        Some(SubmitReply::Accepted) => SubmitWire::Accepted,
-        Some(SubmitReply::NotTaken) => SubmitWire::NotTaken,
-        Some(SubmitReply::Unknown) | None => SubmitWire::Unknown,
-    }))
+    Ok(Json(asked.unwrap_or(SubmitReply::Unknown)))
 }
 
 async fn cancel<P: Platform>(
     State(shared): State<Arc<Shared<P>>>,
     Json(call): Json<JobCall>,
-) -> Result<Json<CancelWire>, StatusCode> {
+) -> Result<Json<CancelReply>, StatusCode> {
     let asker = call.asker.map(Into::into);
     let asked = ask(&shared, |reply| OwnerRequest::Cancel { job: call.job, asker, reply }).await?;
-    Ok(Json(match asked {
-        Some(CancelReply::Done) => CancelWire::Done,
-        Some(CancelReply::NoJob) => CancelWire::NoJob,
-        Some(CancelReply::OtherTeam) => CancelWire::OtherTeam,
-        Some(CancelReply::Unknown) | None => CancelWire::Unknown,
-    }))
+    Ok(Json(asked.unwrap_or(CancelReply::Unknown)))
 }
 
 async fn state<P: Platform>(
     State(shared): State<Arc<Shared<P>>>,
     Json(call): Json<JobCall>,
-) -> Result<Json<StateWire>, StatusCode> {
+) -> Result<Json<StateReply>, StatusCode> {
     let asker = call.asker.map(Into::into);
     let asked = ask(&shared, |reply| OwnerRequest::State { job: call.job, asker, reply }).await?;
-    let reply = asked.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    Ok(Json(match reply {
-        StateReply::Found(JobView::Queued) => StateWire::Queued,
-        StateReply::Found(JobView::Running) => StateWire::Running,
-        StateReply::Found(JobView::Ended(FinalState::Completed)) => StateWire::Completed,
-        StateReply::Found(JobView::Ended(FinalState::Failed)) => StateWire::Failed,
-        StateReply::Found(JobView::Ended(FinalState::Cancelled)) => StateWire::Cancelled,
-        StateReply::NoJob => StateWire::NoJob,
-        StateReply::OtherTeam => StateWire::OtherTeam,
-    }))
+    asked.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 async fn waiting<P: Platform>(
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -16,6 +16,8 @@
 use scheduler::TeamName;
 use scheduler::Wave;
 use scheduler::WaveId;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -81,7 +83,8 @@
 }
 
 /// What became of a submission at the owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub(crate) enum SubmitReply {
     /// The job is stored.
     Accepted,
@@ -92,7 +95,8 @@
 }
 
 /// What became of a cancellation at the owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub(crate) enum CancelReply {
     /// It is stored, or the job had ended before.
     Done,
@@ -105,7 +109,8 @@
 }
 
 /// What the owner knows of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub(crate) enum StateReply {
     /// What callers are shown.
     Found(JobView),
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::Moment;
 use crate::QueueName;
 use crate::TeamName;
@@ -179,7 +182,8 @@
 }
 
 /// What callers are shown of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum JobView {
     /// No unit has been started.
     Queued,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -56,7 +56,7 @@
     pub has_row: bool,
     /// A run was added that its row lacks.
     pub lacks_run: bool,
-    /// When the entry was last seen in the registry; none if it has vanished.
+    /// Its entry is in the registry.
     pub is_listed: bool,
     /// What its runs take.
     pub used: Resources,
