Give the ownership to the node with the most processor time, and let a new owner load

Cause: on the grown sites 26 of 32 nodes have an eighth of a core. Any of them became owner, read what is stored for 1.4 to 2.1 s, and was taken for stuck meanwhile (its last transaction was older than 1.2 s), so that the next one took over, up to four times in a row; between them nothing was decided. Ruled out: the decisions themselves. 350 workers and 10 s of load take the scheduler 0.28 s of processor time without the network. Change: a ping says how much processor time the asker has and whether the store answers it; the successor is the strongest that reaches the store; weaker nodes leave a take-over to stronger ones for 0.8 s; an owner gives the ownership to a stronger follower; an owner that reads what is stored counts as working for 3 s.

--- a/crates/coordinator/src/election.rs
+++ b/crates/coordinator/src/election.rs
@@ -3,7 +3,8 @@
 //! A node asks the owner at short intervals whether it works. While the owner does not say so, the
 //! node reads the owner's row; it takes over when the row has not changed for [`SILENCE_MAX`], or for
 //! [`REFUSED_MAX`] if nothing listens at the owner's address; at once when the owner has released the
-//! row, when it says itself that it cannot write, or when another process answers at its address.
+//! row, when it says itself that it cannot write, or when another process answers at its address. A
+//! node with little processor time leaves all that to stronger ones for [`YIELD_TIME`] first.
 //!
 //! A take-over is safe at any time, since workers and the store refuse the orders of the owner before;
 //! these times only keep it from being needless.
@@ -24,6 +25,11 @@
 pub const REFUSED_MAX: Duration = Duration::from_millis(250);
 /// Age of the owner's last transaction up to which it counts as working.
 pub const RENEWAL_AGE_MAX: Duration = Duration::from_millis(1_200);
+/// Age of the transaction that made it the owner up to which it may read what is stored; below the
+/// time for which that transaction lets it act.
+pub const LOADING_MAX: Duration = Duration::from_millis(3_000);
+/// Time for which a node leaves a take-over to stronger ones; above two looks.
+pub const YIELD_TIME: Duration = Duration::from_millis(800);
 
 /// What the owner has answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +40,8 @@
         incarnation: u64,
         /// Age of its last committed transaction.
         renewal_age: Duration,
+        /// It has just taken over, and reads what is stored.
+        is_loading: bool,
     },
     /// It is not the owner.
     NotOwner {
@@ -64,6 +72,15 @@
     Take(Reason),
 }
 
+/// When a node may take over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// As soon as there is reason to.
+    AtOnce,
+    /// Once stronger nodes have had the time to.
+    AfterStronger,
+}
+
 /// Why a node takes over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
@@ -86,6 +103,10 @@
     unchanged: Option<(u64, u64, Moment)>,
     /// What the owner's last answer calls for, about the process with this number.
     hint: Option<(u64, Hint)>,
+    /// The owner, with this number, has asked this node to take over.
+    asked_by: Option<u64>,
+    /// Epoch of the row for whose take-over there is reason, and since when.
+    called_for: Option<(u64, Moment)>,
 }
 
 /// What an answer says of the owner.
@@ -104,10 +125,11 @@
     pub fn heard(&mut self, row: &OwnerRow, answer: Answer) -> Step {
         self.hint = None;
         match answer {
-            Answer::Owner { incarnation, renewal_age }
-                if incarnation == row.incarnation && renewal_age <= RENEWAL_AGE_MAX =>
+            Answer::Owner { incarnation, renewal_age, is_loading }
+                if incarnation == row.incarnation && renewal_age <= age_max(is_loading) =>
             {
                 self.unchanged = None;
+                self.called_for = None;
                 Step::Rest
             }
             Answer::NotOwner { incarnation } | Answer::Owner { incarnation, .. }
@@ -131,13 +153,39 @@
     /// The owner has asked this node to take over, since it cannot write to the store.
     pub fn asked(&mut self, row: &OwnerRow) {
         self.hint = Some((row.incarnation, Hint::Stuck));
+        self.asked_by = Some(row.incarnation);
     }
 
     /// Takes in the owner's row; none if there is no row yet.
-    pub fn read(&mut self, row: Option<&OwnerRow>, now: Moment) -> Verdict {
+    pub fn read(&mut self, row: Option<&OwnerRow>, claim: Claim, now: Moment) -> Verdict {
         let Some(row) = row else {
             return Verdict::Take(Reason::First);
         };
+        let verdict = self.judge(row, now);
+        if verdict == Verdict::Wait {
+            self.called_for = None;
+            return verdict;
+        }
+        let is_asked = self.asked_by == Some(row.incarnation);
+        if claim == Claim::AtOnce || is_asked {
+            return verdict;
+        }
+        match self.called_for {
+            Some((epoch, since)) if epoch == row.epoch => {
+                match now.saturating_sub(since) >= YIELD_TIME {
+                    true => verdict,
+                    false => Verdict::Wait,
+                }
+            }
+            _ => {
+                self.called_for = Some((row.epoch, now));
+                Verdict::Wait
+            }
+        }
+    }
+
+    /// What the row calls for, whoever is to do it.
+    fn judge(&mut self, row: &OwnerRow, now: Moment) -> Verdict {
         if row.is_released {
             return Verdict::Take(Reason::Released);
         }
@@ -162,3 +210,8 @@
         }
     }
 }
+
+/// Age of the owner's last transaction up to which it counts as working.
+fn age_max(is_loading: bool) -> Duration {
+    if is_loading { LOADING_MAX } else { RENEWAL_AGE_MAX }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -22,6 +22,7 @@
 mod owner;
 mod peers;
 mod shared;
+pub mod succession;
 
 pub use config::EntryConfig;
 pub use config::Route;
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -61,6 +62,8 @@
     pub incarnation: u64,
     /// Address for other nodes.
     pub peer_address: SocketAddr,
+    /// Processor time that the process may use, in thousandths of a core.
+    pub cpu_millis: u64,
     /// Age of the configuration up to which keys are taken.
     pub key_age_max: Duration,
     /// Time for a write of the owner in this process.
@@ -87,6 +90,7 @@
         let listener = TcpListener::bind(settings.peer_address).await?;
         settings.peer_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
+            strongest_cpu_millis: AtomicU64::new(settings.cpu_millis),
             settings,
             platform,
             client,
@@ -132,22 +136,7 @@
         }
         if tokio::time::timeout(RELEASE_TIMEOUT, released).await.is_err() {
             telemetry::log::line("release-late").field("epoch", owning.epoch).write();
-            return;
         }
-        self.hand_over(owning.epoch).await;
-    }
-
-    /// Asks the best follower to take the ownership over that was given up.
-    async fn hand_over(&self, epoch: u64) {
-        let Some(address) = self.shared.successor(clock::now()) else {
-            return;
-        };
-        let asked = OwnerClient { client: &self.shared.client, address }.hand_over().await;
-        telemetry::log::line("ownership-handed-over")
-            .field("epoch", epoch)
-            .text("to", address)
-            .field("is_answered", asked.is_ok())
-            .write();
     }
 
     /// Ends what is left.
@@ -213,7 +202,7 @@
     if let Some((row, version)) = &found {
         shared.set_owner_row(row.clone(), *version);
     }
-    match election.read(found.as_ref().map(|(row, _)| row), clock::now()) {
+    match election.read(found.as_ref().map(|(row, _)| row), shared.claim(), clock::now()) {
         Verdict::Wait => None,
         Verdict::Take(reason) => take(shared, found, reason).await,
     }
@@ -224,11 +213,23 @@
     let owner = OwnerClient { client: &shared.client, address };
     let sent_at = clock::now();
     let uptime = sent_at.saturating_sub(shared.started_at);
-    let ping = Ping { address: shared.settings.peer_address, uptime_ms: uptime.as_millis() as u64 };
-    let (answer, claim) = owner.ping(&ping).await;
-    let Some(claim) = claim.filter(|claim| claim.version > 0) else {
+    let ping = Ping {
+        address: shared.settings.peer_address,
+        uptime_ms: uptime.as_millis() as u64,
+        cpu_millis: shared.settings.cpu_millis,
+        is_store_up: shared.is_store_up(),
+    };
+    let (answer, news) = owner.ping(&ping).await;
+    let Some(news) = news else {
         return answer;
     };
+    if matches!(answer, Answer::Owner { .. }) {
+        shared.note_strongest(news.strongest_cpu_millis);
+    }
+    let claim = news.config;
+    if claim.version == 0 {
+        return answer;
+    }
     let confirmed_at = sent_at.saturating_sub(claim.age);
     let known = shared.config(sent_at).map_or(0, |(config, _)| config.version);
     // The store's own news come sooner; a node that the store turns away asks the owner.
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -20,6 +20,7 @@
 use scheduler::WaveState;
 use scheduler::WorkerId;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -30,6 +31,7 @@
 use self::load::Loaded;
 use crate::clock;
 use crate::election::Reason;
+use crate::peers::OwnerClient;
 use crate::ports::Platform;
 use crate::ports::RowVersion;
 use crate::rows::OwnerRow;
@@ -41,6 +43,8 @@
 const VALIDITY: Duration = Duration::from_millis(3_500);
 /// Time between two rounds in which nothing else happens.
 const TICK: Duration = Duration::from_millis(100);
+/// Time for which an owner keeps the ownership before it gives it to a stronger node.
+const OWNED_MIN: Duration = Duration::from_millis(2_000);
 /// Requests that wait for the owner at most.
 const REQUESTS_MAX: usize = 1_024;
 /// Events that are taken in before the next round of decisions.
@@ -72,6 +76,8 @@
     scheduler: Scheduler,
     pipeline: Pipeline,
     epoch: u64,
+    /// When it has taken over.
+    began_at: Moment,
     events: mpsc::Sender<Event>,
     /// Calls in progress; they end with the owner.
     calls: JoinSet<()>,
@@ -85,7 +91,14 @@
     pools_logged_at: Moment,
     config_version: u64,
     end: Option<End>,
-    release: Option<tokio::sync::oneshot::Sender<()>>,
+    release: Option<Release>,
+}
+
+/// The ownership is to be given up.
+#[derive(Debug, Default)]
+struct Release {
+    /// Told once that is stored, if the node stops.
+    reply: Option<oneshot::Sender<()>>,
 }
 
 /// Works as the owner until the ownership is lost or given up.
@@ -104,6 +117,22 @@
         .field("epoch", epoch)
         .text("why", format!("{end:?}"))
         .write();
+    if end == End::Released {
+        hand_over(&shared, epoch).await;
+    }
+}
+
+/// Asks the best follower to take the ownership over that was given up.
+async fn hand_over<P: Platform>(shared: &Shared<P>, epoch: u64) {
+    let Some(address) = shared.successor(clock::now()) else {
+        return;
+    };
+    let asked = OwnerClient { client: &shared.client, address }.hand_over().await;
+    telemetry::log::line("ownership-handed-over")
+        .field("epoch", epoch)
+        .text("to", address)
+        .field("is_answered", asked.is_ok())
+        .write();
 }
 
 async fn work<P: Platform>(
@@ -118,6 +147,7 @@
         scheduler: loaded.scheduler,
         pipeline: loaded.pipeline,
         epoch,
+        began_at: clock::now(),
         events,
         calls: JoinSet::new(),
         watches: SortedMap::default(),
@@ -174,6 +204,9 @@
             self.end = Some(End::Superseded);
             return;
         }
+        if self.release.is_none() && self.should_yield(now) {
+            self.release = Some(Release::default());
+        }
         self.admit_accepts(now);
         self.review_cancels();
         let is_valid = now.saturating_sub(self.pipeline.renewed_at()) <= VALIDITY;
@@ -194,6 +227,12 @@
         }
     }
 
+    /// True if a stronger node should own the scheduling.
+    fn should_yield(&self, now: Moment) -> bool {
+        let owned_for = now.saturating_sub(self.began_at);
+        owned_for >= OWNED_MIN && !self.pipeline.is_stuck(now) && self.shared.has_stronger(now)
+    }
+
     fn take_operated(&mut self) {
         let now = clock::now();
         let (config, waves) = {
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -385,7 +385,7 @@
         }
         self.wake_watches(now);
         if flight.row.is_released {
-            if let Some(reply) = self.release.take() {
+            if let Some(reply) = self.release.take().and_then(|release| release.reply) {
                 answer(reply, ());
             }
             self.end = Some(End::Released);
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -4,6 +4,7 @@
 use tokio::sync::oneshot;
 
 use super::Owner;
+use super::Release;
 use super::commit::Accept;
 use super::commit::Cancel;
 use crate::clock;
@@ -42,7 +43,7 @@
                 let waiting = self.scheduler.waiting(&queue) + self.pipeline.accepting(&queue);
                 answer(reply, waiting);
             }
-            OwnerRequest::Release { reply } => self.release = Some(reply),
+            OwnerRequest::Release { reply } => self.release = Some(Release { reply: Some(reply) }),
         }
     }
 
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -27,11 +27,11 @@
 use crate::http::Request;
 use crate::ports::Platform;
 use crate::shared::CancelReply;
-use crate::shared::Follower;
 use crate::shared::OwnerRequest;
 use crate::shared::Shared;
 use crate::shared::StateReply;
 use crate::shared::SubmitReply;
+use crate::succession::Follower;
 
 /// Time for the answer of a peer to a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
@@ -47,6 +47,10 @@
     pub address: SocketAddr,
     /// Time since the asker has started, in milliseconds.
     pub uptime_ms: u64,
+    /// Processor time that the asker may use, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// The store answers the asker.
+    pub is_store_up: bool,
 }
 
 /// Answer to a ping.
@@ -55,12 +59,25 @@
     incarnation: u64,
     /// Age of the owner's last committed transaction in milliseconds; none if it is not the owner.
     renewal_age_ms: Option<u64>,
+    /// It has taken the ownership over, and reads what is stored.
+    is_loading: bool,
+    /// Most processor time of a node that reaches the store, in thousandths of a core.
+    strongest_cpu_millis: u64,
     /// Version of the configuration in force there.
     config_version: u64,
     /// Time since that version was surely the newest, in milliseconds.
     config_age_ms: u64,
 }
 
+/// What a node says beside whether it is the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PongNews {
+    /// The configuration that it knows.
+    pub config: ConfigClaim,
+    /// Most processor time of a node that reaches the store, in thousandths of a core.
+    pub strongest_cpu_millis: u64,
+}
+
 /// The configuration of which a node says that it was the newest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ConfigClaim {
@@ -99,8 +116,8 @@
 }
 
 impl OwnerClient<'_> {
-    /// Asks whether the owner works, and which configuration it knows.
-    pub async fn ping(&self, ping: &Ping) -> (Answer, Option<ConfigClaim>) {
+    /// Asks whether the owner works, and what it knows.
+    pub async fn ping(&self, ping: &Ping) -> (Answer, Option<PongNews>) {
         let body = serde_json::to_vec(ping).expect("a ping is a plain record");
         let request = Request::new(Method::POST, "/peer/ping", body, PING_TIMEOUT);
         let response = match self.client.call(self.address, Lane::Short, request).await {
@@ -114,12 +131,14 @@
         let incarnation = pong.incarnation;
         let answer = match pong.renewal_age_ms {
             Some(age_ms) => {
-                Answer::Owner { incarnation, renewal_age: Duration::from_millis(age_ms) }
+                let renewal_age = Duration::from_millis(age_ms);
+                Answer::Owner { incarnation, renewal_age, is_loading: pong.is_loading }
             }
             None => Answer::NotOwner { incarnation },
         };
         let age = Duration::from_millis(pong.config_age_ms);
-        (answer, Some(ConfigClaim { version: pong.config_version, age }))
+        let config = ConfigClaim { version: pong.config_version, age };
+        (answer, Some(PongNews { config, strongest_cpu_millis: pong.strongest_cpu_millis }))
     }
 
     /// Fetches the configuration that the owner knows.
@@ -196,11 +215,20 @@
     let now = clock::now();
     let age = |at| now.saturating_sub(at).as_millis() as u64;
     let started_at = now.saturating_sub(Duration::from_millis(ping.uptime_ms));
-    shared.note_follower(Follower { address: ping.address, started_at, seen_at: now });
+    shared.note_follower(Follower {
+        address: ping.address,
+        started_at,
+        seen_at: now,
+        cpu_millis: ping.cpu_millis,
+        is_store_up: ping.is_store_up,
+    });
     let config = shared.config(now);
+    let owning = shared.owning();
     Json(Pong {
         incarnation: shared.settings.incarnation,
-        renewal_age_ms: shared.owning().map(|owning| age(owning.renewed_at)),
+        renewal_age_ms: owning.as_ref().map(|owning| age(owning.renewed_at)),
+        is_loading: owning.is_some_and(|owning| !owning.is_ready),
+        strongest_cpu_millis: shared.strongest_cpu_millis.load(Ordering::Relaxed),
         config_version: config.as_ref().map_or(0, |(config, _)| config.version),
         config_age_ms: config.map_or(u64::MAX, |(_, age)| age.as_millis() as u64),
     })
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use scheduler::JobRecord;
@@ -24,10 +26,14 @@
 use tokio::sync::watch;
 
 use crate::config::EntryConfig;
+use crate::election::Claim;
 use crate::http::Client;
 use crate::node::NodeSettings;
 use crate::ports::RowVersion;
 use crate::rows::OwnerRow;
+use crate::succession::Follower;
+use crate::succession::Followers;
+use crate::succession::is_stronger;
 
 /// What operators have set, as last read.
 #[derive(Clone, Debug, Default)]
@@ -40,17 +46,6 @@
     pub confirmed_at: Moment,
 }
 
-/// A node that follows the owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Follower {
-    /// Its address for other nodes.
-    pub address: SocketAddr,
-    /// When it has started.
-    pub started_at: Moment,
-    /// When it has asked last.
-    pub seen_at: Moment,
-}
-
 /// Where the owner is, as far as the node knows.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnerPlace {
@@ -165,9 +160,6 @@
     },
 }
 
-/// Age of a follower's last question up to which it may become the successor.
-const FOLLOWER_AGE_MAX: Duration = Duration::from_millis(900);
-
 /// What the tasks of a node share.
 pub(crate) struct Shared<P> {
     pub settings: NodeSettings,
@@ -179,7 +171,9 @@
     pub is_stopping: watch::Sender<bool>,
     pub store_health: Mutex<StoreHealth>,
     /// Nodes that have asked of late whether this one works.
-    pub followers: Mutex<Vec<Follower>>,
+    pub followers: Mutex<Followers>,
+    /// Most processor time of a node that reaches the store, as last heard, in thousandths of a core.
+    pub strongest_cpu_millis: AtomicU64,
     /// Makes the node look at the owner at once.
     pub look_now: Notify,
     /// The owner has asked this node to take over.
@@ -262,17 +256,34 @@
     /// Notes a node that follows this one.
     pub fn note_follower(&self, follower: Follower) {
         let mut followers = self.followers.lock().expect("no holder panics");
-        followers.retain(|other| other.address != follower.address);
-        followers.push(follower);
+        followers.note(follower);
+        let strongest = followers.strongest_cpu_millis(follower.seen_at);
+        self.note_strongest(strongest.max(self.settings.cpu_millis));
+    }
+
+    /// Notes the most processor time of a node that reaches the store.
+    pub fn note_strongest(&self, cpu_millis: u64) {
+        self.strongest_cpu_millis.store(cpu_millis, Ordering::Relaxed);
     }
 
-    /// The follower that has started last: the others of a rolling restart are stopped before it.
+    /// Whether a stronger node should own the scheduling rather than this one.
+    pub fn claim(&self) -> Claim {
+        let strongest = self.strongest_cpu_millis.load(Ordering::Relaxed);
+        match is_stronger(strongest, self.settings.cpu_millis) {
+            true => Claim::AfterStronger,
+            false => Claim::AtOnce,
+        }
+    }
+
+    /// The follower that should own the scheduling if this node cannot.
     pub fn successor(&self, now: Moment) -> Option<SocketAddr> {
+        self.followers.lock().expect("no holder panics").successor(now)
+    }
+
+    /// True if a stronger node has followed for a while.
+    pub fn has_stronger(&self, now: Moment) -> bool {
         let followers = self.followers.lock().expect("no holder panics");
-        let is_here =
-            |follower: &&Follower| now.saturating_sub(follower.seen_at) <= FOLLOWER_AGE_MAX;
-        let here = followers.iter().filter(is_here);
-        here.max_by_key(|follower| follower.started_at).map(|follower| follower.address)
+        followers.has_stronger(self.settings.cpu_millis, now)
     }
 
     /// True once the node is to stop.
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -33,6 +33,8 @@
 use coordinator::ports::Written;
 use coordinator::rows;
 use coordinator::rows::InboxRow;
+use coordinator::rows::OWNER_KEY;
+use coordinator::rows::OwnerRow;
 use scheduler::Config;
 use scheduler::Ending;
 use scheduler::HostEntry;
@@ -104,6 +106,9 @@
 /// Numbers of the processes that the nodes of a test stand for.
 static INCARNATIONS: AtomicU64 = AtomicU64::new(1);
 
+/// Processor time of a node, in thousandths of a core.
+const CPU_MILLIS: u64 = 250;
+
 /// The one host.
 pub const HOST: &str = "h1";
 
@@ -164,6 +169,15 @@
         self.data.lock().unwrap().rows.contains_key(&key)
     }
 
+    /// The owner's row; the default one before there is an owner.
+    pub fn owner(&self) -> OwnerRow {
+        let key = (table_number(Table::Owner), OWNER_KEY.to_owned());
+        let data = self.data.lock().unwrap();
+        data.rows
+            .get(&key)
+            .map_or_else(OwnerRow::default, |(value, _)| serde_json::from_slice(value).unwrap())
+    }
+
     pub fn rows(&self, table: Table) -> Vec<String> {
         let data = self.data.lock().unwrap();
         let rows = data.rows.keys().filter(|(number, _)| *number == table_number(table));
@@ -212,10 +226,16 @@
 
 /// Starts a node on a platform, on a port that is free.
 pub async fn start_node(name: &str, memory: &Memory) -> Node<Memory> {
+    start_sized_node(name, CPU_MILLIS, memory).await
+}
+
+/// Starts a node with so much processor time, in thousandths of a core.
+pub async fn start_sized_node(name: &str, cpu_millis: u64, memory: &Memory) -> Node<Memory> {
     let settings = NodeSettings {
         name: name.to_owned(),
         incarnation: INCARNATIONS.fetch_add(1, Ordering::Relaxed),
         peer_address: "127.0.0.1:0".parse().unwrap(),
+        cpu_millis,
         key_age_max: Duration::from_secs(4),
         own_write_timeout: Duration::from_secs(2),
         scheduling: Settings::default(),
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -17,6 +17,7 @@
 use memory::Memory;
 use memory::Mood;
 use memory::start_node;
+use memory::start_sized_node;
 use scheduler::FinalState;
 use scheduler::JobRecord;
 use scheduler::JobView;
@@ -227,3 +228,22 @@
     let old = node.access("jobs.example", "/r/1", None, later);
     assert!(matches!(old, Err(Refusal::Stale { .. })));
 }
+
+#[tokio::test]
+async fn a_weak_owner_gives_the_ownership_to_a_stronger_node() {
+    let memory = Memory::new(Duration::from_millis(50));
+    let weak = start_sized_node("n1", 120, &memory).await;
+    wait_ready(&weak).await;
+    assert_eq!(submit(&weak, "a").await, Submitted::Accepted);
+    let strong = start_sized_node("n2", 500, &memory).await;
+    wait_ready(&strong).await;
+    let until = clock::now() + PATIENCE;
+    while memory.owner().node != "n2" {
+        assert!(clock::now() < until, "{:?}", memory.owner());
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert_eq!(submit(&weak, "b").await, Submitted::Accepted);
+    wait_for(&weak, "b", COMPLETED).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(memory.owner().epoch, 2, "it stays there");
+}
--- /dev/null
+++ b/crates/coordinator/tests/succession.rs
@@ -0,0 +1,63 @@
+//! Which node should own the scheduling.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coordinator::succession::Follower;
+use coordinator::succession::Followers;
+use rstest::rstest;
+use scheduler::Moment;
+
+const NOW: Moment = Duration::from_secs(1_000);
+const LONG: Duration = Duration::from_secs(3);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn follower(port: u16, cpu_millis: u64, uptime_s: u64) -> Follower {
+    let started_at = NOW - Duration::from_secs(uptime_s);
+    let address = address(port);
+    Follower { address, started_at, seen_at: NOW, cpu_millis, is_store_up: true }
+}
+
+fn followers(entries: &[Follower]) -> Followers {
+    let mut followers = Followers::default();
+    for entry in entries {
+        followers.note(*entry);
+    }
+    followers
+}
+
+#[rstest]
+#[case::the_strongest(&[follower(1, 120, 5), follower(2, 500, 50), follower(3, 120, 1)], 2)]
+#[case::the_last_started_of_equals(&[follower(1, 500, 50), follower(2, 500, 5)], 2)]
+#[case::one_that_reaches_the_store(
+    &[Follower { is_store_up: false, ..follower(1, 500, 5) }, follower(2, 120, 50)],
+    2
+)]
+fn the_successor_is(#[case] entries: &[Follower], #[case] port: u16) {
+    assert_eq!(followers(entries).successor(NOW), Some(address(port)));
+}
+
+#[test]
+fn a_node_that_asks_no_more_is_no_successor() {
+    assert_eq!(followers(&[follower(1, 500, 50)]).successor(NOW + LONG), None);
+}
+
+#[test]
+fn a_stronger_node_counts_once_it_has_followed_for_a_while() {
+    let mut followers = followers(&[follower(1, 500, 50)]);
+    assert!(!followers.has_stronger(120, NOW));
+    for step in 1..=5 {
+        let seen_at = NOW + Duration::from_millis(400) * step;
+        followers.note(Follower { seen_at, ..follower(1, 500, 50) });
+    }
+    let now = NOW + Duration::from_secs(2);
+    assert!(followers.has_stronger(120, now));
+    assert!(!followers.has_stronger(500, now), "an equal one is no stronger one");
+    // It was away, so it begins anew.
+    let now = now + LONG;
+    followers.note(Follower { seen_at: now, ..follower(1, 500, 50) });
+    assert!(!followers.has_stronger(120, now));
+}
