Ask workers again only once their ends are stored; share a transaction between ends and new runs

Each transaction woke all workers whose ends waited, also those whose ends it did not hold; each round went through all 350 workers; and a transaction stored at most 16 jobs and 30 workers, so that 290 hosts stood half idle while 6,800 thousandths of cores waited. Change: module watches (pure): a queue of due workers, woken when all their ends are stored. A batch has room for 70 rows, shared between progress and new runs by what there is. A line owner-load each second tells what the owner does.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod shared;
 pub mod succession;
+pub mod watches;
 
 pub use config::EntryConfig;
 pub use config::Route;
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -9,6 +9,7 @@
 mod load;
 mod orders;
 mod requests;
+mod tally;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +19,6 @@
 use scheduler::SortedMap;
 use scheduler::WaveId;
 use scheduler::WaveState;
-use scheduler::WorkerId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -27,8 +27,8 @@
 
 use self::commit::Pipeline;
 use self::event::Event;
-use self::leases::Watch;
 use self::load::Loaded;
+use self::tally::Tally;
 use crate::clock;
 use crate::election::Reason;
 use crate::peers::OwnerClient;
@@ -38,6 +38,7 @@
 use crate::shared::OwnerRequest;
 use crate::shared::Owning;
 use crate::shared::Shared;
+use crate::watches::Watches;
 
 /// Time for which an owner may act after the last transaction that was committed was sent.
 const VALIDITY: Duration = Duration::from_millis(3_500);
@@ -81,7 +82,8 @@
     events: mpsc::Sender<Event>,
     /// Calls in progress; they end with the owner.
     calls: JoinSet<()>,
-    watches: SortedMap<WorkerId, Watch>,
+    watches: Watches,
+    watches_reviewed_at: Moment,
     waves_told: SortedMap<WaveId, WaveState>,
     hosts_asked_at: Moment,
     hosts_in_flight: bool,
@@ -89,6 +91,7 @@
     host_orders: u64,
     successor_asked_at: Moment,
     pools_logged_at: Moment,
+    tally: Tally,
     config_version: u64,
     end: Option<End>,
     release: Option<Release>,
@@ -150,13 +153,15 @@
         began_at: clock::now(),
         events,
         calls: JoinSet::new(),
-        watches: SortedMap::default(),
+        watches: Watches::default(),
+        watches_reviewed_at: Moment::ZERO,
         waves_told: SortedMap::default(),
         hosts_asked_at: Moment::ZERO,
         hosts_in_flight: false,
         host_orders: 0,
         successor_asked_at: Moment::ZERO,
         pools_logged_at: Moment::ZERO,
+        tally: Tally::default(),
         config_version: 0,
         end: None,
         release: None,
@@ -199,6 +204,8 @@
     /// One round of decisions.
     fn round(&mut self) {
         let now = clock::now();
+        self.tally.round();
+        self.tally.log(self.epoch, now);
         if self.scheduler.is_fenced() {
             telemetry::log::line("orders-fenced").field("epoch", self.epoch).write();
             self.end = Some(End::Superseded);
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use scheduler::Batch;
+use scheduler::BatchRoom;
 use scheduler::Cancelled;
 use scheduler::JobId;
 use scheduler::JobRecord;
@@ -35,8 +36,9 @@
 
 /// Jobs that one transaction accepts at most.
 const ACCEPTS_MAX: usize = 16;
-/// Jobs whose progress one transaction stores at most; an ended job takes two entries.
-const PROGRESS_MAX: usize = 16;
+/// Rows of the scheduler's that one transaction holds at most; with the owner's row, the accepted jobs
+/// and the inbox, it is below what a store takes.
+const BATCH_MAX: BatchRoom = BatchRoom { entries: 70, progress: 70 };
 /// Rows of the inbox that one transaction removes at most.
 const INBOX_MAX: usize = 10;
 /// Time after which the ownership is renewed if nothing else is to be stored.
@@ -197,7 +199,7 @@
             self.resend(now);
             return;
         }
-        let batch = self.scheduler.take_batch(PROGRESS_MAX, now);
+        let batch = self.scheduler.take_batch(BATCH_MAX, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
         let has_rows = !batch.writes_nothing()
             || !self.pipeline.admitted.is_empty()
@@ -220,6 +222,7 @@
         let Some(mut flight) = self.pipeline.in_flight.take() else {
             return;
         };
+        self.tally.transaction(now.saturating_sub(flight.sent_at));
         let is_answered = matches!(outcome, Written::Committed(_) | Written::Conflict(_));
         let is_unknown = matches!(outcome, Written::Unknown(_));
         self.shared.note_store(is_answered, now);
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -5,6 +5,7 @@
 use scheduler::Moment;
 use scheduler::Report;
 use scheduler::WorkerId;
+use scheduler::worker::Worker;
 
 use super::Owner;
 use super::event::Event;
@@ -14,15 +15,14 @@
 use crate::ports::ReadError;
 use crate::ports::Table;
 use crate::ports::WorkerError;
+use crate::watches::Next;
 
 /// How long a worker that runs something may wait with its answer for an end.
 const WAIT_BUSY: Duration = Duration::from_millis(1_000);
 /// How long an idle worker may wait with its answer.
 const WAIT_IDLE: Duration = Duration::from_millis(2_000);
-/// Pause after a worker did not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Longest time between two looks while ends wait to be stored.
-const UNSTORED_PAUSE: Duration = Duration::from_millis(900);
+/// Time between two reviews of the workers that are to be asked at all.
+const REVIEW_PERIOD: Duration = Duration::from_millis(250);
 /// Longest wait of a call for changes of the registry or the inbox; bounds the time for which a
 /// connection that has gone silent keeps them from the owner.
 const CHANGES_WAIT: Duration = Duration::from_millis(2_000);
@@ -31,42 +31,30 @@
 /// Pause after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(200);
 
-/// When a worker is asked next.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Watch {
-    is_in_flight: bool,
-    waits_for_commit: bool,
-    due_at: Moment,
-}
-
 impl<P: Platform> Owner<P> {
     /// Asks the workers that are due.
     pub(super) fn renew_leases(&mut self, now: Moment) {
-        let ids: Vec<WorkerId> = self
-            .scheduler
-            .workers()
-            .filter(|worker| worker.is_listed || !worker.runs.is_empty())
-            .map(|worker| worker.entry.id.clone())
-            .collect();
-        let scheduler = &self.scheduler;
-        self.watches.retain(|id, watch| watch.is_in_flight || scheduler.worker(id).is_some());
-        for id in ids {
-            let new = || Watch { is_in_flight: false, waits_for_commit: false, due_at: now };
-            let watch = self.watches.entry_or(id.clone(), new);
-            if !watch.is_in_flight && now >= watch.due_at {
-                watch.is_in_flight = true;
-                watch.waits_for_commit = false;
+        if now.saturating_sub(self.watches_reviewed_at) >= REVIEW_PERIOD {
+            self.watches_reviewed_at = now;
+            for worker in self.scheduler.workers().filter(|worker| is_watched(worker)) {
+                self.watches.begin(&worker.entry.id, now);
+            }
+        }
+        for id in self.watches.take_due(now) {
+            if self.scheduler.worker(&id).is_some_and(is_watched) {
                 self.ask_worker(id, now);
+            } else {
+                self.watches.end(&id);
             }
         }
     }
 
     /// Asks the workers again whose ends are stored now.
     pub(super) fn wake_watches(&mut self, now: Moment) {
-        for watch in self.watches.values_mut().filter(|watch| watch.waits_for_commit) {
-            watch.waits_for_commit = false;
-            watch.due_at = now;
-        }
+        let scheduler = &self.scheduler;
+        let are_all_stored =
+            |id: &WorkerId| !scheduler.worker(id).is_some_and(Worker::has_unstored);
+        self.watches.stored(are_all_stored, now);
     }
 
     /// Takes in the answer of a worker.
@@ -77,7 +65,7 @@
         result: Result<Report, WorkerError>,
     ) {
         let now = clock::now();
-        let mut due_at = now;
+        let mut next = Next::AtOnce;
         match result {
             Ok(report) => self.scheduler.report(&id, &report, sent_at, now),
             Err(WorkerError::Fenced) => self.scheduler.note_fenced(),
@@ -90,19 +78,13 @@
                     .text("why", error)
                     .write();
                 self.scheduler.no_answer(&id, now);
-                due_at = now + RETRY_PAUSE;
+                next = Next::Later;
             }
         }
-        let worker = self.scheduler.worker(&id);
-        let has_unstored = worker.is_some_and(|worker| worker.ends_seen > worker.ends_stored);
-        if has_unstored {
-            due_at = now + UNSTORED_PAUSE;
-        }
-        if let Some(watch) = self.watches.get_mut(&id) {
-            watch.is_in_flight = false;
-            watch.waits_for_commit = has_unstored;
-            watch.due_at = due_at;
+        if self.scheduler.worker(&id).is_some_and(Worker::has_unstored) {
+            next = Next::OnceStored;
         }
+        self.watches.answered(&id, next, now);
     }
 
     /// Follows the registry of workers.
@@ -174,10 +156,9 @@
         let Some(worker) = self.scheduler.worker(&id) else {
             return;
         };
-        let has_unstored = worker.ends_seen > worker.ends_stored;
         let wait = match () {
             // The first look is to see what runs, and ends that are listed would answer at once.
-            () if has_unstored || worker.clock_least_ms(now).is_none() => Duration::ZERO,
+            () if worker.has_unstored() || worker.clock_least_ms(now).is_none() => Duration::ZERO,
             () if worker.runs.is_empty() => WAIT_IDLE,
             () => WAIT_BUSY,
         };
@@ -189,6 +170,7 @@
             deadline_ms: self.scheduler.ask_lease(&id, now),
             wait,
         };
+        self.tally.look();
         let shared = self.shared.clone();
         self.spawn(async move {
             let sent_at = clock::now();
@@ -197,3 +179,8 @@
         });
     }
 }
+
+/// True if a worker is to be asked what it runs.
+fn is_watched(worker: &Worker) -> bool {
+    worker.is_listed || !worker.runs.is_empty()
+}
--- a/crates/coordinator/src/owner/orders.rs
+++ b/crates/coordinator/src/owner/orders.rs
@@ -62,6 +62,7 @@
             },
             Event::Written { outcome } => self.take_written(outcome),
             Event::Registered { changes } => {
+                self.watches_reviewed_at = Moment::ZERO;
                 if changes.is_whole {
                     self.scheduler.set_workers(changes.changed, Duration::ZERO, now);
                 } else {
@@ -170,6 +171,7 @@
     }
 
     fn start(&mut self, order: StartOrder) {
+        self.tally.start();
         let shared = self.shared.clone();
         let token = self.epoch;
         self.spawn(async move {
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -25,9 +25,6 @@
 use crate::state::Scheduler;
 use crate::worker::Worker;
 
-/// Workers whose rows one batch holds at most.
-const ROWS_MAX: usize = 30;
-
 /// What a worker runs or is to run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AssignmentRow {
@@ -40,12 +37,13 @@
 }
 
 impl Scheduler {
-    /// Adds the rows of workers that have got new runs.
-    pub(crate) fn add_assignments(&mut self, batch: &mut Batch) {
+    /// Adds the rows of workers that have got new runs, and removes those of workers that are
+    /// forgotten; at most `entries` rows.
+    pub(crate) fn add_assignments(&mut self, batch: &mut Batch, entries: usize) {
         let lacking = self.workers.iter().filter(|(_, worker)| {
             worker.lacks_run && worker.runs.iter().any(|key| self.may_store_planned(key))
         });
-        let rows = lacking.take(ROWS_MAX).map(|(id, worker)| (id.clone(), self.row_of(worker)));
+        let rows = lacking.take(entries).map(|(id, worker)| (id.clone(), self.row_of(worker)));
         batch.assignments = rows.collect();
         for (id, _) in &batch.assignments {
             let Some(worker) = self.workers.get(id) else {
@@ -57,7 +55,8 @@
                 worker.has_row = true;
             }
         }
-        let left = self.unassigned.split_off(self.unassigned.len().min(ROWS_MAX));
+        let room = entries.saturating_sub(batch.assignments.len());
+        let left = self.unassigned.split_off(self.unassigned.len().min(room));
         batch.unassigned = std::mem::replace(&mut self.unassigned, left);
     }
 
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -5,10 +5,20 @@
 use crate::WorkerId;
 use crate::assignments::AssignmentRow;
 use crate::capacity::HostCounts;
+use crate::commit::entries_of;
 use crate::hosts::HostOrderRow;
 use crate::progress::Progress;
 use crate::waves::WaveRow;
 
+/// How much one transaction may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchRoom {
+    /// Rows that are written or removed.
+    pub entries: usize,
+    /// Of these, rows for the progress of jobs at most.
+    pub progress: usize,
+}
+
 /// Ends of a worker of which all that they changed is stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndsStored {
@@ -52,4 +62,15 @@
             && self.host_orders.is_none()
             && self.own_hosts.is_none()
     }
+    /// Rows that it writes or removes.
+    pub fn entries(&self) -> usize {
+        let progress: usize = self.progress.iter().map(|(_, progress)| entries_of(progress)).sum();
+        progress
+            + self.forgotten.len()
+            + self.assignments.len()
+            + self.unassigned.len()
+            + self.waves.len()
+            + usize::from(self.host_orders.is_some())
+            + usize::from(self.own_hosts.is_some())
+    }
 }
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -5,10 +5,12 @@
 //! job as ended.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::JobId;
 use crate::Moment;
 use crate::batch::Batch;
+use crate::batch::BatchRoom;
 use crate::batch::EndsStored;
 use crate::job::JobRecord;
 use crate::job::UnitKey;
@@ -21,6 +23,11 @@
 use crate::progress::Progress;
 use crate::state::Scheduler;
 
+/// Rows of a job that has ended: its progress, and its record, which is removed.
+const ENTRIES_OF_ENDED: usize = 2;
+/// Time between two looks for ended jobs that need not be remembered any longer.
+const FORGET_PERIOD: Duration = Duration::from_millis(200);
+
 /// What became of a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cancelled {
@@ -106,11 +113,34 @@
         }
     }
 
-    /// Changes that are not stored yet, of at most `rows_max` jobs.
-    pub fn take_batch(&mut self, rows_max: usize, now: Moment) -> Batch {
+    /// Changes that are not stored yet, as far as there is room.
+    pub fn take_batch(&mut self, room: BatchRoom, now: Moment) -> Batch {
         let mut batch = Batch::default();
+        let is_dirty = std::mem::take(&mut self.is_own_hosts_dirty);
+        batch.own_hosts = is_dirty.then(|| self.own_hosts.clone());
+        batch.host_orders = self.changed_host_orders(now);
+        for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
+            wave.is_dirty = false;
+            batch.waves.push((*id, wave.row.clone()));
+        }
+        // Ends let runs start, and runs are what ends come from: neither keeps the other out.
+        let left = room.entries.saturating_sub(batch.entries());
+        let for_runs = self.workers.values().filter(|worker| worker.lacks_run).count();
+        let for_progress = left - for_runs.min(left / 2);
+        self.add_progress(&mut batch, for_progress.min(room.progress), now);
+        self.add_ends(&mut batch);
+        let left = room.entries.saturating_sub(batch.entries());
+        self.add_assignments(&mut batch, left);
+        let left = room.entries.saturating_sub(batch.entries());
+        self.add_forgotten(&mut batch, left, now);
+        batch
+    }
+
+    /// Adds the progress of the jobs that have changed, in at most `entries` rows.
+    fn add_progress(&mut self, batch: &mut Batch, entries: usize, now: Moment) {
         let unix_now_ms = self.unix_ms(now);
-        while batch.progress.len() < rows_max
+        let mut used = 0;
+        while used + ENTRIES_OF_ENDED <= entries
             && let Some(id) = self.dirty.pop_front()
         {
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -118,23 +148,22 @@
             };
             job.is_dirty = false;
             mark(job, Done::Ended, Done::Storing);
-            batch.progress.push((id, progress_of(job, unix_now_ms)));
+            let progress = progress_of(job, unix_now_ms);
+            used += entries_of(&progress);
+            batch.progress.push((id, progress));
         }
-        self.add_ends(&mut batch);
-        self.add_assignments(&mut batch);
-        let is_dirty = std::mem::take(&mut self.is_own_hosts_dirty);
-        batch.own_hosts = is_dirty.then(|| self.own_hosts.clone());
-        batch.host_orders = self.changed_host_orders(now);
-        for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
-            wave.is_dirty = false;
-            batch.waves.push((*id, wave.row.clone()));
+    }
+
+    /// Adds the ended jobs that need not be remembered any longer, at most `entries`.
+    fn add_forgotten(&mut self, batch: &mut Batch, entries: usize, now: Moment) {
+        if now.saturating_sub(self.forgotten_at) < FORGET_PERIOD {
+            return;
         }
+        self.forgotten_at = now;
         let kept = self.settings.ended_kept;
         let is_old = |job: &EndedJob| now.saturating_sub(job.ended_at) > kept;
-        let room = rows_max.saturating_sub(batch.progress.len());
-        let old = self.ended.iter().filter(|(_, job)| is_old(job)).take(room);
+        let old = self.ended.iter().filter(|(_, job)| is_old(job)).take(entries);
         batch.forgotten = old.map(|(id, _)| id.clone()).collect();
-        batch
     }
 
     /// The progress of a job has changed and is to be stored.
@@ -150,7 +179,7 @@
     fn add_ends(&mut self, batch: &mut Batch) {
         let jobs = &self.jobs;
         let is_open = |job: &JobId| jobs.get(job).is_some_and(|job| job.is_dirty);
-        for (id, worker) in self.workers.iter_mut().filter(|(_, w)| w.ends_seen > w.ends_stored) {
+        for (id, worker) in self.workers.iter_mut().filter(|(_, w)| w.has_unstored()) {
             let first_open = worker.ends_open.iter().find(|end| is_open(&end.unit.job));
             let number = first_open.map_or(worker.ends_seen, |end| end.number - 1);
             worker.ends_open.retain(|end| end.number > number);
@@ -269,6 +298,11 @@
     occurrence.steps.iter().flatten().all(over)
 }
 
+/// Rows that the progress of a job takes.
+pub(crate) fn entries_of(progress: &Progress) -> usize {
+    if progress.ended.is_some() { ENTRIES_OF_ENDED } else { 1 }
+}
+
 /// What is to be stored of a job.
 fn progress_of(job: &Job, unix_now_ms: u64) -> Progress {
     let mut progress = Progress {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -40,6 +40,7 @@
 
 pub use assignments::AssignmentRow;
 pub use batch::Batch;
+pub use batch::BatchRoom;
 pub use batch::EndsStored;
 pub use capacity::HostCounts;
 pub use capacity::PoolLoad;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -92,6 +92,8 @@
     pub(crate) reviewed_at: Moment,
     /// When units were last placed.
     pub(crate) placed_at: Moment,
+    /// When ended jobs were last looked through.
+    pub(crate) forgotten_at: Moment,
 }
 
 impl Scheduler {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -145,6 +145,11 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// True if it has listed ends of which the consequences are not stored yet.
+    pub fn has_unstored(&self) -> bool {
+        self.ends_seen > self.ends_stored
+    }
+
     /// Takes in the clock of an answer.
     pub fn read_clock(&mut self, clock_ms: u64, received_at: Moment) {
         self.clock = Some(ClockReading { clock_ms, received_at });
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -6,6 +6,7 @@
 
 use scheduler::Action;
 use scheduler::AssignmentRow;
+use scheduler::BatchRoom;
 use scheduler::Config;
 use scheduler::Ending;
 use scheduler::HostEntry;
@@ -210,10 +211,12 @@
         self.commit_at_most(100);
     }
 
-    /// Stores what there is to store, of at most `rows_max` jobs.
-    pub fn commit_at_most(&mut self, rows_max: usize) {
+    /// Stores what there is to store, with at most so many rows for the progress of jobs at a time.
+    pub fn commit_at_most(&mut self, progress: usize) {
+        let room = BatchRoom { entries: 100, progress };
         loop {
-            let batch = self.scheduler.take_batch(rows_max, self.now);
+            let batch = self.scheduler.take_batch(room, self.now);
+            assert!(batch.entries() <= room.entries);
             if batch.writes_nothing() && batch.ends.is_empty() {
                 return;
             }
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -3,6 +3,7 @@
 #[path = "common/world.rs"]
 mod world;
 
+use scheduler::BatchRoom;
 use scheduler::Cancelled;
 use scheduler::Ending;
 use scheduler::FinalState;
@@ -203,7 +204,9 @@
     world.report_all();
     // The jobs are stored in the order in which they changed, not in that of their ids.
     for (id, number) in [("c", 1), ("b", 2), ("a", 3)] {
-        let batch = world.scheduler.take_batch(1, world.now);
+        // An ended job takes two rows.
+        let room = BatchRoom { entries: 10, progress: 2 };
+        let batch = world.scheduler.take_batch(room, world.now);
         let stored: Vec<&str> = batch.progress.iter().map(|(id, _)| &**id).collect();
         assert_eq!(stored, [id]);
         assert_eq!(batch.ends.iter().map(|ends| ends.number).collect::<Vec<u64>>(), [number]);
--- /dev/null
+++ b/crates/scheduler/tests/load.rs
@@ -0,0 +1,64 @@
+//! Many ends and many new runs at once: what one transaction holds of them.
+
+#[path = "common/world.rs"]
+mod world;
+
+use scheduler::BatchRoom;
+use scheduler::Ending;
+use scheduler::Resources;
+use scheduler::Step;
+use scheduler::UnitKey;
+use world::World;
+use world::config;
+use world::job;
+use world::step;
+
+const NO_BOUND: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+const WORKERS: usize = 200;
+const ROOM: BatchRoom = BatchRoom { entries: 70, progress: 70 };
+
+#[test]
+fn ends_and_new_runs_share_a_transaction_when_there_are_many_of_both() {
+    let ids: Vec<String> = (0..WORKERS).map(|number| format!("w{number:03}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut world = World::new(&ids, config(3, NO_BOUND));
+    // Each worker has room for one unit at a time, and there are two jobs of a unit for each.
+    for number in 0..WORKERS * 2 {
+        let record = job(&format!("j{number:04}"), vec![step(1, 16_000)], world.now);
+        world.scheduler.add_job(record, world.now);
+    }
+    assert_eq!(world.round().len(), WORKERS);
+    let running: Vec<UnitKey> =
+        world.workers.iter().map(|worker| worker.running[0].unit.clone()).collect();
+    for unit in &running {
+        world.end(unit, Ending::Done);
+    }
+    world.report_all();
+    world.scheduler.plan(world.now);
+    let batch = world.scheduler.take_batch(ROOM, world.now);
+    assert!(batch.entries() <= ROOM.entries);
+    assert!(batch.progress.len() >= 15, "ends: {}", batch.progress.len());
+    assert!(batch.assignments.len() >= 30, "new runs: {}", batch.assignments.len());
+}
+
+#[test]
+fn ends_take_the_whole_transaction_when_there_are_no_new_runs() {
+    let ids: Vec<String> = (0..WORKERS).map(|number| format!("w{number:03}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut world = World::new(&ids, config(3, NO_BOUND));
+    for number in 0..WORKERS {
+        let later = Step { depends_on: vec![0], ..step(1, 16_000) };
+        let steps = vec![step(2, 8_000), later];
+        let record = job(&format!("j{number:04}"), steps, world.now);
+        world.scheduler.add_job(record, world.now);
+    }
+    world.round();
+    let running: Vec<UnitKey> =
+        world.workers.iter().map(|worker| worker.running[0].unit.clone()).collect();
+    for unit in &running {
+        world.end(unit, Ending::Done);
+    }
+    world.report_all();
+    let batch = world.scheduler.take_batch(ROOM, world.now);
+    assert!(batch.progress.len() >= 60, "{}", batch.progress.len());
+}
