--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use scheduler::AssignmentRow;
-use scheduler::HostCounts;
 use scheduler::HostOrderRow;
 use scheduler::JobId;
 use scheduler::JobRecord;
+use scheduler::OwnHosts;
 use scheduler::Progress;
 use scheduler::Scheduler;
 use scheduler::SortedMap;
@@ -97,7 +97,7 @@
     for orders in decode_all::<Vec<HostOrderRow>>(host_orders).values() {
         scheduler.restore_host_orders(orders.clone(), now);
     }
-    for own_hosts in decode_all::<HostCounts>(own_hosts).values() {
+    for own_hosts in decode_all::<OwnHosts>(own_hosts).values() {
         scheduler.restore_own_hosts(own_hosts.clone());
     }
     let (waves, progress): (Vec<Row>, Vec<Row>) =
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -4,7 +4,7 @@
 use crate::WaveId;
 use crate::WorkerId;
 use crate::assignments::AssignmentRow;
-use crate::capacity::HostCounts;
+use crate::capacity::OwnHosts;
 use crate::commit::entries_of;
 use crate::hosts::HostOrderRow;
 use crate::progress::Progress;
@@ -44,7 +44,7 @@
     /// Hosts that were ordered of late, if there are new ones; the orders are sent once it is stored.
     pub host_orders: Option<Vec<HostOrderRow>>,
     /// Hosts that the pools had at first, if that has changed.
-    pub own_hosts: Option<HostCounts>,
+    pub own_hosts: Option<OwnHosts>,
     /// Progress of waves.
     pub waves: Vec<(WaveId, WaveRow)>,
     /// Ends that can be acknowledged once this batch is stored.
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -9,6 +9,9 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::HostName;
 use crate::Moment;
 use crate::PoolName;
@@ -83,6 +86,15 @@
 /// Number of hosts by pool.
 pub type HostCounts = SortedMap<PoolName, usize>;
 
+/// Hosts that the pools had at first, as they are stored.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct OwnHosts {
+    /// Number of hosts by pool.
+    pub by_pool: HostCounts,
+    /// A host was moved since, so that the numbers stay as they are.
+    pub is_settled: bool,
+}
+
 impl Demand {
     fn add(&mut self, work: u64, now: Moment) {
         let longest = RATE_WINDOWS[RATE_WINDOWS.len() - 1];
@@ -150,7 +162,7 @@
     }
 
     /// Takes in how many hosts the pools had at first.
-    pub fn restore_own_hosts(&mut self, own_hosts: HostCounts) {
+    pub fn restore_own_hosts(&mut self, own_hosts: OwnHosts) {
         self.own_hosts = own_hosts;
     }
 
@@ -192,7 +204,7 @@
                 starved_since.is_some_and(|since| now.saturating_sub(*since) >= STARVED_AFTER);
             load.rate_cpu_millis =
                 self.demand.get(name).map_or(0, |demand| demand.rate_cpu_millis(now));
-            load.own_hosts = self.own_hosts.get(name).copied().unwrap_or(0);
+            load.own_hosts = self.own_hosts.by_pool.get(name).copied().unwrap_or(0);
         }
         for host in self.hosts.values().filter(|host| host.entry.state != HostState::Down) {
             if let Some(load) = loads.get_mut(host.pool_to_be()) {
@@ -220,11 +232,11 @@
 
     /// Notes how many hosts the pools have, until one is moved.
     fn note_own_hosts(&mut self, loads: &PoolLoads) {
-        if self.has_moved {
+        if self.own_hosts.is_settled {
             return;
         }
         for (name, load) in loads.iter() {
-            let own = self.own_hosts.entry_or(name.clone(), || 0);
+            let own = self.own_hosts.by_pool.entry_or(name.clone(), || 0);
             if load.hosts > *own {
                 *own = load.hosts;
                 self.is_own_hosts_dirty = true;
@@ -233,7 +245,7 @@
     }
 
     fn move_to(&mut self, host: &HostName, pool: &PoolName) {
-        self.has_moved = true;
+        self.is_own_hosts_dirty |= !std::mem::replace(&mut self.own_hosts.is_settled, true);
         if let Some(host) = self.hosts.get_mut(host) {
             host.goal = Some(Goal::Move(pool.clone()));
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -43,6 +43,7 @@
 pub use batch::BatchRoom;
 pub use batch::EndsStored;
 pub use capacity::HostCounts;
+pub use capacity::OwnHosts;
 pub use capacity::PoolLoad;
 pub use capacity::PoolLoads;
 pub use capacity::host_targets;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -14,7 +14,7 @@
 use crate::WorkerId;
 use crate::advice::Tickets;
 use crate::capacity::Demand;
-use crate::capacity::HostCounts;
+use crate::capacity::OwnHosts;
 use crate::config::Config;
 use crate::evidence::Evidence;
 use crate::hosts::Host;
@@ -69,11 +69,9 @@
     /// Waves.
     pub(crate) waves: SortedMap<WaveId, WaveProgress>,
     /// Hosts that the pools had at first.
-    pub(crate) own_hosts: HostCounts,
+    pub(crate) own_hosts: OwnHosts,
     /// These have changed since they were last handed out to be stored.
     pub(crate) is_own_hosts_dirty: bool,
-    /// A host was moved.
-    pub(crate) has_moved: bool,
     /// Demand by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Pools in which a unit found no worker with room, and since when.
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -67,3 +67,21 @@
     lent.sort();
     assert_eq!(lent, [("h2".into(), "p".into()), ("h3".into(), "p".into())]);
 }
+
+#[test]
+fn hosts_that_a_pool_has_at_a_peak_do_not_become_its_own_with_the_next_owner() {
+    let no_bound = Resources::default();
+    let mut world = World::new(&["w1"], config(3, no_bound));
+    world.list_hosts_in(&[("h1", "p", "w1"), ("h2", "spare", "")]);
+    world.pass(seconds(1));
+    let record = job("a", vec![step(32, 1_000)], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    world.pass(seconds(1));
+    let own_hosts =
+        |world: &World| world.scheduler.pool_loads(world.now).get("p").unwrap().own_hosts;
+    assert_eq!(own_hosts(&world), 1);
+    world.take_over(2, config(3, no_bound), seconds(6), &[record]);
+    world.list_hosts_in(&[("h1", "p", "w1"), ("h2", "p", "")]);
+    world.pass(seconds(1));
+    assert_eq!(own_hosts(&world), 1);
+}
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -13,6 +13,7 @@
 use scheduler::HostState;
 use scheduler::JobRecord;
 use scheduler::Moment;
+use scheduler::OwnHosts;
 use scheduler::Pool;
 use scheduler::Progress;
 use scheduler::Queue;
@@ -50,6 +51,7 @@
     pub workers: Vec<FakeWorker>,
     pub stored: SortedMap<Arc<str>, Progress>,
     pub assignments: SortedMap<WorkerId, AssignmentRow>,
+    pub own_hosts: OwnHosts,
     pub now: Moment,
     /// Actions other than starts and stops.
     pub others: Vec<Action>,
@@ -137,6 +139,7 @@
             workers: workers.collect(),
             stored: SortedMap::default(),
             assignments: SortedMap::default(),
+            own_hosts: OwnHosts::default(),
             now,
             others: Vec::new(),
         };
@@ -168,6 +171,7 @@
             let progress = self.stored.get(&record.id).cloned().unwrap_or_default();
             self.scheduler.restore_job(record.clone(), &progress, self.now);
         }
+        self.scheduler.restore_own_hosts(self.own_hosts.clone());
         let assignments = self.assignments.clone();
         self.scheduler.restore_assignments(assignments, lease_left, self.now);
     }
@@ -229,6 +233,9 @@
             for id in &batch.unassigned {
                 self.assignments.remove(id);
             }
+            if let Some(own_hosts) = &batch.own_hosts {
+                self.own_hosts = own_hosts.clone();
+            }
             self.scheduler.committed(&batch, self.now);
             for stored in &batch.ends {
                 self.worker(&stored.worker).ended.retain(|end| end.number > stored.number);
