Explain a job from its log lines; serve histograms at the metrics address

The orders to start of a job are one line (runs-ordered) instead of one each, of which at 2,000 a second nine of ten were left out; ends other than done are told (decision, run ended). Added: waits, starts, ends stored, transactions, take-overs.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod entry;
 pub mod http;
+pub mod metrics;
 pub mod ports;
 pub mod rows;
 
--- /dev/null
+++ b/crates/coordinator/src/metrics.rs
@@ -0,0 +1,75 @@
+//! Names of the metrics of a node.
+
+use telemetry::Declared;
+use telemetry::Kind;
+
+/// Requests with a known queue and key.
+pub const REQUESTS: &str = "requests";
+/// Requests refused for their queue, key or an old configuration.
+pub const REQUESTS_REFUSED: &str = "requests.refused";
+/// Submissions that are not jobs.
+pub const JOBS_MALFORMED: &str = "jobs.malformed";
+/// Time to the answer of a submission.
+pub const JOBS_SUBMIT: &str = "jobs.submit";
+/// Jobs that this owner has stored.
+pub const JOBS_ACCEPTED: &str = "jobs.accepted";
+/// Jobs whose end this owner has stored.
+pub const JOBS_ENDED: &str = "jobs.ended";
+/// Time from the acceptance of a job to the begin of its first unit.
+pub const JOBS_WAIT: &str = "jobs.wait";
+/// Live jobs at this owner.
+pub const JOBS_LIVE: &str = "jobs.live";
+/// Orders to start that workers have carried out.
+pub const RUNS_STARTED: &str = "runs.started";
+/// Orders to start that workers have refused or not answered.
+pub const RUNS_NOT_STARTED: &str = "runs.not-started";
+/// Time of an order to start.
+pub const RUNS_START: &str = "runs.start";
+/// Time from the report of ends to the moment from which on they can be acknowledged.
+pub const ENDS_STORE: &str = "ends.store";
+/// Looks at workers.
+pub const LOOKS: &str = "looks";
+/// Looks that workers did not answer.
+pub const LOOKS_FAILED: &str = "looks.failed";
+/// Time of a transaction of the owner.
+pub const STORE_WRITE: &str = "store.write";
+/// Transactions of the owner that were refused or not answered.
+pub const STORE_FAILED: &str = "store.failed";
+/// Take-overs by this node.
+pub const OWNERSHIP_TAKEN: &str = "ownership.taken";
+/// Time from a take-over to the first decision.
+pub const OWNERSHIP_LOAD: &str = "ownership.load";
+
+/// All metrics of a node.
+pub const METRICS: &[Declared] = &[
+    counter(REQUESTS, "requests with a known queue and key"),
+    counter(REQUESTS_REFUSED, "requests refused for their queue, key or an old configuration"),
+    counter(JOBS_MALFORMED, "submissions that are not jobs"),
+    timer(JOBS_SUBMIT, "time to the answer of a submission"),
+    counter(JOBS_ACCEPTED, "jobs that this owner has stored"),
+    counter(JOBS_ENDED, "jobs whose end this owner has stored"),
+    timer(JOBS_WAIT, "time from the acceptance of a job to the begin of its first unit"),
+    gauge(JOBS_LIVE, "live jobs at this owner"),
+    counter(RUNS_STARTED, "orders to start that workers have carried out"),
+    counter(RUNS_NOT_STARTED, "orders to start that workers have refused or not answered"),
+    timer(RUNS_START, "time of an order to start"),
+    timer(ENDS_STORE, "time from the report of ends until they can be acknowledged"),
+    counter(LOOKS, "looks at workers"),
+    counter(LOOKS_FAILED, "looks that workers did not answer"),
+    timer(STORE_WRITE, "time of a transaction of the owner"),
+    counter(STORE_FAILED, "transactions of the owner that were refused or not answered"),
+    counter(OWNERSHIP_TAKEN, "take-overs by this node"),
+    timer(OWNERSHIP_LOAD, "time from a take-over to the first decision"),
+];
+
+const fn counter(name: &'static str, help: &'static str) -> Declared {
+    Declared { name, kind: Kind::Counter, help }
+}
+
+const fn gauge(name: &'static str, help: &'static str) -> Declared {
+    Declared { name, kind: Kind::Gauge, help }
+}
+
+const fn timer(name: &'static str, help: &'static str) -> Declared {
+    Declared { name, kind: Kind::Timer, help }
+}
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -29,6 +29,7 @@
 use crate::follow;
 use crate::http::Client;
 use crate::http::Server;
+use crate::metrics::METRICS;
 use crate::owner;
 use crate::owner::Won;
 use crate::peers;
@@ -87,6 +88,7 @@
         client: Client,
         telemetry: Telemetry,
     ) -> io::Result<Self> {
+        telemetry.declare(METRICS);
         let listener = TcpListener::bind(settings.peer_address).await?;
         settings.peer_address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -119,7 +121,7 @@
         is_fresh && !self.shared.is_stopping()
     }
 
-    /// Totals of the counters.
+    /// Metrics.
     pub fn telemetry(&self) -> &Telemetry {
         &self.shared.telemetry
     }
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -31,6 +31,7 @@
 use self::tally::Tally;
 use crate::clock;
 use crate::election::Reason;
+use crate::metrics;
 use crate::peers::OwnerClient;
 use crate::ports::Platform;
 use crate::ports::RowVersion;
@@ -116,6 +117,7 @@
         None => End::Superseded,
     };
     *shared.owner.lock().expect("no holder panics") = None;
+    shared.telemetry.gauge(metrics::JOBS_LIVE, 0);
     telemetry::log::line("ownership-ended")
         .field("epoch", epoch)
         .text("why", format!("{end:?}"))
@@ -224,7 +226,9 @@
             (false, _) => {}
         }
         self.commit_next(now);
-        for action in self.scheduler.take_actions() {
+        let actions = self.scheduler.take_actions();
+        self.log_starts(&actions);
+        for action in actions {
             self.carry_out(action);
         }
         if is_valid {
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -19,6 +19,7 @@
 use super::event::Event;
 use super::requests::answer;
 use crate::clock;
+use crate::metrics;
 use crate::peers::OwnerClient;
 use crate::ports::Platform;
 use crate::ports::Row;
@@ -222,7 +223,9 @@
         let Some(mut flight) = self.pipeline.in_flight.take() else {
             return;
         };
-        self.tally.transaction(now.saturating_sub(flight.sent_at));
+        let took = now.saturating_sub(flight.sent_at);
+        self.tally.transaction(took);
+        self.shared.telemetry.time(metrics::STORE_WRITE, took);
         let is_answered = matches!(outcome, Written::Committed(_) | Written::Conflict(_));
         let is_unknown = matches!(outcome, Written::Unknown(_));
         self.shared.note_store(is_answered, now);
@@ -240,6 +243,7 @@
                     }
                 }
                 self.pipeline.refuse_accepts();
+                self.shared.telemetry.count(metrics::STORE_FAILED);
                 telemetry::log::line("store-write-failed")
                     .field("sequence", flight.row.sequence)
                     .text("why", why)
@@ -364,6 +368,7 @@
         }
         self.shared.set_owner_row(flight.row.clone(), version);
         for accept in flight.accepts {
+            self.shared.telemetry.count(metrics::JOBS_ACCEPTED);
             telemetry::log::line("job-accepted")
                 .field("job", &*accept.record.id)
                 .field("queue", &*accept.record.queue)
@@ -377,6 +382,7 @@
         self.scheduler.committed(&flight.batch, now);
         for (id, progress) in &flight.batch.progress {
             if let Some(state) = progress.ended {
+                self.shared.telemetry.count(metrics::JOBS_ENDED);
                 telemetry::log::line("job-ended")
                     .field("job", &**id)
                     .text("state", format!("{state:?}"))
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -10,6 +10,7 @@
 use super::Owner;
 use super::event::Event;
 use crate::clock;
+use crate::metrics;
 use crate::ports::LeaseRequest;
 use crate::ports::Platform;
 use crate::ports::ReadError;
@@ -54,7 +55,9 @@
         let scheduler = &self.scheduler;
         let are_all_stored =
             |id: &WorkerId| !scheduler.worker(id).is_some_and(Worker::has_unstored);
-        self.watches.stored(are_all_stored, now);
+        for waited in self.watches.stored(are_all_stored, now) {
+            self.shared.telemetry.time(metrics::ENDS_STORE, waited);
+        }
     }
 
     /// Takes in the answer of a worker.
@@ -73,6 +76,7 @@
                 self.scheduler.worker_gone(&id, "another instance answers", now);
             }
             Err(error) => {
+                self.shared.telemetry.count(metrics::LOOKS_FAILED);
                 telemetry::log::line("worker-silent")
                     .field("worker", &*id)
                     .text("why", error)
@@ -171,6 +175,7 @@
             wait,
         };
         self.tally.look();
+        self.shared.telemetry.count(metrics::LOOKS);
         let shared = self.shared.clone();
         self.spawn(async move {
             let sent_at = clock::now();
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::election::REFUSED_MAX;
 use crate::election::Reason;
+use crate::metrics;
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::Row;
@@ -51,11 +52,14 @@
     loop {
         match read_all(shared, &won).await {
             Ok((scheduler, inbox)) => {
+                let took = clock::now().saturating_sub(began_at);
+                shared.telemetry.count(metrics::OWNERSHIP_TAKEN);
+                shared.telemetry.time(metrics::OWNERSHIP_LOAD, took);
                 telemetry::log::line("ownership-loaded")
                     .field("epoch", won.row.epoch)
                     .field("jobs", scheduler.live_jobs())
                     .field("workers", scheduler.workers().count())
-                    .field("took_ms", (clock::now() - began_at).as_millis() as u64)
+                    .field("took_ms", took.as_millis() as u64)
                     .write();
                 let pipeline = Pipeline::new(won.row, won.version, won.sent_at);
                 return Some(Loaded { scheduler, pipeline, inbox });
--- a/crates/coordinator/src/owner/orders.rs
+++ b/crates/coordinator/src/owner/orders.rs
@@ -4,15 +4,21 @@
 
 use scheduler::Action;
 use scheduler::HostName;
+use scheduler::JobId;
 use scheduler::Moment;
+use scheduler::SortedMap;
 use scheduler::StartOrder;
+use scheduler::StartReply;
 use scheduler::WaveId;
 use scheduler::WaveState;
+use serde_json::Value;
+use serde_json::json;
 
 use super::Owner;
 use super::event::Event;
 use super::event::HostOrder;
 use crate::clock;
+use crate::metrics;
 use crate::ports::Platform;
 use crate::ports::Written;
 
@@ -32,13 +38,16 @@
                 self.take_report(worker, sent_at, result);
             }
             Event::Started { worker, unit, run, reply } => {
-                telemetry::log::line("run-ordered")
-                    .text("unit", &unit)
-                    .field("run", run)
-                    .field("worker", &*worker)
-                    .field("epoch", self.epoch)
-                    .text("reply", format!("{reply:?}"))
-                    .write();
+                if reply != StartReply::Started {
+                    telemetry::log::line("run-not-started")
+                        .text("unit", &unit)
+                        .field("run", run)
+                        .field("worker", &*worker)
+                        .field("epoch", self.epoch)
+                        .text("reply", format!("{reply:?}"))
+                        .write();
+                }
+                self.count_start(&unit.job, reply, now);
                 self.scheduler.start_reply(&worker, &unit, run, reply, now);
             }
             Event::Stopped { worker, unit, run, is_answered } => {
@@ -104,6 +113,25 @@
         }
     }
 
+    /// Logs the runs that are to start, a line a job.
+    pub(super) fn log_starts(&self, actions: &[Action]) {
+        let mut of_jobs: SortedMap<JobId, Vec<Value>> = SortedMap::default();
+        for action in actions {
+            let Action::Start(order) = action else {
+                continue;
+            };
+            let run = json!([order.unit.to_string(), order.run, &*order.worker]);
+            of_jobs.entry_or(order.unit.job.clone(), Vec::new).push(run);
+        }
+        for (job, runs) in of_jobs.iter() {
+            telemetry::log::line("runs-ordered")
+                .field("job", &**job)
+                .field("runs", runs.clone())
+                .field("epoch", self.epoch)
+                .write();
+        }
+    }
+
     /// Carries out an action.
     pub(super) fn carry_out(&mut self, action: Action) {
         let shared = self.shared.clone();
@@ -156,6 +184,7 @@
             return;
         }
         self.pools_logged_at = now;
+        self.shared.telemetry.gauge(metrics::JOBS_LIVE, self.scheduler.live_jobs() as u64);
         for (pool, load) in self.scheduler.pool_loads(now).iter() {
             telemetry::log::line("pool-load")
                 .field("pool", &**pool)
@@ -163,6 +192,9 @@
                 .field("hosts_needed", load.hosts_needed())
                 .field("hosts_kept", load.own_hosts)
                 .field("lasting_hosts", load.lasting_hosts)
+                .field("coming_hosts", load.coming_hosts)
+                .field("lost_hosts", load.lost_hosts)
+                .field("is_starved", load.is_starved)
                 .field("running_cpu_millis", load.running.cpu_millis)
                 .field("waiting_cpu_millis", load.waiting.cpu_millis)
                 .field("rate_cpu_millis", load.rate_cpu_millis)
@@ -170,12 +202,27 @@
         }
     }
 
+    fn count_start(&self, job: &str, reply: StartReply, now: Moment) {
+        let telemetry = &self.shared.telemetry;
+        if reply != StartReply::Started {
+            telemetry.count(metrics::RUNS_NOT_STARTED);
+            return;
+        }
+        telemetry.count(metrics::RUNS_STARTED);
+        if let Some(waited) = self.scheduler.waited_to_begin(job, now) {
+            telemetry.time(metrics::JOBS_WAIT, waited);
+        }
+    }
+
     fn start(&mut self, order: StartOrder) {
         self.tally.start();
         let shared = self.shared.clone();
         let token = self.epoch;
         self.spawn(async move {
+            let sent_at = clock::now();
             let reply = shared.platform.start(&order, token).await;
+            let took = clock::now().saturating_sub(sent_at);
+            shared.telemetry.time(metrics::RUNS_START, took);
             let StartOrder { worker, unit, run, .. } = order;
             Event::Started { worker, unit, run, reply }
         });
--- a/crates/coordinator/src/watches.rs
+++ b/crates/coordinator/src/watches.rs
@@ -87,14 +87,22 @@
         self.queue.push(Reverse((watch.due_at, id.clone())));
     }
 
-    /// Asks the workers again whose ends are all stored now.
-    pub fn stored(&mut self, are_all_stored: impl Fn(&WorkerId) -> bool, now: Moment) {
+    /// Asks the workers again whose ends are all stored now; returns how long each has waited.
+    pub fn stored(
+        &mut self,
+        are_all_stored: impl Fn(&WorkerId) -> bool,
+        now: Moment,
+    ) -> Vec<Duration> {
+        let mut waited = Vec::new();
         let waiting = self.watches.iter_mut().filter(|(_, watch)| watch.waits_for_store);
         for (id, watch) in waiting.filter(|(id, _)| are_all_stored(id)) {
+            let answered_at = watch.due_at.saturating_sub(UNSTORED_PAUSE);
+            waited.push(now.saturating_sub(answered_at));
             watch.waits_for_store = false;
             watch.due_at = now;
             self.queue.push(Reverse((now, id.clone())));
         }
+        waited
     }
 
     /// Asks a worker no more.
--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -84,6 +84,10 @@
     Status,
     /// Show the time line of events of all nodes, also of those that are gone.
     Timeline(TimelineArgs),
+    /// Tell the story of a job or unit from the log lines of nodes on a platform.
+    ///
+    /// Marks: `>` the cause of its end, `~` what happened beside it while nothing was heard of it.
+    Explain(ExplainArgs),
     /// Print shell completions.
     Completions {
         /// Shell to print them for.
@@ -91,6 +95,15 @@
     },
 }
 
+/// Arguments of `explain`.
+#[derive(ClapArgs)]
+pub struct ExplainArgs {
+    /// Id of a job, as in 5c0e7a21d94b36f8, or of a unit, as in 5c0e7a21d94b36f8.0.1.17.
+    pub id: String,
+    /// Log files of any number of processes; `-`, or none, for standard input.
+    pub files: Vec<PathBuf>,
+}
+
 /// `contract` commands.
 #[derive(Subcommand)]
 pub enum ContractCommand {
--- a/crates/savorypitch/src/command.rs
+++ b/crates/savorypitch/src/command.rs
@@ -1,6 +1,7 @@
 //! One module a subcommand.
 
 mod contract;
+mod explain;
 mod host;
 mod key;
 mod operation;
@@ -38,6 +39,7 @@
         Command::Operation { id } => operation::run(&client, &id, json),
         Command::Status => status::run(&client, json),
         Command::Timeline(timeline_args) => timeline::run(&client, &timeline_args, json),
+        Command::Explain(explain_args) => explain::run(&explain_args, json),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Args::command(), "savorypitch", &mut io::stdout());
             Ok(())
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -20,7 +20,7 @@
 use crate::worker::OpenEnd;
 
 /// Failures in a row to reach a worker after which it gets no new runs.
-const MISSES_MAX: u32 = 2;
+pub(crate) const MISSES_MAX: u32 = 2;
 /// Percentage of a lasting unit that is wholly at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -147,6 +147,10 @@
         if is_current {
             self.clear_run(key, now);
         }
+        if end.ending != Ending::Done {
+            let why = format!("ending={:?} run={} worker={id}", end.ending, end.run);
+            self.note("run ended", key, why);
+        }
         self.learn(id, key, end.ending, now);
         if is_first {
             self.unit_done(key, now);
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -182,6 +182,12 @@
         self.jobs.values().filter(waits).count()
     }
 
+    /// How long a job has waited for its first unit; none if it has begun.
+    pub fn waited_to_begin(&self, id: &str, now: Moment) -> Option<Duration> {
+        let job = self.jobs.get(id).filter(|job| !job.has_begun)?;
+        Some(now.saturating_sub(job.accepted_at))
+    }
+
     /// Live jobs.
     pub fn live_jobs(&self) -> usize {
         self.jobs.len()
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,10 +1,12 @@
 //! Counters, gauges and timers of one process, kept by `cadence`.
 //!
-//! Metrics go to a StatsD address over UDP if one is set. Totals are also kept in memory, so that
-//! `savorypitch status` can show them without a collector.
+//! Metrics go to a StatsD address over UDP if one is set. They are also kept in memory, so that
+//! `savorypitch status` and a metrics address can show them without a collector.
 
 pub mod log;
 
+mod kept;
+
 use std::io;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
@@ -18,23 +20,54 @@
 use cadence::StatsdClient;
 use cadence::Timed;
 
+use crate::kept::Kept;
+
 /// Prefix of all metric names.
 const PREFIX: &str = "savorypitch";
 
-/// Current total of a counter, or last value of a gauge.
+/// Current total of a counter, last value of a gauge, or number of durations of a timer.
 pub type Total = (String, u64);
 
+/// Kind of a metric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It counts events.
+    Counter,
+    /// It shows a present value.
+    Gauge,
+    /// It measures durations.
+    Timer,
+}
+
+/// A metric that is shown from the start.
+#[derive(Clone, Copy, Debug)]
+pub struct Declared {
+    /// Name, without the prefix.
+    pub name: &'static str,
+    /// Kind.
+    pub kind: Kind,
+    /// What it tells.
+    pub help: &'static str,
+}
+
+impl Declared {
+    /// Name under which the metric is served as text.
+    pub fn served_name(&self) -> String {
+        kept::served_name(&format!("{PREFIX}.{}", self.name), self.kind)
+    }
+}
+
 /// Metrics of one process.
 #[derive(Clone)]
 pub struct Telemetry {
     client: Arc<StatsdClient>,
-    totals: Arc<Mutex<Vec<Total>>>,
+    kept: Arc<Mutex<Kept>>,
 }
 
 impl Telemetry {
     /// Metrics that are kept in memory, and sent to `collector` if there is one.
     pub fn new(collector: Option<SocketAddr>) -> io::Result<Self> {
-        let totals = Arc::new(Mutex::new(Vec::new()));
+        let kept = Arc::new(Mutex::new(Kept::default()));
         let udp = match collector {
             Some(address) => Some((UdpSocket::bind("0.0.0.0:0")?, address)),
             None => None,
@@ -42,8 +75,16 @@
         if let Some((socket, _)) = &udp {
             socket.set_nonblocking(true)?;
         }
-        let sink = Sink { totals: totals.clone(), udp };
-        Ok(Self { client: Arc::new(StatsdClient::from_sink(PREFIX, sink)), totals })
+        let sink = Sink { kept: kept.clone(), udp };
+        Ok(Self { client: Arc::new(StatsdClient::from_sink(PREFIX, sink)), kept })
+    }
+
+    /// Shows metrics from now on, also those that have not been recorded yet.
+    pub fn declare(&self, metrics: &[Declared]) {
+        let mut kept = self.kept.lock().expect("no holder panics");
+        for metric in metrics {
+            kept.declare(&format!("{PREFIX}.{}", metric.name), metric.kind, metric.help);
+        }
     }
 
     /// Adds one to a counter.
@@ -67,51 +108,29 @@
         let _ = self.client.time(name, elapsed);
     }
 
-    /// Totals of all counters and last values of all gauges, sorted by name.
+    /// Totals of all metrics, sorted by name.
     pub fn totals(&self) -> Vec<Total> {
-        self.totals.lock().expect("no holder panics").clone()
+        self.kept.lock().expect("no holder panics").totals()
+    }
+
+    /// All metrics in the text format of Prometheus; timers are histograms in seconds.
+    pub fn text(&self) -> String {
+        self.kept.lock().expect("no holder panics").text()
     }
 }
 
-/// Keeps totals and forwards each metric.
+/// Keeps each metric and forwards it.
 struct Sink {
-    totals: Arc<Mutex<Vec<Total>>>,
+    kept: Arc<Mutex<Kept>>,
     udp: Option<(UdpSocket, SocketAddr)>,
 }
 
 impl MetricSink for Sink {
     fn emit(&self, metric: &str) -> io::Result<usize> {
-        self.keep(metric);
+        self.kept.lock().expect("no holder panics").keep(metric);
         if let Some((socket, address)) = &self.udp {
             return socket.send_to(metric.as_bytes(), address);
         }
         Ok(metric.len())
     }
 }
-
-impl Sink {
-    /// Reads `name:value|kind`, as `cadence` writes it.
-    fn keep(&self, metric: &str) {
-        let Some((name, rest)) = metric.split_once(':') else {
-            return;
-        };
-        let mut parts = rest.split('|');
-        let value = parts.next().and_then(|value| value.parse::<u64>().ok());
-        let (Some(value), Some(kind)) = (value, parts.next()) else {
-            return;
-        };
-        let mut totals = self.totals.lock().expect("no holder panics");
-        let index = match totals.binary_search_by(|(other, _)| other.as_str().cmp(name)) {
-            Ok(index) => index,
-            Err(index) => {
-                totals.insert(index, (name.to_owned(), 0));
-                index
-            }
-        };
-        match kind {
-            "c" => totals[index].1 += value,
-            "g" => totals[index].1 = value,
-            _ => totals[index].1 += 1,
-        }
-    }
-}
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -49,7 +49,12 @@
 
 /// Sends the lines of this process to standard output.
 pub fn init() -> Result<(), spdlog::Error> {
-    let output = io::BufWriter::with_capacity(BUFFER_BYTES, io::stdout());
+    init_to(io::stdout())
+}
+
+/// Sends the lines of this process to `output`.
+pub fn init_to(output: impl io::Write + Send + Sync + 'static) -> Result<(), spdlog::Error> {
+    let output = io::BufWriter::with_capacity(BUFFER_BYTES, output);
     let formatter = PatternFormatter::new(pattern!("{payload}{eol}"));
     let writer = WriteSink::builder().target(output).formatter(formatter).build()?;
     let queue = AsyncPoolSink::builder()
