Count hosts that are lost or maintained as no room of their pool

Change: only hosts that are moved count as coming; lost and maintained ones are asked for once more. Tests first: tests/capacity.rs (fails when lost hosts count as coming).

--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -15,6 +15,7 @@
 use crate::HostName;
 use crate::Moment;
 use crate::PoolName;
+use crate::ends::MISSES_MAX;
 use crate::hosts::Goal;
 use crate::hosts::Host;
 use crate::job::JobRecord;
@@ -66,8 +67,11 @@
     pub lasting_hosts: usize,
     /// Units have waited for a while that fit on none of its workers.
     pub is_starved: bool,
-    /// Workers that take new runs.
-    pub ready_workers: usize,
+    /// Hosts that are on their way to it.
+    pub coming_hosts: usize,
+    /// Hosts that are being maintained, and those whose workers do not answer, have ended, or are in
+    /// quarantine.
+    pub lost_hosts: usize,
     /// Hosts over which the units of a step must be spread.
     pub spread_hosts: usize,
     /// What runs.
@@ -123,13 +127,16 @@
         let for_cpu = hosts_for(wanted.cpu_millis.max(coming), self.host.cpu_millis);
         let for_memory = hosts_for(wanted.memory_mb, self.host.memory_mb);
         // Hosts that are still to come may have room.
-        let have_all_come = self.ready_workers >= self.hosts;
+        let have_all_come = self.coming_hosts == 0;
         let for_starved = if self.is_starved && have_all_come { self.hosts + 1 } else { 0 };
         let for_lasting = match self.lasting_hosts {
             0 => 0,
             hosts => hosts + LASTING_RESERVE,
         };
-        for_cpu.max(for_memory).max(for_starved).max(self.spread_hosts).max(for_lasting)
+        let for_work = for_cpu.max(for_memory).max(self.spread_hosts).max(for_lasting);
+        // Hosts that are lost hold a place in the pool, and none of its work.
+        let for_work = if for_work > 0 { for_work + self.lost_hosts } else { 0 };
+        for_work.max(for_starved)
     }
 }
 
@@ -209,12 +216,14 @@
         for host in self.hosts.values().filter(|host| host.entry.state != HostState::Down) {
             if let Some(load) = loads.get_mut(host.pool_to_be()) {
                 load.hosts += 1;
+                let is_coming = host.is_moving(now);
+                load.coming_hosts += usize::from(is_coming);
+                load.lost_hosts += usize::from(!is_coming && self.is_lost(host, now));
             }
         }
         for worker in self.workers.values() {
             if let Some(load) = loads.get_mut(&worker.entry.pool) {
                 load.running += worker.used;
-                load.ready_workers += usize::from(self.takes_runs(worker, now));
                 let capacity = worker.entry.capacity;
                 load.host.cpu_millis = load.host.cpu_millis.max(capacity.cpu_millis);
                 load.host.memory_mb = load.host.memory_mb.max(capacity.memory_mb);
@@ -230,6 +239,19 @@
         loads
     }
 
+    /// True if a host cannot be used, for all that is known.
+    fn is_lost(&self, host: &Host, now: Moment) -> bool {
+        if host.entry.state == HostState::Maintained {
+            return true;
+        }
+        let worker = host.entry.worker.as_ref().and_then(|id| self.workers.get(id));
+        worker.is_none_or(|worker| {
+            !worker.is_listed
+                || worker.misses >= MISSES_MAX
+                || self.evidence.is_quarantined(&worker.entry.id, now)
+        })
+    }
+
     /// Notes how many hosts the pools have, until one is moved.
     fn note_own_hosts(&mut self, loads: &PoolLoads) {
         if self.own_hosts.is_settled {
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// True if it is to move to another pool, or on its way.
+    pub fn is_moving(&self, now: Moment) -> bool {
+        let is_away = self.entry.state != HostState::Maintained && now < self.away_until;
+        is_away || self.entry.state == HostState::Moving || matches!(self.goal, Some(Goal::Move(_)))
+    }
+
     /// True if it works and nothing is planned for it.
     pub fn is_free(&self, now: Moment) -> bool {
         self.entry.state == HostState::Up && self.goal.is_none() && now >= self.away_until
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -8,10 +8,12 @@
 use scheduler::PoolLoad;
 use scheduler::PoolLoads;
 use scheduler::Resources;
+use scheduler::Step;
 use scheduler::host_targets;
 use world::World;
 use world::config;
 use world::job;
+use world::millis;
 use world::seconds;
 use world::step;
 
@@ -85,3 +87,47 @@
     world.pass(seconds(1));
     assert_eq!(own_hosts(&world), 1);
 }
+
+#[test]
+fn a_pool_whose_workers_are_lost_gets_other_hosts_for_units_that_last() {
+    let no_bound = Resources::default();
+    let mut world = World::new(&["w1", "w2", "w3"], config(3, no_bound));
+    let own = [("h1", "p", "w1"), ("h2", "p", "w2"), ("h3", "p", "w3")];
+    let spare = [("h4", "spare", ""), ("h5", "spare", "")];
+    world.list_hosts_in(&[&own[..], &spare[..]].concat());
+    // One unit on each host, with one host in reserve.
+    let lasting = Step { is_lasting: true, per_worker_max: 1, ..step(2, 10_000) };
+    world.scheduler.add_job(job("a", vec![lasting], world.now), world.now);
+    world.pass(seconds(1));
+    assert!(!world.others.iter().any(|action| matches!(action, Action::MoveHost { .. })));
+    let runs = |world: &World, id: &str| !world.scheduler.worker(id).unwrap().runs.is_empty();
+    let used: Vec<&str> = ["w1", "w2", "w3"].into_iter().filter(|id| runs(&world, id)).collect();
+    let silent: Vec<&str> = ["w1", "w2", "w3"].into_iter().filter(|id| *id != used[0]).collect();
+    for id in &silent {
+        world.worker(id).answers = false;
+    }
+    for _ in 0..40 {
+        for id in &silent {
+            world.scheduler.no_answer(&(*id).into(), world.now);
+        }
+        world.pass(millis(200));
+    }
+    let is_fetched =
+        |action: &Action| matches!(action, Action::MoveHost { pool, .. } if &**pool == "p");
+    assert!(world.others.iter().any(is_fetched));
+}
+
+#[test]
+fn a_wave_that_keeps_hosts_away_does_not_keep_a_pool_from_others() {
+    let away = |coming_hosts, lost_hosts| PoolLoad {
+        hosts: 3,
+        is_starved: true,
+        lasting_hosts: 2,
+        coming_hosts,
+        lost_hosts,
+        ..PoolLoad::default()
+    };
+    assert_eq!(away(0, 0).hosts_needed(), 4, "no host is on its way");
+    assert_eq!(away(1, 0).hosts_needed(), 3, "the one that comes may have room");
+    assert_eq!(away(1, 2).hosts_needed(), 5, "those that are maintained have none");
+}
