Write the owner's rows and the inbox to parts of their own

The owner, the nodes that store submissions in the inbox because the owner is late, the workers that register and the operators all wrote to the same part. Reads by key (get) replace reads by prefix. Hosts that are emptied for a wave count as lost to their pool.

--- a/crates/coordinator/src/entry.rs
+++ b/crates/coordinator/src/entry.rs
@@ -352,21 +352,21 @@
         id: &str,
     ) -> Result<Option<(JobView, Option<TeamName>)>, ReadError> {
         let platform = &self.shared.platform;
-        // A job leaves the inbox with the transaction that writes its record, and its record goes with
-        // the one that writes how it ended; read in this order, it is found at one of the places.
-        let inbox = platform.read(Table::Inbox, &inbox_key("submit", id)).await?;
-        let record = platform.read(Table::Jobs, id).await?;
-        let progress = platform.read(Table::Progress, id).await?;
-        let progress: Option<Progress> = read_first(&progress);
+        // A job leaves the inbox once its record is written, and its record goes with the transaction
+        // that writes how it ended; read in this order, it is found at one of the places.
+        let inbox = platform.get(Table::Inbox, &inbox_key("submit", id)).await?;
+        let record = platform.get(Table::Jobs, id).await?;
+        let progress = platform.get(Table::Progress, id).await?;
+        let progress: Option<Progress> = decode(progress);
         if let Some(state) = progress.as_ref().and_then(|progress| progress.ended) {
             let team = progress.and_then(|progress| progress.team).map(Into::into);
             return Ok(Some((JobView::Ended(state), team)));
         }
-        if let Some(record) = read_first::<JobRecord>(&record) {
+        if let Some(record) = decode::<JobRecord>(record) {
             let view = if progress.is_some() { JobView::Running } else { JobView::Queued };
             return Ok(Some((view, record.team)));
         }
-        match read_first::<InboxRow>(&inbox) {
+        match decode::<InboxRow>(inbox) {
             Some(InboxRow::Submit(record)) => Ok(Some((JobView::Queued, record.team))),
             _ => Ok(None),
         }
@@ -393,8 +393,8 @@
     config.keys.get(key?).cloned()
 }
 
-fn read_first<T: serde::de::DeserializeOwned>(rows: &[crate::ports::Row]) -> Option<T> {
-    let row = rows.first()?;
+fn decode<T: serde::de::DeserializeOwned>(row: Option<crate::ports::Row>) -> Option<T> {
+    let row = row?;
     match rows::decode(&row.key, &row.value) {
         Ok(value) => Some(value),
         Err(error) => {
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -246,8 +246,7 @@
 async fn read_owner<P: Platform>(
     shared: &Shared<P>,
 ) -> Result<Option<(OwnerRow, RowVersion)>, ReadError> {
-    let found = shared.platform.read(Table::Owner, OWNER_KEY).await?;
-    let Some(found) = found.into_iter().next() else {
+    let Some(found) = shared.platform.get(Table::Owner, OWNER_KEY).await? else {
         return Ok(None);
     };
     let row = rows::decode(&found.key, &found.value);
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -226,6 +226,7 @@
             (false, _) => {}
         }
         self.commit_next(now);
+        self.clear_inbox();
         let actions = self.scheduler.take_actions();
         self.log_starts(&actions);
         for action in actions {
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -37,11 +37,11 @@
 
 /// Jobs that one transaction accepts at most.
 const ACCEPTS_MAX: usize = 16;
-/// Rows of the scheduler's that one transaction holds at most; with the owner's row, the accepted jobs
-/// and the inbox, it is below what a store takes.
-const BATCH_MAX: BatchRoom = BatchRoom { entries: 70, progress: 70 };
-/// Rows of the inbox that one transaction removes at most.
-const INBOX_MAX: usize = 10;
+/// Rows of the scheduler's that one transaction holds at most; with the owner's row and the accepted
+/// jobs, it is below what a store takes.
+const BATCH_MAX: BatchRoom = BatchRoom { entries: 80, progress: 80 };
+/// Rows of the inbox that are removed together at most.
+const INBOX_MAX: usize = 32;
 /// Time after which the ownership is renewed if nothing else is to be stored.
 const RENEW_AFTER: Duration = Duration::from_millis(500);
 /// Age of a transaction in progress from which on no more jobs are taken; above the time of one of a
@@ -92,6 +92,8 @@
     admitted: Vec<Accept>,
     cancels: Vec<Cancel>,
     inbox: Vec<String>,
+    /// Rows of the inbox are being removed.
+    is_clearing: bool,
     in_flight: Option<InFlight>,
     /// When the transaction in flight is sent again, once it has failed.
     retry_at: Option<Moment>,
@@ -110,6 +112,7 @@
             admitted: Vec::new(),
             cancels: Vec::new(),
             inbox: Vec::new(),
+            is_clearing: false,
             in_flight: None,
             retry_at: None,
             is_sending: false,
@@ -202,9 +205,7 @@
         }
         let batch = self.scheduler.take_batch(BATCH_MAX, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
-        let has_rows = !batch.writes_nothing()
-            || !self.pipeline.admitted.is_empty()
-            || !self.pipeline.inbox.is_empty();
+        let has_rows = !batch.writes_nothing() || !self.pipeline.admitted.is_empty();
         if !has_rows && !is_due && self.release.is_none() {
             if !batch.ends.is_empty() {
                 self.scheduler.committed(&batch, now);
@@ -255,6 +256,35 @@
         }
     }
 
+    /// Removes rows of the inbox whose requests are stored, if none are being removed.
+    pub(super) fn clear_inbox(&mut self) {
+        if self.pipeline.is_clearing {
+            return;
+        }
+        let keys = self.pipeline.ready_inbox();
+        if keys.is_empty() {
+            return;
+        }
+        self.pipeline.is_clearing = true;
+        let shared = self.shared.clone();
+        self.spawn(async move {
+            let outcome = shared.platform.remove_from_inbox(keys.clone()).await;
+            Event::InboxRemoved { keys, outcome }
+        });
+    }
+
+    /// Takes in whether rows of the inbox were removed; else they are removed again.
+    pub(super) fn take_inbox_removed(&mut self, keys: Vec<String>, outcome: Written) {
+        self.pipeline.is_clearing = false;
+        if matches!(outcome, Written::Committed(_)) {
+            return;
+        }
+        telemetry::log::line("inbox-not-cleared").text("why", format!("{outcome:?}")).write();
+        for key in keys {
+            self.pipeline.drop_inbox(key);
+        }
+    }
+
     /// Takes in the jobs that the next transaction stores, so that their first runs are planned and
     /// stored with them; nothing is ordered before that.
     pub(super) fn admit_accepts(&mut self, now: Moment) {
@@ -330,8 +360,6 @@
         let forgotten = batch.forgotten.iter();
         let removals = forgotten.map(|id| (Table::Progress, id.to_string()));
         transaction.removals.extend(removals);
-        let inbox = pipeline.ready_inbox(&accepts);
-        transaction.removals.extend(inbox.into_iter().map(|key| (Table::Inbox, key)));
         let cancels = pipeline.ready_cancels(&batch);
         let is_uncertain = false;
         InFlight { transaction, row, batch, accepts, cancels, sent_at: now, is_uncertain }
@@ -431,15 +459,12 @@
 }
 
 impl Pipeline {
-    /// Rows of the inbox whose jobs are stored, or are with `accepts`.
-    fn ready_inbox(&mut self, accepts: &[Accept]) -> Vec<String> {
-        let waits = |key: &String| {
-            let job = key.rsplit('/').next().unwrap_or(key);
-            self.accepts.iter().any(|accept| *accept.record.id == *job)
-                && !accepts.iter().any(|accept| *accept.record.id == *job)
-        };
-        let (waiting, mut ready): (Vec<String>, Vec<String>) =
-            std::mem::take(&mut self.inbox).into_iter().partition(waits);
+    /// Rows of the inbox whose jobs are stored.
+    fn ready_inbox(&mut self) -> Vec<String> {
+        let keys = std::mem::take(&mut self.inbox);
+        let is_stored = |key: &String| !self.is_accepting(key.rsplit('/').next().unwrap_or(key));
+        let (mut ready, waiting): (Vec<String>, Vec<String>) =
+            keys.into_iter().partition(is_stored);
         let rest = ready.split_off(ready.len().min(INBOX_MAX));
         self.inbox = waiting;
         self.inbox.extend(rest);
--- a/crates/coordinator/src/owner/event.rs
+++ b/crates/coordinator/src/owner/event.rs
@@ -41,6 +41,8 @@
     },
     /// A transaction was sent.
     Written { outcome: Written },
+    /// Rows of the inbox were to be removed.
+    InboxRemoved { keys: Vec<String>, outcome: Written },
     /// The registry of workers has changed.
     Registered { changes: Changes<WorkerEntry> },
     /// Nodes have stored requests.
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -82,13 +82,13 @@
     let settings = shared.settings.scheduling.clone();
     let lease = settings.lease;
     // A job leaves the inbox for the table of jobs, so that it is found in one of them in this order.
-    let inbox = shared.platform.read(Table::Inbox, "").await?;
+    let inbox = shared.platform.read_whole(Table::Inbox).await?.changed;
     let (jobs, progress, assignments, host_orders, own_hosts) = tokio::try_join!(
-        shared.platform.read(Table::Jobs, ""),
-        shared.platform.read(Table::Progress, ""),
-        shared.platform.read(Table::Assignments, ""),
-        shared.platform.read(Table::Owner, HOST_ORDERS_KEY),
-        shared.platform.read(Table::Owner, OWN_HOSTS_KEY),
+        shared.platform.read_whole(Table::Jobs),
+        shared.platform.read_whole(Table::Progress),
+        shared.platform.read_whole(Table::Assignments),
+        shared.platform.get(Table::Owner, HOST_ORDERS_KEY),
+        shared.platform.get(Table::Owner, OWN_HOSTS_KEY),
     )?;
     let workers = shared.platform.registered(None, Duration::ZERO).await?;
     let now = clock::now();
@@ -105,21 +105,21 @@
         scheduler.restore_own_hosts(own_hosts.clone());
     }
     let (waves, progress): (Vec<Row>, Vec<Row>) =
-        progress.into_iter().partition(|row| row.key.starts_with(rows::WAVE_PREFIX));
+        progress.changed.into_iter().partition(|row| row.key.starts_with(rows::WAVE_PREFIX));
     for (key, row) in decode_all::<WaveRow>(waves).iter() {
         if let Ok(wave) = key[rows::WAVE_PREFIX.len()..].parse() {
             scheduler.restore_wave(wave, row.clone());
         }
     }
     let mut progress: SortedMap<String, Progress> = decode_all(progress);
-    for (id, record) in decode_all::<JobRecord>(jobs).iter() {
+    for (id, record) in decode_all::<JobRecord>(jobs.changed).iter() {
         let known = progress.remove(id).unwrap_or_default();
         scheduler.restore_job(Arc::new(record.clone()), &known, now);
     }
     for (id, known) in progress.iter() {
         scheduler.restore_ended(JobId::from(id.as_str()), known, now);
     }
-    let assignments = decode_all::<AssignmentRow>(assignments);
+    let assignments = decode_all::<AssignmentRow>(assignments.changed);
     let assignments = assignments.iter().map(|(id, row)| (id.as_str().into(), row.clone()));
     scheduler.restore_assignments(assignments.collect(), lease_left, now);
     Ok((scheduler, inbox))
@@ -138,7 +138,9 @@
     }
 }
 
-fn decode_all<T: serde::de::DeserializeOwned>(rows: Vec<Row>) -> SortedMap<String, T> {
+fn decode_all<T: serde::de::DeserializeOwned>(
+    rows: impl IntoIterator<Item = Row>,
+) -> SortedMap<String, T> {
     let decode = |row: Row| match rows::decode::<T>(&row.key, &row.value) {
         Ok(value) => Some((row.key, value)),
         Err(error) => {
--- a/crates/coordinator/src/owner/orders.rs
+++ b/crates/coordinator/src/owner/orders.rs
@@ -70,6 +70,7 @@
                 }
             },
             Event::Written { outcome } => self.take_written(outcome),
+            Event::InboxRemoved { keys, outcome } => self.take_inbox_removed(keys, outcome),
             Event::Registered { changes } => {
                 self.watches_reviewed_at = Moment::ZERO;
                 if changes.is_whole {
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -158,12 +158,12 @@
 
 /// The platform's table.
 pub trait Store: Send + Sync + 'static {
-    /// Rows of a table in key order, of one moment for each page; `prefix` selects keys.
-    fn read(
+    /// A row; none if there is none with this key.
+    fn get(
         &self,
         table: Table,
-        prefix: &str,
-    ) -> impl Future<Output = Result<Vec<Row>, ReadError>> + Send;
+        key: &str,
+    ) -> impl Future<Output = Result<Option<Row>, ReadError>> + Send;
 
     /// All rows of a table, with the version from which on changes are to be asked for.
     fn read_whole(
@@ -179,8 +179,12 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<Row>, ReadError>> + Send;
 
-    /// Writes rows.
+    /// Writes rows. Those of the inbox are written without those of other tables, so that neither
+    /// waits for the other.
     fn write(&self, transaction: Transaction) -> impl Future<Output = Written> + Send;
+
+    /// Removes rows of the inbox, not all at once.
+    fn remove_from_inbox(&self, keys: Vec<String>) -> impl Future<Output = Written> + Send;
 }
 
 /// What operators have written, and what they are told.
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -244,16 +244,13 @@
     Node::start(settings, memory.clone(), Client::default(), telemetry).await.unwrap()
 }
 
-impl Store for Memory {
-    async fn read(&self, table: Table, prefix: &str) -> Result<Vec<Row>, ReadError> {
+impl Memory {
+    fn read(&self, table: Table) -> Result<Vec<Row>, ReadError> {
         let data = self.data.lock().unwrap();
         if !matches!(data.mood, Mood::Well | Mood::LosingAnswers) {
             return Err(ReadError::Refused("the table is away".to_owned()));
         }
-        let rows = data
-            .rows
-            .iter()
-            .filter(|((number, key), _)| *number == table_number(table) && key.starts_with(prefix));
+        let rows = data.rows.iter().filter(|((number, _), _)| *number == table_number(table));
         let row = |((_, key), (value, version)): (&(u8, String), &(Bytes, RowVersion))| Row {
             key: key.clone(),
             value: value.clone(),
@@ -261,13 +258,24 @@
         };
         Ok(rows.map(row).collect())
     }
+}
+
+impl Store for Memory {
+    async fn get(&self, table: Table, key: &str) -> Result<Option<Row>, ReadError> {
+        Ok(self.read(table)?.into_iter().find(|row| row.key == key))
+    }
 
     async fn read_whole(&self, table: Table) -> Result<Changes<Row>, ReadError> {
-        let changed = self.read(table, "").await?;
+        let changed = self.read(table)?;
         let version = self.data.lock().unwrap().version;
         Ok(Changes { changed, removed: Vec::new(), is_whole: true, version })
     }
 
+    async fn remove_from_inbox(&self, keys: Vec<String>) -> Written {
+        let removals = keys.into_iter().map(|key| (Table::Inbox, key)).collect();
+        self.write(Transaction { removals, ..Transaction::default() }).await
+    }
+
     async fn changes(
         &self,
         table: Table,
@@ -280,7 +288,7 @@
         }
         let until = tokio::time::Instant::now() + wait;
         loop {
-            let rows = self.read(table, "").await?;
+            let rows = self.read(table)?;
             let changed: Vec<Row> = rows.into_iter().filter(|row| row.version > after).collect();
             let version = self.data.lock().unwrap().version;
             if !changed.is_empty() || tokio::time::Instant::now() >= until {
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -69,7 +69,7 @@
     pub is_starved: bool,
     /// Hosts that are on their way to it.
     pub coming_hosts: usize,
-    /// Hosts that are being maintained, and those whose workers do not answer, have ended, or are in
+    /// Hosts that are being maintained or emptied for it, and those whose workers do not answer, have ended, or are in
     /// quarantine.
     pub lost_hosts: usize,
     /// Hosts over which the units of a step must be spread.
@@ -241,7 +241,8 @@
 
     /// True if a host cannot be used, for all that is known.
     fn is_lost(&self, host: &Host, now: Moment) -> bool {
-        if host.entry.state == HostState::Maintained {
+        let is_leaving = matches!(host.goal, Some(Goal::Maintain(_)));
+        if is_leaving || host.entry.state == HostState::Maintained {
             return true;
         }
         let worker = host.entry.worker.as_ref().and_then(|id| self.workers.get(id));
