--- a/crates/coordinator/src/election.rs
+++ b/crates/coordinator/src/election.rs
@@ -23,8 +23,9 @@
 /// Time without a change of the owner's row after which it is taken if nothing listens at the owner's
 /// address.
 pub const REFUSED_MAX: Duration = Duration::from_millis(250);
-/// Age of the owner's last transaction up to which it counts as working.
-pub const RENEWAL_AGE_MAX: Duration = Duration::from_millis(1_200);
+/// Age of the owner's last transaction up to which it counts as working; above two transactions of a
+/// slow store, and below the time for which the last one lets the owner act.
+pub const RENEWAL_AGE_MAX: Duration = Duration::from_millis(2_400);
 /// Age of the transaction that made it the owner up to which it may read what is stored; below the
 /// time for which that transaction lets it act.
 pub const LOADING_MAX: Duration = Duration::from_millis(3_000);
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -46,7 +46,7 @@
 const RENEW_AFTER: Duration = Duration::from_millis(500);
 /// Age of a transaction in progress from which on no more jobs are taken; above the time of one of a
 /// slow store.
-const LATE_AFTER: Duration = Duration::from_millis(900);
+const LATE_AFTER: Duration = Duration::from_millis(1_200);
 /// Pause between two questions to followers to take over.
 const ASK_SUCCESSOR_AGAIN: Duration = Duration::from_millis(400);
 /// Pause after a transaction that was refused or not answered.
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -37,8 +37,9 @@
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time for the owner's answer to a call that it answers from memory.
 const STATE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time for the owner's answer to a call that writes to the store.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Time for the owner's answer to a call that writes to the store; above two transactions of a slow
+/// store, the one in progress and the next.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Question whether a node works as the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -66,6 +66,8 @@
     /// It answers.
     #[default]
     Well,
+    /// It takes long for each transaction.
+    Slow,
     /// It refuses all calls, with nothing done.
     Refusing,
     /// It carries writes out and does not answer.
@@ -109,6 +111,9 @@
 /// Processor time of a node, in thousandths of a core.
 const CPU_MILLIS: u64 = 250;
 
+/// Time of a transaction of a slow table.
+const SLOW: Duration = Duration::from_millis(800);
+
 /// The one host.
 pub const HOST: &str = "h1";
 
@@ -247,7 +252,7 @@
 impl Memory {
     fn read(&self, table: Table) -> Result<Vec<Row>, ReadError> {
         let data = self.data.lock().unwrap();
-        if !matches!(data.mood, Mood::Well | Mood::LosingAnswers) {
+        if !matches!(data.mood, Mood::Well | Mood::Slow | Mood::LosingAnswers) {
             return Err(ReadError::Refused("the table is away".to_owned()));
         }
         let rows = data.rows.iter().filter(|((number, _), _)| *number == table_number(table));
@@ -299,11 +304,15 @@
     }
 
     async fn write(&self, transaction: Transaction) -> Written {
+        let is_slow = self.data.lock().unwrap().mood == Mood::Slow;
+        if is_slow {
+            tokio::time::sleep(SLOW).await;
+        }
         let mut data = self.data.lock().unwrap();
         match data.mood {
             Mood::Refusing => return Written::Refused("the table is away".to_owned()),
             Mood::Silent => return Written::Unknown("no answer".to_owned()),
-            Mood::Well | Mood::LosingAnswers => {}
+            Mood::Well | Mood::Slow | Mood::LosingAnswers => {}
         }
         let mut found = Vec::new();
         let mut holds = true;
--- a/crates/coordinator/tests/election.rs
+++ b/crates/coordinator/tests/election.rs
@@ -31,6 +31,13 @@
     assert_eq!(election.heard(&row(1), owner(300)), Step::Rest);
 }
 
+#[test]
+fn an_owner_whose_store_is_slow_is_left_alone() {
+    let mut election = Election::default();
+    // Two transactions of 800 ms each.
+    assert_eq!(election.heard(&row(1), owner(1_700)), Step::Rest);
+}
+
 #[rstest]
 #[case::another_process_at_its_address(Answer::NotOwner { incarnation: 8 }, Reason::Ended)]
 #[case::it_cannot_write(owner(5_000), Reason::Stuck)]
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -247,3 +247,22 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert_eq!(memory.owner().epoch, 2, "it stays there");
 }
+
+#[tokio::test]
+async fn a_slow_table_neither_changes_the_owner_nor_refuses_jobs() {
+    let memory = Memory::new(Duration::from_millis(50));
+    let first = start_node("n1", &memory).await;
+    wait_ready(&first).await;
+    assert_eq!(submit(&first, "a").await, Submitted::Accepted);
+    let second = start_node("n2", &memory).await;
+    wait_ready(&second).await;
+    memory.set_mood(Mood::Slow);
+    // Some transactions later, whichever is in progress.
+    for id in ["b", "c", "d", "e"] {
+        assert_eq!(submit(&second, id).await, Submitted::Accepted, "{id}");
+        tokio::time::sleep(Duration::from_millis(350)).await;
+    }
+    assert_eq!(memory.owner().epoch, 1);
+    assert!(memory.rows(Table::Inbox).is_empty(), "the owner takes all of them");
+    wait_for(&second, "e", COMPLETED).await;
+}
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -67,6 +67,10 @@
     pub lasting_hosts: usize,
     /// Units have waited for a while that fit on none of its workers.
     pub is_starved: bool,
+    /// Units that last have waited for a while that fit on none of its workers.
+    pub is_lasting_starved: bool,
+    /// Workers that take new runs.
+    pub ready_workers: usize,
     /// Hosts that are on their way to it.
     pub coming_hosts: usize,
     /// Hosts that are being maintained or emptied for it, and those whose workers do not answer, have ended, or are in
@@ -127,16 +131,23 @@
         let for_cpu = hosts_for(wanted.cpu_millis.max(coming), self.host.cpu_millis);
         let for_memory = hosts_for(wanted.memory_mb, self.host.memory_mb);
         // Hosts that are still to come may have room.
-        let have_all_come = self.coming_hosts == 0;
+        let have_all_come = self.ready_workers >= self.hosts;
         let for_starved = if self.is_starved && have_all_come { self.hosts + 1 } else { 0 };
-        let for_lasting = match self.lasting_hosts {
-            0 => 0,
-            hosts => hosts + LASTING_RESERVE,
-        };
-        let for_work = for_cpu.max(for_memory).max(self.spread_hosts).max(for_lasting);
-        // Hosts that are lost hold a place in the pool, and none of its work.
-        let for_work = if for_work > 0 { for_work + self.lost_hosts } else { 0 };
-        for_work.max(for_starved)
+        for_cpu.max(for_memory).max(for_starved).max(self.spread_hosts).max(self.for_lasting())
+    }
+
+    /// Hosts that it needs for units that last. While one of them finds no room, hosts that are lost or
+    /// leave for a wave are replaced: a wave may keep some away all the time.
+    fn for_lasting(&self) -> usize {
+        if self.lasting_hosts == 0 && !self.is_lasting_starved {
+            return 0;
+        }
+        let wanted = self.lasting_hosts + LASTING_RESERVE;
+        match (self.is_lasting_starved, self.coming_hosts) {
+            (false, _) => wanted,
+            (true, 0) => (wanted + self.lost_hosts).max(self.hosts + 1),
+            (true, _) => wanted + self.lost_hosts,
+        }
     }
 }
 
@@ -206,9 +217,9 @@
         let mut loads: PoolLoads =
             pools.map(|(name, _)| (name.clone(), PoolLoad::default())).collect();
         for (name, load) in loads.iter_mut() {
-            let starved_since = self.starved_since.get(name);
-            load.is_starved =
-                starved_since.is_some_and(|since| now.saturating_sub(*since) >= STARVED_AFTER);
+            let is_long = |since: &Moment| now.saturating_sub(*since) >= STARVED_AFTER;
+            load.is_starved = self.starved_since.get(name).is_some_and(is_long);
+            load.is_lasting_starved = self.lasting_starved_since.get(name).is_some_and(is_long);
             load.rate_cpu_millis =
                 self.demand.get(name).map_or(0, |demand| demand.rate_cpu_millis(now));
             load.own_hosts = self.own_hosts.by_pool.get(name).copied().unwrap_or(0);
@@ -224,6 +235,7 @@
         for worker in self.workers.values() {
             if let Some(load) = loads.get_mut(&worker.entry.pool) {
                 load.running += worker.used;
+                load.ready_workers += usize::from(self.takes_runs(worker, now));
                 let capacity = worker.entry.capacity;
                 load.host.cpu_millis = load.host.cpu_millis.max(capacity.cpu_millis);
                 load.host.memory_mb = load.host.memory_mb.max(capacity.memory_mb);
@@ -245,12 +257,13 @@
         if is_leaving || host.entry.state == HostState::Maintained {
             return true;
         }
-        let worker = host.entry.worker.as_ref().and_then(|id| self.workers.get(id));
-        worker.is_none_or(|worker| {
-            !worker.is_listed
-                || worker.misses >= MISSES_MAX
-                || self.evidence.is_quarantined(&worker.entry.id, now)
-        })
+        let Some(worker) = host.entry.worker.as_ref().and_then(|id| self.workers.get(id)) else {
+            // A host that has just been found may be starting.
+            return host.had_worker;
+        };
+        !worker.is_listed
+            || worker.misses >= MISSES_MAX
+            || self.evidence.is_quarantined(&worker.entry.id, now)
     }
 
     /// Notes how many hosts the pools have, until one is moved.
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -76,14 +76,23 @@
     pub not_before: Moment,
     /// Until when an accepted order keeps it away.
     pub away_until: Moment,
+    /// A worker was on it since this owner has found it.
+    pub had_worker: bool,
     /// Worker that the last accepted order has ended.
     pub ended_worker: Option<WorkerId>,
 }
 
 impl Host {
     fn new(entry: HostEntry) -> Self {
-        let (not_before, away_until) = (Moment::ZERO, Moment::ZERO);
-        Self { entry, goal: None, is_ordered: false, not_before, away_until, ended_worker: None }
+        Self {
+            entry,
+            goal: None,
+            is_ordered: false,
+            not_before: Moment::ZERO,
+            away_until: Moment::ZERO,
+            had_worker: false,
+            ended_worker: None,
+        }
     }
 
     /// The pool in which it works, or is to work.
@@ -123,6 +132,7 @@
             if is_back {
                 host.away_until = host.away_until.min(now);
             }
+            host.had_worker |= entry.worker.is_some();
             if now >= host.away_until {
                 host.entry = entry;
             }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -16,6 +16,8 @@
 use crate::live::Run;
 use crate::live::Unit;
 use crate::order::Rank;
+use crate::order::Urgency;
+use crate::sorted::SortedMap;
 use crate::state::Scheduler;
 
 /// Time between two reviews.
@@ -90,18 +92,18 @@
         for of_pool in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &of_pool[0].pool;
             let mut candidates = self.candidates(pool, now);
-            let mut is_starved = false;
+            let (mut is_starved, mut is_lasting_starved) = (false, false);
             for step in of_pool {
-                is_starved |= self.place_step(step, &mut candidates, now) == Placed::NoRoom;
-            }
-            if is_starved {
-                self.starved_since.entry_or(pool.clone(), || now);
-            } else {
-                self.starved_since.remove(pool);
+                let has_no_room = self.place_step(step, &mut candidates, now) == Placed::NoRoom;
+                is_starved |= has_no_room;
+                is_lasting_starved |= has_no_room && step.rank.urgency == Urgency::Lasting;
             }
+            note_since(&mut self.starved_since, pool, is_starved, now);
+            note_since(&mut self.lasting_starved_since, pool, is_lasting_starved, now);
         }
         let is_waiting = |pool: &PoolName| waiting.iter().any(|step| step.pool == *pool);
         self.starved_since.retain(|pool, _| is_waiting(pool));
+        self.lasting_starved_since.retain(|pool, _| is_waiting(pool));
     }
 
     fn waiting_steps(&self, now: Moment) -> Vec<Waiting> {
@@ -282,6 +284,15 @@
     }
 }
 
+/// Notes since when something is so of a pool.
+fn note_since(since: &mut SortedMap<PoolName, Moment>, pool: &PoolName, is_so: bool, now: Moment) {
+    if is_so {
+        since.entry_or(pool.clone(), || now);
+    } else {
+        since.remove(pool);
+    }
+}
+
 /// True if all steps that a step depends on are done. That may not be stored yet: an order to start goes
 /// out only once it is, with the run or before.
 pub(crate) fn is_ready(step: &Step, occurrence: &Occurrence) -> bool {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -76,6 +76,8 @@
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Pools in which a unit found no worker with room, and since when.
     pub(crate) starved_since: SortedMap<PoolName, Moment>,
+    /// The same of units that last.
+    pub(crate) lasting_starved_since: SortedMap<PoolName, Moment>,
     /// Number from which the runs of this owner count.
     pub(crate) run_base: u32,
     /// Difference between the Unix epoch and the clock of moments, in milliseconds.
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -119,15 +119,38 @@
 
 #[test]
 fn a_wave_that_keeps_hosts_away_does_not_keep_a_pool_from_others() {
-    let away = |coming_hosts, lost_hosts| PoolLoad {
+    let away = |is_lasting_starved, coming_hosts, lost_hosts| PoolLoad {
         hosts: 3,
-        is_starved: true,
+        is_starved: is_lasting_starved,
+        is_lasting_starved,
         lasting_hosts: 2,
         coming_hosts,
         lost_hosts,
         ..PoolLoad::default()
     };
-    assert_eq!(away(0, 0).hosts_needed(), 4, "no host is on its way");
-    assert_eq!(away(1, 0).hosts_needed(), 3, "the one that comes may have room");
-    assert_eq!(away(1, 2).hosts_needed(), 5, "those that are maintained have none");
+    assert_eq!(away(false, 0, 2).hosts_needed(), 3, "nothing waits");
+    assert_eq!(away(true, 0, 0).hosts_needed(), 4, "no host is on its way");
+    assert_eq!(away(true, 1, 0).hosts_needed(), 3, "the one that comes may have room");
+    assert_eq!(away(true, 1, 2).hosts_needed(), 5, "those that are away have none");
+}
+
+#[test]
+fn hosts_that_are_still_starting_are_not_lost() {
+    let no_bound = Resources::default();
+    let mut world = World::new(&["w1"], config(3, no_bound));
+    let lasting = Step { is_lasting: true, ..step(2, 1_000) };
+    world.scheduler.add_job(job("a", vec![lasting], world.now), world.now);
+    world.list_hosts_in(&[
+        ("h1", "p", "w1"),
+        ("h2", "p", ""),
+        ("h3", "p", ""),
+        ("h4", "spare", ""),
+    ]);
+    world.pass(seconds(1));
+    let load = *world.scheduler.pool_loads(world.now).get("p").unwrap();
+    assert_eq!((load.hosts, load.lost_hosts), (3, 0));
+    assert!(!world.others.iter().any(|action| matches!(action, Action::MoveHost { .. })));
+    // A worker that was there and is not any more is lost.
+    world.list_hosts_in(&[("h1", "p", ""), ("h2", "p", ""), ("h3", "p", ""), ("h4", "spare", "")]);
+    assert_eq!(world.scheduler.pool_loads(world.now).get("p").unwrap().lost_hosts, 1);
 }
