--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -334,10 +334,9 @@
         }
         for (id, progress) in &batch.progress {
             transaction.puts.push((Table::Progress, id.to_string(), rows::encode(progress)));
-            if progress.ended.is_some() {
-                transaction.removals.push((Table::Jobs, id.to_string()));
-            }
         }
+        let recordless = batch.recordless.iter();
+        transaction.removals.extend(recordless.map(|id| (Table::Jobs, id.to_string())));
         for (worker, row) in &batch.assignments {
             let value = rows::encode(row);
             transaction.puts.push((Table::Assignments, worker.to_string(), value));
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -11,12 +11,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::JobId;
 use crate::Moment;
 use crate::PoolName;
 use crate::WorkerId;
 use crate::batch::Batch;
 use crate::job::UnitKey;
-use crate::live::Done;
 use crate::live::Phase;
 use crate::live::Run;
 use crate::report::Action;
@@ -95,6 +95,10 @@
         for (key, run, worker) in runs {
             self.adopt_in_doubt(&key, run, worker, now);
         }
+        let ended = self.jobs.iter().filter(|(_, job)| job.is_ending_stored);
+        for id in ended.map(|(id, _)| id.clone()).collect::<Vec<JobId>>() {
+            self.drop_finished(&id, now);
+        }
     }
 
     /// Forgets a worker on which nothing can run any more.
@@ -176,12 +180,14 @@
     }
 
     fn adopt_in_doubt(&mut self, key: &UnitKey, number: u32, worker: WorkerId, now: Moment) {
-        let is_open =
-            self.unit(key).is_some_and(|unit| unit.done == Done::No && unit.run.is_none());
         let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
-        let Some(step) = step.filter(|_| is_open) else {
+        let (Some(step), Some(unit)) = (step, self.unit(key)) else {
             return;
         };
+        // A unit that is done may still run: its gang has ended, or another run of it has.
+        if unit.run.is_some() {
+            return;
+        }
         let run = Run::new(number, worker, Phase::InDoubt, step, now);
         self.add_run(key, run, now);
     }
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -5,7 +5,6 @@
 use crate::WorkerId;
 use crate::assignments::AssignmentRow;
 use crate::capacity::OwnHosts;
-use crate::commit::entries_of;
 use crate::hosts::HostOrderRow;
 use crate::progress::Progress;
 use crate::waves::WaveRow;
@@ -35,6 +34,8 @@
 pub struct Batch {
     /// Progress of jobs, by id.
     pub progress: Vec<(JobId, Progress)>,
+    /// Ended jobs of which no run is left: their records are removed.
+    pub recordless: Vec<JobId>,
     /// Ended jobs that need not be remembered any longer.
     pub forgotten: Vec<JobId>,
     /// What workers run or are to run, of those whose row lacks a run.
@@ -55,6 +56,7 @@
     /// True if no row has to be written.
     pub fn writes_nothing(&self) -> bool {
         self.progress.is_empty()
+            && self.recordless.is_empty()
             && self.forgotten.is_empty()
             && self.waves.is_empty()
             && self.assignments.is_empty()
@@ -64,8 +66,8 @@
     }
     /// Rows that it writes or removes.
     pub fn entries(&self) -> usize {
-        let progress: usize = self.progress.iter().map(|(_, progress)| entries_of(progress)).sum();
-        progress
+        self.progress.len()
+            + self.recordless.len()
             + self.forgotten.len()
             + self.assignments.len()
             + self.unassigned.len()
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -56,6 +56,7 @@
             is_ending_stored: false,
             is_dirty: false,
             has_begun: false,
+            has_record: true,
         };
         self.jobs.insert(record.id.clone(), job);
         self.begin_due_occurrences(&record.id, now);
@@ -132,6 +133,8 @@
         let left = room.entries.saturating_sub(batch.entries());
         self.add_assignments(&mut batch, left);
         let left = room.entries.saturating_sub(batch.entries());
+        self.add_recordless(&mut batch, left);
+        let left = room.entries.saturating_sub(batch.entries());
         self.add_forgotten(&mut batch, left, now);
         batch
     }
@@ -148,12 +151,22 @@
             };
             job.is_dirty = false;
             mark(job, Done::Ended, Done::Storing);
-            let progress = progress_of(job, unix_now_ms);
-            used += entries_of(&progress);
-            batch.progress.push((id, progress));
+            used += 1;
+            if job.ending.is_some() && !has_runs(job) {
+                job.has_record = false;
+                used += 1;
+                batch.recordless.push(id.clone());
+            }
+            batch.progress.push((id, progress_of(job, unix_now_ms)));
         }
     }
 
+    /// Adds the removal of records whose jobs were dropped, at most `entries`.
+    fn add_recordless(&mut self, batch: &mut Batch, entries: usize) {
+        let left = self.recordless.split_off(self.recordless.len().min(entries));
+        batch.recordless.extend(std::mem::replace(&mut self.recordless, left));
+    }
+
     /// Adds the ended jobs that need not be remembered any longer, at most `entries`.
     fn add_forgotten(&mut self, batch: &mut Batch, entries: usize, now: Moment) {
         if now.saturating_sub(self.forgotten_at) < FORGET_PERIOD {
@@ -235,7 +248,7 @@
         let Some(state) = job.ending.filter(|_| job.is_ending_stored) else {
             return;
         };
-        if units(job).any(|unit| unit.run.is_some()) {
+        if has_runs(job) {
             return;
         }
         let ended = EndedJob {
@@ -245,6 +258,9 @@
             ended_at: now,
         };
         if let Some(job) = self.jobs.remove(id) {
+            if job.has_record {
+                self.recordless.push(job.record.id.clone());
+            }
             self.ended.insert(job.record.id.clone(), ended);
         }
     }
@@ -281,6 +297,10 @@
     job.occurrences.iter().flat_map(|occurrence| occurrence.steps.iter().flatten())
 }
 
+fn has_runs(job: &Job) -> bool {
+    units(job).any(|unit| unit.run.is_some())
+}
+
 fn mark(job: &mut Job, from: Done, to: Done) {
     let steps = job.occurrences.iter_mut().flat_map(|occurrence| &mut occurrence.steps);
     for unit in steps.flatten().filter(|unit| unit.done == from) {
@@ -298,11 +318,6 @@
     occurrence.steps.iter().flatten().all(over)
 }
 
-/// Rows that the progress of a job takes.
-pub(crate) fn entries_of(progress: &Progress) -> usize {
-    if progress.ended.is_some() { ENTRIES_OF_ENDED } else { 1 }
-}
-
 /// What is to be stored of a job.
 fn progress_of(job: &Job, unix_now_ms: u64) -> Progress {
     let mut progress = Progress {
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -166,6 +166,9 @@
     pub is_dirty: bool,
     /// A unit has been started.
     pub has_begun: bool,
+    /// Its record is in the store. It stays there until none of its runs is left, so that an owner that
+    /// takes over knows what they take of its team's bound.
+    pub has_record: bool,
 }
 
 /// An ended job.
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -15,7 +15,8 @@
 use crate::worker::Worker;
 
 impl Scheduler {
-    /// Takes in a stored job that is live.
+    /// Takes in a stored job with its record. One that has ended stays until it is known whether runs of
+    /// it are left, with [`Scheduler::restore_assignments`].
     pub fn restore_job(&mut self, record: Arc<JobRecord>, progress: &Progress, now: Moment) {
         let id = record.id.clone();
         self.add_job(record, now);
@@ -49,8 +50,10 @@
             job.ending = progress.ended;
             job.is_ending_stored = progress.ended.is_some();
         }
-        self.drop_finished(&id, now);
-        self.conclude(&id, now);
+        if progress.ended.is_none() {
+            self.drop_finished(&id, now);
+            self.conclude(&id, now);
+        }
     }
 
     /// Takes in a stored job that has ended.
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -64,6 +64,8 @@
     pub(crate) held_hosts: SortedMap<HostName, Moment>,
     /// The hosts have been listed at least once.
     pub(crate) hosts_listed: bool,
+    /// Jobs that are dropped, with records that are to be removed.
+    pub(crate) recordless: Vec<JobId>,
     /// Workers that are forgotten, with rows that are to be removed.
     pub(crate) unassigned: Vec<WorkerId>,
     /// Waves.
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -4,9 +4,11 @@
 mod world;
 
 use scheduler::Ending;
+use scheduler::FinalState;
 use scheduler::HostReply;
 use scheduler::JobView;
 use scheduler::Resources;
+use scheduler::Step;
 use world::World;
 use world::config;
 use world::entry;
@@ -162,3 +164,44 @@
     assert!(world.assignments.get("w1").is_none());
     assert!(world.assignments.get("w2").is_some());
 }
+
+#[test]
+fn a_run_of_an_ended_job_that_may_be_left_counts_for_its_team_with_the_next_owner() {
+    let bound = Resources { cpu_millis: 2_000, memory_mb: 0, gpus: 0 };
+    let mut world = World::new(&["w1", "w2"], config(3, bound));
+    let first = job("a", vec![step(1, 2_000)], world.now);
+    world.scheduler.add_job(first.clone(), world.now);
+    let starts = world.round();
+    let (silent, other) = if &*starts[0].worker == "w1" { ("w1", "w2") } else { ("w2", "w1") };
+    // It is cancelled while its worker is cut off and works on.
+    world.worker(silent).answers = false;
+    world.scheduler.cancel("a");
+    world.commit();
+    let second = job("b", vec![step(1, 2_000)], world.now);
+    world.take_over(2, config(3, bound), seconds(6), &[first, second]);
+    assert!(world.pass(seconds(2)).is_empty(), "the bound is in use");
+    assert_eq!(world.scheduler.view("a"), Some(JobView::Ended(FinalState::Cancelled)));
+    let starts = world.pass(seconds(6));
+    assert_eq!(starts.iter().map(|start| &*start.worker).collect::<Vec<&str>>(), [other]);
+}
+
+#[test]
+fn a_gang_that_has_ended_counts_for_its_team_where_it_may_still_run() {
+    let bound = Resources { cpu_millis: 2_000, memory_mb: 0, gpus: 0 };
+    let mut world = World::new(&["w1", "w2"], config(3, bound));
+    let gang = Step { is_gang: true, per_worker_max: 1, ..step(2, 1_000) };
+    let later = Step { depends_on: vec![0], ..step(1, 2_000) };
+    let record = job("a", vec![gang, later], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    let starts = world.round();
+    assert_eq!(starts.len(), 2);
+    // One worker is cut off, and the unit on the other ends the step.
+    let (silent, other) = (starts[0].worker.clone(), starts[1].unit.clone());
+    world.worker(&silent).answers = false;
+    world.end(&other, Ending::Done);
+    world.report_all();
+    world.commit();
+    world.take_over(2, config(3, bound), seconds(6), &[record]);
+    assert!(world.pass(seconds(2)).is_empty(), "the bound is in use");
+    assert_eq!(world.pass(seconds(6)).len(), 1);
+}
