--- a/crates/savorypitch/src/command/serve.rs
+++ b/crates/savorypitch/src/command/serve.rs
@@ -35,21 +35,30 @@
         node.caller_address,
         node.admin_address
     );
-    wait_for_signal().await;
+    wait_for_end(&node).await;
     spdlog::info!("node {name} stops");
     let stopped = node.stop(checked.stop_notice, checked.stop_grace).await;
     spdlog::info!("node {name} stopped; graceful: {}", stopped.graceful);
     Ok(())
 }
 
-async fn wait_for_signal() {
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+/// Waits for SIGTERM or SIGINT; SIGHUP makes the node read the configuration at once.
+async fn wait_for_end(node: &Node) {
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    ) else {
         return std::future::pending().await;
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => {
+                spdlog::info!("hangup: the configuration is read again");
+                node.poll_config().await;
+            }
+        }
     }
 }
--- a/crates/savorypitch/tests/processes.rs
+++ b/crates/savorypitch/tests/processes.rs
@@ -147,6 +147,21 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_hangup_does_not_end_a_node() {
+    let platform = Arc::new(StandinPlatform::default());
+    let served = standin::platform_server::serve(platform.clone(), ANY_PORT).await.unwrap();
+    let cluster = Cluster { platform, platform_address: served.0, peers: vec![free_address()] };
+    let mut node = cluster.start(0);
+    accept_contract(&cluster).await;
+    let ready = || async { readiness(node.callers).await == Some(StatusCode::OK) };
+    until("the node is ready", ready).await;
+    signal(&node, "-HUP");
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(node.child.try_wait().unwrap(), None, "it still runs");
+    assert_eq!(readiness(node.callers).await, Some(StatusCode::OK));
+}
+
 /// Writes a contract to the table, as any node would.
 async fn accept_contract(cluster: &Cluster) {
     let text = "customer = \"levy\"\nprofile = \"share\"\n";
--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -34,7 +34,7 @@
 /// Seeds that failed once.
 const REGRESSIONS: [u64; 3] = [
     // Runs of an ended job on a silent worker did not count for its team with the next owner.
-    2, // Runs of a gang of which one unit has ended did not either.
+    2,   // Runs of a gang of which one unit has ended did not either.
     208, // Nor did a run of a unit of which another run has ended.
     2_069,
 ];
