--- a/crates/coordinator/src/entry.rs
+++ b/crates/coordinator/src/entry.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::config::EntryConfig;
 use crate::node::Node;
+use crate::owner_link::OwnerLink;
 use crate::peers::OwnerClient;
 use crate::peers::PeerError;
 use crate::ports::Platform;
@@ -24,7 +25,6 @@
 use crate::rows;
 use crate::rows::InboxRow;
 use crate::shared::CancelReply;
-use crate::shared::OwnerRequest;
 use crate::shared::StateReply;
 use crate::shared::SubmitReply;
 
@@ -149,10 +149,7 @@
     /// Accepts a job: it is stored once this says so. What is not known at `deadline` stays unknown.
     pub async fn submit(&self, record: JobRecord, deadline: Moment) -> Submitted {
         let record = Arc::new(record);
-        let by_owner = match self.owner_here() {
-            true => self.submit_here(record.clone()).await,
-            false => self.submit_to_owner(&record).await,
-        };
+        let by_owner = self.owner().submit(&record).await;
         match by_owner {
             Ok(SubmitReply::Accepted) => Submitted::Accepted,
             Ok(SubmitReply::NotTaken) => self.submit_to_inbox(&record, false, deadline).await,
@@ -167,17 +164,7 @@
 
     /// State of a job.
     pub async fn job(&self, id: &str, team: Option<&TeamName>) -> JobAnswer {
-        let asker = team.cloned();
-        let reply = if self.owner_here() {
-            let job = id.to_owned();
-            let asked = self.ask_here(|reply| OwnerRequest::State { job, asker, reply }).await;
-            asked.ok_or(PeerError::NotTaken("the ownership was lost".to_owned()))
-        } else {
-            match self.owner_client() {
-                Some(owner) => owner.state(id, team.map(|team| &**team)).await,
-                None => Err(PeerError::NotTaken("no owner is known".to_owned())),
-            }
-        };
+        let reply = self.owner().state(id, team).await;
         match reply {
             Ok(StateReply::Found(view)) => JobAnswer::Found(view),
             Ok(StateReply::OtherTeam) => JobAnswer::OtherTeam,
@@ -191,17 +178,7 @@
 
     /// Cancels a job.
     pub async fn cancel(&self, id: &str, team: Option<&TeamName>) -> CancelAnswer {
-        let asker = team.cloned();
-        let reply = if self.owner_here() {
-            let job = id.to_owned();
-            let asked = self.ask_here(|reply| OwnerRequest::Cancel { job, asker, reply }).await;
-            asked.ok_or(PeerError::NotTaken("the ownership was lost".to_owned()))
-        } else {
-            match self.owner_client() {
-                Some(owner) => owner.cancel(id, team.map(|team| &**team)).await,
-                None => Err(PeerError::NotTaken("no owner is known".to_owned())),
-            }
-        };
+        let reply = self.owner().cancel(id, team).await;
         match reply {
             Ok(CancelReply::Done) => CancelAnswer::Done,
             Ok(CancelReply::OtherTeam) => CancelAnswer::OtherTeam,
@@ -215,12 +192,7 @@
 
     /// Number of jobs of a queue that wait; none if the owner does not answer.
     pub async fn waiting(&self, queue: &QueueName) -> Option<usize> {
-        if self.owner_here() {
-            let queue = queue.clone();
-            return self.ask_here(|reply| OwnerRequest::Waiting { queue, reply }).await;
-        }
-        let owner = self.owner_client()?;
-        match owner.waiting(queue).await {
+        match self.owner().waiting(queue).await {
             Ok(count) => Some(count),
             Err(error) => {
                 self.avoid_owner(&error);
@@ -229,16 +201,18 @@
         }
     }
 
-    fn owner_here(&self) -> bool {
-        self.shared.owning().is_some_and(|owning| owning.is_ready)
-    }
-
-    fn owner_client(&self) -> Option<OwnerClient<'_>> {
+    /// The owner, as this node reaches it now.
+    fn owner(&self) -> OwnerLink<'_, P> {
+        if self.shared.owning().is_some_and(|owning| owning.is_ready) {
+            return OwnerLink::Here(&self.shared);
+        }
         let place = self.shared.owner_place();
-        let address = place.row.address?;
         let is_own = place.row.incarnation == self.shared.settings.incarnation;
         let is_usable = !is_own && !place.row.is_released && clock::now() >= place.avoided_until;
-        is_usable.then_some(OwnerClient { client: &self.shared.client, address })
+        match place.row.address.filter(|_| is_usable) {
+            Some(address) => OwnerLink::There(OwnerClient { client: &self.shared.client, address }),
+            None => OwnerLink::Nowhere,
+        }
     }
 
     fn avoid_owner(&self, error: &PeerError) {
@@ -247,33 +221,6 @@
         }
     }
 
-    async fn ask_here<T>(
-        &self,
-        request: impl FnOnce(tokio::sync::oneshot::Sender<T>) -> OwnerRequest,
-    ) -> Option<T> {
-        let owning = self.shared.owning()?;
-        let (reply, answer) = tokio::sync::oneshot::channel();
-        owning.requests.send(request(reply)).await.ok()?;
-        answer.await.ok()
-    }
-
-    async fn submit_here(&self, record: Arc<JobRecord>) -> Result<SubmitReply, PeerError> {
-        let asked = self.ask_here(|reply| OwnerRequest::Submit { record, reply });
-        match tokio::time::timeout(self.shared.settings.own_write_timeout, asked).await {
-            Ok(Some(reply)) => Ok(reply),
-            // The owner may have sent the transaction before it gave up.
-            Ok(None) => Ok(SubmitReply::Unknown),
-            Err(_) => Err(PeerError::NoAnswer("this node's store writes are late".to_owned())),
-        }
-    }
-
-    async fn submit_to_owner(&self, record: &JobRecord) -> Result<SubmitReply, PeerError> {
-        match self.owner_client() {
-            Some(owner) => owner.submit(record).await,
-            None => Err(PeerError::NotTaken("no owner is known".to_owned())),
-        }
-    }
-
     /// Stores a job for the owner to find. While it may be stored already, the write is repeated, since
     /// only a write that is committed tells the caller what is so.
     async fn submit_to_inbox(
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -21,6 +21,7 @@
 mod follow;
 mod node;
 mod owner;
+mod owner_link;
 mod peers;
 mod shared;
 pub mod succession;
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -8,6 +8,7 @@
 mod leases;
 mod load;
 mod orders;
+mod pipeline;
 mod requests;
 mod tally;
 
@@ -25,9 +26,9 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
-use self::commit::Pipeline;
 use self::event::Event;
 use self::load::Loaded;
+use self::pipeline::Pipeline;
 use self::tally::Tally;
 use crate::clock;
 use crate::election::Reason;
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -15,7 +15,7 @@
 
 use super::VALIDITY;
 use super::Won;
-use super::commit::Pipeline;
+use super::pipeline::Pipeline;
 use crate::clock;
 use crate::election::REFUSED_MAX;
 use crate::election::Reason;
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -5,8 +5,8 @@
 
 use super::Owner;
 use super::Release;
-use super::commit::Accept;
-use super::commit::Cancel;
+use super::pipeline::Accept;
+use super::pipeline::Cancel;
 use crate::clock;
 use crate::entry::is_allowed;
 use crate::ports::Platform;
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -27,6 +27,7 @@
 use crate::http::Request;
 use crate::ports::Platform;
 use crate::shared::CancelReply;
+use crate::shared::NotAsked;
 use crate::shared::OwnerRequest;
 use crate::shared::Shared;
 use crate::shared::StateReply;
@@ -284,14 +285,15 @@
     asked.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
 }
 
-/// Hands a request to the owner in this process; none if it gave up before it answered.
+/// Asks the owner in this process; none if it gave up before it answered.
 async fn ask<P: Platform, T>(
     shared: &Shared<P>,
     request: impl FnOnce(oneshot::Sender<T>) -> OwnerRequest,
 ) -> Result<Option<T>, StatusCode> {
-    let owning = shared.owning().ok_or(StatusCode::CONFLICT)?;
-    let (reply, answer) = oneshot::channel();
-    let sent = owning.requests.try_send(request(reply));
-    sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    Ok(answer.await.ok())
+    match shared.ask_owner(request).await {
+        Ok(answer) => Ok(Some(answer)),
+        Err(NotAsked::GaveUp) => Ok(None),
+        Err(NotAsked::NotOwner) => Err(StatusCode::CONFLICT),
+        Err(NotAsked::Busy) => Err(StatusCode::SERVICE_UNAVAILABLE),
+    }
 }
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -160,6 +160,20 @@
     },
 }
 
+/// The owner in this process has not answered a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum NotAsked {
+    /// There is none.
+    #[error("this node is not the owner")]
+    NotOwner,
+    /// Too many requests wait for it.
+    #[error("too many requests wait for the owner")]
+    Busy,
+    /// It gave the ownership up before it answered.
+    #[error("the ownership was lost")]
+    GaveUp,
+}
+
 /// What the tasks of a node share.
 pub(crate) struct Shared<P> {
     pub settings: NodeSettings,
@@ -195,6 +209,17 @@
         self.owner.lock().expect("no holder panics").clone()
     }
 
+    /// Hands a request to the owner in this process and waits for its answer.
+    pub async fn ask_owner<T>(
+        &self,
+        request: impl FnOnce(oneshot::Sender<T>) -> OwnerRequest,
+    ) -> Result<T, NotAsked> {
+        let owning = self.owning().ok_or(NotAsked::NotOwner)?;
+        let (reply, answer) = oneshot::channel();
+        owning.requests.try_send(request(reply)).map_err(|_| NotAsked::Busy)?;
+        answer.await.map_err(|_| NotAsked::GaveUp)
+    }
+
     /// Where the owner is.
     pub fn owner_place(&self) -> OwnerPlace {
         self.place.lock().expect("no holder panics").clone()
--- /dev/null
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -0,0 +1,110 @@
+//! The table of the platform in memory.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coordinator::ports::Changes;
+use coordinator::ports::ReadError;
+use coordinator::ports::Row;
+use coordinator::ports::RowVersion;
+use coordinator::ports::Store;
+use coordinator::ports::Table;
+use coordinator::ports::Transaction;
+use coordinator::ports::Written;
+
+use super::Memory;
+use super::Mood;
+use super::SLOW;
+use super::table_number;
+
+impl Memory {
+    fn read(&self, table: Table) -> Result<Vec<Row>, ReadError> {
+        let data = self.data.lock().unwrap();
+        if !matches!(data.mood, Mood::Well | Mood::Slow | Mood::LosingAnswers) {
+            return Err(ReadError::Refused("the table is away".to_owned()));
+        }
+        let rows = data.rows.iter().filter(|((number, _), _)| *number == table_number(table));
+        let row = |((_, key), (value, version)): (&(u8, String), &(Bytes, RowVersion))| Row {
+            key: key.clone(),
+            value: value.clone(),
+            version: *version,
+        };
+        Ok(rows.map(row).collect())
+    }
+}
+
+impl Store for Memory {
+    async fn get(&self, table: Table, key: &str) -> Result<Option<Row>, ReadError> {
+        Ok(self.read(table)?.into_iter().find(|row| row.key == key))
+    }
+
+    async fn read_whole(&self, table: Table) -> Result<Changes<Row>, ReadError> {
+        let changed = self.read(table)?;
+        let version = self.data.lock().unwrap().version;
+        Ok(Changes { changed, removed: Vec::new(), is_whole: true, version })
+    }
+
+    async fn remove_from_inbox(&self, keys: Vec<String>) -> Written {
+        let removals = keys.into_iter().map(|key| (Table::Inbox, key)).collect();
+        self.write(Transaction { removals, ..Transaction::default() }).await
+    }
+
+    async fn changes(
+        &self,
+        table: Table,
+        after: RowVersion,
+        wait: Duration,
+    ) -> Result<Changes<Row>, ReadError> {
+        if after < self.data.lock().unwrap().history_from {
+            self.data.lock().unwrap().history_gone += 1;
+            return Err(ReadError::HistoryGone);
+        }
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let rows = self.read(table)?;
+            let changed: Vec<Row> = rows.into_iter().filter(|row| row.version > after).collect();
+            let version = self.data.lock().unwrap().version;
+            if !changed.is_empty() || tokio::time::Instant::now() >= until {
+                return Ok(Changes { changed, version, ..Changes::default() });
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn write(&self, transaction: Transaction) -> Written {
+        let is_slow = self.data.lock().unwrap().mood == Mood::Slow;
+        if is_slow {
+            tokio::time::sleep(SLOW).await;
+        }
+        let mut data = self.data.lock().unwrap();
+        match data.mood {
+            Mood::Refusing => return Written::Refused("the table is away".to_owned()),
+            Mood::Silent => return Written::Unknown("no answer".to_owned()),
+            Mood::Well | Mood::Slow | Mood::LosingAnswers => {}
+        }
+        let mut found = Vec::new();
+        let mut holds = true;
+        for (table, key, version) in &transaction.preconditions {
+            let row = data.rows.get(&(table_number(*table), key.clone()));
+            holds &= row.map_or(0, |(_, version)| *version) == *version;
+            if let Some((value, version)) = row {
+                found.push(Row { key: key.clone(), value: value.clone(), version: *version });
+            }
+        }
+        if !holds {
+            return Written::Conflict(found);
+        }
+        data.version += 1;
+        let version = data.version;
+        for (table, key, value) in transaction.puts {
+            data.rows.insert((table_number(table), key), (value, version));
+        }
+        for (table, key) in transaction.removals {
+            data.rows.remove(&(table_number(table), key));
+        }
+        match data.mood {
+            Mood::LosingAnswers => Written::Unknown("the answer was lost".to_owned()),
+            _ => Written::Committed(version),
+        }
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod ends;
 mod evidence;
 mod hosts;
+mod moves;
 mod order;
 mod orders;
 mod pace;
