Place jobs that a team sends beyond its share after those within the shares

Pattern: one team sends many times its usual (hot_tenant). Its weight was decoded and not used. Now a team may send as many jobs a second as its weight; what is beyond waits for the others of the same priority, apart from units that last.

--- a/crates/savorypitch/tests/soak.rs
+++ b/crates/savorypitch/tests/soak.rs
@@ -67,6 +67,8 @@
 /// validity of an owner.
 const SETTLE_MAX: Duration = Duration::from_secs(30);
 const READY_MAX: Duration = Duration::from_secs(30);
+/// What is shown of a job that is completed.
+const COMPLETED: &str = "{\"state\":\"completed\"}";
 const KEY: &str = "key-of-the-soak";
 
 /// A node's process, behind its own link to the table.
@@ -303,22 +305,11 @@
         let until = Instant::now() + SETTLE_MAX;
         let told = self.told.lock().unwrap().clone();
         let started = self.workers.started_jobs();
-        let mut at = 0;
         for (id, told) in &told {
-            if *told == Told::Refused {
-                assert!(!started.contains(id), "{id} was refused and has run");
-            }
-            while *told == Told::Accepted {
-                at += 1;
-                let front = self.nodes[at % NODES].front();
-                let answer = client.call(front, Lane::Short, request(Method::GET, id, "")).await;
-                let state = answer.map(|answer| (answer.status, answer.body));
-                if matches!(&state, Ok((StatusCode::OK, body)) if &body[..] == br#"{"state":"completed"}"#)
-                {
-                    break;
-                }
-                assert!(Instant::now() < until, "{id} was accepted and is {state:?}");
-                tokio::time::sleep(Duration::from_millis(100)).await;
+            match told {
+                Told::Accepted => self.wait_completed(&client, id, until).await,
+                Told::Refused => assert!(!started.contains(id), "{id} was refused and has run"),
+                Told::Unknown => {}
             }
         }
         let faults = self.workers.faults();
@@ -332,6 +323,19 @@
         );
         assert!(accepted > 0, "nothing was accepted");
     }
+
+    /// Asks one node after another until one shows the job as completed.
+    async fn wait_completed(&self, client: &Client, id: &str, until: Instant) {
+        for node in self.nodes.iter().cycle() {
+            let answer = client.call(node.front(), Lane::Short, request(Method::GET, id, "")).await;
+            let state = answer.map(|answer| (answer.status, answer.body));
+            if matches!(&state, Ok((StatusCode::OK, body)) if body == COMPLETED) {
+                return;
+            }
+            assert!(Instant::now() < until, "{id} was accepted and is {state:?}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
 }
 
 /// How a fault ends.
--- a/crates/scheduler/src/commit.rs
+++ b/crates/scheduler/src/commit.rs
@@ -40,15 +40,34 @@
 }
 
 impl Scheduler {
-    /// Takes in a job whose record is stored.
+    /// Takes in a job that has just come.
     pub fn add_job(&mut self, record: Arc<JobRecord>, now: Moment) {
         if self.jobs.contains(&record.id) || self.ended.contains(&record.id) {
             return;
         }
+        let is_beyond_share = !self.take_share(&record, now);
+        self.add_known_job(record, is_beyond_share, now);
+    }
+
+    fn take_share(&mut self, record: &JobRecord, now: Moment) -> bool {
+        let Some(team) = &record.team else {
+            return true;
+        };
+        let weight = self.config.teams.get(team).map_or(0.0, |team| team.weight);
+        self.shares.take(team, weight, now)
+    }
+
+    pub(crate) fn add_known_job(
+        &mut self,
+        record: Arc<JobRecord>,
+        is_beyond_share: bool,
+        now: Moment,
+    ) {
         self.count_demand(&record, now);
         let job = Job {
             accepted_at: self.moment_of(record.accepted_ms).min(now),
             record: record.clone(),
+            is_beyond_share,
             occurrences: Vec::new(),
             next_occurrence: 0,
             occurrences_over: 0,
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -64,8 +64,8 @@
 /// A team of a client account.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Team {
-    /// Share when all is full.
-    pub weight: u64,
+    /// Jobs a second that go before those that other teams send beyond theirs; 0 is no limit.
+    pub weight: f64,
     /// What it may have running; a zero part is no limit.
     pub bound: Resources,
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,6 +33,7 @@
 mod pace;
 mod plan;
 mod restore;
+mod share;
 mod stuck;
 mod waves;
 
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -152,6 +152,8 @@
     pub record: Arc<JobRecord>,
     /// When it was accepted.
     pub accepted_at: Moment,
+    /// Its team has sent it beyond its share.
+    pub is_beyond_share: bool,
     /// Occurrences that are due and not over.
     pub occurrences: Vec<Occurrence>,
     /// Number of the next occurrence that becomes due.
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -1,7 +1,7 @@
 //! The order in which waiting units are placed.
 //!
 //! Jobs of a lower priority number go first. Among equals, units that last go first, since each moment
-//! without them is lost; then jobs that can still meet their objective, the one that must start
+//! without them is lost; then jobs within the shares of their teams; among these, jobs that can still meet their objective, the one that must start
 //! soonest first; then jobs that cannot, the one with the least work left first.
 
 use std::time::Duration;
@@ -31,6 +31,8 @@
 pub struct Rank {
     /// Priority of the queue.
     pub priority: u32,
+    /// Its team has sent it beyond its share.
+    pub is_beyond_share: bool,
     /// Whether it can meet its objective.
     pub urgency: Urgency,
     /// Latest start in milliseconds if it is in time, work left if it is late.
@@ -44,7 +46,8 @@
         let priority = queue.map_or(u32::MAX, |queue| queue.priority);
         if job.record.steps.iter().any(|step| step.is_lasting) {
             let within = occurrence.due_at.as_millis() as u64;
-            return Rank { priority, urgency: Urgency::Lasting, within };
+            let (is_beyond_share, urgency) = (false, Urgency::Lasting);
+            return Rank { priority, is_beyond_share, urgency, within };
         }
         let left = chain_left(&job.record, occurrence);
         let whole = chain(&job.record);
@@ -56,7 +59,7 @@
         } else {
             (Urgency::Late, work_left(&job.record, occurrence))
         };
-        Rank { priority, urgency, within }
+        Rank { priority, is_beyond_share: job.is_beyond_share, urgency, within }
     }
 }
 
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -19,7 +19,8 @@
     /// it are left, with [`Scheduler::restore_assignments`].
     pub fn restore_job(&mut self, record: Arc<JobRecord>, progress: &Progress, now: Moment) {
         let id = record.id.clone();
-        self.add_job(record, now);
+        // When it came is not known well enough to say whether it was beyond its team's share.
+        self.add_known_job(record, false, now);
         let steps = progress.steps_done.iter();
         for (number, step) in steps.copied() {
             self.restore_step(&id, number, step);
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -30,6 +30,7 @@
 use crate::live::Unit;
 use crate::report::Action;
 use crate::settings::Settings;
+use crate::share::Shares;
 use crate::sorted::SortedMap;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
@@ -74,6 +75,8 @@
     pub(crate) own_hosts: OwnHosts,
     /// These have changed since they were last handed out to be stored.
     pub(crate) is_own_hosts_dirty: bool,
+    /// What is left of the shares of the teams.
+    pub(crate) shares: Shares,
     /// Demand by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Pools in which a unit found no worker with room, and since when.
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -84,7 +84,7 @@
         ]
         .into_iter()
         .collect(),
-        teams: [("t".into(), Team { weight: 1, bound })].into_iter().collect(),
+        teams: [("t".into(), Team { weight: 0.0, bound })].into_iter().collect(),
     })
 }
 
