--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Tests that may fail: those that KNOWN-RED.txt names.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt)
 
-.PHONY: test demo capacity tools check
+.PHONY: test demo soak capacity tools check
 
 # Formatting, lints, style checks and all tests.
 test: tools check
@@ -18,6 +18,11 @@
 	cargo build --release --workspace --locked
 	tools/demo.sh
 
+# Nodes as processes on a platform that misbehaves: SEEDS runs of some 15 s each.
+soak: tools
+	SAVORYPITCH_SOAK_SEEDS=$(or $(SEEDS),50) cargo test -p savorypitch --test soak --locked \
+		many_seeds -- --ignored --nocapture
+
 # Measures the slopes and writes the tables of docs/CAPACITY.md.
 capacity: tools
 	tools/measure.sh
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -129,7 +129,11 @@
         };
         if run.phase == Phase::Ordered {
             run.phase = Phase::InDoubt;
-            self.order_stop(key, now);
+            // A unit that lasts may be at work by the time the stop comes, and its step's budget spent on
+            // others: the list tells whether it runs, or the order's deadline that it never will.
+            if !self.is_lasting(key) {
+                self.order_stop(key, now);
+            }
         }
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.shunned_until = worker.shunned_until.max(now + UNANSWERED_PAUSE);
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -6,6 +6,7 @@
 use scheduler::Action;
 use scheduler::HostReply;
 use scheduler::Resources;
+use scheduler::StartReply;
 use scheduler::Step;
 use scheduler::Wave;
 use world::World;
@@ -91,3 +92,26 @@
     world.carry_out();
     assert_eq!(maintained(&world).len(), 1);
 }
+
+#[test]
+fn a_unit_that_lasts_is_not_stopped_because_its_start_was_not_answered() {
+    let no_bound = Resources::default();
+    let mut world = World::new(&["w1"], config(3, no_bound));
+    let lasting = Step { is_lasting: true, ..step(1, 1_000) };
+    world.scheduler.add_job(job("a", vec![lasting], world.now), world.now);
+    world.scheduler.plan(world.now);
+    world.commit();
+    let start = world.scheduler.take_actions().into_iter().find_map(|action| match action {
+        Action::Start(order) => Some(order),
+        _ => None,
+    });
+    let start = start.expect("the unit is ordered");
+    // The worker does not answer the order, and carries it out later.
+    let unknown = StartReply::Unknown;
+    world.scheduler.start_reply(&start.worker, &start.unit, start.run, unknown, world.now);
+    let is_stop = |action: &Action| matches!(action, Action::Stop { .. });
+    assert!(!world.scheduler.take_actions().iter().any(is_stop));
+    world.worker("w1").run(&start.unit, start.run);
+    assert!(world.pass(millis(3_000)).is_empty(), "it goes on");
+    assert_eq!(world.worker("w1").running.len(), 1);
+}
