--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -180,33 +180,7 @@
             let value = rows::encode(&**record);
             transaction.puts.push((Table::Jobs, record.id.to_string(), value));
         }
-        for (id, progress) in &batch.progress {
-            transaction.puts.push((Table::Progress, id.to_string(), rows::encode(progress)));
-        }
-        let recordless = batch.recordless.iter();
-        transaction.removals.extend(recordless.map(|id| (Table::Jobs, id.to_string())));
-        for (worker, row) in &batch.assignments {
-            let value = rows::encode(row);
-            transaction.puts.push((Table::Assignments, worker.to_string(), value));
-        }
-        let unassigned = batch.unassigned.iter();
-        let removals = unassigned.map(|worker| (Table::Assignments, worker.to_string()));
-        transaction.removals.extend(removals);
-        if let Some(orders) = &batch.host_orders {
-            let value = rows::encode(orders);
-            transaction.puts.push((Table::Owner, HOST_ORDERS_KEY.to_owned(), value));
-        }
-        if let Some(own_hosts) = &batch.own_hosts {
-            let value = rows::encode(own_hosts);
-            transaction.puts.push((Table::Owner, OWN_HOSTS_KEY.to_owned(), value));
-        }
-        for (wave, row) in &batch.waves {
-            let value = rows::encode(row);
-            transaction.puts.push((Table::Progress, rows::wave_key(*wave), value));
-        }
-        let forgotten = batch.forgotten.iter();
-        let removals = forgotten.map(|id| (Table::Progress, id.to_string()));
-        transaction.removals.extend(removals);
+        add_rows(&mut transaction, &batch);
         let cancels = pipeline.ready_cancels(&batch);
         let is_uncertain = false;
         InFlight { transaction, row, batch, accepts, cancels, sent_at: now, is_uncertain }
@@ -311,3 +285,34 @@
     let owner = rows::decode::<OwnerRow>(&row.key, &row.value).ok()?;
     (owner == *sent).then_some(row.version)
 }
+
+/// Adds the rows of a batch to a transaction.
+fn add_rows(transaction: &mut Transaction, batch: &Batch) {
+    for (id, progress) in &batch.progress {
+        transaction.puts.push((Table::Progress, id.to_string(), rows::encode(progress)));
+    }
+    let recordless = batch.recordless.iter();
+    transaction.removals.extend(recordless.map(|id| (Table::Jobs, id.to_string())));
+    for (worker, row) in &batch.assignments {
+        let value = rows::encode(row);
+        transaction.puts.push((Table::Assignments, worker.to_string(), value));
+    }
+    let unassigned = batch.unassigned.iter();
+    let removals = unassigned.map(|worker| (Table::Assignments, worker.to_string()));
+    transaction.removals.extend(removals);
+    if let Some(orders) = &batch.host_orders {
+        let value = rows::encode(orders);
+        transaction.puts.push((Table::Owner, HOST_ORDERS_KEY.to_owned(), value));
+    }
+    if let Some(own_hosts) = &batch.own_hosts {
+        let value = rows::encode(own_hosts);
+        transaction.puts.push((Table::Owner, OWN_HOSTS_KEY.to_owned(), value));
+    }
+    for (wave, row) in &batch.waves {
+        let value = rows::encode(row);
+        transaction.puts.push((Table::Progress, rows::wave_key(*wave), value));
+    }
+    let forgotten = batch.forgotten.iter();
+    let removals = forgotten.map(|id| (Table::Progress, id.to_string()));
+    transaction.removals.extend(removals);
+}
--- a/crates/scheduler/src/moves.rs
+++ b/crates/scheduler/src/moves.rs
@@ -23,6 +23,7 @@
 /// Time for which a host must have been idle before it goes to the spare pool: what it costs to stand
 /// for this long is about what a move costs.
 const PARK_IDLE_MIN: Duration = Duration::from_millis(1_500);
+
 impl Scheduler {
     /// Decides which hosts work in another pool.
     pub(crate) fn plan_moves(&mut self, now: Moment) {
@@ -95,10 +96,7 @@
         idle_min: Duration,
         now: Moment,
     ) -> Vec<HostName> {
-        let mut left: HostCounts = loads
-            .iter()
-            .map(|(name, load)| (name.clone(), load.hosts.saturating_sub(kept(name, load))))
-            .collect();
+        let mut left = surplus(loads, kept);
         let mut idle = Vec::new();
         for (name, host) in self.hosts.iter().filter(|(_, host)| host.is_free(now)) {
             let Some(left) = left.get_mut(&host.entry.pool).filter(|left| **left > 0) else {
@@ -124,10 +122,7 @@
         idle: usize,
         now: Moment,
     ) -> Vec<HostName> {
-        let mut left: HostCounts = loads
-            .iter()
-            .map(|(name, load)| (name.clone(), load.hosts.saturating_sub(kept(name, load) + idle)))
-            .collect();
+        let mut left = surplus(loads, |name, load| kept(name, load) + idle);
         let mut busy: Vec<(u64, HostName, PoolName)> = Vec::new();
         for (name, host) in self.hosts.iter().filter(|(_, host)| host.is_free(now)) {
             let Some(worker) = self.worker_of(host).and_then(|id| self.workers.get(&id)) else {
@@ -150,3 +145,11 @@
         donors
     }
 }
+
+/// Hosts that the pools hold beyond what they keep.
+fn surplus(loads: &PoolLoads, kept: impl Fn(&PoolName, &PoolLoad) -> usize) -> HostCounts {
+    let beyond = |(name, load): (&PoolName, &PoolLoad)| {
+        (name.clone(), load.hosts.saturating_sub(kept(name, load)))
+    };
+    loads.iter().map(beyond).collect()
+}
