Count units that the owner before may have stopped as away

Change: for the budget of a step, a unit counts as at work once the owner has known its worker for longer than a stop takes, as the settings say. An existing test lets the owner know its workers for two seconds first; its assertion is as it was. Test first: tests/hosts.rs (fails without the check). Ruled out: an order carried out late; the stop in the trace was sent by the owner of epoch 3.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -111,6 +111,7 @@
             self.needs_placing = true;
         }
         worker.contact = Contact::Heard(now);
+        worker.heard_since.get_or_insert(now);
         worker.misses = 0;
         worker.read_clock(report.clock_ms, now);
         true
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -361,9 +361,17 @@
             let worker = self.workers.get(worker);
             worker.is_none_or(|worker| !worker.is_in_contact(SEEN_AT_WORK_MAX, now))
         };
+        // It may list a run that an owner before has ordered to stop; later such orders are refused.
+        let may_be_stopping = |worker: &str| {
+            let heard_since = self.workers.get(worker).and_then(|worker| worker.heard_since);
+            heard_since.is_none_or(|since| now.saturating_sub(since) <= self.settings.stop_time)
+        };
         let is_away = |unit: &Unit| {
             unit.run.as_ref().is_none_or(|run| {
-                run.stop.is_some() || run.percent < WHOLE_PERCENT || is_silent(&run.worker)
+                run.stop.is_some()
+                    || run.percent < WHOLE_PERCENT
+                    || is_silent(&run.worker)
+                    || may_be_stopping(&run.worker)
             })
         };
         let units = occurrence.steps[key.step].iter().enumerate();
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -11,6 +11,8 @@
     pub start_valid: Duration,
     /// Age of a worker's last answer up to which it gets new runs.
     pub contact_max: Duration,
+    /// Longest time from a stop to the end of the run; until then a worker lists it as before.
+    pub stop_time: Duration,
     /// Time that a host needs to move to another pool.
     pub move_time: Duration,
     /// Time that the maintenance of a host takes.
@@ -27,6 +29,7 @@
             lease: Duration::from_secs(5),
             start_valid: Duration::from_secs(2),
             contact_max: Duration::from_millis(2_800),
+            stop_time: Duration::from_secs(1),
             move_time: Duration::from_millis(1_500),
             maintain_time: Duration::from_secs(2),
             host_lease: Duration::from_secs(3),
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -52,6 +52,8 @@
     pub rack: Option<Arc<str>>,
     /// Whether it answers.
     pub contact: Contact,
+    /// When this owner has first heard it.
+    pub heard_since: Option<Moment>,
     /// A row says what it runs.
     pub has_row: bool,
     /// A run was added that its row lacks.
@@ -95,6 +97,7 @@
             entry,
             rack,
             contact: Contact::Unheard,
+            heard_since: None,
             has_row: false,
             lacks_run: false,
             is_listed: true,
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -67,6 +67,8 @@
     let lasting = Step { is_lasting: true, per_worker_max: 2, away_max: 1, ..step(2, 1_000) };
     world.scheduler.add_job(job("a", vec![lasting], world.now), world.now);
     let used = world.round()[0].worker.clone();
+    // The owner has known its workers for a while.
+    world.now += seconds(2);
     for running in &mut world.worker(&used).running {
         running.percent = 100;
     }
@@ -115,3 +117,31 @@
     assert!(world.pass(millis(3_000)).is_empty(), "it goes on");
     assert_eq!(world.worker("w1").running.len(), 1);
 }
+
+#[test]
+fn a_new_owner_counts_what_the_one_before_may_have_stopped_as_away() {
+    let mut world = World::new(&["w1", "w2"], config(3, NO_BOUND));
+    let lasting = Step { is_lasting: true, per_worker_max: 1, away_max: 1, ..step(2, 1_000) };
+    let record = job("a", vec![lasting], world.now);
+    world.scheduler.add_job(record.clone(), world.now);
+    assert_eq!(world.round().len(), 2);
+    world.take_over(2, config(3, NO_BOUND), seconds(6), &[record]);
+    world.list_hosts(&[("h1", "w1"), ("h2", "w2")]);
+    world.scheduler.set_waves(vec![wave(&["h1"], 1)], world.now);
+    let pass = |world: &mut World, time| {
+        let until = world.now + time;
+        while world.now < until {
+            world.now += millis(100);
+            for running in world.workers.iter_mut().flat_map(|worker| &mut worker.running) {
+                running.percent = 100;
+            }
+            world.report_all();
+            world.round();
+        }
+    };
+    // The unit on w2 may be one that was ordered to stop, and is listed until it has.
+    pass(&mut world, millis(900));
+    assert_eq!(world.worker("w1").running.len(), 1);
+    pass(&mut world, millis(600));
+    assert!(world.worker("w1").running.is_empty(), "the other one goes on");
+}
