--- a/crates/coordinator/src/caller_api.rs
+++ b/crates/coordinator/src/caller_api.rs
@@ -1,5 +1,5 @@
-//! Serves callers' requests at any node: through the owner if it can be reached, else through the
-//! store.
+//! Serves callers' requests at any node: through the owner of the job's shard if it can be reached,
+//! else through the store.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +26,7 @@
 use crate::rows;
 use crate::rows::InboxRow;
 use crate::shared::CancelReply;
+use crate::shared::Shared;
 use crate::shared::StateReply;
 use crate::shared::SubmitReply;
 
@@ -125,7 +126,7 @@
         now: Moment,
     ) -> Result<Access, Refusal> {
         let stale = Refusal::Stale { retry_after: STALE_RETRY_AFTER };
-        let (config, age) = self.shared.config(now).ok_or(stale)?;
+        let (config, age) = self.node.config(now).ok_or(stale)?;
         let is_recent = age <= DENIAL_AGE_MAX;
         let deny = |refusal| if is_recent { refusal } else { stale };
         let route = config.route(host, path).ok_or_else(|| deny(Refusal::NoQueue))?;
@@ -141,7 +142,7 @@
         }
         let team = team_of(&config, key).ok_or_else(|| deny(Refusal::UnknownKey))?;
         // A withdrawn key must not be accepted for longer than the configured bound.
-        if age > self.shared.settings.key_age_max {
+        if age > self.node.settings.key_age_max {
             return Err(stale);
         }
         Ok(access(Some(team)))
@@ -149,21 +150,22 @@
 
     /// Returns the active configuration of this node; none before the first was read.
     pub fn config(&self) -> Option<Arc<CallerConfig>> {
-        self.shared.config(clock::now()).map(|(config, _)| config)
+        self.node.config(clock::now()).map(|(config, _)| config)
     }
 
     /// Submits a job, which is stored before it is reported as accepted. A submission whose result
     /// is not known at `deadline` is reported as unknown.
     pub async fn submit(&self, record: JobRecord, deadline: Moment) -> SubmitOutcome {
         let record = Arc::new(record);
-        let by_owner = self.owner().submit(&record).await;
+        let shared = self.node.shard_of_job(&record.id);
+        let by_owner = self.owner(shared).submit(&record).await;
         match by_owner {
             Ok(SubmitReply::Accepted) => SubmitOutcome::Accepted,
             Ok(SubmitReply::NotStored) => self.submit_through_inbox(&record, false, deadline).await,
             Ok(SubmitReply::Unknown) => self.submit_through_inbox(&record, true, deadline).await,
             Err(error) => {
                 let may_be_stored = matches!(error, PeerError::NoReply(_));
-                self.bypass_owner(&error);
+                handle_failed_call(shared, &error);
                 self.submit_through_inbox(&record, may_be_stored, deadline).await
             }
         }
@@ -171,13 +173,14 @@
 
     /// Returns the state of a job.
     pub async fn job(&self, id: &str, team: Option<&TeamName>) -> JobLookup {
-        let reply = self.owner().state(id, team).await;
+        let shared = self.node.shard_of_job(id);
+        let reply = self.owner(shared).state(id, team).await;
         match reply {
             Ok(StateReply::Found(view)) => JobLookup::Found(view),
             Ok(StateReply::OtherTeam) => JobLookup::OtherTeam,
             Ok(StateReply::NoJob) => self.job_from_store(id, team).await,
             Err(error) => {
-                self.bypass_owner(&error);
+                handle_failed_call(shared, &error);
                 self.job_from_store(id, team).await
             }
         }
@@ -185,7 +188,8 @@
 
     /// Cancels a job.
     pub async fn cancel(&self, id: &str, team: Option<&TeamName>) -> CancelResult {
-        let reply = self.owner().cancel(id, team).await;
+        let shared = self.node.shard_of_job(id);
+        let reply = self.owner(shared).cancel(id, team).await;
         match reply {
             Ok(CancelReply::Done) => CancelResult::Done,
             Ok(CancelReply::OtherTeam) => CancelResult::OtherTeam,
@@ -193,47 +197,48 @@
                 self.cancel_through_inbox(id, team).await
             }
             Err(error) => {
-                self.bypass_owner(&error);
+                handle_failed_call(shared, &error);
                 self.cancel_through_inbox(id, team).await
             }
         }
     }
 
-    /// Returns the number of jobs of a queue that have not started; none if the owner doesn't
-    /// reply.
+    /// Returns the number of jobs of a queue that have not started; none if an owner doesn't reply.
     pub async fn waiting(&self, queue: &QueueName) -> Option<usize> {
-        match self.owner().waiting(queue).await {
-            Ok(count) => Some(count),
-            Err(error) => {
-                self.bypass_owner(&error);
-                None
+        let mut waiting = 0;
+        for shared in &self.node.shards.get()?.states {
+            match self.owner(Some(shared)).waiting(queue).await {
+                Ok(count) => waiting += count,
+                Err(error) => {
+                    handle_failed_call(Some(shared), &error);
+                    return None;
+                }
             }
         }
+        Some(waiting)
     }
 
-    /// Returns how this node reaches the owner now.
-    fn owner(&self) -> OwnerLink<'_, P> {
-        if self.shared.held_ownership().is_some_and(|ownership| ownership.is_ready) {
-            return OwnerLink::Local(&self.shared);
+    /// Returns how this node reaches the owner of a shard now.
+    fn owner<'a>(&'a self, shared: Option<&'a Arc<Shared<P>>>) -> OwnerLink<'a, P> {
+        let Some(shared) = shared else {
+            return OwnerLink::Unreachable;
+        };
+        if shared.held_ownership().is_some_and(|ownership| ownership.is_ready) {
+            return OwnerLink::Local(shared);
         }
-        let location = self.shared.owner_location();
-        let is_own = location.row.incarnation == self.shared.settings.incarnation;
+        let location = shared.owner_location();
+        let is_own = location.row.incarnation == self.node.settings.incarnation;
         let is_usable =
             !is_own && !location.row.is_released && clock::now() >= location.bypassed_until;
+        let shard = shared.shard;
         match location.row.address.filter(|_| is_usable) {
             Some(address) => {
-                OwnerLink::Remote(OwnerClient { client: &self.shared.client, address })
+                OwnerLink::Remote(OwnerClient { client: &self.node.client, address, shard })
             }
             None => OwnerLink::Unreachable,
         }
     }
 
-    fn bypass_owner(&self, error: &PeerError) {
-        if matches!(error, PeerError::NoReply(_)) {
-            self.shared.bypass_owner(clock::now() + OWNER_BYPASS_TIME);
-        }
-    }
-
     /// Stores a job in the inbox, where the owner finds it.
     ///
     /// `is_unsure` says that the job may be stored already. The write is then repeated until it is
@@ -248,23 +253,23 @@
         let value = rows::encode(&InboxRow::Submit(record.clone()));
         loop {
             let retry = SubmitOutcome::NotStored { retry_after: outage_retry_after() };
-            if !is_unsure && !self.shared.is_store_up() {
+            if !is_unsure && !self.node.is_store_up() {
                 return retry;
             }
             let transaction = Transaction {
                 puts: vec![(Table::Inbox, key.clone(), value.clone())],
                 ..Transaction::default()
             };
-            match self.shared.platform.write(transaction).await {
+            match self.node.platform.write(transaction).await {
                 WriteOutcome::Committed(_) => {
-                    self.shared.record_store_reply(true);
+                    self.node.record_store_reply(true);
                     return SubmitOutcome::Accepted;
                 }
                 WriteOutcome::Unknown(_) => is_unsure = true,
                 WriteOutcome::Conflict(_) | WriteOutcome::Refused(_) if !is_unsure => return retry,
                 WriteOutcome::Conflict(_) | WriteOutcome::Refused(_) => {}
             }
-            self.shared.record_store_reply(false);
+            self.node.record_store_reply(false);
             if clock::now() + INBOX_RETRY_PAUSE >= deadline {
                 return SubmitOutcome::Unknown;
             }
@@ -302,7 +307,7 @@
             puts: vec![(Table::Inbox, inbox_key("cancel", id), value)],
             ..Transaction::default()
         };
-        match self.shared.platform.write(transaction).await {
+        match self.node.platform.write(transaction).await {
             WriteOutcome::Committed(_) => CancelResult::Done,
             _ => CancelResult::Unknown,
         }
@@ -312,13 +317,15 @@
         &self,
         id: &str,
     ) -> Result<Option<(JobView, Option<TeamName>)>, ReadError> {
-        let platform = &self.shared.platform;
+        let platform = &self.node.platform;
+        let shard = self.node.shard_of_job(id).map(|shared| shared.shard);
+        let shard = shard.ok_or(ReadError::Refused("the shards are not known yet".to_owned()))?;
         // A job leaves the inbox only after its record is written, and its record is removed only
         // after its final state is written. Reading in this order, a job is found in at least one
         // place.
-        let inbox = platform.get(Table::Inbox, &inbox_key("submit", id)).await?;
-        let record = platform.get(Table::Jobs, id).await?;
-        let progress = platform.get(Table::Progress, id).await?;
+        let inbox = platform.get(shard, Table::Inbox, &inbox_key("submit", id)).await?;
+        let record = platform.get(shard, Table::Jobs, id).await?;
+        let progress = platform.get(shard, Table::Progress, id).await?;
         let progress: Option<Progress> = progress.as_ref().and_then(rows::decode_or_log);
         if let Some(state) = progress.as_ref().and_then(|progress| progress.final_state) {
             let team = progress.and_then(|progress| progress.team).map(Into::into);
@@ -335,6 +342,17 @@
     }
 }
 
+/// Makes calls bypass an owner that did not reply, and looks for the owner if it is another node.
+fn handle_failed_call<P>(shared: Option<&Arc<Shared<P>>>, error: &PeerError) {
+    let Some(shared) = shared else {
+        return;
+    };
+    match error {
+        PeerError::NoReply(_) => shared.bypass_owner(clock::now() + OWNER_BYPASS_TIME),
+        PeerError::NotExecuted(_) => shared.poll_now.notify_one(),
+    }
+}
+
 /// Returns the time after which a caller may retry while the store is unavailable. It is random, so
 /// that callers don't all return at the same moment.
 fn outage_retry_after() -> Duration {
--- a/crates/coordinator/src/election.rs
+++ b/crates/coordinator/src/election.rs
@@ -1,6 +1,6 @@
 //! Decides when a node that is not the owner takes over.
 //!
-//! A node polls the owner at short intervals. While the owner doesn't confirm that it is working,
+//! A node polls the owner of each shard at short intervals ([`poll_period`]). While the owner doesn't confirm that it is working,
 //! the node reads the owner's row. It takes over at once if the owner has released the row, if the
 //! owner reports that it can't write, or if another process replies at its address. Otherwise it
 //! takes over when the row has not changed for [`SILENCE_MAX`], or for [`REFUSED_MAX`] if nothing
@@ -18,6 +18,10 @@
 
 /// Time between two polls of the owner.
 pub const POLL_PERIOD: Duration = Duration::from_millis(300);
+/// Longest time between two polls of an owner that is not suspected to have failed.
+const POLL_PERIOD_MAX: Duration = Duration::from_millis(2_400);
+/// Number of shards whose owners a strong node polls at [`POLL_PERIOD`].
+const WATCHED_SHARDS: u64 = 6;
 /// Time without a change of the owner's row after which a node takes over; above the time of a few
 /// transactions of a slow store.
 pub const SILENCE_MAX: Duration = Duration::from_millis(1_300);
@@ -124,6 +128,20 @@
     Refused,
 }
 
+/// Returns the time between two polls of the owner of a shard, one of `shard_count`.
+///
+/// The number of polls that an owner gets must not grow with the fleet, nor may those that a node
+/// sends. A strong node, which may become the owner, therefore watches a few shards closely;
+/// `watch_number` says which ones and is evenly distributed. The other owners are polled the less
+/// often the more there are: even so, some node notices a failure at once, and then polls at
+/// [`POLL_PERIOD`].
+pub fn poll_period(shard_count: usize, watch_number: u64, is_strong: bool) -> Duration {
+    if is_strong && watch_number % (shard_count.max(1) as u64) < WATCHED_SHARDS {
+        return POLL_PERIOD;
+    }
+    (POLL_PERIOD * shard_count.max(1) as u32).min(POLL_PERIOD_MAX)
+}
+
 impl Election {
     /// Handles the result of a poll of the owner that `row` names.
     pub fn handle_reply(&mut self, row: &OwnerRow, reply: OwnerReply) -> NextStep {
@@ -194,6 +212,11 @@
         }
     }
 
+    /// Returns whether the owner may have failed, so that it has to be polled again soon.
+    pub fn is_suspicious(&self) -> bool {
+        self.last_row.is_some() || self.pending_takeover.is_some()
+    }
+
     /// Decides whether the row is to be taken over, without regard to stronger nodes.
     fn evaluate(&mut self, row: &OwnerRow, now: Moment) -> Verdict {
         if row.is_released {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,8 +1,8 @@
 //! A node of a fleet whose workers enforce fencing tokens and leases themselves.
 //!
-//! All nodes take callers' requests. One of them, the owner, decides what runs where. The owner's
-//! row in the platform's table names it and holds its epoch, which is the fencing token of all its
-//! commands. Each transaction of the owner requires the current version of that row and changes it,
+//! All nodes take callers' requests. The hosts and jobs are divided among shards ([`sharding`]), and
+//! one node, the owner of the shard, decides what runs where in it. The owner's row in the
+//! platform's table names it and holds its epoch, which is the fencing token of all its commands. Each transaction of the owner requires the current version of that row and changes it,
 //! so that a transaction of an earlier owner, or one that arrives late, has no effect.
 //!
 //! [`Node`] runs all parts, and the traits of [`ports`] abstract the platform. [`election`] decides
@@ -12,18 +12,21 @@
 pub mod caller_api;
 pub mod clock;
 pub mod config;
+pub mod divisions;
 pub mod http;
 pub mod metrics;
 pub mod ports;
 pub mod rows;
 
 pub mod election;
+mod layout;
 mod node;
 mod operator_changes;
 mod owner;
 mod owner_link;
 mod peers;
 pub mod poll_schedule;
+pub mod sharding;
 mod shared;
 pub mod succession;
 
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -5,19 +5,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
 use scheduler::Settings;
+use scheduler::ShardIndex;
 use telemetry::Telemetry;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 
 use crate::clock;
 use crate::election::Election;
@@ -28,6 +29,7 @@
 use crate::election::Verdict;
 use crate::http::Client;
 use crate::http::Server;
+use crate::layout;
 use crate::metrics::METRICS;
 use crate::operator_changes;
 use crate::owner;
@@ -42,11 +44,14 @@
 use crate::ports::Transaction;
 use crate::ports::WriteOutcome;
 use crate::rows;
+use crate::rows::EPOCH_KEY;
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
+use crate::shared::HeldOwnership;
+use crate::shared::NodeState;
 use crate::shared::OperatorState;
-use crate::shared::OwnerLocation;
 use crate::shared::OwnerRequest;
+use crate::shared::Shards;
 use crate::shared::Shared;
 
 /// Time limit for releasing the ownership when the node stops.
@@ -69,13 +74,16 @@
     pub key_age_max: Duration,
     /// Time limit for a submission to the owner if it runs in this process.
     pub local_write_timeout: Duration,
+    /// Number of hosts that one owner should schedule; decides the number of shards when the first
+    /// node of a fleet starts.
+    pub hosts_per_shard: usize,
     /// Times and limits of the scheduler.
     pub scheduling: Settings,
 }
 
 /// A running node.
 pub struct Node<P> {
-    pub(crate) shared: Arc<Shared<P>>,
+    pub(crate) node: Arc<NodeState<P>>,
     tasks: Vec<JoinHandle<()>>,
     peers: Mutex<Option<Server>>,
 }
@@ -91,58 +99,49 @@
         telemetry.declare(METRICS);
         let listener = TcpListener::bind(settings.peer_address).await?;
         settings.peer_address = listener.local_addr()?;
-        let shared = Arc::new(Shared {
-            strongest_cpu_millis: AtomicU64::new(settings.cpu_millis),
+        let node = Arc::new(NodeState {
             settings,
             platform,
             client,
             operator_state: watch::Sender::new(OperatorState::default()),
-            owner_location: Mutex::new(OwnerLocation::default()),
-            owner: Mutex::new(None),
             is_stopping: watch::Sender::new(false),
             is_store_up: AtomicBool::new(true),
-            followers: Mutex::default(),
-            poll_now: Notify::new(),
-            is_takeover_requested: AtomicBool::new(false),
             started_at: clock::now(),
             telemetry,
+            shards: OnceLock::new(),
         });
-        let router = peers::router(shared.clone());
+        let router = peers::router(node.clone());
         let peers = Server::serve(listener, router)?;
         let tasks = vec![
-            tokio::spawn(operator_changes::run(shared.clone())),
-            tokio::spawn(run_election(shared.clone())),
+            tokio::spawn(operator_changes::run(node.clone())),
+            tokio::spawn(run_elections(node.clone())),
         ];
-        Ok(Self { shared, tasks, peers: Mutex::new(Some(peers)) })
+        Ok(Self { node, tasks, peers: Mutex::new(Some(peers)) })
     }
 
-    /// Returns whether the node can serve callers: its configuration is recent, and it is not
-    /// stopping.
+    /// Returns whether the node can serve callers: it knows the shards, its configuration is recent,
+    /// and it is not stopping.
     pub fn is_ready(&self) -> bool {
-        let config = self.shared.config(clock::now());
-        let is_fresh = config.is_some_and(|(_, age)| age <= self.shared.settings.key_age_max);
-        is_fresh && !self.shared.is_stopping()
+        let config = self.node.config(clock::now());
+        let is_fresh = config.is_some_and(|(_, age)| age <= self.node.settings.key_age_max);
+        is_fresh && self.node.shards.get().is_some() && !self.node.is_stopping()
     }
 
     /// Returns the metrics of the node.
     pub fn telemetry(&self) -> &Telemetry {
-        &self.shared.telemetry
+        &self.node.telemetry
     }
 
-    /// Releases the ownership if the node holds it, and makes the node not ready. Callers are still
+    /// Releases the ownerships that the node holds, and makes the node not ready. Callers are still
     /// served.
     pub async fn start_shutdown(&self) {
-        self.shared.is_stopping.send_replace(true);
-        let Some(ownership) = self.shared.held_ownership() else {
-            return;
-        };
-        let (reply, released) = oneshot::channel();
-        if ownership.requests.send(OwnerRequest::Release { reply }).await.is_err() {
-            return;
-        }
-        if tokio::time::timeout(RELEASE_TIMEOUT, released).await.is_err() {
-            telemetry::log::line("release-late").field("epoch", ownership.epoch).write();
+        self.node.is_stopping.send_replace(true);
+        let states = self.node.shards.get().map_or(&[][..], |shards| &shards.states);
+        let mut releases = JoinSet::new();
+        for ownership in states.iter().filter_map(|shared| shared.held_ownership()) {
+            releases.spawn(release(ownership));
         }
+        releases.join_all().await;
     }
 
     /// Stops serving peers, with up to `grace` for calls in progress, and ends the node's tasks.
@@ -157,20 +156,48 @@
     }
 }
 
+/// Requests the owner in this process to release its ownership, and waits until it has.
+async fn release(ownership: HeldOwnership) {
+    let (reply, released) = oneshot::channel();
+    if ownership.requests.send(OwnerRequest::Release { reply }).await.is_err() {
+        return;
+    }
+    if tokio::time::timeout(RELEASE_TIMEOUT, released).await.is_err() {
+        telemetry::log::line("release-late").field("epoch", ownership.epoch).write();
+    }
+}
+
+/// Finds out the layout, and runs the election of each shard for as long as the process runs.
+async fn run_elections<P: Platform>(node: Arc<NodeState<P>>) {
+    let layout = layout::read_or_store(&node).await;
+    let indices = 0..layout.shard_count as ShardIndex;
+    let states = indices.map(|shard| Arc::new(Shared::new(node.clone(), shard))).collect();
+    let shards = node.shards.get_or_init(|| Shards { layout, states });
+    let mut elections = JoinSet::new();
+    for shared in &shards.states {
+        elections.spawn(run_election(shared.clone()));
+    }
+    elections.join_all().await;
+}
+
 /// Polls the owner for as long as the process runs, and takes over when necessary.
 async fn run_election<P: Platform>(shared: Arc<Shared<P>>) {
     let mut election = Election::default();
     loop {
-        if shared.is_stopping() {
+        if shared.node.is_stopping() {
             return;
         }
         if let Some(acquired) = check_owner(&shared, &mut election).await {
             owner::run(shared.clone(), acquired).await;
             election = Election::default();
         }
+        let period = match election.is_suspicious() {
+            true => POLL_PERIOD,
+            false => shared.poll_period(),
+        };
         let jitter = Duration::from_millis(rand::rng().random_range(0..POLL_JITTER_MS));
         tokio::select! {
-            () = tokio::time::sleep(POLL_PERIOD + jitter) => {}
+            () = tokio::time::sleep(period + jitter) => {}
             () = shared.poll_now.notified() => {}
         }
     }
@@ -190,7 +217,7 @@
     }
     let is_requested = shared.is_takeover_requested.swap(false, Ordering::Relaxed);
     if let Some(address) = location.row.address {
-        let reply = match location.row.incarnation == shared.settings.incarnation {
+        let reply = match location.row.incarnation == shared.node.settings.incarnation {
             // The row names this process, which has lost or released the ownership.
             true => OwnerReply::Silent,
             false => poll_owner(shared, address).await,
@@ -224,14 +251,14 @@
 
 /// Polls the owner, and applies the age and version of the configuration that it reports.
 async fn poll_owner<P: Platform>(shared: &Shared<P>, address: SocketAddr) -> OwnerReply {
-    let owner = OwnerClient { client: &shared.client, address };
+    let owner = OwnerClient { client: &shared.node.client, address, shard: shared.shard };
     let sent_at = clock::now();
-    let uptime = sent_at.saturating_sub(shared.started_at);
+    let uptime = sent_at.saturating_sub(shared.node.started_at);
     let ping = Ping {
-        address: shared.settings.peer_address,
+        address: shared.node.settings.peer_address,
         uptime_ms: uptime.as_millis() as u64,
-        cpu_millis: shared.settings.cpu_millis,
-        is_store_up: shared.is_store_up(),
+        cpu_millis: shared.node.spare_cpu_millis(),
+        is_store_up: shared.node.is_store_up(),
     };
     let (reply, info) = owner.ping(&ping).await;
     let Some(info) = info else {
@@ -245,21 +272,21 @@
         return reply;
     }
     let confirmed_at = sent_at.saturating_sub(reported.age);
-    let known = shared.config(sent_at).map_or(0, |(config, _)| config.version);
+    let known = shared.node.config(sent_at).map_or(0, |(config, _)| config.version);
     // The platform delivers newer configurations sooner, so only a node that can't reach the store
     // fetches them from the owner.
-    let config = match reported.version > known && !shared.is_store_up() {
+    let config = match reported.version > known && !shared.node.is_store_up() {
         true => owner.config().await.ok().map(Arc::new),
         false => None,
     };
-    shared.set_config(config, reported.version, confirmed_at);
+    shared.node.set_config(config, reported.version, confirmed_at);
     reply
 }
 
 async fn read_owner<P: Platform>(
     shared: &Shared<P>,
 ) -> Result<Option<(OwnerRow, RowVersion)>, ReadError> {
-    let Some(found) = shared.platform.get(Table::Owner, OWNER_KEY).await? else {
+    let Some(found) = shared.node.platform.get(shared.shard, Table::Owner, OWNER_KEY).await? else {
         return Ok(None);
     };
     let row = rows::decode(&found.key, &found.value);
@@ -276,18 +303,22 @@
     let row = OwnerRow {
         epoch: previous.epoch + 1,
         sequence: previous.sequence + 1,
-        node: shared.settings.name.clone(),
-        incarnation: shared.settings.incarnation,
-        address: Some(shared.settings.peer_address),
+        node: shared.node.settings.name.clone(),
+        incarnation: shared.node.settings.incarnation,
+        address: Some(shared.node.settings.peer_address),
         is_released: false,
     };
     let sent_at = clock::now();
     let transaction = Transaction {
+        shard: shared.shard,
         preconditions: vec![(Table::Owner, OWNER_KEY.to_owned(), version)],
-        puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row))],
-        ..Transaction::default()
+        puts: vec![
+            (Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row)),
+            (Table::Owner, EPOCH_KEY.to_owned(), rows::encode(&row.epoch)),
+        ],
+        removals: Vec::new(),
     };
-    let written = shared.platform.write(transaction).await;
+    let written = shared.node.platform.write(transaction).await;
     let version = match written {
         WriteOutcome::Committed(version) => version,
         // The owner's row shows whether the transaction was committed. If it can't be read, the
@@ -300,6 +331,7 @@
     };
     shared.set_owner_row(row.clone(), version);
     telemetry::log::line("ownership-taken")
+        .field("shard", shared.shard)
         .field("epoch", row.epoch)
         .text("reason", format!("{reason:?}"))
         .field("before", previous.node.as_str())
--- a/crates/coordinator/src/operator_changes.rs
+++ b/crates/coordinator/src/operator_changes.rs
@@ -12,7 +12,7 @@
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::RowVersion;
-use crate::shared::Shared;
+use crate::shared::NodeState;
 
 /// Longest wait of a call for changes. While nothing changes, it bounds the age of the
 /// configuration.
@@ -21,26 +21,26 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Applies the operators' changes for as long as the process runs.
-pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
+pub(crate) async fn run<P: Platform>(node: Arc<NodeState<P>>) {
     let mut version: Option<RowVersion> = None;
     let mut is_connected = true;
     loop {
         let sent_at = clock::now();
-        match shared.platform.operator_changes(version, CHANGES_WAIT).await {
+        match node.platform.operator_changes(version, CHANGES_WAIT).await {
             Ok(changes) => {
-                shared.record_store_reply(true);
+                node.record_store_reply(true);
                 if !std::mem::replace(&mut is_connected, true) {
                     telemetry::log::line("operators-regained").write();
                 }
                 version = Some(changes.version);
-                apply(&shared, changes, sent_at);
+                apply(&node, changes, sent_at);
             }
             Err(ReadError::HistoryGone) => {
                 version = None;
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
             Err(error) => {
-                shared.record_store_reply(false);
+                node.record_store_reply(false);
                 if std::mem::replace(&mut is_connected, false) {
                     telemetry::log::line("operators-lost").text("why", error).write();
                 }
@@ -50,7 +50,7 @@
     }
 }
 
-fn apply<P: Platform>(shared: &Shared<P>, changes: Changes<OperatorChange>, sent_at: Moment) {
+fn apply<P: Platform>(node: &NodeState<P>, changes: Changes<OperatorChange>, sent_at: Moment) {
     let mut config = None;
     let mut waves = Vec::new();
     for change in changes.changed {
@@ -60,7 +60,7 @@
         }
     }
     if changes.is_snapshot || !waves.is_empty() {
-        shared.operator_state.send_modify(|operator_state| {
+        node.operator_state.send_modify(|operator_state| {
             if changes.is_snapshot {
                 operator_state.waves = SortedMap::default();
             }
@@ -70,7 +70,7 @@
         });
     }
     // Changes without a newer configuration confirm that the known one is the newest.
-    let known = shared.operator_state.borrow().config.as_ref().map_or(0, |config| config.version);
+    let known = node.operator_state.borrow().config.as_ref().map_or(0, |config| config.version);
     let version = config.as_ref().map_or(known, |config| config.version);
-    shared.set_config(config, version, sent_at);
+    node.set_config(config, version, sent_at);
 }
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -5,6 +5,7 @@
 
 mod actions;
 mod commit;
+mod divide;
 mod event;
 mod leases;
 mod load;
@@ -13,6 +14,7 @@
 mod stats;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use scheduler::Moment;
@@ -31,8 +33,8 @@
 use self::pipeline::Pipeline;
 use self::stats::OwnerStats;
 use crate::clock;
+use crate::divisions::Divisions;
 use crate::election::Reason;
-use crate::metrics;
 use crate::peers::OwnerClient;
 use crate::poll_schedule::PollSchedule;
 use crate::ports::Platform;
@@ -91,6 +93,7 @@
     poll_schedule_reviewed_at: Moment,
     /// State of each maintenance wave as last reported to operators.
     reported_waves: SortedMap<WaveId, WaveState>,
+    divisions: Divisions,
     /// When the list of hosts was last requested; zero makes the next request due at once.
     hosts_listed_at: Moment,
     is_listing_hosts: bool,
@@ -130,8 +133,10 @@
         None => EndReason::Superseded,
     };
     *shared.owner.lock().expect("lock is never poisoned") = None;
-    shared.telemetry.gauge(metrics::JOBS_LIVE, 0);
+    shared.live_jobs.store(0, Ordering::Relaxed);
+    shared.node.report_live_jobs();
     telemetry::log::line("ownership-ended")
+        .field("shard", shared.shard)
         .field("epoch", epoch)
         .text("why", format!("{end_reason:?}"))
         .write();
@@ -145,7 +150,9 @@
     let Some(address) = shared.successor(clock::now()) else {
         return;
     };
-    let reply = OwnerClient { client: &shared.client, address }.request_takeover().await;
+    let reply = OwnerClient { client: &shared.node.client, address, shard: shared.shard }
+        .request_takeover()
+        .await;
     telemetry::log::line("ownership-handed-over")
         .field("epoch", epoch)
         .text("to", address)
@@ -171,12 +178,13 @@
         poll_schedule: PollSchedule::default(),
         poll_schedule_reviewed_at: Moment::ZERO,
         reported_waves: SortedMap::default(),
+        divisions: loaded.divisions,
         hosts_listed_at: Moment::ZERO,
         is_listing_hosts: false,
         host_commands: 0,
         takeover_requested_at: Moment::ZERO,
         pools_logged_at: Moment::ZERO,
-        stats: OwnerStats::new(shared.telemetry.clone()),
+        stats: OwnerStats::new(shared.node.telemetry.clone()),
         config_version: 0,
         end_reason: None,
         release: None,
@@ -184,10 +192,11 @@
     owner.handle_inbox(loaded.inbox);
     owner.follow_registry();
     owner.follow_inbox();
+    owner.follow_divisions(loaded.divisions_version);
     if let Some(ownership) = shared.owner.lock().expect("lock is never poisoned").as_mut() {
         ownership.is_ready = true;
     }
-    let mut operator_state = shared.operator_state.subscribe();
+    let mut operator_state = shared.node.operator_state.subscribe();
     operator_state.mark_changed();
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -220,7 +229,7 @@
     fn run_round(&mut self) {
         let now = clock::now();
         self.stats.record_round();
-        self.stats.log(self.epoch, now);
+        self.stats.log(self.shared.shard, self.epoch, now);
         if self.scheduler.is_fenced() {
             telemetry::log::line("orders-fenced").field("epoch", self.epoch).write();
             self.end_reason = Some(EndReason::Superseded);
@@ -239,6 +248,9 @@
             (true, false) => self.scheduler.review(now),
             (false, _) => {}
         }
+        if is_valid && self.release.is_none() {
+            self.divide_quotas(now);
+        }
         self.commit_next(now);
         self.remove_inbox_rows();
         let actions = self.scheduler.take_actions();
@@ -256,22 +268,18 @@
     /// Returns whether a stronger node should own the scheduling.
     fn should_yield(&self, now: Moment) -> bool {
         let owned_for = now.saturating_sub(self.owned_since);
-        owned_for >= OWNED_MIN && !self.pipeline.is_stuck(now) && self.shared.has_stronger(now)
+        owned_for >= OWNED_MIN && !self.pipeline.is_stuck(now) && self.shared.should_yield(now)
     }
 
     fn apply_operator_state(&mut self) {
-        let now = clock::now();
-        let (config, waves) = {
-            let operator_state = self.shared.operator_state.borrow();
-            (operator_state.config.clone(), operator_state.waves.clone())
-        };
+        let config = self.shared.node.operator_state.borrow().config.clone();
         if let Some(config) = config
             && config.version > self.config_version
         {
             self.config_version = config.version;
             self.scheduler.set_config(config.scheduling.clone());
         }
-        self.scheduler.set_waves(waves.values().cloned().collect(), now);
+        self.apply_waves();
     }
 
     /// Runs a call in a task of its own; its result comes back as an event.
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -1,5 +1,6 @@
 //! Carries out the scheduler's decisions and passes the results of calls back to it.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use scheduler::Action;
@@ -86,10 +87,15 @@
                 }
             }
             Event::InboxChanged { rows } => self.handle_inbox(rows),
+            Event::DivisionsChanged { rows } => self.handle_divisions(&rows),
+            Event::DivisionWritten { key, outcome } => self.handle_division_written(&key, outcome),
             Event::HostsListed { result } => {
                 self.is_listing_hosts = false;
                 match result {
-                    Ok(hosts) => self.scheduler.set_hosts(hosts, now),
+                    Ok(mut hosts) => {
+                        hosts.retain(|host| self.shared.has_host(&host.name));
+                        self.scheduler.set_hosts(hosts, now);
+                    }
                     Err(error) => {
                         telemetry::log::line("hosts-not-listed").text("why", error).write();
                     }
@@ -142,25 +148,25 @@
             Action::Start(command) => self.start_run(command),
             Action::Stop { worker, address, unit, run } => self.spawn(async move {
                 let is_answered =
-                    shared.platform.stop_run(&worker, address, &unit, run, token).await;
+                    shared.node.platform.stop_run(&worker, address, &unit, run, token).await;
                 Event::Stopped { worker, unit, run, is_answered }
             }),
             Action::LimitSpeed { worker, address, unit, run, percent } => self.spawn(async move {
-                let platform = &shared.platform;
+                let platform = &shared.node.platform;
                 let is_answered =
                     platform.limit_speed(&worker, address, &unit, run, percent, token).await;
                 Event::SpeedLimited { unit, run, percent, is_answered }
             }),
             Action::RequestAdvice { unit, workers } => self.spawn(async move {
                 let requested_at = clock::now();
-                let result = shared.platform.request_advice(&unit, &workers).await;
+                let result = shared.node.platform.request_advice(&unit, &workers).await;
                 Event::Advised { unit, candidates: workers, requested_at, result }
             }),
             Action::MoveHost { host, pool } => self.command_host(host, HostCommand::Move(pool)),
             Action::MaintainHost { host, wave } => {
                 self.command_host(host, HostCommand::Maintain(wave));
             }
-            Action::WaveStatus { wave, state } => self.report_wave(wave, state),
+            Action::WaveStatus { wave, state } => self.handle_wave_state(wave, state),
             Action::LogDecision { what, subject, why } => telemetry::log::line("decision")
                 .field("what", what)
                 .field("subject", subject)
@@ -179,9 +185,9 @@
         self.is_listing_hosts = true;
         self.hosts_listed_at = now;
         let shared = self.shared.clone();
-        self.spawn(
-            async move { Event::HostsListed { result: shared.platform.list_hosts().await } },
-        );
+        self.spawn(async move {
+            Event::HostsListed { result: shared.node.platform.list_hosts().await }
+        });
     }
 
     /// Logs the load of each pool once per period, and updates the gauge of live jobs.
@@ -190,9 +196,11 @@
             return;
         }
         self.pools_logged_at = now;
-        self.shared.telemetry.gauge(metrics::JOBS_LIVE, self.scheduler.live_jobs() as u64);
+        self.shared.live_jobs.store(self.scheduler.live_jobs(), Ordering::Relaxed);
+        self.shared.node.report_live_jobs();
         for (pool, load) in self.scheduler.pool_loads(now).iter() {
             telemetry::log::line("pool-load")
+                .field("shard", self.shared.shard)
                 .field("pool", &**pool)
                 .field("hosts", load.hosts)
                 .field("hosts_needed", load.hosts_needed())
@@ -209,7 +217,7 @@
     }
 
     fn count_start(&self, job: &str, reply: StartReply, now: Moment) {
-        let telemetry = &self.shared.telemetry;
+        let telemetry = &self.shared.node.telemetry;
         if reply != StartReply::Started {
             telemetry.count(metrics::RUNS_NOT_STARTED);
             return;
@@ -226,9 +234,9 @@
         let token = self.epoch;
         self.spawn(async move {
             let sent_at = clock::now();
-            let reply = shared.platform.start_run(&command, token).await;
+            let reply = shared.node.platform.start_run(&command, token).await;
             let took = clock::now().saturating_sub(sent_at);
-            shared.telemetry.time(metrics::RUNS_START, took);
+            shared.node.telemetry.time(metrics::RUNS_START, took);
             let StartCommand { worker, unit, run, .. } = command;
             Event::Started { worker, unit, run, reply }
         });
@@ -240,8 +248,8 @@
         self.host_commands += 1;
         let token = self.epoch * HOST_COMMANDS_PER_EPOCH + self.host_commands;
         self.spawn(async move {
-            let holder = &shared.settings.name;
-            let platform = &shared.platform;
+            let holder = &shared.node.settings.name;
+            let platform = &shared.node.platform;
             let reply = match &command {
                 HostCommand::Move(pool) => platform.move_host(&host, pool, holder, token).await,
                 HostCommand::Maintain(wave) => {
@@ -252,14 +260,14 @@
         });
     }
 
-    fn report_wave(&mut self, wave: WaveId, state: WaveState) {
+    pub(super) fn report_wave(&mut self, wave: WaveId, state: WaveState) {
         if self.reported_waves.get(&wave) == Some(&state) {
             return;
         }
         self.reported_waves.insert(wave, state);
         let shared = self.shared.clone();
         self.spawn(async move {
-            let outcome = shared.platform.report_wave(wave, state).await;
+            let outcome = shared.node.platform.report_wave(wave, state).await;
             Event::WaveReported { wave, state, outcome }
         });
     }
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -77,7 +77,7 @@
         let has_succeeded =
             matches!(outcome, WriteOutcome::Committed(_) | WriteOutcome::Conflict(_));
         let is_unknown = matches!(outcome, WriteOutcome::Unknown(_));
-        self.shared.record_store_reply(has_succeeded);
+        self.shared.node.record_store_reply(has_succeeded);
         match outcome {
             WriteOutcome::Committed(version) => self.handle_committed(in_flight, version, now),
             WriteOutcome::Conflict(found) => match version_if_committed(&found, &in_flight.row) {
@@ -92,7 +92,7 @@
                     }
                 }
                 self.pipeline.refuse_submissions();
-                self.shared.telemetry.count(metrics::STORE_FAILED);
+                self.shared.node.telemetry.count(metrics::STORE_FAILED);
                 telemetry::log::line("store-write-failed")
                     .field("sequence", in_flight.row.sequence)
                     .text("why", why)
@@ -116,7 +116,7 @@
         self.pipeline.is_removing_inbox = true;
         let shared = self.shared.clone();
         self.spawn(async move {
-            let outcome = shared.platform.remove_from_inbox(keys.clone()).await;
+            let outcome = shared.node.platform.remove_from_inbox(keys.clone()).await;
             Event::InboxRemoved { keys, outcome }
         });
     }
@@ -178,6 +178,7 @@
             ..pipeline.row.clone()
         };
         let mut transaction = Transaction {
+            shard: self.shared.shard,
             preconditions: vec![(Table::Owner, OWNER_KEY.to_owned(), pipeline.version)],
             puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row))],
             removals: Vec::new(),
@@ -200,7 +201,7 @@
         self.pipeline.in_flight = Some(InFlight { sent_at: now, ..in_flight });
         let shared = self.shared.clone();
         self.spawn(async move {
-            Event::TransactionDone { outcome: shared.platform.write(transaction).await }
+            Event::TransactionDone { outcome: shared.node.platform.write(transaction).await }
         });
     }
 
@@ -225,10 +226,11 @@
         }
         self.shared.set_owner_row(in_flight.row.clone(), version);
         for submission in in_flight.submissions {
-            self.shared.telemetry.count(metrics::JOBS_ACCEPTED);
+            self.shared.node.telemetry.count(metrics::JOBS_ACCEPTED);
             telemetry::log::line("job-accepted")
                 .field("job", &*submission.record.id)
                 .field("queue", &*submission.record.queue)
+                .field("shard", self.shared.shard)
                 .field("epoch", self.epoch)
                 .field("config_version", self.config_version)
                 .write();
@@ -239,7 +241,7 @@
         self.scheduler.handle_commit(&in_flight.batch, now);
         for (id, progress) in &in_flight.batch.progress {
             if let Some(state) = progress.final_state {
-                self.shared.telemetry.count(metrics::JOBS_ENDED);
+                self.shared.node.telemetry.count(metrics::JOBS_ENDED);
                 telemetry::log::line("job-ended")
                     .field("job", &**id)
                     .text("state", format!("{state:?}"))
@@ -267,7 +269,8 @@
         self.takeover_requested_at = now;
         let shared = self.shared.clone();
         self.calls.spawn(async move {
-            let successor = OwnerClient { client: &shared.client, address };
+            let successor =
+                OwnerClient { client: &shared.node.client, address, shard: shared.shard };
             if let Err(error) = successor.request_takeover().await {
                 telemetry::log::line("successor-not-asked").text("why", error).write();
             }
--- a/crates/coordinator/src/owner/event.rs
+++ b/crates/coordinator/src/owner/event.rs
@@ -47,6 +47,10 @@
     RegistryChanged { changes: Changes<WorkerRegistration> },
     /// Nodes have stored requests.
     InboxChanged { rows: Vec<Row> },
+    /// Owners of shards have changed divisions.
+    DivisionsChanged { rows: Vec<Row> },
+    /// A change of a division was sent.
+    DivisionWritten { key: String, outcome: WriteOutcome },
     /// The hosts were listed.
     HostsListed { result: Result<Vec<HostEntry>, ReadError> },
     /// A host was commanded to move or to go into maintenance.
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -4,6 +4,7 @@
 
 use scheduler::Moment;
 use scheduler::WorkerId;
+use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
 use scheduler::worker::Worker;
 
@@ -32,6 +33,8 @@
 const CHANGES_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause between two calls for changes of the registry, so that one call returns several changes.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two calls for changes of divisions, so that one call returns several changes.
+const DIVISIONS_PAUSE: Duration = Duration::from_millis(10);
 /// Pause after a failed call.
 const FAILED_PAUSE: Duration = Duration::from_millis(200);
 
@@ -59,7 +62,7 @@
         let are_all_stored =
             |id: &WorkerId| !scheduler.worker(id).is_some_and(Worker::has_unstored_completions);
         for waited in self.poll_schedule.resume_stored(are_all_stored, now) {
-            self.shared.telemetry.time(metrics::COMPLETIONS_STORE, waited);
+            self.shared.node.telemetry.time(metrics::COMPLETIONS_STORE, waited);
         }
     }
 
@@ -79,7 +82,7 @@
                 self.scheduler.handle_worker_gone(&id, "another instance answers", now);
             }
             Err(error) => {
-                self.shared.telemetry.count(metrics::POLLS_FAILED);
+                self.shared.node.telemetry.count(metrics::POLLS_FAILED);
                 telemetry::log::line("worker-silent")
                     .field("worker", &*id)
                     .text("why", error)
@@ -99,17 +102,19 @@
         let (shared, events) = (self.shared.clone(), self.events.clone());
         let read = move |version| {
             let shared = shared.clone();
-            async move { shared.platform.registrations(version, CHANGES_WAIT).await }
+            async move { shared.node.platform.registrations(version, CHANGES_WAIT).await }
         };
-        let send = move |changes| {
+        let own_shard = self.shared.clone();
+        let send = move |mut changes: Changes<WorkerRegistration>| {
             let events = events.clone();
+            changes.changed.retain(|registration| own_shard.has_worker(registration));
             async move {
                 let is_sent = events.send(Event::RegistryChanged { changes }).await.is_ok();
                 tokio::time::sleep(REGISTRY_PAUSE).await;
                 is_sent
             }
         };
-        self.calls.spawn(follow_changes("registry-not-read", read, send));
+        self.calls.spawn(follow_changes("registry-not-read", None, read, send));
     }
 
     /// Starts to follow the requests that nodes store in the inbox.
@@ -119,9 +124,9 @@
             let shared = shared.clone();
             async move {
                 match version {
-                    None => shared.platform.read_all(Table::Inbox).await,
+                    None => shared.node.platform.read_all(shared.shard, Table::Inbox).await,
                     Some(version) => {
-                        shared.platform.changes(Table::Inbox, version, CHANGES_WAIT).await
+                        shared.node.platform.changes(Table::Inbox, version, CHANGES_WAIT).await
                     }
                 }
             }
@@ -133,7 +138,39 @@
                 rows.is_empty() || events.send(Event::InboxChanged { rows }).await.is_ok()
             }
         };
-        self.calls.spawn(follow_changes("inbox-not-read", read, send));
+        self.calls.spawn(follow_changes("inbox-not-read", None, read, send));
+    }
+
+    /// Starts to follow the divisions among shards after the version that was read; there are none
+    /// if the fleet has a single shard.
+    pub(super) fn follow_divisions(&mut self, version: RowVersion) {
+        if self.shared.layout().shard_count <= 1 {
+            return;
+        }
+        let (shared, events) = (self.shared.clone(), self.events.clone());
+        let read = move |version| {
+            let shared = shared.clone();
+            async move {
+                let platform = &shared.node.platform;
+                match version {
+                    None => platform.read_all(shared.shard, Table::Divisions).await,
+                    Some(version) => {
+                        platform.changes(Table::Divisions, version, CHANGES_WAIT).await
+                    }
+                }
+            }
+        };
+        let send = move |changes: Changes<Row>| {
+            let events = events.clone();
+            async move {
+                let rows = changes.changed;
+                let is_sent =
+                    rows.is_empty() || events.send(Event::DivisionsChanged { rows }).await.is_ok();
+                tokio::time::sleep(DIVISIONS_PAUSE).await;
+                is_sent
+            }
+        };
+        self.calls.spawn(follow_changes("divisions-not-read", Some(version), read, send));
     }
 
     fn poll_worker(&mut self, id: WorkerId, now: Moment) {
@@ -161,7 +198,7 @@
         let shared = self.shared.clone();
         self.spawn(async move {
             let sent_at = clock::now();
-            let result = shared.platform.renew_lease(request).await;
+            let result = shared.node.platform.renew_lease(request).await;
             Event::Reported { worker: id, sent_at, result }
         });
     }
@@ -172,17 +209,17 @@
     worker.is_registered || !worker.runs.is_empty()
 }
 
-/// Reads all rows and then their changes until `send` returns false. Reads all rows again if the
-/// changes since the last read are no longer kept.
+/// Reads all rows, unless they were read up to `version`, and then their changes until `send`
+/// returns false. Reads all rows again if the changes since the last read are no longer kept.
 async fn follow_changes<T, R, S>(
     not_read: &'static str,
+    mut version: Option<RowVersion>,
     read: impl Fn(Option<RowVersion>) -> R,
     send: impl Fn(Changes<T>) -> S,
 ) where
     R: Future<Output = Result<Changes<T>, ReadError>>,
     S: Future<Output = bool>,
 {
-    let mut version = None;
     loop {
         match read(version).await {
             Ok(changes) => {
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -14,12 +14,14 @@
 use super::VALIDITY;
 use super::pipeline::Pipeline;
 use crate::clock;
+use crate::divisions::Divisions;
 use crate::election::REFUSED_MAX;
 use crate::election::Reason;
 use crate::metrics;
 use crate::ports::Platform;
 use crate::ports::ReadError;
 use crate::ports::Row;
+use crate::ports::RowVersion;
 use crate::ports::Table;
 use crate::rows;
 use crate::rows::BASELINE_HOSTS_KEY;
@@ -41,6 +43,10 @@
     pub pipeline: Pipeline,
     /// Requests that nodes have stored, to be handled before any decision.
     pub inbox: Vec<Row>,
+    /// Divisions among shards.
+    pub divisions: Divisions,
+    /// Version up to which the divisions were read.
+    pub divisions_version: RowVersion,
 }
 
 /// Loads the state for a new owner; returns none if the reads fail for [`LOAD_TIME_MAX`].
@@ -51,18 +57,18 @@
     let started_at = clock::now();
     loop {
         match read_state(shared, &acquired).await {
-            Ok((scheduler, inbox)) => {
+            Ok(loaded) => {
                 let took = clock::now().saturating_sub(started_at);
-                shared.telemetry.count(metrics::OWNERSHIP_TAKEN);
-                shared.telemetry.time(metrics::OWNERSHIP_LOAD, took);
+                shared.node.telemetry.count(metrics::OWNERSHIP_TAKEN);
+                shared.node.telemetry.time(metrics::OWNERSHIP_LOAD, took);
                 telemetry::log::line("ownership-loaded")
+                    .field("shard", shared.shard)
                     .field("epoch", acquired.row.epoch)
-                    .field("jobs", scheduler.live_jobs())
-                    .field("workers", scheduler.workers().count())
+                    .field("jobs", loaded.scheduler.live_jobs())
+                    .field("workers", loaded.scheduler.workers().count())
                     .field("took_ms", took.as_millis() as u64)
                     .write();
-                let pipeline = Pipeline::new(acquired.row, acquired.version, acquired.sent_at);
-                return Some(LoadedState { scheduler, pipeline, inbox });
+                return Some(loaded);
             }
             Err(error) => {
                 telemetry::log::line("ownership-not-loaded").text("why", error).write();
@@ -78,23 +84,26 @@
 async fn read_state<P: Platform>(
     shared: &Shared<P>,
     acquired: &AcquiredOwnership,
-) -> Result<(Scheduler, Vec<Row>), ReadError> {
-    let settings = shared.settings.scheduling.clone();
+) -> Result<LoadedState, ReadError> {
+    let settings = shared.node.settings.scheduling.clone();
     let lease = settings.lease;
     // A job moves from the inbox to the table of jobs. The inbox is read first, so that each job is
     // found in at least one of them.
-    let inbox = shared.platform.read_all(Table::Inbox).await?.changed;
+    let inbox = shared.node.platform.read_all(shared.shard, Table::Inbox).await?.changed;
     let (jobs, progress, assignments, host_commands, baseline_hosts) = tokio::try_join!(
-        shared.platform.read_all(Table::Jobs),
-        shared.platform.read_all(Table::Progress),
-        shared.platform.read_all(Table::Assignments),
-        shared.platform.get(Table::Owner, HOST_COMMANDS_KEY),
-        shared.platform.get(Table::Owner, BASELINE_HOSTS_KEY),
+        shared.node.platform.read_all(shared.shard, Table::Jobs),
+        shared.node.platform.read_all(shared.shard, Table::Progress),
+        shared.node.platform.read_all(shared.shard, Table::Assignments),
+        shared.node.platform.get(shared.shard, Table::Owner, HOST_COMMANDS_KEY),
+        shared.node.platform.get(shared.shard, Table::Owner, BASELINE_HOSTS_KEY),
     )?;
-    let workers = shared.platform.registrations(None, Duration::ZERO).await?;
+    let mut workers = shared.node.platform.registrations(None, Duration::ZERO).await?;
+    workers.changed.retain(|registration| shared.has_worker(registration));
+    let (divisions, divisions_version) = read_divisions(shared, acquired).await?;
     let now = clock::now();
     let mut scheduler = Scheduler::new(settings, acquired.row.epoch, clock::unix_now_ms(), now);
-    if let Some((config, _)) = shared.config(now) {
+    scheduler.set_shard_count(shared.layout().shard_count);
+    if let Some((config, _)) = shared.node.config(now) {
         scheduler.set_config(config.scheduling.clone());
     }
     let lease_remaining = lease_remaining(acquired, lease);
@@ -121,7 +130,26 @@
         scheduler.restore_finished_job(id.clone(), known, now);
     }
     scheduler.restore_assignments(decode_rows(assignments.changed), lease_remaining, now);
-    Ok((scheduler, inbox))
+    for team in divisions.teams() {
+        scheduler.set_quota_portion(team, divisions.portion(team));
+    }
+    let pipeline = Pipeline::new(acquired.row.clone(), acquired.version, acquired.sent_at);
+    Ok(LoadedState { scheduler, pipeline, inbox, divisions, divisions_version })
+}
+
+/// Reads the divisions among shards; there are none if the fleet has a single shard.
+async fn read_divisions<P: Platform>(
+    shared: &Shared<P>,
+    acquired: &AcquiredOwnership,
+) -> Result<(Divisions, RowVersion), ReadError> {
+    let shard_count = shared.layout().shard_count;
+    let mut divisions = Divisions::new(shared.shard, shard_count, acquired.version);
+    if shard_count <= 1 {
+        return Ok((divisions, 0));
+    }
+    let found = shared.node.platform.read_all(shared.shard, Table::Divisions).await?;
+    divisions.apply(&found.changed);
+    Ok((divisions, found.version))
 }
 
 /// Returns the longest time for which a lease from the previous owner may still last.
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -52,8 +52,10 @@
         }
     }
 
-    /// Handles the requests that nodes have stored in the inbox.
+    /// Handles the requests that nodes have stored in the inbox; those of other shards are left
+    /// alone.
     pub(super) fn handle_inbox(&mut self, mut stored: Vec<Row>) {
+        stored.retain(|row| self.shared.has_job(job_of_inbox_key(&row.key)));
         // A job may have been both submitted and cancelled through the inbox: the submission goes
         // first.
         stored.sort_by_key(|row| !row.key.starts_with(SUBMIT_PREFIX));
@@ -113,6 +115,11 @@
     }
 }
 
+/// Returns the id of the job that a row of the inbox is about.
+fn job_of_inbox_key(key: &str) -> &str {
+    key.rsplit('/').next().unwrap_or(key)
+}
+
 /// Sends a reply; a caller that no longer waits is ignored.
 pub(super) fn send_reply<T>(reply: oneshot::Sender<T>, value: T) {
     let _ = reply.send(value);
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use scheduler::Moment;
+use scheduler::ShardIndex;
 use telemetry::Telemetry;
 
 use crate::metrics;
@@ -62,7 +63,7 @@
     }
 
     /// Writes a log line if [`PERIOD`] has passed since the last one, and resets the counts.
-    pub fn log(&mut self, epoch: u64, now: Moment) {
+    pub fn log(&mut self, shard: ShardIndex, epoch: u64, now: Moment) {
         let counts = &self.counts;
         let elapsed = now.saturating_sub(counts.since);
         if elapsed < PERIOD {
@@ -72,6 +73,7 @@
         let mean_ms = counts.store_time.as_millis() as u64 / counts.transactions.max(1);
         if !is_first {
             telemetry::log::line("owner-load")
+                .field("shard", shard)
                 .field("epoch", epoch)
                 .field("elapsed_ms", elapsed.as_millis() as u64)
                 .field("rounds", counts.rounds)
--- a/crates/coordinator/src/owner_link.rs
+++ b/crates/coordinator/src/owner_link.rs
@@ -31,7 +31,7 @@
     pub async fn submit(&self, record: &Arc<JobRecord>) -> Result<SubmitReply, PeerError> {
         match self {
             Self::Local(shared) => {
-                let time_limit = shared.settings.local_write_timeout;
+                let time_limit = shared.node.settings.local_write_timeout;
                 let record = record.clone();
                 let request = shared.request_owner(|reply| OwnerRequest::Submit { record, reply });
                 match tokio::time::timeout(time_limit, request).await {
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -7,12 +7,14 @@
 
 use axum::Json;
 use axum::Router;
+use axum::extract::Path;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::post;
 use bytes::Bytes;
 use http::Method;
 use scheduler::JobRecord;
+use scheduler::ShardIndex;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -27,9 +29,9 @@
 use crate::http::Request;
 use crate::ports::Platform;
 use crate::shared::CancelReply;
+use crate::shared::NodeState;
 use crate::shared::OwnerRequest;
 use crate::shared::OwnerRequestError;
-use crate::shared::Shared;
 use crate::shared::StateReply;
 use crate::shared::SubmitReply;
 use crate::succession::Follower;
@@ -49,7 +51,7 @@
     pub address: SocketAddr,
     /// Time since the start of the follower's process, in milliseconds.
     pub uptime_ms: u64,
-    /// Processor time that the follower may use, in thousandths of a core.
+    /// Processor time that the follower has for one shard more, in thousandths of a core.
     pub cpu_millis: u64,
     /// Whether the follower's last call to the store succeeded.
     pub is_store_up: bool,
@@ -114,18 +116,20 @@
     NoReply(String),
 }
 
-/// Client for the node at an address, usually the owner.
+/// Client for the node at an address, usually the owner of a shard.
 pub(crate) struct OwnerClient<'a> {
     pub client: &'a Client,
     pub address: SocketAddr,
+    /// Shard that the calls are about.
+    pub shard: ShardIndex,
 }
 
 impl OwnerClient<'_> {
-    /// Polls the owner; returns the state of its ownership and, if it replied, what else it
+    /// Polls the owner of the shard; returns the state of its ownership and, if it replied, what else it
     /// reported.
     pub async fn ping(&self, ping: &Ping) -> (OwnerReply, Option<PongInfo>) {
         let body = serde_json::to_vec(ping).expect("serialization fails only for non-string keys");
-        let request = Request::new(Method::POST, "/peer/ping", body, PING_TIMEOUT);
+        let request = Request::new(Method::POST, self.path("ping"), body, PING_TIMEOUT);
         let response = match self.client.call(self.address, CallKind::Short, request).await {
             Ok(response) => response,
             Err(CallError::ConnectionRefused) => return (OwnerReply::Refused, None),
@@ -149,18 +153,18 @@
 
     /// Fetches the owner's active configuration.
     pub async fn config(&self) -> Result<CallerConfig, PeerError> {
-        self.call("/peer/config", &(), STATE_TIMEOUT).await
+        self.call("config", &(), STATE_TIMEOUT).await
     }
 
     /// Requests the node to take over, since this one releases the ownership or can't write to the
     /// store.
     pub async fn request_takeover(&self) -> Result<(), PeerError> {
-        self.call("/peer/take", &(), STATE_TIMEOUT).await
+        self.call("take", &(), STATE_TIMEOUT).await
     }
 
     /// Submits a job.
     pub async fn submit(&self, record: &JobRecord) -> Result<SubmitReply, PeerError> {
-        self.call("/peer/submit", record, WRITE_TIMEOUT).await
+        self.call("submit", record, WRITE_TIMEOUT).await
     }
 
     /// Cancels a job.
@@ -170,31 +174,36 @@
         requester: Option<&str>,
     ) -> Result<CancelReply, PeerError> {
         let call = JobCall { job: job.to_owned(), requester: requester.map(str::to_owned) };
-        self.call("/peer/cancel", &call, WRITE_TIMEOUT).await
+        self.call("cancel", &call, WRITE_TIMEOUT).await
     }
 
     /// Requests the state of a job.
     pub async fn state(&self, job: &str, requester: Option<&str>) -> Result<StateReply, PeerError> {
         let call = JobCall { job: job.to_owned(), requester: requester.map(str::to_owned) };
-        self.call("/peer/state", &call, STATE_TIMEOUT).await
+        self.call("state", &call, STATE_TIMEOUT).await
     }
 
     /// Requests the number of jobs of a queue that have not started.
     pub async fn waiting(&self, queue: &str) -> Result<usize, PeerError> {
         let call = QueueCall { queue: queue.to_owned() };
-        self.call("/peer/waiting", &call, STATE_TIMEOUT).await
+        self.call("waiting", &call, STATE_TIMEOUT).await
+    }
+
+    /// Returns the path of a call about the shard.
+    fn path(&self, name: &str) -> String {
+        format!("/peer/{}/{name}", self.shard)
     }
 
     async fn call<T: DeserializeOwned>(
         &self,
-        path: &str,
+        name: &str,
         body: &impl Serialize,
         timeout: Duration,
     ) -> Result<T, PeerError> {
         let body = Bytes::from(
             serde_json::to_vec(body).expect("serialization fails only for non-string keys"),
         );
-        let request = Request::new(Method::POST, path, body, timeout);
+        let request = Request::new(Method::POST, self.path(name), body, timeout);
         let response = match self.client.call(self.address, CallKind::Waiting, request).await {
             Ok(response) => response,
             Err(CallError::NoResponse(why)) => return Err(PeerError::NoReply(why)),
@@ -209,104 +218,115 @@
 }
 
 /// Serves the calls of other nodes.
-pub(crate) fn router<P: Platform>(shared: Arc<Shared<P>>) -> Router {
+pub(crate) fn router<P: Platform>(node: Arc<NodeState<P>>) -> Router {
     Router::new()
-        .route("/peer/ping", post(ping::<P>))
-        .route("/peer/config", post(config::<P>))
-        .route("/peer/take", post(take_over::<P>))
-        .route("/peer/submit", post(submit::<P>))
-        .route("/peer/cancel", post(cancel::<P>))
-        .route("/peer/state", post(state::<P>))
-        .route("/peer/waiting", post(waiting::<P>))
-        .with_state(shared)
+        .route("/peer/{shard}/ping", post(ping::<P>))
+        .route("/peer/{shard}/config", post(config::<P>))
+        .route("/peer/{shard}/take", post(take_over::<P>))
+        .route("/peer/{shard}/submit", post(submit::<P>))
+        .route("/peer/{shard}/cancel", post(cancel::<P>))
+        .route("/peer/{shard}/state", post(state::<P>))
+        .route("/peer/{shard}/waiting", post(waiting::<P>))
+        .with_state(node)
 }
 
+/// A node's state, and the shard that the path of a call names.
+type Target<P> = (State<Arc<NodeState<P>>>, Path<ShardIndex>);
+
 async fn ping<P: Platform>(
-    State(shared): State<Arc<Shared<P>>>,
+    (State(node), Path(shard)): Target<P>,
     Json(ping): Json<Ping>,
 ) -> Json<Pong> {
     let now = clock::now();
     let age = |at| now.saturating_sub(at).as_millis() as u64;
     let started_at = now.saturating_sub(Duration::from_millis(ping.uptime_ms));
-    shared.record_follower(Follower {
-        address: ping.address,
-        started_at,
-        seen_at: now,
-        cpu_millis: ping.cpu_millis,
-        is_store_up: ping.is_store_up,
-    });
-    let config = shared.config(now);
-    let ownership = shared.held_ownership();
+    let shared = node.shard(shard);
+    if let Some(shared) = shared {
+        shared.record_follower(Follower {
+            address: ping.address,
+            started_at,
+            seen_at: now,
+            cpu_millis: ping.cpu_millis,
+            is_store_up: ping.is_store_up,
+        });
+    }
+    let config = node.config(now);
+    let ownership = shared.and_then(|shared| shared.held_ownership());
+    let strongest = shared.map_or(0, |shared| shared.strongest_cpu_millis.load(Ordering::Relaxed));
     Json(Pong {
-        incarnation: shared.settings.incarnation,
+        incarnation: node.settings.incarnation,
         renewal_age_ms: ownership.as_ref().map(|ownership| age(ownership.renewed_at)),
         is_loading: ownership.is_some_and(|ownership| !ownership.is_ready),
-        strongest_cpu_millis: shared.strongest_cpu_millis.load(Ordering::Relaxed),
+        strongest_cpu_millis: strongest,
         config_version: config.as_ref().map_or(0, |(config, _)| config.version),
         config_age_ms: config.map_or(u64::MAX, |(_, age)| age.as_millis() as u64),
     })
 }
 
 async fn config<P: Platform>(
-    State(shared): State<Arc<Shared<P>>>,
+    (State(node), Path(_)): Target<P>,
 ) -> Result<Json<CallerConfig>, StatusCode> {
-    let (config, _) = shared.config(clock::now()).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let (config, _) = node.config(clock::now()).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     Ok(Json((*config).clone()))
 }
 
-async fn take_over<P: Platform>(State(shared): State<Arc<Shared<P>>>) -> Json<()> {
+async fn take_over<P: Platform>(
+    (State(node), Path(shard)): Target<P>,
+) -> Result<Json<()>, StatusCode> {
+    let shared = node.shard(shard).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     shared.is_takeover_requested.store(true, Ordering::Relaxed);
     shared.poll_now.notify_one();
-    Json(())
+    Ok(Json(()))
 }
 
 async fn submit<P: Platform>(
-    State(shared): State<Arc<Shared<P>>>,
+    target: Target<P>,
     Json(record): Json<JobRecord>,
 ) -> Result<Json<SubmitReply>, StatusCode> {
     let record = Arc::new(record);
-    let outcome = request_owner(&shared, |reply| OwnerRequest::Submit { record, reply }).await?;
+    let outcome = request_owner(target, |reply| OwnerRequest::Submit { record, reply }).await?;
     Ok(Json(outcome.unwrap_or(SubmitReply::Unknown)))
 }
 
 async fn cancel<P: Platform>(
-    State(shared): State<Arc<Shared<P>>>,
+    target: Target<P>,
     Json(call): Json<JobCall>,
 ) -> Result<Json<CancelReply>, StatusCode> {
     let requester = call.requester.map(Into::into);
     let outcome =
-        request_owner(&shared, |reply| OwnerRequest::Cancel { job: call.job, requester, reply })
+        request_owner(target, |reply| OwnerRequest::Cancel { job: call.job, requester, reply })
             .await?;
     Ok(Json(outcome.unwrap_or(CancelReply::Unknown)))
 }
 
 async fn state<P: Platform>(
-    State(shared): State<Arc<Shared<P>>>,
+    target: Target<P>,
     Json(call): Json<JobCall>,
 ) -> Result<Json<StateReply>, StatusCode> {
     let requester = call.requester.map(Into::into);
     let outcome =
-        request_owner(&shared, |reply| OwnerRequest::State { job: call.job, requester, reply })
+        request_owner(target, |reply| OwnerRequest::State { job: call.job, requester, reply })
             .await?;
     outcome.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 async fn waiting<P: Platform>(
-    State(shared): State<Arc<Shared<P>>>,
+    target: Target<P>,
     Json(call): Json<QueueCall>,
 ) -> Result<Json<usize>, StatusCode> {
     let queue = call.queue.into();
     let outcome =
-        request_owner(&shared, |reply| OwnerRequest::CountWaiting { queue, reply }).await?;
+        request_owner(target, |reply| OwnerRequest::CountWaiting { queue, reply }).await?;
     outcome.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 /// Passes a request to the owner in this process; returns none if it lost the ownership before it
 /// replied.
 async fn request_owner<P: Platform, T>(
-    shared: &Shared<P>,
+    (State(node), Path(shard)): Target<P>,
     request: impl FnOnce(oneshot::Sender<T>) -> OwnerRequest,
 ) -> Result<Option<T>, StatusCode> {
+    let shared = node.shard(shard).ok_or(StatusCode::CONFLICT)?;
     match shared.request_owner(request).await {
         Ok(reply) => Ok(Some(reply)),
         Err(OwnerRequestError::OwnershipLost) => Ok(None),
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -10,6 +10,7 @@
 use scheduler::HostName;
 use scheduler::HostReply;
 use scheduler::PoolName;
+use scheduler::ShardIndex;
 use scheduler::StartCommand;
 use scheduler::StartReply;
 use scheduler::UnitKey;
@@ -27,7 +28,8 @@
 /// Number that each command of an owner carries. Workers refuse a lower number than they have seen.
 pub type FencingToken = u64;
 
-/// Tables in which the nodes store their state.
+/// Tables in which the nodes store their state. Unless stated otherwise, each shard has rows of its
+/// own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Table {
     /// The row of the current owner, and what an owner keeps for the next one.
@@ -38,8 +40,10 @@
     Assignments,
     /// Progress of jobs, and the final state of finished ones.
     Progress,
-    /// Requests that a node stored because it could not reach the owner.
+    /// Requests that a node stored because it could not reach the owner; shared by all shards.
     Inbox,
+    /// Divisions of quotas and maintenance waves among shards; shared by all shards.
+    Divisions,
 }
 
 /// A row as read from a table.
@@ -56,6 +60,8 @@
 /// Writes that are committed together or not at all.
 #[derive(Clone, Debug, Default)]
 pub struct Transaction {
+    /// Shard whose rows are meant, in tables that are not shared by all shards.
+    pub shard: ShardIndex,
     /// Rows with the version that they must have; 0 for a row that must not exist.
     pub preconditions: Vec<(Table, String, RowVersion)>,
     /// Rows to write, with their new values.
@@ -161,21 +167,23 @@
 
 /// The platform's table.
 pub trait Store: Send + Sync + 'static {
-    /// Reads a row; none if no row has this key.
+    /// Reads a row of a shard; none if no row has this key.
     fn get(
         &self,
+        shard: ShardIndex,
         table: Table,
         key: &str,
     ) -> impl Future<Output = Result<Option<Row>, ReadError>> + Send;
 
-    /// Reads all rows of a table, with the version after which to ask for changes.
+    /// Reads all rows that a shard has in a table, with the version after which to ask for changes.
     fn read_all(
         &self,
+        shard: ShardIndex,
         table: Table,
     ) -> impl Future<Output = Result<Changes<Row>, ReadError>> + Send;
 
-    /// Returns the rows that were written after a version; waits up to `wait` if there are none
-    /// yet.
+    /// Returns the rows of a table that all shards share that were written after a version; waits up
+    /// to `wait` if there are none yet.
     fn changes(
         &self,
         table: Table,
@@ -183,8 +191,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<Row>, ReadError>> + Send;
 
-    /// Commits a transaction. Writes to the inbox come in transactions of their own, so that they
-    /// and writes to the other tables don't wait for each other.
+    /// Commits a transaction. Writes to the inbox and to divisions come in transactions of their
+    /// own, so that they and writes to the other tables don't wait for each other.
     fn write(&self, transaction: Transaction) -> impl Future<Output = WriteOutcome> + Send;
 
     /// Removes rows of the inbox, possibly in several transactions.
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use scheduler::JobRecord;
+use scheduler::ShardIndex;
 use scheduler::WaveId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -14,6 +15,12 @@
 /// Key of the owner's row.
 pub const OWNER_KEY: &str = "owner";
 
+/// Key, in the owner's table, of the row that changes with each takeover and at no other time.
+pub const EPOCH_KEY: &str = "epoch";
+
+/// Key, in the owner's table, of the row with the layout of the shards.
+pub const LAYOUT_KEY: &str = "layout";
+
 /// Key, in the owner's table, of the row with the hosts that recently got commands.
 pub const HOST_COMMANDS_KEY: &str = "hosts";
 
@@ -23,7 +30,21 @@
 /// Prefix of the keys of maintenance waves in the table of progress; no job id begins with it.
 pub const WAVE_KEY_PREFIX: &str = "wave/";
 
-/// Returns the key of the row that lists the maintained hosts of a wave.
+/// Prefix of the keys of teams in the table of divisions.
+pub const TEAM_KEY_PREFIX: &str = "team/";
+
+/// Returns the key of a row that lists shards of hosts, by its number.
+pub fn layout_hosts_key(number: usize) -> String {
+    format!("layout/hosts/{number}")
+}
+
+/// Returns the key of the row that divides the quota of a team.
+pub fn team_key(team: &str) -> String {
+    format!("{TEAM_KEY_PREFIX}{team}")
+}
+
+/// Returns the key of the row that lists the maintained hosts of a wave and, in the table of
+/// divisions, the shards that are done with it.
 pub fn wave_key(wave: WaveId) -> String {
     format!("{WAVE_KEY_PREFIX}{wave}")
 }
@@ -46,6 +67,13 @@
     pub is_released: bool,
 }
 
+/// Shards that have maintained all of their hosts of a wave, in the order in which they were done.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveDivisionRow {
+    /// Numbers of the shards.
+    pub done: Vec<ShardIndex>,
+}
+
 /// A request that a node stored because it could not reach the owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -1,12 +1,15 @@
-//! State that the tasks of a node share.
+//! State that the tasks of a node share: [`NodeState`] for the whole node, and [`Shared`] for each
+//! shard.
 //!
 //! Lock order: `owner_location` before `owner`; neither is held across an await.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -14,10 +17,12 @@
 use scheduler::JobView;
 use scheduler::Moment;
 use scheduler::QueueName;
+use scheduler::ShardIndex;
 use scheduler::SortedMap;
 use scheduler::TeamName;
 use scheduler::Wave;
 use scheduler::WaveId;
+use scheduler::WorkerRegistration;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -26,11 +31,15 @@
 use tokio::sync::watch;
 
 use crate::config::CallerConfig;
+use crate::election;
 use crate::election::TakeoverTiming;
 use crate::http::Client;
+use crate::metrics;
 use crate::node::NodeSettings;
 use crate::ports::RowVersion;
 use crate::rows::OwnerRow;
+use crate::sharding::Layout;
+use crate::sharding::stable_hash;
 use crate::succession::Follower;
 use crate::succession::Followers;
 use crate::succession::is_stronger;
@@ -168,78 +177,82 @@
     OwnershipLost,
 }
 
-/// State that the tasks of a node share.
-pub(crate) struct Shared<P> {
+/// State of a node that does not depend on a shard.
+pub(crate) struct NodeState<P> {
     pub settings: NodeSettings,
     pub platform: P,
     pub client: Client,
     pub operator_state: watch::Sender<OperatorState>,
-    pub owner_location: Mutex<OwnerLocation>,
-    /// Present while this node is the owner.
-    pub owner: Mutex<Option<HeldOwnership>>,
     pub is_stopping: watch::Sender<bool>,
     /// Whether the last call to the store succeeded. A refused call has failed; a transaction with
     /// a conflict counts as success.
     pub is_store_up: AtomicBool,
+    pub started_at: Moment,
+    pub telemetry: telemetry::Telemetry,
+    /// Layout and state of each shard, by index; unset until the layout is known.
+    pub shards: OnceLock<Shards<P>>,
+}
+
+/// The shards as a node knows them.
+pub(crate) struct Shards<P> {
+    pub layout: Layout,
+    pub states: Vec<Arc<Shared<P>>>,
+}
+
+/// State of a shard that the tasks of a node share.
+pub(crate) struct Shared<P> {
+    pub node: Arc<NodeState<P>>,
+    /// Number of the shard.
+    pub shard: ShardIndex,
+    pub owner_location: Mutex<OwnerLocation>,
+    /// Present while this node owns the shard.
+    pub owner: Mutex<Option<HeldOwnership>>,
     /// Nodes that have recently polled this one.
     pub followers: Mutex<Followers>,
-    /// Most processor time of a node that reaches the store, as last reported, in thousandths of a
-    /// core.
+    /// Most processor time that a node which reaches the store has for the shard, as last
+    /// reported, in thousandths of a core.
     pub strongest_cpu_millis: AtomicU64,
     /// Wakes the election to poll the owner at once.
     pub poll_now: Notify,
     /// Whether the owner has requested this node to take over.
     pub is_takeover_requested: AtomicBool,
-    pub started_at: Moment,
-    pub telemetry: telemetry::Telemetry,
+    /// Number of jobs that the owner in this process has not finished; 0 without one.
+    pub live_jobs: AtomicUsize,
 }
 
-impl<P> Shared<P> {
-    /// Returns the active configuration, and the time since it was known to be the newest.
-    pub fn config(&self, now: Moment) -> Option<(Arc<CallerConfig>, Duration)> {
-        let operator_state = self.operator_state.borrow();
-        let config = operator_state.config.clone()?;
-        Some((config, now.saturating_sub(operator_state.confirmed_at)))
+impl<P> NodeState<P> {
+    /// Returns the state of a shard; none if there is no such shard or the layout is not known.
+    pub fn shard(&self, shard: ShardIndex) -> Option<&Arc<Shared<P>>> {
+        self.shards.get()?.states.get(usize::from(shard))
     }
 
-    /// Returns the ownership if this node holds it.
-    pub fn held_ownership(&self) -> Option<HeldOwnership> {
-        self.owner.lock().expect("lock is never poisoned").clone()
+    /// Returns the state of the shard of a job; none if the layout is not known.
+    pub fn shard_of_job(&self, id: &str) -> Option<&Arc<Shared<P>>> {
+        self.shard(self.shards.get()?.layout.shard_of_job(id))
     }
 
-    /// Passes a request to the owner in this process and waits for its reply.
-    pub async fn request_owner<T>(
-        &self,
-        request: impl FnOnce(oneshot::Sender<T>) -> OwnerRequest,
-    ) -> Result<T, OwnerRequestError> {
-        let ownership = self.held_ownership().ok_or(OwnerRequestError::NotOwner)?;
-        let (reply, receiver) = oneshot::channel();
-        ownership.requests.try_send(request(reply)).map_err(|_| OwnerRequestError::Busy)?;
-        receiver.await.map_err(|_| OwnerRequestError::OwnershipLost)
+    /// Returns the number of shards that this node owns.
+    pub fn owned_shards(&self) -> usize {
+        let states = self.shards.get().map_or(&[][..], |shards| &shards.states);
+        states.iter().filter(|shared| shared.is_owned_here()).count()
     }
 
-    /// Returns where the owner is, as far as this node knows.
-    pub fn owner_location(&self) -> OwnerLocation {
-        self.owner_location.lock().expect("lock is never poisoned").clone()
+    /// Returns the highest index of a shard that this node owns.
+    pub fn last_owned_shard(&self) -> Option<ShardIndex> {
+        let states = self.shards.get().map_or(&[][..], |shards| &shards.states);
+        states.iter().rev().find(|shared| shared.is_owned_here()).map(|shared| shared.shard)
     }
 
-    /// Stores a newer owner's row. Calls to a new owner are no longer bypassed.
-    pub fn set_owner_row(&self, row: OwnerRow, version: RowVersion) {
-        let mut owner_location = self.owner_location.lock().expect("lock is never poisoned");
-        if version < owner_location.version {
-            return;
-        }
-        if row.incarnation != owner_location.row.incarnation {
-            owner_location.bypassed_until = Moment::ZERO;
-        }
-        owner_location.row = row;
-        owner_location.version = version;
+    /// Returns the processor time that the node has for one shard more, in thousandths of a core.
+    pub fn spare_cpu_millis(&self) -> u64 {
+        self.settings.cpu_millis / (self.owned_shards() as u64 + 1)
     }
 
-    /// Makes calls bypass the owner until a time.
-    pub fn bypass_owner(&self, until: Moment) {
-        let mut owner_location = self.owner_location.lock().expect("lock is never poisoned");
-        owner_location.bypassed_until = owner_location.bypassed_until.max(until);
+    /// Returns the active configuration, and the time since it was known to be the newest.
+    pub fn config(&self, now: Moment) -> Option<(Arc<CallerConfig>, Duration)> {
+        let operator_state = self.operator_state.borrow();
+        let config = operator_state.config.clone()?;
+        Some((config, now.saturating_sub(operator_state.confirmed_at)))
     }
 
     /// Records whether a call to the store succeeded.
@@ -278,12 +291,108 @@
         });
     }
 
+    /// Returns whether the node is stopping.
+    pub fn is_stopping(&self) -> bool {
+        *self.is_stopping.borrow()
+    }
+
+    /// Updates the gauge of live jobs.
+    pub fn report_live_jobs(&self) {
+        let states = self.shards.get().map_or(&[][..], |shards| &shards.states);
+        let live_jobs: usize =
+            states.iter().map(|shared| shared.live_jobs.load(Ordering::Relaxed)).sum();
+        self.telemetry.gauge(metrics::JOBS_LIVE, live_jobs as u64);
+    }
+}
+
+impl<P> Shared<P> {
+    /// Creates the state of a shard whose owner is not known yet.
+    pub fn new(node: Arc<NodeState<P>>, shard: ShardIndex) -> Self {
+        Self {
+            strongest_cpu_millis: AtomicU64::new(node.settings.cpu_millis),
+            node,
+            shard,
+            owner_location: Mutex::default(),
+            owner: Mutex::default(),
+            followers: Mutex::default(),
+            poll_now: Notify::new(),
+            is_takeover_requested: AtomicBool::new(false),
+            live_jobs: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the layout of the shards.
+    pub fn layout(&self) -> &Layout {
+        &self.node.shards.get().expect("a shard exists only after the layout is known").layout
+    }
+
+    /// Returns whether the shard has a host.
+    pub fn has_host(&self, name: &str) -> bool {
+        self.layout().shard_of_host(name) == self.shard
+    }
+
+    /// Returns whether the shard has a worker.
+    pub fn has_worker(&self, registration: &WorkerRegistration) -> bool {
+        self.layout().shard_of_worker(registration) == self.shard
+    }
+
+    /// Returns whether the shard has a job.
+    pub fn has_job(&self, id: &str) -> bool {
+        self.layout().shard_of_job(id) == self.shard
+    }
+
+    /// Returns the ownership if this node holds it.
+    pub fn held_ownership(&self) -> Option<HeldOwnership> {
+        self.owner.lock().expect("lock is never poisoned").clone()
+    }
+
+    /// Returns whether this node owns the shard.
+    pub fn is_owned_here(&self) -> bool {
+        self.owner.lock().expect("lock is never poisoned").is_some()
+    }
+
+    /// Passes a request to the owner in this process and waits for its reply.
+    pub async fn request_owner<T>(
+        &self,
+        request: impl FnOnce(oneshot::Sender<T>) -> OwnerRequest,
+    ) -> Result<T, OwnerRequestError> {
+        let ownership = self.held_ownership().ok_or(OwnerRequestError::NotOwner)?;
+        let (reply, receiver) = oneshot::channel();
+        ownership.requests.try_send(request(reply)).map_err(|_| OwnerRequestError::Busy)?;
+        receiver.await.map_err(|_| OwnerRequestError::OwnershipLost)
+    }
+
+    /// Returns where the owner is, as far as this node knows.
+    pub fn owner_location(&self) -> OwnerLocation {
+        self.owner_location.lock().expect("lock is never poisoned").clone()
+    }
+
+    /// Stores a newer owner's row. Calls to a new owner are no longer bypassed.
+    pub fn set_owner_row(&self, row: OwnerRow, version: RowVersion) {
+        let mut owner_location = self.owner_location.lock().expect("lock is never poisoned");
+        if version < owner_location.version {
+            return;
+        }
+        if row.incarnation != owner_location.row.incarnation {
+            owner_location.bypassed_until = Moment::ZERO;
+        }
+        owner_location.row = row;
+        owner_location.version = version;
+    }
+
+    /// Makes calls bypass the owner until a time.
+    pub fn bypass_owner(&self, until: Moment) {
+        let mut owner_location = self.owner_location.lock().expect("lock is never poisoned");
+        owner_location.bypassed_until = owner_location.bypassed_until.max(until);
+    }
+
     /// Records a poll by a node that follows this one.
     pub fn record_follower(&self, follower: Follower) {
         let mut followers = self.followers.lock().expect("lock is never poisoned");
         followers.record(follower);
         let strongest = followers.strongest_cpu_millis(follower.seen_at);
-        self.record_strongest(strongest.max(self.settings.cpu_millis));
+        drop(followers);
+        self.record_strongest(strongest.max(self.owner_cpu_millis()));
     }
 
     /// Records the most processor time of a node that reaches the store.
@@ -291,10 +400,24 @@
         self.strongest_cpu_millis.store(cpu_millis, Ordering::Relaxed);
     }
 
+    /// Returns the processor time that this node has for each shard that it owns, in thousandths of
+    /// a core.
+    fn owner_cpu_millis(&self) -> u64 {
+        self.node.settings.cpu_millis / self.node.owned_shards().max(1) as u64
+    }
+
+    /// Returns the time between two polls of the owner while it works.
+    pub fn poll_period(&self) -> Duration {
+        let name = format!("{} {}", self.node.settings.name, self.shard);
+        let watch_number = stable_hash(name.as_bytes());
+        let is_strong = self.takeover_timing() == TakeoverTiming::Immediate;
+        election::poll_period(self.layout().shard_count, watch_number, is_strong)
+    }
+
     /// Returns how soon this node may take over: after stronger nodes, if there are any.
     pub fn takeover_timing(&self) -> TakeoverTiming {
         let strongest = self.strongest_cpu_millis.load(Ordering::Relaxed);
-        match is_stronger(strongest, self.settings.cpu_millis) {
+        match is_stronger(strongest, self.node.spare_cpu_millis()) {
             true => TakeoverTiming::AfterStronger,
             false => TakeoverTiming::Immediate,
         }
@@ -302,17 +425,17 @@
 
     /// Returns the address of the follower that should own the scheduling if this node can't.
     pub fn successor(&self, now: Moment) -> Option<SocketAddr> {
-        self.followers.lock().expect("lock is never poisoned").successor(now)
+        self.followers.lock().expect("lock is never poisoned").successor(self.shard, now)
     }
 
-    /// Returns whether a stronger node has followed this one for long enough.
-    pub fn has_stronger(&self, now: Moment) -> bool {
+    /// Returns whether another node should own the shard: one that has more processor time in total
+    /// or, if this node owns several shards, more for one of them. A node yields its shards for the
+    /// second reason one by one.
+    pub fn should_yield(&self, now: Moment) -> bool {
+        let is_last_owned = self.node.last_owned_shard() == Some(self.shard);
+        let owner_cpu_millis = self.owner_cpu_millis();
         let followers = self.followers.lock().expect("lock is never poisoned");
-        followers.has_stronger(self.settings.cpu_millis, now)
-    }
-
-    /// Returns whether the node is stopping.
-    pub fn is_stopping(&self) -> bool {
-        *self.is_stopping.borrow()
+        followers.has_stronger(self.node.settings.cpu_millis, now)
+            || (is_last_owned && followers.has_stronger(owner_cpu_millis, now))
     }
 }
--- a/crates/coordinator/src/succession.rs
+++ b/crates/coordinator/src/succession.rs
@@ -3,13 +3,17 @@
 //! Nodes run on hosts of very unequal size, and the work of an owner grows with the number of
 //! workers. An owner with little processor time falls behind, loses its leases and is replaced by
 //! the next node. The successor is therefore the node with the most processor time among those that
-//! reach the store. Among equals it is the one that started last, because a rolling restart stops
-//! the others before it.
+//! reach the store. A node that owns shards already divides its time among them and one more. Among
+//! equals, the successor is the one that started last, because a rolling restart stops the others
+//! before it; among those that started in the same second, each shard prefers another one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use scheduler::Moment;
+use scheduler::ShardIndex;
+
+use crate::sharding::stable_hash;
 
 /// Largest age of a follower's last poll at which it may still become the owner; above two poll
 /// periods.
@@ -28,7 +32,7 @@
     pub started_at: Moment,
     /// When the node last polled the owner, by the owner's clock.
     pub seen_at: Moment,
-    /// Processor time that the node may use, in thousandths of a core.
+    /// Processor time that the node has for the shard, in thousandths of a core.
     pub cpu_millis: u64,
     /// Whether the node's last call to the store succeeded.
     pub is_store_up: bool,
@@ -60,11 +64,13 @@
         }
     }
 
-    /// Returns the address of the node that should own the scheduling if this one can't.
-    pub fn successor(&self, now: Moment) -> Option<SocketAddr> {
+    /// Returns the address of the node that should own the shard if this one can't.
+    pub fn successor(&self, shard: ShardIndex, now: Moment) -> Option<SocketAddr> {
         let recent =
             self.entries.iter().map(|(follower, _)| follower).filter(|f| is_recent(f, now));
-        let best = recent.max_by_key(|f| (f.is_store_up, f.cpu_millis, f.started_at));
+        let preference = |f: &Follower| stable_hash(format!("{shard} {}", f.address).as_bytes());
+        let best = recent
+            .max_by_key(|f| (f.is_store_up, f.cpu_millis, f.started_at.as_secs(), preference(f)));
         best.map(|follower| follower.address)
     }
 
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -2,6 +2,8 @@
 //! gets.
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+#[path = "memory_nodes.rs"]
+mod nodes;
 #[path = "memory_store.rs"]
 mod store;
 
@@ -9,17 +11,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use coordinator::CallerConfig;
-use coordinator::Node;
-use coordinator::NodeSettings;
-use coordinator::Route;
 use coordinator::clock;
-use coordinator::http::Client;
 use coordinator::ports::Changes;
 use coordinator::ports::FencingToken;
 use coordinator::ports::Hosts;
@@ -37,18 +33,15 @@
 use coordinator::rows::OWNER_KEY;
 use coordinator::rows::OwnerRow;
 use scheduler::Completion;
-use scheduler::Config;
 use scheduler::HostEntry;
 use scheduler::HostName;
 use scheduler::HostReply;
 use scheduler::HostState;
-use scheduler::Pool;
 use scheduler::PoolName;
-use scheduler::Queue;
 use scheduler::Resources;
 use scheduler::RunOutcome;
 use scheduler::RunStatus;
-use scheduler::Settings;
+use scheduler::ShardIndex;
 use scheduler::StartCommand;
 use scheduler::StartReply;
 use scheduler::Team;
@@ -59,7 +52,10 @@
 use scheduler::WorkerId;
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
-use telemetry::Telemetry;
+
+use self::nodes::config;
+pub use self::nodes::start_node;
+pub use self::nodes::start_node_with_cpu;
 
 /// Faults of the table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -77,9 +73,12 @@
     Silent,
 }
 
+/// Number of the table, shard and key of a row.
+type RowKey = (u8, ShardIndex, String);
+
 #[derive(Default)]
 struct Data {
-    rows: BTreeMap<(u8, String), (Bytes, RowVersion)>,
+    rows: BTreeMap<RowKey, (Bytes, RowVersion)>,
     version: RowVersion,
     /// Changes before this version are no longer kept.
     history_from: RowVersion,
@@ -88,10 +87,13 @@
     config: Option<Arc<CallerConfig>>,
     waves: Vec<Wave>,
     fault: TableFault,
-    running: Vec<(RunStatus, std::time::Instant)>,
-    completions: Vec<Completion>,
+    running: Vec<(WorkerId, RunStatus, std::time::Instant)>,
+    completions: Vec<(WorkerId, Completion)>,
     completion_count: u64,
-    token: FencingToken,
+    /// Highest token that each worker has seen.
+    tokens: BTreeMap<WorkerId, FencingToken>,
+    /// Most units that were running at the same time.
+    running_max: usize,
     /// Tokens of the commands to the host, all of which get no reply.
     host_tokens: Vec<FencingToken>,
     /// Started units, each with its run and token.
@@ -104,31 +106,51 @@
     data: Arc<Mutex<Data>>,
     /// How long each unit runs.
     unit_time: Duration,
+    /// Number of hosts, each with a worker.
+    host_count: usize,
 }
 
-/// Next incarnation number for a node of a test.
-static INCARNATIONS: AtomicU64 = AtomicU64::new(1);
-
-/// Default processor time of a node, in thousandths of a core.
-const CPU_MILLIS: u64 = 250;
-
 /// Time of a transaction of a slow table.
 const SLOW_WRITE_TIME: Duration = Duration::from_millis(800);
 
-/// The only host.
+/// The first host.
 pub const HOST: &str = "h1";
 
-/// The only worker.
-pub const WORKER: &str = "w1";
-
 impl Memory {
     pub fn new(unit_time: Duration) -> Self {
-        let memory = Self { data: Arc::default(), unit_time };
+        let memory = Self { data: Arc::default(), unit_time, host_count: 1 };
         memory.data.lock().unwrap().config = Some(Arc::new(config()));
         memory.data.lock().unwrap().version = 1;
         memory
     }
 
+    /// Creates a platform with several hosts, which as many shards divide among themselves, and a
+    /// team that may run `quota_units` units of one core at a time.
+    pub fn with_hosts(unit_time: Duration, host_count: usize, quota_units: u64) -> Self {
+        let memory = Self { host_count, ..Self::new(unit_time) };
+        let mut config = config();
+        let mut scheduling = (*config.scheduling).clone();
+        let quota = Resources { cpu_millis: quota_units * 1_000, memory_mb: 0, gpus: 0 };
+        scheduling.teams.insert("t".into(), Team { rate_share: 0.0, quota });
+        config.scheduling = Arc::new(scheduling);
+        memory.data.lock().unwrap().config = Some(Arc::new(config));
+        memory
+    }
+
+    /// Returns the most units that were running at the same time.
+    pub fn running_max(&self) -> usize {
+        self.data.lock().unwrap().running_max
+    }
+
+    /// Returns the row of the owner of a shard, or the default one if there is no owner yet.
+    pub fn owner_of(&self, shard: ShardIndex) -> OwnerRow {
+        let key = row_key(shard, Table::Owner, OWNER_KEY);
+        let data = self.data.lock().unwrap();
+        data.rows
+            .get(&key)
+            .map_or_else(OwnerRow::default, |(value, _)| serde_json::from_slice(value).unwrap())
+    }
+
     pub fn set_fault(&self, fault: TableFault) {
         self.data.lock().unwrap().fault = fault;
     }
@@ -140,14 +162,14 @@
     pub fn put_inbox(&self, key: &str, row: &InboxRow) {
         let mut data = self.data.lock().unwrap();
         data.version += 1;
-        let (key, version) = ((table_number(Table::Inbox), key.to_owned()), data.version);
+        let (key, version) = (row_key(0, Table::Inbox, key), data.version);
         data.rows.insert(key, (rows::encode(row), version));
     }
 
     pub fn remove_inbox(&self, key: &str) {
         let mut data = self.data.lock().unwrap();
         data.version += 1;
-        data.rows.remove(&(table_number(Table::Inbox), key.to_owned()));
+        data.rows.remove(&row_key(0, Table::Inbox, key));
     }
 
     pub fn add_wave(&self) {
@@ -172,23 +194,19 @@
 
     /// Returns whether the table holds the record of a job.
     pub fn has_job(&self, id: &str) -> bool {
-        let key = (table_number(Table::Jobs), id.to_owned());
+        let key = row_key(0, Table::Jobs, id);
         self.data.lock().unwrap().rows.contains_key(&key)
     }
 
-    /// Returns the owner's row, or the default one if there is no owner yet.
+    /// Returns the row of the owner of the first shard.
     pub fn owner(&self) -> OwnerRow {
-        let key = (table_number(Table::Owner), OWNER_KEY.to_owned());
-        let data = self.data.lock().unwrap();
-        data.rows
-            .get(&key)
-            .map_or_else(OwnerRow::default, |(value, _)| serde_json::from_slice(value).unwrap())
+        self.owner_of(0)
     }
 
     pub fn rows(&self, table: Table) -> Vec<String> {
         let data = self.data.lock().unwrap();
-        let rows = data.rows.keys().filter(|(number, _)| *number == table_number(table));
-        rows.map(|(_, key)| key.clone()).collect()
+        let rows = data.rows.keys().filter(|(number, ..)| *number == table_number(table));
+        rows.map(|(.., key)| key.clone()).collect()
     }
 }
 
@@ -199,56 +217,20 @@
         Table::Progress => 2,
         Table::Inbox => 3,
         Table::Assignments => 4,
+        Table::Divisions => 5,
     }
 }
 
-fn config() -> CallerConfig {
-    let queue = Queue {
-        pool: "p".into(),
-        priority: 0,
-        attempts_max: 3,
-        stretch: 1.6,
-        deadline_slack: Duration::from_millis(600),
-        advice: None,
-    };
-    let scheduling = Config {
-        version: 1,
-        queues: [("q".into(), queue)].into_iter().collect(),
-        pools: [("p".into(), Pool::default())].into_iter().collect(),
-        teams: [("t".into(), Team::default())].into_iter().collect(),
-    };
-    CallerConfig {
-        version: 1,
-        routes: vec![Route {
-            host: "jobs.example".to_owned(),
-            path_prefix: "/q/".to_owned(),
-            queue: "q".into(),
-            is_open: false,
-        }],
-        keys: [("key".into(), "t".into())].into_iter().collect(),
-        body_bytes_max: 10_000,
-        scheduling: Arc::new(scheduling),
+/// Returns the shard whose rows are meant: shard 0 in tables that all shards share.
+fn shard_of(shard: ShardIndex, table: Table) -> ShardIndex {
+    match table {
+        Table::Inbox | Table::Divisions => 0,
+        _ => shard,
     }
 }
 
-/// Starts a node with default processor time on a free port.
-pub async fn start_node(name: &str, memory: &Memory) -> Node<Memory> {
-    start_node_with_cpu(name, CPU_MILLIS, memory).await
-}
-
-/// Starts a node with `cpu_millis` of processor time, in thousandths of a core, on a free port.
-pub async fn start_node_with_cpu(name: &str, cpu_millis: u64, memory: &Memory) -> Node<Memory> {
-    let settings = NodeSettings {
-        name: name.to_owned(),
-        incarnation: INCARNATIONS.fetch_add(1, Ordering::Relaxed),
-        peer_address: "127.0.0.1:0".parse().unwrap(),
-        cpu_millis,
-        key_age_max: Duration::from_secs(4),
-        local_write_timeout: Duration::from_secs(2),
-        scheduling: Settings::default(),
-    };
-    let telemetry = Telemetry::new(None).unwrap();
-    Node::start(settings, memory.clone(), Client::default(), telemetry).await.unwrap()
+fn row_key(shard: ShardIndex, table: Table, key: &str) -> RowKey {
+    (table_number(table), shard_of(shard, table), key.to_owned())
 }
 
 impl Operators for Memory {
@@ -284,8 +266,8 @@
         if after.is_some() {
             tokio::time::sleep(wait).await;
         }
-        let registration = WorkerRegistration {
-            id: WORKER.into(),
+        let registration = |number: usize| WorkerRegistration {
+            id: worker_name(number),
             incarnation_started_ms: 1,
             pool: "p".into(),
             address: "127.0.0.1:1".parse().unwrap(),
@@ -294,10 +276,10 @@
             capacity: Resources { cpu_millis: 16_000, memory_mb: 32_768, gpus: 0 },
             is_draining: false,
             clock_ms: 0,
-            host: None,
+            host: Some(host_name(number)),
         };
         Ok(Changes {
-            changed: vec![registration],
+            changed: (1..=self.host_count).map(registration).collect(),
             is_snapshot: true,
             version: 1,
             removed: Vec::new(),
@@ -309,19 +291,25 @@
         loop {
             {
                 let mut data = self.data.lock().unwrap();
-                if request.token < data.token {
+                if !data.accepts_token(&request.worker, request.token) {
                     return Err(WorkerError::Fenced);
                 }
-                data.token = request.token;
-                data.completions
-                    .retain(|completion| completion.number > request.last_stored_completion);
+                let is_its = |worker: &WorkerId| *worker == request.worker;
+                let last_stored = request.last_stored_completion;
+                data.completions.retain(|(worker, completion)| {
+                    !is_its(worker) || completion.number > last_stored
+                });
                 data.end_runs(self.unit_time);
-                if !data.completions.is_empty() || tokio::time::Instant::now() >= until {
+                let completions = data.completions.iter().filter(|(worker, _)| is_its(worker));
+                let completions: Vec<Completion> =
+                    completions.map(|(_, completion)| completion.clone()).collect();
+                let running = data.running.iter().filter(|(worker, ..)| is_its(worker));
+                if !completions.is_empty() || tokio::time::Instant::now() >= until {
                     return Ok(WorkerReport {
                         incarnation_started_ms: 1,
                         clock_ms: clock::now().as_millis() as u64,
-                        running: data.running.iter().map(|(run, _)| run.clone()).collect(),
-                        completions: data.completions.clone(),
+                        running: running.map(|(_, run, _)| run.clone()).collect(),
+                        completions,
                     });
                 }
             }
@@ -331,7 +319,7 @@
 
     async fn start_run(&self, command: &StartCommand, token: FencingToken) -> StartReply {
         let mut data = self.data.lock().unwrap();
-        if token < data.token {
+        if !data.accepts_token(&command.worker, token) {
             return StartReply::Fenced;
         }
         data.starts.push((command.unit.clone(), command.run, token));
@@ -342,20 +330,21 @@
             progress_percent: 100,
             load: None,
         };
-        data.running.push((running, std::time::Instant::now()));
+        data.running.push((command.worker.clone(), running, std::time::Instant::now()));
+        data.running_max = data.running_max.max(data.running.len());
         StartReply::Started
     }
 
     async fn stop_run(
         &self,
-        _worker: &WorkerId,
+        worker: &WorkerId,
         _address: SocketAddr,
         unit: &UnitKey,
         run: u32,
         token: FencingToken,
     ) -> bool {
         let mut data = self.data.lock().unwrap();
-        if token < data.token {
+        if !data.accepts_token(worker, token) {
             return false;
         }
         data.end_run(unit, run, RunOutcome::Stopped);
@@ -385,13 +374,13 @@
 
 impl Hosts for Memory {
     async fn list_hosts(&self) -> Result<Vec<HostEntry>, ReadError> {
-        let host = HostEntry {
-            name: HOST.into(),
+        let host = |number: usize| HostEntry {
+            name: host_name(number),
             pool: "p".into(),
             state: HostState::Up,
-            worker: Some(WORKER.into()),
+            worker: Some(worker_name(number)),
         };
-        Ok(vec![host])
+        Ok((1..=self.host_count).map(host).collect())
     }
 
     async fn move_host(
@@ -416,14 +405,32 @@
     }
 }
 
+/// Returns the name of a host, counted from 1.
+fn host_name(number: usize) -> HostName {
+    format!("h{number}").as_str().into()
+}
+
+/// Returns the id of the worker on a host.
+fn worker_name(number: usize) -> WorkerId {
+    format!("w{number}").as_str().into()
+}
+
 impl Data {
+    /// Returns whether a worker accepts a token, and records it if so.
+    fn accepts_token(&mut self, worker: &WorkerId, token: FencingToken) -> bool {
+        let highest = self.tokens.entry(worker.clone()).or_default();
+        *highest = token.max(*highest);
+        token == *highest
+    }
+
     fn end_runs(&mut self, unit_time: Duration) {
-        let finished = |(_, since): &&(RunStatus, std::time::Instant)| since.elapsed() >= unit_time;
+        let finished =
+            |(.., since): &&(WorkerId, RunStatus, std::time::Instant)| since.elapsed() >= unit_time;
         let finished: Vec<(UnitKey, u32)> = self
             .running
             .iter()
             .filter(finished)
-            .map(|(run, _)| (run.unit.clone(), run.run))
+            .map(|(_, run, _)| (run.unit.clone(), run.run))
             .collect();
         for (unit, run) in finished {
             self.end_run(&unit, run, RunOutcome::Done);
@@ -431,17 +438,21 @@
     }
 
     fn end_run(&mut self, unit: &UnitKey, run: u32, outcome: RunOutcome) {
-        let before = self.running.len();
-        self.running.retain(|(running, _)| running.unit != *unit || running.run != run);
-        if self.running.len() < before {
-            self.completion_count += 1;
-            self.completions.push(Completion {
-                number: self.completion_count,
-                unit: unit.clone(),
-                run,
-                outcome,
-                checkpoint: String::new(),
-            });
-        }
+        let is_run = |(_, running, _): &(WorkerId, RunStatus, std::time::Instant)| {
+            running.unit == *unit && running.run == run
+        };
+        let Some(index) = self.running.iter().position(is_run) else {
+            return;
+        };
+        let (worker, ..) = self.running.remove(index);
+        self.completion_count += 1;
+        let completion = Completion {
+            number: self.completion_count,
+            unit: unit.clone(),
+            run,
+            outcome,
+            checkpoint: String::new(),
+        };
+        self.completions.push((worker, completion));
     }
 }
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -11,20 +11,28 @@
 use coordinator::ports::Table;
 use coordinator::ports::Transaction;
 use coordinator::ports::WriteOutcome;
+use scheduler::ShardIndex;
 
 use super::Memory;
+use super::RowKey;
 use super::SLOW_WRITE_TIME;
 use super::TableFault;
+use super::row_key;
+use super::shard_of;
 use super::table_number;
 
 impl Memory {
-    fn read(&self, table: Table) -> Result<Vec<Row>, ReadError> {
+    /// Reads the rows of a table; those of all shards unless one is given.
+    fn read(&self, shard: Option<ShardIndex>, table: Table) -> Result<Vec<Row>, ReadError> {
         let data = self.data.lock().unwrap();
         if !matches!(data.fault, TableFault::None | TableFault::Slow | TableFault::LosesReplies) {
             return Err(ReadError::Refused("table is down".to_owned()));
         }
-        let rows = data.rows.iter().filter(|((number, _), _)| *number == table_number(table));
-        let row = |((_, key), (value, version)): (&(u8, String), &(Bytes, RowVersion))| Row {
+        let rows = data.rows.iter().filter(|((number, row_shard, _), _)| {
+            let is_of_shard = shard.is_none_or(|shard| shard_of(shard, table) == *row_shard);
+            *number == table_number(table) && is_of_shard
+        });
+        let row = |((_, _, key), (value, version)): (&RowKey, &(Bytes, RowVersion))| Row {
             key: key.clone(),
             value: value.clone(),
             version: *version,
@@ -34,12 +42,17 @@
 }
 
 impl Store for Memory {
-    async fn get(&self, table: Table, key: &str) -> Result<Option<Row>, ReadError> {
-        Ok(self.read(table)?.into_iter().find(|row| row.key == key))
+    async fn get(
+        &self,
+        shard: ShardIndex,
+        table: Table,
+        key: &str,
+    ) -> Result<Option<Row>, ReadError> {
+        Ok(self.read(Some(shard), table)?.into_iter().find(|row| row.key == key))
     }
 
-    async fn read_all(&self, table: Table) -> Result<Changes<Row>, ReadError> {
-        let changed = self.read(table)?;
+    async fn read_all(&self, shard: ShardIndex, table: Table) -> Result<Changes<Row>, ReadError> {
+        let changed = self.read(Some(shard), table)?;
         let version = self.data.lock().unwrap().version;
         Ok(Changes { changed, removed: Vec::new(), is_snapshot: true, version })
     }
@@ -61,7 +74,7 @@
         }
         let until = tokio::time::Instant::now() + wait;
         loop {
-            let rows = self.read(table)?;
+            let rows = self.read(None, table)?;
             let changed: Vec<Row> = rows.into_iter().filter(|row| row.version > after).collect();
             let version = self.data.lock().unwrap().version;
             if !changed.is_empty() || tokio::time::Instant::now() >= until {
@@ -85,7 +98,7 @@
         let mut found = Vec::new();
         let mut holds = true;
         for (table, key, version) in &transaction.preconditions {
-            let row = data.rows.get(&(table_number(*table), key.clone()));
+            let row = data.rows.get(&row_key(transaction.shard, *table, key));
             holds &= row.map_or(0, |(_, version)| *version) == *version;
             if let Some((value, version)) = row {
                 found.push(Row { key: key.clone(), value: value.clone(), version: *version });
@@ -97,10 +110,10 @@
         data.version += 1;
         let version = data.version;
         for (table, key, value) in transaction.puts {
-            data.rows.insert((table_number(table), key), (value, version));
+            data.rows.insert(row_key(transaction.shard, table, &key), (value, version));
         }
         for (table, key) in transaction.removals {
-            data.rows.remove(&(table_number(table), key));
+            data.rows.remove(&row_key(transaction.shard, table, &key));
         }
         match data.fault {
             TableFault::LosesReplies => WriteOutcome::Unknown("the reply was lost".to_owned()),
--- a/crates/coordinator/tests/succession.rs
+++ b/crates/coordinator/tests/succession.rs
@@ -7,7 +7,9 @@
 use coordinator::succession::Followers;
 use rstest::rstest;
 use scheduler::Moment;
+use scheduler::ShardIndex;
 
+const SHARD: ShardIndex = 0;
 const NOW: Moment = Duration::from_secs(1_000);
 const LONG: Duration = Duration::from_secs(3);
 
@@ -37,12 +39,12 @@
     2
 )]
 fn the_successor_is_the_best_follower(#[case] entries: &[Follower], #[case] port: u16) {
-    assert_eq!(followers(entries).successor(NOW), Some(address(port)));
+    assert_eq!(followers(entries).successor(SHARD, NOW), Some(address(port)));
 }
 
 #[test]
 fn a_node_that_stopped_polling_is_not_the_successor() {
-    assert_eq!(followers(&[follower(1, 500, 50)]).successor(NOW + LONG), None);
+    assert_eq!(followers(&[follower(1, 500, 50)]).successor(SHARD, NOW + LONG), None);
 }
 
 #[test]
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -7,7 +7,6 @@
 use crate::UnitKey;
 use crate::WorkerId;
 use crate::candidates::Candidates;
-use crate::job::JobRecord;
 use crate::job::Step;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
@@ -94,6 +93,7 @@
             return;
         }
         self.placed_at = now;
+        self.quota_needs = SortedMap::default();
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then(a.priority.cmp(&b.priority)));
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
@@ -178,9 +178,10 @@
         if step.is_gang {
             return self.place_gang(waiting, step, candidates, now);
         }
-        for &index in &waiting.units {
+        for (placed, &index) in waiting.units.iter().enumerate() {
             let key = UnitKey { index, ..waiting.first_unit.clone() };
-            if !self.is_within_quota(&record, step, 1) {
+            let remaining = (waiting.units.len() - placed) as u64;
+            if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
             }
             let Some(chosen) = self.choose(&key, step, candidates, None, now) else {
@@ -206,7 +207,8 @@
         else {
             return Placement::All;
         };
-        if !self.is_within_quota(&record, step, u64::from(step.count)) {
+        let count = u64::from(step.count);
+        if !self.is_within_quota(&record, step, count, count) {
             return Placement::Blocked;
         }
         let racks = candidates.racks().into_iter().map(Some);
@@ -272,21 +274,6 @@
         candidates.choose(key, step, excluded_workers, rack, may_run)
     }
 
-    /// Returns true if `count` more units of a step fit into the quota of the job's team.
-    fn is_within_quota(&self, record: &JobRecord, step: &Step, count: u64) -> bool {
-        let Some(team) = &record.team else {
-            return true;
-        };
-        let Some(quota) = self.config.teams.get(team).map(|team| team.quota) else {
-            return true;
-        };
-        let mut wanted = self.team_usage(team);
-        for _ in 0..count {
-            wanted += step.requested;
-        }
-        wanted.is_within(&quota)
-    }
-
     /// Plans a run. Its start command is sent once the worker's assignment row with the run is
     /// stored.
     fn plan_run(&mut self, key: &UnitKey, step: &Step, worker: WorkerId, number: u32, now: Moment) {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -29,6 +29,7 @@
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
 use crate::messages::Action;
+use crate::portions::Portion;
 use crate::rate_shares::RateShares;
 use crate::settings::Settings;
 use crate::sorted_map::SortedMap;
@@ -50,6 +51,12 @@
     pub(crate) workers: SortedMap<WorkerId, Worker>,
     /// Resources that the runs of each team request.
     pub(crate) team_usage: SortedMap<TeamName, Resources>,
+    /// Number of shards that divide the quotas and rate shares of teams; 0 counts as 1.
+    pub(crate) shard_count: usize,
+    /// Portions of the teams' quotas that differ from the initial one.
+    pub(crate) quota_portions: SortedMap<TeamName, Portion>,
+    /// Portions that teams with waiting units needed at the last placement.
+    pub(crate) quota_needs: SortedMap<TeamName, Portion>,
     /// Recent failures by worker.
     pub(crate) failure_history: FailureHistory,
     /// Tickets of the advisor, by step.
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -55,6 +55,7 @@
             return true;
         };
         let rate_share = self.config.teams.get(team).map_or(0.0, |team| team.rate_share);
+        let rate_share = rate_share / self.shard_count.max(1) as f64;
         self.rate_shares.try_take(team, rate_share, now)
     }
 
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -100,8 +100,12 @@
         let is_completed = remaining.is_empty() && self.has_host_list;
         let state = if is_completed { WaveState::Completed } else { WaveState::Running };
         self.actions.push(Action::WaveStatus { wave: id, state });
-        let free_slots = (progress.wave.unavailable_hosts_max + DRAINED_AHEAD_MAX)
-            .saturating_sub(self.hosts_in_progress(id));
+        // Without a slot, draining a host would only take it out of service too early.
+        let slots = match progress.wave.unavailable_hosts_max {
+            0 => 0,
+            slots => slots + DRAINED_AHEAD_MAX,
+        };
+        let free_slots = slots.saturating_sub(self.hosts_in_progress(id));
         let mut candidates: Vec<(usize, u64, HostName)> = Vec::new();
         for name in remaining {
             let Some(host) = self.hosts.get(&name) else {
@@ -140,7 +144,7 @@
     }
 
     /// Returns the number of hosts that are unavailable for a wave, or about to be.
-    fn unavailable_hosts(&self, id: WaveId) -> usize {
+    pub fn unavailable_hosts(&self, id: WaveId) -> usize {
         let Some(wave) = self.waves.get(&id).map(|progress| &progress.wave) else {
             return 0;
         };
