Take portions of quotas from what is free, and keep long-running jobs of a queue in one shard

Change: a shard holds nothing at first, takes what it needs and a part of the rest from what is free in one write, and gives up all that it doesn't use when another requests it; holders do so one after another. The epoch that guards the changes is a row in each of 16 groups, so that a change stays in one part and not the owner's; a new owner writes it before it reads the portions.

Units of long-running jobs must be spread over hosts; jobs of a queue in different shards each needed hosts of their own (371 of 900 hosts). A job is looked up by its id and, if its shard doesn't know it, by its queue.

Ruled out: that the processor binds at 300 nodes (busiest 15 %).

--- a/crates/coordinator/src/caller_api.rs
+++ b/crates/coordinator/src/caller_api.rs
@@ -10,6 +10,7 @@
 use scheduler::Moment;
 use scheduler::Progress;
 use scheduler::QueueName;
+use scheduler::ShardIndex;
 use scheduler::TeamName;
 
 use crate::clock;
@@ -113,6 +114,13 @@
     Unknown,
 }
 
+/// A job as the store has it.
+struct StoredJob {
+    view: JobView,
+    team: Option<TeamName>,
+    shard: ShardIndex,
+}
+
 impl<P: Platform> Node<P> {
     /// Finds the queue of a request and checks its key.
     ///
@@ -157,7 +165,7 @@
     /// is not known at `deadline` is reported as unknown.
     pub async fn submit(&self, record: JobRecord, deadline: Moment) -> SubmitOutcome {
         let record = Arc::new(record);
-        let shared = self.node.shard_of_job(&record.id);
+        let shared = self.node.shard_of_job(&record);
         let by_owner = self.owner(shared).submit(&record).await;
         match by_owner {
             Ok(SubmitReply::Accepted) => SubmitOutcome::Accepted,
@@ -171,36 +179,32 @@
         }
     }
 
-    /// Returns the state of a job.
-    pub async fn job(&self, id: &str, team: Option<&TeamName>) -> JobLookup {
-        let shared = self.node.shard_of_job(id);
-        let reply = self.owner(shared).state(id, team).await;
-        match reply {
-            Ok(StateReply::Found(view)) => JobLookup::Found(view),
-            Ok(StateReply::OtherTeam) => JobLookup::OtherTeam,
-            Ok(StateReply::NoJob) => self.job_from_store(id, team).await,
-            Err(error) => {
-                handle_failed_call(shared, &error);
-                self.job_from_store(id, team).await
+    /// Returns the state of a job of a queue.
+    pub async fn job(&self, queue: &str, id: &str, team: Option<&TeamName>) -> JobLookup {
+        for shared in self.node.shards_of_job(queue, id).unwrap_or_default() {
+            match self.owner(Some(shared)).state(id, team).await {
+                Ok(StateReply::Found(view)) => return JobLookup::Found(view),
+                Ok(StateReply::OtherTeam) => return JobLookup::OtherTeam,
+                Ok(StateReply::NoJob) => {}
+                Err(error) => handle_failed_call(Some(shared), &error),
             }
         }
+        self.job_from_store(queue, id, team).await.0
     }
 
-    /// Cancels a job.
-    pub async fn cancel(&self, id: &str, team: Option<&TeamName>) -> CancelResult {
-        let shared = self.node.shard_of_job(id);
-        let reply = self.owner(shared).cancel(id, team).await;
-        match reply {
-            Ok(CancelReply::Done) => CancelResult::Done,
-            Ok(CancelReply::OtherTeam) => CancelResult::OtherTeam,
-            Ok(CancelReply::NoJob | CancelReply::Unknown) => {
-                self.cancel_through_inbox(id, team).await
-            }
-            Err(error) => {
-                handle_failed_call(shared, &error);
-                self.cancel_through_inbox(id, team).await
+    /// Cancels a job of a queue.
+    pub async fn cancel(&self, queue: &str, id: &str, team: Option<&TeamName>) -> CancelResult {
+        for shared in self.node.shards_of_job(queue, id).unwrap_or_default() {
+            match self.owner(Some(shared)).cancel(id, team).await {
+                Ok(CancelReply::Done) => return CancelResult::Done,
+                Ok(CancelReply::OtherTeam) => return CancelResult::OtherTeam,
+                Ok(CancelReply::NoJob) => {}
+                // The job is there; the store tells whether it is cancelled.
+                Ok(CancelReply::Unknown) => break,
+                Err(error) => handle_failed_call(Some(shared), &error),
             }
         }
+        self.cancel_through_inbox(queue, id, team).await
     }
 
     /// Returns the number of jobs of a queue that have not started; none if an owner doesn't reply.
@@ -277,32 +281,43 @@
         }
     }
 
-    /// Reads the state of a job from the store, if the owner doesn't know the job or can't be
-    /// reached.
-    async fn job_from_store(&self, id: &str, team: Option<&TeamName>) -> JobLookup {
-        match self.find_stored(id).await {
-            Ok(Some((view, job_team))) => match is_allowed(job_team.as_ref(), team) {
-                true => JobLookup::Found(view),
-                false => JobLookup::OtherTeam,
+    /// Reads the state of a job, and the shard that has it, from the store, if the owners don't know
+    /// the job or can't be reached.
+    async fn job_from_store(
+        &self,
+        queue: &str,
+        id: &str,
+        team: Option<&TeamName>,
+    ) -> (JobLookup, ShardIndex) {
+        match self.find_stored(queue, id).await {
+            Ok(Some(stored)) => match is_allowed(stored.team.as_ref(), team) {
+                true => (JobLookup::Found(stored.view), stored.shard),
+                false => (JobLookup::OtherTeam, stored.shard),
             },
-            Ok(None) => JobLookup::NoJob,
+            Ok(None) => (JobLookup::NoJob, 0),
             Err(error) => {
                 telemetry::log::line("job-not-read").text("job", id).text("why", error).write();
-                JobLookup::Unknown
+                (JobLookup::Unknown, 0)
             }
         }
     }
 
     /// Stores a cancellation in the inbox, where the owner finds it.
-    async fn cancel_through_inbox(&self, id: &str, team: Option<&TeamName>) -> CancelResult {
-        match self.job_from_store(id, team).await {
+    async fn cancel_through_inbox(
+        &self,
+        queue: &str,
+        id: &str,
+        team: Option<&TeamName>,
+    ) -> CancelResult {
+        let (found, shard) = self.job_from_store(queue, id, team).await;
+        match found {
             JobLookup::Found(JobView::Ended(_)) => return CancelResult::Done,
             JobLookup::Found(_) => {}
             JobLookup::NoJob => return CancelResult::NoJob,
             JobLookup::OtherTeam => return CancelResult::OtherTeam,
             JobLookup::Unknown => return CancelResult::Unknown,
         }
-        let value = rows::encode(&InboxRow::Cancel { job: id.to_owned() });
+        let value = rows::encode(&InboxRow::Cancel { job: id.to_owned(), shard });
         let transaction = Transaction {
             puts: vec![(Table::Inbox, inbox_key("cancel", id), value)],
             ..Transaction::default()
@@ -313,32 +328,44 @@
         }
     }
 
-    async fn find_stored(
-        &self,
-        id: &str,
-    ) -> Result<Option<(JobView, Option<TeamName>)>, ReadError> {
-        let platform = &self.node.platform;
-        let shard = self.node.shard_of_job(id).map(|shared| shared.shard);
-        let shard = shard.ok_or(ReadError::Refused("the shards are not known yet".to_owned()))?;
+    async fn find_stored(&self, queue: &str, id: &str) -> Result<Option<StoredJob>, ReadError> {
+        let shards = self.node.shards_of_job(queue, id);
+        let shards =
+            shards.ok_or_else(|| ReadError::Refused("the shards are not known yet".to_owned()))?;
         // A job leaves the inbox only after its record is written, and its record is removed only
         // after its final state is written. Reading in this order, a job is found in at least one
         // place.
-        let inbox = platform.get(shard, Table::Inbox, &inbox_key("submit", id)).await?;
+        let inbox = self.node.platform.get(0, Table::Inbox, &inbox_key("submit", id)).await?;
+        for shared in shards {
+            if let Some(stored) = self.find_stored_in(shared.shard, id).await? {
+                return Ok(Some(stored));
+            }
+        }
+        let Some(InboxRow::Submit(record)) = inbox.as_ref().and_then(rows::decode_or_log) else {
+            return Ok(None);
+        };
+        let shard = self.node.shard_of_job(&record).map_or(0, |shared| shared.shard);
+        Ok(Some(StoredJob { view: JobView::Queued, team: record.team, shard }))
+    }
+
+    async fn find_stored_in(
+        &self,
+        shard: ShardIndex,
+        id: &str,
+    ) -> Result<Option<StoredJob>, ReadError> {
+        let platform = &self.node.platform;
         let record = platform.get(shard, Table::Jobs, id).await?;
         let progress = platform.get(shard, Table::Progress, id).await?;
         let progress: Option<Progress> = progress.as_ref().and_then(rows::decode_or_log);
         if let Some(state) = progress.as_ref().and_then(|progress| progress.final_state) {
             let team = progress.and_then(|progress| progress.team).map(Into::into);
-            return Ok(Some((JobView::Ended(state), team)));
-        }
-        if let Some(record) = record.as_ref().and_then(rows::decode_or_log::<JobRecord>) {
-            let view = if progress.is_some() { JobView::Running } else { JobView::Queued };
-            return Ok(Some((view, record.team)));
-        }
-        match inbox.as_ref().and_then(rows::decode_or_log) {
-            Some(InboxRow::Submit(record)) => Ok(Some((JobView::Queued, record.team))),
-            _ => Ok(None),
+            return Ok(Some(StoredJob { view: JobView::Ended(state), team, shard }));
         }
+        let Some(record) = record.as_ref().and_then(rows::decode_or_log::<JobRecord>) else {
+            return Ok(None);
+        };
+        let view = if progress.is_some() { JobView::Running } else { JobView::Queued };
+        Ok(Some(StoredJob { view, team: record.team, shard }))
     }
 }
 
--- a/crates/coordinator/src/divisions.rs
+++ b/crates/coordinator/src/divisions.rs
@@ -1,9 +1,9 @@
 //! Divisions of quotas and maintenance waves among shards, as the owner of one shard knows them.
 //!
 //! Each division is a row that the owners of all shards follow and change. A change requires the
-//! version of the row that it is based on, and the epoch row of the owner's shard. A change that
-//! arrives late, after another change of the row or after a takeover of the shard, thus has no
-//! effect.
+//! version of the row that it is based on, and that of the row with the epoch of the owner's shard. A
+//! change that arrives late, after another change of the row or after a takeover of the shard, thus
+//! has no effect. A new owner writes its epoch in each group of rows before it reads them.
 //!
 //! A portion that is being given away counts as given from the moment when the change is sent, and
 //! one that was received counts only once its row was read. While it is unknown whether a change
@@ -26,11 +26,13 @@
 use crate::ports::Transaction;
 use crate::ports::WriteOutcome;
 use crate::rows;
-use crate::rows::EPOCH_KEY;
-use crate::rows::TEAM_KEY_PREFIX;
-use crate::rows::WAVE_KEY_PREFIX;
+use crate::rows::DIVISION_GROUPS;
+use crate::rows::DivisionKey;
 use crate::rows::WaveDivisionRow;
 
+/// Time between the gifts of two shards that hold portions of a quota that is requested. The first
+/// one often gives enough, and changes at the same time would conflict.
+const GIFT_STAGGER: Duration = Duration::from_millis(8);
 /// Pause before a change that may have been made is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -69,38 +71,76 @@
 pub struct Divisions {
     shard: ShardIndex,
     shard_count: usize,
-    /// Version of the epoch row that the owner has written at its takeover.
-    epoch_version: RowVersion,
+    /// Epoch of the owner.
+    epoch: u64,
+    /// Version of the shard's epoch row in each group, by group.
+    epoch_versions: Vec<RowVersion>,
+    /// Epoch in the shard's epoch row, by group.
+    epochs: SortedMap<u64, u64>,
     teams: SortedMap<TeamName, Versioned<PortionRow>>,
     waves: SortedMap<WaveId, Versioned<WaveDivisionRow>>,
     /// Changes whose results are not known, by key.
     pending: SortedMap<String, PendingChange>,
-    /// Teams in whose rows some shard requests more.
-    requested: SortedMap<TeamName, ()>,
+    /// Teams in whose rows some shard requests more, and since when the row is known.
+    requested: SortedMap<TeamName, Moment>,
     /// Another node has taken over the shard.
     is_superseded: bool,
 }
 
 impl Divisions {
     /// Creates the divisions of a shard before any row was read.
-    pub fn new(shard: ShardIndex, shard_count: usize, epoch_version: RowVersion) -> Self {
-        Self { shard, shard_count, epoch_version, ..Self::default() }
+    pub fn new(shard: ShardIndex, shard_count: usize, epoch: u64) -> Self {
+        let epoch_versions = vec![0; DIVISION_GROUPS as usize];
+        Self { shard, shard_count, epoch, epoch_versions, ..Self::default() }
+    }
+
+    /// Returns the transactions that write the owner's epoch in the groups that have an older one.
+    /// The rows must have been applied before, and have to be read again after these writes.
+    pub fn epoch_writes(&self) -> Vec<Transaction> {
+        let key = DivisionKey::Epoch(self.shard);
+        let groups = (0..DIVISION_GROUPS).filter(|group| !self.has_epoch_in(*group));
+        let write = |group: u64| Transaction {
+            shard: self.shard,
+            preconditions: vec![(
+                Table::Divisions,
+                key.in_group(group),
+                self.epoch_versions[group as usize],
+            )],
+            puts: vec![(Table::Divisions, key.in_group(group), rows::encode(&self.epoch))],
+            removals: Vec::new(),
+        };
+        groups.map(write).collect()
+    }
+
+    /// Returns whether another node has taken over the shard.
+    pub fn is_superseded(&self) -> bool {
+        self.is_superseded
     }
 
     /// Applies rows as they were read; rows that can't be decoded are logged and left out.
-    pub fn apply(&mut self, found: &[Row]) {
+    pub fn apply(&mut self, found: &[Row], now: Moment) {
         for row in found {
-            if let Some(team) = row.key.strip_prefix(TEAM_KEY_PREFIX) {
-                if let Some(decoded) = rows::decode_or_log(row) {
-                    self.set_team(team.into(), decoded, row.version);
+            match DivisionKey::parse(&row.key) {
+                Some((_, DivisionKey::Team(team))) => {
+                    if let Some(decoded) = rows::decode_or_log(row) {
+                        self.set_team(team, decoded, row.version, now);
+                    }
                 }
-            } else if let Some(wave) = row.key.strip_prefix(WAVE_KEY_PREFIX)
-                && let Ok(wave) = wave.parse()
-                && let Some(decoded) = rows::decode_or_log(row)
-            {
-                let known = self.waves.entry_or(wave, Versioned::default);
-                if row.version > known.version {
-                    *known = Versioned { row: decoded, version: row.version };
+                Some((_, DivisionKey::Wave(wave))) => {
+                    let known = self.waves.entry_or(wave, Versioned::default);
+                    if row.version > known.version
+                        && let Some(decoded) = rows::decode_or_log(row)
+                    {
+                        *known = Versioned { row: decoded, version: row.version };
+                    }
+                }
+                Some((group, DivisionKey::Epoch(shard))) if shard == self.shard => {
+                    self.set_epoch(group, row);
+                }
+                Some((_, DivisionKey::Epoch(_))) => {}
+                None => {
+                    let line = telemetry::log::line("row-unreadable");
+                    line.text("why", format!("unknown key {}", row.key)).write();
                 }
             }
             // The version that a pending change requires has gone, so that it has been made or
@@ -116,18 +156,18 @@
         let initial = scheduler::portions::initial_portion(self.shard_count);
         let known = self.teams.get(team);
         let held = known.map_or(initial, |known| known.row.held(self.shard, self.shard_count));
-        let pending = self.pending.get(rows::team_key(team).as_str());
+        let pending = self.pending.get(&team_key(&team.into()));
         pending.and_then(|pending| pending.held_after).map_or(held, |after| held.min(after))
     }
 
-    /// Returns the teams whose portions differ from the initial ones, or did.
+    /// Returns the teams of whose quotas some shard has held a portion.
     pub fn teams(&self) -> impl Iterator<Item = &TeamName> {
         self.teams.iter().map(|(team, _)| team)
     }
 
     /// Returns the teams with unserved requests of any shard.
     pub fn requested_teams(&self) -> Vec<TeamName> {
-        self.requested.iter().map(|(team, ())| team.clone()).collect()
+        self.requested.iter().map(|(team, _)| team.clone()).collect()
     }
 
     /// Returns the shards that are done with a wave, in the order in which they were done.
@@ -143,16 +183,17 @@
         needed: Portion,
         in_use: Portion,
         now_ms: u64,
+        now: Moment,
     ) -> Option<Change> {
-        let key = rows::team_key(team);
+        let key = team_key(team);
         if self.is_superseded || self.pending.contains(&key) {
             return None;
         }
         let (shard, shard_count) = (self.shard, self.shard_count);
         let known = self.teams.get(team).cloned().unwrap_or_default();
         let held = known.row.held(shard, shard_count);
-        let gift = match known.row.has_request_of_other(shard) {
-            true => known.row.with_gifts(shard, in_use, shard_count),
+        let gift = match self.is_gift_due(team, &known.row, now) {
+            true => known.row.with_gifts(shard, in_use),
             false => None,
         };
         let has_request = known.row.request(shard).is_some();
@@ -173,7 +214,8 @@
     /// Returns the change that records that the shard is done with a wave; none if it is recorded
     /// or being recorded.
     pub fn plan_wave_done(&mut self, wave: WaveId) -> Option<Change> {
-        let key = rows::wave_key(wave);
+        let key = DivisionKey::Wave(wave);
+        let key = key.in_group(key.group().unwrap_or_default());
         let known = self.waves.get(&wave).cloned().unwrap_or_default();
         let is_known = known.row.done.contains(&self.shard);
         if is_known || self.is_superseded || self.pending.contains(&key) {
@@ -204,17 +246,10 @@
                     let puts = pending.transaction.puts.into_iter();
                     let written: Vec<Row> =
                         puts.map(|(_, key, value)| Row { key, value, version }).collect();
-                    self.apply(&written);
-                }
-            }
-            WriteOutcome::Conflict(found) => {
-                let epoch = found.iter().find(|row| row.key == EPOCH_KEY);
-                if epoch.is_none_or(|row| row.version != self.epoch_version) {
-                    self.is_superseded = true;
-                    return;
+                    self.apply(&written, now);
                 }
-                self.apply(&found);
             }
+            WriteOutcome::Conflict(found) => self.apply(&found, now),
             WriteOutcome::Refused(_) | WriteOutcome::Unknown(_) => {
                 let is_unknown = matches!(outcome, WriteOutcome::Unknown(_));
                 let Some(pending) = self.pending.get_mut(key) else {
@@ -229,13 +264,46 @@
         }
     }
 
-    fn set_team(&mut self, team: TeamName, row: PortionRow, version: RowVersion) {
+    /// Returns whether the shard may give what it doesn't use to those that request it: the holders
+    /// of portions do so one after another, beginning after the shard that has requested first.
+    fn is_gift_due(&self, team: &TeamName, row: &PortionRow, now: Moment) -> bool {
+        let Some(requester) = row.oldest_request_of_other(self.shard) else {
+            return false;
+        };
+        let is_before = |holder: &ShardIndex| {
+            let distance = |shard: ShardIndex| {
+                (usize::from(shard) + self.shard_count - usize::from(requester)) % self.shard_count
+            };
+            *holder != requester && distance(*holder) < distance(self.shard)
+        };
+        let turn = row.holders().filter(is_before).count();
+        let since = self.requested.get(team).copied().unwrap_or_default();
+        now.saturating_sub(since) >= GIFT_STAGGER * turn as u32
+    }
+
+    fn has_epoch_in(&self, group: u64) -> bool {
+        self.epochs.get(&group) == Some(&self.epoch)
+    }
+
+    fn set_epoch(&mut self, group: u64, row: &Row) {
+        let Some(epoch) = rows::decode_or_log::<u64>(row) else {
+            return;
+        };
+        let Some(version) = self.epoch_versions.get_mut(group as usize) else {
+            return;
+        };
+        *version = row.version.max(*version);
+        self.epochs.insert(group, epoch);
+        self.is_superseded |= epoch > self.epoch;
+    }
+
+    fn set_team(&mut self, team: TeamName, row: PortionRow, version: RowVersion, now: Moment) {
         let known = self.teams.entry_or(team.clone(), Versioned::default);
         if version <= known.version {
             return;
         }
         match row.shards.iter().any(|entry| entry.request.is_some()) {
-            true => self.requested.insert(team, ()),
+            true => self.requested.insert(team, now),
             false => self.requested.remove(&team),
         };
         *known = Versioned { row, version };
@@ -248,10 +316,13 @@
         base: RowVersion,
         held_after: Option<Portion>,
     ) -> Change {
+        let group = DivisionKey::parse(&key).map_or(0, |(group, _)| group);
+        let epoch_key = DivisionKey::Epoch(self.shard).in_group(group);
+        let epoch_version = self.epoch_versions[group as usize];
         let transaction = Transaction {
             shard: self.shard,
             preconditions: vec![
-                (Table::Owner, EPOCH_KEY.to_owned(), self.epoch_version),
+                (Table::Divisions, epoch_key, epoch_version),
                 (Table::Divisions, key.clone(), base),
             ],
             puts: vec![(Table::Divisions, key.clone(), rows::encode(row))],
@@ -268,3 +339,9 @@
         Change { key, transaction }
     }
 }
+
+/// Returns the key of the row with the portions of a team's quota.
+fn team_key(team: &TeamName) -> String {
+    let key = DivisionKey::Team(team.clone());
+    key.in_group(key.group().unwrap_or_default())
+}
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -35,6 +35,8 @@
 pub const STORE_WRITE: &str = "store.write";
 /// Transactions of the owner that were refused or not answered.
 pub const STORE_FAILED: &str = "store.failed";
+/// Changes of the portions of quotas, or of waves, that this node has sent.
+pub const DIVISIONS_CHANGED: &str = "divisions.changed";
 /// Takeovers by this node.
 pub const OWNERSHIP_TAKEN: &str = "ownership.taken";
 /// Time from a takeover to the first decision.
@@ -58,6 +60,7 @@
     counter(POLLS_FAILED, "looks that workers did not answer"),
     timer(STORE_WRITE, "time of a transaction of the owner"),
     counter(STORE_FAILED, "transactions of the owner that were refused or not answered"),
+    counter(DIVISIONS_CHANGED, "changes of divisions among shards that this node has sent"),
     counter(OWNERSHIP_TAKEN, "take-overs by this node"),
     timer(OWNERSHIP_LOAD, "time from a take-over to the first decision"),
 ];
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -44,7 +44,6 @@
 use crate::ports::Transaction;
 use crate::ports::WriteOutcome;
 use crate::rows;
-use crate::rows::EPOCH_KEY;
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
 use crate::shared::HeldOwnership;
@@ -312,10 +311,7 @@
     let transaction = Transaction {
         shard: shared.shard,
         preconditions: vec![(Table::Owner, OWNER_KEY.to_owned(), version)],
-        puts: vec![
-            (Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row)),
-            (Table::Owner, EPOCH_KEY.to_owned(), rows::encode(&row.epoch)),
-        ],
+        puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row))],
         removals: Vec::new(),
     };
     let written = shared.node.platform.write(transaction).await;
--- a/crates/coordinator/src/owner/divide.rs
+++ b/crates/coordinator/src/owner/divide.rs
@@ -12,6 +12,7 @@
 use crate::ports::Platform;
 use crate::ports::Row;
 use crate::ports::WriteOutcome;
+use crate::rows::DivisionKey;
 use crate::sharding::wave_slots;
 
 impl<P: Platform> Owner<P> {
@@ -30,7 +31,8 @@
             let needs = self.scheduler.quota_needs().find(|(needy, _)| **needy == team);
             let needed = needs.map_or(0, |(_, portion)| portion);
             let in_use = self.scheduler.quota_portion_in_use(&team);
-            if let Some(change) = self.divisions.plan_team(&team, needed, in_use, unix_now_ms) {
+            if let Some(change) = self.divisions.plan_team(&team, needed, in_use, unix_now_ms, now)
+            {
                 self.apply_portion(&team);
                 self.send_change(change);
             }
@@ -42,7 +44,7 @@
 
     /// Applies rows that owners of any shard have changed.
     pub(super) fn handle_divisions(&mut self, rows: &[Row]) {
-        self.divisions.apply(rows);
+        self.divisions.apply(rows, clock::now());
         self.apply_divisions(rows.iter().map(|row| row.key.as_str()));
     }
 
@@ -107,9 +109,10 @@
     fn apply_divisions<'a>(&mut self, keys: impl Iterator<Item = &'a str>) {
         let mut has_wave = false;
         for key in keys {
-            match key.strip_prefix(crate::rows::TEAM_KEY_PREFIX) {
-                Some(team) => self.apply_portion(&team.into()),
-                None => has_wave = true,
+            match DivisionKey::parse(key) {
+                Some((_, DivisionKey::Team(team))) => self.apply_portion(&team),
+                Some((_, DivisionKey::Wave(_))) => has_wave = true,
+                Some((_, DivisionKey::Epoch(_))) | None => {}
             }
         }
         if has_wave {
@@ -140,6 +143,7 @@
     }
 
     fn send_change(&mut self, change: Change) {
+        self.stats.record_division_change();
         let shared = self.shared.clone();
         let Change { key, transaction } = change;
         self.spawn(async move {
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -9,6 +9,7 @@
 use scheduler::Scheduler;
 use scheduler::SortedMap;
 use scheduler::WaveRow;
+use tokio::task::JoinSet;
 
 use super::AcquiredOwnership;
 use super::VALIDITY;
@@ -23,6 +24,7 @@
 use crate::ports::Row;
 use crate::ports::RowVersion;
 use crate::ports::Table;
+use crate::ports::WriteOutcome;
 use crate::rows;
 use crate::rows::BASELINE_HOSTS_KEY;
 use crate::rows::HOST_COMMANDS_KEY;
@@ -82,7 +84,7 @@
 }
 
 async fn read_state<P: Platform>(
-    shared: &Shared<P>,
+    shared: &Arc<Shared<P>>,
     acquired: &AcquiredOwnership,
 ) -> Result<LoadedState, ReadError> {
     let settings = shared.node.settings.scheduling.clone();
@@ -137,18 +139,36 @@
     Ok(LoadedState { scheduler, pipeline, inbox, divisions, divisions_version })
 }
 
-/// Reads the divisions among shards; there are none if the fleet has a single shard.
+/// Writes the owner's epoch and reads the divisions among shards; there are none if the fleet has a single shard.
 async fn read_divisions<P: Platform>(
-    shared: &Shared<P>,
+    shared: &Arc<Shared<P>>,
     acquired: &AcquiredOwnership,
 ) -> Result<(Divisions, RowVersion), ReadError> {
     let shard_count = shared.layout().shard_count;
-    let mut divisions = Divisions::new(shared.shard, shard_count, acquired.version);
+    let mut divisions = Divisions::new(shared.shard, shard_count, acquired.row.epoch);
     if shard_count <= 1 {
         return Ok((divisions, 0));
     }
-    let found = shared.node.platform.read_all(shared.shard, Table::Divisions).await?;
-    divisions.apply(&found.changed);
+    let platform = &shared.node.platform;
+    let found = platform.read_all(shared.shard, Table::Divisions).await?;
+    divisions.apply(&found.changed, clock::now());
+    let mut writes = JoinSet::new();
+    for transaction in divisions.epoch_writes() {
+        let shared = shared.clone();
+        writes.spawn(async move { shared.node.platform.write(transaction).await });
+    }
+    for outcome in writes.join_all().await {
+        if !matches!(outcome, WriteOutcome::Committed(_)) {
+            // The next attempt reads which epochs are written.
+            return Err(ReadError::Refused(format!("epoch of a group not written: {outcome:?}")));
+        }
+    }
+    // The previous owner can no longer change any row.
+    let found = platform.read_all(shared.shard, Table::Divisions).await?;
+    divisions.apply(&found.changed, clock::now());
+    if divisions.is_superseded() {
+        return Err(ReadError::Refused("another node has taken over the shard".to_owned()));
+    }
     Ok((divisions, found.version))
 }
 
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -55,12 +55,13 @@
     /// Handles the requests that nodes have stored in the inbox; those of other shards are left
     /// alone.
     pub(super) fn handle_inbox(&mut self, mut stored: Vec<Row>) {
-        stored.retain(|row| self.shared.has_job(job_of_inbox_key(&row.key)));
         // A job may have been both submitted and cancelled through the inbox: the submission goes
         // first.
         stored.sort_by_key(|row| !row.key.starts_with(SUBMIT_PREFIX));
         for row in stored {
             match rows::decode_or_log(&row) {
+                Some(InboxRow::Submit(record)) if !self.shared.has_job(&record) => {}
+                Some(InboxRow::Cancel { shard, .. }) if shard != self.shared.shard => {}
                 Some(InboxRow::Submit(record)) => {
                     // A job in a transaction that is in flight may still be refused.
                     let has_submission = self.pipeline.has_submission(&record.id);
@@ -70,7 +71,7 @@
                     }
                     self.pipeline.add_inbox_removal(row.key);
                 }
-                Some(InboxRow::Cancel { job }) => {
+                Some(InboxRow::Cancel { job, .. }) => {
                     let (job, reply) = (job.into(), None);
                     self.pipeline.add_cancellation(Cancellation {
                         job,
@@ -115,11 +116,6 @@
     }
 }
 
-/// Returns the id of the job that a row of the inbox is about.
-fn job_of_inbox_key(key: &str) -> &str {
-    key.rsplit('/').next().unwrap_or(key)
-}
-
 /// Sends a reply; a caller that no longer waits is ignored.
 pub(super) fn send_reply<T>(reply: oneshot::Sender<T>, value: T) {
     let _ = reply.send(value);
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -26,6 +26,8 @@
     polls: u64,
     starts: u64,
     transactions: u64,
+    /// Changes of divisions among shards.
+    division_changes: u64,
     /// Total time of the transactions.
     store_time: Duration,
     /// Time of the longest transaction.
@@ -53,6 +55,12 @@
         self.counts.starts += 1;
     }
 
+    /// Records a change of a division among shards.
+    pub fn record_division_change(&mut self) {
+        self.counts.division_changes += 1;
+        self.telemetry.count(metrics::DIVISIONS_CHANGED);
+    }
+
     /// Records a transaction whose result came after `time`.
     pub fn record_transaction(&mut self, time: Duration) {
         let counts = &mut self.counts;
@@ -80,6 +88,7 @@
                 .field("looks", counts.polls)
                 .field("starts", counts.starts)
                 .field("transactions", counts.transactions)
+                .field("divisions", counts.division_changes)
                 .field("store_mean_ms", mean_ms)
                 .field("store_longest_ms", counts.store_longest.as_millis() as u64)
                 .write();
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -5,19 +5,18 @@
 use bytes::Bytes;
 use scheduler::JobRecord;
 use scheduler::ShardIndex;
+use scheduler::TeamName;
 use scheduler::WaveId;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::ports::Row;
+use crate::sharding::stable_hash;
 
 /// Key of the owner's row.
 pub const OWNER_KEY: &str = "owner";
 
-/// Key, in the owner's table, of the row that changes with each takeover and at no other time.
-pub const EPOCH_KEY: &str = "epoch";
-
 /// Key, in the owner's table, of the row with the layout of the shards.
 pub const LAYOUT_KEY: &str = "layout";
 
@@ -30,21 +29,61 @@
 /// Prefix of the keys of maintenance waves in the table of progress; no job id begins with it.
 pub const WAVE_KEY_PREFIX: &str = "wave/";
 
-/// Prefix of the keys of teams in the table of divisions.
-pub const TEAM_KEY_PREFIX: &str = "team/";
+/// Number of groups into which the rows of divisions are split. Each group has a part of the store
+/// of its own, so that changes of different groups don't wait for each other.
+pub const DIVISION_GROUPS: u64 = 16;
+
+/// What a row in the table of divisions is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DivisionKey {
+    /// The portions of a team's quota.
+    Team(TeamName),
+    /// The shards that are done with a wave.
+    Wave(WaveId),
+    /// The epoch of a shard's owner, in each group. Changes of rows of the group require it.
+    Epoch(ShardIndex),
+}
+
+impl DivisionKey {
+    /// Returns the group of the row; none for an epoch, which is in every group.
+    pub fn group(&self) -> Option<u64> {
+        let name = match self {
+            Self::Team(team) => format!("team/{team}"),
+            Self::Wave(wave) => format!("wave/{wave}"),
+            Self::Epoch(_) => return None,
+        };
+        Some(stable_hash(name.as_bytes()) % DIVISION_GROUPS)
+    }
+
+    /// Returns the key of the row in a group: the group, what the row is about, and its name.
+    pub fn in_group(&self, group: u64) -> String {
+        match self {
+            Self::Team(team) => format!("{group}/team/{team}"),
+            Self::Wave(wave) => format!("{group}/wave/{wave}"),
+            Self::Epoch(shard) => format!("{group}/epoch/{shard}"),
+        }
+    }
+
+    /// Decodes the key of a row; returns its group too.
+    pub fn parse(key: &str) -> Option<(u64, Self)> {
+        let (group, rest) = key.split_once('/')?;
+        let (kind, name) = rest.split_once('/')?;
+        let parsed = match kind {
+            "team" => Self::Team(name.into()),
+            "wave" => Self::Wave(name.parse().ok()?),
+            "epoch" => Self::Epoch(name.parse().ok()?),
+            _ => return None,
+        };
+        Some((group.parse().ok()?, parsed))
+    }
+}
 
 /// Returns the key of a row that lists shards of hosts, by its number.
 pub fn layout_hosts_key(number: usize) -> String {
     format!("layout/hosts/{number}")
 }
 
-/// Returns the key of the row that divides the quota of a team.
-pub fn team_key(team: &str) -> String {
-    format!("{TEAM_KEY_PREFIX}{team}")
-}
-
-/// Returns the key of the row that lists the maintained hosts of a wave and, in the table of
-/// divisions, the shards that are done with it.
+/// Returns the key of the row that lists the maintained hosts of a wave.
 pub fn wave_key(wave: WaveId) -> String {
     format!("{WAVE_KEY_PREFIX}{wave}")
 }
@@ -84,6 +123,9 @@
     Cancel {
         /// Id of the job.
         job: String,
+        /// Shard that has the job.
+        #[serde(default)]
+        shard: ShardIndex,
     },
 }
 
--- a/crates/coordinator/src/sharding.rs
+++ b/crates/coordinator/src/sharding.rs
@@ -1,7 +1,8 @@
 //! Division of the fleet among shards, each of which has an owner of its own.
 //!
 //! A shard schedules a fixed set of hosts, taken evenly from all pools, and the jobs whose ids lead
-//! to it. Owners therefore share no worker, host or job, and one falling behind or being replaced
+//! to it. Jobs with long-running units are the exception: those of a queue share one shard, so that
+//! their units, which have to be spread over many hosts, share the same hosts. Owners therefore share no worker, host or job, and one falling behind or being replaced
 //! doesn't delay the others. What spans shards is divided: quotas of teams by
 //! [`scheduler::portions`], the limit of a maintenance wave by [`wave_slots`].
 //!
@@ -10,6 +11,7 @@
 
 use scheduler::HostEntry;
 use scheduler::HostName;
+use scheduler::JobRecord;
 use scheduler::PoolName;
 use scheduler::ShardIndex;
 use scheduler::SortedMap;
@@ -61,8 +63,19 @@
     }
 
     /// Returns the shard of a job.
-    pub fn shard_of_job(&self, id: &str) -> ShardIndex {
-        self.shard_of_name(id)
+    pub fn shard_of_job(&self, record: &JobRecord) -> ShardIndex {
+        match record.steps.iter().any(|step| step.is_long_running) {
+            true => self.shard_of_name(&record.queue),
+            false => self.shard_of_name(&record.id),
+        }
+    }
+
+    /// Returns the shards that may have a job of which only the queue and id are known, the likelier
+    /// one first.
+    pub fn shards_of_job(&self, queue: &str, id: &str) -> Vec<ShardIndex> {
+        let mut shards = vec![self.shard_of_name(id), self.shard_of_name(queue)];
+        shards.dedup();
+        shards
     }
 
     /// Returns the shard of a host.
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -227,8 +227,15 @@
     }
 
     /// Returns the state of the shard of a job; none if the layout is not known.
-    pub fn shard_of_job(&self, id: &str) -> Option<&Arc<Shared<P>>> {
-        self.shard(self.shards.get()?.layout.shard_of_job(id))
+    pub fn shard_of_job(&self, record: &JobRecord) -> Option<&Arc<Shared<P>>> {
+        self.shard(self.shards.get()?.layout.shard_of_job(record))
+    }
+
+    /// Returns the states of the shards that may have a job, the likelier one first; none if the
+    /// layout is not known.
+    pub fn shards_of_job(&self, queue: &str, id: &str) -> Option<Vec<&Arc<Shared<P>>>> {
+        let shards = self.shards.get()?.layout.shards_of_job(queue, id);
+        shards.into_iter().map(|shard| self.shard(shard)).collect()
     }
 
     /// Returns the number of shards that this node owns.
@@ -336,9 +343,9 @@
         self.layout().shard_of_worker(registration) == self.shard
     }
 
-    /// Returns whether the shard has a job.
-    pub fn has_job(&self, id: &str) -> bool {
-        self.layout().shard_of_job(id) == self.shard
+    /// Returns whether a job belongs to the shard.
+    pub fn has_job(&self, record: &JobRecord) -> bool {
+        self.layout().shard_of_job(record) == self.shard
     }
 
     /// Returns the ownership if this node holds it.
--- a/crates/scheduler/src/portions.rs
+++ b/crates/scheduler/src/portions.rs
@@ -8,9 +8,11 @@
 //! A portion is a fraction of the quota rather than an amount. When operators change a quota, all
 //! portions change with it, and their sum stays within it.
 //!
-//! Requests are served in the order in which they were made. A shard gives away what it doesn't
-//! use, unless its own request is older. The oldest request thus collects all that is unused, so
-//! that a unit that is larger than an equal portion starts too.
+//! What no shard holds is free, and a shard that needs more takes it with one write. It takes a
+//! little more than it needs, so that not every job costs a write. If too little is free, the shard
+//! requests the rest, and the shards that hold more than they use give all of that: to the requests
+//! in the order in which they were made, and what is left becomes free. The oldest request thus
+//! collects all that is unused, so that a unit that is larger than a usual portion starts too.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -29,7 +31,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct PortionRow {
-    /// Portions that differ from the initial one, or that were requested to grow; sorted by shard.
+    /// Shards that have held or requested a portion, sorted.
     pub shards: Vec<ShardPortion>,
 }
 
@@ -54,9 +56,10 @@
     pub since_ms: u64,
 }
 
-/// Returns the portion that each of `shard_count` shards holds before any transfer.
+/// Returns the portion that a shard holds before it has taken any: a single shard has the whole
+/// quota.
 pub fn initial_portion(shard_count: usize) -> Portion {
-    WHOLE / shard_count.max(1) as Portion
+    if shard_count <= 1 { WHOLE } else { 0 }
 }
 
 /// Returns the smallest portion of `quota` that covers `amount`; an amount of 0 in `quota` is no
@@ -88,16 +91,26 @@
         self.shards.iter().any(|entry| entry.shard != shard && entry.request.is_some())
     }
 
+    /// Returns the shards that hold a portion, sorted.
+    pub fn holders(&self) -> impl Iterator<Item = ShardIndex> {
+        self.shards.iter().filter(|entry| entry.held > 0).map(|entry| entry.shard)
+    }
+
+    /// Returns the shard whose request is the oldest, without regard to `shard`.
+    pub fn oldest_request_of_other(&self, shard: ShardIndex) -> Option<ShardIndex> {
+        let others = self.shards.iter().filter(|entry| entry.shard != shard);
+        let oldest = others.filter_map(|entry| Some((entry.request?.since_ms, entry.shard))).min();
+        oldest.map(|(_, shard)| shard)
+    }
+
     /// Returns the sum of all portions.
-    pub fn total(&self, shard_count: usize) -> Portion {
-        let stored: Portion = self.shards.iter().map(|entry| entry.held).sum();
-        let others = shard_count.saturating_sub(self.shards.len()) as Portion;
-        stored + others * initial_portion(shard_count)
+    pub fn total(&self) -> Portion {
+        self.shards.iter().map(|entry| entry.held).sum()
     }
 
-    /// Returns the row after a shard has stated that it needs a portion of `needed` in total. What
-    /// no shard holds is added to its portion at once, and the rest is requested. A request that
-    /// the portion already covers is withdrawn.
+    /// Returns the row after a shard has stated that it needs a portion of `needed` in total. It
+    /// takes what is free of that, with a part of the rest, and requests what is missing. A request
+    /// that the portion covers is withdrawn.
     pub fn with_need(
         &self,
         shard: ShardIndex,
@@ -105,24 +118,23 @@
         now_ms: u64,
         shard_count: usize,
     ) -> PortionRow {
-        let free = WHOLE.saturating_sub(self.total(shard_count));
+        let free = WHOLE.saturating_sub(self.total());
         let mut row = self.clone();
-        let entry = row.entry_mut(shard, shard_count);
-        entry.held += needed.saturating_sub(entry.held).min(free);
+        let entry = row.entry_mut(shard);
+        let missing = needed.saturating_sub(entry.held);
+        if missing > 0 {
+            let reserve = free.saturating_sub(missing) / shard_count.max(1) as Portion;
+            entry.held += free.min(missing) + reserve;
+        }
         let since_ms = entry.request.map_or(now_ms, |request| request.since_ms);
         entry.request = (entry.held < needed).then_some(PortionRequest { needed, since_ms });
         row
     }
 
-    /// Returns the row after a shard that uses `in_use` of the quota has given the rest of its
-    /// portion to the shards that request it; none if it gives nothing.
-    pub fn with_gifts(
-        &self,
-        giver: ShardIndex,
-        in_use: Portion,
-        shard_count: usize,
-    ) -> Option<PortionRow> {
-        let mut spare = self.held(giver, shard_count).saturating_sub(in_use);
+    /// Returns the row after a shard that uses `in_use` of the quota has given up the rest of its
+    /// portion, first to the shards that request it; none if it gives nothing, since it uses all or
+    /// its own request is older.
+    pub fn with_gifts(&self, giver: ShardIndex, in_use: Portion) -> Option<PortionRow> {
         let order = |entry: &ShardPortion| Some((entry.request?.since_ms, entry.shard));
         let own_order = self.entry(giver).and_then(order);
         let mut requesters: Vec<(u64, ShardIndex)> = self
@@ -133,21 +145,25 @@
             .filter(|order| own_order.is_none_or(|own| *order < own))
             .collect();
         requesters.sort_unstable();
+        let mut spare = self.entry(giver)?.held.saturating_sub(in_use);
+        if requesters.is_empty() || spare == 0 {
+            return None;
+        }
         let mut row = self.clone();
+        row.entry_mut(giver).held -= spare;
         for (_, shard) in requesters {
-            let entry = row.entry_mut(shard, shard_count);
+            let entry = row.entry_mut(shard);
             let Some(request) = entry.request else {
                 continue;
             };
             let gift = request.needed.saturating_sub(entry.held).min(spare);
             entry.held += gift;
+            spare -= gift;
             if entry.held >= request.needed {
                 entry.request = None;
             }
-            row.entry_mut(giver, shard_count).held -= gift;
-            spare -= gift;
         }
-        (row.held(giver, shard_count) < self.held(giver, shard_count)).then_some(row)
+        Some(row)
     }
 
     fn entry(&self, shard: ShardIndex) -> Option<&ShardPortion> {
@@ -155,11 +171,10 @@
         self.shards.get(index)
     }
 
-    fn entry_mut(&mut self, shard: ShardIndex, shard_count: usize) -> &mut ShardPortion {
+    fn entry_mut(&mut self, shard: ShardIndex) -> &mut ShardPortion {
         let found = self.shards.binary_search_by_key(&shard, |entry| entry.shard);
         let index = found.unwrap_or_else(|index| {
-            let held = initial_portion(shard_count);
-            self.shards.insert(index, ShardPortion { shard, held, request: None });
+            self.shards.insert(index, ShardPortion { shard, held: 0, request: None });
             index
         });
         &mut self.shards[index]
