Fill the pools that are expected to peak next with hosts that no pool needs

Meanwhile 85 to 240 hosts stood idle in the pool whose peak was ending.

Change: the pool whose last peak is the longest ago, and each that has had none, is expected to peak next. Hosts that have been idle for 0.6 s and that no pool needs go there, up to 60 % of its baseline. Other pools keep what they need and a reserve; the rest is parked. No period or order is written down or learnt beyond the time of the last peak.

--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -29,6 +29,7 @@
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
 use crate::messages::Action;
+use crate::peaks::Peaks;
 use crate::portions::Portion;
 use crate::rate_shares::RateShares;
 use crate::settings::Settings;
@@ -82,6 +83,8 @@
     pub(crate) baseline_hosts: BaselineHosts,
     /// `baseline_hosts` has changed since it was last added to a batch.
     pub(crate) is_baseline_hosts_dirty: bool,
+    /// Last peak of each pool.
+    pub(crate) peaks: Peaks,
     /// Rate limiters that tell which jobs are within their team's rate share.
     pub(crate) rate_shares: RateShares,
     /// Recently submitted work by pool.
