Let a shard with waiting units use an equal part of a quota while another requests

Change: while an older request of another shard is unserved, a shard uses at most an equal part for each shard that holds or requests some; what its runs release goes to the request.

--- a/crates/coordinator/src/divisions.rs
+++ b/crates/coordinator/src/divisions.rs
@@ -155,7 +155,8 @@
     pub fn portion(&self, team: &str) -> Portion {
         let initial = scheduler::portions::initial_portion(self.shard_count);
         let known = self.teams.get(team);
-        let held = known.map_or(initial, |known| known.row.held(self.shard, self.shard_count));
+        let usable = |row: &PortionRow| row.usable(self.shard, self.shard_count);
+        let held = known.map_or(initial, |known| usable(&known.row));
         let pending = self.pending.get(&team_key(&team.into()));
         pending.and_then(|pending| pending.held_after).map_or(held, |after| held.min(after))
     }
--- a/crates/savorypitch/tests/soak.rs
+++ b/crates/savorypitch/tests/soak.rs
@@ -1,11 +1,11 @@
 //! Randomized soak test: node processes on a platform with injected faults, and callers that check
 //! what the nodes guarantee them.
 //!
-//! The faults follow from a seed: nodes are suspended, killed, or stopped and restarted; the table
-//! is unavailable, slow or loses replies; connections are delayed, blocked, blocked in one direction
-//! or reset; workers crash and restart. Faults overlap. While they last, the stand-in workers record
-//! every violation of a guarantee. Afterwards every accepted job must complete, and no refused job
-//! may have run.
+//! Two shards divide the workers and a quota that binds. The faults follow from a seed: nodes are
+//! suspended, killed, or stopped and restarted; the table is unavailable, slow or loses replies;
+//! connections are delayed, blocked, blocked in one direction or reset; workers crash and restart.
+//! Faults overlap. While they last, the stand-in workers record every violation of a guarantee.
+//! Afterwards every accepted job must complete, and no refused job may have run.
 //!
 //! To run many seeds: `SAVORYPITCH_SOAK_SEEDS=50 cargo test -p savorypitch --test soak -- --ignored`.
 //! A seed that has failed is added to [`REGRESSIONS`] with a comment on the cause.
@@ -50,6 +50,7 @@
 use table::TableFault;
 use table::TableStandin;
 use workers::CAPACITY_MILLIS;
+use workers::QUOTA_MILLIS;
 use workers::UNIT_MILLIS;
 use workers::WorkerStandins;
 use workers::worker_id;
@@ -60,6 +61,7 @@
 const CI_SEED: u64 = 1;
 const NODES: usize = 3;
 const WORKERS: usize = 4;
+const HOSTS_PER_SHARD: usize = 2;
 /// Time during which new faults are injected.
 const FAULT_INJECTION_TIME: Duration = Duration::from_secs(12);
 /// Shortest time after which the platform reuses the id of a worker that has ended.
@@ -448,7 +450,7 @@
         "version": 1,
         "routes": routes,
         "services": [{ "name": "p" }],
-        "tenants": [{ "name": "t", "apiKeys": [KEY], "weight": 1 }],
+        "tenants": [{ "name": "t", "apiKeys": [KEY], "weight": 1, "upperBound": { "cpu": QUOTA_MILLIS } }],
         "limits": { "maxBodyBytes": 100_000 },
     })
 }
@@ -458,7 +460,7 @@
         "node": format!("n{index}"), "ip": ip, "zone": "a",
         "listen": { "front": SocketAddr::new(ip, CALLER_PORT), "ready": SocketAddr::new(ip, READY_PORT) },
         "portRange": [PEER_PORT, PEER_PORT + 1],
-        "platform": { "address": table }, "cloud": { "address": table },
+        "platform": { "address": table }, "cloud": { "address": table }, "hostsPerShard": HOSTS_PER_SHARD,
     });
     let name = format!("savorypitch-soak-{}-{seed}-{index}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
--- a/crates/scheduler/src/portions.rs
+++ b/crates/scheduler/src/portions.rs
@@ -103,6 +103,22 @@
         oldest.map(|(_, shard)| shard)
     }
 
+    /// Returns the portion that a shard may use of what it holds. While an older request of another
+    /// shard is unserved, that is at most an equal part for each shard that holds or requests some:
+    /// a shard whose units keep waiting would otherwise never have a spare portion to give.
+    pub fn usable(&self, shard: ShardIndex, shard_count: usize) -> Portion {
+        let held = self.held(shard, shard_count);
+        let order = |entry: &ShardPortion| Some((entry.request?.since_ms, entry.shard));
+        let own_order = self.entry(shard).and_then(order);
+        let others = self.shards.iter().filter(|entry| entry.shard != shard).filter_map(order);
+        if !others.into_iter().any(|other| own_order.is_none_or(|own| other < own)) {
+            return held;
+        }
+        let is_claimant = |entry: &&ShardPortion| entry.held > 0 || entry.request.is_some();
+        let claimants = self.shards.iter().filter(is_claimant).count() as Portion;
+        held.min(WHOLE / claimants.max(1))
+    }
+
     /// Returns the sum of all portions.
     pub fn total(&self) -> Portion {
         self.shards.iter().map(|entry| entry.held).sum()
--- a/crates/scheduler/tests/portions.rs
+++ b/crates/scheduler/tests/portions.rs
@@ -61,6 +61,22 @@
     assert!(row.total() <= WHOLE);
 }
 
+/// Two shards with more waiting units than the quota covers: neither may keep the other waiting.
+#[test]
+fn a_shard_with_waiting_units_uses_an_equal_part_while_another_one_requests() {
+    let row = PortionRow::default().with_need(0, WHOLE, 1, SHARDS);
+    assert_eq!(row.usable(0, SHARDS), WHOLE);
+    let row = row.with_need(1, 700_000, 2, SHARDS);
+    assert_eq!(row.usable(0, SHARDS), WHOLE / 2);
+    // Its runs end, and it gives what they have used.
+    let row = row.with_gifts(0, 300_000).expect("the shard has a spare portion");
+    assert_eq!(row.request(1), None);
+    // It needs the whole quota again, and is now the one that requests.
+    let row = row.with_need(0, WHOLE, 3, SHARDS);
+    assert_eq!(row.usable(1, SHARDS), WHOLE / 2);
+    assert_eq!(row.usable(0, SHARDS), 300_000);
+}
+
 #[test]
 fn a_request_that_is_no_longer_needed_is_withdrawn() {
     let row = PortionRow::default().with_need(0, 900_000, 4, 1).with_need(1, WHOLE, 5, 1);
