--- a/crates/coordinator/tests/election.rs
+++ b/crates/coordinator/tests/election.rs
@@ -5,12 +5,14 @@
 use coordinator::election::Election;
 use coordinator::election::NextStep;
 use coordinator::election::OwnerReply;
+use coordinator::election::POLL_PERIOD;
 use coordinator::election::REFUSED_MAX;
 use coordinator::election::Reason;
 use coordinator::election::SILENCE_MAX;
 use coordinator::election::TakeoverTiming;
 use coordinator::election::Verdict;
 use coordinator::election::YIELD_TIME;
+use coordinator::election::poll_period;
 use coordinator::rows::OwnerRow;
 use rstest::rstest;
 
@@ -135,3 +137,30 @@
     let verdict = election.handle_row(Some(&row(1)), TakeoverTiming::AfterStronger, NOW);
     assert_eq!(verdict, Verdict::TakeOver(Reason::Stuck));
 }
+
+/// Polls of all owners by all nodes, per second.
+fn polls_per_s(shard_count: usize, is_strong: bool) -> f64 {
+    let numbers = 0..shard_count as u64;
+    let periods = numbers.map(|number| poll_period(shard_count, number, is_strong));
+    periods.map(|period| 1.0 / period.as_secs_f64()).sum()
+}
+
+#[test]
+fn the_polls_that_a_node_sends_stay_bounded_however_many_shards_there_are() {
+    assert_eq!(poll_period(1, 0, false), POLL_PERIOD);
+    for shard_count in [1, 5, 8, 50] {
+        assert!(polls_per_s(shard_count, false) < 22.0, "{shard_count} shards");
+        assert!(polls_per_s(shard_count, true) < 42.0, "{shard_count} shards");
+    }
+}
+
+#[test]
+fn a_suspicion_is_followed_up_soon() {
+    let mut election = Election::default();
+    assert!(!election.is_suspicious());
+    assert_eq!(election.handle_reply(&row(1), OwnerReply::Silent), NextStep::ReadRow);
+    election.handle_row(Some(&row(1)), TakeoverTiming::Immediate, NOW);
+    assert!(election.is_suspicious());
+    assert_eq!(election.handle_reply(&row(1), owner(300)), NextStep::Wait);
+    assert!(!election.is_suspicious());
+}
--- a/crates/coordinator/tests/succession.rs
+++ b/crates/coordinator/tests/succession.rs
@@ -42,6 +42,17 @@
     assert_eq!(followers(entries).successor(SHARD, NOW), Some(address(port)));
 }
 
+#[test]
+fn shards_prefer_different_nodes_among_equals() {
+    let entries: Vec<Follower> = (1..=8).map(|port| follower(port, 500, 5)).collect();
+    let followers = followers(&entries);
+    let mut chosen: Vec<SocketAddr> =
+        (0..8).filter_map(|shard| followers.successor(shard, NOW)).collect();
+    chosen.sort();
+    chosen.dedup();
+    assert!(chosen.len() >= 4, "{chosen:?}");
+}
+
 #[test]
 fn a_node_that_stopped_polling_is_not_the_successor() {
     assert_eq!(followers(&[follower(1, 500, 50)]).successor(SHARD, NOW + LONG), None);
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -115,8 +115,8 @@
             |window: &&Duration| arrivals_within(**window).count() >= ARRIVALS_MIN;
         let longest = &RATE_WINDOWS[RATE_WINDOWS.len() - 1];
         let window = *RATE_WINDOWS.iter().find(has_enough_arrivals).unwrap_or(longest);
-        let work: u64 = arrivals_within(window).map(|(_, work)| work).sum();
-        work * 1_000 / window.as_millis() as u64
+        let work = arrivals_within(window).fold(0, |sum: u64, (_, work)| sum.saturating_add(*work));
+        work.saturating_mul(1_000) / window.as_millis() as u64
     }
 }
 
@@ -174,10 +174,11 @@
     /// Records the work of a new job as demand of its pool.
     pub(crate) fn record_demand(&mut self, record: &JobRecord, now: Moment) {
         let work = |step: &Step| {
-            u64::from(step.count) * step.estimate_ms * step.requested.cpu_millis / 1_000
+            let unit_work = step.estimate_ms.saturating_mul(step.requested.cpu_millis) / 1_000;
+            u64::from(step.count).saturating_mul(unit_work)
         };
         let finite_steps = record.steps.iter().filter(|step| !step.is_long_running);
-        let requested_work: u64 = finite_steps.map(work).sum();
+        let requested_work = finite_steps.map(work).fold(0, u64::saturating_add);
         if requested_work > 0 {
             self.demand.entry_or(record.pool.clone(), Demand::default).add(requested_work, now);
         }
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -122,7 +122,8 @@
             let remaining =
                 units.iter().filter(|unit| unit.finish_state == FinishState::Unfinished).count()
                     as u64;
-            remaining * step.estimate_ms * step.requested.cpu_millis / 1_000
+            let unit_work = step.estimate_ms.saturating_mul(step.requested.cpu_millis) / 1_000;
+            remaining.saturating_mul(unit_work)
         })
-        .sum()
+        .fold(0, u64::saturating_add)
 }
