Count a unit as at work after a takeover only by a report made after a stop would have taken effect

The guard counted time since the first report; a stop of the previous owner that took effect just after that report, with the next reply late, was not seen.

Change: the last report has to be received later than the first by the time that a stop takes. The test fails without it.

--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -23,6 +23,7 @@
 use crate::messages::HostReply;
 use crate::messages::HostState;
 use crate::state::Scheduler;
+use crate::worker::Contact;
 
 /// Time that units with checkpoints get to finish on a cordoned host. If its wave is urgent, other
 /// finite units get no more than that either.
@@ -374,12 +375,17 @@
             worker.is_none_or(|worker| !worker.is_in_contact(RUNNING_CONTACT_AGE_MAX, now))
         };
         // The worker may still list a run that the previous owner has commanded to stop. After this
-        // owner's first poll, the worker refuses such commands.
+        // owner's first poll, the worker refuses such commands, and a report counts once a stop from
+        // before would have taken effect.
         let may_be_stopping = |worker: &str| {
-            let first_contact_at =
-                self.workers.get(worker).and_then(|worker| worker.first_contact_at);
-            first_contact_at
-                .is_none_or(|since| now.saturating_sub(since) <= self.settings.stop_time)
+            let worker = self.workers.get(worker);
+            let contacts =
+                worker.and_then(|worker| match (worker.first_contact_at, worker.contact) {
+                    (Some(first), Contact::Heard(last)) => Some((first, last)),
+                    _ => None,
+                });
+            contacts
+                .is_none_or(|(first, last)| last.saturating_sub(first) <= self.settings.stop_time)
         };
         let is_unavailable = |unit: &Unit| {
             unit.run.as_ref().is_none_or(|run| {
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -154,3 +154,31 @@
     run_for(&mut sim, millis(600));
     assert!(sim.worker("w1").running.is_empty(), "the unit on w2 keeps running");
 }
+
+/// A report that was made before the previous owner's stop has taken effect tells nothing of what
+/// runs afterwards, however long ago the takeover was.
+#[test]
+fn a_new_owner_does_not_rely_on_a_report_from_the_time_of_its_takeover() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let long_running =
+        Step { is_long_running: true, per_worker_max: 1, unavailable_max: 1, ..step(2, 1_000) };
+    let record = job("a", vec![long_running], sim.now);
+    sim.scheduler.add_job(record.clone(), sim.now);
+    assert_eq!(sim.run_round().len(), 2);
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[record]);
+    sim.list_hosts_in_pool(&[("h1", "w1"), ("h2", "w2")]);
+    sim.scheduler.set_waves(vec![wave(&["h1"], 1)], sim.now);
+    for running in sim.workers.iter_mut().flat_map(|worker| &mut worker.running) {
+        running.progress_percent = 100;
+    }
+    sim.report_all();
+    // The unit on w2 stops after the report, and the replies of w2 are late.
+    sim.worker("w2").running.clear();
+    sim.worker("w2").is_responsive = false;
+    for _ in 0..14 {
+        sim.now += millis(100);
+        sim.report_all();
+        sim.run_round();
+        assert_eq!(sim.worker("w1").running.len(), 1, "the unit on w2 may be stopped");
+    }
+}
