Start the election of a shard again after a fault of the program

Cause (by reading): a panic in the election or the owner ended its task for good; with one task for all shards it would have ended every election of the node. The node went on serving callers and could never own a shard again.

Change: each shard's election runs in a task of its own and starts again, the ownership is forgotten, and the fault is logged (`election-failed`).

--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -174,11 +174,30 @@
     let shards = node.shards.get_or_init(|| Shards { layout, states });
     let mut elections = JoinSet::new();
     for shared in &shards.states {
-        elections.spawn(run_election(shared.clone()));
+        elections.spawn(keep_election(shared.clone()));
     }
     elections.join_all().await;
 }
 
+/// Runs the election of a shard, again after a fault of the program has ended it, so that the fault
+/// costs neither the other shards of this node nor this one's later turns as the owner.
+async fn keep_election<P: Platform>(shared: Arc<Shared<P>>) {
+    loop {
+        // Dropping the set ends the election with this task.
+        let mut election = JoinSet::new();
+        election.spawn(run_election(shared.clone()));
+        let Some(Err(error)) = election.join_next().await else {
+            return;
+        };
+        shared.forget_ownership();
+        telemetry::log::line("election-failed")
+            .field("shard", shared.shard)
+            .text("why", error)
+            .write();
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+}
+
 /// Polls the owner for as long as the process runs, and takes over when necessary.
 async fn run_election<P: Platform>(shared: Arc<Shared<P>>) {
     let mut election = Election::default();
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -14,7 +14,6 @@
 mod stats;
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use scheduler::Moment;
@@ -132,9 +131,7 @@
         Some(loaded) => run_loop(&shared, loaded, epoch, requests).await,
         None => EndReason::Superseded,
     };
-    *shared.owner.lock().expect("lock is never poisoned") = None;
-    shared.live_jobs.store(0, Ordering::Relaxed);
-    shared.node.report_live_jobs();
+    shared.forget_ownership();
     telemetry::log::line("ownership-ended")
         .field("shard", shared.shard)
         .field("epoch", epoch)
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -358,6 +358,13 @@
         self.owner.lock().expect("lock is never poisoned").is_some()
     }
 
+    /// Records that this node no longer owns the shard.
+    pub fn forget_ownership(&self) {
+        *self.owner.lock().expect("lock is never poisoned") = None;
+        self.live_jobs.store(0, Ordering::Relaxed);
+        self.node.report_live_jobs();
+    }
+
     /// Passes a request to the owner in this process and waits for its reply.
     pub async fn request_owner<T>(
         &self,
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -87,6 +87,8 @@
     config: Option<Arc<CallerConfig>>,
     waves: Vec<Wave>,
     fault: TableFault,
+    /// Number of reads of whole tables that panic, as a fault of the program would.
+    panics_left: u32,
     running: Vec<(WorkerId, RunStatus, std::time::Instant)>,
     completions: Vec<(WorkerId, Completion)>,
     completion_count: u64,
@@ -137,6 +139,11 @@
         memory
     }
 
+    /// Makes the next reads of whole tables panic.
+    pub fn panic_on_reads(&self, count: u32) {
+        self.data.lock().unwrap().panics_left = count;
+    }
+
     /// Returns the most units that were running at the same time.
     pub fn running_max(&self) -> usize {
         self.data.lock().unwrap().running_max
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -52,6 +52,13 @@
     }
 
     async fn read_all(&self, shard: ShardIndex, table: Table) -> Result<Changes<Row>, ReadError> {
+        let panics_left = {
+            let mut data = self.data.lock().unwrap();
+            let left = data.panics_left;
+            data.panics_left = left.saturating_sub(1);
+            left
+        };
+        assert_eq!(panics_left, 0, "a fault of the program");
         let changed = self.read(Some(shard), table)?;
         let version = self.data.lock().unwrap().version;
         Ok(Changes { changed, removed: Vec::new(), is_snapshot: true, version })
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -269,3 +269,13 @@
     assert!(memory.rows(Table::Inbox).is_empty(), "the owner accepts all of them");
     wait_for(&second, "e", COMPLETED).await;
 }
+
+#[tokio::test]
+async fn a_fault_of_the_program_ends_neither_the_node_nor_its_elections() {
+    let memory = Memory::new(Duration::from_millis(50));
+    memory.panic_on_reads(2);
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    assert_eq!(submit(&node, "a").await, SubmitOutcome::Accepted);
+    wait_for(&node, "a", COMPLETED).await;
+}
