--- a/crates/coordinator/src/caller_api.rs
+++ b/crates/coordinator/src/caller_api.rs
@@ -281,8 +281,8 @@
         }
     }
 
-    /// Reads the state of a job, and the shard that has it, from the store, if the owners don't know
-    /// the job or can't be reached.
+    /// Reads the state of a job, and the shard that has it, from the store, if the owners don't
+    /// know the job or can't be reached.
     async fn job_from_store(
         &self,
         queue: &str,
--- a/crates/coordinator/src/divisions.rs
+++ b/crates/coordinator/src/divisions.rs
@@ -1,9 +1,9 @@
 //! Divisions of quotas and maintenance waves among shards, as the owner of one shard knows them.
 //!
 //! Each division is a row that the owners of all shards follow and change. A change requires the
-//! version of the row that it is based on, and that of the row with the epoch of the owner's shard. A
-//! change that arrives late, after another change of the row or after a takeover of the shard, thus
-//! has no effect. A new owner writes its epoch in each group of rows before it reads them.
+//! version of the row that it is based on, and that of the row with the epoch of the owner's shard.
+//! A change that arrives late, after another change of the row or after a takeover of the shard,
+//! thus has no effect. A new owner writes its epoch in each group of rows before it reads them.
 //!
 //! A portion that is being given away counts as given from the moment when the change is sent, and
 //! one that was received counts only once its row was read. While it is unknown whether a change
--- a/crates/coordinator/src/election.rs
+++ b/crates/coordinator/src/election.rs
@@ -1,11 +1,11 @@
 //! Decides when a node that is not the owner takes over.
 //!
-//! A node polls the owner of each shard at short intervals ([`poll_period`]). While the owner doesn't confirm that it is working,
-//! the node reads the owner's row. It takes over at once if the owner has released the row, if the
-//! owner reports that it can't write, or if another process replies at its address. Otherwise it
-//! takes over when the row has not changed for [`SILENCE_MAX`], or for [`REFUSED_MAX`] if nothing
-//! listens at the owner's address. A node with little processor time first leaves the takeover to
-//! stronger nodes for [`YIELD_TIME`].
+//! A node polls the owner of each shard at short intervals ([`poll_period`]). While the owner
+//! doesn't confirm that it is working, the node reads the owner's row. It takes over at once if the
+//! owner has released the row, if the owner reports that it can't write, or if another process
+//! replies at its address. Otherwise it takes over when the row has not changed for
+//! [`SILENCE_MAX`], or for [`REFUSED_MAX`] if nothing listens at the owner's address. A node with
+//! little processor time first leaves the takeover to stronger nodes for [`YIELD_TIME`].
 //!
 //! A takeover is safe at any time, since workers and the store refuse the commands of the previous
 //! owner. The waits only avoid needless takeovers.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,9 +1,10 @@
 //! A node of a fleet whose workers enforce fencing tokens and leases themselves.
 //!
-//! All nodes take callers' requests. The hosts and jobs are divided among shards ([`sharding`]), and
-//! one node, the owner of the shard, decides what runs where in it. The owner's row in the
-//! platform's table names it and holds its epoch, which is the fencing token of all its commands. Each transaction of the owner requires the current version of that row and changes it,
-//! so that a transaction of an earlier owner, or one that arrives late, has no effect.
+//! All nodes take callers' requests. The hosts and jobs are divided among shards ([`sharding`]),
+//! and one node, the owner of the shard, decides what runs where in it. The owner's row in the
+//! platform's table names it and holds its epoch, which is the fencing token of all its commands.
+//! Each transaction of the owner requires the current version of that row and changes it, so that a
+//! transaction of an earlier owner, or one that arrives late, has no effect.
 //!
 //! [`Node`] runs all parts, and the traits of [`ports`] abstract the platform. [`election`] decides
 //! when a node takes over, `owner` carries out what [`scheduler`] decides, [`caller_api`] serves
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -118,8 +118,8 @@
         Ok(Self { node, tasks, peers: Mutex::new(Some(peers)) })
     }
 
-    /// Returns whether the node can serve callers: it knows the shards, its configuration is recent,
-    /// and it is not stopping.
+    /// Returns whether the node can serve callers: it knows the shards, its configuration is
+    /// recent, and it is not stopping.
     pub fn is_ready(&self) -> bool {
         let config = self.node.config(clock::now());
         let is_fresh = config.is_some_and(|(_, age)| age <= self.node.settings.key_age_max);
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -139,7 +139,8 @@
     Ok(LoadedState { scheduler, pipeline, inbox, divisions, divisions_version })
 }
 
-/// Writes the owner's epoch and reads the divisions among shards; there are none if the fleet has a single shard.
+/// Writes the owner's epoch and reads the divisions among shards; there are none if the fleet has a
+/// single shard.
 async fn read_divisions<P: Platform>(
     shared: &Arc<Shared<P>>,
     acquired: &AcquiredOwnership,
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -125,8 +125,8 @@
 }
 
 impl OwnerClient<'_> {
-    /// Polls the owner of the shard; returns the state of its ownership and, if it replied, what else it
-    /// reported.
+    /// Polls the owner of the shard; returns the state of its ownership and, if it replied, what
+    /// else it reported.
     pub async fn ping(&self, ping: &Ping) -> (OwnerReply, Option<PongInfo>) {
         let body = serde_json::to_vec(ping).expect("serialization fails only for non-string keys");
         let request = Request::new(Method::POST, self.path("ping"), body, PING_TIMEOUT);
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -182,8 +182,8 @@
         table: Table,
     ) -> impl Future<Output = Result<Changes<Row>, ReadError>> + Send;
 
-    /// Returns the rows of a table that all shards share that were written after a version; waits up
-    /// to `wait` if there are none yet.
+    /// Returns the rows of a table that all shards share that were written after a version; waits
+    /// up to `wait` if there are none yet.
     fn changes(
         &self,
         table: Table,
--- a/crates/coordinator/src/sharding.rs
+++ b/crates/coordinator/src/sharding.rs
@@ -2,9 +2,10 @@
 //!
 //! A shard schedules a fixed set of hosts, taken evenly from all pools, and the jobs whose ids lead
 //! to it. Jobs with long-running units are the exception: those of a queue share one shard, so that
-//! their units, which have to be spread over many hosts, share the same hosts. Owners therefore share no worker, host or job, and one falling behind or being replaced
-//! doesn't delay the others. What spans shards is divided: quotas of teams by
-//! [`scheduler::portions`], the limit of a maintenance wave by [`wave_slots`].
+//! their units, which have to be spread over many hosts, share the same hosts. Owners therefore
+//! share no worker, host or job, and one falling behind or being replaced doesn't delay the others.
+//! What spans shards is divided: quotas of teams by [`scheduler::portions`], the limit of a
+//! maintenance wave by [`wave_slots`].
 //!
 //! The first node of a fleet stores the [`Layout`]. It stays as it is, since it determines where
 //! the rows of a job are. Hosts that join later are assigned by their name.
@@ -70,8 +71,8 @@
         }
     }
 
-    /// Returns the shards that may have a job of which only the queue and id are known, the likelier
-    /// one first.
+    /// Returns the shards that may have a job of which only the queue and id are known, the
+    /// likelier one first.
     pub fn shards_of_job(&self, queue: &str, id: &str) -> Vec<ShardIndex> {
         let mut shards = vec![self.shard_of_name(id), self.shard_of_name(queue)];
         shards.dedup();
--- a/crates/savorypitch/tests/soak.rs
+++ b/crates/savorypitch/tests/soak.rs
@@ -7,8 +7,8 @@
 //! Faults overlap. While they last, the stand-in workers record every violation of a guarantee.
 //! Afterwards every accepted job must complete, and no refused job may have run.
 //!
-//! To run many seeds: `SAVORYPITCH_SOAK_SEEDS=50 cargo test -p savorypitch --test soak -- --ignored`.
-//! A seed that has failed is added to [`REGRESSIONS`] with a comment on the cause.
+//! To run many seeds: `SAVORYPITCH_SOAK_SEEDS=50 cargo test -p savorypitch --test soak --
+//! --ignored`. A seed that has failed is added to [`REGRESSIONS`] with a comment on the cause.
 
 #[path = "../../../platform/tests/standin/proxy.rs"]
 mod proxy;
--- a/crates/scheduler/src/host_moves.rs
+++ b/crates/scheduler/src/host_moves.rs
@@ -6,8 +6,8 @@
 //!
 //! Peaks come round: the pool whose last peak is the longest ago is expected to have the next one,
 //! and so is each pool that has had none. What no pool needs goes to these, up to a part of their
-//! baseline, so that they don't begin their peak with the few hosts that were left to them. The other pools keep
-//! what they need and a small reserve, and the rest goes to the spare pool.
+//! baseline, so that they don't begin their peak with the few hosts that were left to them. The
+//! other pools keep what they need and a small reserve, and the rest goes to the spare pool.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -26,8 +26,9 @@
 
 /// Time that a host must have been idle before another pool may get it.
 const IDLE_MIN: Duration = Duration::from_millis(300);
-/// Part of its baseline up to which a pool gets idle hosts before its peak, in percent: enough until
-/// the hosts that it requests have arrived. More would cost as much as the earlier start is worth.
+/// Part of its baseline up to which a pool gets idle hosts before its peak, in percent: enough
+/// until the hosts that it requests have arrived. More would cost as much as the earlier start is
+/// worth.
 const FILL_PERCENT: usize = 60;
 /// Time that a host must have been idle before it moves to a pool that is expected to have the next
 /// peak. A peak pauses for shorter times than this.
@@ -138,17 +139,18 @@
         let target = |name: &PoolName, _: &PoolLoad| targets.get(name).copied().unwrap_or(0);
         let kept = |name: &PoolName, load: &PoolLoad| kept_hosts(name, load, targets, expected);
         let mut idle = self.idle_hosts(loads, kept, IDLE_MIN, now);
-        let mut donors = self.idle_hosts(loads, target, IDLE_MIN, now);
-        donors.retain(|host| !idle.contains(host));
-        let mut busy = self.busy_donors(loads, target, idle.len() + donors.len(), now);
-        busy.append(&mut donors);
+        let mut idle_in_expected = self.idle_hosts(loads, target, IDLE_MIN, now);
+        idle_in_expected.retain(|host| !idle.contains(host));
+        let idle_count = idle.len() + idle_in_expected.len();
+        let mut donors = self.busy_donors(loads, target, idle_count, now);
+        donors.append(&mut idle_in_expected);
         let is_spare = |host: &&Host| {
             self.config.pools.get(&host.entry.pool).is_some_and(|pool| pool.is_spare)
         };
         let available = self.hosts.values().filter(|host| host.is_available(now));
-        busy.extend(available.filter(is_spare).map(|host| host.entry.name.clone()));
-        busy.append(&mut idle);
-        busy
+        donors.extend(available.filter(is_spare).map(|host| host.entry.name.clone()));
+        donors.append(&mut idle);
+        donors
     }
 
     /// Returns the hosts that their pools can spare and that have been idle for at least
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -375,8 +375,8 @@
             worker.is_none_or(|worker| !worker.is_in_contact(RUNNING_CONTACT_AGE_MAX, now))
         };
         // The worker may still list a run that the previous owner has commanded to stop. After this
-        // owner's first poll, the worker refuses such commands, and a report counts once a stop from
-        // before would have taken effect.
+        // owner's first poll, the worker refuses such commands, and a report counts once a stop
+        // from before would have taken effect.
         let may_be_stopping = |worker: &str| {
             let worker = self.workers.get(worker);
             let contacts =
--- a/crates/scheduler/src/peaks.rs
+++ b/crates/scheduler/src/peaks.rs
@@ -1,7 +1,7 @@
 //! Peaks of pools, and which pool is expected to have the next one.
 //!
-//! Queues have their peaks by turns. The order is not known beforehand, but a pool that has just had
-//! its peak is the last one to have it again. This needs no knowledge of how long a peak lasts.
+//! Queues have their peaks by turns. The order is not known beforehand, but a pool that has just
+//! had its peak is the last one to have it again. This needs no knowledge of how long a peak lasts.
 
 use std::time::Duration;
 
@@ -34,8 +34,8 @@
     }
 
     /// Returns the pools of which one is expected to have the next peak: those that have had none
-    /// or, if all have, the one whose last peak is the longest ago. Pools that are at a peak are not
-    /// among them.
+    /// or, if all have, the one whose last peak is the longest ago. Pools that are at a peak are
+    /// not among them.
     pub fn expected_pools(&self, loads: &PoolLoads, now: Moment) -> Vec<PoolName> {
         let names = || loads.iter().map(|(name, _)| name);
         let without_peak: Vec<PoolName> =
