Log the runs that are lost with their worker, and why

When a worker ended or stayed silent, its runs were dropped without a line, so that nobody could tell from the logs whether a unit had run on it, or why it was started again. The line runs-lost names worker, cause, units and run numbers; the counter runs.lost counts them. No decision changes.

--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -10,6 +10,7 @@
 use scheduler::SortedMap;
 use scheduler::StartCommand;
 use scheduler::StartReply;
+use scheduler::UnitKey;
 use scheduler::WaveId;
 use scheduler::WaveState;
 use serde_json::Value;
@@ -167,6 +168,17 @@
                 self.command_host(host, HostCommand::Maintain(wave));
             }
             Action::WaveStatus { wave, state } => self.handle_wave_state(wave, state),
+            Action::LogLostRuns { worker, cause, runs } => {
+                let row =
+                    |(unit, number): &(UnitKey, u32)| json!([unit.to_string(), number, &*worker]);
+                self.shared.node.telemetry.count_many(metrics::RUNS_LOST, runs.len() as u64);
+                telemetry::log::line("runs-lost")
+                    .field("worker", &*worker)
+                    .text("cause", format!("{cause:?}"))
+                    .field("runs", runs.iter().map(row).collect::<Vec<Value>>())
+                    .field("epoch", token)
+                    .write();
+            }
             Action::LogDecision { what, subject, why } => telemetry::log::line("decision")
                 .field("what", what)
                 .field("subject", subject)
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -22,6 +22,7 @@
 use crate::messages::HostEntry;
 use crate::messages::HostReply;
 use crate::messages::HostState;
+use crate::messages::LossCause;
 use crate::state::Scheduler;
 use crate::worker::Contact;
 
@@ -219,7 +220,7 @@
         }
         // The command has terminated the worker and all its runs.
         if let Some(worker) = worker {
-            self.remove_runs_on(&worker, now);
+            self.remove_runs_on(&worker, LossCause::HostCommanded, now);
             if let Some(removed) = self.remove_worker(&worker) {
                 self.terminated_workers.insert(worker, removed.registration.incarnation_started_ms);
             }
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -67,6 +67,21 @@
     Alone,
 }
 
+/// Why a run counts as ended although no completion shows how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossCause {
+    /// A later incarnation of the worker has replied.
+    WorkerRestarted,
+    /// Another worker process replies at the worker's address.
+    WorkerReplaced,
+    /// The worker is silent and its lease has expired.
+    LeaseExpired,
+    /// The worker does not list the run.
+    NotListed,
+    /// A command to the host has ended the worker.
+    HostCommanded,
+}
+
 /// A worker's report that a run has ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Completion {
@@ -270,6 +285,15 @@
         /// State to report.
         state: WaveState,
     },
+    /// Writes a log line about runs that count as ended although no completion shows how.
+    LogLostRuns {
+        /// Worker that had the runs.
+        worker: WorkerId,
+        /// Why they count as ended.
+        cause: LossCause,
+        /// Unit and number of each run.
+        runs: Vec<(UnitKey, u32)>,
+    },
     /// Writes a log line about a decision.
     LogDecision {
         /// What was decided, one of a few fixed texts.
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -10,6 +10,7 @@
 use crate::job::UnitKey;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::FinishedJob;
+use crate::messages::LossCause;
 use crate::messages::WorkerRegistration;
 use crate::progress::Progress;
 use crate::state::Scheduler;
@@ -141,7 +142,7 @@
         let subject = id.to_owned();
         let why = format!("born_ms={}", registration.incarnation_started_ms);
         self.log_decision("worker started again", subject, why);
-        self.remove_runs_on(id, now);
+        self.remove_runs_on(id, LossCause::WorkerRestarted, now);
         if let Some(worker) = self.workers.get_mut(id) {
             let has_row = worker.has_row;
             *worker = Worker::new(registration, now, now);
@@ -149,15 +150,6 @@
         }
     }
 
-    /// Removes all runs on a worker, since none of them can still be running.
-    pub(crate) fn remove_runs_on(&mut self, id: &str, now: Moment) {
-        let runs = self.workers.get(id).map(|worker| worker.runs.clone()).unwrap_or_default();
-        for key in runs {
-            self.remove_run(&key, now);
-            self.remove_finished(&key.job, now);
-        }
-    }
-
     fn restore_step(&mut self, id: &JobId, number: u32, step: usize) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -10,6 +10,7 @@
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::messages::Completion;
+use crate::messages::LossCause;
 use crate::messages::RunOutcome;
 use crate::messages::RunStatus;
 use crate::messages::WorkerRegistration;
@@ -65,7 +66,7 @@
     /// Handles proof that a worker has ended, or that its address now belongs to another worker.
     pub fn handle_worker_gone(&mut self, id: &WorkerId, why: &str, now: Moment) {
         self.log_decision("worker is gone", id.clone(), why.to_owned());
-        self.remove_runs_on(id, now);
+        self.remove_runs_on(id, LossCause::WorkerReplaced, now);
         self.remove_worker(id);
     }
 
@@ -80,7 +81,7 @@
         let expired: Vec<WorkerId> = expired.map(|(id, _)| id.clone()).collect();
         for id in expired {
             self.log_decision("lease of a silent worker is over", id.clone(), String::new());
-            self.remove_runs_on(&id, now);
+            self.remove_runs_on(&id, LossCause::LeaseExpired, now);
         }
         let is_removable = |worker: &crate::worker::Worker| {
             !worker.is_registered
@@ -378,10 +379,7 @@
                 absent.push(key.clone());
             }
         }
-        for key in absent {
-            self.remove_run(&key, now);
-            self.remove_finished(&key.job, now);
-        }
+        self.remove_lost_runs(id, &absent, LossCause::NotListed, now);
     }
 
     pub(crate) fn is_long_running(&self, key: &UnitKey) -> bool {
