Test that a unit that crashes its workers is given up; it fails

Three tests of what must not be counted pass: workers that are cut off, that leave as planned, and starts that reach another process.

--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -43,6 +43,7 @@
     pub completions: Vec<Completion>,
     pub completion_count: u64,
     pub is_responsive: bool,
+    pub incarnation_started_ms: u64,
 }
 
 /// A scheduler, its workers and its store.
@@ -150,7 +151,7 @@
         let unix_now_ms = UNIX_MS + self.now.as_millis() as u64;
         let mut scheduler = Scheduler::new(Settings::default(), epoch, unix_now_ms, self.now);
         scheduler.set_config(config);
-        let registrations = self.workers.iter().map(|worker| registration(&worker.id)).collect();
+        let registrations = self.workers.iter().map(SimulatedWorker::registration).collect();
         scheduler.set_workers(registrations, lease_left, self.now);
         scheduler
     }
@@ -185,6 +186,22 @@
         self.workers.push(SimulatedWorker::new(id));
     }
 
+    /// Starts a crashed worker again under the same identifier.
+    pub fn restart_worker(&mut self, id: &str) {
+        self.worker(id).restart();
+        let registration = self.worker(id).registration();
+        self.scheduler.update_worker(registration, Duration::ZERO, self.now);
+    }
+
+    /// Starts a crashed worker again under another identifier, at the same address.
+    pub fn replace_worker(&mut self, id: &str, replacement: &str) {
+        self.workers.retain(|worker| *worker.id != *id);
+        self.workers.push(SimulatedWorker::new(replacement));
+        self.scheduler.handle_worker_gone(&id.into(), "another instance answers", self.now);
+        self.scheduler.unregister_worker(id);
+        self.scheduler.update_worker(registration(replacement), Duration::ZERO, self.now);
+    }
+
     /// Sends the reports of all responsive workers.
     pub fn report_all(&mut self) {
         let ids: Vec<WorkerId> = self.workers.iter().map(|worker| worker.id.clone()).collect();
@@ -201,7 +218,7 @@
             return;
         }
         let report = WorkerReport {
-            incarnation_started_ms: 1,
+            incarnation_started_ms: worker.incarnation_started_ms,
             clock_ms,
             running: worker.running.clone(),
             completions: worker.completions.clone(),
@@ -327,8 +344,34 @@
 
 impl SimulatedWorker {
     fn new(id: &str) -> Self {
-        let (running, completions) = (Vec::new(), Vec::new());
-        Self { id: id.into(), running, completions, completion_count: 0, is_responsive: true }
+        Self {
+            id: id.into(),
+            running: Vec::new(),
+            completions: Vec::new(),
+            completion_count: 0,
+            is_responsive: true,
+            incarnation_started_ms: 1,
+        }
+    }
+
+    fn registration(&self) -> WorkerRegistration {
+        WorkerRegistration {
+            incarnation_started_ms: self.incarnation_started_ms,
+            ..registration(&self.id)
+        }
+    }
+
+    /// Ends the worker with all its runs. Nothing replies until it restarts.
+    pub fn crash(&mut self) {
+        self.running.clear();
+        self.completions.clear();
+        self.completion_count = 0;
+        self.is_responsive = false;
+    }
+
+    fn restart(&mut self) {
+        self.incarnation_started_ms += 1;
+        self.is_responsive = true;
     }
 
     /// Starts a run of a unit.
--- /dev/null
+++ b/crates/scheduler/tests/crashes.rs
@@ -0,0 +1,257 @@
+//! Units that crash the workers that start them, and units that are lost with them or without fault.
+
+#[path = "common/simulation.rs"]
+mod simulation;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use scheduler::Action;
+use scheduler::FinalState;
+use scheduler::JobView;
+use scheduler::Moment;
+use scheduler::Resources;
+use scheduler::StartCommand;
+use scheduler::StartReply;
+use scheduler::Step;
+use scheduler::UnitKey;
+use scheduler::WorkerId;
+use scheduler::WorkerRegistration;
+use simulation::SimulatedWorker;
+use simulation::Simulation;
+use simulation::config;
+use simulation::job;
+use simulation::millis;
+use simulation::registration;
+use simulation::seconds;
+use simulation::step;
+use simulation::unit;
+
+const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+/// A unit that crashes its workers may be started this often: until three have crashed, and twice
+/// more.
+const STARTS_MAX: usize = 5;
+
+/// Time after which the registry removes the entry of a crashed worker.
+const ENTRY_KEPT: Duration = Duration::from_millis(4_500);
+
+/// How a crashed worker comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Return {
+    /// Under the same identifier.
+    Restarted,
+    /// Under another identifier, at the same address.
+    Replaced,
+}
+
+/// A simulation in which some units crash each worker that starts them.
+struct CrashTest {
+    sim: Simulation,
+    /// Units that crash their workers.
+    harmful: Vec<UnitKey>,
+    returns: Return,
+    /// Time between a crash and the worker's return.
+    outage: Duration,
+    /// Crashed workers and when they return.
+    down: Vec<(WorkerId, Moment)>,
+    /// Starts of harmful units, in order.
+    harmful_starts: Vec<UnitKey>,
+    replacements: usize,
+}
+
+impl CrashTest {
+    fn new(workers: &[&str], harmful: Vec<UnitKey>, returns: Return, outage: Duration) -> Self {
+        Self {
+            sim: Simulation::new(workers, config(3, NO_QUOTA)),
+            harmful,
+            returns,
+            outage,
+            down: Vec::new(),
+            harmful_starts: Vec::new(),
+            replacements: 0,
+        }
+    }
+
+    /// Advances the time; harmful units crash their workers as soon as they are started.
+    fn run_for(&mut self, time: Duration) {
+        let until = self.sim.now + time;
+        while self.sim.now < until {
+            let starts = self.sim.run_for(millis(200));
+            self.crash_workers(&starts);
+            self.unregister_workers();
+            self.return_workers();
+        }
+    }
+
+    fn unregister_workers(&mut self) {
+        let is_due = |returns_at: &Moment| self.sim.now + self.outage >= *returns_at + ENTRY_KEPT;
+        for (id, _) in self.down.iter().filter(|(_, returns_at)| is_due(returns_at)) {
+            self.sim.scheduler.unregister_worker(id);
+        }
+    }
+
+    fn crash_workers(&mut self, starts: &[StartCommand]) {
+        for command in starts.iter().filter(|command| self.harmful.contains(&command.unit)) {
+            self.harmful_starts.push(command.unit.clone());
+            self.sim.worker(&command.worker).crash();
+            if !self.down.iter().any(|(id, _)| *id == command.worker) {
+                self.down.push((command.worker.clone(), self.sim.now + self.outage));
+            }
+        }
+    }
+
+    fn return_workers(&mut self) {
+        let now = self.sim.now;
+        let back: Vec<WorkerId> =
+            self.down.iter().filter(|(_, at)| now >= *at).map(|(id, _)| id.clone()).collect();
+        self.down.retain(|(_, at)| now < *at);
+        for id in back {
+            match self.returns {
+                Return::Restarted => self.sim.restart_worker(&id),
+                Return::Replaced => {
+                    self.replacements += 1;
+                    let replacement = format!("{id}-{}", self.replacements);
+                    self.sim.replace_worker(&id, &replacement);
+                }
+            }
+        }
+    }
+
+    fn starts_of(&self, unit: &UnitKey) -> usize {
+        self.harmful_starts.iter().filter(|started| *started == unit).count()
+    }
+
+    fn assert_given_up(&self, unit: &UnitKey) {
+        let starts = self.starts_of(unit);
+        assert!((3..=STARTS_MAX).contains(&starts), "{unit} was started {starts} times");
+        assert_eq!(self.sim.scheduler.view(&unit.job), Some(JobView::Ended(FinalState::Failed)));
+    }
+
+    fn assert_alive(&self, job: &str) {
+        let view = self.sim.scheduler.view(job);
+        assert!(matches!(view, Some(JobView::Queued | JobView::Running)), "{job}: {view:?}");
+    }
+}
+
+fn long_running(count: u32) -> Step {
+    Step { is_long_running: true, ..step(count, 1_000) }
+}
+
+// Guards against a unit that crashes each worker that starts it and is started again without limit,
+// since a crashed worker lists no failed run.
+#[rstest]
+#[case::restarted(Return::Restarted, seconds(3), step(1, 1_000))]
+#[case::replaced(Return::Replaced, seconds(3), step(1, 1_000))]
+#[case::restarted_after_its_lease(Return::Restarted, seconds(9), step(1, 1_000))]
+#[case::replaced_after_its_lease(Return::Replaced, seconds(9), step(1, 1_000))]
+#[case::long_running(Return::Replaced, seconds(3), long_running(1))]
+fn a_unit_that_crashes_its_workers_is_given_up(
+    #[case] returns: Return,
+    #[case] outage: Duration,
+    #[case] step: Step,
+) {
+    let harmful = unit("a", 0, 0);
+    let workers = ["w1", "w2", "w3", "w4"];
+    let mut test = CrashTest::new(&workers, vec![harmful.clone()], returns, outage);
+    test.sim.scheduler.add_job(job("a", vec![step], test.sim.now), test.sim.now);
+    test.run_for(seconds(120));
+    test.assert_given_up(&harmful);
+}
+
+// Guards against giving up units that were only lost beside the one that crashed their worker: they
+// were started together again and again, on the same worker as that one.
+#[rstest]
+#[case::many_workers(&["w1", "w2", "w3", "w4", "w5", "w6"])]
+#[case::few_workers(&["w1", "w2"])]
+fn a_unit_that_crashes_its_workers_is_told_from_those_beside_it(#[case] workers: &[&str]) {
+    let harmful = unit("a", 0, 0);
+    let mut test = CrashTest::new(workers, vec![harmful.clone()], Return::Replaced, seconds(3));
+    let now = test.sim.now;
+    test.sim.scheduler.add_job(job("b", vec![long_running(4)], now), now);
+    test.sim.scheduler.add_job(job("c", vec![step(4, 1_000)], now), now);
+    test.run_for(millis(400));
+    test.sim.scheduler.add_job(job("a", vec![step(1, 1_000)], test.sim.now), test.sim.now);
+    test.run_for(seconds(60));
+    test.assert_given_up(&harmful);
+    test.assert_alive("b");
+    test.assert_alive("c");
+}
+
+// Guards against forgetting, at a takeover, the crashes that a unit has caused.
+#[test]
+fn a_unit_that_crashes_its_workers_is_given_up_across_takeovers() {
+    let harmful = unit("a", 0, 0);
+    let workers = ["w1", "w2", "w3", "w4"];
+    let mut test = CrashTest::new(&workers, vec![harmful.clone()], Return::Replaced, seconds(3));
+    let record = job("a", vec![step(1, 1_000)], test.sim.now);
+    test.sim.scheduler.add_job(record.clone(), test.sim.now);
+    for epoch in 2..20 {
+        test.run_for(millis(3_600));
+        if test.sim.scheduler.view("a") == Some(JobView::Ended(FinalState::Failed)) {
+            break;
+        }
+        test.sim.take_over(epoch, config(3, NO_QUOTA), seconds(6), std::slice::from_ref(&record));
+    }
+    test.assert_given_up(&harmful);
+}
+
+// Guards against failing a job because its workers were cut off: they have not crashed.
+#[test]
+fn a_unit_on_workers_that_are_cut_off_is_not_given_up() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.run_round();
+    for _ in 0..8 {
+        let runs = |worker: &&SimulatedWorker| !worker.running.is_empty();
+        let id = sim.workers.iter().find(runs).expect("the unit runs").id.clone();
+        sim.worker(&id).is_responsive = false;
+        sim.run_for(seconds(8));
+        let cut_off = sim.worker(&id);
+        // Its lease has expired, which ends its runs.
+        cut_off.running.clear();
+        cut_off.is_responsive = true;
+        sim.run_for(seconds(1));
+    }
+    assert_eq!(sim.scheduler.view("a"), Some(JobView::Running));
+}
+
+// Guards against counting the end of a worker that left as planned as a crash.
+#[test]
+fn a_unit_on_workers_that_leave_is_not_given_up() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.run_round();
+    for count in 0..8 {
+        let runs = |worker: &&SimulatedWorker| !worker.running.is_empty();
+        let id = sim.workers.iter().find(runs).expect("the unit runs").id.clone();
+        let leaving = WorkerRegistration { is_draining: true, ..registration(&id) };
+        sim.scheduler.update_worker(leaving, Duration::ZERO, sim.now);
+        sim.replace_worker(&id, &format!("n{count}"));
+        sim.run_for(seconds(1));
+    }
+    assert_eq!(sim.scheduler.view("a"), Some(JobView::Running));
+}
+
+// Guards against counting a start that another process refused at the worker's old address.
+#[test]
+fn a_unit_whose_starts_reach_other_instances_is_not_given_up() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    for count in 0..8 {
+        sim.scheduler.plan(sim.now);
+        sim.commit();
+        let actions = sim.scheduler.take_actions();
+        for action in actions {
+            let Action::Start(command) = action else {
+                continue;
+            };
+            let reply = StartReply::OtherInstance;
+            let (worker, unit) = (command.worker, command.unit);
+            sim.scheduler.handle_start_reply(&worker, &unit, command.run, reply, sim.now);
+            sim.replace_worker(&worker, &format!("n{count}"));
+        }
+        sim.now += millis(300);
+        sim.report_all();
+    }
+    assert_eq!(sim.scheduler.view("a"), Some(JobView::Queued));
+}
