Give up units that crash the workers that start them

Cause: attempts were counted only from completions that a worker lists, and a crashed worker lists none. Its runs were dropped when another process answered at its address, and restarted together, on the same best worker.

Evidence: the lines runs-lost (34 losses, all with the cause WorkerReplaced, one epoch, no start refused). Ruled out: the count being lost at a takeover (one owner throughout), starts taken as not carried out (no run-not-started line).

Fix: a crash counts against the units that the worker had just started, is stored with the job's progress, and fails the job at the third (fifth, where it cannot be told from others). Suspects start apart from each other and from other runs. Silence, an expired lease or a worker that leaves count for nothing, so that a partition fails no job; a worker whose lease expired in silence is polled on, since its return shows what happened. Why it works: a unit that crashes its worker as it starts is among the last starts each time, others are not, once they are apart.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -43,12 +43,12 @@
     pub(super) fn poll_workers(&mut self, now: Moment) {
         if now.saturating_sub(self.poll_schedule_reviewed_at) >= REVIEW_PERIOD {
             self.poll_schedule_reviewed_at = now;
-            for worker in self.scheduler.workers().filter(|worker| is_polled(worker)) {
+            for worker in self.scheduler.workers().filter(|worker| worker.is_polled()) {
                 self.poll_schedule.add(&worker.registration.id, now);
             }
         }
         for id in self.poll_schedule.take_due(now) {
-            if self.scheduler.worker(&id).is_some_and(is_polled) {
+            if self.scheduler.worker(&id).is_some_and(Worker::is_polled) {
                 self.poll_worker(id, now);
             } else {
                 self.poll_schedule.remove(&id);
@@ -204,11 +204,6 @@
     }
 }
 
-/// Returns whether a worker must be polled.
-fn is_polled(worker: &Worker) -> bool {
-    worker.is_registered || !worker.runs.is_empty()
-}
-
 /// Reads all rows, unless they were read up to `version`, and then their changes until `send`
 /// returns false. Reads all rows again if the changes since the last read are no longer kept.
 async fn follow_changes<T, R, S>(
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -8,6 +8,7 @@
 use crate::job::Resources;
 use crate::job::Step;
 use crate::job::UnitKey;
+use crate::lost_runs::Suspicion;
 use crate::state::Scheduler;
 use crate::worker::Worker;
 
@@ -19,6 +20,10 @@
     rack: Option<Arc<str>>,
     labels: Arc<[String]>,
     runs: Vec<RunKind>,
+    /// Number of its runs whose units may crash it.
+    suspect_runs: usize,
+    /// One of its runs is strongly suspected to crash it.
+    has_strong_suspect: bool,
     is_reliable: bool,
 }
 
@@ -31,6 +36,15 @@
     is_long_running: bool,
 }
 
+/// What earlier runs of a unit tell about where to run it next.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct UnitHistory<'a> {
+    /// Workers on which it failed or stalled.
+    pub excluded_workers: &'a [WorkerId],
+    /// How likely it is that it crashes its worker.
+    pub suspicion: Suspicion,
+}
+
 /// How well a worker suits a unit; the lowest value suits best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
@@ -39,6 +53,10 @@
     /// The worker is not on the rack that stores the unit's input data.
     is_remote: bool,
     is_unreliable: bool,
+    /// Number of units there that may crash the worker.
+    suspect_runs: usize,
+    /// Number of runs there that the unit may end by crashing the worker.
+    endangered_runs: usize,
     /// Number of runs there that the unit would slow down, or that would slow it down.
     interfering_runs: usize,
     /// Long-running units are packed onto few hosts, so that the other hosts can be moved freely.
@@ -64,21 +82,24 @@
         &self,
         key: &UnitKey,
         step: &Step,
-        excluded_workers: &[WorkerId],
+        history: UnitHistory<'_>,
         rack: Option<&str>,
         may_run: impl Fn(&WorkerId) -> bool,
     ) -> Option<usize> {
         let fitting = self.workers.iter().enumerate().filter(|(_, worker)| {
             worker.can_run(key, step)
+                && !(history.suspicion == Suspicion::Strong && worker.has_strong_suspect)
                 && rack.is_none_or(|rack| worker.rack.as_deref() == Some(rack))
                 && may_run(&worker.id)
         });
-        fitting.min_by_key(|(_, worker)| worker.fit(step, excluded_workers)).map(|(index, _)| index)
+        fitting.min_by_key(|(_, worker)| worker.fit(step, history)).map(|(index, _)| index)
     }
 
     /// Records that a unit was placed on a worker.
-    pub fn place(&mut self, index: usize, key: &UnitKey, step: &Step) {
+    pub fn place(&mut self, index: usize, key: &UnitKey, step: &Step, suspicion: Suspicion) {
         let worker = &mut self.workers[index];
+        worker.suspect_runs += usize::from(suspicion > Suspicion::None);
+        worker.has_strong_suspect |= suspicion == Suspicion::Strong;
         worker.free_capacity -= step.reservation();
         worker.runs.push(RunKind::new(key, step));
     }
@@ -111,7 +132,7 @@
         self.runs.iter().filter(same).count()
     }
 
-    fn fit(&self, step: &Step, excluded_workers: &[WorkerId]) -> Fit {
+    fn fit(&self, step: &Step, history: UnitHistory<'_>) -> Fit {
         let is_serving = step.tail_latency_target_ms > 0;
         let interfering_runs = if step.is_best_effort {
             self.runs.iter().filter(|run| run.is_serving).count()
@@ -122,9 +143,14 @@
         };
         let near = step.near_rack.as_deref();
         Fit {
-            is_excluded: excluded_workers.contains(&self.id),
+            is_excluded: history.excluded_workers.contains(&self.id),
             is_remote: near.is_some() && self.rack.as_deref() != near,
             is_unreliable: !self.is_reliable,
+            suspect_runs: self.suspect_runs,
+            endangered_runs: match history.suspicion {
+                Suspicion::None => 0,
+                Suspicion::Weak | Suspicion::Strong => self.runs.len(),
+            },
             interfering_runs,
             lacks_long_running: step.is_long_running
                 && !self.runs.iter().any(|run| run.is_long_running),
@@ -169,12 +195,18 @@
             let step = self.jobs.get(&key.job)?.record.steps.get(key.step)?;
             Some(RunKind::new(key, step))
         };
+        let suspicions = || {
+            let units = worker.runs.iter().filter_map(|key| self.unit(key));
+            units.map(|unit| unit.suspicion(now))
+        };
         Candidate {
             id: worker.registration.id.clone(),
             free_capacity: worker.free_capacity(),
             rack: worker.rack.clone(),
             labels: worker.registration.labels.clone(),
             runs: worker.runs.iter().filter_map(kind).collect(),
+            suspect_runs: suspicions().filter(|suspicion| *suspicion > Suspicion::None).count(),
+            has_strong_suspect: suspicions().any(|suspicion| suspicion == Suspicion::Strong),
             is_reliable: !self.failure_history.has_recent_failure(&worker.registration.id, now),
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -84,6 +84,7 @@
 pub use portions::Portion;
 pub use portions::PortionRow;
 pub use portions::ShardIndex;
+pub use progress::CrashedRun;
 pub use progress::FinalState;
 pub use progress::Progress;
 pub use settings::Settings;
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -12,6 +12,7 @@
 use crate::job::JobRecord;
 use crate::job::Resources;
 use crate::job::Step;
+use crate::progress::CrashedRun;
 use crate::progress::FinalState;
 
 /// Progress of a run that has done all its work, or of a long-running unit that is fully available.
@@ -113,6 +114,8 @@
     pub finish_state: FinishState,
     /// Numbers of the failed runs; always empty for long-running units.
     pub failed_runs: Vec<u32>,
+    /// Runs whose worker has crashed, which they may have caused.
+    pub crashed_runs: Vec<CrashedRun>,
     /// Highest run number that is known to have been used.
     pub last_run: u32,
     /// Latest checkpoint; empty if there is none.
@@ -132,6 +135,7 @@
         Self {
             finish_state: FinishState::Unfinished,
             failed_runs: Vec::new(),
+            crashed_runs: Vec::new(),
             last_run: run_number_base,
             checkpoint: String::new(),
             run: None,
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -1,13 +1,86 @@
 //! Runs that end without a completion, because their worker has ended or is silent.
+//!
+//! A unit can crash each worker that starts it. A crashed worker lists no completion, so the crash
+//! is seen only once another incarnation, or another process, replies at its address. It counts
+//! against the units that the worker had just started, and most against the last ones, since one of
+//! them may have caused it. These suspects are started apart from each other and from as many other
+//! runs as possible, so that the next crash shows which of them it was.
+
+use std::time::Duration;
 
 use crate::Moment;
 use crate::WorkerId;
 use crate::job::UnitKey;
+use crate::live_jobs::Phase;
+use crate::live_jobs::Run;
+use crate::live_jobs::Unit;
 use crate::messages::Action;
 use crate::messages::LossCause;
+use crate::progress::CrashedRun;
 use crate::state::Scheduler;
+use crate::worker::Worker;
+
+/// Number of crashes at which the job of a unit fails, if the unit was among the last ones to start
+/// each time, and no other unit that the last crash hit was as often.
+const CRASHES_MAX_LAST: usize = 3;
+/// Number of crashes at which the job of a unit fails in any case.
+const CRASHES_MAX: usize = 5;
+/// Maximum time between the start of a run and the last start on its worker for it to be among the
+/// last ones.
+const LAST_STARTS_SPAN: Duration = Duration::from_millis(150);
+/// Age from which a run is not suspected of a crash if the worker had younger ones.
+const SUSPECT_AGE_MAX: Duration = Duration::from_secs(2);
+/// Age from which a run is not suspected of a crash at all.
+const LATE_SUSPECT_AGE_MAX: Duration = Duration::from_secs(10);
+
+/// How likely it is that a unit crashes the worker that starts it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Suspicion {
+    /// No worker has crashed under it, or its run has lasted.
+    #[default]
+    None,
+    /// A worker has crashed under it.
+    Weak,
+    /// At the next crash, its job may have to fail.
+    Strong,
+}
+
+impl Unit {
+    /// Returns how likely it is that the unit crashes its worker.
+    pub(crate) fn suspicion(&self, now: Moment) -> Suspicion {
+        let has_lasted = |run: &Run| now.saturating_sub(run.since) > SUSPECT_AGE_MAX;
+        if self.crashed_runs.is_empty() || self.run.as_ref().is_some_and(has_lasted) {
+            return Suspicion::None;
+        }
+        let is_strong = self.crashes_when_last() + 1 >= CRASHES_MAX_LAST
+            || self.crashed_runs.len() + 1 >= CRASHES_MAX;
+        if is_strong { Suspicion::Strong } else { Suspicion::Weak }
+    }
+
+    /// Returns the number of crashes for which the unit was among the last ones to start.
+    fn crashes_when_last(&self) -> usize {
+        self.crashed_runs.iter().filter(|run| run.was_started_last).count()
+    }
+}
 
 impl Scheduler {
+    /// Handles the end of a worker that another incarnation or another process has replaced.
+    /// Nothing of it is running any more.
+    pub(crate) fn handle_worker_end(&mut self, id: &str, cause: LossCause, now: Moment) {
+        let suspects = self.suspects_on(id);
+        self.remove_runs_on(id, cause, now);
+        self.count_crash(&suspects, now);
+    }
+
+    /// Removes the runs of a silent worker whose lease has expired.
+    pub(crate) fn handle_lease_expiry(&mut self, id: &str, now: Moment) {
+        let suspects = self.suspects_on(id);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.expired_suspects = suspects;
+        }
+        self.remove_runs_on(id, LossCause::LeaseExpired, now);
+    }
+
     /// Removes all runs on a worker, since none of them can still be running.
     pub(crate) fn remove_runs_on(&mut self, id: &str, cause: LossCause, now: Moment) {
         let runs = self.workers.get(id).map(|worker| worker.runs.clone()).unwrap_or_default();
@@ -33,4 +106,95 @@
             self.actions.push(Action::LogLostRuns { worker, cause, runs });
         }
     }
+
+    /// Returns the units one of which has crashed the worker if it has ended. Those whose runs ended
+    /// with its lease are among them.
+    fn suspects_on(&self, id: &str) -> Vec<(UnitKey, CrashedRun)> {
+        let Some(worker) = self.workers.get(id) else {
+            return Vec::new();
+        };
+        // A worker that leaves ends without a fault of its runs.
+        if worker.registration.is_draining {
+            return Vec::new();
+        }
+        let mut suspects = self.suspects_up_to(worker, SUSPECT_AGE_MAX);
+        if suspects.is_empty() {
+            suspects = self.suspects_up_to(worker, LATE_SUSPECT_AGE_MAX);
+        }
+        suspects.extend(worker.expired_suspects.iter().cloned());
+        suspects
+    }
+
+    /// Returns the units whose runs on a worker were at most `age_max` old when it last replied.
+    fn suspects_up_to(&self, worker: &Worker, age_max: Duration) -> Vec<(UnitKey, CrashedRun)> {
+        let run_of = |key: &UnitKey| self.unit(key).and_then(|unit| unit.run.as_ref());
+        let units = worker.runs.iter().filter_map(|key| Some((key, run_of(key)?)));
+        let suspects = units.filter(|(_, run)| may_have_crashed(run, worker, age_max));
+        let suspects: Vec<(&UnitKey, &Run)> = suspects.collect();
+        let last_start = suspects.iter().map(|(_, run)| run.since).max().unwrap_or_default();
+        let crashed_run = |run: &Run| CrashedRun {
+            number: run.number,
+            was_started_last: run.since + LAST_STARTS_SPAN >= last_start
+                && age_max <= SUSPECT_AGE_MAX,
+        };
+        suspects.into_iter().map(|(key, run)| (key.clone(), crashed_run(run))).collect()
+    }
+
+    /// Returns the units whose runs ended with the leases of silent workers that may have crashed,
+    /// sorted; once for each run.
+    pub(crate) fn unresolved_suspects(&self) -> Vec<UnitKey> {
+        let suspects = self.workers.values().flat_map(|worker| &worker.expired_suspects);
+        let mut units: Vec<UnitKey> = suspects.map(|(key, _)| key.clone()).collect();
+        units.sort();
+        units
+    }
+
+    /// Returns true if a unit has to wait until it is known whether its last workers have crashed:
+    /// if they have, it must not be started any more.
+    pub(crate) fn awaits_crash_evidence(&self, key: &UnitKey, unresolved: &[UnitKey]) -> bool {
+        let first = unresolved.partition_point(|other| other < key);
+        let count = unresolved[first..].iter().take_while(|other| *other == key).count();
+        count > 0 && self.crashes_of(key) + count >= CRASHES_MAX
+    }
+
+    /// Counts a crash against the units that may have caused it.
+    fn count_crash(&mut self, suspects: &[(UnitKey, CrashedRun)], now: Moment) {
+        for (key, run) in suspects {
+            if let Some(unit) = self.unit_mut(key)
+                && !unit.crashed_runs.iter().any(|other| other.number == run.number)
+            {
+                unit.crashed_runs.push(*run);
+                self.mark_dirty(&key.job);
+            }
+        }
+        let when_last: Vec<usize> = suspects
+            .iter()
+            .map(|(key, _)| self.unit(key).map_or(0, Unit::crashes_when_last))
+            .collect();
+        for (index, (key, _)) in suspects.iter().enumerate() {
+            let count = when_last[index];
+            let is_matched = when_last.iter().enumerate().any(|(i, c)| i != index && *c >= count);
+            let crashes = self.crashes_of(key);
+            if crashes >= CRASHES_MAX || (count >= CRASHES_MAX_LAST && !is_matched) {
+                let why = format!("crashed_workers={crashes} when_started_last={count}");
+                self.fail_job(key, why, now);
+            }
+        }
+    }
+
+    fn crashes_of(&self, key: &UnitKey) -> usize {
+        self.unit(key).map_or(0, |unit| unit.crashed_runs.len())
+    }
+}
+
+/// Returns true if the run may have crashed its worker, should the worker have ended, and was at most
+/// `age_max` old then.
+fn may_have_crashed(run: &Run, worker: &Worker, age_max: Duration) -> bool {
+    let has_started = match run.phase {
+        // A command that is still unanswered was sent long after the crash.
+        Phase::Planned | Phase::Commanded => false,
+        Phase::Confirmed(_) | Phase::Reported | Phase::InDoubt => true,
+    };
+    let age = worker.last_contact_at().map_or(Duration::ZERO, |at| at.saturating_sub(run.since));
+    has_started && age <= age_max
 }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -7,6 +7,7 @@
 use crate::UnitKey;
 use crate::WorkerId;
 use crate::candidates::Candidates;
+use crate::candidates::UnitHistory;
 use crate::job::Step;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
@@ -14,6 +15,7 @@
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
+use crate::lost_runs::Suspicion;
 use crate::priority::SchedulingPriority;
 use crate::priority::Urgency;
 use crate::sorted_map::SortedMap;
@@ -94,6 +96,7 @@
         }
         self.placed_at = now;
         self.quota_needs = SortedMap::default();
+        let unresolved_suspects = self.unresolved_suspects();
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then(a.priority.cmp(&b.priority)));
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
@@ -102,7 +105,8 @@
             let (mut is_starved, mut is_long_running_starved) = (false, false);
             for step in pool_steps {
                 let has_no_capacity =
-                    self.place_step(step, &mut candidates, now) == Placement::NoCapacity;
+                    self.place_step(step, &mut candidates, &unresolved_suspects, now)
+                        == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
                 is_long_running_starved |=
                     has_no_capacity && step.priority.urgency == Urgency::LongRunning;
@@ -163,6 +167,7 @@
         &mut self,
         waiting: &WaitingStep,
         candidates: &mut Candidates,
+        unresolved_suspects: &[UnitKey],
         now: Moment,
     ) -> Placement {
         let Some(job) = self.jobs.get(&waiting.first_unit.job) else {
@@ -176,24 +181,40 @@
             return Placement::Blocked;
         }
         if step.is_gang {
+            let units = waiting.units.iter();
+            let mut keys = units.map(|&index| UnitKey { index, ..waiting.first_unit.clone() });
+            if keys.any(|key| self.awaits_crash_evidence(&key, unresolved_suspects)) {
+                return Placement::Blocked;
+            }
             return self.place_gang(waiting, step, candidates, now);
         }
+        let mut placement = Placement::All;
         for (placed, &index) in waiting.units.iter().enumerate() {
             let key = UnitKey { index, ..waiting.first_unit.clone() };
+            if self.awaits_crash_evidence(&key, unresolved_suspects) {
+                placement = Placement::Blocked;
+                continue;
+            }
             let remaining = (waiting.units.len() - placed) as u64;
             if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
             }
-            let Some(chosen) = self.choose(&key, step, candidates, None, now) else {
+            let history = self.history(&key, now);
+            let suspicion = history.suspicion;
+            let Some(chosen) = self.choose(&key, step, history, candidates, None, now) else {
+                placement = Placement::NoCapacity;
+                if suspicion == Suspicion::Strong {
+                    continue;
+                }
                 // The other units of the step request the same resources.
-                return Placement::NoCapacity;
+                break;
             };
             let number = self.unit(&key).map_or(0, |unit| unit.last_run) + 1;
-            candidates.place(chosen, &key, step);
+            candidates.place(chosen, &key, step, suspicion);
             let worker = candidates.workers()[chosen].id.clone();
             self.plan_run(&key, step, worker, number, now);
         }
-        Placement::All
+        placement
     }
 
     fn place_gang(
@@ -251,8 +272,11 @@
         let mut workers = Vec::with_capacity(waiting.units.len());
         for &index in &waiting.units {
             let key = UnitKey { index, ..waiting.first_unit.clone() };
-            let chosen = self.choose(&key, step, &candidates, rack, now)?;
-            candidates.place(chosen, &key, step);
+            // A gang starts as a whole, so its units cannot wait for each other to prove harmless.
+            let suspicion = self.history(&key, now).suspicion.min(Suspicion::Weak);
+            let history = UnitHistory { suspicion, ..self.history(&key, now) };
+            let chosen = self.choose(&key, step, history, &candidates, rack, now)?;
+            candidates.place(chosen, &key, step, suspicion);
             workers.push(candidates.workers()[chosen].id.clone());
         }
         Some((workers, candidates))
@@ -262,6 +286,7 @@
         &self,
         key: &UnitKey,
         step: &Step,
+        history: UnitHistory<'_>,
         candidates: &Candidates,
         rack: Option<&str>,
         now: Moment,
@@ -270,8 +295,14 @@
             self.jobs.get(&key.job).is_some_and(|job| self.needs_advice(&job.record.queue));
         let may_run =
             |worker: &WorkerId| !needs_advice || self.tickets.ticket(key, worker, now).is_some();
-        let excluded_workers = self.unit(key).map_or(&[][..], |unit| &unit.excluded_workers);
-        candidates.choose(key, step, excluded_workers, rack, may_run)
+        candidates.choose(key, step, history, rack, may_run)
+    }
+
+    fn history(&self, key: &UnitKey, now: Moment) -> UnitHistory<'_> {
+        self.unit(key).map_or_else(UnitHistory::default, |unit| UnitHistory {
+            excluded_workers: &unit.excluded_workers,
+            suspicion: unit.suspicion(now),
+        })
     }
 
     /// Plans a run. Its start command is sent once the worker's assignment row with the run is
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -18,6 +18,17 @@
     Cancelled,
 }
 
+/// A run whose worker crashed, which the run may have caused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// Number of the run.
+    #[serde(rename = "n")]
+    pub number: u32,
+    /// It was among the runs that the worker started last, which makes it likely.
+    #[serde(rename = "l")]
+    pub was_started_last: bool,
+}
+
 /// Progress of a job, as it is stored.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -43,6 +54,9 @@
     /// Numbers of the failed runs, by unit.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<(UnitPosition, Vec<u32>)>,
+    /// Runs whose worker has crashed, by unit.
+    #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
+    pub crashed_runs: Vec<(UnitPosition, Vec<CrashedRun>)>,
     /// Checkpoints of unfinished units.
     #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub checkpoints: Vec<(UnitPosition, String)>,
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -395,6 +395,9 @@
         if !unit.failed_runs.is_empty() {
             progress.failed_runs.push((position, unit.failed_runs.clone()));
         }
+        if !unit.crashed_runs.is_empty() {
+            progress.crashed_runs.push((position, unit.crashed_runs.clone()));
+        }
         if !unit.checkpoint.is_empty() {
             progress.checkpoints.push((position, unit.checkpoint.clone()));
         }
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -42,6 +42,13 @@
                 unit.last_run = failed_runs.iter().copied().fold(unit.last_run, u32::max);
             }
         }
+        for ((number, step, index), crashed_runs) in &progress.crashed_runs {
+            let (occurrence, step, index) = (*number, *step, *index);
+            let key = UnitKey { job: id.clone(), occurrence, step, index };
+            if let Some(unit) = self.unit_mut(&key) {
+                unit.crashed_runs = crashed_runs.clone();
+            }
+        }
         for ((number, step, index), checkpoint) in &progress.checkpoints {
             let (occurrence, step, index) = (*number, *step, *index);
             let key = UnitKey { job: id.clone(), occurrence, step, index };
@@ -142,7 +149,7 @@
         let subject = id.to_owned();
         let why = format!("born_ms={}", registration.incarnation_started_ms);
         self.log_decision("worker started again", subject, why);
-        self.remove_runs_on(id, LossCause::WorkerRestarted, now);
+        self.handle_worker_end(id, LossCause::WorkerRestarted, now);
         if let Some(worker) = self.workers.get_mut(id) {
             let has_row = worker.has_row;
             *worker = Worker::new(registration, now, now);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::job::Resources;
 use crate::job::UnitKey;
 use crate::messages::WorkerRegistration;
+use crate::progress::CrashedRun;
 
 /// Percentage by which a worker's clock may at most run slower than true time.
 const CLOCK_SLOW_PERCENT: u32 = 2;
@@ -64,6 +65,9 @@
     pub reserved: Resources,
     /// Units whose runs are there or may be there, sorted.
     pub runs: Vec<UnitKey>,
+    /// Units that ran there when the lease expired while the worker was silent. If it turns out that
+    /// it has crashed, one of them may have caused that.
+    pub expired_suspects: Vec<(UnitKey, CrashedRun)>,
     /// Number of runs in its last report that must stop, since their units should not run there.
     pub unexpected_runs: usize,
     /// Highest number of a completion that has been handled.
@@ -104,6 +108,7 @@
             is_registered: true,
             reserved: Resources::default(),
             runs: Vec::new(),
+            expired_suspects: Vec::new(),
             unexpected_runs: 0,
             last_seen_completion: 0,
             pending_completions: Vec::new(),
@@ -135,7 +140,7 @@
             zone: Arc::from(""),
             labels: Arc::from([]),
             capacity: Resources::default(),
-            is_draining: true,
+            is_draining: false,
             clock_ms: 0,
             host: None,
         };
@@ -183,14 +188,24 @@
         self.clock_min_ms(now).is_some_and(|clock_ms| clock_ms > deadline_ms)
     }
 
-    /// Returns true if the worker's last reply is at most `age_max` old.
-    pub fn is_in_contact(&self, age_max: Duration, now: Moment) -> bool {
+    /// Returns the time of the worker's last reply to this owner, if there was one.
+    pub fn last_contact_at(&self) -> Option<Moment> {
         match self.contact {
-            Contact::Unheard => false,
-            Contact::Heard(at) => now.saturating_sub(at) <= age_max,
+            Contact::Unheard => None,
+            Contact::Heard(at) => Some(at),
         }
     }
 
+    /// Returns true if it matters whether and how the worker replies.
+    pub fn is_polled(&self) -> bool {
+        self.is_registered || !self.runs.is_empty() || !self.expired_suspects.is_empty()
+    }
+
+    /// Returns true if the worker's last reply is at most `age_max` old.
+    pub fn is_in_contact(&self, age_max: Duration, now: Moment) -> bool {
+        self.last_contact_at().is_some_and(|at| now.saturating_sub(at) <= age_max)
+    }
+
     /// Adds the run of a unit and reserves its resources.
     pub fn add_run(&mut self, unit: &UnitKey, reservation: &Resources, now: Moment) {
         if let Err(index) = self.runs.binary_search(unit) {
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -1,5 +1,7 @@
 //! Handling of worker reports, missing replies and expired leases.
 
+use std::time::Duration;
+
 use crate::JobId;
 use crate::Moment;
 use crate::WorkerId;
@@ -21,6 +23,9 @@
 use crate::worker::Contact;
 use crate::worker::PendingCompletion;
 
+/// Time for which a silent worker is still polled after its lease has expired: how it returns shows
+/// whether it has crashed.
+const RETURN_WAIT: Duration = Duration::from_secs(10);
 /// Number of consecutive failed polls after which a worker gets no new runs for a while.
 pub(crate) const FAILED_POLLS_MAX: u32 = 2;
 
@@ -66,7 +71,7 @@
     /// Handles proof that a worker has ended, or that its address now belongs to another worker.
     pub fn handle_worker_gone(&mut self, id: &WorkerId, why: &str, now: Moment) {
         self.log_decision("worker is gone", id.clone(), why.to_owned());
-        self.remove_runs_on(id, LossCause::WorkerReplaced, now);
+        self.handle_worker_end(id, LossCause::WorkerReplaced, now);
         self.remove_worker(id);
     }
 
@@ -81,12 +86,14 @@
         let expired: Vec<WorkerId> = expired.map(|(id, _)| id.clone()).collect();
         for id in expired {
             self.log_decision("lease of a silent worker is over", id.clone(), String::new());
-            self.remove_runs_on(&id, LossCause::LeaseExpired, now);
+            self.handle_lease_expiry(&id, now);
         }
         let is_removable = |worker: &crate::worker::Worker| {
+            let has_suspects = !worker.expired_suspects.is_empty();
+            let kept = if has_suspects { RETURN_WAIT } else { Duration::ZERO };
             !worker.is_registered
                 && worker.runs.is_empty()
-                && now >= worker.lease_expires_at
+                && now >= worker.lease_expires_at + kept
                 && !worker.is_in_contact(self.settings.contact_max, now)
         };
         let removable = self.workers.iter().filter(|(_, worker)| is_removable(worker));
@@ -127,6 +134,7 @@
         }
         worker.contact = Contact::Heard(now);
         worker.first_contact_at.get_or_insert(now);
+        worker.expired_suspects.clear();
         worker.failed_polls = 0;
         worker.record_clock(report.clock_ms, now);
         true
@@ -244,17 +252,19 @@
             .map(|unit| unit.failed_runs.len() as u32)
             .sum();
         let attempts_max = self.attempts_max(&job.record.queue);
-        if failures < attempts_max || job.final_state.is_some() {
-            return;
-        }
-        self.log_decision(
-            "job failed",
-            key,
-            format!("failures={failures} attempts_max={attempts_max}"),
-        );
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            job.final_state = Some(FinalState::Failed);
+        if failures >= attempts_max {
+            self.fail_job(key, format!("failures={failures} attempts_max={attempts_max}"), now);
         }
+    }
+
+    /// Fails the job of a unit that cannot be done, unless the job has ended.
+    pub(crate) fn fail_job(&mut self, key: &UnitKey, why: String, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.final_state.is_none()) else {
+            return;
+        };
+        job.final_state = Some(FinalState::Failed);
+        self.mark_dirty(&key.job);
+        self.log_decision("job failed", key, why);
         for run in self.units_with_run(&key.job) {
             self.request_stop(&run, now);
         }
