Count a crash that happens while owners change

A unit that crashes its worker as the owner stops was started again by the successor without the crash being counted: the successor finds the worker's later incarnation in the registry and its run not listed, which says nothing of a crash. The rows of assigned runs now name the incarnation; a later one in the registry shows the crash. When such a run was started is not known, so it does not count as one of the last.

Found by looking for the same cause elsewhere. The case restarted of a_unit_that_crashes_its_workers_while_owners_change_is_given_up failed before: 18 starts in 18 takeovers.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -21,6 +21,7 @@
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::messages::Action;
+use crate::messages::LossCause;
 use crate::messages::StartCommand;
 use crate::sorted_map::SortedMap;
 use crate::state::Scheduler;
@@ -33,6 +34,9 @@
     pub pool: PoolName,
     /// Address of its interface for runs.
     pub address: SocketAddr,
+    /// Start of the worker's incarnation, in milliseconds since the Unix epoch; 0 if unknown.
+    #[serde(rename = "started", default)]
+    pub incarnation_started_ms: u64,
     /// Assigned runs: name of the unit and run number.
     pub runs: Vec<(String, u32)>,
 }
@@ -88,12 +92,16 @@
         now: Moment,
     ) {
         let mut runs: Vec<(UnitKey, u32, WorkerId)> = Vec::new();
+        let mut restarted = Vec::new();
         for (id, row) in rows.iter() {
-            let unregistered = || {
-                let (pool, address) = (row.pool.clone(), row.address);
-                Worker::unregistered(id.clone(), pool, address, now + lease_left, now)
-            };
-            self.workers.entry_or(id.clone(), unregistered).has_row = true;
+            let unregistered = || Worker::unregistered(id.clone(), row, now + lease_left, now);
+            let worker = self.workers.entry_or(id.clone(), unregistered);
+            worker.has_row = true;
+            if row.incarnation_started_ms != 0
+                && row.incarnation_started_ms < worker.registration.incarnation_started_ms
+            {
+                restarted.push(id.clone());
+            }
             let parsed = row.runs.iter().filter_map(|(unit, run)| Some((unit.parse().ok()?, *run)));
             runs.extend(parsed.map(|(key, run)| (key, run, id.clone())));
         }
@@ -103,6 +111,9 @@
         for (key, run, worker) in runs {
             self.adopt_run_in_doubt(&key, run, worker, now);
         }
+        for id in restarted {
+            self.handle_worker_end(&id, LossCause::WorkerRestarted, now);
+        }
         let finished = self.jobs.iter().filter(|(_, job)| job.is_final_state_stored);
         for id in finished.map(|(id, _)| id.clone()).collect::<Vec<JobId>>() {
             self.remove_finished(&id, now);
@@ -151,6 +162,7 @@
         AssignmentRow {
             pool: worker.registration.pool.clone(),
             address: worker.registration.address,
+            incarnation_started_ms: worker.registration.incarnation_started_ms,
             runs,
         }
     }
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -132,10 +132,13 @@
         let suspects = units.filter(|(_, run)| may_have_crashed(run, worker, age_max));
         let suspects: Vec<(&UnitKey, &Run)> = suspects.collect();
         let last_start = suspects.iter().map(|(_, run)| run.since).max().unwrap_or_default();
+        // When a run was started that an earlier owner has commanded is not known.
+        let is_start_known = |run: &Run| run.deadline_ms != 0;
         let crashed_run = |run: &Run| CrashedRun {
             number: run.number,
-            was_started_last: run.since + LAST_STARTS_SPAN >= last_start
-                && age_max <= SUSPECT_AGE_MAX,
+            was_started_last: age_max <= SUSPECT_AGE_MAX
+                && is_start_known(run)
+                && run.since + LAST_STARTS_SPAN >= last_start,
         };
         suspects.into_iter().map(|(key, run)| (key.clone(), crashed_run(run))).collect()
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,12 +1,11 @@
 //! Workers as the owner knows them: contact, lease, capacity and runs.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Moment;
-use crate::PoolName;
 use crate::WorkerId;
+use crate::assignments::AssignmentRow;
 use crate::job::Resources;
 use crate::job::UnitKey;
 use crate::messages::WorkerRegistration;
@@ -127,16 +126,15 @@
     /// Creates the state of a worker that has assigned runs but is not in the registry.
     pub fn unregistered(
         id: WorkerId,
-        pool: PoolName,
-        address: SocketAddr,
+        row: &AssignmentRow,
         lease_expires_at: Moment,
         now: Moment,
     ) -> Self {
         let registration = WorkerRegistration {
             id,
-            incarnation_started_ms: 0,
-            pool,
-            address,
+            incarnation_started_ms: row.incarnation_started_ms,
+            pool: row.pool.clone(),
+            address: row.address,
             zone: Arc::from(""),
             labels: Arc::from([]),
             capacity: Resources::default(),
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -117,6 +117,18 @@
         }
     }
 
+    /// Polls the workers that another process has replaced.
+    fn poll_replaced_workers(&mut self) {
+        let known = self.sim.scheduler.workers().map(|worker| worker.registration.id.clone());
+        let known: Vec<WorkerId> = known.collect();
+        for id in known {
+            if !self.sim.workers.iter().any(|worker| worker.id == id) {
+                let now = self.sim.now;
+                self.sim.scheduler.handle_worker_gone(&id, "another instance answers", now);
+            }
+        }
+    }
+
     fn starts_of(&self, unit: &UnitKey) -> usize {
         self.harmful_starts.iter().filter(|started| *started == unit).count()
     }
@@ -195,6 +207,37 @@
     test.assert_given_up(&harmful);
 }
 
+// Guards against a crash that no owner counts, since the owner stopped with the worker and its
+// successor found the worker started again, or replaced.
+#[rstest]
+#[case::restarted(Return::Restarted)]
+#[case::replaced(Return::Replaced)]
+fn a_unit_that_crashes_its_workers_while_owners_change_is_given_up(#[case] returns: Return) {
+    let harmful = unit("a", 0, 0);
+    let workers = ["w1", "w2", "w3", "w4"];
+    let outage = millis(1_000);
+    let mut test = CrashTest::new(&workers, vec![harmful.clone()], returns, outage);
+    let record = job("a", vec![step(1, 1_000)], test.sim.now);
+    test.sim.scheduler.add_job(record.clone(), test.sim.now);
+    for epoch in 2..20 {
+        let starts = test.starts_of(&harmful);
+        while test.starts_of(&harmful) == starts && test.sim.scheduler.live_jobs() > 0 {
+            test.run_for(millis(200));
+        }
+        // The owner stops as its worker crashes; the successor takes over after the return.
+        let mut stopped = std::mem::take(&mut test.sim.scheduler);
+        test.sim.now += outage;
+        test.return_workers();
+        std::mem::swap(&mut stopped, &mut test.sim.scheduler);
+        if test.sim.scheduler.view("a") == Some(JobView::Ended(FinalState::Failed)) {
+            break;
+        }
+        test.sim.take_over(epoch, config(3, NO_QUOTA), seconds(6), std::slice::from_ref(&record));
+        test.poll_replaced_workers();
+    }
+    test.assert_given_up(&harmful);
+}
+
 // Guards against failing a job because its workers were cut off: they have not crashed.
 #[test]
 fn a_unit_on_workers_that_are_cut_off_is_not_given_up() {
