Keep what may be crashes with the unit, and tell starts after a crash from those before it

A run that is not confirmed is a suspect but never one of the last starts. A run that ends with a lease counts as a possible crash, stored with the unit, until the worker's return shows which; a job fails only with two certain ones.

Checked: no unit starts after five workers crashed under it, no job fails with under two crashes and no failure.

--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -114,7 +114,7 @@
     pub finish_state: FinishState,
     /// Numbers of the failed runs; always empty for long-running units.
     pub failed_runs: Vec<u32>,
-    /// Runs whose worker has crashed, which they may have caused.
+    /// Runs whose worker has or may have crashed, which they may have caused.
     pub crashed_runs: Vec<CrashedRun>,
     /// Highest run number that is known to have been used.
     pub last_run: u32,
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -23,8 +23,11 @@
 /// Number of crashes at which the job of a unit fails, if the unit was among the last ones to start
 /// each time, and no other unit that the last crash hit was as often.
 const CRASHES_MAX_LAST: usize = 3;
-/// Number of crashes at which the job of a unit fails in any case.
+/// Number of crashes at which the job of a unit fails whatever else they hit, those included that
+/// are not certain.
 const CRASHES_MAX: usize = 5;
+/// Number of certain crashes without which a job does not fail.
+const CERTAIN_CRASHES_MIN: usize = 2;
 /// Maximum time between the start of a run and the last start on its worker for it to be among the
 /// last ones.
 const LAST_STARTS_SPAN: Duration = Duration::from_millis(150);
@@ -59,7 +62,7 @@
 
     /// Returns the number of crashes for which the unit was among the last ones to start.
     fn crashes_when_last(&self) -> usize {
-        self.crashed_runs.iter().filter(|run| run.was_started_last).count()
+        self.crashed_runs.iter().filter(|run| run.was_started_last && run.is_certain).count()
     }
 }
 
@@ -67,18 +70,37 @@
     /// Handles the end of a worker that another incarnation or another process has replaced.
     /// Nothing of it is running any more.
     pub(crate) fn handle_worker_end(&mut self, id: &str, cause: LossCause, now: Moment) {
-        let suspects = self.suspects_on(id);
+        let mut suspects = self.suspects_on(id);
+        let expired = self.workers.get(id).map(|worker| worker.expired_suspects.clone());
+        suspects.extend(expired.unwrap_or_default());
+        for (_, run) in &mut suspects {
+            run.is_certain = true;
+        }
         self.remove_runs_on(id, cause, now);
         self.count_crash(&suspects, now);
     }
 
-    /// Removes the runs of a silent worker whose lease has expired.
+    /// Removes the runs of a silent worker whose lease has expired. It may have crashed.
     pub(crate) fn handle_lease_expiry(&mut self, id: &str, now: Moment) {
         let suspects = self.suspects_on(id);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.expired_suspects = suspects;
+            worker.expired_suspects = suspects.clone();
         }
         self.remove_runs_on(id, LossCause::LeaseExpired, now);
+        self.count_crash(&suspects, now);
+    }
+
+    /// Handles the reply of a worker that was silent and has not crashed.
+    pub(crate) fn handle_worker_return(&mut self, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        for (key, run) in std::mem::take(&mut worker.expired_suspects) {
+            if let Some(unit) = self.unit_mut(&key) {
+                unit.crashed_runs.retain(|other| other.number != run.number);
+                self.mark_dirty(&key.job);
+            }
+        }
     }
 
     /// Removes all runs on a worker, since none of them can still be running.
@@ -107,8 +129,7 @@
         }
     }
 
-    /// Returns the units one of which has crashed the worker if it has ended. Those whose runs ended
-    /// with its lease are among them.
+    /// Returns the units one of which has crashed the worker if it has ended.
     fn suspects_on(&self, id: &str) -> Vec<(UnitKey, CrashedRun)> {
         let Some(worker) = self.workers.get(id) else {
             return Vec::new();
@@ -117,12 +138,11 @@
         if worker.registration.is_draining {
             return Vec::new();
         }
-        let mut suspects = self.suspects_up_to(worker, SUSPECT_AGE_MAX);
-        if suspects.is_empty() {
-            suspects = self.suspects_up_to(worker, LATE_SUSPECT_AGE_MAX);
+        let suspects = self.suspects_up_to(worker, SUSPECT_AGE_MAX);
+        match suspects.is_empty() {
+            true => self.suspects_up_to(worker, LATE_SUSPECT_AGE_MAX),
+            false => suspects,
         }
-        suspects.extend(worker.expired_suspects.iter().cloned());
-        suspects
     }
 
     /// Returns the units whose runs on a worker were at most `age_max` old when it last replied.
@@ -131,20 +151,23 @@
         let units = worker.runs.iter().filter_map(|key| Some((key, run_of(key)?)));
         let suspects = units.filter(|(_, run)| may_have_crashed(run, worker, age_max));
         let suspects: Vec<(&UnitKey, &Run)> = suspects.collect();
-        let last_start = suspects.iter().map(|(_, run)| run.since).max().unwrap_or_default();
-        // When a run was started that an earlier owner has commanded is not known.
-        let is_start_known = |run: &Run| run.deadline_ms != 0;
+        // The start command of a run in doubt may have been sent only after the crash, and when an
+        // earlier owner has sent it is not known.
+        let has_known_start = |run: &Run| run.phase != Phase::InDoubt && run.deadline_ms != 0;
+        let known = suspects.iter().filter(|(_, run)| has_known_start(run));
+        let last_start = known.map(|(_, run)| run.since).max().unwrap_or_default();
         let crashed_run = |run: &Run| CrashedRun {
             number: run.number,
+            is_certain: false,
             was_started_last: age_max <= SUSPECT_AGE_MAX
-                && is_start_known(run)
+                && has_known_start(run)
                 && run.since + LAST_STARTS_SPAN >= last_start,
         };
         suspects.into_iter().map(|(key, run)| (key.clone(), crashed_run(run))).collect()
     }
 
     /// Returns the units whose runs ended with the leases of silent workers that may have crashed,
-    /// sorted; once for each run.
+    /// sorted.
     pub(crate) fn unresolved_suspects(&self) -> Vec<UnitKey> {
         let suspects = self.workers.values().flat_map(|worker| &worker.expired_suspects);
         let mut units: Vec<UnitKey> = suspects.map(|(key, _)| key.clone()).collect();
@@ -155,17 +178,14 @@
     /// Returns true if a unit has to wait until it is known whether its last workers have crashed:
     /// if they have, it must not be started any more.
     pub(crate) fn awaits_crash_evidence(&self, key: &UnitKey, unresolved: &[UnitKey]) -> bool {
-        let first = unresolved.partition_point(|other| other < key);
-        let count = unresolved[first..].iter().take_while(|other| *other == key).count();
-        count > 0 && self.crashes_of(key) + count >= CRASHES_MAX
+        unresolved.binary_search(key).is_ok() && self.crashes_of(key) >= CRASHES_MAX
     }
 
-    /// Counts a crash against the units that may have caused it.
+    /// Counts a crash, or what may be one, against the units that may have caused it.
     fn count_crash(&mut self, suspects: &[(UnitKey, CrashedRun)], now: Moment) {
         for (key, run) in suspects {
-            if let Some(unit) = self.unit_mut(key)
-                && !unit.crashed_runs.iter().any(|other| other.number == run.number)
-            {
+            if let Some(unit) = self.unit_mut(key) {
+                unit.crashed_runs.retain(|other| other.number != run.number);
                 unit.crashed_runs.push(*run);
                 self.mark_dirty(&key.job);
             }
@@ -175,11 +195,16 @@
             .map(|(key, _)| self.unit(key).map_or(0, Unit::crashes_when_last))
             .collect();
         for (index, (key, _)) in suspects.iter().enumerate() {
+            let Some(unit) = self.unit(key) else {
+                continue;
+            };
             let count = when_last[index];
             let is_matched = when_last.iter().enumerate().any(|(i, c)| i != index && *c >= count);
-            let crashes = self.crashes_of(key);
-            if crashes >= CRASHES_MAX || (count >= CRASHES_MAX_LAST && !is_matched) {
-                let why = format!("crashed_workers={crashes} when_started_last={count}");
+            let is_proven = count >= CRASHES_MAX_LAST && !is_matched;
+            let crashes = unit.crashed_runs.len();
+            let certain = unit.crashed_runs.iter().filter(|run| run.is_certain).count();
+            if is_proven || (crashes >= CRASHES_MAX && certain >= CERTAIN_CRASHES_MIN) {
+                let why = format!("crashed_workers={crashes} certain={certain} last={count}");
                 self.fail_job(key, why, now);
             }
         }
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -18,15 +18,18 @@
     Cancelled,
 }
 
-/// A run whose worker crashed, which the run may have caused.
+/// A run whose worker has or may have crashed, which the run may have caused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRun {
     /// Number of the run.
     #[serde(rename = "n")]
     pub number: u32,
     /// It was among the runs that the worker started last, which makes it likely.
-    #[serde(rename = "l")]
+    #[serde(rename = "l", default)]
     pub was_started_last: bool,
+    /// The worker has crashed. Otherwise it fell silent, and its lease has expired.
+    #[serde(rename = "c", default)]
+    pub is_certain: bool,
 }
 
 /// Progress of a job, as it is stored.
@@ -54,7 +57,7 @@
     /// Numbers of the failed runs, by unit.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<(UnitPosition, Vec<u32>)>,
-    /// Runs whose worker has crashed, by unit.
+    /// Runs whose worker has or may have crashed, by unit.
     #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
     pub crashed_runs: Vec<(UnitPosition, Vec<CrashedRun>)>,
     /// Checkpoints of unfinished units.
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -134,9 +134,11 @@
         }
         worker.contact = Contact::Heard(now);
         worker.first_contact_at.get_or_insert(now);
-        worker.expired_suspects.clear();
         worker.failed_polls = 0;
         worker.record_clock(report.clock_ms, now);
+        if !worker.expired_suspects.is_empty() {
+            self.handle_worker_return(id);
+        }
         true
     }
 
--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -1,5 +1,5 @@
-//! Invariants under random jobs, workers, completions, cancellations and takeovers, checked after
-//! each event.
+//! Invariants under random jobs, workers, completions, cancellations, crashes and takeovers, checked
+//! after each event.
 //!
 //! A seed that has ever failed stays in [`REGRESSIONS`], with its cause.
 
@@ -15,10 +15,13 @@
 use rand::seq::IndexedRandom;
 use rstest::rstest;
 use scheduler::CancelOutcome;
+use scheduler::FinalState;
 use scheduler::JobRecord;
 use scheduler::JobView;
+use scheduler::Moment;
 use scheduler::Resources;
 use scheduler::RunOutcome;
+use scheduler::RunStatus;
 use scheduler::SortedMap;
 use scheduler::StartCommand;
 use scheduler::Step;
@@ -41,6 +44,10 @@
 const ATTEMPTS_MAX: u32 = 3;
 const LEASE: Duration = Duration::from_secs(5);
 const QUOTA: Resources = Resources { cpu_millis: 40_000, memory_mb: 60_000, gpus: 0 };
+/// Number of crashed workers under a unit after which it must not start again.
+const CRASHES_MAX: usize = 5;
+/// Number of crashed workers under a unit from which its job may fail.
+const CRASHES_MIN_TO_FAIL: usize = 2;
 const WORKERS: [&str; 4] = ["w1", "w2", "w3", "w4"];
 
 /// A simulation, and what is true of it regardless of what its owner knows.
@@ -59,6 +66,10 @@
     failures_by_unit: SortedMap<UnitKey, u32>,
     /// Deadline of the lease of each worker, by its clock in milliseconds.
     lease_deadline_ms: SortedMap<&'static str, u64>,
+    /// Crashed workers and when they start again.
+    down: Vec<(&'static str, Moment)>,
+    /// Workers that have crashed under a unit, with the unit; once for each crash.
+    crashes: Vec<UnitKey>,
     epoch: u64,
 }
 
@@ -74,6 +85,8 @@
             acknowledged: SortedMap::default(),
             failures_by_unit: SortedMap::default(),
             lease_deadline_ms: WORKERS.iter().map(|id| (*id, 0)).collect(),
+            down: Vec::new(),
+            crashes: Vec::new(),
             epoch: 1,
         }
     }
@@ -85,6 +98,7 @@
             50..54 => self.cancel_random_job(),
             54..60 => self.toggle_responsive(),
             60..63 => self.take_over(),
+            63..65 => self.crash_random_worker(),
             _ => {}
         }
         self.advance();
@@ -160,8 +174,46 @@
         }
     }
 
+    fn crash_random_worker(&mut self) {
+        let id = *WORKERS.choose(&mut self.rng).expect("there are workers");
+        self.crash(id);
+    }
+
+    fn crash(&mut self, id: &'static str) {
+        if self.is_down(id) {
+            return;
+        }
+        let worker = self.sim.worker(id);
+        let lost_units = worker.running.iter().map(|running| running.unit.clone());
+        self.crashes.extend(lost_units);
+        worker.crash();
+        self.unacknowledged.retain(|(worker, ..)| **worker != *id);
+        self.lease_deadline_ms.insert(id, 0);
+        let outage = millis(self.rng.random_range(1_000..8_000));
+        self.down.push((id, self.sim.now + outage));
+    }
+
+    fn is_down(&self, id: &str) -> bool {
+        self.down.iter().any(|(down, _)| *down == id)
+    }
+
+    fn restart_workers(&mut self) {
+        let now = self.sim.now;
+        for (id, _) in self.down.iter().filter(|(_, at)| now >= *at) {
+            self.sim.restart_worker(id);
+        }
+        self.down.retain(|(_, at)| now < *at);
+    }
+
+    fn crashes_under(&self, unit: &UnitKey) -> usize {
+        self.crashes.iter().filter(|crashed| *crashed == unit).count()
+    }
+
     fn toggle_responsive(&mut self) {
         let id = WORKERS.choose(&mut self.rng).expect("there are workers");
+        if self.is_down(id) {
+            return;
+        }
         let worker = self.sim.worker(id);
         worker.is_responsive = !worker.is_responsive;
     }
@@ -178,15 +230,17 @@
     fn advance(&mut self) {
         self.sim.now += millis(200);
         let now = self.sim.now;
+        self.restart_workers();
         for id in WORKERS {
             let deadline_before_ms = self.lease_deadline_ms.get(id).copied().unwrap_or_default();
             let worker = self.sim.worker(id);
             if worker.is_responsive {
                 let requested_ms = self.sim.scheduler.request_lease(id, now).unwrap_or_default();
                 self.lease_deadline_ms.insert(id, deadline_before_ms.max(requested_ms));
-            } else if now.as_millis() as u64 > deadline_before_ms {
-                worker.running.clear();
             } else {
+                if now.as_millis() as u64 > deadline_before_ms {
+                    worker.running.clear();
+                }
                 self.sim.scheduler.handle_failed_poll(&id.into(), now);
             }
         }
@@ -202,12 +256,18 @@
         let starts = self.sim.run_round();
         for start in &starts {
             self.check_start(start);
+        }
+        for start in &starts {
             let id = WORKERS
                 .into_iter()
                 .find(|id| **id == *start.worker)
                 .expect("a worker of the simulation");
             let deadline_before_ms = self.lease_deadline_ms.get(id).copied().unwrap_or_default();
             self.lease_deadline_ms.insert(id, deadline_before_ms.max(start.deadline_ms));
+            let runs = |running: &RunStatus| running.unit == start.unit;
+            if is_harmful(&start.unit.job) && self.sim.worker(id).running.iter().any(runs) {
+                self.crash(id);
+            }
         }
         self.check_invariants();
     }
@@ -223,6 +283,9 @@
         );
         let failures = self.failures_by_unit.get(unit).copied().unwrap_or(0);
         assert!(failures < ATTEMPTS_MAX, "started after {failures} failures: {unit}");
+        let crashes = self.crashes_under(unit);
+        let is_within_limit = !is_harmful(&unit.job) || crashes < CRASHES_MAX;
+        assert!(is_within_limit, "started after {crashes} workers had crashed under it: {unit}");
         for dependency in &step.depends_on {
             let count = record.steps[*dependency].count as usize;
             let is_done = |index| {
@@ -272,8 +335,9 @@
 
     /// Makes all workers responsive and completes all runs: every job must end.
     fn finish_all_jobs(&mut self) {
-        for worker in &mut self.sim.workers {
-            worker.is_responsive = true;
+        for id in WORKERS {
+            let is_responsive = !self.is_down(id);
+            self.sim.worker(id).is_responsive = is_responsive;
         }
         for _ in 0..400 {
             self.advance();
@@ -290,9 +354,33 @@
         self.sim.commit();
         for record in &self.jobs {
             let view = self.sim.scheduler.view(&record.id);
-            assert!(matches!(view, Some(JobView::Ended(_))), "{} is {view:?}", record.id);
+            let Some(JobView::Ended(state)) = view else {
+                panic!("{} is {view:?}", record.id);
+            };
+            assert!(
+                state != FinalState::Failed || self.may_fail(record),
+                "{} failed without cause",
+                record.id
+            );
+            assert!(
+                state != FinalState::Completed || !is_harmful(&record.id),
+                "{} cannot complete",
+                record.id
+            );
         }
     }
+
+    fn may_fail(&self, record: &JobRecord) -> bool {
+        let is_of_job = |unit: &UnitKey| unit.job == record.id;
+        let mut crashed = self.crashes.iter().filter(|unit| is_of_job(unit));
+        self.failures_by_unit.iter().any(|(unit, _)| is_of_job(unit))
+            || crashed.any(|unit| self.crashes_under(unit) >= CRASHES_MIN_TO_FAIL)
+    }
+}
+
+/// Returns true if the units of a job crash each worker that starts them.
+fn is_harmful(job: &str) -> bool {
+    job.ends_with('1')
 }
 
 fn run_random_test(seed: u64) {
