Do not give up units that had started before the one at fault

Cause: at five crashes a job failed whatever else they had hit, also where the owner had seen that other units were started on the worker after it. Such crashes now only count for how a unit is placed; those whose order is not known, after a takeover or an unanswered start, still count towards the five. Evidence: the decision lines, crashed_workers=5 with last=0 or 1.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -87,6 +87,7 @@
 pub use progress::CrashedRun;
 pub use progress::FinalState;
 pub use progress::Progress;
+pub use progress::StartOrder;
 pub use settings::Settings;
 pub use sorted_map::SortedMap;
 pub use state::Scheduler;
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -17,14 +17,15 @@
 use crate::messages::Action;
 use crate::messages::LossCause;
 use crate::progress::CrashedRun;
+use crate::progress::StartOrder;
 use crate::state::Scheduler;
 use crate::worker::Worker;
 
 /// Number of crashes at which the job of a unit fails, if the unit was among the last ones to start
 /// each time, and no other unit that the last crash hit was as often.
 const CRASHES_MAX_LAST: usize = 3;
-/// Number of crashes at which the job of a unit fails whatever else they hit, those included that
-/// are not certain.
+/// Number of crashes at which the job of a unit fails whatever else they hit, unless another unit is
+/// known to have started later; those included that are not certain.
 const CRASHES_MAX: usize = 5;
 /// Number of certain crashes without which a job does not fail.
 const CERTAIN_CRASHES_MIN: usize = 2;
@@ -56,13 +57,21 @@
             return Suspicion::None;
         }
         let is_strong = self.crashes_when_last() + 1 >= CRASHES_MAX_LAST
-            || self.crashed_runs.len() + 1 >= CRASHES_MAX;
+            || self.crashes_not_ruled_out() + 1 >= CRASHES_MAX;
         if is_strong { Suspicion::Strong } else { Suspicion::Weak }
     }
 
-    /// Returns the number of crashes for which the unit was among the last ones to start.
+    /// Returns the number of certain crashes for which the unit was among the last ones to start.
     fn crashes_when_last(&self) -> usize {
-        self.crashed_runs.iter().filter(|run| run.was_started_last && run.is_certain).count()
+        let is_last = |run: &&CrashedRun| run.start_order == StartOrder::Last && run.is_certain;
+        self.crashed_runs.iter().filter(is_last).count()
+    }
+
+    /// Returns the number of crashes, those included that are not certain, before which no other
+    /// unit is known to have started later.
+    fn crashes_not_ruled_out(&self) -> usize {
+        let is_possible = |run: &&CrashedRun| run.start_order != StartOrder::Earlier;
+        self.crashed_runs.iter().filter(is_possible).count()
     }
 }
 
@@ -156,12 +165,15 @@
         let has_known_start = |run: &Run| run.phase != Phase::InDoubt && run.deadline_ms != 0;
         let known = suspects.iter().filter(|(_, run)| has_known_start(run));
         let last_start = known.map(|(_, run)| run.since).max().unwrap_or_default();
+        let start_order = |run: &Run| match run.since + LAST_STARTS_SPAN >= last_start {
+            _ if !has_known_start(run) => StartOrder::Unknown,
+            true if age_max <= SUSPECT_AGE_MAX => StartOrder::Last,
+            _ => StartOrder::Earlier,
+        };
         let crashed_run = |run: &Run| CrashedRun {
             number: run.number,
+            start_order: start_order(run),
             is_certain: false,
-            was_started_last: age_max <= SUSPECT_AGE_MAX
-                && has_known_start(run)
-                && run.since + LAST_STARTS_SPAN >= last_start,
         };
         suspects.into_iter().map(|(key, run)| (key.clone(), crashed_run(run))).collect()
     }
@@ -178,7 +190,8 @@
     /// Returns true if a unit has to wait until it is known whether its last workers have crashed:
     /// if they have, it must not be started any more.
     pub(crate) fn awaits_crash_evidence(&self, key: &UnitKey, unresolved: &[UnitKey]) -> bool {
-        unresolved.binary_search(key).is_ok() && self.crashes_of(key) >= CRASHES_MAX
+        let crashes = self.unit(key).map_or(0, Unit::crashes_not_ruled_out);
+        crashes >= CRASHES_MAX && unresolved.binary_search(key).is_ok()
     }
 
     /// Counts a crash, or what may be one, against the units that may have caused it.
@@ -201,7 +214,7 @@
             let count = when_last[index];
             let is_matched = when_last.iter().enumerate().any(|(i, c)| i != index && *c >= count);
             let is_proven = count >= CRASHES_MAX_LAST && !is_matched;
-            let crashes = unit.crashed_runs.len();
+            let crashes = unit.crashes_not_ruled_out();
             let certain = unit.crashed_runs.iter().filter(|run| run.is_certain).count();
             if is_proven || (crashes >= CRASHES_MAX && certain >= CERTAIN_CRASHES_MIN) {
                 let why = format!("crashed_workers={crashes} certain={certain} last={count}");
@@ -209,10 +222,6 @@
             }
         }
     }
-
-    fn crashes_of(&self, key: &UnitKey) -> usize {
-        self.unit(key).map_or(0, |unit| unit.crashed_runs.len())
-    }
 }
 
 /// Returns true if the run may have crashed its worker, should the worker have ended, and was at most
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -18,15 +18,29 @@
     Cancelled,
 }
 
+/// When a run was started, compared with the other runs that its worker had started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StartOrder {
+    /// It was among the last ones.
+    #[serde(rename = "l")]
+    Last,
+    /// Others were started after it.
+    #[serde(rename = "e")]
+    Earlier,
+    /// An earlier owner started it, or it is unknown whether it has started.
+    #[serde(rename = "u")]
+    Unknown,
+}
+
 /// A run whose worker has or may have crashed, which the run may have caused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedRun {
     /// Number of the run.
     #[serde(rename = "n")]
     pub number: u32,
-    /// It was among the runs that the worker started last, which makes it likely.
-    #[serde(rename = "l", default)]
-    pub was_started_last: bool,
+    /// When the run was started: a unit that crashes its worker as it starts is among the last.
+    #[serde(rename = "o")]
+    pub start_order: StartOrder,
     /// The worker has crashed. Otherwise it fell silent, and its lease has expired.
     #[serde(rename = "c", default)]
     pub is_certain: bool,
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -189,6 +189,26 @@
     test.assert_alive("c");
 }
 
+// Guards against giving up units whose workers crash soon after their start, again and again, but
+// after the starts of other units that are at fault.
+#[test]
+fn a_unit_that_crashes_its_workers_is_told_from_units_that_started_before_it() {
+    let ids: Vec<String> = (0..12).map(|index| format!("a{index}")).collect();
+    let harmful: Vec<UnitKey> = ids.iter().map(|id| unit(id, 0, 0)).collect();
+    let workers = ["w1", "w2", "w3"];
+    let mut test = CrashTest::new(&workers, harmful.clone(), Return::Restarted, millis(1_000));
+    test.sim.scheduler.add_job(job("b", vec![long_running(3)], test.sim.now), test.sim.now);
+    for id in &ids {
+        test.run_for(millis(1_400));
+        test.sim.scheduler.add_job(job(id, vec![step(1, 1_000)], test.sim.now), test.sim.now);
+    }
+    test.run_for(seconds(60));
+    for unit in &harmful {
+        test.assert_given_up(unit);
+    }
+    test.assert_alive("b");
+}
+
 // Guards against forgetting, at a takeover, the crashes that a unit has caused.
 #[test]
 fn a_unit_that_crashes_its_workers_is_given_up_across_takeovers() {
