Limit how many workers a job of the own interface can crash

Callers and operators saw: several jobs that crash their workers at the same time were run to their last attempt (up to ten workers each), and so was one such job if the placement moved to another node between its crashes.

Three losses within 10 s that share no job count as the failure of a rack, and several such jobs look just like that; the record of losses is in the holder's memory.

Two tests failed before: 10 workers lost under each of four jobs; 4 losses across holders and still to run again. The requests of the own interface need nothing: three attempts at most, and none after the first byte unless idempotent.

--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -63,6 +63,8 @@
     pub runs: u32,
     /// Number of times that its task was stopped to free capacity.
     pub preemptions: u32,
+    /// Number of workers that were lost while they ran it.
+    pub losses: u32,
     /// Generation of the pool's growth at which it last fitted on no worker.
     pub(crate) unplaceable_at: Option<Generation>,
 }
@@ -78,6 +80,7 @@
             attempts: 0,
             runs: 0,
             preemptions: 0,
+            losses: 0,
             unplaceable_at: None,
         }
     }
--- a/crates/placement/src/losses.rs
+++ b/crates/placement/src/losses.rs
@@ -3,7 +3,9 @@
 //! When a worker is lost, each job that ran on it is a suspect. The suspects of one loss are not
 //! placed on the same worker again, so that after a second loss only the job that causes the losses
 //! was on both workers. Losses of several workers at about the same time, as with the failure of a
-//! rack or zone, are no evidence against their jobs.
+//! rack or zone, are no evidence against their jobs. Several jobs that crash their workers look the
+//! same, and another holder does not know the losses, so the number of losses of a job is limited
+//! as well.
 
 use std::time::Duration;
 use std::time::Instant;
--- a/crates/placement/src/task.rs
+++ b/crates/placement/src/task.rs
@@ -56,6 +56,9 @@
     /// Number of times that its task was stopped to free capacity.
     #[serde(rename = "displaced")]
     pub preemptions: u32,
+    /// Number of workers that were lost while they ran it.
+    #[serde(rename = "lost", default)]
+    pub losses: u32,
     /// Workers on which an attempt failed, didn't start or was lost, sorted.
     #[serde(rename = "avoid")]
     pub excluded_workers: Vec<HostId>,
@@ -78,8 +81,16 @@
 impl Task<Waiting> {
     /// Creates a job without attempts.
     pub fn new(job: Job, share_weight: u32) -> Self {
-        let (attempts, runs, preemptions, excluded_workers) = (0, 0, 0, Vec::new());
-        Self { job, share_weight, attempts, runs, preemptions, excluded_workers, state: Waiting }
+        Self {
+            job,
+            share_weight,
+            attempts: 0,
+            runs: 0,
+            preemptions: 0,
+            losses: 0,
+            excluded_workers: Vec::new(),
+            state: Waiting,
+        }
     }
 
     /// Creates the state of a job that was put back into the queue.
@@ -132,6 +143,7 @@
             attempts: self.attempts,
             runs: self.runs,
             preemptions: self.preemptions,
+            losses: self.losses,
             unplaceable_at: None,
         }
     }
@@ -143,14 +155,23 @@
             attempts: pending.attempts,
             runs: pending.runs,
             preemptions: pending.preemptions,
+            losses: pending.losses,
             excluded_workers: pending.excluded_workers.clone(),
             state,
         }
     }
 
     fn with_state<T>(self, state: T) -> Task<T> {
-        let Self { job, share_weight, attempts, runs, preemptions, excluded_workers, .. } = self;
-        Task { job, share_weight, attempts, runs, preemptions, excluded_workers, state }
+        Task {
+            job: self.job,
+            share_weight: self.share_weight,
+            attempts: self.attempts,
+            runs: self.runs,
+            preemptions: self.preemptions,
+            losses: self.losses,
+            excluded_workers: self.excluded_workers,
+            state,
+        }
     }
 }
 
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -8,8 +8,11 @@
 use placement::Action;
 use placement::Class;
 use placement::Disposition;
+use placement::Job;
 use placement::JobOutcome;
+use placement::PendingJob;
 use placement::Size;
+use placement::Task;
 use placement::TaskOutcome;
 use placement::Trust;
 use placement::Usage;
@@ -20,6 +23,8 @@
 use crate::world::with_kind;
 use crate::world::worker;
 
+/// Number of lost workers under a job after which it must not run again.
+const LOSSES_MAX: usize = 4;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Places all jobs that fit; returns them with their workers.
@@ -145,6 +150,58 @@
     assert_eq!(losses, 2);
 }
 
+// Guards against jobs that crash their workers and are run to their last attempt, because workers
+// that are lost at the same time look like the failure of a rack.
+#[test]
+fn several_jobs_that_crash_workers_at_the_same_time_are_harmful() {
+    let mut world = World::new((0..12).map(|i| worker(&format!("w{i}"), i, 4, 0)).collect());
+    let killers = ["killer0", "killer1", "killer2", "killer3"];
+    for killer in killers {
+        world.submit(Job { attempts_max: 10, ..job(killer, 3) });
+    }
+    let mut losses = Vec::new();
+    for _ in 0..10 {
+        place_all(&mut world);
+        for killer in killers {
+            if let Some(worker_id) = world.worker_of(killer) {
+                losses.push(killer);
+                world.pool.handle_worker_loss(&worker_id, world.now);
+            }
+        }
+        world.now += SECOND * 30;
+    }
+    for killer in killers {
+        let count = losses.iter().filter(|lost| **lost == killer).count();
+        assert!(count <= LOSSES_MAX, "{count} workers were lost under {killer}");
+    }
+}
+
+// Guards against forgetting, when another node takes over the placement, the workers that were lost
+// under a job.
+#[test]
+fn a_job_that_crashes_its_workers_is_harmful_across_holders() {
+    let mut pending =
+        PendingJob::new(Job { attempts_max: 10, ..job("killer", 1) }, 1, World::new(vec![]).now);
+    for loss in 1..=LOSSES_MAX {
+        let mut world = World::new((0..6).map(|i| worker(&format!("w{i}"), i, 4, 0)).collect());
+        world.pool.submit(pending).expect("the pool has room");
+        place_all(&mut world);
+        let worker_id = world.worker_of("killer").expect("the job runs");
+        match world.pool.handle_worker_loss(&worker_id, world.now).remove(0) {
+            Disposition::Finished { outcome, .. } => {
+                assert_eq!(outcome, JobOutcome::Harmful);
+                return;
+            }
+            // The next holder reads the stored job.
+            Disposition::Requeued { pending: requeued } => {
+                pending = Task::requeued(&requeued).to_pending_job(world.now);
+                assert_eq!(pending.attempts as usize, loss);
+            }
+        }
+    }
+    panic!("{LOSSES_MAX} workers were lost under the job, which is to run again");
+}
+
 #[test]
 fn simultaneous_worker_losses_make_no_job_harmful() {
     let mut world = World::new((0..8).map(|i| worker(&format!("w{i}"), i, 4, 0)).collect());
