Check again that a worker takes a run once the run is stored

A run was planned by the capacity at that time and started as soon as it was stored, which takes seconds where the table is slow or repeats a write: over a capacity that had shrunk meanwhile, or on a worker that had begun to leave. The start is now dropped and the unit waits for another worker; a gang is stopped as a whole.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -179,8 +179,10 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some(clock_ms) = worker.clock_min_ms(now) else {
-            self.remove_run(key, now);
+        // The worker may have changed while the run was being stored.
+        let clock_ms = worker.clock_min_ms(now).filter(|_| worker.can_start_planned());
+        let Some(clock_ms) = clock_ms else {
+            self.withdraw_planned(key, now);
             return;
         };
         let deadline_ms = clock_ms + validity.as_millis() as u64;
@@ -208,6 +210,17 @@
         }));
     }
 
+    /// Removes a planned run whose start command is not sent. A gang does not start without it.
+    fn withdraw_planned(&mut self, key: &UnitKey, now: Moment) {
+        self.remove_run(key, now);
+        let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
+        if step.is_some_and(|step| step.is_gang) {
+            for member in self.units_finishing_with(key, true) {
+                self.request_stop(&member, now);
+            }
+        }
+    }
+
     fn adopt_run_in_doubt(&mut self, key: &UnitKey, number: u32, worker: WorkerId, now: Moment) {
         let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
         let (Some(step), Some(unit)) = (step, self.unit(key)) else {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -152,6 +152,11 @@
         self.registration.capacity.minus(&self.reserved)
     }
 
+    /// Returns true if the worker still takes the runs that are planned there.
+    pub fn can_start_planned(&self) -> bool {
+        !self.registration.is_draining && self.reserved.fits_in(&self.registration.capacity)
+    }
+
     /// Returns true if the worker has listed completions whose consequences are not stored yet.
     pub fn has_unstored_completions(&self) -> bool {
         self.last_seen_completion > self.last_stored_completion
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -274,7 +274,7 @@
 
     /// Returns the units that finish together with `key`: all units of a gang, otherwise only
     /// itself.
-    fn units_finishing_with(&self, key: &UnitKey, is_gang: bool) -> Vec<UnitKey> {
+    pub(crate) fn units_finishing_with(&self, key: &UnitKey, is_gang: bool) -> Vec<UnitKey> {
         let count = self.jobs.get(&key.job).map_or(0, |job| job.record.steps[key.step].count);
         match is_gang {
             true => (0..count as usize).map(|index| UnitKey { index, ..key.clone() }).collect(),
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -4,6 +4,9 @@
 #[path = "common/simulation.rs"]
 mod simulation;
 
+use std::time::Duration;
+
+use rstest::rstest;
 use scheduler::BatchLimits;
 use scheduler::CancelOutcome;
 use scheduler::FinalState;
@@ -11,15 +14,19 @@
 use scheduler::Resources;
 use scheduler::RunOutcome;
 use scheduler::Step;
+use scheduler::WorkerRegistration;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
 use simulation::millis;
+use simulation::registration;
 use simulation::seconds;
 use simulation::step;
 use simulation::unit;
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+/// Capacity for one unit of 4,000 millicores.
+const SMALL: Resources = Resources { cpu_millis: 6_000, memory_mb: 32_768, gpus: 0 };
 
 #[test]
 fn a_step_starts_only_once_its_dependencies_are_stored() {
@@ -220,3 +227,37 @@
         sim.scheduler.handle_commit(&batch, sim.now);
     }
 }
+
+// Guards against a start on a worker whose capacity shrank, or which began to leave, while the run
+// was being stored.
+#[rstest]
+#[case::shrunk(WorkerRegistration { capacity: SMALL, ..registration("w1") })]
+#[case::leaving(WorkerRegistration { is_draining: true, ..registration("w1") })]
+fn a_run_is_not_started_on_a_worker_that_stopped_taking_it(#[case] changed: WorkerRegistration) {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(4, 4_000)], sim.now), sim.now);
+    sim.scheduler.plan(sim.now);
+    sim.scheduler.update_worker(changed.clone(), Duration::ZERO, sim.now);
+    sim.commit();
+    let starts = sim.carry_out_actions();
+    let fits = if changed.is_draining { 0 } else { 1 };
+    assert_eq!(starts.len(), fits, "{starts:?}");
+    // Once the worker takes runs again, the other units start there.
+    sim.scheduler.update_worker(registration("w1"), Duration::ZERO, sim.now);
+    assert_eq!(sim.run_for(seconds(1)).len(), 4 - fits);
+}
+
+// Guards against a gang that starts without a unit whose worker stopped taking runs meanwhile, and
+// waits for it in vain.
+#[test]
+fn a_gang_is_not_started_without_a_unit_on_a_worker_that_stopped_taking_runs() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let gang = Step { is_gang: true, per_worker_max: 1, ..step(2, 4_000) };
+    sim.scheduler.add_job(job("a", vec![gang], sim.now), sim.now);
+    sim.scheduler.plan(sim.now);
+    let leaving = WorkerRegistration { is_draining: true, ..registration("w2") };
+    sim.scheduler.update_worker(leaving, Duration::ZERO, sim.now);
+    sim.commit();
+    sim.carry_out_actions();
+    assert!(sim.workers.iter().all(|worker| worker.running.is_empty()));
+}
