Tell successors which runs a crash cannot be held against

After a takeover, a crash counted against every unit in the worker's row, also against units that had run there long before others were started: when they were started was not stored. The row now says which of its runs preceded others that the worker has confirmed. Units that have finished, and jobs that have ended, take no crash any more.

The case a_unit_that_crashes_its_workers_is_told_from_earlier_ones_by_a_successor failed before (a long-running job failed after eight crashes beside it).

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -20,6 +20,7 @@
 use crate::job::UnitKey;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
+use crate::lost_runs::precedes;
 use crate::messages::Action;
 use crate::messages::LossCause;
 use crate::messages::StartCommand;
@@ -39,6 +40,34 @@
     pub incarnation_started_ms: u64,
     /// Assigned runs: name of the unit and run number.
     pub runs: Vec<(String, u32)>,
+    /// Number of runs at the beginning of `runs` that were started before others that the worker
+    /// has confirmed.
+    #[serde(rename = "old", default)]
+    pub preceding_runs: usize,
+}
+
+/// A run in a stored row.
+#[derive(Clone, Debug)]
+struct StoredRun {
+    unit: UnitKey,
+    number: u32,
+    worker: WorkerId,
+    /// The worker has confirmed others that were started after this one.
+    precedes_others: bool,
+}
+
+impl AssignmentRow {
+    /// Returns the runs of the row, without those whose unit has no valid name.
+    fn stored_runs(&self, worker: &WorkerId) -> impl Iterator<Item = StoredRun> {
+        self.runs.iter().enumerate().filter_map(move |(index, (unit, number))| {
+            Some(StoredRun {
+                unit: unit.parse().ok()?,
+                number: *number,
+                worker: worker.clone(),
+                precedes_others: index < self.preceding_runs,
+            })
+        })
+    }
 }
 
 impl Scheduler {
@@ -91,7 +120,7 @@
         lease_left: Duration,
         now: Moment,
     ) {
-        let mut runs: Vec<(UnitKey, u32, WorkerId)> = Vec::new();
+        let mut runs: Vec<StoredRun> = Vec::new();
         let mut restarted = Vec::new();
         for (id, row) in rows.iter() {
             let unregistered = || Worker::unregistered(id.clone(), row, now + lease_left, now);
@@ -102,14 +131,13 @@
             {
                 restarted.push(id.clone());
             }
-            let parsed = row.runs.iter().filter_map(|(unit, run)| Some((unit.parse().ok()?, *run)));
-            runs.extend(parsed.map(|(key, run)| (key, run, id.clone())));
+            runs.extend(row.stored_runs(id));
         }
         // A unit gets a run with a higher number only after the run before it has ended.
-        runs.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)));
-        runs.dedup_by(|later, first| later.0 == first.0);
-        for (key, run, worker) in runs {
-            self.adopt_run_in_doubt(&key, run, worker, now);
+        runs.sort_by(|a, b| a.unit.cmp(&b.unit).then(b.number.cmp(&a.number)));
+        runs.dedup_by(|later, first| later.unit == first.unit);
+        for run in runs {
+            self.adopt_run_in_doubt(run, now);
         }
         for id in restarted {
             self.handle_worker_end(&id, LossCause::WorkerRestarted, now);
@@ -150,7 +178,16 @@
             let run = self.unit(key)?.run.as_ref()?;
             (!self.must_wait_for_completions(key)).then(|| (key.to_string(), run.number))
         };
-        let mut runs: Vec<(String, u32)> = worker.runs.iter().filter_map(run).collect();
+        let last_start = self.last_confirmed_start(worker);
+        let precedes_others = |key: &UnitKey| {
+            let run = self.unit(key).and_then(|unit| unit.run.as_ref());
+            run.is_some_and(|run| precedes(run, last_start))
+        };
+        let (preceding, others): (Vec<&UnitKey>, Vec<&UnitKey>) =
+            worker.runs.iter().partition(|key| precedes_others(key));
+        let mut runs: Vec<(String, u32)> = preceding.into_iter().filter_map(run).collect();
+        let preceding_runs = runs.len();
+        runs.extend(others.into_iter().filter_map(run));
         // Until a completion is stored, a successor can learn of it only from the worker, so the
         // run stays in the row.
         let is_unstored = |job: &str| self.jobs.get(job).is_some_and(|job| job.is_dirty);
@@ -164,6 +201,7 @@
             address: worker.registration.address,
             incarnation_started_ms: worker.registration.incarnation_started_ms,
             runs,
+            preceding_runs,
         }
     }
 
@@ -221,7 +259,8 @@
         }
     }
 
-    fn adopt_run_in_doubt(&mut self, key: &UnitKey, number: u32, worker: WorkerId, now: Moment) {
+    fn adopt_run_in_doubt(&mut self, stored: StoredRun, now: Moment) {
+        let key = &stored.unit;
         let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
         let (Some(step), Some(unit)) = (step, self.unit(key)) else {
             return;
@@ -231,7 +270,8 @@
         if unit.run.is_some() {
             return;
         }
-        let run = Run::new(number, worker, Phase::InDoubt, step, now);
+        let mut run = Run::new(stored.number, stored.worker, Phase::InDoubt, step, now);
+        run.precedes_others = stored.precedes_others;
         self.add_run(key, run, now);
     }
 }
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -195,18 +195,18 @@
             let step = self.jobs.get(&key.job)?.record.steps.get(key.step)?;
             Some(RunKind::new(key, step))
         };
-        let suspicions = || {
-            let units = worker.runs.iter().filter_map(|key| self.unit(key));
-            units.map(|unit| unit.suspicion(now))
-        };
+        let units = worker.runs.iter().filter_map(|key| self.unit(key));
+        let suspicions = units.map(|unit| unit.suspicion(now));
+        let suspicions: Vec<Suspicion> =
+            suspicions.filter(|suspicion| *suspicion > Suspicion::None).collect();
         Candidate {
             id: worker.registration.id.clone(),
             free_capacity: worker.free_capacity(),
             rack: worker.rack.clone(),
             labels: worker.registration.labels.clone(),
             runs: worker.runs.iter().filter_map(kind).collect(),
-            suspect_runs: suspicions().filter(|suspicion| *suspicion > Suspicion::None).count(),
-            has_strong_suspect: suspicions().any(|suspicion| suspicion == Suspicion::Strong),
+            suspect_runs: suspicions.len(),
+            has_strong_suspect: suspicions.contains(&Suspicion::Strong),
             is_reliable: !self.failure_history.has_recent_failure(&worker.registration.id, now),
         }
     }
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -68,6 +68,8 @@
     pub phase: Phase,
     /// When the start command was sent, or when the run was planned or found.
     pub since: Moment,
+    /// The worker has confirmed to an earlier owner others that were started after this one.
+    pub precedes_others: bool,
     /// Deadline of the start command by the worker's clock, in milliseconds; 0 if this owner sent
     /// none.
     pub deadline_ms: u64,
@@ -95,6 +97,7 @@
             worker,
             phase,
             since: now,
+            precedes_others: false,
             deadline_ms: 0,
             reservation: step.reservation(),
             requested: step.requested,
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -11,6 +11,7 @@
 use crate::Moment;
 use crate::WorkerId;
 use crate::job::UnitKey;
+use crate::live_jobs::FinishState;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
@@ -105,7 +106,7 @@
             return;
         };
         for (key, run) in std::mem::take(&mut worker.expired_suspects) {
-            if let Some(unit) = self.unit_mut(&key) {
+            if let Some(unit) = self.open_unit_mut(&key) {
                 unit.crashed_runs.retain(|other| other.number != run.number);
                 self.mark_dirty(&key.job);
             }
@@ -156,26 +157,27 @@
 
     /// Returns the units whose runs on a worker were at most `age_max` old when it last replied.
     fn suspects_up_to(&self, worker: &Worker, age_max: Duration) -> Vec<(UnitKey, CrashedRun)> {
-        let run_of = |key: &UnitKey| self.unit(key).and_then(|unit| unit.run.as_ref());
-        let units = worker.runs.iter().filter_map(|key| Some((key, run_of(key)?)));
-        let suspects = units.filter(|(_, run)| may_have_crashed(run, worker, age_max));
-        let suspects: Vec<(&UnitKey, &Run)> = suspects.collect();
-        // The start command of a run in doubt may have been sent only after the crash, and when an
-        // earlier owner has sent it is not known.
-        let has_known_start = |run: &Run| run.phase != Phase::InDoubt && run.deadline_ms != 0;
-        let known = suspects.iter().filter(|(_, run)| has_known_start(run));
-        let last_start = known.map(|(_, run)| run.since).max().unwrap_or_default();
-        let start_order = |run: &Run| match run.since + LAST_STARTS_SPAN >= last_start {
-            _ if !has_known_start(run) => StartOrder::Unknown,
-            true if age_max <= SUSPECT_AGE_MAX => StartOrder::Last,
-            _ => StartOrder::Earlier,
-        };
+        let last_start = self.last_confirmed_start(worker);
         let crashed_run = |run: &Run| CrashedRun {
             number: run.number,
-            start_order: start_order(run),
+            start_order: match start_order(run, last_start) {
+                StartOrder::Last if age_max > SUSPECT_AGE_MAX => StartOrder::Earlier,
+                order => order,
+            },
             is_certain: false,
         };
-        suspects.into_iter().map(|(key, run)| (key.clone(), crashed_run(run))).collect()
+        let runs = self.runs_on(worker).filter(|(_, run)| may_have_crashed(run, worker, age_max));
+        runs.map(|(key, run)| (key.clone(), crashed_run(run))).collect()
+    }
+
+    /// Returns the start of the last run of a worker that has confirmed it.
+    pub(crate) fn last_confirmed_start(&self, worker: &Worker) -> Moment {
+        let confirmed = self.runs_on(worker).filter(|(_, run)| has_known_start(run));
+        confirmed.map(|(_, run)| run.since).max().unwrap_or_default()
+    }
+
+    fn runs_on<'a>(&'a self, worker: &'a Worker) -> impl Iterator<Item = (&'a UnitKey, &'a Run)> {
+        worker.runs.iter().filter_map(|key| Some((key, self.unit(key)?.run.as_ref()?)))
     }
 
     /// Returns the units whose runs ended with the leases of silent workers that may have crashed,
@@ -197,33 +199,68 @@
     /// Counts a crash, or what may be one, against the units that may have caused it.
     fn count_crash(&mut self, suspects: &[(UnitKey, CrashedRun)], now: Moment) {
         for (key, run) in suspects {
-            if let Some(unit) = self.unit_mut(key) {
+            if let Some(unit) = self.open_unit_mut(key) {
                 unit.crashed_runs.retain(|other| other.number != run.number);
                 unit.crashed_runs.push(*run);
                 self.mark_dirty(&key.job);
             }
         }
-        let when_last: Vec<usize> = suspects
-            .iter()
-            .map(|(key, _)| self.unit(key).map_or(0, Unit::crashes_when_last))
-            .collect();
+        let crashes_when_last = |key: &UnitKey| self.unit(key).map_or(0, Unit::crashes_when_last);
+        let when_last: Vec<usize> =
+            suspects.iter().map(|(key, _)| crashes_when_last(key)).collect();
         for (index, (key, _)) in suspects.iter().enumerate() {
-            let Some(unit) = self.unit(key) else {
-                continue;
-            };
             let count = when_last[index];
             let is_matched = when_last.iter().enumerate().any(|(i, c)| i != index && *c >= count);
-            let is_proven = count >= CRASHES_MAX_LAST && !is_matched;
-            let crashes = unit.crashes_not_ruled_out();
-            let certain = unit.crashed_runs.iter().filter(|run| run.is_certain).count();
-            if is_proven || (crashes >= CRASHES_MAX && certain >= CERTAIN_CRASHES_MIN) {
-                let why = format!("crashed_workers={crashes} certain={certain} last={count}");
-                self.fail_job(key, why, now);
-            }
+            self.give_up_if_harmful(key, !is_matched, now);
+        }
+    }
+
+    /// Returns a unit that has not finished, of a job that has not ended.
+    fn open_unit_mut(&mut self, key: &UnitKey) -> Option<&mut Unit> {
+        self.jobs.get(&key.job).filter(|job| job.final_state.is_none())?;
+        self.unit_mut(key).filter(|unit| unit.finish_state == FinishState::Unfinished)
+    }
+
+    /// Fails the job of a unit if enough crashes count against it. `is_first_suspect` tells that
+    /// the last one hit no other unit that was as often among the last starts.
+    fn give_up_if_harmful(&mut self, key: &UnitKey, is_first_suspect: bool, now: Moment) {
+        let Some(unit) = self.open_unit_mut(key) else {
+            return;
+        };
+        let last = unit.crashes_when_last();
+        let crashes = unit.crashes_not_ruled_out();
+        let certain = unit.crashed_runs.iter().filter(|run| run.is_certain).count();
+        let is_proven = is_first_suspect && last >= CRASHES_MAX_LAST;
+        if is_proven || (crashes >= CRASHES_MAX && certain >= CERTAIN_CRASHES_MIN) {
+            let why = format!("crashed_workers={crashes} certain={certain} last={last}");
+            self.fail_job(key, why, now);
         }
     }
 }
 
+/// Returns when a run was started, compared with the last start that its worker has confirmed.
+fn start_order(run: &Run, last_confirmed_start: Moment) -> StartOrder {
+    if precedes(run, last_confirmed_start) {
+        StartOrder::Earlier
+    } else if has_known_start(run) {
+        StartOrder::Last
+    } else {
+        StartOrder::Unknown
+    }
+}
+
+/// Returns true if the worker of a run has confirmed others that were started after it.
+pub(crate) fn precedes(run: &Run, last_confirmed_start: Moment) -> bool {
+    run.precedes_others || run.since + LAST_STARTS_SPAN < last_confirmed_start
+}
+
+/// Returns true if it is known that the run has started, and when: the start command of a run in
+/// doubt may have been sent only after a crash.
+fn has_known_start(run: &Run) -> bool {
+    let is_confirmed = matches!(run.phase, Phase::Confirmed(_) | Phase::Reported);
+    is_confirmed && run.deadline_ms != 0
+}
+
 /// Returns true if the run may have crashed its worker, should the worker have ended, and was at most
 /// `age_max` old then.
 fn may_have_crashed(run: &Run, worker: &Worker, age_max: Duration) -> bool {
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -258,6 +258,37 @@
     test.assert_given_up(&harmful);
 }
 
+// Guards against a successor that holds a crash against all units that its predecessor had started
+// on the worker, also against those before the last ones.
+#[test]
+fn a_unit_that_crashes_its_workers_is_told_from_earlier_ones_by_a_successor() {
+    let harmful: Vec<UnitKey> = (0..8).map(|index| unit(&format!("a{index}"), 0, 0)).collect();
+    let outage = millis(1_000);
+    let mut test = CrashTest::new(&["w1"], harmful.clone(), Return::Restarted, outage);
+    let mut records = vec![job("b", vec![long_running(2)], test.sim.now)];
+    test.sim.scheduler.add_job(records[0].clone(), test.sim.now);
+    for (epoch, unit) in (2..).zip(&harmful) {
+        // Something is started after the units of `b`, and `unit` after that.
+        for id in [format!("c{epoch}"), unit.job.to_string()] {
+            test.run_for(millis(400));
+            records.push(job(&id, vec![step(1, 10)], test.sim.now));
+            let record = records.last().expect("it was just added").clone();
+            test.sim.scheduler.add_job(record, test.sim.now);
+        }
+        while test.starts_of(unit) == 0 {
+            test.run_for(millis(200));
+        }
+        test.sim.now += outage;
+        let mut stopped = std::mem::take(&mut test.sim.scheduler);
+        test.return_workers();
+        std::mem::swap(&mut stopped, &mut test.sim.scheduler);
+        test.sim.scheduler.cancel(&unit.job);
+        test.sim.commit();
+        test.sim.take_over(epoch, config(3, NO_QUOTA), seconds(6), &records);
+    }
+    test.assert_alive("b");
+}
+
 // Guards against failing a job because its workers were cut off: they have not crashed.
 #[test]
 fn a_unit_on_workers_that_are_cut_off_is_not_given_up() {
