Judge by reports whether a run stands still

Callers saw: units on a worker that was silent for 2.5 to 2.8 s were stopped when it answered again, their work was thrown away, and the worker was quarantined for seconds. Cause: a run counted as standing still when it had shown no progress for 2.5 s, while a silent worker shows none and still counted as in contact for 2.8 s. Progress is now compared with the time of the worker's last report. The new test failed before: all four runs were stopped.

--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -16,16 +16,19 @@
     pub(crate) fn stop_stalled_runs(&mut self, now: Moment) {
         let mut stalled = Vec::new();
         for worker in self.workers.values() {
-            let is_in_contact = worker.is_in_contact(self.settings.contact_max, now);
-            let runs = worker.runs.iter().filter(|_| is_in_contact);
-            stalled.extend(runs.filter(|key| self.is_stalled(key, now)).cloned());
+            // A run is judged by reports only: a silent worker shows no progress either way.
+            let Some(reported_at) = worker.last_contact_at() else {
+                continue;
+            };
+            let runs = worker.runs.iter().filter(|key| self.is_stalled(key, reported_at));
+            stalled.extend(runs.cloned());
         }
         for key in stalled {
             self.stop_stalled_run(&key, now);
         }
     }
 
-    fn is_stalled(&self, key: &UnitKey, now: Moment) -> bool {
+    fn is_stalled(&self, key: &UnitKey, reported_at: Moment) -> bool {
         let Some(run) = self.unit(key).and_then(|unit| unit.run.as_ref()) else {
             return false;
         };
@@ -35,7 +38,7 @@
             && run.speed_limit_percent == FULL_PERCENT
             && run.progress_percent < FULL_PERCENT
             && !is_gang
-            && now.saturating_sub(run.progressed_at) > STALLED_AFTER
+            && reported_at.saturating_sub(run.progressed_at) > STALLED_AFTER
     }
 
     fn stop_stalled_run(&mut self, key: &UnitKey, now: Moment) {
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -261,3 +261,27 @@
     sim.carry_out_actions();
     assert!(sim.workers.iter().all(|worker| worker.running.is_empty()));
 }
+
+// Guards against giving up the runs of a worker that is silent for a moment: without reports they
+// show no progress.
+#[test]
+fn the_runs_of_a_silent_worker_are_not_stopped_as_stalled() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(2, 1_000)], sim.now), sim.now);
+    sim.scheduler.add_job(job("b", vec![step(2, 1_000)], sim.now), sim.now);
+    sim.run_round();
+    for _ in 0..10 {
+        sim.scheduler.request_lease("w1", sim.now);
+        sim.run_for(millis(200));
+    }
+    let runs_before = sim.worker("w1").running.len();
+    assert_eq!(runs_before, 4);
+    sim.worker("w1").is_responsive = false;
+    sim.run_for(millis(4_000));
+    sim.worker("w1").is_responsive = true;
+    sim.run_for(seconds(1));
+    assert_eq!(sim.worker("w1").running.len(), runs_before);
+    sim.scheduler.add_job(job("c", vec![step(8, 1_000)], sim.now), sim.now);
+    assert_eq!(sim.run_for(seconds(1)).len(), 8);
+    assert!(sim.worker("w1").running.len() > runs_before, "the worker gets new runs");
+}
