Start strong suspects while their worker starts nothing else

Callers saw: in small pools, jobs without fault were shown as failed. Where one worker of a pool of two is up at a time, all waiting units start together as it returns, the harmful one among them, and all of them collect crashes alike; kept apart only from each other, the suspects were still started beside harmful units that nobody suspected yet.

A unit that could fail at the next crash is now placed first, on a worker that starts nothing else 300 ms before and after; the worker is reserved until then. A crash is proof only against the single last start. So no unit beside it can collect the third crash, and the harmful one does.

--- a/crates/savorypitch/tests/soak.rs
+++ b/crates/savorypitch/tests/soak.rs
@@ -3,13 +3,17 @@
 //!
 //! Two shards divide the workers and a quota that binds. The faults follow from a seed: nodes are
 //! suspended, killed, or stopped and restarted; the table is unavailable, slow or loses replies;
-//! connections are delayed, blocked, blocked in one direction or reset; workers crash and restart.
-//! Faults overlap. While they last, the stand-in workers record every violation of a guarantee.
-//! Afterwards every accepted job must complete, and no refused job may have run.
+//! connections are delayed, blocked, blocked in one direction or reset; workers crash and restart,
+//! also under a few harmful jobs, which crash each worker that starts them. Faults overlap. While
+//! they last, the stand-in workers record every violation of a guarantee. Afterwards every accepted
+//! job must complete, or fail if it is harmful, and no refused job may have run.
 //!
 //! To run many seeds: `SAVORYPITCH_SOAK_SEEDS=50 cargo test -p savorypitch --test soak --
-//! --ignored`. A seed that has failed is added to [`REGRESSIONS`] with a comment on the cause.
+//! --ignored`; `SAVORYPITCH_SOAK_LOGS` names a folder for the logs of the nodes. A seed that has
+//! failed is added to [`REGRESSIONS`] with a comment on the cause.
 
+#[path = "soak/platform_setup.rs"]
+mod platform_setup;
 #[path = "../../../platform/tests/standin/proxy.rs"]
 mod proxy;
 #[path = "../../../platform/tests/standin/table.rs"]
@@ -17,10 +21,12 @@
 #[path = "../../../platform/tests/standin/workers.rs"]
 mod workers;
 
+use std::fs::OpenOptions;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -40,6 +46,9 @@
 use http::HeaderName;
 use http::Method;
 use http::StatusCode;
+use platform_setup::build_config;
+use platform_setup::register_worker;
+use platform_setup::write_settings;
 use proxy::Fault;
 use proxy::Proxy;
 use rand::RngExt;
@@ -49,11 +58,9 @@
 use serde_json::json;
 use table::TableFault;
 use table::TableStandin;
-use workers::CAPACITY_MILLIS;
-use workers::QUOTA_MILLIS;
+use workers::HARMFUL_SPEC;
 use workers::UNIT_MILLIS;
 use workers::WorkerStandins;
-use workers::worker_id;
 
 /// Seeds that have failed before, each with its cause; they run in CI.
 const REGRESSIONS: [u64; 0] = [];
@@ -72,6 +79,12 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Response body for a job that has completed.
 const COMPLETED_BODY: &str = "{\"state\":\"completed\"}";
+/// Response body for a job that has failed.
+const FAILED_BODY: &str = "{\"state\":\"failed\"}";
+/// Share of the jobs that crash each worker that starts them.
+const HARMFUL_SHARE: f64 = 0.01;
+/// Time between two checks for workers that a job has crashed.
+const RESTART_PERIOD: Duration = Duration::from_millis(100);
 const KEY: &str = "key-of-the-soak";
 
 /// Node process with its own faulty link to the table.
@@ -114,6 +127,14 @@
 const READY_PORT: u16 = 17_343;
 const PEER_PORT: u16 = 17_000;
 
+/// A job that a caller has submitted.
+#[derive(Clone, Debug)]
+struct Submission {
+    id: String,
+    is_harmful: bool,
+    outcome: SubmitOutcome,
+}
+
 /// Result of submitting a job, as far as its caller knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SubmitOutcome {
@@ -129,19 +150,29 @@
     nodes: Vec<Node>,
     rng: StdRng,
     is_injection_done: Arc<AtomicBool>,
-    outcomes: Arc<Mutex<Vec<(String, SubmitOutcome)>>>,
+    submissions: Arc<Mutex<Vec<Submission>>>,
 }
 
-fn spawn_node(settings: &PathBuf) -> Child {
+fn spawn_node(settings: &Path) -> Child {
     Command::new(env!("CARGO_BIN_EXE_savorypitch"))
         .arg("serve-platform")
         .env("SAVORYPITCH_BOOT", settings)
-        .stdout(Stdio::null())
+        .stdout(log_of(settings))
         .stderr(Stdio::null())
         .spawn()
         .unwrap()
 }
 
+/// Returns the log file of the node with these settings, if logs are to be kept.
+fn log_of(settings: &Path) -> Stdio {
+    let Some(folder) = std::env::var_os("SAVORYPITCH_SOAK_LOGS") else {
+        return Stdio::null();
+    };
+    let name = settings.file_stem().expect("a settings file has a name");
+    let path = Path::new(&folder).join(name).with_extension("log");
+    OpenOptions::new().create(true).append(true).open(path).unwrap().into()
+}
+
 /// Returns a loopback address that only this process uses and whose ports for a node are free.
 fn free_ip() -> IpAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -184,8 +215,27 @@
         }
         table.put("op", "config", &build_config(&nodes));
         let rng = StdRng::seed_from_u64(seed);
-        let (is_injection_done, outcomes) = (Arc::default(), Arc::default());
-        Self { table, workers, worker_links, nodes, rng, is_injection_done, outcomes }
+        let (is_injection_done, submissions) = (Arc::default(), Arc::default());
+        let soak =
+            Self { table, workers, worker_links, nodes, rng, is_injection_done, submissions };
+        soak.spawn_restarter();
+        soak
+    }
+
+    /// Starts the task that restarts the workers that harmful jobs have crashed.
+    fn spawn_restarter(&self) {
+        let (table, workers) = (self.table.clone(), self.workers.clone());
+        let addresses: Vec<SocketAddr> =
+            self.worker_links.iter().map(|link| link.address).collect();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(RESTART_PERIOD).await;
+                for index in workers.take_down_longer_than(WORKER_ID_REUSE_MIN) {
+                    workers.restart(index);
+                    register_worker(&table, &workers, index, addresses[index]);
+                }
+            }
+        });
     }
 
     async fn wait_ready(&self) {
@@ -316,7 +366,7 @@
                     caller_addresses.clone(),
                     workers,
                     is_injection_done,
-                    self.outcomes.clone(),
+                    self.submissions.clone(),
                 ))
             })
             .collect()
@@ -326,11 +376,12 @@
     async fn check_guarantees(&self) {
         let client = Client::default();
         let deadline = Instant::now() + SETTLE_TIMEOUT;
-        let outcomes = self.outcomes.lock().unwrap().clone();
+        let submissions = self.submissions.lock().unwrap().clone();
         let started = self.workers.started_jobs();
-        for (id, outcome) in &outcomes {
+        for Submission { id, is_harmful, outcome } in &submissions {
+            let wanted = if *is_harmful { FAILED_BODY } else { COMPLETED_BODY };
             match outcome {
-                SubmitOutcome::Accepted => self.wait_completed(&client, id, deadline).await,
+                SubmitOutcome::Accepted => self.wait_ended(&client, id, wanted, deadline).await,
                 SubmitOutcome::Refused => {
                     assert!(!started.contains(id), "{id} was refused, but has run")
                 }
@@ -339,24 +390,25 @@
         }
         let violations = self.workers.violations();
         assert!(violations.is_empty(), "{violations:#?}");
-        let count = |wanted| outcomes.iter().filter(|(_, outcome)| *outcome == wanted).count();
+        let count = |wanted| submissions.iter().filter(|job| job.outcome == wanted).count();
         let accepted = count(SubmitOutcome::Accepted);
         println!(
-            "{accepted} accepted, {} refused, {} unknown",
+            "{accepted} accepted, {} refused, {} unknown, {} harmful",
             count(SubmitOutcome::Refused),
-            count(SubmitOutcome::Unknown)
+            count(SubmitOutcome::Unknown),
+            submissions.iter().filter(|job| job.is_harmful).count()
         );
         assert!(accepted > 0, "no job was accepted");
     }
 
-    /// Polls one node after another until one reports the job as completed.
-    async fn wait_completed(&self, client: &Client, id: &str, deadline: Instant) {
+    /// Polls one node after another until one replies with the wanted state of the job.
+    async fn wait_ended(&self, client: &Client, id: &str, wanted: &str, deadline: Instant) {
         for node in self.nodes.iter().cycle() {
             let response = client
                 .call(node.caller_address(), CallKind::Short, job_request(Method::GET, id, ""))
                 .await;
             let state = response.map(|response| (response.status, response.body));
-            if matches!(&state, Ok((StatusCode::OK, body)) if body == COMPLETED_BODY) {
+            if matches!(&state, Ok((StatusCode::OK, body)) if body == wanted) {
                 return;
             }
             assert!(Instant::now() < deadline, "{id} was accepted, but is {state:?}");
@@ -386,7 +438,7 @@
     caller_addresses: Vec<SocketAddr>,
     workers: WorkerStandins,
     is_injection_done: Arc<AtomicBool>,
-    outcomes: Arc<Mutex<Vec<(String, SubmitOutcome)>>>,
+    submissions: Arc<Mutex<Vec<Submission>>>,
 ) {
     let client = Client::default();
     while !is_injection_done.load(Ordering::Relaxed) {
@@ -395,13 +447,15 @@
         let unit_counts: Vec<u64> =
             (0..rng.random_range(1..3)).map(|_| rng.random_range(1..4)).collect();
         workers.expect_job(&id, unit_counts.clone());
+        let is_harmful = rng.random_bool(HARMFUL_SHARE);
         let work_ms = rng.random_range(20..400).to_string();
+        let spec = if is_harmful { HARMFUL_SPEC.to_owned() } else { work_ms };
         let step = |(index, count): (usize, &u64)| {
             let depends_on: Vec<usize> = index.checked_sub(1).into_iter().collect();
             json!({ "count": count, "cpu": UNIT_MILLIS, "memMb": 10, "estimateMs": 200, "dependsOn": depends_on })
         };
         let steps: Vec<serde_json::Value> = unit_counts.iter().enumerate().map(step).collect();
-        let body = json!({ "spec": work_ms, "steps": steps }).to_string();
+        let body = json!({ "spec": spec, "steps": steps }).to_string();
         let mut outcome = SubmitOutcome::Refused;
         for _ in 0..3 {
             let caller_address = *caller_addresses.choose(&mut rng).expect("there are nodes");
@@ -421,53 +475,10 @@
                 outcome = SubmitOutcome::Unknown;
             }
         }
-        outcomes.lock().unwrap().push((id, outcome));
+        submissions.lock().unwrap().push(Submission { id, is_harmful, outcome });
     }
 }
 
-fn register_worker(
-    table: &TableStandin,
-    workers: &WorkerStandins,
-    index: usize,
-    address: SocketAddr,
-) {
-    let registration = json!({
-        "service": "p", "address": address, "zone": "a", "state": "ready", "labels": ["a"],
-        "capacity": { "cpu": CAPACITY_MILLIS, "memMb": 10_000 }, "born": workers.incarnation_started_ms(index),
-        "machine": format!("h-{index}"),
-    });
-    table.put("servers", &worker_id(index), &registration);
-}
-
-/// Returns a configuration with one route for each host name under which callers reach a node.
-fn build_config(nodes: &[Node]) -> serde_json::Value {
-    let route = |node: &Node| {
-        json!({ "name": format!("q-{}", node.ip), "host": node.ip, "pathPrefix": "/q/", "service": "p",
-            "attempts": 3, "stretch": 1.6, "targetLatencyMs": 600 })
-    };
-    let routes: Vec<serde_json::Value> = nodes.iter().map(route).collect();
-    json!({
-        "version": 1,
-        "routes": routes,
-        "services": [{ "name": "p" }],
-        "tenants": [{ "name": "t", "apiKeys": [KEY], "weight": 1, "upperBound": { "cpu": QUOTA_MILLIS } }],
-        "limits": { "maxBodyBytes": 100_000 },
-    })
-}
-
-fn write_settings(seed: u64, index: usize, ip: IpAddr, table: SocketAddr) -> PathBuf {
-    let text = json!({
-        "node": format!("n{index}"), "ip": ip, "zone": "a",
-        "listen": { "front": SocketAddr::new(ip, CALLER_PORT), "ready": SocketAddr::new(ip, READY_PORT) },
-        "portRange": [PEER_PORT, PEER_PORT + 1],
-        "platform": { "address": table }, "cloud": { "address": table }, "hostsPerShard": HOSTS_PER_SHARD,
-    });
-    let name = format!("savorypitch-soak-{}-{seed}-{index}.json", std::process::id());
-    let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, text.to_string()).unwrap();
-    path
-}
-
 async fn run_soak(seed: u64) {
     println!("seed {seed}");
     let mut soak = Soak::start(seed).await;
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -8,6 +8,8 @@
 use crate::job::Resources;
 use crate::job::Step;
 use crate::job::UnitKey;
+use crate::live_jobs::Phase;
+use crate::lost_runs::QUIET_TIME;
 use crate::lost_runs::Suspicion;
 use crate::state::Scheduler;
 use crate::worker::Worker;
@@ -22,8 +24,11 @@
     runs: Vec<RunKind>,
     /// Number of its runs whose units may crash it.
     suspect_runs: usize,
-    /// One of its runs is strongly suspected to crash it.
-    has_strong_suspect: bool,
+    /// When its last run was started.
+    last_start_at: Moment,
+    /// It starts nothing else for a moment, so that a crash shows whether a strong suspect that it
+    /// has just started, or is about to start, is at fault.
+    is_reserved: bool,
     is_reliable: bool,
 }
 
@@ -88,18 +93,47 @@
     ) -> Option<usize> {
         let fitting = self.workers.iter().enumerate().filter(|(_, worker)| {
             worker.can_run(key, step)
-                && !(history.suspicion == Suspicion::Strong && worker.has_strong_suspect)
                 && rack.is_none_or(|rack| worker.rack.as_deref() == Some(rack))
                 && may_run(&worker.id)
         });
         fitting.min_by_key(|(_, worker)| worker.fit(step, history)).map(|(index, _)| index)
     }
 
+    /// Returns the index of a worker for a unit that is strongly suspected to crash it: one that
+    /// has started nothing for a moment. If there is none, reserves the one that has started
+    /// nothing for the longest time, and returns `None`.
+    pub fn choose_for_strong_suspect(
+        &mut self,
+        key: &UnitKey,
+        step: &Step,
+        may_run: impl Fn(&WorkerId) -> bool,
+        now: Moment,
+    ) -> Option<usize> {
+        let fitting = self.workers.iter().enumerate();
+        let fitting =
+            fitting.filter(|(_, worker)| worker.can_run(key, step) && may_run(&worker.id));
+        let (index, _) = fitting.min_by_key(|(_, worker)| worker.last_start_at)?;
+        let worker = &mut self.workers[index];
+        if now.saturating_sub(worker.last_start_at) >= QUIET_TIME {
+            return Some(index);
+        }
+        worker.is_reserved = true;
+        None
+    }
+
     /// Records that a unit was placed on a worker.
-    pub fn place(&mut self, index: usize, key: &UnitKey, step: &Step, suspicion: Suspicion) {
+    pub fn place(
+        &mut self,
+        index: usize,
+        key: &UnitKey,
+        step: &Step,
+        suspicion: Suspicion,
+        now: Moment,
+    ) {
         let worker = &mut self.workers[index];
         worker.suspect_runs += usize::from(suspicion > Suspicion::None);
-        worker.has_strong_suspect |= suspicion == Suspicion::Strong;
+        worker.is_reserved |= suspicion == Suspicion::Strong;
+        worker.last_start_at = now;
         worker.free_capacity -= step.reservation();
         worker.runs.push(RunKind::new(key, step));
     }
@@ -118,7 +152,8 @@
     /// Returns true if a unit of `step` fits on the worker. The advisor may still reject the
     /// worker.
     pub fn can_run(&self, key: &UnitKey, step: &Step) -> bool {
-        step.reservation().fits_in(&self.free_capacity)
+        !self.is_reserved
+            && step.reservation().fits_in(&self.free_capacity)
             && step.label.as_ref().is_none_or(|label| self.labels.contains(label))
             && (step.per_worker_max == 0 || self.runs_of_step(key) < step.per_worker_max as usize)
     }
@@ -195,18 +230,28 @@
             let step = self.jobs.get(&key.job)?.record.steps.get(key.step)?;
             Some(RunKind::new(key, step))
         };
-        let units = worker.runs.iter().filter_map(|key| self.unit(key));
-        let suspicions = units.map(|unit| unit.suspicion(now));
-        let suspicions: Vec<Suspicion> =
-            suspicions.filter(|suspicion| *suspicion > Suspicion::None).collect();
+        let (mut suspect_runs, mut is_reserved, mut last_start_at) = (0, false, Moment::ZERO);
+        for unit in worker.runs.iter().filter_map(|key| self.unit(key)) {
+            let Some(run) = &unit.run else {
+                continue;
+            };
+            // A planned run starts later.
+            let started_at = if run.phase == Phase::Planned { now } else { run.since };
+            let suspicion = unit.suspicion(now);
+            last_start_at = last_start_at.max(started_at);
+            suspect_runs += usize::from(suspicion > Suspicion::None);
+            is_reserved |=
+                suspicion == Suspicion::Strong && now.saturating_sub(started_at) < QUIET_TIME;
+        }
         Candidate {
             id: worker.registration.id.clone(),
             free_capacity: worker.free_capacity(),
             rack: worker.rack.clone(),
             labels: worker.registration.labels.clone(),
             runs: worker.runs.iter().filter_map(kind).collect(),
-            suspect_runs: suspicions.len(),
-            has_strong_suspect: suspicions.contains(&Suspicion::Strong),
+            suspect_runs,
+            last_start_at,
+            is_reserved,
             is_reliable: !self.failure_history.has_recent_failure(&worker.registration.id, now),
         }
     }
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -23,7 +23,7 @@
 use crate::worker::Worker;
 
 /// Number of crashes at which the job of a unit fails, if the unit was among the last ones to start
-/// each time, and no other unit that the last crash hit was as often.
+/// each time, and the only one the last time.
 const CRASHES_MAX_LAST: usize = 3;
 /// Number of crashes at which the job of a unit fails whatever else they hit, unless another unit is
 /// known to have started later; those included that are not certain.
@@ -33,6 +33,8 @@
 /// Maximum time between the start of a run and the last start on its worker for it to be among the
 /// last ones.
 const LAST_STARTS_SPAN: Duration = Duration::from_millis(150);
+/// Time before and after the start of a strong suspect in which its worker starts nothing else.
+pub(crate) const QUIET_TIME: Duration = Duration::from_millis(300);
 /// Age from which a run is not suspected of a crash if the worker had younger ones.
 const SUSPECT_AGE_MAX: Duration = Duration::from_secs(2);
 /// Age from which a run is not suspected of a crash at all.
@@ -205,13 +207,11 @@
                 self.mark_dirty(&key.job);
             }
         }
-        let crashes_when_last = |key: &UnitKey| self.unit(key).map_or(0, Unit::crashes_when_last);
-        let when_last: Vec<usize> =
-            suspects.iter().map(|(key, _)| crashes_when_last(key)).collect();
-        for (index, (key, _)) in suspects.iter().enumerate() {
-            let count = when_last[index];
-            let is_matched = when_last.iter().enumerate().any(|(i, c)| i != index && *c >= count);
-            self.give_up_if_harmful(key, !is_matched, now);
+        let last_starts = suspects.iter().filter(|(_, run)| run.start_order == StartOrder::Last);
+        let has_single_last_start = last_starts.count() == 1;
+        for (key, run) in suspects {
+            let is_only_last = has_single_last_start && run.start_order == StartOrder::Last;
+            self.give_up_if_harmful(key, is_only_last, now);
         }
     }
 
@@ -221,16 +221,16 @@
         self.unit_mut(key).filter(|unit| unit.finish_state == FinishState::Unfinished)
     }
 
-    /// Fails the job of a unit if enough crashes count against it. `is_first_suspect` tells that
-    /// the last one hit no other unit that was as often among the last starts.
-    fn give_up_if_harmful(&mut self, key: &UnitKey, is_first_suspect: bool, now: Moment) {
+    /// Fails the job of a unit if enough crashes count against it. `is_only_last` tells that no
+    /// other unit was among the last starts before the latest crash.
+    fn give_up_if_harmful(&mut self, key: &UnitKey, is_only_last: bool, now: Moment) {
         let Some(unit) = self.open_unit_mut(key) else {
             return;
         };
         let last = unit.crashes_when_last();
         let crashes = unit.crashes_not_ruled_out();
         let certain = unit.crashed_runs.iter().filter(|run| run.is_certain).count();
-        let is_proven = is_first_suspect && last >= CRASHES_MAX_LAST;
+        let is_proven = is_only_last && last >= CRASHES_MAX_LAST;
         if is_proven || (crashes >= CRASHES_MAX && certain >= CERTAIN_CRASHES_MIN) {
             let why = format!("crashed_workers={crashes} certain={certain} last={last}");
             self.fail_job(key, why, now);
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -47,6 +47,8 @@
     first_unit: UnitKey,
     /// Indices of the waiting units.
     units: Vec<usize>,
+    /// One of them is strongly suspected to crash its worker.
+    has_strong_suspect: bool,
 }
 
 impl Scheduler {
@@ -98,7 +100,9 @@
         self.quota_needs = SortedMap::default();
         let unresolved_suspects = self.unresolved_suspects();
         let mut waiting = self.waiting_steps(now);
-        waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then(a.priority.cmp(&b.priority)));
+        // Strong suspects come first, since they may have to reserve a worker.
+        let order = |step: &WaitingStep| (!step.has_strong_suspect, step.priority);
+        waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then_with(|| order(a).cmp(&order(b))));
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &pool_steps[0].pool;
             let mut candidates = self.candidates(pool, now);
@@ -159,7 +163,10 @@
                 step: index,
                 index: 0,
             };
-            waiting.push(WaitingStep { priority, pool: pool.clone(), first_unit, units });
+            let suspicion = |unit: &usize| occurrence.steps[index][*unit].suspicion(now);
+            let has_strong_suspect = units.iter().any(|unit| suspicion(unit) == Suspicion::Strong);
+            let pool = pool.clone();
+            waiting.push(WaitingStep { priority, pool, first_unit, units, has_strong_suspect });
         }
     }
 
@@ -199,9 +206,8 @@
             if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
             }
-            let history = self.history(&key, now);
-            let suspicion = history.suspicion;
-            let Some(chosen) = self.choose(&key, step, history, candidates, None, now) else {
+            let suspicion = self.history(&key, now).suspicion;
+            let Some(chosen) = self.choose_for_unit(&key, step, candidates, now) else {
                 placement = Placement::NoCapacity;
                 if suspicion == Suspicion::Strong {
                     continue;
@@ -210,7 +216,7 @@
                 break;
             };
             let number = self.unit(&key).map_or(0, |unit| unit.last_run) + 1;
-            candidates.place(chosen, &key, step, suspicion);
+            candidates.place(chosen, &key, step, suspicion, now);
             let worker = candidates.workers()[chosen].id.clone();
             self.plan_run(&key, step, worker, number, now);
         }
@@ -276,12 +282,32 @@
             let suspicion = self.history(&key, now).suspicion.min(Suspicion::Weak);
             let history = UnitHistory { suspicion, ..self.history(&key, now) };
             let chosen = self.choose(&key, step, history, &candidates, rack, now)?;
-            candidates.place(chosen, &key, step, suspicion);
+            candidates.place(chosen, &key, step, suspicion, now);
             workers.push(candidates.workers()[chosen].id.clone());
         }
         Some((workers, candidates))
     }
 
+    /// Returns the index of the worker for a unit that is in no gang.
+    fn choose_for_unit(
+        &self,
+        key: &UnitKey,
+        step: &Step,
+        candidates: &mut Candidates,
+        now: Moment,
+    ) -> Option<usize> {
+        let history = self.history(key, now);
+        match history.suspicion {
+            Suspicion::Strong => {
+                let may_run = |worker: &WorkerId| self.may_run(key, worker, now);
+                candidates.choose_for_strong_suspect(key, step, may_run, now)
+            }
+            Suspicion::None | Suspicion::Weak => {
+                self.choose(key, step, history, candidates, None, now)
+            }
+        }
+    }
+
     fn choose(
         &self,
         key: &UnitKey,
@@ -291,11 +317,14 @@
         rack: Option<&str>,
         now: Moment,
     ) -> Option<usize> {
-        let needs_advice =
-            self.jobs.get(&key.job).is_some_and(|job| self.needs_advice(&job.record.queue));
-        let may_run =
-            |worker: &WorkerId| !needs_advice || self.tickets.ticket(key, worker, now).is_some();
-        candidates.choose(key, step, history, rack, may_run)
+        candidates.choose(key, step, history, rack, |worker| self.may_run(key, worker, now))
+    }
+
+    /// Returns true if the advisor allows a unit to run on a worker.
+    fn may_run(&self, key: &UnitKey, worker: &WorkerId, now: Moment) -> bool {
+        let queue = self.jobs.get(&key.job).map(|job| &job.record.queue);
+        !queue.is_some_and(|queue| self.needs_advice(queue))
+            || self.tickets.ticket(key, worker, now).is_some()
     }
 
     fn history(&self, key: &UnitKey, now: Moment) -> UnitHistory<'_> {
