Ignore reports that do not tell their incarnation

A reply without the start of its incarnation, from a worker that has registered one, was taken as the worker's state: runs that it did not list were started elsewhere while they ran. The new test failed before: both units were started again.

--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -121,9 +121,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
-        if report.incarnation_started_ms != 0
-            && report.incarnation_started_ms < worker.registration.incarnation_started_ms
-        {
+        // Includes reports that do not tell the incarnation although the registration did.
+        if report.incarnation_started_ms < worker.registration.incarnation_started_ms {
             return false;
         }
         if worker.registration.incarnation_started_ms == 0 {
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -10,6 +10,7 @@
 use scheduler::Resources;
 use scheduler::RunOutcome;
 use scheduler::Step;
+use scheduler::WorkerReport;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
@@ -209,3 +210,19 @@
     assert!(sim.run_for(seconds(2)).is_empty(), "the quota is in use");
     assert_eq!(sim.run_for(seconds(6)).len(), 1);
 }
+
+// Guards against a report without the start of its incarnation, which may come from none that has
+// these runs: it does not show that they have ended.
+#[test]
+fn a_report_of_an_unknown_incarnation_ends_no_runs() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(2, 1_000)], sim.now), sim.now);
+    assert_eq!(sim.run_round().len(), 2);
+    sim.run_for(millis(400));
+    let worker = sim.workers.iter().find(|worker| !worker.running.is_empty()).expect("one runs");
+    let id = worker.id.clone();
+    let clock_ms = sim.now.as_millis() as u64;
+    let report = WorkerReport { clock_ms, ..WorkerReport::default() };
+    sim.scheduler.handle_report(&id, &report, sim.now, sim.now);
+    assert!(sim.run_round().is_empty(), "the units run already");
+}
