--- a/crates/savorypitch/tests/soak.rs
+++ b/crates/savorypitch/tests/soak.rs
@@ -12,6 +12,8 @@
 //! --ignored`; `SAVORYPITCH_SOAK_LOGS` names a folder for the logs of the nodes. A seed that has
 //! failed is added to [`REGRESSIONS`] with a comment on the cause.
 
+#[path = "soak/node.rs"]
+mod node;
 #[path = "soak/platform_setup.rs"]
 mod platform_setup;
 #[path = "../../../platform/tests/standin/proxy.rs"]
@@ -21,20 +23,10 @@
 #[path = "../../../platform/tests/standin/workers.rs"]
 mod workers;
 
-use std::fs::OpenOptions;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::path::Path;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -46,6 +38,10 @@
 use http::HeaderName;
 use http::Method;
 use http::StatusCode;
+use node::Node;
+use node::READY_PORT;
+use node::free_ip;
+use node::spawn_node;
 use platform_setup::build_config;
 use platform_setup::register_worker;
 use platform_setup::write_settings;
@@ -87,46 +83,6 @@
 const RESTART_PERIOD: Duration = Duration::from_millis(100);
 const KEY: &str = "key-of-the-soak";
 
-/// Node process with its own faulty link to the table.
-struct Node {
-    ip: IpAddr,
-    settings: PathBuf,
-    link: Proxy,
-    child: Child,
-}
-
-impl Node {
-    fn caller_address(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, CALLER_PORT)
-    }
-
-    fn restart(&mut self) {
-        // Kills the process if it still runs.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        self.child = spawn_node(&self.settings);
-    }
-
-    fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
-        assert!(sent.unwrap().success());
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        // Fails if the process has already ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-/// Ports of a node; each node has a loopback address of its own.
-const CALLER_PORT: u16 = 17_340;
-const READY_PORT: u16 = 17_343;
-const PEER_PORT: u16 = 17_000;
-
 /// A job that a caller has submitted.
 #[derive(Clone, Debug)]
 struct Submission {
@@ -153,40 +109,6 @@
     submissions: Arc<Mutex<Vec<Submission>>>,
 }
 
-fn spawn_node(settings: &Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_savorypitch"))
-        .arg("serve-platform")
-        .env("SAVORYPITCH_BOOT", settings)
-        .stdout(log_of(settings))
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap()
-}
-
-/// Returns the log file of the node with these settings, if logs are to be kept.
-fn log_of(settings: &Path) -> Stdio {
-    let Some(folder) = std::env::var_os("SAVORYPITCH_SOAK_LOGS") else {
-        return Stdio::null();
-    };
-    let name = settings.file_stem().expect("a settings file has a name");
-    let path = Path::new(&folder).join(name).with_extension("log");
-    OpenOptions::new().create(true).append(true).open(path).unwrap().into()
-}
-
-/// Returns a loopback address that only this process uses and whose ports for a node are free.
-fn free_ip() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    loop {
-        let ip =
-            IpAddr::V4(Ipv4Addr::new(127, high | 128, low, NEXT.fetch_add(1, Ordering::Relaxed)));
-        let ports = [CALLER_PORT, READY_PORT, PEER_PORT, PEER_PORT + 1];
-        if ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok()) {
-            return ip;
-        }
-    }
-}
-
 impl Soak {
     async fn start(seed: u64) -> Self {
         let table = TableStandin::default();
--- a/crates/savorypitch/tests/soak/platform_setup.rs
+++ b/crates/savorypitch/tests/soak/platform_setup.rs
@@ -6,12 +6,12 @@
 
 use serde_json::json;
 
-use crate::CALLER_PORT;
 use crate::HOSTS_PER_SHARD;
 use crate::KEY;
-use crate::Node;
-use crate::PEER_PORT;
-use crate::READY_PORT;
+use crate::node::CALLER_PORT;
+use crate::node::Node;
+use crate::node::PEER_PORT;
+use crate::node::READY_PORT;
 use crate::table::TableStandin;
 use crate::workers::CAPACITY_MILLIS;
 use crate::workers::QUOTA_MILLIS;
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -1,4 +1,4 @@
-//! Choosing the worker that runs a unit.
+//! Workers that accept new runs, and how well each suits a unit.
 
 use std::sync::Arc;
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -26,6 +26,7 @@
 mod assignments;
 mod candidates;
 mod capacity;
+mod choice;
 mod commands;
 mod failure_history;
 mod host_moves;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -8,6 +8,7 @@
 use crate::WorkerId;
 use crate::candidates::Candidates;
 use crate::candidates::UnitHistory;
+use crate::job::JobRecord;
 use crate::job::Step;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
@@ -51,6 +52,13 @@
     has_strong_suspect: bool,
 }
 
+impl WaitingStep {
+    /// Returns the waiting units.
+    fn keys(&self) -> impl Iterator<Item = UnitKey> {
+        self.units.iter().map(|&index| UnitKey { index, ..self.first_unit.clone() })
+    }
+}
+
 impl Scheduler {
     /// Makes all decisions that are due, and adds the resulting actions to
     /// [`Scheduler::take_actions`].
@@ -188,22 +196,33 @@
             return Placement::Blocked;
         }
         if step.is_gang {
-            let units = waiting.units.iter();
-            let mut keys = units.map(|&index| UnitKey { index, ..waiting.first_unit.clone() });
-            if keys.any(|key| self.awaits_crash_evidence(&key, unresolved_suspects)) {
-                return Placement::Blocked;
-            }
-            return self.place_gang(waiting, step, candidates, now);
+            let mut units = waiting.keys();
+            return match units.any(|key| self.awaits_crash_evidence(&key, unresolved_suspects)) {
+                true => Placement::Blocked,
+                false => self.place_gang(waiting, step, candidates, now),
+            };
         }
+        self.place_units(waiting, step, &record, candidates, unresolved_suspects, now)
+    }
+
+    /// Places units that are in no gang, one after another.
+    fn place_units(
+        &mut self,
+        waiting: &WaitingStep,
+        step: &Step,
+        record: &JobRecord,
+        candidates: &mut Candidates,
+        unresolved_suspects: &[UnitKey],
+        now: Moment,
+    ) -> Placement {
         let mut placement = Placement::All;
-        for (placed, &index) in waiting.units.iter().enumerate() {
-            let key = UnitKey { index, ..waiting.first_unit.clone() };
+        for (placed, key) in waiting.keys().enumerate() {
             if self.awaits_crash_evidence(&key, unresolved_suspects) {
                 placement = Placement::Blocked;
                 continue;
             }
             let remaining = (waiting.units.len() - placed) as u64;
-            if !self.is_within_quota(&record, step, 1, remaining) {
+            if !self.is_within_quota(record, step, 1, remaining) {
                 return Placement::Blocked;
             }
             let suspicion = self.history(&key, now).suspicion;
@@ -250,9 +269,7 @@
             return Placement::NoCapacity;
         };
         *candidates = remaining_candidates;
-        let units = waiting.units.iter();
-        let keys: Vec<UnitKey> =
-            units.map(|&index| UnitKey { index, ..waiting.first_unit.clone() }).collect();
+        let keys: Vec<UnitKey> = waiting.keys().collect();
         let last = keys.iter().filter_map(|key| self.unit(key)).map(|unit| unit.last_run).max();
         let number = last.unwrap_or(0) + 1;
         let checkpoint =
@@ -276,8 +293,7 @@
         now: Moment,
     ) -> Option<(Vec<WorkerId>, Candidates)> {
         let mut workers = Vec::with_capacity(waiting.units.len());
-        for &index in &waiting.units {
-            let key = UnitKey { index, ..waiting.first_unit.clone() };
+        for key in waiting.keys() {
             // A gang starts as a whole, so its units cannot wait for each other to prove harmless.
             let suspicion = self.history(&key, now).suspicion.min(Suspicion::Weak);
             let history = UnitHistory { suspicion, ..self.history(&key, now) };
@@ -288,52 +304,6 @@
         Some((workers, candidates))
     }
 
-    /// Returns the index of the worker for a unit that is in no gang.
-    fn choose_for_unit(
-        &self,
-        key: &UnitKey,
-        step: &Step,
-        candidates: &mut Candidates,
-        now: Moment,
-    ) -> Option<usize> {
-        let history = self.history(key, now);
-        match history.suspicion {
-            Suspicion::Strong => {
-                let may_run = |worker: &WorkerId| self.may_run(key, worker, now);
-                candidates.choose_for_strong_suspect(key, step, may_run, now)
-            }
-            Suspicion::None | Suspicion::Weak => {
-                self.choose(key, step, history, candidates, None, now)
-            }
-        }
-    }
-
-    fn choose(
-        &self,
-        key: &UnitKey,
-        step: &Step,
-        history: UnitHistory<'_>,
-        candidates: &Candidates,
-        rack: Option<&str>,
-        now: Moment,
-    ) -> Option<usize> {
-        candidates.choose(key, step, history, rack, |worker| self.may_run(key, worker, now))
-    }
-
-    /// Returns true if the advisor allows a unit to run on a worker.
-    fn may_run(&self, key: &UnitKey, worker: &WorkerId, now: Moment) -> bool {
-        let queue = self.jobs.get(&key.job).map(|job| &job.record.queue);
-        !queue.is_some_and(|queue| self.needs_advice(queue))
-            || self.tickets.ticket(key, worker, now).is_some()
-    }
-
-    fn history(&self, key: &UnitKey, now: Moment) -> UnitHistory<'_> {
-        self.unit(key).map_or_else(UnitHistory::default, |unit| UnitHistory {
-            excluded_workers: &unit.excluded_workers,
-            suspicion: unit.suspicion(now),
-        })
-    }
-
     /// Plans a run. Its start command is sent once the worker's assignment row with the run is
     /// stored.
     fn plan_run(&mut self, key: &UnitKey, step: &Step, worker: WorkerId, number: u32, now: Moment) {
