Let a strong suspect wait for the return of its silent worker

A worker that has no lease but that of the start is given up 3.4 s after it fell silent, often just before a crashed worker is back. It now waits 1.5 s.

--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -35,6 +35,9 @@
 const LAST_STARTS_SPAN: Duration = Duration::from_millis(150);
 /// Time before and after the start of a strong suspect in which its worker starts nothing else.
 pub(crate) const QUIET_TIME: Duration = Duration::from_millis(300);
+/// Time for which a strong suspect waits, after the lease of its silent worker has expired, for the
+/// worker to return.
+const EVIDENCE_WAIT: Duration = Duration::from_millis(1_500);
 /// Age from which a run is not suspected of a crash if the worker had younger ones.
 const SUSPECT_AGE_MAX: Duration = Duration::from_secs(2);
 /// Age from which a run is not suspected of a crash at all.
@@ -193,9 +196,18 @@
 
     /// Returns true if a unit has to wait until it is known whether its last workers have crashed:
     /// if they have, it must not be started any more.
-    pub(crate) fn awaits_crash_evidence(&self, key: &UnitKey, unresolved: &[UnitKey]) -> bool {
-        let crashes = self.unit(key).map_or(0, Unit::crashes_not_ruled_out);
-        crashes >= CRASHES_MAX && unresolved.binary_search(key).is_ok()
+    pub(crate) fn awaits_crash_evidence(
+        &self,
+        key: &UnitKey,
+        unresolved: &[UnitKey],
+        now: Moment,
+    ) -> bool {
+        let Some(unit) = self.unit(key).filter(|_| unresolved.binary_search(key).is_ok()) else {
+            return false;
+        };
+        let waited = now.saturating_sub(unit.last_unavailable_at);
+        unit.crashes_not_ruled_out() >= CRASHES_MAX
+            || (unit.suspicion(now) == Suspicion::Strong && waited < EVIDENCE_WAIT)
     }
 
     /// Counts a crash, or what may be one, against the units that may have caused it.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -197,7 +197,8 @@
         }
         if step.is_gang {
             let mut units = waiting.keys();
-            return match units.any(|key| self.awaits_crash_evidence(&key, unresolved_suspects)) {
+            return match units.any(|key| self.awaits_crash_evidence(&key, unresolved_suspects, now))
+            {
                 true => Placement::Blocked,
                 false => self.place_gang(waiting, step, candidates, now),
             };
@@ -217,7 +218,7 @@
     ) -> Placement {
         let mut placement = Placement::All;
         for (placed, key) in waiting.keys().enumerate() {
-            if self.awaits_crash_evidence(&key, unresolved_suspects) {
+            if self.awaits_crash_evidence(&key, unresolved_suspects, now) {
                 placement = Placement::Blocked;
                 continue;
             }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -170,6 +170,19 @@
     test.assert_given_up(&harmful);
 }
 
+// Guards against one more crash, where the lease of the last crashed worker ends just before the
+// worker returns.
+#[test]
+fn a_unit_that_crashes_its_workers_waits_for_the_return_of_the_last() {
+    let harmful = unit("a", 0, 0);
+    let workers = ["w1", "w2", "w3", "w4", "w5"];
+    let mut test = CrashTest::new(&workers, vec![harmful.clone()], Return::Replaced, millis(3_800));
+    test.sim.scheduler.add_job(job("a", vec![step(1, 1_000)], test.sim.now), test.sim.now);
+    test.run_for(seconds(60));
+    test.assert_given_up(&harmful);
+    assert_eq!(test.starts_of(&harmful), 3);
+}
+
 // Guards against giving up units that were only lost beside the one that crashed their worker: they
 // were started together again and again, on the same worker as that one.
 #[rstest]
