--- a/crates/placement/src/losses.rs
+++ b/crates/placement/src/losses.rs
@@ -16,6 +16,8 @@
 
 /// Number of losses at or above which a job is harmful and doesn't run again.
 const HARMFUL_LOSSES_MIN: u32 = 2;
+/// Number of losses at or above which a job is harmful whatever else was lost at the same time.
+const LOSSES_MAX: u32 = 4;
 /// Number of lost workers within [`COMMON_CAUSE_WINDOW`] at or above which the losses have a common
 /// cause.
 const COMMON_CAUSE_LOSSES_MIN: usize = 3;
@@ -48,9 +50,10 @@
         self.recent.push(Loss { at: now, worker: worker.clone(), jobs });
     }
 
-    /// Returns true if the job was running on too many lost workers.
-    pub fn is_harmful(&self, job: &JobId) -> bool {
-        self.losses_of(job).count() as u32 >= HARMFUL_LOSSES_MIN
+    /// Returns true if the job was running on too many lost workers. `losses` is the number of all
+    /// of them, also those that earlier holders have recorded.
+    pub fn is_harmful(&self, job: &JobId, losses: u32) -> bool {
+        losses >= LOSSES_MAX || self.losses_of(job).count() as u32 >= HARMFUL_LOSSES_MIN
     }
 
     /// Returns true if both jobs ran on the same lost worker and must not share another one.
--- a/crates/placement/src/pool/outcomes.rs
+++ b/crates/placement/src/pool/outcomes.rs
@@ -15,9 +15,6 @@
 use crate::job::PendingJob;
 use crate::size::Size;
 
-/// Number of lost workers at which a job is harmful, whatever else was lost with them.
-const LOSSES_MAX: u32 = 4;
-
 /// How a task ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -173,8 +170,8 @@
         let has_attempts = is_free_preemption || pending.attempts < job.attempts_max;
         let may_succeed = !self.failure_history.always_fails(&job.kind);
         let is_lost = outcome == TaskOutcome::Lost;
-        let is_harmful =
-            is_lost && (self.losses.is_harmful(&job.id) || pending.losses + 1 >= LOSSES_MAX);
+        let losses = pending.losses + u32::from(is_lost);
+        let is_harmful = is_lost && self.losses.is_harmful(&job.id, losses);
         let job_outcome = match outcome {
             TaskOutcome::Succeeded => Some(JobOutcome::Succeeded),
             _ if task.is_cancelled && outcome != TaskOutcome::Lost => Some(JobOutcome::Cancelled),
@@ -191,7 +188,7 @@
             TaskOutcome::Lost if has_attempts && job.idempotent => None,
             TaskOutcome::Lost => Some(JobOutcome::Unknown),
         };
-        pending.losses += u32::from(is_lost);
+        pending.losses = losses;
         if let Some(outcome) = job_outcome {
             return Disposition::Finished { pending, outcome };
         }
