Look at suspects only, and hold back units where the waiting ones are collected

A round of placement looked up the unit of every run of every worker to find suspects, and scanned all workers for those that had fallen silent: work that grew with the fleet for something that is mostly nowhere. Workers now keep their suspects, and the owner keeps those of silent workers. Units that wait for the return of a worker are left out where waiting units are collected, in place of two checks and a parameter through three functions. Restoring the progress of a job repeats no position. No change of behaviour.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -43,12 +43,13 @@
     pub(super) fn poll_workers(&mut self, now: Moment) {
         if now.saturating_sub(self.poll_schedule_reviewed_at) >= REVIEW_PERIOD {
             self.poll_schedule_reviewed_at = now;
-            for worker in self.scheduler.workers().filter(|worker| worker.is_polled()) {
+            let scheduler = &self.scheduler;
+            for worker in scheduler.workers().filter(|worker| scheduler.must_poll(worker)) {
                 self.poll_schedule.add(&worker.registration.id, now);
             }
         }
         for id in self.poll_schedule.take_due(now) {
-            if self.scheduler.worker(&id).is_some_and(Worker::is_polled) {
+            if self.scheduler.worker(&id).is_some_and(|worker| self.scheduler.must_poll(worker)) {
                 self.poll_worker(id, now);
             } else {
                 self.poll_schedule.remove(&id);
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -151,6 +151,7 @@
     /// Removes a worker on which nothing can run any more.
     pub(crate) fn remove_worker(&mut self, id: &str) -> Option<Worker> {
         let worker = self.workers.remove(id)?;
+        self.silent_suspects.remove(id);
         if worker.has_row {
             self.assignments_to_remove.push(worker.registration.id.clone());
         }
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -8,7 +8,6 @@
 use crate::job::Resources;
 use crate::job::Step;
 use crate::job::UnitKey;
-use crate::live_jobs::Phase;
 use crate::lost_runs::QUIET_TIME;
 use crate::lost_runs::Suspicion;
 use crate::state::Scheduler;
@@ -24,8 +23,6 @@
     runs: Vec<RunKind>,
     /// Number of its runs whose units may crash it.
     suspect_runs: usize,
-    /// When its last run was started.
-    last_start_at: Moment,
     /// It starts nothing else for a moment, so that a crash shows whether a strong suspect that it
     /// has just started, or is about to start, is at fault.
     is_reserved: bool,
@@ -99,41 +96,34 @@
         fitting.min_by_key(|(_, worker)| worker.fit(step, history)).map(|(index, _)| index)
     }
 
-    /// Returns the index of a worker for a unit that is strongly suspected to crash it: one that
-    /// has started nothing for a moment. If there is none, reserves the one that has started
-    /// nothing for the longest time, and returns `None`.
+    /// Returns the index of a worker for a unit that is strongly suspected to crash it: the one that
+    /// has started nothing for the longest time. If that is too short, reserves the worker and
+    /// returns `None`.
     pub fn choose_for_strong_suspect(
         &mut self,
         key: &UnitKey,
         step: &Step,
         may_run: impl Fn(&WorkerId) -> bool,
+        last_start: impl Fn(&WorkerId) -> Moment,
         now: Moment,
     ) -> Option<usize> {
         let fitting = self.workers.iter().enumerate();
         let fitting =
             fitting.filter(|(_, worker)| worker.can_run(key, step) && may_run(&worker.id));
-        let (index, _) = fitting.min_by_key(|(_, worker)| worker.last_start_at)?;
-        let worker = &mut self.workers[index];
-        if now.saturating_sub(worker.last_start_at) >= QUIET_TIME {
+        let last_starts = fitting.map(|(index, worker)| (last_start(&worker.id), index));
+        let (last_start_at, index) = last_starts.min()?;
+        if now.saturating_sub(last_start_at) >= QUIET_TIME {
             return Some(index);
         }
-        worker.is_reserved = true;
+        self.workers[index].is_reserved = true;
         None
     }
 
     /// Records that a unit was placed on a worker.
-    pub fn place(
-        &mut self,
-        index: usize,
-        key: &UnitKey,
-        step: &Step,
-        suspicion: Suspicion,
-        now: Moment,
-    ) {
+    pub fn place(&mut self, index: usize, key: &UnitKey, step: &Step, suspicion: Suspicion) {
         let worker = &mut self.workers[index];
         worker.suspect_runs += usize::from(suspicion > Suspicion::None);
         worker.is_reserved |= suspicion == Suspicion::Strong;
-        worker.last_start_at = now;
         worker.free_capacity -= step.reservation();
         worker.runs.push(RunKind::new(key, step));
     }
@@ -152,8 +142,12 @@
     /// Returns true if a unit of `step` fits on the worker. The advisor may still reject the
     /// worker.
     pub fn can_run(&self, key: &UnitKey, step: &Step) -> bool {
-        !self.is_reserved
-            && step.reservation().fits_in(&self.free_capacity)
+        !self.is_reserved && self.fits(key, step)
+    }
+
+    /// Returns true if a unit of `step` fits on the worker, whether it is reserved or not.
+    fn fits(&self, key: &UnitKey, step: &Step) -> bool {
+        step.reservation().fits_in(&self.free_capacity)
             && step.label.as_ref().is_none_or(|label| self.labels.contains(label))
             && (step.per_worker_max == 0 || self.runs_of_step(key) < step.per_worker_max as usize)
     }
@@ -230,18 +224,15 @@
             let step = self.jobs.get(&key.job)?.record.steps.get(key.step)?;
             Some(RunKind::new(key, step))
         };
-        let (mut suspect_runs, mut is_reserved, mut last_start_at) = (0, false, Moment::ZERO);
-        for unit in worker.runs.iter().filter_map(|key| self.unit(key)) {
-            let Some(run) = &unit.run else {
-                continue;
-            };
-            // A planned run starts later.
-            let started_at = if run.phase == Phase::Planned { now } else { run.since };
+        let (mut suspect_runs, mut is_reserved) = (0, false);
+        for unit in worker.suspects.iter().filter_map(|key| self.unit(key)) {
             let suspicion = unit.suspicion(now);
-            last_start_at = last_start_at.max(started_at);
+            let has_just_started = unit
+                .run
+                .as_ref()
+                .is_some_and(|run| now.saturating_sub(run.started_at(now)) < QUIET_TIME);
             suspect_runs += usize::from(suspicion > Suspicion::None);
-            is_reserved |=
-                suspicion == Suspicion::Strong && now.saturating_sub(started_at) < QUIET_TIME;
+            is_reserved |= suspicion == Suspicion::Strong && has_just_started;
         }
         Candidate {
             id: worker.registration.id.clone(),
@@ -250,7 +241,6 @@
             labels: worker.registration.labels.clone(),
             runs: worker.runs.iter().filter_map(kind).collect(),
             suspect_runs,
-            last_start_at,
             is_reserved,
             is_reliable: !self.failure_history.has_recent_failure(&worker.registration.id, now),
         }
--- a/crates/scheduler/src/choice.rs
+++ b/crates/scheduler/src/choice.rs
@@ -21,7 +21,9 @@
         let history = self.history(key, now);
         match history.suspicion {
             Suspicion::Strong => {
-                candidates.choose_for_strong_suspect(key, step, self.advice_filter(key, now), now)
+                let may_run = self.advice_filter(key, now);
+                let last_start = |worker: &WorkerId| self.last_start_on(worker, now);
+                candidates.choose_for_strong_suspect(key, step, may_run, last_start, now)
             }
             Suspicion::None | Suspicion::Weak => {
                 self.choose(key, step, history, candidates, None, now)
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -108,6 +108,11 @@
             speed_limit_percent: FULL_PERCENT,
         }
     }
+
+    /// Returns when the run was started; a planned run will be started now or later.
+    pub(crate) fn started_at(&self, now: Moment) -> Moment {
+        if self.phase == Phase::Planned { now } else { self.since }
+    }
 }
 
 /// A unit of a step.
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -24,7 +24,7 @@
 
 /// Number of crashes at which the job of a unit fails, if the unit was among the last ones to start
 /// each time, and the only one the last time.
-const CRASHES_MAX_LAST: usize = 3;
+const CRASHES_MAX_AS_LAST: usize = 3;
 /// Number of crashes at which the job of a unit fails whatever else they hit, unless another unit is
 /// known to have started later; those included that are not certain.
 const CRASHES_MAX: usize = 5;
@@ -62,8 +62,8 @@
         if self.crashed_runs.is_empty() || self.run.as_ref().is_some_and(has_lasted) {
             return Suspicion::None;
         }
-        let is_strong = self.crashes_when_last() + 1 >= CRASHES_MAX_LAST
-            || self.crashes_not_ruled_out() + 1 >= CRASHES_MAX;
+        let is_strong = self.crashes_when_last() + 1 >= CRASHES_MAX_AS_LAST
+            || self.possible_crashes() + 1 >= CRASHES_MAX;
         if is_strong { Suspicion::Strong } else { Suspicion::Weak }
     }
 
@@ -75,7 +75,7 @@
 
     /// Returns the number of crashes, those included that are not certain, before which no other
     /// unit is known to have started later.
-    fn crashes_not_ruled_out(&self) -> usize {
+    fn possible_crashes(&self) -> usize {
         let is_possible = |run: &&CrashedRun| run.start_order != StartOrder::Earlier;
         self.crashed_runs.iter().filter(is_possible).count()
     }
@@ -86,8 +86,7 @@
     /// Nothing of it is running any more.
     pub(crate) fn handle_worker_end(&mut self, id: &str, cause: LossCause, now: Moment) {
         let mut suspects = self.suspects_on(id);
-        let expired = self.workers.get(id).map(|worker| worker.expired_suspects.clone());
-        suspects.extend(expired.unwrap_or_default());
+        suspects.extend(self.silent_suspects.remove(id).unwrap_or_default());
         for (_, run) in &mut suspects {
             run.is_certain = true;
         }
@@ -96,10 +95,10 @@
     }
 
     /// Removes the runs of a silent worker whose lease has expired. It may have crashed.
-    pub(crate) fn handle_lease_expiry(&mut self, id: &str, now: Moment) {
+    pub(crate) fn handle_lease_expiry(&mut self, id: &WorkerId, now: Moment) {
         let suspects = self.suspects_on(id);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.expired_suspects = suspects.clone();
+        if !suspects.is_empty() {
+            self.silent_suspects.insert(id.clone(), suspects.clone());
         }
         self.remove_runs_on(id, LossCause::LeaseExpired, now);
         self.count_crash(&suspects, now);
@@ -107,10 +106,7 @@
 
     /// Handles the reply of a worker that was silent and has not crashed.
     pub(crate) fn handle_worker_return(&mut self, id: &str) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        for (key, run) in std::mem::take(&mut worker.expired_suspects) {
+        for (key, run) in self.silent_suspects.remove(id).unwrap_or_default() {
             if let Some(unit) = self.open_unit_mut(&key) {
                 unit.crashed_runs.retain(|other| other.number != run.number);
                 self.mark_dirty(&key.job);
@@ -181,33 +177,24 @@
         confirmed.map(|(_, run)| run.since).max().unwrap_or_default()
     }
 
-    fn runs_on<'a>(&'a self, worker: &'a Worker) -> impl Iterator<Item = (&'a UnitKey, &'a Run)> {
-        worker.runs.iter().filter_map(|key| Some((key, self.unit(key)?.run.as_ref()?)))
+    /// Returns when a worker has last started one of its runs; now if one is about to start.
+    pub(crate) fn last_start_on(&self, id: &str, now: Moment) -> Moment {
+        let runs = self.workers.get(id).into_iter().flat_map(|worker| self.runs_on(worker));
+        runs.map(|(_, run)| run.started_at(now)).max().unwrap_or_default()
     }
 
-    /// Returns the units whose runs ended with the leases of silent workers that may have crashed,
-    /// sorted.
-    pub(crate) fn unresolved_suspects(&self) -> Vec<UnitKey> {
-        let suspects = self.workers.values().flat_map(|worker| &worker.expired_suspects);
-        let mut units: Vec<UnitKey> = suspects.map(|(key, _)| key.clone()).collect();
-        units.sort();
-        units
+    fn runs_on<'a>(&'a self, worker: &'a Worker) -> impl Iterator<Item = (&'a UnitKey, &'a Run)> {
+        worker.runs.iter().filter_map(|key| Some((key, self.unit(key)?.run.as_ref()?)))
     }
 
     /// Returns true if a unit has to wait until it is known whether its last workers have crashed:
     /// if they have, it must not be started any more.
-    pub(crate) fn awaits_crash_evidence(
-        &self,
-        key: &UnitKey,
-        unresolved: &[UnitKey],
-        now: Moment,
-    ) -> bool {
-        let Some(unit) = self.unit(key).filter(|_| unresolved.binary_search(key).is_ok()) else {
-            return false;
-        };
+    pub(crate) fn awaits_crash_evidence(&self, key: &UnitKey, unit: &Unit, now: Moment) -> bool {
+        let mut silent_suspects = self.silent_suspects.values().flatten();
         let waited = now.saturating_sub(unit.last_unavailable_at);
-        unit.crashes_not_ruled_out() >= CRASHES_MAX
-            || (unit.suspicion(now) == Suspicion::Strong && waited < EVIDENCE_WAIT)
+        let must_wait = unit.possible_crashes() >= CRASHES_MAX
+            || (unit.suspicion(now) == Suspicion::Strong && waited < EVIDENCE_WAIT);
+        must_wait && silent_suspects.any(|(suspect, _)| suspect == key)
     }
 
     /// Counts a crash, or what may be one, against the units that may have caused it.
@@ -240,9 +227,9 @@
             return;
         };
         let last = unit.crashes_when_last();
-        let crashes = unit.crashes_not_ruled_out();
+        let crashes = unit.possible_crashes();
         let certain = unit.crashed_runs.iter().filter(|run| run.is_certain).count();
-        let is_proven = is_only_last && last >= CRASHES_MAX_LAST;
+        let is_proven = is_only_last && last >= CRASHES_MAX_AS_LAST;
         if is_proven || (crashes >= CRASHES_MAX && certain >= CERTAIN_CRASHES_MIN) {
             let why = format!("crashed_workers={crashes} certain={certain} last={last}");
             self.fail_job(key, why, now);
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -8,7 +8,6 @@
 use crate::WorkerId;
 use crate::candidates::Candidates;
 use crate::candidates::UnitHistory;
-use crate::job::JobRecord;
 use crate::job::Step;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
@@ -106,7 +105,6 @@
         }
         self.placed_at = now;
         self.quota_needs = SortedMap::default();
-        let unresolved_suspects = self.unresolved_suspects();
         let mut waiting = self.waiting_steps(now);
         // Strong suspects come first, since they may have to reserve a worker.
         let order = |step: &WaitingStep| (!step.has_strong_suspect, step.priority);
@@ -117,8 +115,7 @@
             let (mut is_starved, mut is_long_running_starved) = (false, false);
             for step in pool_steps {
                 let has_no_capacity =
-                    self.place_step(step, &mut candidates, &unresolved_suspects, now)
-                        == Placement::NoCapacity;
+                    self.place_step(step, &mut candidates, now) == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
                 is_long_running_starved |=
                     has_no_capacity && step.priority.urgency == Urgency::LongRunning;
@@ -155,22 +152,27 @@
             if !is_ready(step, occurrence) {
                 continue;
             }
+            let key_of = |unit| UnitKey {
+                job: job.record.id.clone(),
+                occurrence: occurrence.number,
+                step: index,
+                index: unit,
+            };
+            let waits = |index: usize, unit: &Unit| {
+                unit.finish_state == FinishState::Unfinished
+                    && unit.run.is_none()
+                    && (unit.crashed_runs.is_empty()
+                        || !self.awaits_crash_evidence(&key_of(index), unit, now))
+            };
             let units = occurrence.steps[index].iter().enumerate();
-            let waits =
-                |unit: &Unit| unit.finish_state == FinishState::Unfinished && unit.run.is_none();
             let units: Vec<usize> =
-                units.filter(|(_, unit)| waits(unit)).map(|(index, _)| index).collect();
+                units.filter(|(index, unit)| waits(*index, unit)).map(|(index, _)| index).collect();
             if units.is_empty() || (step.is_gang && units.len() < step.count as usize) {
                 continue;
             }
             let priority =
                 *priority.get_or_insert_with(|| self.scheduling_priority(job, occurrence, now));
-            let first_unit = UnitKey {
-                job: job.record.id.clone(),
-                occurrence: occurrence.number,
-                step: index,
-                index: 0,
-            };
+            let first_unit = key_of(0);
             let suspicion = |unit: &usize| occurrence.steps[index][*unit].suspicion(now);
             let has_strong_suspect = units.iter().any(|unit| suspicion(unit) == Suspicion::Strong);
             let pool = pool.clone();
@@ -182,7 +184,6 @@
         &mut self,
         waiting: &WaitingStep,
         candidates: &mut Candidates,
-        unresolved_suspects: &[UnitKey],
         now: Moment,
     ) -> Placement {
         let Some(job) = self.jobs.get(&waiting.first_unit.job) else {
@@ -196,34 +197,12 @@
             return Placement::Blocked;
         }
         if step.is_gang {
-            let mut units = waiting.keys();
-            return match units.any(|key| self.awaits_crash_evidence(&key, unresolved_suspects, now))
-            {
-                true => Placement::Blocked,
-                false => self.place_gang(waiting, step, candidates, now),
-            };
+            return self.place_gang(waiting, step, candidates, now);
         }
-        self.place_units(waiting, step, &record, candidates, unresolved_suspects, now)
-    }
-
-    /// Places units that are in no gang, one after another.
-    fn place_units(
-        &mut self,
-        waiting: &WaitingStep,
-        step: &Step,
-        record: &JobRecord,
-        candidates: &mut Candidates,
-        unresolved_suspects: &[UnitKey],
-        now: Moment,
-    ) -> Placement {
         let mut placement = Placement::All;
         for (placed, key) in waiting.keys().enumerate() {
-            if self.awaits_crash_evidence(&key, unresolved_suspects, now) {
-                placement = Placement::Blocked;
-                continue;
-            }
             let remaining = (waiting.units.len() - placed) as u64;
-            if !self.is_within_quota(record, step, 1, remaining) {
+            if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
             }
             let suspicion = self.history(&key, now).suspicion;
@@ -236,7 +215,7 @@
                 break;
             };
             let number = self.unit(&key).map_or(0, |unit| unit.last_run) + 1;
-            candidates.place(chosen, &key, step, suspicion, now);
+            candidates.place(chosen, &key, step, suspicion);
             let worker = candidates.workers()[chosen].id.clone();
             self.plan_run(&key, step, worker, number, now);
         }
@@ -299,7 +278,7 @@
             let suspicion = self.history(&key, now).suspicion.min(Suspicion::Weak);
             let history = UnitHistory { suspicion, ..self.history(&key, now) };
             let chosen = self.choose(&key, step, history, &candidates, rack, now)?;
-            candidates.place(chosen, &key, step, suspicion, now);
+            candidates.place(chosen, &key, step, suspicion);
             workers.push(candidates.workers()[chosen].id.clone());
         }
         Some((workers, candidates))
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -31,6 +31,7 @@
 use crate::messages::Action;
 use crate::peaks::Peaks;
 use crate::portions::Portion;
+use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
 use crate::settings::Settings;
 use crate::sorted_map::SortedMap;
@@ -64,6 +65,9 @@
     pub(crate) tickets: Tickets,
     /// Hosts in the platform's last list.
     pub(crate) hosts: SortedMap<HostName, Host>,
+    /// Units that ran on silent workers when the leases of these expired. If a worker turns out to
+    /// have crashed, one of its units may have caused that.
+    pub(crate) silent_suspects: SortedMap<WorkerId, Vec<(UnitKey, CrashedRun)>>,
     /// Workers that were terminated by a command to their host, with the start of the incarnation
     /// that ended. The registry still lists them for a while.
     pub(crate) terminated_workers: SortedMap<WorkerId, u64>,
@@ -231,6 +235,13 @@
         self.workers.get(id)
     }
 
+    /// Returns true if it matters whether and how a worker replies.
+    pub fn must_poll(&self, worker: &Worker) -> bool {
+        worker.is_registered
+            || !worker.runs.is_empty()
+            || self.silent_suspects.contains(&worker.registration.id)
+    }
+
     /// Removes and returns the actions to carry out.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -279,8 +290,9 @@
         // Runs that are planned, commanded or in doubt may not have started.
         job.has_started |= run.phase == Phase::Reported;
         let team = job.record.team.clone();
+        let is_suspect = self.unit(key).is_some_and(|unit| !unit.crashed_runs.is_empty());
         if let Some(worker) = self.workers.get_mut(&run.worker) {
-            worker.add_run(key, &run.reservation, now);
+            worker.add_run(key, &run.reservation, is_suspect, now);
         }
         if let Some(team) = team {
             *self.team_usage.entry_or(team, Resources::default) += run.requested;
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -10,9 +10,11 @@
 use crate::job::UnitKey;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::FinishedJob;
+use crate::live_jobs::Unit;
 use crate::messages::LossCause;
 use crate::messages::WorkerRegistration;
 use crate::progress::Progress;
+use crate::progress::UnitPosition;
 use crate::state::Scheduler;
 use crate::worker::Worker;
 
@@ -28,31 +30,24 @@
         for (number, step) in steps.copied() {
             self.restore_step(&id, number, step);
         }
-        for (number, step, index) in progress.finished_units.iter().copied() {
-            let key = UnitKey { job: id.clone(), occurrence: number, step, index };
-            if let Some(unit) = self.unit_mut(&key) {
+        for position in &progress.finished_units {
+            if let Some(unit) = self.unit_at(&id, *position) {
                 unit.finish_state = FinishState::Stored;
             }
         }
-        for ((number, step, index), failed_runs) in &progress.failed_runs {
-            let (number, step, index) = (*number, *step, *index);
-            let key = UnitKey { job: id.clone(), occurrence: number, step, index };
-            if let Some(unit) = self.unit_mut(&key) {
+        for (position, failed_runs) in &progress.failed_runs {
+            if let Some(unit) = self.unit_at(&id, *position) {
                 unit.failed_runs = failed_runs.clone();
                 unit.last_run = failed_runs.iter().copied().fold(unit.last_run, u32::max);
             }
         }
-        for ((number, step, index), crashed_runs) in &progress.crashed_runs {
-            let (occurrence, step, index) = (*number, *step, *index);
-            let key = UnitKey { job: id.clone(), occurrence, step, index };
-            if let Some(unit) = self.unit_mut(&key) {
+        for (position, crashed_runs) in &progress.crashed_runs {
+            if let Some(unit) = self.unit_at(&id, *position) {
                 unit.crashed_runs = crashed_runs.clone();
             }
         }
-        for ((number, step, index), checkpoint) in &progress.checkpoints {
-            let (occurrence, step, index) = (*number, *step, *index);
-            let key = UnitKey { job: id.clone(), occurrence, step, index };
-            if let Some(unit) = self.unit_mut(&key) {
+        for (position, checkpoint) in &progress.checkpoints {
+            if let Some(unit) = self.unit_at(&id, *position) {
                 unit.checkpoint = checkpoint.clone();
             }
         }
@@ -157,6 +152,11 @@
         }
     }
 
+    fn unit_at(&mut self, id: &JobId, position: UnitPosition) -> Option<&mut Unit> {
+        let (occurrence, step, index) = position;
+        self.unit_mut(&UnitKey { job: id.clone(), occurrence, step, index })
+    }
+
     fn restore_step(&mut self, id: &JobId, number: u32, step: usize) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -9,7 +9,6 @@
 use crate::job::Resources;
 use crate::job::UnitKey;
 use crate::messages::WorkerRegistration;
-use crate::progress::CrashedRun;
 
 /// Percentage by which a worker's clock may at most run slower than true time.
 const CLOCK_SLOW_PERCENT: u32 = 2;
@@ -64,9 +63,8 @@
     pub reserved: Resources,
     /// Units whose runs are there or may be there, sorted.
     pub runs: Vec<UnitKey>,
-    /// Units that ran there when the lease expired while the worker was silent. If it turns out that
-    /// it has crashed, one of them may have caused that.
-    pub expired_suspects: Vec<(UnitKey, CrashedRun)>,
+    /// Those of `runs` whose units may crash a worker, sorted.
+    pub suspects: Vec<UnitKey>,
     /// Number of runs in its last report that must stop, since their units should not run there.
     pub unexpected_runs: usize,
     /// Highest number of a completion that has been handled.
@@ -107,7 +105,7 @@
             is_registered: true,
             reserved: Resources::default(),
             runs: Vec::new(),
-            expired_suspects: Vec::new(),
+            suspects: Vec::new(),
             unexpected_runs: 0,
             last_seen_completion: 0,
             pending_completions: Vec::new(),
@@ -199,18 +197,22 @@
         }
     }
 
-    /// Returns true if it matters whether and how the worker replies.
-    pub fn is_polled(&self) -> bool {
-        self.is_registered || !self.runs.is_empty() || !self.expired_suspects.is_empty()
-    }
-
     /// Returns true if the worker's last reply is at most `age_max` old.
     pub fn is_in_contact(&self, age_max: Duration, now: Moment) -> bool {
         self.last_contact_at().is_some_and(|at| now.saturating_sub(at) <= age_max)
     }
 
     /// Adds the run of a unit and reserves its resources.
-    pub fn add_run(&mut self, unit: &UnitKey, reservation: &Resources, now: Moment) {
+    pub fn add_run(
+        &mut self,
+        unit: &UnitKey,
+        reservation: &Resources,
+        is_suspect: bool,
+        now: Moment,
+    ) {
+        if is_suspect && let Err(index) = self.suspects.binary_search(unit) {
+            self.suspects.insert(index, unit.clone());
+        }
         if let Err(index) = self.runs.binary_search(unit) {
             self.runs.insert(index, unit.clone());
             self.reserved += *reservation;
@@ -224,6 +226,9 @@
             self.runs.remove(index);
             self.reserved -= *reservation;
         }
+        if let Ok(index) = self.suspects.binary_search(unit) {
+            self.suspects.remove(index);
+        }
         self.last_busy_at = now;
     }
 }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -25,7 +25,7 @@
 
 /// Time for which a silent worker is still polled after its lease has expired: how it returns shows
 /// whether it has crashed.
-const RETURN_WAIT: Duration = Duration::from_secs(10);
+const SILENT_WORKER_KEPT: Duration = Duration::from_secs(10);
 /// Number of consecutive failed polls after which a worker gets no new runs for a while.
 pub(crate) const FAILED_POLLS_MAX: u32 = 2;
 
@@ -89,8 +89,8 @@
             self.handle_lease_expiry(&id, now);
         }
         let is_removable = |worker: &crate::worker::Worker| {
-            let has_suspects = !worker.expired_suspects.is_empty();
-            let kept = if has_suspects { RETURN_WAIT } else { Duration::ZERO };
+            let is_suspect_host = self.silent_suspects.contains(&worker.registration.id);
+            let kept = if is_suspect_host { SILENT_WORKER_KEPT } else { Duration::ZERO };
             !worker.is_registered
                 && worker.runs.is_empty()
                 && now >= worker.lease_expires_at + kept
@@ -135,9 +135,7 @@
         worker.first_contact_at.get_or_insert(now);
         worker.failed_polls = 0;
         worker.record_clock(report.clock_ms, now);
-        if !worker.expired_suspects.is_empty() {
-            self.handle_worker_return(id);
-        }
+        self.handle_worker_return(id);
         true
     }
 
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -31,7 +31,6 @@
 /// A unit that crashes its workers may be started this often: until three have crashed, and twice
 /// more.
 const STARTS_MAX: usize = 5;
-
 /// Time after which the registry removes the entry of a crashed worker.
 const ENTRY_KEPT: Duration = Duration::from_millis(4_500);
 
@@ -117,6 +116,14 @@
         }
     }
 
+    /// Lets the crashed workers return while the owner is stopped.
+    fn return_workers_unseen(&mut self) {
+        let stopped = std::mem::take(&mut self.sim.scheduler);
+        self.sim.now += self.outage;
+        self.return_workers();
+        self.sim.scheduler = stopped;
+    }
+
     /// Polls the workers that another process has replaced.
     fn poll_replaced_workers(&mut self) {
         let known = self.sim.scheduler.workers().map(|worker| worker.registration.id.clone());
@@ -149,6 +156,12 @@
     Step { is_long_running: true, ..step(count, 1_000) }
 }
 
+/// Returns the first worker that has a run.
+fn busy_worker(sim: &Simulation) -> WorkerId {
+    let is_busy = |worker: &&SimulatedWorker| !worker.running.is_empty();
+    sim.workers.iter().find(is_busy).expect("a unit runs").id.clone()
+}
+
 // Guards against a unit that crashes each worker that starts it and is started again without limit,
 // since a crashed worker lists no failed run.
 #[rstest]
@@ -258,10 +271,7 @@
             test.run_for(millis(200));
         }
         // The owner stops as its worker crashes; the successor takes over after the return.
-        let mut stopped = std::mem::take(&mut test.sim.scheduler);
-        test.sim.now += outage;
-        test.return_workers();
-        std::mem::swap(&mut stopped, &mut test.sim.scheduler);
+        test.return_workers_unseen();
         if test.sim.scheduler.view("a") == Some(JobView::Ended(FinalState::Failed)) {
             break;
         }
@@ -291,10 +301,7 @@
         while test.starts_of(unit) == 0 {
             test.run_for(millis(200));
         }
-        test.sim.now += outage;
-        let mut stopped = std::mem::take(&mut test.sim.scheduler);
-        test.return_workers();
-        std::mem::swap(&mut stopped, &mut test.sim.scheduler);
+        test.return_workers_unseen();
         test.sim.scheduler.cancel(&unit.job);
         test.sim.commit();
         test.sim.take_over(epoch, config(3, NO_QUOTA), seconds(6), &records);
@@ -309,8 +316,7 @@
     sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
     sim.run_round();
     for _ in 0..8 {
-        let runs = |worker: &&SimulatedWorker| !worker.running.is_empty();
-        let id = sim.workers.iter().find(runs).expect("the unit runs").id.clone();
+        let id = busy_worker(&sim);
         sim.worker(&id).is_responsive = false;
         sim.run_for(seconds(8));
         let cut_off = sim.worker(&id);
@@ -329,8 +335,7 @@
     sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
     sim.run_round();
     for count in 0..8 {
-        let runs = |worker: &&SimulatedWorker| !worker.running.is_empty();
-        let id = sim.workers.iter().find(runs).expect("the unit runs").id.clone();
+        let id = busy_worker(&sim);
         let leaving = WorkerRegistration { is_draining: true, ..registration(&id) };
         sim.scheduler.update_worker(leaving, Duration::ZERO, sim.now);
         sim.replace_worker(&id, &format!("n{count}"));
