Do not take a worker kept for a strong suspect for a lack of capacity

While a worker starts nothing else for a strong suspect, units that it has room for wait some 300 ms. The pool counted as starved then, and hosts were moved to it that it did not need. Such units are blocked now, as those that wait for a quota. The new test failed before (starved two rounds after the suspect came).

--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -119,6 +119,11 @@
         None
     }
 
+    /// Returns true if a unit of `step` would fit on a worker that is reserved.
+    pub fn fits_on_reserved(&self, key: &UnitKey, step: &Step) -> bool {
+        self.workers.iter().any(|worker| worker.is_reserved && worker.fits(key, step))
+    }
+
     /// Records that a unit was placed on a worker.
     pub fn place(&mut self, index: usize, key: &UnitKey, step: &Step, suspicion: Suspicion) {
         let worker = &mut self.workers[index];
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -34,7 +34,7 @@
     All,
     /// No worker has enough free capacity for the remaining units.
     NoCapacity,
-    /// The remaining units wait for the team's quota or for advice.
+    /// The remaining units wait for the team's quota, for advice, or for what a crash will show.
     Blocked,
 }
 
@@ -207,12 +207,12 @@
             }
             let suspicion = self.history(&key, now).suspicion;
             let Some(chosen) = self.choose_for_unit(&key, step, candidates, now) else {
-                placement = Placement::NoCapacity;
-                if suspicion == Suspicion::Strong {
+                if candidates.fits_on_reserved(&key, step) {
+                    placement = Placement::Blocked;
                     continue;
                 }
                 // The other units of the step request the same resources.
-                break;
+                return Placement::NoCapacity;
             };
             let number = self.unit(&key).map_or(0, |unit| unit.last_run) + 1;
             candidates.place(chosen, &key, step, suspicion);
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -7,11 +7,14 @@
 
 use rstest::rstest;
 use scheduler::Action;
+use scheduler::CrashedRun;
 use scheduler::FinalState;
 use scheduler::JobView;
 use scheduler::Moment;
+use scheduler::Progress;
 use scheduler::Resources;
 use scheduler::StartCommand;
+use scheduler::StartOrder;
 use scheduler::StartReply;
 use scheduler::Step;
 use scheduler::UnitKey;
@@ -196,6 +199,30 @@
     assert_eq!(test.starts_of(&harmful), 3);
 }
 
+// Guards against taking a worker that is kept quiet for a strong suspect for a lack of capacity,
+// which would move hosts.
+#[test]
+fn a_pool_with_a_worker_kept_for_a_strong_suspect_is_not_starved() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let crashed_run =
+        |number| CrashedRun { number, start_order: StartOrder::Last, is_certain: true };
+    let crashed_runs = vec![((0, 0, 0), vec![crashed_run(1), crashed_run(2)])];
+    let progress = Progress { crashed_runs, ..Progress::default() };
+    let mut starts = Vec::new();
+    for round in 0..10 {
+        if round == 3 {
+            sim.scheduler.restore_job(job("a", vec![step(1, 100)], sim.now), &progress, sim.now);
+        }
+        // Both workers start something in every round, and have capacity for all of it.
+        let busy = Step { per_worker_max: 1, ..step(2, 100) };
+        sim.scheduler.add_job(job(&format!("c{round}"), vec![busy], sim.now), sim.now);
+        starts.extend(sim.run_for(millis(200)));
+        let loads = sim.scheduler.pool_loads(sim.now);
+        assert!(!loads.get("p").expect("the pool").is_starved, "round {round}");
+    }
+    assert!(starts.iter().any(|command| command.unit == unit("a", 0, 0)));
+}
+
 // Guards against giving up units that were only lost beside the one that crashed their worker: they
 // were started together again and again, on the same worker as that one.
 #[rstest]
