Do not rule out a unit whose run waited to be stored

Cause: a run was compared by the time of its planning. Where it waited for the progress of its job, or for a slow table, others on its worker were planned, started and confirmed meanwhile, and the row that the successor reads listed it among the runs before them, though it was started last. A planned run now precedes none, and does not count as lasting. The new test failed before (order Earlier).

--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -58,7 +58,7 @@
 impl Unit {
     /// Returns how likely it is that the unit crashes its worker.
     pub(crate) fn suspicion(&self, now: Moment) -> Suspicion {
-        let has_lasted = |run: &Run| now.saturating_sub(run.since) > SUSPECT_AGE_MAX;
+        let has_lasted = |run: &Run| now.saturating_sub(run.started_at(now)) > SUSPECT_AGE_MAX;
         if self.crashed_runs.is_empty() || self.run.as_ref().is_some_and(has_lasted) {
             return Suspicion::None;
         }
@@ -250,7 +250,10 @@
 
 /// Returns true if the worker of a run has confirmed others that were started after it.
 pub(crate) fn precedes(run: &Run, last_confirmed_start: Moment) -> bool {
-    run.precedes_others || run.since + LAST_STARTS_SPAN < last_confirmed_start
+    // A planned run will be started after all others.
+    let is_older =
+        run.phase != Phase::Planned && run.since + LAST_STARTS_SPAN < last_confirmed_start;
+    run.precedes_others || is_older
 }
 
 /// Returns true if it is known that the run has started, and when: the start command of a run in
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -369,7 +369,7 @@
         self.is_responsive = false;
     }
 
-    fn restart(&mut self) {
+    pub fn restart(&mut self) {
         self.incarnation_started_ms += 1;
         self.is_responsive = true;
     }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -13,6 +13,7 @@
 use scheduler::Moment;
 use scheduler::Progress;
 use scheduler::Resources;
+use scheduler::RunOutcome;
 use scheduler::StartCommand;
 use scheduler::StartOrder;
 use scheduler::StartReply;
@@ -336,6 +337,38 @@
     test.assert_alive("b");
 }
 
+// Guards against ruling out the unit at fault because others on its worker were started while its
+// own run still had to be stored.
+#[test]
+fn a_unit_planned_before_others_and_started_after_them_stays_a_suspect() {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    let second = Step { depends_on: vec![0], ..step(1, 100) };
+    let a = job("a", vec![step(1, 100), second], sim.now);
+    sim.scheduler.add_job(a.clone(), sim.now);
+    sim.run_round();
+    sim.complete_run(&unit("a", 0, 0), RunOutcome::Done);
+    sim.report_all();
+    sim.scheduler.plan(sim.now);
+    // No progress is stored for a while, and the planned run has to wait for that of its job.
+    let c = job("c", vec![step(1, 100)], sim.now);
+    sim.scheduler.add_job(c.clone(), sim.now);
+    for _ in 0..3 {
+        sim.now += millis(200);
+        sim.scheduler.plan(sim.now);
+        sim.commit_with_limit(0);
+        sim.carry_out_actions();
+    }
+    sim.commit();
+    let starts = sim.carry_out_actions();
+    assert_eq!(starts[0].unit, unit("a", 1, 0));
+    sim.worker("w1").crash();
+    sim.worker("w1").restart();
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[a, c]);
+    sim.commit();
+    let crashed_runs = &sim.stored_progress.get("a").expect("a row").crashed_runs;
+    assert_eq!(crashed_runs[0].1[0].start_order, StartOrder::Unknown);
+}
+
 // Guards against failing a job because its workers were cut off: they have not crashed.
 #[test]
 fn a_unit_on_workers_that_are_cut_off_is_not_given_up() {
