--- a/crates/savorypitch/src/args.rs
+++ b/crates/savorypitch/src/args.rs
@@ -10,6 +10,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use clap_complete::Shell;
+use platform_adapter::Policy;
 
 pub use serve::ServeArgs;
 pub use setting_value::SettingValue;
@@ -56,6 +57,9 @@
         /// Settings file that the platform writes, in JSON.
         #[arg(long, env = "SAVORYPITCH_BOOT")]
         settings: PathBuf,
+        /// Scheduling policies to enable, separated by commas.
+        #[arg(long, env = "SAVORYPITCH_POLICIES", value_delimiter = ',')]
+        policies: Vec<Policy>,
     },
     /// Check, apply, show and compare contracts.
     #[command(subcommand)]
--- a/crates/savorypitch/src/command.rs
+++ b/crates/savorypitch/src/command.rs
@@ -27,8 +27,9 @@
     let client = Client::new(args.target);
     match args.command {
         Command::Serve(serve_args) => serve::run(&serve_args),
-        Command::ServePlatform { settings } => {
-            platform_adapter::serve(&settings).map_err(Failure::from)
+        Command::ServePlatform { settings, policies } => {
+            let policies = policies.into_iter().collect();
+            platform_adapter::serve(&settings, policies).map_err(Failure::from)
         }
         Command::Contract(command) => contract::run(&client, command, json),
         Command::Key(command) => key::run(&client, command, json),
--- /dev/null
+++ b/crates/scheduler/src/policies.rs
@@ -0,0 +1,101 @@
+//! Scheduling policies that operators enable one by one.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// A part of the scheduling that has an effect only where an operator has enabled it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Policy {
+    /// Teams get capacity by their weights while a pool is full.
+    FairShares,
+    /// Jobs that cannot be served in time are rejected when they are submitted.
+    Admission,
+    /// Wide steps get a reservation, and smaller ones backfill around it.
+    WideSteps,
+    /// Urgent queues may stop units of other queues.
+    Preemption,
+    /// Measured durations replace the estimates of callers.
+    LearnedDurations,
+    /// Slow runs get a second copy where their step allows it.
+    Copies,
+    /// Slow workers are avoided.
+    WorkerSpeeds,
+    /// Runs are stopped on workers whose capacity has shrunk below them.
+    ShrunkWorkers,
+}
+
+/// The text names no policy.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not a policy; expected one of: {names}", names = names())]
+pub struct ParsePolicyError(String);
+
+/// The policies that are enabled.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Policies {
+    /// Enabled policies, sorted and without duplicates.
+    enabled: Vec<Policy>,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 8] = [
+        Self::FairShares,
+        Self::Admission,
+        Self::WideSteps,
+        Self::Preemption,
+        Self::LearnedDurations,
+        Self::Copies,
+        Self::WorkerSpeeds,
+        Self::ShrunkWorkers,
+    ];
+
+    /// Returns the name of the policy on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::FairShares => "fair-shares",
+            Self::Admission => "admission",
+            Self::WideSteps => "wide-steps",
+            Self::Preemption => "preemption",
+            Self::LearnedDurations => "learned-durations",
+            Self::Copies => "copies",
+            Self::WorkerSpeeds => "worker-speeds",
+            Self::ShrunkWorkers => "shrunk-workers",
+        }
+    }
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for Policy {
+    type Err = ParsePolicyError;
+
+    fn from_str(text: &str) -> Result<Self, ParsePolicyError> {
+        let found = Self::ALL.into_iter().find(|policy| policy.name() == text);
+        found.ok_or_else(|| ParsePolicyError(text.to_owned()))
+    }
+}
+
+impl Policies {
+    /// Returns true if a policy is enabled.
+    pub fn enables(&self, policy: Policy) -> bool {
+        self.enabled.binary_search(&policy).is_ok()
+    }
+}
+
+impl FromIterator<Policy> for Policies {
+    fn from_iter<T: IntoIterator<Item = Policy>>(policies: T) -> Self {
+        let mut enabled: Vec<Policy> = policies.into_iter().collect();
+        enabled.sort();
+        enabled.dedup();
+        Self { enabled }
+    }
+}
+
+/// Returns the names of all policies, separated by commas.
+fn names() -> String {
+    Policy::ALL.map(Policy::name).join(", ")
+}
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::policies::Policies;
+
 /// Timeouts and limits of the scheduler.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -22,6 +24,8 @@
     pub host_lease: Duration,
     /// Time for which the final state of a job stays available to callers.
     pub ended_kept: Duration,
+    /// Policies that are enabled.
+    pub policies: Policies,
 }
 
 impl Default for Settings {
@@ -35,6 +39,7 @@
             maintain_time: Duration::from_secs(2),
             host_lease: Duration::from_secs(3),
             ended_kept: Duration::from_secs(120),
+            policies: Policies::default(),
         }
     }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -16,6 +16,7 @@
 use crate::capacity::BaselineHosts;
 use crate::capacity::Demand;
 use crate::config::Config;
+use crate::durations::Durations;
 use crate::failure_history::FailureHistory;
 use crate::hosts::Host;
 use crate::hosts::HostCommandState;
@@ -91,6 +92,8 @@
     pub(crate) peaks: Peaks,
     /// Rate limiters that tell which jobs are within their team's rate share.
     pub(crate) rate_shares: RateShares,
+    /// Expected durations of units.
+    pub(crate) durations: Durations,
     /// Recently submitted work by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Since when a pool has had a waiting unit that fits on none of its workers.
