--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -70,6 +70,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Candidates {
     workers: Vec<Candidate>,
+    /// Reservations that fit on no worker. Within a round, free capacity only shrinks, so that
+    /// larger ones do not fit either.
+    unfit_reservations: Vec<Resources>,
 }
 
 impl Candidates {
@@ -78,6 +81,20 @@
         &self.workers
     }
 
+    /// Records that a unit of `step` fits on no worker. Only a step that may run on any worker shows
+    /// that others do not fit either.
+    pub fn record_unfit(&mut self, step: &Step) {
+        if step.label.is_none() && step.per_worker_max == 0 {
+            self.unfit_reservations.push(step.reservation());
+        }
+    }
+
+    /// Returns true if it is already known that a unit of `step` fits on no worker.
+    pub fn is_known_unfit(&self, step: &Step) -> bool {
+        let reservation = step.reservation();
+        self.unfit_reservations.iter().any(|unfit| unfit.fits_in(&reservation))
+    }
+
     /// Returns the index of the best worker for a unit of `step`, on `rack` if one is given; `None`
     /// if the unit fits on no worker.
     pub fn choose(
@@ -209,7 +226,8 @@
     pub(crate) fn candidates(&self, pool: &PoolName, now: Moment) -> Candidates {
         let workers = self.workers.values().filter(|worker| worker.registration.pool == *pool);
         let accepting = workers.filter(|worker| self.accepts_runs(worker, now));
-        Candidates { workers: accepting.map(|worker| self.candidate(worker, now)).collect() }
+        let workers = accepting.map(|worker| self.candidate(worker, now)).collect();
+        Candidates { workers, unfit_reservations: Vec::new() }
     }
 
     /// Returns true if the worker accepts new runs.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod batch;
 pub mod config;
 pub mod job;
+pub mod job_map;
 pub mod live_jobs;
 pub mod messages;
 pub mod policies;
@@ -69,6 +70,7 @@
 pub use job::Resources;
 pub use job::Step;
 pub use job::UnitKey;
+pub use job_map::JobMap;
 pub use live_jobs::JobView;
 pub use messages::Action;
 pub use messages::Completion;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -191,9 +191,8 @@
         };
         let record = job.record.clone();
         let step = &record.steps[waiting.first_unit.step];
-        if self.needs_advice(&record.queue)
-            && !self.request_advice(&waiting.first_unit, step, candidates, now)
-        {
+        let needs_advice = self.needs_advice(&record.queue);
+        if needs_advice && !self.request_advice(&waiting.first_unit, step, candidates, now) {
             return Placement::Blocked;
         }
         if step.is_gang {
@@ -205,12 +204,18 @@
             if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
             }
+            if candidates.is_known_unfit(step) {
+                return Placement::NoCapacity;
+            }
             let suspicion = self.history(&key, now).suspicion;
             let Some(chosen) = self.choose_for_unit(&key, step, candidates, now) else {
                 if candidates.fits_on_reserved(&key, step) {
                     placement = Placement::Blocked;
                     continue;
                 }
+                if !needs_advice {
+                    candidates.record_unfit(step);
+                }
                 // The other units of the step request the same resources.
                 return Placement::NoCapacity;
             };
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -22,6 +22,7 @@
 use crate::hosts::HostCommandState;
 use crate::job::Resources;
 use crate::job::UnitKey;
+use crate::job_map::JobMap;
 use crate::live_jobs::FinishedJob;
 use crate::live_jobs::Job;
 use crate::live_jobs::JobView;
@@ -45,11 +46,11 @@
     pub(crate) settings: Settings,
     pub(crate) config: Arc<Config>,
     /// Jobs that have not finished, or that still have runs.
-    pub(crate) jobs: SortedMap<JobId, Job>,
+    pub(crate) jobs: JobMap<Job>,
     /// Jobs whose progress has to be stored, in the order in which they first changed.
     pub(crate) dirty_jobs: VecDeque<JobId>,
     /// Jobs that have finished, for as long as callers can ask for their final state.
-    pub(crate) finished_jobs: SortedMap<JobId, FinishedJob>,
+    pub(crate) finished_jobs: JobMap<FinishedJob>,
     /// Registered workers, and unregistered ones that may still have runs.
     pub(crate) workers: SortedMap<WorkerId, Worker>,
     /// Resources that the runs of each team request.
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -285,3 +285,20 @@
     assert_eq!(sim.run_for(seconds(1)).len(), 8);
     assert!(sim.worker("w1").running.len() > runs_before, "the worker gets new runs");
 }
+
+/// Guards against a step that fits nowhere holding back a smaller one, or one whose own
+/// restriction was the reason holding back one without it.
+#[rstest]
+#[case::too_large(Step { ..step(1, 12_000) })]
+#[case::label_that_no_worker_has(Step { label: Some("other".to_owned()), ..step(1, 1_000) })]
+#[case::spread_over_more_workers(Step { per_worker_max: 1, ..step(3, 1_000) })]
+fn a_step_that_fits_nowhere_does_not_hold_back_others(#[case] first: Step) {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("0-running", vec![step(1, 6_000)], sim.now), sim.now);
+    sim.run_round();
+    sim.scheduler.add_job(job("1-first", vec![first], sim.now), sim.now);
+    sim.scheduler.add_job(job("2-small", vec![step(2, 1_000)], sim.now), sim.now);
+    let starts = sim.run_round();
+    let small = starts.iter().filter(|start| &*start.unit.job == "2-small").count();
+    assert_eq!(small, 2);
+}
