--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -25,6 +25,8 @@
 pub const RUNS_NOT_STARTED: &str = "runs.not-started";
 /// Runs that count as ended although no completion shows how.
 pub const RUNS_LOST: &str = "runs.lost";
+/// Runs whose durations were recorded for the expected ones.
+pub const DURATION_SAMPLES: &str = "durations.samples";
 /// Time until a start command is answered.
 pub const RUNS_START: &str = "runs.start";
 /// Time from the report of completions until they are stored and can be acknowledged.
@@ -57,6 +59,7 @@
     counter(RUNS_STARTED, "orders to start that workers have carried out"),
     counter(RUNS_NOT_STARTED, "orders to start that workers have refused or not answered"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
+    counter(DURATION_SAMPLES, "runs whose durations were recorded"),
     timer(RUNS_START, "time of an order to start"),
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
     counter(POLLS, "looks at workers"),
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -252,6 +252,7 @@
         self.remove_inbox_rows();
         let actions = self.scheduler.take_actions();
         self.log_starts(&actions);
+        self.stats.record_counts(self.scheduler.take_counts());
         for action in actions {
             self.execute(action);
         }
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -27,6 +27,7 @@
 use crate::ports::WriteOutcome;
 use crate::rows;
 use crate::rows::BASELINE_HOSTS_KEY;
+use crate::rows::DURATIONS_KEY;
 use crate::rows::HOST_COMMANDS_KEY;
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
@@ -319,6 +320,10 @@
         let value = rows::encode(baseline_hosts);
         transaction.puts.push((Table::Owner, BASELINE_HOSTS_KEY.to_owned(), value));
     }
+    if let Some(durations) = &batch.durations {
+        let value = rows::encode(durations);
+        transaction.puts.push((Table::Owner, DURATIONS_KEY.to_owned(), value));
+    }
     for (wave, row) in &batch.waves {
         let value = rows::encode(row);
         transaction.puts.push((Table::Progress, rows::wave_key(*wave), value));
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -27,6 +27,7 @@
 use crate::ports::WriteOutcome;
 use crate::rows;
 use crate::rows::BASELINE_HOSTS_KEY;
+use crate::rows::DURATIONS_KEY;
 use crate::rows::HOST_COMMANDS_KEY;
 use crate::shared::Shared;
 
@@ -92,12 +93,13 @@
     // A job moves from the inbox to the table of jobs. The inbox is read first, so that each job is
     // found in at least one of them.
     let inbox = shared.node.platform.read_all(shared.shard, Table::Inbox).await?.changed;
-    let (jobs, progress, assignments, host_commands, baseline_hosts) = tokio::try_join!(
+    let (jobs, progress, assignments, host_commands, baseline_hosts, durations) = tokio::try_join!(
         shared.node.platform.read_all(shared.shard, Table::Jobs),
         shared.node.platform.read_all(shared.shard, Table::Progress),
         shared.node.platform.read_all(shared.shard, Table::Assignments),
         shared.node.platform.get(shared.shard, Table::Owner, HOST_COMMANDS_KEY),
         shared.node.platform.get(shared.shard, Table::Owner, BASELINE_HOSTS_KEY),
+        shared.node.platform.get(shared.shard, Table::Owner, DURATIONS_KEY),
     )?;
     let mut workers = shared.node.platform.registrations(None, Duration::ZERO).await?;
     workers.changed.retain(|registration| shared.has_worker(registration));
@@ -116,6 +118,9 @@
     if let Some(baseline_hosts) = baseline_hosts.as_ref().and_then(rows::decode_or_log) {
         scheduler.restore_baseline_hosts(baseline_hosts);
     }
+    if let Some(durations) = durations.as_ref().and_then(rows::decode_or_log) {
+        scheduler.restore_durations(durations, now);
+    }
     let (waves, progress): (Vec<Row>, Vec<Row>) =
         progress.changed.into_iter().partition(|row| row.key.starts_with(rows::WAVE_KEY_PREFIX));
     for (key, row) in decode_rows::<String, WaveRow>(waves).iter() {
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use scheduler::Counts as SchedulerCounts;
 use scheduler::Moment;
 use scheduler::ShardIndex;
 use telemetry::Telemetry;
@@ -61,6 +62,14 @@
         self.telemetry.count(metrics::DIVISIONS_CHANGED);
     }
 
+    /// Records what the scheduler has counted.
+    pub fn record_counts(&mut self, counts: SchedulerCounts) {
+        let counters = [(metrics::DURATION_SAMPLES, counts.duration_samples)];
+        for (name, count) in counters.into_iter().filter(|(_, count)| *count > 0) {
+            self.telemetry.count_many(name, count);
+        }
+    }
+
     /// Records a transaction whose result came after `time`.
     pub fn record_transaction(&mut self, time: Duration) {
         let counts = &mut self.counts;
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -26,6 +26,9 @@
 /// Key, in the owner's table, of the row with the baseline hosts of each pool.
 pub const BASELINE_HOSTS_KEY: &str = "pools";
 
+/// Key, in the owner's table, of the row with the measured durations of units.
+pub const DURATIONS_KEY: &str = "durations";
+
 /// Prefix of the keys of maintenance waves in the table of progress; no job id begins with it.
 pub const WAVE_KEY_PREFIX: &str = "wave/";
 
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -5,6 +5,7 @@
 use crate::WorkerId;
 use crate::assignments::AssignmentRow;
 use crate::capacity::BaselineHosts;
+use crate::durations::DurationsRow;
 use crate::hosts::HostCommandRow;
 use crate::progress::Progress;
 use crate::waves::WaveRow;
@@ -46,6 +47,8 @@
     pub host_commands: Option<Vec<HostCommandRow>>,
     /// Baseline number of hosts of each pool, if it has changed.
     pub baseline_hosts: Option<BaselineHosts>,
+    /// Measured durations, if they have changed.
+    pub durations: Option<DurationsRow>,
     /// Progress of maintenance waves that have changed.
     pub waves: Vec<(WaveId, WaveRow)>,
     /// Completions that can be acknowledged to their workers once the batch is stored.
@@ -63,6 +66,7 @@
             && self.assignments_to_remove.is_empty()
             && self.host_commands.is_none()
             && self.baseline_hosts.is_none()
+            && self.durations.is_none()
     }
 
     /// Returns the number of rows that are written or removed.
@@ -75,5 +79,6 @@
             + self.waves.len()
             + usize::from(self.host_commands.is_some())
             + usize::from(self.baseline_hosts.is_some())
+            + usize::from(self.durations.is_some())
     }
 }
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -174,7 +174,8 @@
     /// Records the work of a new job as demand of its pool.
     pub(crate) fn record_demand(&mut self, record: &JobRecord, now: Moment) {
         let work = |step: &Step| {
-            let unit_work = step.estimate_ms.saturating_mul(step.requested.cpu_millis) / 1_000;
+            let expected_ms = self.durations.expected(record, step).as_millis() as u64;
+            let unit_work = expected_ms.saturating_mul(step.requested.cpu_millis) / 1_000;
             u64::from(step.count).saturating_mul(unit_work)
         };
         let finite_steps = record.steps.iter().filter(|step| !step.is_long_running);
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -10,7 +10,6 @@
 
 use crate::Moment;
 use crate::job::JobRecord;
-use crate::job::Step;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
 use crate::live_jobs::Occurrence;
@@ -63,15 +62,16 @@
                 tie_breaker,
             };
         }
-        let remaining = remaining_critical_path(&job.record, occurrence);
-        let critical_path_total = critical_path(&job.record);
+        let expected = self.durations.expected_by_step(&job.record);
+        let remaining = remaining_critical_path(&job.record, occurrence, &expected);
+        let critical_path_total = critical_path_of(&job.record, |index| expected[index]);
         let (stretch, deadline_slack) =
             queue.map_or((1.0, Duration::ZERO), |queue| (queue.stretch, queue.deadline_slack));
         let deadline = occurrence.due_at + critical_path_total.mul_f64(stretch) + deadline_slack;
         let (urgency, tie_breaker) = if now + remaining <= deadline {
             (Urgency::InTime, deadline.saturating_sub(remaining).as_millis() as u64)
         } else {
-            (Urgency::Late, remaining_work(&job.record, occurrence))
+            (Urgency::Late, remaining_work(&job.record, occurrence, &expected))
         };
         SchedulingPriority {
             queue_priority,
@@ -82,18 +82,20 @@
     }
 }
 
-/// Returns the length of the job's critical path, based on the estimates of its steps.
-pub(crate) fn critical_path(record: &JobRecord) -> Duration {
-    critical_path_of(record, |_, step| Duration::from_millis(step.estimate_ms))
-}
-
-/// Returns the length of the critical path through the unfinished units.
-fn remaining_critical_path(record: &JobRecord, occurrence: &Occurrence) -> Duration {
-    critical_path_of(record, |index, step| {
+/// Returns the length of the critical path through the unfinished units. `expected` has the expected
+/// duration of a unit of each step.
+fn remaining_critical_path(
+    record: &JobRecord,
+    occurrence: &Occurrence,
+    expected: &[Duration],
+) -> Duration {
+    critical_path_of(record, |index| {
         let units = &occurrence.steps[index];
         let remaining = units.iter().filter(|unit| unit.finish_state == FinishState::Unfinished);
-        let estimate = Duration::from_millis(step.estimate_ms);
-        remaining.map(|unit| estimate.mul_f64(remaining_fraction(unit))).max().unwrap_or_default()
+        remaining
+            .map(|unit| expected[index].mul_f64(remaining_fraction(unit)))
+            .max()
+            .unwrap_or_default()
     })
 }
 
@@ -103,26 +105,28 @@
     1.0 - f64::from(progress_percent) / 100.0
 }
 
-fn critical_path_of(record: &JobRecord, time_of: impl Fn(usize, &Step) -> Duration) -> Duration {
+fn critical_path_of(record: &JobRecord, time_of: impl Fn(usize) -> Duration) -> Duration {
     let mut finish_times: Vec<Duration> = Vec::with_capacity(record.steps.len());
     for (index, step) in record.steps.iter().enumerate() {
         let dependencies_finish =
             step.depends_on.iter().filter_map(|&step| finish_times.get(step)).max();
         let start = dependencies_finish.copied().unwrap_or_default();
-        finish_times.push(start + time_of(index, step));
+        finish_times.push(start + time_of(index));
     }
     finish_times.into_iter().max().unwrap_or_default()
 }
 
-/// Returns the remaining work in core-milliseconds, based on the estimates.
-fn remaining_work(record: &JobRecord, occurrence: &Occurrence) -> u64 {
-    let steps = record.steps.iter().zip(&occurrence.steps);
+/// Returns the remaining work in core-milliseconds. `expected` has the expected duration of a unit
+/// of each step.
+fn remaining_work(record: &JobRecord, occurrence: &Occurrence, expected: &[Duration]) -> u64 {
+    let steps = record.steps.iter().zip(&occurrence.steps).zip(expected);
     steps
-        .map(|(step, units)| {
+        .map(|((step, units), expected)| {
             let remaining =
                 units.iter().filter(|unit| unit.finish_state == FinishState::Unfinished).count()
                     as u64;
-            let unit_work = step.estimate_ms.saturating_mul(step.requested.cpu_millis) / 1_000;
+            let expected_ms = expected.as_millis() as u64;
+            let unit_work = expected_ms.saturating_mul(step.requested.cpu_millis) / 1_000;
             remaining.saturating_mul(unit_work)
         })
         .fold(0, u64::saturating_add)
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -16,6 +16,7 @@
 use crate::capacity::BaselineHosts;
 use crate::capacity::Demand;
 use crate::config::Config;
+use crate::counts::Counts;
 use crate::durations::Durations;
 use crate::failure_history::FailureHistory;
 use crate::hosts::Host;
@@ -31,6 +32,7 @@
 use crate::live_jobs::Unit;
 use crate::messages::Action;
 use crate::peaks::Peaks;
+use crate::policies::Policy;
 use crate::portions::Portion;
 use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
@@ -94,6 +96,8 @@
     pub(crate) rate_shares: RateShares,
     /// Expected durations of units.
     pub(crate) durations: Durations,
+    /// Events since the owner last took the counts.
+    pub(crate) counts: Counts,
     /// Recently submitted work by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Since when a pool has had a waiting unit that fits on none of its workers.
@@ -121,8 +125,10 @@
 impl Scheduler {
     /// Creates the state of an owner that has just taken over; `epoch` is its fencing token.
     pub fn new(settings: Settings, epoch: u64, unix_now_ms: u64, now: Moment) -> Self {
+        let learns_durations = settings.policies.enables(Policy::LearnedDurations);
         Self {
             settings,
+            durations: Durations::new(learns_durations),
             run_number_base: run_number_base(epoch),
             unix_offset_ms: unix_now_ms as i64 - now.as_millis() as i64,
             needs_placement: true,
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -140,6 +140,7 @@
         let mut batch = Batch::default();
         let is_dirty = std::mem::take(&mut self.is_baseline_hosts_dirty);
         batch.baseline_hosts = is_dirty.then(|| self.baseline_hosts.clone());
+        batch.durations = self.take_durations_row(now);
         batch.host_commands = self.changed_host_commands(now);
         for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
             wave.is_dirty = false;
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -153,6 +153,7 @@
     }
 
     fn handle_completion(&mut self, id: &WorkerId, completion: &Completion, now: Moment) {
+        self.sample_completion(id, completion, now);
         let key = &completion.unit;
         let Some(unit) = self.unit_mut(key) else {
             return;
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -10,10 +10,13 @@
 use scheduler::BatchLimits;
 use scheduler::Completion;
 use scheduler::Config;
+use scheduler::DurationsRow;
 use scheduler::HostEntry;
 use scheduler::HostState;
 use scheduler::JobRecord;
 use scheduler::Moment;
+use scheduler::Policies;
+use scheduler::Policy;
 use scheduler::Pool;
 use scheduler::Progress;
 use scheduler::Queue;
@@ -53,6 +56,8 @@
     pub stored_progress: SortedMap<Arc<str>, Progress>,
     pub assignments: SortedMap<WorkerId, AssignmentRow>,
     pub baseline_hosts: BaselineHosts,
+    pub durations: Option<DurationsRow>,
+    pub policies: Policies,
     pub now: Moment,
     /// Actions other than starts and stops.
     pub other_actions: Vec<Action>,
@@ -130,6 +135,11 @@
 impl Simulation {
     /// Creates an owner of epoch 1 whose workers have all replied.
     pub fn new(ids: &[&str], config: Arc<Config>) -> Self {
+        Self::with_policies(ids, config, &[])
+    }
+
+    /// Creates an owner of epoch 1 for which these policies are enabled.
+    pub fn with_policies(ids: &[&str], config: Arc<Config>, policies: &[Policy]) -> Self {
         let now = seconds(100);
         let workers = ids.iter().map(|id| SimulatedWorker::new(id));
         let mut sim = Self {
@@ -138,6 +148,8 @@
             stored_progress: SortedMap::default(),
             assignments: SortedMap::default(),
             baseline_hosts: BaselineHosts::default(),
+            durations: None,
+            policies: policies.iter().copied().collect(),
             now,
             other_actions: Vec::new(),
         };
@@ -149,7 +161,8 @@
 
     fn owner(&self, epoch: u64, config: Arc<Config>, lease_left: Duration) -> Scheduler {
         let unix_now_ms = UNIX_MS + self.now.as_millis() as u64;
-        let mut scheduler = Scheduler::new(Settings::default(), epoch, unix_now_ms, self.now);
+        let settings = Settings { policies: self.policies.clone(), ..Settings::default() };
+        let mut scheduler = Scheduler::new(settings, epoch, unix_now_ms, self.now);
         scheduler.set_config(config);
         let registrations = self.workers.iter().map(SimulatedWorker::registration).collect();
         scheduler.set_workers(registrations, lease_left, self.now);
@@ -170,6 +183,9 @@
             self.scheduler.restore_job(record.clone(), &progress, self.now);
         }
         self.scheduler.restore_baseline_hosts(self.baseline_hosts.clone());
+        if let Some(durations) = self.durations.clone() {
+            self.scheduler.restore_durations(durations, self.now);
+        }
         let assignments = self.assignments.clone();
         self.scheduler.restore_assignments(assignments, lease_left, self.now);
     }
@@ -254,6 +270,7 @@
             if let Some(baseline_hosts) = &batch.baseline_hosts {
                 self.baseline_hosts = baseline_hosts.clone();
             }
+            self.durations = batch.durations.clone().or(self.durations.take());
             self.scheduler.handle_commit(&batch, self.now);
             for completions in &batch.completions {
                 self.worker(&completions.worker)
