--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -8,6 +8,7 @@
 use crate::job::Resources;
 use crate::job::Step;
 use crate::job::UnitKey;
+use crate::live_jobs::UnitKind;
 use crate::lost_runs::QUIET_TIME;
 use crate::lost_runs::Suspicion;
 use crate::state::Scheduler;
@@ -20,7 +21,11 @@
     pub free_capacity: Resources,
     rack: Option<Arc<str>>,
     labels: Arc<[String]>,
-    runs: Vec<RunKind>,
+    /// Units whose runs are there.
+    units: Vec<UnitKey>,
+    serving_runs: usize,
+    best_effort_runs: usize,
+    long_running_runs: usize,
     /// Number of its runs whose units may crash it.
     suspect_runs: usize,
     /// It starts nothing else for a moment, so that a crash shows whether a strong suspect that it
@@ -29,15 +34,6 @@
     is_reliable: bool,
 }
 
-/// Properties of a run that matter to other units on its worker.
-#[derive(Clone, Debug)]
-struct RunKind {
-    unit: UnitKey,
-    is_best_effort: bool,
-    is_serving: bool,
-    is_long_running: bool,
-}
-
 /// What earlier runs of a unit tell about where to run it next.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct UnitHistory<'a> {
@@ -147,7 +143,11 @@
         worker.suspect_runs += usize::from(suspicion > Suspicion::None);
         worker.is_reserved |= suspicion == Suspicion::Strong;
         worker.free_capacity -= step.reservation();
-        worker.runs.push(RunKind::new(key, step));
+        worker.units.push(key.clone());
+        let kind = UnitKind::of(step);
+        worker.serving_runs += usize::from(kind.is_serving);
+        worker.best_effort_runs += usize::from(kind.is_best_effort);
+        worker.long_running_runs += usize::from(kind.is_long_running);
     }
 
     /// Returns the racks of the workers, sorted and without duplicates.
@@ -175,20 +175,18 @@
     }
 
     fn runs_of_step(&self, key: &UnitKey) -> usize {
-        let same = |run: &&RunKind| {
-            run.unit.job == key.job
-                && run.unit.occurrence == key.occurrence
-                && run.unit.step == key.step
+        let is_same_step = |unit: &&UnitKey| {
+            unit.job == key.job && unit.occurrence == key.occurrence && unit.step == key.step
         };
-        self.runs.iter().filter(same).count()
+        self.units.iter().filter(is_same_step).count()
     }
 
     fn fit(&self, step: &Step, history: UnitHistory<'_>) -> Fit {
         let is_serving = step.tail_latency_target_ms > 0;
         let interfering_runs = if step.is_best_effort {
-            self.runs.iter().filter(|run| run.is_serving).count()
+            self.serving_runs
         } else if is_serving {
-            self.runs.iter().filter(|run| run.is_best_effort).count()
+            self.best_effort_runs
         } else {
             0
         };
@@ -200,27 +198,15 @@
             suspect_runs: self.suspect_runs,
             endangered_runs: match history.suspicion {
                 Suspicion::None => 0,
-                Suspicion::Weak | Suspicion::Strong => self.runs.len(),
+                Suspicion::Weak | Suspicion::Strong => self.units.len(),
             },
             interfering_runs,
-            lacks_long_running: step.is_long_running
-                && !self.runs.iter().any(|run| run.is_long_running),
+            lacks_long_running: step.is_long_running && self.long_running_runs == 0,
             cpu_left_millis: self.free_capacity.minus(&step.reservation()).cpu_millis,
         }
     }
 }
 
-impl RunKind {
-    fn new(key: &UnitKey, step: &Step) -> Self {
-        Self {
-            unit: key.clone(),
-            is_best_effort: step.is_best_effort,
-            is_serving: step.tail_latency_target_ms > 0,
-            is_long_running: step.is_long_running,
-        }
-    }
-}
-
 impl Scheduler {
     /// Returns the workers of a pool that accept new runs.
     pub(crate) fn candidates(&self, pool: &PoolName, now: Moment) -> Candidates {
@@ -243,10 +229,6 @@
     }
 
     fn candidate(&self, worker: &Worker, now: Moment) -> Candidate {
-        let kind = |key: &UnitKey| {
-            let step = self.jobs.get(&key.job)?.record.steps.get(key.step)?;
-            Some(RunKind::new(key, step))
-        };
         let (mut suspect_runs, mut is_reserved) = (0, false);
         for unit in worker.suspects.iter().filter_map(|key| self.unit(key)) {
             let suspicion = unit.suspicion(now);
@@ -262,7 +244,10 @@
             free_capacity: worker.free_capacity(),
             rack: worker.rack.clone(),
             labels: worker.registration.labels.clone(),
-            runs: worker.runs.iter().filter_map(kind).collect(),
+            units: worker.runs.clone(),
+            serving_runs: worker.serving_runs,
+            best_effort_runs: worker.best_effort_runs,
+            long_running_runs: worker.long_running_runs,
             suspect_runs,
             is_reserved,
             is_reliable: !self.failure_history.has_recent_failure(&worker.registration.id, now),
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -220,8 +220,7 @@
                 load.host_capacity.cpu_millis =
                     load.host_capacity.cpu_millis.max(capacity.cpu_millis);
                 load.host_capacity.memory_mb = load.host_capacity.memory_mb.max(capacity.memory_mb);
-                let has_long_running = worker.runs.iter().any(|key| self.is_long_running(key));
-                load.long_running_hosts += usize::from(has_long_running);
+                load.long_running_hosts += usize::from(worker.long_running_runs > 0);
             }
         }
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
--- a/crates/scheduler/src/host_moves.rs
+++ b/crates/scheduler/src/host_moves.rs
@@ -197,8 +197,7 @@
             let Some(worker) = self.worker_of(host).and_then(|id| self.workers.get(&id)) else {
                 continue;
             };
-            let has_long_running = worker.runs.iter().any(|key| self.is_long_running(key));
-            if !worker.runs.is_empty() && !has_long_running {
+            if !worker.runs.is_empty() && worker.long_running_runs == 0 {
                 busy.push((worker.reserved.cpu_millis, name.clone(), host.entry.pool.clone()));
             }
         }
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -57,6 +57,28 @@
     pub replied_at: Option<Moment>,
 }
 
+/// Properties of a unit that matter to others on its worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnitKind {
+    /// It uses the processor time that others leave.
+    pub is_best_effort: bool,
+    /// It has a target for its tail latency.
+    pub is_serving: bool,
+    /// It runs until its job is cancelled.
+    pub is_long_running: bool,
+}
+
+impl UnitKind {
+    /// Returns the properties of the units of a step.
+    pub fn of(step: &Step) -> Self {
+        Self {
+            is_best_effort: step.is_best_effort,
+            is_serving: step.tail_latency_target_ms > 0,
+            is_long_running: step.is_long_running,
+        }
+    }
+}
+
 /// A run of a unit, which is or may be on a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -64,6 +86,8 @@
     pub number: u32,
     /// Worker that the unit is assigned to.
     pub worker: WorkerId,
+    /// Properties of the unit.
+    pub kind: UnitKind,
     /// What the owner knows about the run.
     pub phase: Phase,
     /// When the start command was sent, or when the run was planned or found.
@@ -95,6 +119,7 @@
         Self {
             number,
             worker,
+            kind: UnitKind::of(step),
             phase,
             since: now,
             precedes_others: false,
@@ -187,6 +212,9 @@
     pub is_dirty: bool,
     /// At least one unit has started.
     pub has_started: bool,
+    /// A unit may wait to be placed. Otherwise placement passes over the job, until a run ends, a
+    /// unit succeeds or an occurrence becomes due.
+    pub may_have_waiting_units: bool,
     /// The job's record is in the store. It stays there until no run of the job is left, so that a
     /// successor knows how much these runs take of the team's quota.
     pub has_record: bool,
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -128,14 +128,25 @@
         self.long_running_starved_since.retain(|pool, _| is_waiting(pool));
     }
 
-    fn waiting_steps(&self, now: Moment) -> Vec<WaitingStep> {
+    fn waiting_steps(&mut self, now: Moment) -> Vec<WaitingStep> {
         let mut waiting = Vec::new();
-        for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
+        let mut without_waiting_units = Vec::new();
+        let may_wait = |job: &&Job| job.final_state.is_none() && job.may_have_waiting_units;
+        for job in self.jobs.values().filter(may_wait) {
+            if !job.occurrences.iter().any(|occurrence| has_waiting_units(job, occurrence)) {
+                without_waiting_units.push(job.record.id.clone());
+                continue;
+            }
             let pool = self.pool_of(job);
             for occurrence in &job.occurrences {
                 self.collect_waiting_steps(job, occurrence, &pool, now, &mut waiting);
             }
         }
+        for id in without_waiting_units {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.may_have_waiting_units = false;
+            }
+        }
         waiting
     }
 
@@ -314,6 +325,13 @@
     }
 }
 
+/// Returns true if a unit of an occurrence could run and has no run.
+fn has_waiting_units(job: &Job, occurrence: &Occurrence) -> bool {
+    let waits = |unit: &Unit| unit.finish_state == FinishState::Unfinished && unit.run.is_none();
+    let mut steps = job.record.steps.iter().zip(&occurrence.steps);
+    steps.any(|(step, units)| is_ready(step, occurrence) && units.iter().any(waits))
+}
+
 /// Returns true if all steps that a step depends on have finished. This may not be stored yet: a
 /// start command is sent only after it was stored, together with the run or before.
 pub(crate) fn is_ready(step: &Step, occurrence: &Occurrence) -> bool {
--- a/crates/scheduler/src/speed_limits.rs
+++ b/crates/scheduler/src/speed_limits.rs
@@ -25,7 +25,10 @@
             let Some(worker) = self.workers.get(&id) else {
                 continue;
             };
-            if !worker.is_in_contact(self.settings.contact_max, now) || worker.runs.is_empty() {
+            if worker.serving_runs == 0
+                || worker.best_effort_runs == 0
+                || !worker.is_in_contact(self.settings.contact_max, now)
+            {
                 continue;
             }
             let runs = worker.runs.clone();
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -302,7 +302,7 @@
         let team = job.record.team.clone();
         let is_suspect = self.unit(key).is_some_and(|unit| !unit.crashed_runs.is_empty());
         if let Some(worker) = self.workers.get_mut(&run.worker) {
-            worker.add_run(key, &run.reservation, is_suspect, now);
+            worker.add_run(key, &run, is_suspect, now);
         }
         if let Some(team) = team {
             *self.team_usage.entry_or(team, Resources::default) += run.requested;
@@ -316,9 +316,13 @@
     /// Removes the run of a unit once it is certain that it is not running any more.
     pub(crate) fn remove_run(&mut self, key: &UnitKey, now: Moment) -> Option<Run> {
         let run = self.unit_mut(key)?.run.take()?;
-        let team = self.jobs.get(&key.job).and_then(|job| job.record.team.clone());
+        let job = self.jobs.get_mut(&key.job);
+        let team = job.and_then(|job| {
+            job.may_have_waiting_units = true;
+            job.record.team.clone()
+        });
         if let Some(worker) = self.workers.get_mut(&run.worker) {
-            worker.remove_run(key, &run.reservation, now);
+            worker.remove_run(key, &run, now);
         }
         if let Some(team) = team
             && let Some(used) = self.team_usage.get_mut(&team)
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -77,6 +77,7 @@
             is_final_state_stored: false,
             is_dirty: false,
             has_started: false,
+            may_have_waiting_units: true,
             has_record: true,
         };
         self.jobs.insert(record.id.clone(), job);
@@ -131,6 +132,7 @@
             let steps = job.record.steps.iter().map(new_units).collect();
             job.occurrences.push(Occurrence { number: job.next_occurrence, due_at, steps });
             job.next_occurrence += 1;
+            job.may_have_waiting_units = true;
             self.needs_placement = true;
         }
     }
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -185,7 +185,6 @@
         let Some(worker) = self.worker_of(host).and_then(|id| self.workers.get(&id)) else {
             return (0, 0);
         };
-        let long_running = worker.runs.iter().filter(|key| self.is_long_running(key)).count();
-        (long_running, worker.reserved.cpu_millis)
+        (worker.long_running_runs, worker.reserved.cpu_millis)
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::assignments::AssignmentRow;
 use crate::job::Resources;
 use crate::job::UnitKey;
+use crate::live_jobs::Run;
 use crate::messages::WorkerRegistration;
 
 /// Percentage by which a worker's clock may at most run slower than true time.
@@ -63,6 +64,12 @@
     pub reserved: Resources,
     /// Units whose runs are there or may be there, sorted.
     pub runs: Vec<UnitKey>,
+    /// Number of runs of serving units.
+    pub serving_runs: usize,
+    /// Number of runs of best-effort units.
+    pub best_effort_runs: usize,
+    /// Number of runs of long-running units.
+    pub long_running_runs: usize,
     /// Those of `runs` whose units may crash a worker, sorted.
     pub suspects: Vec<UnitKey>,
     /// Number of runs in its last report that must stop, since their units should not run there.
@@ -105,6 +112,9 @@
             is_registered: true,
             reserved: Resources::default(),
             runs: Vec::new(),
+            serving_runs: 0,
+            best_effort_runs: 0,
+            long_running_runs: 0,
             suspects: Vec::new(),
             unexpected_runs: 0,
             last_seen_completion: 0,
@@ -203,28 +213,28 @@
     }
 
     /// Adds the run of a unit and reserves its resources.
-    pub fn add_run(
-        &mut self,
-        unit: &UnitKey,
-        reservation: &Resources,
-        is_suspect: bool,
-        now: Moment,
-    ) {
+    pub fn add_run(&mut self, unit: &UnitKey, run: &Run, is_suspect: bool, now: Moment) {
         if is_suspect && let Err(index) = self.suspects.binary_search(unit) {
             self.suspects.insert(index, unit.clone());
         }
         if let Err(index) = self.runs.binary_search(unit) {
             self.runs.insert(index, unit.clone());
-            self.reserved += *reservation;
+            self.reserved += run.reservation;
+            self.serving_runs += usize::from(run.kind.is_serving);
+            self.best_effort_runs += usize::from(run.kind.is_best_effort);
+            self.long_running_runs += usize::from(run.kind.is_long_running);
         }
         self.last_busy_at = now;
     }
 
     /// Removes the run of a unit and releases its resources.
-    pub fn remove_run(&mut self, unit: &UnitKey, reservation: &Resources, now: Moment) {
+    pub fn remove_run(&mut self, unit: &UnitKey, run: &Run, now: Moment) {
         if let Ok(index) = self.runs.binary_search(unit) {
             self.runs.remove(index);
-            self.reserved -= *reservation;
+            self.reserved -= run.reservation;
+            self.serving_runs -= usize::from(run.kind.is_serving);
+            self.best_effort_runs -= usize::from(run.kind.is_best_effort);
+            self.long_running_runs -= usize::from(run.kind.is_long_running);
         }
         if let Ok(index) = self.suspects.binary_search(unit) {
             self.suspects.remove(index);
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -211,6 +211,10 @@
             // do.
             self.request_stop(&member, now);
         }
+        // Steps that depend on this one may be ready.
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.may_have_waiting_units = true;
+        }
         self.finish_job(&key.job, now);
     }
 
