--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,7 +7,7 @@
 //! transaction of an earlier owner, or one that arrives late, has no effect.
 //!
 //! [`Node`] runs all parts, and the traits of [`ports`] abstract the platform. [`election`] decides
-//! when a node takes over, `owner` carries out what [`scheduler`] decides, [`caller_api`] serves
+//! when a node takes over, [`evacuated_zones`] which zones operators evacuate, `owner` carries out what [`scheduler`] decides, [`caller_api`] serves
 //! callers, and `peers` holds the calls between nodes.
 
 pub mod caller_api;
@@ -20,6 +20,7 @@
 pub mod rows;
 
 pub mod election;
+pub mod evacuated_zones;
 mod layout;
 mod node;
 mod operator_changes;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -23,6 +23,11 @@
 pub const RUNS_STARTED: &str = "runs.started";
 /// Start commands that workers refused or did not answer.
 pub const RUNS_NOT_STARTED: &str = "runs.not-started";
+/// Planned or commanded runs that were not started, for an evacuation or an old read of the
+/// operators' rows.
+pub const STARTS_WITHHELD: &str = "starts.withheld";
+/// Long-running units that were stopped in an evacuated zone, to run elsewhere.
+pub const UNITS_EVACUATED: &str = "units.evacuated";
 /// Runs that count as ended although no completion shows how.
 pub const RUNS_LOST: &str = "runs.lost";
 /// Runs whose durations were recorded for the expected ones.
@@ -58,6 +63,11 @@
     gauge(JOBS_LIVE, "live jobs at this owner"),
     counter(RUNS_STARTED, "orders to start that workers have carried out"),
     counter(RUNS_NOT_STARTED, "orders to start that workers have refused or not answered"),
+    counter(
+        STARTS_WITHHELD,
+        "starts withheld for an evacuation or an old read of the operators' rows",
+    ),
+    counter(UNITS_EVACUATED, "long-running units moved out of evacuated zones"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
     timer(RUNS_START, "time of an order to start"),
--- a/crates/coordinator/src/operator_changes.rs
+++ b/crates/coordinator/src/operator_changes.rs
@@ -53,10 +53,12 @@
 fn apply<P: Platform>(node: &NodeState<P>, changes: Changes<OperatorChange>, sent_at: Moment) {
     let mut config = None;
     let mut waves = Vec::new();
+    let mut evacuations = Vec::new();
     for change in changes.changed {
         match change {
             OperatorChange::Wave(wave) => waves.push(wave),
             OperatorChange::Config(found) => config = Some(found),
+            OperatorChange::Evacuation(change) => evacuations.push(change),
         }
     }
     if changes.is_snapshot || !waves.is_empty() {
@@ -69,6 +71,7 @@
             }
         });
     }
+    node.record_evacuations(&evacuations, changes.is_snapshot, sent_at);
     // Changes without a newer configuration confirm that the known one is the newest.
     let known = node.operator_state.borrow().config.as_ref().map_or(0, |config| config.version);
     let version = config.as_ref().map_or(known, |config| config.version);
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -6,6 +6,7 @@
 mod actions;
 mod commit;
 mod divide;
+mod evacuate;
 mod event;
 mod leases;
 mod load;
@@ -34,6 +35,7 @@
 use crate::clock;
 use crate::divisions::Divisions;
 use crate::election::Reason;
+use crate::evacuated_zones::EvacuatedZones;
 use crate::peers::OwnerClient;
 use crate::poll_schedule::PollSchedule;
 use crate::ports::Platform;
@@ -102,6 +104,8 @@
     takeover_requested_at: Moment,
     pools_logged_at: Moment,
     stats: OwnerStats,
+    /// Evacuated zones that the scheduler knows.
+    evacuated_zones: EvacuatedZones,
     /// Version of the configuration that the scheduler uses.
     config_version: u64,
     /// Set when the owner has to stop.
@@ -182,6 +186,7 @@
         takeover_requested_at: Moment::ZERO,
         pools_logged_at: Moment::ZERO,
         stats: OwnerStats::new(shared.node.telemetry.clone()),
+        evacuated_zones: EvacuatedZones::default(),
         config_version: 0,
         end_reason: None,
         release: None,
@@ -237,10 +242,12 @@
         }
         self.admit_submissions(now);
         self.process_cancellations();
+        let has_read_rows = self.apply_evacuations();
         let is_valid = now.saturating_sub(self.pipeline.renewed_at()) <= VALIDITY;
         // While a transaction is in flight, newly planned runs would only have to wait for the next
         // one.
-        match (is_valid && self.release.is_none(), self.pipeline.is_idle()) {
+        let may_plan = has_read_rows && self.pipeline.is_idle();
+        match (is_valid && self.release.is_none(), may_plan) {
             (true, true) => self.scheduler.plan(now),
             (true, false) => self.scheduler.review(now),
             (false, _) => {}
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -179,6 +179,7 @@
                     .field("epoch", token)
                     .write();
             }
+            Action::LogEvacuation { zone, state, runs } => self.log_evacuation(&zone, state, runs),
             Action::LogDecision { what, subject, why } => telemetry::log::line("decision")
                 .field("what", what)
                 .field("subject", subject)
@@ -217,6 +218,7 @@
                 .field("hosts", load.hosts)
                 .field("hosts_needed", load.hosts_needed())
                 .field("hosts_kept", load.baseline_hosts)
+                .field("absent_hosts", load.absent_hosts)
                 .field("lasting_hosts", load.long_running_hosts)
                 .field("coming_hosts", load.incoming_hosts)
                 .field("lost_hosts", load.unusable_hosts)
@@ -232,6 +234,9 @@
         let telemetry = &self.shared.node.telemetry;
         if reply != StartReply::Started {
             telemetry.count(metrics::RUNS_NOT_STARTED);
+            if reply == StartReply::Withheld {
+                telemetry.count(metrics::STARTS_WITHHELD);
+            }
             return;
         }
         telemetry.count(metrics::RUNS_STARTED);
@@ -244,9 +249,16 @@
         self.stats.record_start();
         let shared = self.shared.clone();
         let token = self.epoch;
+        let worker = self.scheduler.worker(&command.worker);
+        let zone = worker.map(|worker| worker.registration.zone.clone()).unwrap_or_default();
         self.spawn(async move {
             let sent_at = clock::now();
-            let reply = shared.node.platform.start_run(&command, token).await;
+            // The process may have been suspended, or have learned of an evacuation, since the
+            // decision.
+            let reply = match shared.node.may_start_in(&zone, sent_at) {
+                true => shared.node.platform.start_run(&command, token).await,
+                false => StartReply::Withheld,
+            };
             let took = clock::now().saturating_sub(sent_at);
             shared.node.telemetry.time(metrics::RUNS_START, took);
             let StartCommand { worker, unit, run, .. } = command;
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -64,7 +64,11 @@
 
     /// Records what the scheduler has counted.
     pub fn record_counts(&mut self, counts: SchedulerCounts) {
-        let counters = [(metrics::DURATION_SAMPLES, counts.duration_samples)];
+        let counters = [
+            (metrics::DURATION_SAMPLES, counts.duration_samples),
+            (metrics::STARTS_WITHHELD, counts.starts_withheld),
+            (metrics::UNITS_EVACUATED, counts.units_evacuated),
+        ];
         for (name, count) in counters.into_iter().filter(|(_, count)| *count > 0) {
             self.telemetry.count_many(name, count);
         }
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -20,6 +20,7 @@
 use scheduler::WorkerId;
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
+use scheduler::ZoneName;
 
 use crate::config::CallerConfig;
 
@@ -107,7 +108,7 @@
 pub struct Changes<T> {
     /// New and changed entries.
     pub changed: Vec<T>,
-    /// Keys of removed rows.
+    /// Keys of removed rows. A row that is also in `changed` was written again after its removal.
     pub removed: Vec<String>,
     /// Whether `changed` is the complete content rather than the difference from an earlier read.
     pub is_snapshot: bool,
@@ -121,6 +122,26 @@
     }
 }
 
+/// What is known of the row of an evacuation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvacuationRow {
+    /// The row requests the evacuation.
+    Valid,
+    /// The row can't be read: an evacuation that is going on continues, and none begins.
+    Malformed,
+    /// The row was removed.
+    Removed,
+}
+
+/// A change of the evacuation of an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationChange {
+    /// The zone.
+    pub zone: ZoneName,
+    /// What is known of its row.
+    pub row: EvacuationRow,
+}
+
 /// Something that operators have written.
 #[derive(Clone, Debug)]
 pub enum OperatorChange {
@@ -128,6 +149,8 @@
     Config(Arc<CallerConfig>),
     /// A new or changed maintenance wave.
     Wave(Wave),
+    /// A change of an evacuation.
+    Evacuation(EvacuationChange),
 }
 
 /// Parameters of a poll, which renews a worker's lease and returns its runs.
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -33,6 +33,7 @@
 use crate::config::CallerConfig;
 use crate::election;
 use crate::election::TakeoverTiming;
+use crate::evacuated_zones::EvacuatedZones;
 use crate::http::Client;
 use crate::metrics;
 use crate::node::NodeSettings;
@@ -51,8 +52,13 @@
     pub config: Option<Arc<CallerConfig>>,
     /// Maintenance waves that operators have planned.
     pub waves: SortedMap<WaveId, Wave>,
-    /// When the last read was sent that confirmed this state as the newest.
+    /// When the last read was sent that confirmed the configuration as the newest.
     pub confirmed_at: Moment,
+    /// Zones that operators evacuate.
+    pub evacuated_zones: EvacuatedZones,
+    /// When the last read of the operators' rows by this node was sent that has succeeded. A reply
+    /// of the owner confirms the configuration only.
+    pub rows_read_at: Option<Moment>,
 }
 
 /// Where the owner is, as far as this node knows.
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -1,6 +1,6 @@
 //! A platform in memory: a table that can be made to fail, and a worker that runs the units it
 //! gets.
-#![allow(dead_code, reason = "each test binary uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test binary uses a part")]
 
 #[path = "memory_nodes.rs"]
 mod nodes;
@@ -17,6 +17,8 @@
 use coordinator::CallerConfig;
 use coordinator::clock;
 use coordinator::ports::Changes;
+use coordinator::ports::EvacuationChange;
+use coordinator::ports::EvacuationRow;
 use coordinator::ports::FencingToken;
 use coordinator::ports::Hosts;
 use coordinator::ports::LeaseRequest;
@@ -86,6 +88,10 @@
     refused_change_reads: u32,
     config: Option<Arc<CallerConfig>>,
     waves: Vec<Wave>,
+    /// Zones whose evacuation operators request.
+    evacuated_zones: Vec<&'static str>,
+    /// The operators' rows can't be read.
+    are_operators_hidden: bool,
     fault: TableFault,
     /// Number of reads of whole tables that panic, as a fault of the program would.
     panics_left: u32,
@@ -185,6 +191,16 @@
         self.data.lock().unwrap().waves.push(wave);
     }
 
+    /// Replaces the rows of the evacuated zones.
+    pub fn evacuate(&self, zones: &[&'static str]) {
+        self.data.lock().unwrap().evacuated_zones = zones.to_vec();
+    }
+
+    /// Makes reads of the operators' rows fail, or succeed again.
+    pub fn hide_operators(&self, is_hidden: bool) {
+        self.data.lock().unwrap().are_operators_hidden = is_hidden;
+    }
+
     /// Drops all changes so far, as if they were too old.
     pub fn drop_history(&self) {
         let mut data = self.data.lock().unwrap();
@@ -250,12 +266,17 @@
             tokio::time::sleep(wait.min(Duration::from_millis(50))).await;
         }
         let data = self.data.lock().unwrap();
-        if matches!(data.fault, TableFault::Unavailable | TableFault::Silent) {
+        let is_down = matches!(data.fault, TableFault::Unavailable | TableFault::Silent);
+        if is_down || data.are_operators_hidden {
             return Err(ReadError::Refused("table is down".to_owned()));
         }
         let mut changed: Vec<OperatorChange> =
             data.config.iter().cloned().map(OperatorChange::Config).collect();
         changed.extend(data.waves.iter().cloned().map(OperatorChange::Wave));
+        let evacuation =
+            |zone: &&str| EvacuationChange { zone: (*zone).into(), row: EvacuationRow::Valid };
+        let evacuations = data.evacuated_zones.iter().map(evacuation);
+        changed.extend(evacuations.map(OperatorChange::Evacuation));
         Ok(Changes { changed, removed: Vec::new(), is_snapshot: true, version: data.version })
     }
 
--- a/crates/explain/src/history.rs
+++ b/crates/explain/src/history.rs
@@ -5,7 +5,7 @@
 use crate::line::Line;
 
 /// Kinds of lines that may explain a delay of any job.
-const CONTEXT_KINDS_OF_ALL_JOBS: [&str; 8] = [
+const CONTEXT_KINDS_OF_ALL_JOBS: [&str; 11] = [
     "ownership-taken",
     "ownership-loaded",
     "ownership-ended",
@@ -14,6 +14,9 @@
     "operators-lost",
     "operators-regained",
     "config-in-force",
+    "zone-evacuating",
+    "zone-evacuated",
+    "zone-returned",
 ];
 /// Kinds of lines that may explain a delay of a job that has runs on the worker named in the line.
 const CONTEXT_KINDS_OF_WORKERS: [&str; 2] = ["worker-silent", "decision"];
--- a/crates/explain/tests/history.rs
+++ b/crates/explain/tests/history.rs
@@ -76,3 +76,22 @@
     let history = history("00000000000000ff");
     assert_eq!((history.outcome, history.entries.len()), (Outcome::Unknown, 0));
 }
+
+/// Guards against a history that hides why a unit was stopped: an evacuation is context of its job,
+/// and the move names the unit.
+#[test]
+fn a_move_out_of_an_evacuated_zone_is_shown() {
+    let lines = [
+        r#"{"at_ms":1,"kind":"job-accepted","job":"00000000000000aa"}"#,
+        r#"{"at_ms":700,"kind":"zone-evacuating","zone":"a","long_running_runs":1}"#,
+        r#"{"at_ms":900,"kind":"decision","what":"unit moved","subject":"00000000000000aa.0.0.0","why":"cause=evacuation zone=a worker=w1 run=1"}"#,
+    ];
+    let mut reader = Reader::new("00000000000000aa");
+    for line in lines {
+        reader.add_line(line, "lines.log");
+    }
+    let history = reader.into_history();
+    assert_eq!(kinds(&history, Role::Context), ["zone-evacuating"]);
+    let last = history.entries.last().expect("there are lines");
+    assert_eq!((last.line.kind.as_str(), last.line.text("what")), ("decision", "unit moved"));
+}
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -214,16 +214,20 @@
         }
         let ticket = self.tickets.ticket(key, id, now);
         let spec = self.jobs.get(&key.job).map(|job| job.record.spec.clone()).unwrap_or_default();
-        let validity = self.settings.start_valid;
-        let Some(worker) = self.workers.get_mut(id) else {
+        let validity = self.start_validity(now);
+        let Some(worker) = self.workers.get(id) else {
             return;
         };
         // The worker may have changed while the run was being stored.
-        let clock_ms = worker.clock_min_ms(now).filter(|_| worker.can_start_planned());
-        let Some(clock_ms) = clock_ms else {
+        let can_start = self.can_start_planned(worker, now);
+        let Some(clock_ms) = worker.clock_min_ms(now).filter(|_| can_start) else {
+            self.count_withheld(id, now);
             self.withdraw_planned(key, now);
             return;
         };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         let deadline_ms = clock_ms + validity.as_millis() as u64;
         worker.record_lease_request(deadline_ms);
         let address = worker.registration.address;
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -235,6 +235,7 @@
         worker.is_registered
             && !worker.registration.is_draining
             && !worker.is_cordoned
+            && !self.is_evacuated(&worker.registration.zone)
             // The resources that an unexpected run takes are not always known.
             && worker.unexpected_runs == 0
             && now >= worker.backoff_until
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -14,6 +14,7 @@
 
 use crate::Moment;
 use crate::PoolName;
+use crate::absent_hosts::scale_baselines;
 use crate::hosts::Host;
 use crate::hosts::HostIntent;
 use crate::job::JobRecord;
@@ -57,6 +58,8 @@
     pub hosts: usize,
     /// Hosts that the pool had before any host was moved.
     pub baseline_hosts: usize,
+    /// Hosts of the pool that count as absent, since their zone is evacuated; not among `hosts`.
+    pub absent_hosts: usize,
     /// Hosts that run long-running units.
     pub long_running_hosts: usize,
     /// Some units have been waiting for a while and fit on none of the pool's workers.
@@ -206,6 +209,10 @@
         }
         for host in self.hosts.values().filter(|host| host.entry.state != HostState::Down) {
             if let Some(load) = loads.get_mut(host.target_pool()) {
+                if self.is_absent(host) {
+                    load.absent_hosts += 1;
+                    continue;
+                }
                 load.hosts += 1;
                 let is_incoming = host.is_moving(now);
                 load.incoming_hosts += usize::from(is_incoming);
@@ -214,7 +221,7 @@
         }
         for worker in self.workers.values() {
             if let Some(load) = loads.get_mut(&worker.registration.pool) {
-                load.running += worker.reserved;
+                load.running += self.lasting_reservation(worker);
                 load.ready_workers += usize::from(self.accepts_runs(worker, now));
                 let capacity = worker.registration.capacity;
                 load.host_capacity.cpu_millis =
@@ -224,6 +231,7 @@
                 load.long_running_hosts += usize::from(has_long_running);
             }
         }
+        scale_baselines(&mut loads);
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
             if let Some(load) = loads.get_mut(&self.pool_of(job)) {
                 add_waiting(load, job);
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -7,6 +7,11 @@
 pub struct Counts {
     /// Runs whose durations were recorded.
     pub duration_samples: u64,
+    /// Planned runs that were not started, for an evacuation or for an old read of the operators'
+    /// rows.
+    pub starts_withheld: u64,
+    /// Long-running units that were stopped in an evacuated zone, to run elsewhere.
+    pub units_evacuated: u64,
 }
 
 impl Scheduler {
--- a/crates/scheduler/src/host_moves.rs
+++ b/crates/scheduler/src/host_moves.rs
@@ -47,7 +47,8 @@
         self.record_baseline_hosts(&loads);
         self.peaks.record(&loads, now);
         let expected = self.peaks.expected_pools(&loads, now);
-        let total = self.hosts.values().filter(|host| host.entry.state != HostState::Down).count();
+        let is_held = |host: &&Host| host.entry.state != HostState::Down && !self.is_absent(host);
+        let total = self.hosts.values().filter(is_held).count();
         let targets = host_targets(&loads, total);
         let missing = |(name, load): (&PoolName, &PoolLoad)| {
             let target = targets.get(name).copied().unwrap_or(0);
@@ -147,7 +148,7 @@
         let is_spare = |host: &&Host| {
             self.config.pools.get(&host.entry.pool).is_some_and(|pool| pool.is_spare)
         };
-        let available = self.hosts.values().filter(|host| host.is_available(now));
+        let available = self.hosts.values().filter(|host| self.may_move(host, now));
         donors.extend(available.filter(is_spare).map(|host| host.entry.name.clone()));
         donors.append(&mut idle);
         donors
@@ -164,7 +165,7 @@
     ) -> Vec<HostName> {
         let mut surplus_left = surplus_by_pool(loads, kept);
         let mut idle = Vec::new();
-        for (name, host) in self.hosts.iter().filter(|(_, host)| host.is_available(now)) {
+        for (name, host) in self.hosts.iter().filter(|(_, host)| self.may_move(host, now)) {
             let Some(surplus_left) =
                 surplus_left.get_mut(&host.entry.pool).filter(|surplus_left| **surplus_left > 0)
             else {
@@ -193,7 +194,7 @@
     ) -> Vec<HostName> {
         let mut surplus_left = surplus_by_pool(loads, |name, load| kept(name, load) + idle_count);
         let mut busy: Vec<(u64, HostName, PoolName)> = Vec::new();
-        for (name, host) in self.hosts.iter().filter(|(_, host)| host.is_available(now)) {
+        for (name, host) in self.hosts.iter().filter(|(_, host)| self.may_move(host, now)) {
             let Some(worker) = self.worker_of(host).and_then(|id| self.workers.get(&id)) else {
                 continue;
             };
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -15,6 +15,7 @@
 use crate::PoolName;
 use crate::WaveId;
 use crate::WorkerId;
+use crate::ZoneName;
 use crate::job::UnitKey;
 use crate::live_jobs::FULL_PERCENT;
 use crate::live_jobs::Unit;
@@ -83,6 +84,8 @@
     pub had_worker: bool,
     /// Worker that was terminated by the last accepted command.
     pub terminated_worker: Option<WorkerId>,
+    /// Availability zone, as the last registered worker of the host has told it.
+    pub zone: Option<ZoneName>,
 }
 
 impl Host {
@@ -95,6 +98,7 @@
             unavailable_until: Moment::ZERO,
             had_worker: false,
             terminated_worker: None,
+            zone: None,
         }
     }
 
@@ -140,6 +144,10 @@
                 host.unavailable_until = host.unavailable_until.min(now);
             }
             host.had_worker |= entry.worker.is_some();
+            let worker = entry.worker.as_ref().and_then(|id| self.workers.get(id));
+            if let Some(worker) = worker.filter(|worker| worker.is_registered) {
+                host.zone = Some(worker.registration.zone.clone());
+            }
             if now >= host.unavailable_until {
                 host.entry = entry;
             }
@@ -171,6 +179,7 @@
         }
         self.drain_leaving_workers(now);
         self.plan_waves(now);
+        self.cancel_moves_of_absent_hosts();
         self.plan_moves(now);
         self.set_cordons(now);
         let names: Vec<HostName> = self.hosts.iter().map(|(name, _)| name.clone()).collect();
@@ -363,7 +372,7 @@
 
     /// Returns true if the disruption budget of its step allows a long-running unit to be stopped
     /// now.
-    fn may_be_unavailable(&self, key: &UnitKey, now: Moment) -> bool {
+    pub(crate) fn may_be_unavailable(&self, key: &UnitKey, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return false;
         };
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod state;
 pub mod worker;
 
+mod absent_hosts;
 mod advice;
 mod assignments;
 mod candidates;
@@ -32,6 +33,7 @@
 mod commands;
 mod counts;
 mod durations;
+mod evacuation;
 mod failure_history;
 mod host_moves;
 mod hosts;
@@ -78,6 +80,7 @@
 pub use live_jobs::JobView;
 pub use messages::Action;
 pub use messages::Completion;
+pub use messages::EvacuationState;
 pub use messages::HostEntry;
 pub use messages::HostReply;
 pub use messages::HostState;
@@ -90,6 +93,7 @@
 pub use messages::WaveState;
 pub use messages::WorkerRegistration;
 pub use messages::WorkerReport;
+pub use messages::ZoneRuns;
 pub use peaks::Peaks;
 pub use policies::Policies;
 pub use policies::Policy;
@@ -116,6 +120,8 @@
 pub type HostName = Arc<str>;
 /// Name of a pool of hosts.
 pub type PoolName = Arc<str>;
+/// Name of an availability zone.
+pub type ZoneName = Arc<str>;
 /// Name of a queue, unique in the configuration.
 pub type QueueName = Arc<str>;
 /// Name of a team of a client account.
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -7,6 +7,7 @@
 use crate::PoolName;
 use crate::WaveId;
 use crate::WorkerId;
+use crate::ZoneName;
 use crate::job::Resources;
 use crate::job::UnitKey;
 
@@ -22,7 +23,7 @@
     /// Address of the interface that starts and stops its runs.
     pub address: SocketAddr,
     /// Availability zone of its host.
-    pub zone: Arc<str>,
+    pub zone: ZoneName,
     /// Labels; the first is the kind of worker, the second its rack.
     pub labels: Arc<[String]>,
     /// Resources that it offers to runs.
@@ -152,6 +153,8 @@
     OtherInstance,
     /// The command was not sent.
     NotSent,
+    /// The command was not sent, since the zone of the worker is evacuated, or may be.
+    Withheld,
     /// No reply: the command may have taken effect, or may still do so.
     Unknown,
 }
@@ -228,6 +231,35 @@
     Completed,
 }
 
+/// What has become of the evacuation of a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvacuationState {
+    /// It has begun: nothing starts in the zone.
+    Evacuating,
+    /// Nothing runs in the zone any more.
+    Evacuated,
+    /// It has ended.
+    Returned,
+}
+
+/// Workers of a zone, and what runs there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ZoneRuns {
+    /// Registered workers.
+    pub workers: usize,
+    /// Runs of long-running units.
+    pub long_running: usize,
+    /// Runs of finite units.
+    pub finite: usize,
+}
+
+impl ZoneRuns {
+    /// Returns true if nothing runs in the zone.
+    pub fn is_empty(&self) -> bool {
+        self.long_running + self.finite == 0
+    }
+}
+
 /// A decision that the owner has to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -294,6 +326,15 @@
         /// Unit and number of each run.
         runs: Vec<(UnitKey, u32)>,
     },
+    /// Writes a log line about the evacuation of a zone.
+    LogEvacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// What has become of its evacuation.
+        state: EvacuationState,
+        /// What is left there.
+        runs: ZoneRuns,
+    },
     /// Writes a log line about a decision.
     LogDecision {
         /// What was decided, one of a few fixed texts.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -63,7 +63,9 @@
     /// [`Scheduler::take_actions`].
     pub fn plan(&mut self, now: Moment) {
         self.review(now);
-        self.place_waiting_units(now);
+        if self.may_start_runs(now) {
+            self.place_waiting_units(now);
+        }
     }
 
     /// Makes all decisions except which units start: expires leases, creates occurrences, stops
@@ -77,6 +79,7 @@
         self.create_due_occurrences(now);
         self.stop_stalled_runs(now);
         self.resend_stops(now);
+        self.review_evacuations(now);
         self.plan_hosts(now);
         self.limit_speeds(now);
     }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -24,6 +24,9 @@
     pub host_lease: Duration,
     /// Time for which the final state of a job stays available to callers.
     pub ended_kept: Duration,
+    /// Time after the acknowledgement of an evacuation from which no node that reaches the platform
+    /// may start a run in the zone; `None` if there is no such limit.
+    pub evacuation_bound: Option<Duration>,
     /// Policies that are enabled.
     pub policies: Policies,
 }
@@ -39,6 +42,7 @@
             maintain_time: Duration::from_secs(2),
             host_lease: Duration::from_secs(3),
             ended_kept: Duration::from_secs(120),
+            evacuation_bound: None,
             policies: Policies::default(),
         }
     }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -18,6 +18,7 @@
 use crate::config::Config;
 use crate::counts::Counts;
 use crate::durations::Durations;
+use crate::evacuation::Evacuations;
 use crate::failure_history::FailureHistory;
 use crate::hosts::Host;
 use crate::hosts::HostCommandState;
@@ -63,6 +64,8 @@
     pub(crate) quota_portions: SortedMap<TeamName, Portion>,
     /// Portions that teams with waiting units needed at the last placement.
     pub(crate) quota_needs: SortedMap<TeamName, Portion>,
+    /// Zones that operators evacuate.
+    pub(crate) evacuations: Evacuations,
     /// Recent failures by worker.
     pub(crate) failure_history: FailureHistory,
     /// Tickets of the advisor, by step.
