--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -36,9 +36,9 @@
 
 /// Maximum number of jobs that one transaction accepts.
 const SUBMISSIONS_MAX: usize = 16;
-/// Maximum number of the scheduler's rows in one transaction. Together with the owner's row and the
-/// accepted jobs, they stay below the limit of the store.
-const BATCH_MAX: BatchLimits = BatchLimits { rows_max: 80, progress_rows_max: 80 };
+/// Maximum number of the scheduler's rows and of accepted jobs in one transaction. Together with the
+/// owner's row and its precondition, they stay below the limit of the store, 100 entries.
+const ROWS_MAX: usize = 96;
 /// Time after which a transaction renews the ownership even if there is nothing else to store.
 const RENEW_AFTER: Duration = Duration::from_millis(500);
 /// Pause between two requests to a follower to take over.
@@ -53,7 +53,9 @@
             self.resend(now);
             return;
         }
-        let batch = self.scheduler.take_batch(BATCH_MAX, now);
+        let rows_max = ROWS_MAX - self.pipeline.admitted.len().min(SUBMISSIONS_MAX);
+        let limits = BatchLimits { rows_max, progress_rows_max: rows_max };
+        let batch = self.scheduler.take_batch(limits, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
         let has_rows = !batch.has_no_writes() || !self.pipeline.admitted.is_empty();
         if !has_rows && !is_due && self.release.is_none() {
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -136,14 +136,18 @@
         let mut without_waiting_units = Vec::new();
         let may_wait = |job: &&Job| job.final_state.is_none() && job.may_have_waiting_units;
         for job in self.jobs.values().filter(may_wait) {
-            if !job.occurrences.iter().any(|occurrence| has_waiting_units(job, occurrence)) {
-                without_waiting_units.push(job.record.id.clone());
-                continue;
-            }
+            let count_before = waiting.len();
             let pool = self.pool_of(job);
             for occurrence in &job.occurrences {
                 self.collect_waiting_steps(job, occurrence, &pool, now, &mut waiting);
             }
+            let has_waiting_units = || {
+                let mut occurrences = job.occurrences.iter();
+                occurrences.any(|occurrence| has_waiting_units(job, occurrence))
+            };
+            if waiting.len() == count_before && !has_waiting_units() {
+                without_waiting_units.push(job.record.id.clone());
+            }
         }
         for id in without_waiting_units {
             if let Some(job) = self.jobs.get_mut(&id) {
