--- a/crates/savorypitch/tests/soak.rs
+++ b/crates/savorypitch/tests/soak.rs
@@ -4,7 +4,8 @@
 //! Two shards divide the workers and a quota that binds. The faults follow from a seed: nodes are
 //! suspended, killed, or stopped and restarted; the table is unavailable, slow or loses replies;
 //! connections are delayed, blocked, blocked in one direction or reset; workers crash and restart,
-//! also under a few harmful jobs, which crash each worker that starts them. Faults overlap. While
+//! also under a few harmful jobs, which crash each worker that starts them; half of the workers are
+//! in a zone that is evacuated. Faults overlap. While
 //! they last, the stand-in workers record every violation of a guarantee. Afterwards every accepted
 //! job must complete, or fail if it is harmful, and no refused job may have run.
 //!
@@ -54,6 +55,7 @@
 use serde_json::json;
 use table::TableFault;
 use table::TableStandin;
+use workers::EVACUATED_ZONE;
 use workers::HARMFUL_SPEC;
 use workers::UNIT_MILLIS;
 use workers::WorkerStandins;
@@ -69,6 +71,8 @@
 const FAULT_INJECTION_TIME: Duration = Duration::from_secs(12);
 /// Shortest time after which the platform reuses the id of a worker that has ended.
 const WORKER_ID_REUSE_MIN: Duration = Duration::from_millis(2_200);
+/// Time for which a zone is evacuated; longer than the bound after which nothing may start there.
+const EVACUATION_TIME: Duration = Duration::from_secs(8);
 /// Time within which all accepted jobs complete after the last fault: longer than the longest lease
 /// of a worker and the validity of an ownership.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -105,6 +109,8 @@
     worker_links: Vec<Proxy>,
     nodes: Vec<Node>,
     rng: StdRng,
+    /// The zone is evacuated at present.
+    is_evacuating: bool,
     is_injection_done: Arc<AtomicBool>,
     submissions: Arc<Mutex<Vec<Submission>>>,
 }
@@ -138,8 +144,16 @@
         table.put("op", "config", &build_config(&nodes));
         let rng = StdRng::seed_from_u64(seed);
         let (is_injection_done, submissions) = (Arc::default(), Arc::default());
-        let soak =
-            Self { table, workers, worker_links, nodes, rng, is_injection_done, submissions };
+        let soak = Self {
+            table,
+            workers,
+            worker_links,
+            nodes,
+            rng,
+            is_evacuating: false,
+            is_injection_done,
+            submissions,
+        };
         soak.spawn_restarter();
         soak
     }
@@ -189,6 +203,7 @@
             let recovery = self.inject_fault();
             let length = match recovery {
                 Recovery::StartWorker(_) => length.max(WORKER_ID_REUSE_MIN),
+                Recovery::EndEvacuation => EVACUATION_TIME,
                 _ => length,
             };
             pending_recoveries.push((Instant::now() + length, recovery));
@@ -211,7 +226,7 @@
         let worker = self.rng.random_range(0..WORKERS);
         let faults = [Fault::Delayed, Fault::Held, Fault::RepliesHeld, Fault::Reset];
         let fault = *faults.choose(&mut self.rng).expect("there are faults");
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..10) {
             0 => {
                 self.nodes[node].signal("-STOP");
                 Recovery::ContinueNode(node)
@@ -247,6 +262,13 @@
                 self.worker_links[worker].set_fault(fault);
                 Recovery::RepairWorkerLink(worker)
             }
+            8 if !self.is_evacuating => {
+                self.is_evacuating = true;
+                self.table.put("op", &evacuation_key(), &json!({}));
+                self.workers.set_evacuated(true);
+                Recovery::EndEvacuation
+            }
+            8 => Recovery::Nothing,
             _ => match self.workers.crash(worker) {
                 true => Recovery::StartWorker(worker),
                 false => Recovery::Nothing,
@@ -262,6 +284,11 @@
             Recovery::RepairTable => self.table.set_fault(TableFault::None),
             Recovery::RepairNodeLink(node) => self.nodes[node].link.set_fault(Fault::None),
             Recovery::RepairWorkerLink(worker) => self.worker_links[worker].set_fault(Fault::None),
+            Recovery::EndEvacuation => {
+                self.is_evacuating = false;
+                self.workers.set_evacuated(false);
+                self.table.remove("op", &evacuation_key());
+            }
             Recovery::StartWorker(worker) => {
                 self.workers.restart(worker);
                 register_worker(
@@ -348,6 +375,12 @@
     RepairNodeLink(usize),
     RepairWorkerLink(usize),
     StartWorker(usize),
+    EndEvacuation,
+}
+
+/// Returns the key of the row that evacuates the zone.
+fn evacuation_key() -> String {
+    format!("evacuate/{EVACUATED_ZONE}")
 }
 
 fn job_request(method: Method, id: &str, body: impl Into<bytes::Bytes>) -> Request {
--- a/crates/savorypitch/tests/soak/platform_setup.rs
+++ b/crates/savorypitch/tests/soak/platform_setup.rs
@@ -14,9 +14,11 @@
 use crate::node::READY_PORT;
 use crate::table::TableStandin;
 use crate::workers::CAPACITY_MILLIS;
+use crate::workers::EVACUATION_BOUND_MS;
 use crate::workers::QUOTA_MILLIS;
 use crate::workers::WorkerStandins;
 use crate::workers::worker_id;
+use crate::workers::worker_zone;
 
 pub fn register_worker(
     table: &TableStandin,
@@ -25,7 +27,7 @@
     address: SocketAddr,
 ) {
     let registration = json!({
-        "service": "p", "address": address, "zone": "a", "state": "ready", "labels": ["a"],
+        "service": "p", "address": address, "zone": worker_zone(index), "state": "ready", "labels": ["a"],
         "capacity": { "cpu": CAPACITY_MILLIS, "memMb": 10_000 }, "born": workers.incarnation_started_ms(index),
         "machine": format!("h-{index}"),
     });
@@ -54,6 +56,7 @@
         "listen": { "front": SocketAddr::new(ip, CALLER_PORT), "ready": SocketAddr::new(ip, READY_PORT) },
         "portRange": [PEER_PORT, PEER_PORT + 1],
         "platform": { "address": table }, "cloud": { "address": table }, "hostsPerShard": HOSTS_PER_SHARD,
+        "bounds": { "evacMs": EVACUATION_BOUND_MS },
     });
     let name = format!("savorypitch-soak-{}-{seed}-{index}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
