--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -23,6 +23,8 @@
 pub const RUNS_STARTED: &str = "runs.started";
 /// Start commands that workers refused or did not answer.
 pub const RUNS_NOT_STARTED: &str = "runs.not-started";
+/// Start commands that cold workers have carried out.
+pub const RUNS_STARTED_COLD: &str = "runs.started-cold";
 /// Planned or commanded runs that were not started, for an evacuation or an old read of the
 /// operators' rows.
 pub const STARTS_WITHHELD: &str = "starts.withheld";
@@ -63,6 +65,7 @@
     gauge(JOBS_LIVE, "live jobs at this owner"),
     counter(RUNS_STARTED, "orders to start that workers have carried out"),
     counter(RUNS_NOT_STARTED, "orders to start that workers have refused or not answered"),
+    counter(RUNS_STARTED_COLD, "orders to start that cold workers have carried out"),
     counter(
         STARTS_WITHHELD,
         "starts withheld for an evacuation or an old read of the operators' rows",
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -221,6 +221,7 @@
                 .field("absent_hosts", load.absent_hosts)
                 .field("lasting_hosts", load.long_running_hosts)
                 .field("coming_hosts", load.incoming_hosts)
+                .field("cold_workers", load.cold_workers)
                 .field("lost_hosts", load.unusable_hosts)
                 .field("is_starved", load.is_starved)
                 .field("running_cpu_millis", load.running.cpu_millis)
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -66,6 +66,7 @@
     pub fn record_counts(&mut self, counts: SchedulerCounts) {
         let counters = [
             (metrics::DURATION_SAMPLES, counts.duration_samples),
+            (metrics::RUNS_STARTED_COLD, counts.cold_starts),
             (metrics::STARTS_WITHHELD, counts.starts_withheld),
             (metrics::UNITS_EVACUATED, counts.units_evacuated),
         ];
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -303,6 +303,7 @@
             labels: Arc::from([]),
             capacity: Resources { cpu_millis: 16_000, memory_mb: 32_768, gpus: 0 },
             is_draining: false,
+            cold_left: Duration::ZERO,
             clock_ms: 0,
             host: Some(host_name(number)),
         };
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -19,6 +19,7 @@
 pub(crate) struct Candidate {
     pub id: WorkerId,
     pub free_capacity: Resources,
+    is_cold: bool,
     rack: Option<Arc<str>>,
     labels: Arc<[String]>,
     /// Units whose runs are there.
@@ -48,6 +49,8 @@
 struct Fit {
     /// An earlier run of the unit has failed or stalled there.
     is_excluded: bool,
+    /// The worker is slow, since it has just started.
+    is_cold: bool,
     /// The worker is not on the rack that stores the unit's input data.
     is_remote: bool,
     is_unreliable: bool,
@@ -69,6 +72,10 @@
     /// Reservations that fit on no worker. Within a round, free capacity only shrinks, so that
     /// larger ones do not fit either.
     unfit_reservations: Vec<Resources>,
+    /// Some workers are cold.
+    pub has_cold: bool,
+    /// The units that are placed now wait rather than run on a cold worker.
+    pub avoids_cold: bool,
 }
 
 impl Candidates {
@@ -102,7 +109,8 @@
         may_run: impl Fn(&WorkerId) -> bool,
     ) -> Option<usize> {
         let fitting = self.workers.iter().enumerate().filter(|(_, worker)| {
-            worker.can_run(key, step)
+            self.allows(worker)
+                && worker.can_run(key, step)
                 && rack.is_none_or(|rack| worker.rack.as_deref() == Some(rack))
                 && may_run(&worker.id)
         });
@@ -121,8 +129,9 @@
         now: Moment,
     ) -> Option<usize> {
         let fitting = self.workers.iter().enumerate();
-        let fitting =
-            fitting.filter(|(_, worker)| worker.can_run(key, step) && may_run(&worker.id));
+        let fitting = fitting.filter(|(_, worker)| {
+            self.allows(worker) && worker.can_run(key, step) && may_run(&worker.id)
+        });
         let last_starts = fitting.map(|(index, worker)| (last_start(&worker.id), index));
         let (last_start_at, index) = last_starts.min()?;
         if now.saturating_sub(last_start_at) >= QUIET_TIME {
@@ -132,6 +141,17 @@
         None
     }
 
+    /// Returns true if a unit of `step` waits for a warm worker, although it fits on a cold one.
+    pub fn waits_for_warm(&self, key: &UnitKey, step: &Step) -> bool {
+        self.avoids_cold
+            && self.workers.iter().any(|worker| worker.is_cold && worker.can_run(key, step))
+    }
+
+    /// Returns true if the units that are placed now may run on a worker.
+    fn allows(&self, worker: &Candidate) -> bool {
+        !(self.avoids_cold && worker.is_cold)
+    }
+
     /// Returns true if a unit of `step` would fit on a worker that is reserved.
     pub fn fits_on_reserved(&self, key: &UnitKey, step: &Step) -> bool {
         self.workers.iter().any(|worker| worker.is_reserved && worker.fits(key, step))
@@ -193,6 +213,7 @@
         let near = step.near_rack.as_deref();
         Fit {
             is_excluded: history.excluded_workers.contains(&self.id),
+            is_cold: self.is_cold,
             is_remote: near.is_some() && self.rack.as_deref() != near,
             is_unreliable: !self.is_reliable,
             suspect_runs: self.suspect_runs,
@@ -212,8 +233,9 @@
     pub(crate) fn candidates(&self, pool: &PoolName, now: Moment) -> Candidates {
         let workers = self.workers.values().filter(|worker| worker.registration.pool == *pool);
         let accepting = workers.filter(|worker| self.accepts_runs(worker, now));
-        let workers = accepting.map(|worker| self.candidate(worker, now)).collect();
-        Candidates { workers, unfit_reservations: Vec::new() }
+        let workers: Vec<Candidate> = accepting.map(|worker| self.candidate(worker, now)).collect();
+        let has_cold = workers.iter().any(|worker| worker.is_cold);
+        Candidates { workers, has_cold, ..Candidates::default() }
     }
 
     /// Returns true if the worker accepts new runs.
@@ -242,7 +264,8 @@
         }
         Candidate {
             id: worker.registration.id.clone(),
-            free_capacity: worker.free_capacity(),
+            free_capacity: worker.free_usable_capacity(now),
+            is_cold: worker.is_cold(now),
             rack: worker.rack.clone(),
             labels: worker.registration.labels.clone(),
             units: worker.runs.clone(),
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -58,7 +58,8 @@
     pub hosts: usize,
     /// Hosts that the pool had before any host was moved.
     pub baseline_hosts: usize,
-    /// Hosts of the pool that count as absent, since their zone is evacuated; not among `hosts`.
+    /// Hosts of the pool that count as absent, since their zone is evacuated or lost; not among
+    /// `hosts`.
     pub absent_hosts: usize,
     /// Hosts that run long-running units.
     pub long_running_hosts: usize,
@@ -68,6 +69,8 @@
     pub is_long_running_starved: bool,
     /// Workers that accept new runs.
     pub ready_workers: usize,
+    /// Workers that are slow, since they have just started.
+    pub cold_workers: usize,
     /// Hosts that are moving to the pool or planned to.
     pub incoming_hosts: usize,
     /// Hosts that are drained for maintenance or under maintenance, and hosts whose workers do not
@@ -223,6 +226,7 @@
             if let Some(load) = loads.get_mut(&worker.registration.pool) {
                 load.running += self.lasting_reservation(worker);
                 load.ready_workers += usize::from(self.accepts_runs(worker, now));
+                load.cold_workers += usize::from(worker.is_registered && worker.is_cold(now));
                 let capacity = worker.registration.capacity;
                 load.host_capacity.cpu_millis =
                     load.host_capacity.cpu_millis.max(capacity.cpu_millis);
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -40,7 +40,10 @@
             return;
         }
         match reply {
-            StartReply::Started => self.confirm_start(key, now),
+            StartReply::Started => {
+                self.count_cold_start(worker, now);
+                self.confirm_start(key, now);
+            }
             StartReply::Unknown => self.mark_in_doubt(worker, key, now),
             StartReply::OtherInstance => {
                 self.handle_worker_gone(worker, "another instance answers", now)
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -7,6 +7,8 @@
 pub struct Counts {
     /// Runs whose durations were recorded.
     pub duration_samples: u64,
+    /// Runs that were started on cold workers.
+    pub cold_starts: u64,
     /// Planned runs that were not started, for an evacuation or for an old read of the operators'
     /// rows.
     pub starts_withheld: u64,
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -26,6 +26,7 @@
 use crate::messages::LossCause;
 use crate::state::Scheduler;
 use crate::worker::Contact;
+use crate::worker::Worker;
 
 /// Time that units with checkpoints get to finish on a cordoned host. If its wave is urgent, other
 /// finite units get no more than that either.
@@ -145,7 +146,9 @@
             }
             host.had_worker |= entry.worker.is_some();
             let worker = entry.worker.as_ref().and_then(|id| self.workers.get(id));
-            if let Some(worker) = worker.filter(|worker| worker.is_registered) {
+            let has_zone =
+                |worker: &&Worker| worker.is_registered && !worker.registration.zone.is_empty();
+            if let Some(worker) = worker.filter(has_zone) {
                 host.zone = Some(worker.registration.zone.clone());
             }
             if now >= host.unavailable_until {
@@ -178,6 +181,7 @@
             return;
         }
         self.drain_leaving_workers(now);
+        self.find_lost_zones(now);
         self.plan_waves(now);
         self.cancel_moves_of_absent_hosts();
         self.plan_moves(now);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -30,6 +30,7 @@
 mod candidates;
 mod capacity;
 mod choice;
+mod cold_workers;
 mod commands;
 mod counts;
 mod durations;
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::HostName;
 use crate::PoolName;
@@ -30,6 +31,8 @@
     pub capacity: Resources,
     /// The worker is leaving: it gets no new runs and its runs are drained.
     pub is_draining: bool,
+    /// How much longer the worker is slow after its start; zero if it is warm.
+    pub cold_left: Duration,
     /// Monotonic clock of the worker at the registration, in milliseconds.
     pub clock_ms: u64,
     /// Host on which it runs, if it reported one.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -34,7 +34,8 @@
     All,
     /// No worker has enough free capacity for the remaining units.
     NoCapacity,
-    /// The remaining units wait for the team's quota, for advice, or for what a crash will show.
+    /// The remaining units wait for the team's quota, for advice, for a warm worker, or for what a
+    /// crash will show.
     Blocked,
 }
 
@@ -209,6 +210,8 @@
         if needs_advice && !self.request_advice(&waiting.first_unit, step, candidates, now) {
             return Placement::Blocked;
         }
+        candidates.avoids_cold = candidates.has_cold
+            && self.can_wait_for_warm_worker(&waiting.priority, &record, step, now);
         if step.is_gang {
             return self.place_gang(waiting, step, candidates, now);
         }
@@ -227,6 +230,9 @@
                     placement = Placement::Blocked;
                     continue;
                 }
+                if candidates.waits_for_warm(&key, step) {
+                    return Placement::Blocked;
+                }
                 if !needs_advice {
                     candidates.record_unfit(step);
                 }
@@ -265,7 +271,10 @@
             self.find_gang_workers(waiting, step, candidates.clone(), rack.as_deref(), now)
         });
         let Some((workers, remaining_candidates)) = placement else {
-            return Placement::NoCapacity;
+            return match candidates.waits_for_warm(&waiting.first_unit, step) {
+                true => Placement::Blocked,
+                false => Placement::NoCapacity,
+            };
         };
         *candidates = remaining_candidates;
         let keys: Vec<UnitKey> = waiting.keys().collect();
--- a/crates/scheduler/src/run_samples.rs
+++ b/crates/scheduler/src/run_samples.rs
@@ -2,7 +2,7 @@
 //!
 //! Only successful runs that show how long a unit takes on a worker at full speed are samples.
 //! Not among them are runs that an earlier owner has started, since their start is not known;
-//! runs that have resumed from a checkpoint; runs that were told to stop; best-effort units, which
+//! runs that began on a cold worker or soon after; runs that have resumed from a checkpoint; runs that were told to stop; best-effort units, which
 //! get the processor time that others leave; and units that run until their job is cancelled.
 
 use std::time::Duration;
@@ -90,9 +90,17 @@
         let ran_undisturbed = unit.checkpoint.is_empty()
             && run.stop.is_none()
             && run.speed_limit_percent == FULL_PERCENT;
+        let ran_warm = self
+            .workers
+            .get(worker)
+            .is_none_or(|worker| !self.may_be_slow_from_start(worker, run.since));
         let is_finite = !step.is_long_running && !step.is_best_effort;
-        let is_sample =
-            is_first_success && is_current && is_own_start && ran_undisturbed && is_finite;
+        let is_sample = is_first_success
+            && is_current
+            && is_own_start
+            && ran_undisturbed
+            && ran_warm
+            && is_finite;
         is_sample.then(|| now.saturating_sub(run.since))
     }
 
--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -20,6 +20,9 @@
             let Some(reported_at) = worker.last_contact_at() else {
                 continue;
             };
+            if self.may_be_slow_from_start(worker, now) {
+                continue;
+            }
             let runs = worker.runs.iter().filter(|key| self.is_stalled(key, reported_at));
             stalled.extend(runs.cloned());
         }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -12,6 +12,7 @@
 use crate::TeamName;
 use crate::WaveId;
 use crate::WorkerId;
+use crate::ZoneName;
 use crate::advice::Tickets;
 use crate::capacity::BaselineHosts;
 use crate::capacity::Demand;
@@ -64,6 +65,8 @@
     pub(crate) quota_portions: SortedMap<TeamName, Portion>,
     /// Portions that teams with waiting units needed at the last placement.
     pub(crate) quota_needs: SortedMap<TeamName, Portion>,
+    /// Zones all of whose workers are silent, sorted.
+    pub(crate) lost_zones: Vec<ZoneName>,
     /// Zones that operators evacuate.
     pub(crate) evacuations: Evacuations,
     /// Recent failures by worker.
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -120,6 +120,7 @@
         if registration.is_draining && !worker.registration.is_draining {
             worker.draining_since = now;
         }
+        worker.update_warmup(&registration, now);
         let incarnation_started_ms =
             worker.registration.incarnation_started_ms.max(registration.incarnation_started_ms);
         let host = registration.host.clone().or(worker.registration.host.clone());
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -6,6 +6,7 @@
 use crate::Moment;
 use crate::WorkerId;
 use crate::assignments::AssignmentRow;
+use crate::cold_workers::Warmup;
 use crate::job::Resources;
 use crate::job::UnitKey;
 use crate::live_jobs::Run;
@@ -91,6 +92,8 @@
     pub is_cordoned: bool,
     /// When it was cordoned.
     pub cordoned_at: Moment,
+    /// How long it is slow after its start; `None` if it has never been.
+    pub warmup: Option<Warmup>,
     /// When the registry first showed it as draining.
     pub draining_since: Moment,
     /// When a run was last added or removed there.
@@ -102,6 +105,7 @@
     /// Creates the state of a worker that was just found.
     pub fn new(registration: WorkerRegistration, lease_expires_at: Moment, now: Moment) -> Self {
         let rack = rack_of(&registration.labels);
+        let warmup = Warmup::new(&registration, now);
         Self {
             registration,
             rack,
@@ -125,6 +129,7 @@
             backoff_until: Moment::ZERO,
             is_cordoned: false,
             cordoned_at: Moment::ZERO,
+            warmup,
             draining_since: now,
             last_busy_at: now,
             clock: None,
@@ -147,6 +152,7 @@
             labels: Arc::from([]),
             capacity: Resources::default(),
             is_draining: false,
+            cold_left: Duration::ZERO,
             clock_ms: 0,
             host: None,
         };
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -101,6 +101,7 @@
         labels: vec!["a".to_owned(), "r1-1".to_owned()].into(),
         capacity: Resources { cpu_millis: 16_000, memory_mb: 32_768, gpus: 0 },
         is_draining: false,
+        cold_left: Duration::ZERO,
         clock_ms: 0,
         host: None,
     }
