--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -170,6 +170,12 @@
         worker.long_running_runs += usize::from(kind.is_long_running);
     }
 
+    /// Returns the free capacity of all workers together.
+    pub fn free_capacity(&self) -> Resources {
+        let free = self.workers.iter().map(|worker| worker.free_capacity);
+        free.fold(Resources::default(), |sum, free| sum.plus(&free))
+    }
+
     /// Returns the racks of the workers, sorted and without duplicates.
     pub fn racks(&self) -> Vec<Arc<str>> {
         let mut racks: Vec<Arc<str>> =
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -48,6 +48,15 @@
         self
     }
 
+    /// Returns the sum of `count` such amounts.
+    pub fn times(&self, count: u64) -> Resources {
+        Resources {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
     /// Returns the difference; an amount that would become negative is 0.
     pub fn minus(mut self, other: &Resources) -> Resources {
         self -= *other;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod absent_hosts;
 mod advice;
+mod amounts;
 mod assignments;
 mod candidates;
 mod capacity;
@@ -40,15 +41,19 @@
 mod hosts;
 mod lost_runs;
 mod peaks;
+mod placement_order;
 mod plan;
 mod priority;
 mod quotas;
 mod rate_shares;
 mod run_samples;
+mod share_level;
 mod speed_limits;
 mod stalled;
 mod storing;
 mod takeover;
+mod team_shares;
+mod team_use;
 mod waves;
 mod worker_reports;
 
@@ -109,6 +114,9 @@
 pub use sorted_map::SortedMap;
 pub use state::Scheduler;
 pub use storing::CancelOutcome;
+pub use team_shares::TeamShare;
+pub use team_use::Claimant;
+pub use team_use::PoolUses;
 pub use waves::WaveRow;
 
 /// Time since the machine booted, including the time during which it was suspended.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -4,10 +4,12 @@
 
 use crate::Moment;
 use crate::PoolName;
+use crate::TeamName;
 use crate::UnitKey;
 use crate::WorkerId;
 use crate::candidates::Candidates;
 use crate::candidates::UnitHistory;
+use crate::job::Resources;
 use crate::job::Step;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
@@ -16,6 +18,7 @@
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
 use crate::lost_runs::Suspicion;
+use crate::placement_order::PlacementOrder;
 use crate::priority::SchedulingPriority;
 use crate::priority::Urgency;
 use crate::sorted_map::SortedMap;
@@ -37,22 +40,33 @@
     /// The remaining units wait for the team's quota, for advice, for a warm worker, or for what a
     /// crash will show.
     Blocked,
+    /// The remaining units are placed after those of another team.
+    Yielded,
 }
 
 /// A step with waiting units.
 #[derive(Clone, Debug)]
-struct WaitingStep {
-    priority: SchedulingPriority,
+pub(crate) struct WaitingStep {
+    pub priority: SchedulingPriority,
     pool: PoolName,
+    /// Team that submitted the job.
+    pub team: Option<TeamName>,
+    /// Resources that each unit reserves.
+    pub reservation: Resources,
     /// Unit 0 of the step, whether it waits or not.
     first_unit: UnitKey,
     /// Indices of the waiting units.
-    units: Vec<usize>,
+    pub units: Vec<usize>,
     /// One of them is strongly suspected to crash its worker.
-    has_strong_suspect: bool,
+    pub has_strong_suspect: bool,
 }
 
 impl WaitingStep {
+    /// Returns the resources that all waiting units together reserve.
+    pub fn demand(&self) -> Resources {
+        self.reservation.times(self.units.len() as u64)
+    }
+
     /// Returns the waiting units.
     fn keys(&self) -> impl Iterator<Item = UnitKey> {
         self.units.iter().map(|&index| UnitKey { index, ..self.first_unit.clone() })
@@ -116,20 +130,24 @@
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &pool_steps[0].pool;
             let mut candidates = self.candidates(pool, now);
+            let mut placement_order = self.placement_order(pool, pool_steps, &candidates, now);
             let (mut is_starved, mut is_long_running_starved) = (false, false);
-            for step in pool_steps {
-                let has_no_capacity =
-                    self.place_step(step, &mut candidates, now) == Placement::NoCapacity;
+            while let Some(number) = placement_order.next() {
+                let step = &pool_steps[number];
+                let placement = self.place_step(step, &mut placement_order, &mut candidates, now);
+                let has_no_capacity = placement == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
                 is_long_running_starved |=
                     has_no_capacity && step.priority.urgency == Urgency::LongRunning;
             }
+            self.team_shares.count_units_ahead(placement_order.units_ahead());
             update_since(&mut self.starved_since, pool, is_starved, now);
             update_since(&mut self.long_running_starved_since, pool, is_long_running_starved, now);
         }
         let is_waiting = |pool: &PoolName| waiting.iter().any(|step| step.pool == *pool);
         self.starved_since.retain(|pool, _| is_waiting(pool));
         self.long_running_starved_since.retain(|pool, _| is_waiting(pool));
+        self.retain_full_pools(is_waiting);
     }
 
     fn waiting_steps(&mut self, now: Moment) -> Vec<WaitingStep> {
@@ -194,14 +212,24 @@
             let first_unit = key_of(0);
             let suspicion = |unit: &usize| occurrence.steps[index][*unit].suspicion(now);
             let has_strong_suspect = units.iter().any(|unit| suspicion(unit) == Suspicion::Strong);
-            let pool = pool.clone();
-            waiting.push(WaitingStep { priority, pool, first_unit, units, has_strong_suspect });
+            let (pool, team) = (pool.clone(), job.record.team.clone());
+            let reservation = step.reservation();
+            waiting.push(WaitingStep {
+                priority,
+                pool,
+                team,
+                reservation,
+                first_unit,
+                units,
+                has_strong_suspect,
+            });
         }
     }
 
     fn place_step(
         &mut self,
         waiting: &WaitingStep,
+        order: &mut PlacementOrder,
         candidates: &mut Candidates,
         now: Moment,
     ) -> Placement {
@@ -217,10 +245,15 @@
         candidates.avoids_cold = candidates.has_cold
             && self.can_wait_for_warm_worker(&waiting.priority, &record, step, now);
         if step.is_gang {
-            return self.place_gang(waiting, step, candidates, now);
+            let placement = self.place_gang(waiting, step, candidates, now);
+            if placement == Placement::All {
+                let units = waiting.units.len();
+                order.record_placed(units, units, &waiting.reservation);
+            }
+            return placement;
         }
         let mut placement = Placement::All;
-        for (placed, key) in waiting.keys().enumerate() {
+        for (placed, key) in waiting.keys().enumerate().skip(order.visited()) {
             let remaining = (waiting.units.len() - placed) as u64;
             if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
@@ -247,6 +280,9 @@
             candidates.place(chosen, &key, step, suspicion);
             let worker = candidates.workers()[chosen].id.clone();
             self.plan_run(&key, step, worker, number, now);
+            if order.record_placed(1, placed + 1, &waiting.reservation) {
+                return Placement::Yielded;
+            }
         }
         placement
     }
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -1,10 +1,11 @@
 //! The order in which waiting units are placed.
 //!
 //! Queues with a lower priority number go first. Among jobs of the same priority, those with
-//! long-running units go first, since each moment without them is lost. Then come jobs within the
-//! rate shares of their teams, and then jobs beyond them. In both groups, jobs that can still meet
-//! their deadline go first, in the order of their latest start, and then jobs that cannot, the one
-//! with the least remaining work first.
+//! long-running units go first, since each moment without them is lost. With fair shares in a full
+//! pool, jobs of teams above their share come last, the team with the least use per weight first.
+//! Then come jobs within the rate shares of their teams, and then jobs beyond them. In both groups,
+//! jobs that can still meet their deadline go first, in the order of their latest start, and then
+//! jobs that cannot, the one with the least remaining work first.
 
 use std::time::Duration;
 
@@ -27,11 +28,23 @@
     Late,
 }
 
+/// How a team's use of a pool compares with its share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShareRank {
+    /// The team is at or below its share, or shares do not matter.
+    #[default]
+    Within,
+    /// The team is above its share; holds its use per weight.
+    Above(u64),
+}
+
 /// Scheduling priority of an occurrence of a job; the lowest value goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SchedulingPriority {
     /// Priority number of the queue.
     pub queue_priority: u32,
+    /// How the use of the job's team compares with its share when its turn comes.
+    pub share: ShareRank,
     /// The job was submitted beyond the rate share of its team.
     pub is_beyond_rate_share: bool,
     /// Whether the job can meet its deadline.
@@ -57,6 +70,7 @@
             let (is_beyond_rate_share, urgency) = (false, Urgency::LongRunning);
             return SchedulingPriority {
                 queue_priority,
+                share: ShareRank::Within,
                 is_beyond_rate_share,
                 urgency,
                 tie_breaker,
@@ -75,6 +89,7 @@
         };
         SchedulingPriority {
             queue_priority,
+            share: ShareRank::Within,
             is_beyond_rate_share: job.is_beyond_rate_share,
             urgency,
             tie_breaker,
--- a/crates/scheduler/src/quotas.rs
+++ b/crates/scheduler/src/quotas.rs
@@ -3,7 +3,6 @@
 
 use crate::TeamName;
 use crate::job::JobRecord;
-use crate::job::Resources;
 use crate::job::Step;
 use crate::portions::Portion;
 use crate::portions::WHOLE;
@@ -59,7 +58,7 @@
             return true;
         };
         let used = self.team_usage(team);
-        let with = |count: u64| portion_of(&used.plus(&times(&step.requested, count)), &quota);
+        let with = |count: u64| portion_of(&used.plus(&step.requested.times(count)), &quota);
         let needed_min = with(count);
         if needed_min <= self.quota_portion(team) {
             return true;
@@ -72,12 +71,3 @@
         false
     }
 }
-
-/// Returns the resources of `count` units.
-fn times(of_unit: &Resources, count: u64) -> Resources {
-    Resources {
-        cpu_millis: of_unit.cpu_millis * count,
-        memory_mb: of_unit.memory_mb * count,
-        gpus: of_unit.gpus * count,
-    }
-}
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -41,6 +41,7 @@
 use crate::rate_shares::RateShares;
 use crate::settings::Settings;
 use crate::sorted_map::SortedMap;
+use crate::team_shares::TeamShares;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
 
@@ -101,6 +102,8 @@
     pub(crate) peaks: Peaks,
     /// Rate limiters that tell which jobs are within their team's rate share.
     pub(crate) rate_shares: RateShares,
+    /// What teams use of each pool, and their shares.
+    pub(crate) team_shares: TeamShares,
     /// Expected durations of units.
     pub(crate) durations: Durations,
     /// Events since the owner last took the counts.
@@ -147,6 +150,7 @@
     pub fn set_config(&mut self, config: Arc<Config>) {
         self.config = config;
         self.needs_placement = true;
+        self.team_shares.handle_config(&self.settings, &self.config);
     }
 
     /// Records that a worker has refused the fencing token, since another owner has taken over.
@@ -310,6 +314,7 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.add_run(key, &run, is_suspect, now);
         }
+        self.count_team_use(key, &run.reservation, now);
         if let Some(team) = team {
             *self.team_usage.entry_or(team, Resources::default) += run.requested;
         }
@@ -330,6 +335,7 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.remove_run(key, &run, now);
         }
+        self.discount_team_use(key, &run.reservation, now);
         if let Some(team) = team
             && let Some(used) = self.team_usage.get_mut(&team)
         {
