--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod sharding;
 mod shared;
 pub mod succession;
+pub mod team_uses;
 
 pub use caller_api::Access;
 pub use caller_api::JobLookup;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -34,6 +34,8 @@
 pub const RUNS_LOST: &str = "runs.lost";
 /// Runs whose durations were recorded for the expected ones.
 pub const DURATION_SAMPLES: &str = "durations.samples";
+/// Units that were placed before units of a higher priority because of the shares of their teams.
+pub const UNITS_AHEAD_BY_SHARE: &str = "units.ahead-by-share";
 /// Time until a start command is answered.
 pub const RUNS_START: &str = "runs.start";
 /// Time from the report of completions until they are stored and can be acknowledged.
@@ -73,6 +75,7 @@
     counter(UNITS_EVACUATED, "long-running units moved out of evacuated zones"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
+    counter(UNITS_AHEAD_BY_SHARE, "units placed ahead of others by the share of their team"),
     timer(RUNS_START, "time of an order to start"),
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
     counter(POLLS, "looks at workers"),
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -12,6 +12,7 @@
 mod load;
 mod pipeline;
 mod requests;
+mod shares;
 mod stats;
 
 use std::sync::Arc;
@@ -44,6 +45,7 @@
 use crate::shared::HeldOwnership;
 use crate::shared::OwnerRequest;
 use crate::shared::Shared;
+use crate::team_uses::TeamUsesPublisher;
 
 /// Time for which an owner may act, counted from the sending of its last committed transaction.
 const VALIDITY: Duration = Duration::from_millis(3_500);
@@ -95,6 +97,7 @@
     /// State of each maintenance wave as last reported to operators.
     reported_waves: SortedMap<WaveId, WaveState>,
     divisions: Divisions,
+    team_uses: TeamUsesPublisher,
     /// When the list of hosts was last requested; zero makes the next request due at once.
     hosts_listed_at: Moment,
     is_listing_hosts: bool,
@@ -180,6 +183,7 @@
         poll_schedule_reviewed_at: Moment::ZERO,
         reported_waves: SortedMap::default(),
         divisions: loaded.divisions,
+        team_uses: TeamUsesPublisher::default(),
         hosts_listed_at: Moment::ZERO,
         is_listing_hosts: false,
         host_commands: 0,
@@ -191,6 +195,7 @@
         end_reason: None,
         release: None,
     };
+    owner.apply_all_team_uses();
     owner.handle_inbox(loaded.inbox);
     owner.follow_registry();
     owner.follow_inbox();
@@ -254,6 +259,7 @@
         }
         if is_valid && self.release.is_none() {
             self.divide_quotas(now);
+            self.publish_team_uses(now);
         }
         self.commit_next(now);
         self.remove_inbox_rows();
--- a/crates/coordinator/src/owner/divide.rs
+++ b/crates/coordinator/src/owner/divide.rs
@@ -101,7 +101,7 @@
         self.report_wave(wave, state);
     }
 
-    fn is_only_shard(&self) -> bool {
+    pub(super) fn is_only_shard(&self) -> bool {
         self.shared.layout().shard_count <= 1
     }
 
@@ -112,6 +112,7 @@
             match DivisionKey::parse(key) {
                 Some((_, DivisionKey::Team(team))) => self.apply_portion(&team),
                 Some((_, DivisionKey::Wave(_))) => has_wave = true,
+                Some((_, DivisionKey::TeamUses(shard))) => self.apply_team_uses(shard),
                 Some((_, DivisionKey::Epoch(_))) | None => {}
             }
         }
@@ -142,7 +143,7 @@
         }
     }
 
-    fn send_change(&mut self, change: Change) {
+    pub(super) fn send_change(&mut self, change: Change) {
         self.stats.record_division_change();
         let shared = self.shared.clone();
         let Change { key, transaction } = change;
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -39,6 +39,8 @@
 use scheduler::HostName;
 use scheduler::HostReply;
 use scheduler::HostState;
+use scheduler::Policies;
+use scheduler::Policy;
 use scheduler::PoolName;
 use scheduler::Resources;
 use scheduler::RunOutcome;
@@ -116,6 +118,8 @@
     unit_time: Duration,
     /// Number of hosts, each with a worker.
     host_count: usize,
+    /// Policies of the nodes.
+    policies: Policies,
 }
 
 /// Time of a transaction of a slow table.
@@ -126,7 +130,7 @@
 
 impl Memory {
     pub fn new(unit_time: Duration) -> Self {
-        let memory = Self { data: Arc::default(), unit_time, host_count: 1 };
+        let memory = Self { unit_time, host_count: 1, ..Self::default() };
         memory.data.lock().unwrap().config = Some(Arc::new(config()));
         memory.data.lock().unwrap().version = 1;
         memory
@@ -150,6 +154,19 @@
         self.data.lock().unwrap().panics_left = count;
     }
 
+    /// Enables policies and sets the weight of the team, before any node has started.
+    pub fn with_policies(mut self, policies: &[Policy], weight: f64) -> Self {
+        self.policies = policies.iter().copied().collect();
+        let mut data = self.data.lock().unwrap();
+        let mut config = data.config.as_deref().cloned().unwrap();
+        let mut scheduling = (*config.scheduling).clone();
+        scheduling.teams.entry_or("t".into(), Team::default).rate_share = weight;
+        config.scheduling = Arc::new(scheduling);
+        data.config = Some(Arc::new(config));
+        drop(data);
+        self
+    }
+
     /// Returns the most units that were running at the same time.
     pub fn running_max(&self) -> usize {
         self.data.lock().unwrap().running_max
--- a/crates/coordinator/tests/common/memory_nodes.rs
+++ b/crates/coordinator/tests/common/memory_nodes.rs
@@ -73,7 +73,7 @@
         key_age_max: Duration::from_secs(4),
         local_write_timeout: Duration::from_secs(2),
         hosts_per_shard: HOSTS_PER_SHARD,
-        scheduling: Settings::default(),
+        scheduling: Settings { policies: memory.policies.clone(), ..Settings::default() },
     };
     let telemetry = Telemetry::new(None).unwrap();
     Node::start(settings, memory.clone(), Client::default(), telemetry).await.unwrap()
--- a/crates/scheduler/src/sorted_map.rs
+++ b/crates/scheduler/src/sorted_map.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// Map that is stored as a vector of entries, sorted by key.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent, bound(deserialize = "K: Deserialize<'de>, V: Deserialize<'de>"))]
 pub struct SortedMap<K, V> {
     entries: Vec<(K, V)>,
