--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -34,6 +34,10 @@
 pub const RUNS_LOST: &str = "runs.lost";
 /// Runs whose durations were recorded for the expected ones.
 pub const DURATION_SAMPLES: &str = "durations.samples";
+/// Runs that were stopped for an urgent unit.
+pub const RUNS_PREEMPTED: &str = "runs.preempted";
+/// Work that preempted units lost, in core-milliseconds.
+pub const PREEMPTED_WORK: &str = "runs.preempted-core-ms";
 /// Units that were placed before units of a higher priority because of the shares of their teams.
 pub const UNITS_AHEAD_BY_SHARE: &str = "units.ahead-by-share";
 /// Time until a start command is answered.
@@ -75,6 +79,8 @@
     counter(UNITS_EVACUATED, "long-running units moved out of evacuated zones"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
+    counter(RUNS_PREEMPTED, "runs that were stopped for an urgent unit"),
+    counter(PREEMPTED_WORK, "work that preempted units lost, in core-milliseconds"),
     counter(UNITS_AHEAD_BY_SHARE, "units placed ahead of others by the share of their team"),
     timer(RUNS_START, "time of an order to start"),
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
--- a/crates/coordinator/src/owner/shares.rs
+++ b/crates/coordinator/src/owner/shares.rs
@@ -1,4 +1,4 @@
-//! Publishes what teams use in the shard, and logs their shares.
+//! Publishes what teams use in the shard, logs their shares and counts preemptions.
 
 use scheduler::Moment;
 use scheduler::ShardIndex;
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Counts the units that were preempted, and what they lost.
+    pub(super) fn count_preemptions(&mut self) {
+        let counts = self.scheduler.take_preemption_counts();
+        let telemetry = &self.shared.node.telemetry;
+        telemetry.count_many(metrics::RUNS_PREEMPTED, counts.units);
+        telemetry.count_many(metrics::PREEMPTED_WORK, counts.work_lost_core_ms);
+    }
+
     /// Logs the shares of teams in full pools, and counts what was placed because of them.
     pub(super) fn log_team_shares(&mut self) {
         let units_ahead = self.scheduler.take_units_ahead_by_share();
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -195,9 +195,19 @@
 
     /// Returns true if a unit of `step` fits on the worker, whether it is reserved or not.
     fn fits(&self, key: &UnitKey, step: &Step) -> bool {
-        step.reservation().fits_in(&self.free_capacity)
-            && step.label.as_ref().is_none_or(|label| self.labels.contains(label))
-            && (step.per_worker_max == 0 || self.runs_of_step(key) < step.per_worker_max as usize)
+        step.reservation().fits_in(&self.free_capacity) && self.allows(key, step, 0)
+    }
+
+    /// Returns true if a unit of `step` could run on the worker if that had enough free capacity.
+    /// `planned` other units of the step are to run there too.
+    pub fn suits(&self, key: &UnitKey, step: &Step, planned: usize) -> bool {
+        !self.is_reserved && self.allows(key, step, planned)
+    }
+
+    fn allows(&self, key: &UnitKey, step: &Step, planned: usize) -> bool {
+        let runs_max = step.per_worker_max as usize;
+        step.label.as_ref().is_none_or(|label| self.labels.contains(label))
+            && (runs_max == 0 || self.runs_of_step(key) + planned < runs_max)
     }
 
     fn runs_of_step(&self, key: &UnitKey) -> usize {
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -107,6 +107,10 @@
     pub progress_percent: u32,
     /// When `progress_percent` last changed.
     pub progressed_at: Moment,
+    /// Latest checkpoint that a report has listed; empty if there is none.
+    pub checkpoint: String,
+    /// When `checkpoint` last changed; `None` before the first one.
+    pub checkpointed_at: Option<Moment>,
     /// Tail latency in milliseconds for serving units, processors in use for others.
     pub load: Option<u64>,
     /// Speed limit that was set for the run, in percent.
@@ -129,11 +133,21 @@
             stop: None,
             progress_percent: 0,
             progressed_at: now,
+            checkpoint: String::new(),
+            checkpointed_at: None,
             load: None,
             speed_limit_percent: FULL_PERCENT,
         }
     }
 
+    /// Records the checkpoint in a report.
+    pub(crate) fn record_checkpoint(&mut self, checkpoint: &str, now: Moment) {
+        if self.checkpoint != checkpoint {
+            checkpoint.clone_into(&mut self.checkpoint);
+            self.checkpointed_at = Some(now);
+        }
+    }
+
     /// Returns when the run was started; a planned run will be started now or later.
     pub(crate) fn started_at(&self, now: Moment) -> Moment {
         if self.phase == Phase::Planned { now } else { self.since }
@@ -157,6 +171,8 @@
     pub run: Option<Run>,
     /// Workers on which it failed or stalled; others are preferred.
     pub excluded_workers: Vec<WorkerId>,
+    /// One of its runs was stopped for an urgent unit.
+    pub was_preempted: bool,
     /// When the unit last lost its run or, if it is long-running, was last reported as not fully
     /// available.
     pub last_unavailable_at: Moment,
@@ -173,6 +189,7 @@
             checkpoint: String::new(),
             run: None,
             excluded_workers: Vec::new(),
+            was_preempted: false,
             last_unavailable_at: now,
         }
     }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -54,7 +54,7 @@
     /// Resources that each unit reserves.
     pub reservation: Resources,
     /// Unit 0 of the step, whether it waits or not.
-    first_unit: UnitKey,
+    pub first_unit: UnitKey,
     /// Indices of the waiting units.
     pub units: Vec<usize>,
     /// One of them is strongly suspected to crash its worker.
@@ -68,7 +68,7 @@
     }
 
     /// Returns the waiting units.
-    fn keys(&self) -> impl Iterator<Item = UnitKey> {
+    pub fn keys(&self) -> impl Iterator<Item = UnitKey> {
         self.units.iter().map(|&index| UnitKey { index, ..self.first_unit.clone() })
     }
 }
@@ -132,14 +132,19 @@
             let mut candidates = self.candidates(pool, now);
             let mut placement_order = self.placement_order(pool, pool_steps, &candidates, now);
             let (mut is_starved, mut is_long_running_starved) = (false, false);
+            let mut starved = Vec::new();
             while let Some(number) = placement_order.next() {
                 let step = &pool_steps[number];
                 let placement = self.place_step(step, &mut placement_order, &mut candidates, now);
                 let has_no_capacity = placement == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
+                if has_no_capacity && self.may_preempt(step) {
+                    starved.push(step);
+                }
                 is_long_running_starved |=
                     has_no_capacity && step.priority.urgency == Urgency::LongRunning;
             }
+            self.preempt_for(pool, &starved, &candidates, now);
             self.team_shares.count_units_ahead(placement_order.units_ahead());
             update_since(&mut self.starved_since, pool, is_starved, now);
             update_since(&mut self.long_running_starved_since, pool, is_long_running_starved, now);
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -37,6 +37,7 @@
 use crate::peaks::Peaks;
 use crate::policies::Policy;
 use crate::portions::Portion;
+use crate::preemption::Preemptions;
 use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
 use crate::settings::Settings;
@@ -104,6 +105,8 @@
     pub(crate) rate_shares: RateShares,
     /// What teams use of each pool, and their shares.
     pub(crate) team_shares: TeamShares,
+    /// Recent stops of runs for urgent units.
+    pub(crate) preemptions: Preemptions,
     /// Expected durations of units.
     pub(crate) durations: Durations,
     /// Events since the owner last took the counts.
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -408,7 +408,7 @@
             unit: unit.clone(),
             run: running.run,
             outcome,
-            checkpoint: String::new(),
+            checkpoint: running.checkpoint,
         });
     }
 }
--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -15,16 +15,21 @@
 use rand::seq::IndexedRandom;
 use rstest::rstest;
 use scheduler::CancelOutcome;
+use scheduler::Config;
 use scheduler::FinalState;
 use scheduler::JobRecord;
 use scheduler::JobView;
 use scheduler::Moment;
+use scheduler::Policy;
+use scheduler::Queue;
 use scheduler::Resources;
 use scheduler::RunOutcome;
 use scheduler::RunStatus;
 use scheduler::SortedMap;
 use scheduler::StartCommand;
 use scheduler::Step;
+use scheduler::Team;
+use scheduler::TeamName;
 use scheduler::UnitKey;
 use scheduler::WorkerId;
 use simulation::SimulatedWorker;
@@ -53,6 +58,7 @@
 /// A simulation, and what is true of it regardless of what its owner knows.
 struct RandomTest {
     sim: Simulation,
+    config: Arc<Config>,
     rng: StdRng,
     jobs: Vec<Arc<JobRecord>>,
     cancelled: Vec<Arc<str>>,
@@ -75,8 +81,13 @@
 
 impl RandomTest {
     fn new(seed: u64) -> Self {
+        Self::with_policies(seed, config(ATTEMPTS_MAX, QUOTA), &[])
+    }
+
+    fn with_policies(seed: u64, config: Arc<Config>, policies: &[Policy]) -> Self {
         Self {
-            sim: Simulation::new(&WORKERS, config(ATTEMPTS_MAX, QUOTA)),
+            sim: Simulation::with_policies(&WORKERS, config.clone(), policies),
+            config,
             rng: StdRng::seed_from_u64(seed),
             jobs: Vec::new(),
             cancelled: Vec::new(),
@@ -115,7 +126,11 @@
             step.per_worker_max = if self.rng.random_bool(0.3) { 2 } else { 0 };
             steps.push(step);
         }
-        let record = job(&id, steps, self.sim.now);
+        let mut record = job(&id, steps, self.sim.now);
+        if self.config.queues.len() > 1 && self.rng.random_bool(0.7) {
+            let (queue, team) = ("batch".into(), Some("t2".into()));
+            record = Arc::new(JobRecord { queue, team, ..(*record).clone() });
+        }
         self.sim.scheduler.add_job(record.clone(), self.sim.now);
         self.jobs.push(record);
     }
@@ -221,7 +236,7 @@
     fn take_over(&mut self) {
         self.epoch += 1;
         let lease_left = LEASE + millis(500);
-        let config = config(ATTEMPTS_MAX, QUOTA);
+        let config = self.config.clone();
         self.sim.take_over(self.epoch, config, lease_left, &self.jobs.clone());
     }
 
@@ -303,15 +318,16 @@
     }
 
     fn check_invariants(&self) {
-        let mut team_usage = Resources::default();
+        let mut team_usage: SortedMap<Option<TeamName>, Resources> = SortedMap::default();
         let mut running_units: Vec<&UnitKey> = Vec::new();
         for worker in &self.sim.workers {
             let mut used = Resources::default();
             for running in &worker.running {
                 let record = self.jobs.iter().find(|record| record.id == running.unit.job);
-                let step = &record.expect("a submitted job").steps[running.unit.step];
+                let record = record.expect("a submitted job");
+                let step = &record.steps[running.unit.step];
                 used += step.requested;
-                team_usage += step.requested;
+                *team_usage.entry_or(record.team.clone(), Resources::default) += step.requested;
                 let same = worker.running.iter().filter(|other| {
                     other.unit.job == running.unit.job && other.unit.step == running.unit.step
                 });
@@ -326,7 +342,8 @@
             let capacity = registration(&worker.id).capacity;
             assert!(used.fits_in(&capacity), "{} exceeds its capacity: {used:?}", worker.id);
         }
-        assert!(team_usage.is_within(&QUOTA), "the team exceeds its quota: {team_usage:?}");
+        let are_within = team_usage.values().all(|usage| usage.is_within(&QUOTA));
+        assert!(are_within, "a team exceeds its quota: {team_usage:?}");
         let count = running_units.len();
         running_units.sort();
         running_units.dedup();
@@ -383,20 +400,46 @@
     job.ends_with('1')
 }
 
-fn run_random_test(seed: u64) {
-    let mut test = RandomTest::new(seed);
+/// Returns a configuration with an urgent queue and another one, and two teams with weights.
+fn config_with_two_queues() -> Arc<Config> {
+    let mut config = (*config(ATTEMPTS_MAX, QUOTA)).clone();
+    let queue = config.queues.get("q").expect("a queue").clone();
+    config.queues.insert("batch".into(), Queue { priority: 5, ..queue });
+    let weights = [("t", 1.0), ("t2", 2.0)];
+    let team = |rate_share: f64| Team { rate_share, quota: QUOTA };
+    config.teams = weights.map(|(name, weight)| (name.into(), team(weight))).into_iter().collect();
+    Arc::new(config)
+}
+
+/// Plays random events; returns the number of units that the last owner has preempted.
+fn run_random_test(mut test: RandomTest) -> u64 {
     for _ in 0..EVENTS {
         test.random_event();
     }
     test.finish_all_jobs();
+    test.sim.scheduler.take_preemption_counts().units
 }
 
 #[test]
 fn invariants_hold_under_random_events() {
     for seed in REGRESSIONS.into_iter().chain(0..SEEDS) {
         println!("seed {seed}");
-        run_random_test(seed);
+        run_random_test(RandomTest::new(seed));
+    }
+}
+
+/// Guards against units that run twice, are lost or exceed a quota or their attempts because they
+/// were preempted or because shares changed the order.
+#[test]
+fn invariants_hold_with_shares_and_preemption() {
+    let policies = [Policy::FairShares, Policy::Preemption];
+    let mut preempted = 0;
+    for seed in 0..SEEDS {
+        println!("seed {seed}");
+        let test = RandomTest::with_policies(seed, config_with_two_queues(), &policies);
+        preempted += run_random_test(test);
     }
+    assert!(preempted > SEEDS, "only {preempted} units were preempted");
 }
 
 #[rstest]
@@ -404,6 +447,6 @@
 fn invariants_hold_under_many_random_events() {
     for seed in 0..5_000 {
         println!("seed {seed}");
-        run_random_test(seed);
+        run_random_test(RandomTest::new(seed));
     }
 }
