--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -212,7 +212,6 @@
         self.shared.live_jobs.store(self.scheduler.live_jobs(), Ordering::Relaxed);
         self.shared.node.report_live_jobs();
         self.log_team_shares();
-        self.count_preemptions();
         for (pool, load) in self.scheduler.pool_loads(now).iter() {
             telemetry::log::line("pool-load")
                 .field("shard", self.shared.shard)
--- a/crates/coordinator/src/owner/shares.rs
+++ b/crates/coordinator/src/owner/shares.rs
@@ -1,4 +1,4 @@
-//! Publishes what teams use in the shard, logs their shares and counts preemptions.
+//! Publishes what teams use in the shard, and logs their shares.
 
 use scheduler::Moment;
 use scheduler::ShardIndex;
@@ -8,7 +8,6 @@
 
 use super::Owner;
 use crate::clock;
-use crate::metrics;
 use crate::ports::Platform;
 use crate::team_uses::TeamUsesRow;
 
@@ -46,18 +45,8 @@
         }
     }
 
-    /// Counts the units that were preempted, and what they lost.
-    pub(super) fn count_preemptions(&mut self) {
-        let counts = self.scheduler.take_preemption_counts();
-        let telemetry = &self.shared.node.telemetry;
-        telemetry.count_many(metrics::RUNS_PREEMPTED, counts.units);
-        telemetry.count_many(metrics::PREEMPTED_WORK, counts.work_lost_core_ms);
-    }
-
-    /// Logs the shares of teams in full pools, and counts what was placed because of them.
-    pub(super) fn log_team_shares(&mut self) {
-        let units_ahead = self.scheduler.take_units_ahead_by_share();
-        self.shared.node.telemetry.count_many(metrics::UNITS_AHEAD_BY_SHARE, units_ahead);
+    /// Logs the shares of teams in full pools.
+    pub(super) fn log_team_shares(&self) {
         for (pool, shares) in self.scheduler.team_shares() {
             let row = |share: &TeamShare| {
                 json!([share.team.as_deref(), share.share_permille, share.use_permille])
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -109,7 +109,6 @@
 pub use portions::Portion;
 pub use portions::PortionRow;
 pub use portions::ShardIndex;
-pub use preemption::PreemptionCounts;
 pub use progress::CrashedRun;
 pub use progress::FinalState;
 pub use progress::Progress;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -145,7 +145,7 @@
                     has_no_capacity && step.priority.urgency == Urgency::LongRunning;
             }
             self.preempt_for(pool, &starved, &candidates, now);
-            self.team_shares.count_units_ahead(placement_order.units_ahead());
+            self.counts.units_ahead_by_share += placement_order.units_ahead();
             update_since(&mut self.starved_since, pool, is_starved, now);
             update_since(&mut self.long_running_starved_since, pool, is_long_running_starved, now);
         }
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -54,8 +54,6 @@
     /// Those in the last [`LIMIT_WINDOW`], oldest first.
     recent: VecDeque<Preempted>,
     checked_at: SortedMap<PoolName, Moment>,
-    /// Counts since they were last taken.
-    counts: PreemptionCounts,
 }
 
 /// Units of a step that have found no capacity, in a pool and round.
@@ -75,15 +73,6 @@
     urgent: UnitKey,
 }
 
-/// Preempted units and what they lost, for the metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PreemptionCounts {
-    /// Number of units.
-    pub units: u64,
-    /// Work that they lost, in core-milliseconds.
-    pub work_lost_core_ms: u64,
-}
-
 impl Preemptions {
     /// Forgets the preemptions that do not count any more.
     fn forget_old(&mut self, now: Moment) {
@@ -112,11 +101,6 @@
 }
 
 impl Scheduler {
-    /// Removes and returns the counts of preempted units.
-    pub fn take_preemption_counts(&mut self) -> PreemptionCounts {
-        std::mem::take(&mut self.preemptions.counts)
-    }
-
     /// Returns true if a step whose units have found no capacity may stop runs of other queues.
     pub(crate) fn may_preempt(&self, waiting: &WaitingStep) -> bool {
         if !self.settings.policies.enables(Policy::Preemption)
@@ -276,8 +260,8 @@
             self.log_decision("preempted", &key, why);
             let (at, pool, team) = (urgent.now, urgent.pool.clone(), self.claimant(&key));
             self.preemptions.recent.push_back(Preempted { at, pool, team });
-            self.preemptions.counts.units += 1;
-            self.preemptions.counts.work_lost_core_ms += work_lost_core_ms;
+            self.counts.preempted_runs += 1;
+            self.counts.preempted_work_core_ms += work_lost_core_ms;
             self.request_stop(&key, urgent.now);
         }
     }
--- a/crates/scheduler/src/team_shares.rs
+++ b/crates/scheduler/src/team_shares.rs
@@ -60,8 +60,6 @@
     needs_recount: bool,
     /// Shares and uses of the pools that were full at the last placement.
     full_pools: SortedMap<PoolName, Vec<TeamShare>>,
-    /// Units that were placed before others because of shares, since they were last taken.
-    units_ahead: u64,
 }
 
 impl TeamShares {
@@ -71,11 +69,6 @@
         self.has_weights = self.is_enabled && smallest_weight(config).is_some();
         self.needs_recount = self.is_enabled;
     }
-
-    /// Adds units that were placed before others because of shares.
-    pub fn count_units_ahead(&mut self, units: u64) {
-        self.units_ahead += units;
-    }
 }
 
 impl Scheduler {
@@ -84,11 +77,6 @@
         self.team_shares.full_pools.iter().map(|(pool, shares)| (pool, shares.as_slice()))
     }
 
-    /// Removes and returns the number of units that were placed before others because of shares.
-    pub fn take_units_ahead_by_share(&mut self) -> u64 {
-        std::mem::take(&mut self.team_shares.units_ahead)
-    }
-
     /// Returns what teams use in this shard, for the owners of the other shards; none if shares
     /// have no effect.
     pub fn team_uses(&self, now: Moment) -> Option<PoolUses> {
--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -417,7 +417,7 @@
         test.random_event();
     }
     test.finish_all_jobs();
-    test.sim.scheduler.take_preemption_counts().units
+    test.sim.scheduler.take_counts().preempted_runs
 }
 
 #[test]
