--- a/crates/scheduler/src/placement_order.rs
+++ b/crates/scheduler/src/placement_order.rs
@@ -1,7 +1,7 @@
 //! The order in which the waiting steps of a pool are placed during one round.
 //!
-//! Without shares, it is the order of their priorities. With shares, the steps of each team are in
-//! that order, and the team whose first step has the lowest key goes next. A placed unit changes
+//! Without shares, it is the order of their priorities. With shares, a team above its share comes
+//! after the others of the same queue priority. The steps of each team stay in order, and the team whose first step has the lowest key goes next. A placed unit changes
 //! only the key of its own team, so that the order is kept up with a heap of the teams.
 
 use std::cmp::Reverse;
@@ -9,9 +9,7 @@
 
 use crate::amounts::Amounts;
 use crate::job::Resources;
-use crate::priority::SchedulingPriority;
 use crate::priority::ShareRank;
-use crate::priority::Urgency;
 
 /// Factor from use per weight to its rank, so that differences of a millionth count.
 const RANK_SCALE: f64 = 1e6;
@@ -23,7 +21,10 @@
 pub(crate) struct OrderedStep {
     /// One of its units is strongly suspected to crash its worker; such steps come first.
     pub has_strong_suspect: bool,
-    pub priority: SchedulingPriority,
+    /// Priority number of its queue.
+    pub queue_priority: u32,
+    /// It has long-running units, which have no regard to shares.
+    pub is_long_running: bool,
     /// Index of its team in the round.
     pub team: usize,
     /// Number of its waiting units.
@@ -76,11 +77,13 @@
     visited: usize,
 }
 
-/// The first step of a team; the lowest one goes first.
+/// The first step of a team; the lowest one goes first. The rest of the priority is in the numbers
+/// of the steps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Head {
     is_unsuspected: bool,
-    priority: SchedulingPriority,
+    queue_priority: u32,
+    share: ShareRank,
     step: usize,
 }
 
@@ -176,11 +179,13 @@
 
     /// Returns the place of a step as the first one of its team.
     fn head(&self, step: usize) -> Head {
-        let OrderedStep { has_strong_suspect, mut priority, team, .. } = self.steps[step];
-        if priority.urgency != Urgency::LongRunning {
-            priority.share = self.teams[team].team.rank();
-        }
-        Head { is_unsuspected: !has_strong_suspect, priority, step }
+        let OrderedStep { has_strong_suspect, queue_priority, is_long_running, team, .. } =
+            self.steps[step];
+        let share = match is_long_running {
+            true => ShareRank::Within,
+            false => self.teams[team].team.rank(),
+        };
+        Head { is_unsuspected: !has_strong_suspect, queue_priority, share, step }
     }
 
     /// Puts the team of the current step back into the order.
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -28,7 +28,9 @@
     Late,
 }
 
-/// How a team's use of a pool compares with its share.
+/// How a team's use of a pool compares with its share. It changes while units are placed, so it is
+/// no part of [`SchedulingPriority`]; [`crate::placement_order`] puts it after the priority of the
+/// queue.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShareRank {
     /// The team is at or below its share, or shares do not matter.
@@ -43,8 +45,6 @@
 pub struct SchedulingPriority {
     /// Priority number of the queue.
     pub queue_priority: u32,
-    /// How the use of the job's team compares with its share when its turn comes.
-    pub share: ShareRank,
     /// The job was submitted beyond the rate share of its team.
     pub is_beyond_rate_share: bool,
     /// Whether the job can meet its deadline.
@@ -70,7 +70,6 @@
             let (is_beyond_rate_share, urgency) = (false, Urgency::LongRunning);
             return SchedulingPriority {
                 queue_priority,
-                share: ShareRank::Within,
                 is_beyond_rate_share,
                 urgency,
                 tie_breaker,
@@ -89,7 +88,6 @@
         };
         SchedulingPriority {
             queue_priority,
-            share: ShareRank::Within,
             is_beyond_rate_share: job.is_beyond_rate_share,
             urgency,
             tie_breaker,
--- a/crates/scheduler/src/sorted_map.rs
+++ b/crates/scheduler/src/sorted_map.rs
@@ -19,14 +19,6 @@
 }
 
 impl<K: Ord, V> SortedMap<K, V> {
-    /// Returns the position of a key in the order of the keys.
-    pub fn index_of<Q: Ord + ?Sized>(&self, key: &Q) -> Option<usize>
-    where
-        K: Borrow<Q>,
-    {
-        self.position(key).ok()
-    }
-
     /// Returns the position of a key, or where it would be inserted.
     fn position<Q: Ord + ?Sized>(&self, key: &Q) -> Result<usize, usize>
     where
--- a/crates/scheduler/src/team_shares.rs
+++ b/crates/scheduler/src/team_shares.rs
@@ -25,6 +25,7 @@
 use crate::policies::Policy;
 use crate::portions::ShardIndex;
 use crate::portions::WHOLE;
+use crate::priority::Urgency;
 use crate::settings::Settings;
 use crate::share_level::Claim;
 use crate::share_level::fair_level;
@@ -48,6 +49,13 @@
     pub use_permille: u64,
 }
 
+/// What the units of a team wait for in a pool.
+#[derive(Clone, Debug)]
+struct TeamDemand {
+    team: Claimant,
+    waiting: Resources,
+}
+
 /// What teams use of each pool, and their shares.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TeamShares {
@@ -127,30 +135,20 @@
             self.recount_team_uses(now);
         }
         self.team_shares.full_pools.remove(pool);
-        let free = candidates.free_capacity();
-        if !self.team_shares.has_weights || !self.is_contended(pool, steps, &free) {
+        if !self.team_shares.has_weights {
             return PlacementOrder::by_priority(steps.len());
         }
-        let mut waiting: SortedMap<Claimant, Resources> = SortedMap::default();
-        for team in self.team_shares.uses.teams(pool) {
-            waiting.entry_or(team.clone(), Resources::default);
-        }
-        for step in steps {
-            *waiting.entry_or(step.team.clone(), Resources::default) += step.demand();
+        let free = candidates.free_capacity();
+        if !self.is_contended(pool, steps, &free) {
+            return PlacementOrder::by_priority(steps.len());
         }
+        let (ordered, waiting) = self.ordered_steps(pool, steps);
         let uses = &self.team_shares.uses;
-        let held = waiting.iter().map(|(team, _)| uses.held(pool, team));
+        let held = waiting.iter().map(|waiting| uses.held(pool, &waiting.team));
         let capacity = held.fold(free, |sum, held| sum.plus(&held));
         let teams = self.teams_in_round(pool, &waiting, &capacity, now);
-        let ordered = steps.iter().map(|step| OrderedStep {
-            has_strong_suspect: step.has_strong_suspect,
-            priority: step.priority,
-            team: waiting.index_of(&step.team).unwrap_or_default(),
-            units: step.units.len(),
-        });
-        let ordered = ordered.collect();
-        let shares = waiting.iter().zip(&teams).map(|((team, _), in_round)| TeamShare {
-            team: team.clone(),
+        let shares = waiting.iter().zip(&teams).map(|(waiting, in_round)| TeamShare {
+            team: waiting.team.clone(),
             share_permille: (in_round.share * PER_MILLE) as u64,
             use_permille: (in_round.used() * PER_MILLE) as u64,
         });
@@ -159,6 +157,39 @@
         PlacementOrder::by_shares(ordered, teams, capacity)
     }
 
+    /// Returns the steps as the order sees them, and what the units of each team wait for.
+    fn ordered_steps(
+        &self,
+        pool: &PoolName,
+        steps: &[WaitingStep],
+    ) -> (Vec<OrderedStep>, Vec<TeamDemand>) {
+        let mut demands: Vec<TeamDemand> = Vec::new();
+        let mut indices: SortedMap<Claimant, usize> = SortedMap::default();
+        let mut index_of = |team: &Claimant, demands: &mut Vec<TeamDemand>| {
+            if let Some(index) = indices.get(team) {
+                return *index;
+            }
+            indices.insert(team.clone(), demands.len());
+            demands.push(TeamDemand { team: team.clone(), waiting: Resources::default() });
+            demands.len() - 1
+        };
+        for team in self.team_shares.uses.teams(pool) {
+            index_of(team, &mut demands);
+        }
+        let ordered = steps.iter().map(|step| {
+            let team = index_of(&step.team, &mut demands);
+            demands[team].waiting += step.demand();
+            OrderedStep {
+                has_strong_suspect: step.has_strong_suspect,
+                queue_priority: step.priority.queue_priority,
+                is_long_running: step.priority.urgency == Urgency::LongRunning,
+                team,
+                units: step.units.len(),
+            }
+        });
+        (ordered.collect(), demands)
+    }
+
     /// Forgets the pools in which nothing waits any more.
     pub(crate) fn retain_full_pools(&mut self, is_waiting: impl Fn(&PoolName) -> bool) {
         self.team_shares.full_pools.retain(|pool, _| is_waiting(pool));
@@ -167,24 +198,26 @@
     /// Returns true if a pool has less free capacity than is waiting for it, or if a unit found no
     /// worker with enough of it at the last placement.
     fn is_contended(&self, pool: &PoolName, steps: &[WaitingStep], free: &Resources) -> bool {
-        let demands = steps.iter().map(WaitingStep::demand);
-        let waiting = demands.fold(Resources::default(), |sum, demand| sum.plus(&demand));
-        self.starved_since.contains(pool) || !waiting.fits_in(free)
+        let mut waiting = Resources::default();
+        let exceeds_free = |step: &WaitingStep| {
+            waiting += step.demand();
+            !waiting.fits_in(free)
+        };
+        self.starved_since.contains(pool) || steps.iter().any(exceeds_free)
     }
 
-    /// Returns what each team uses of a pool and its share, in the order of `waiting`, which holds
-    /// what their units wait for.
+    /// Returns what each team uses of a pool and its share, in the order of `waiting`.
     fn teams_in_round(
         &mut self,
         pool: &PoolName,
-        waiting: &SortedMap<Claimant, Resources>,
+        waiting: &[TeamDemand],
         capacity: &Resources,
         now: Moment,
     ) -> Vec<TeamInRound> {
         let weight_min = smallest_weight(&self.config).unwrap_or(1.0);
         let mut claims = Vec::with_capacity(waiting.len());
         let mut teams = Vec::with_capacity(waiting.len());
-        for (team, waiting) in waiting.iter() {
+        for TeamDemand { team, waiting } in waiting {
             let name = team.as_ref();
             let configured = name.and_then(|name| self.config.teams.get(name));
             let weight = configured.map(|team| team.rate_share).filter(|weight| *weight > 0.0);
