--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -19,6 +19,7 @@
 use crate::live_jobs::Unit;
 use crate::lost_runs::Suspicion;
 use crate::placement_order::PlacementOrder;
+use crate::preemption::UNITS_PER_CHECK_MAX;
 use crate::priority::SchedulingPriority;
 use crate::priority::Urgency;
 use crate::sorted_map::SortedMap;
@@ -138,7 +139,8 @@
                 let placement = self.place_step(step, &mut placement_order, &mut candidates, now);
                 let has_no_capacity = placement == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
-                if has_no_capacity && self.may_preempt(step) {
+                if has_no_capacity && starved.len() < UNITS_PER_CHECK_MAX && self.may_preempt(step)
+                {
                     starved.push(step);
                 }
                 is_long_running_starved |=
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -38,7 +38,7 @@
 /// each round.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum number of waiting units in a check, which bounds its time.
-const UNITS_PER_CHECK_MAX: usize = 64;
+pub(crate) const UNITS_PER_CHECK_MAX: usize = 64;
 
 /// A preemption that counts against the limits.
 #[derive(Clone, Debug)]
--- a/crates/scheduler/tests/fair_shares.rs
+++ b/crates/scheduler/tests/fair_shares.rs
@@ -323,3 +323,28 @@
     let used = shares.get("a").expect("the pool is full").1;
     assert!((500..530).contains(&used), "{shares:?}");
 }
+
+/// Guards against a team that gets its share in each shard although it already has more than that in
+/// another one: over two shards, both teams get as much.
+#[test]
+fn a_team_that_has_one_shard_leaves_the_other_one() {
+    let config = config_with_teams(&[("a", LARGE), ("b", LARGE)]);
+    let mut shards = [Load::new(config.clone(), SHARES), Load::new(config, SHARES)];
+    for tick in 0..300 {
+        shards[0].submit("a", 8, 4_000, 500);
+        shards[1].submit("a", 8, 4_000, 500);
+        shards[1].submit("b", 8, 4_000, 500);
+        let uses = [0, 1].map(|shard: usize| {
+            shards[shard].tick();
+            shards[shard].sim.scheduler.team_uses(shards[shard].sim.now).expect("weights")
+        });
+        if tick % 10 == 0 {
+            let written_ms = UNIX_MS + shards[0].sim.now.as_millis() as u64;
+            let [first, second] = uses;
+            shards[0].sim.scheduler.set_foreign_team_uses(1, second, written_ms);
+            shards[1].sim.scheduler.set_foreign_team_uses(0, first, written_ms);
+        }
+    }
+    let held = [shards[0].held_by("a"), shards[1].held_by("a"), shards[1].held_by("b")];
+    assert!(held[2] > POOL_CPU_MILLIS * 9 / 10 && held[0] == POOL_CPU_MILLIS, "{held:?}");
+}
