--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -40,7 +40,6 @@
 use scheduler::HostReply;
 use scheduler::HostState;
 use scheduler::Policies;
-use scheduler::Policy;
 use scheduler::PoolName;
 use scheduler::Resources;
 use scheduler::RunOutcome;
@@ -154,19 +153,6 @@
         self.data.lock().unwrap().panics_left = count;
     }
 
-    /// Enables policies and sets the weight of the team, before any node has started.
-    pub fn with_policies(mut self, policies: &[Policy], weight: f64) -> Self {
-        self.policies = policies.iter().copied().collect();
-        let mut data = self.data.lock().unwrap();
-        let mut config = data.config.as_deref().cloned().unwrap();
-        let mut scheduling = (*config.scheduling).clone();
-        scheduling.teams.entry_or("t".into(), Team::default).rate_share = weight;
-        config.scheduling = Arc::new(scheduling);
-        data.config = Some(Arc::new(config));
-        drop(data);
-        self
-    }
-
     /// Returns the most units that were running at the same time.
     pub fn running_max(&self) -> usize {
         self.data.lock().unwrap().running_max
--- a/crates/coordinator/tests/common/memory_nodes.rs
+++ b/crates/coordinator/tests/common/memory_nodes.rs
@@ -11,6 +11,7 @@
 use coordinator::Route;
 use coordinator::http::Client;
 use scheduler::Config;
+use scheduler::Policy;
 use scheduler::Pool;
 use scheduler::Queue;
 use scheduler::Settings;
@@ -58,6 +59,21 @@
     }
 }
 
+impl Memory {
+    /// Enables policies and sets the weight of the team, before any node has started.
+    pub fn with_policies(mut self, policies: &[Policy], weight: f64) -> Self {
+        self.policies = policies.iter().copied().collect();
+        let mut data = self.data.lock().unwrap();
+        let mut config = data.config.as_deref().cloned().unwrap();
+        let mut scheduling = (*config.scheduling).clone();
+        scheduling.teams.entry_or("t".into(), Team::default).rate_share = weight;
+        config.scheduling = Arc::new(scheduling);
+        data.config = Some(Arc::new(config));
+        drop(data);
+        self
+    }
+}
+
 /// Starts a node with default processor time on a free port.
 pub async fn start_node(name: &str, memory: &Memory) -> Node<Memory> {
     start_node_with_cpu(name, CPU_MILLIS, memory).await
