--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -163,7 +163,9 @@
             if !self.fits_quota(urgent.record, urgent.step, number as u64 + 1) {
                 return true;
             }
-            let Some(stops) = self.plan_stops(urgent, std::slice::from_ref(key), forecast) else {
+            let until = self.latest_start(urgent.waiting, urgent.now);
+            let unit = std::slice::from_ref(key);
+            let Some(stops) = self.plan_stops(urgent, unit, forecast, until) else {
                 // The other units of the step request the same resources.
                 return true;
             };
@@ -187,8 +189,17 @@
         if !is_whole || !self.fits_quota(urgent.record, urgent.step, count) {
             return true;
         }
+        let UrgentUnits { waiting, step, candidates, now, .. } = *urgent;
+        let latest_start = self.latest_start(waiting, now);
         let mut planned = forecast.clone();
-        let Some(stops) = self.plan_stops(urgent, keys, &mut planned) else {
+        if keys.iter().all(|key| planned.promise(key, step, candidates, latest_start)) {
+            *forecast = planned;
+            return true;
+        }
+        // What is freed now must not wait for capacity that comes later: others would take it.
+        let until = now + self.settings.stop_time;
+        planned = forecast.clone();
+        let Some(stops) = self.plan_stops(urgent, keys, &mut planned, until) else {
             return true;
         };
         if !self.allows(urgent.pool, &stops) {
@@ -200,15 +211,15 @@
     }
 
     /// Returns the stops that let all these units start; none if there are not enough runs that may
-    /// be stopped. Units that find capacity in time need no stop.
+    /// be stopped. Units that find capacity until `until` need no stop.
     fn plan_stops(
         &self,
         urgent: &UrgentUnits,
         keys: &[UnitKey],
         forecast: &mut CapacityForecast,
+        until: Moment,
     ) -> Option<Vec<PlannedStop>> {
-        let UrgentUnits { waiting, step, candidates, now, .. } = *urgent;
-        let until = self.latest_start(waiting, now);
+        let UrgentUnits { step, candidates, .. } = *urgent;
         let mut stops = Vec::new();
         for key in keys {
             if forecast.promise(key, step, candidates, until) {
--- a/crates/scheduler/tests/preemption.rs
+++ b/crates/scheduler/tests/preemption.rs
@@ -230,6 +230,21 @@
     assert_eq!(is_running(&sim, &unit("u", 0, 1)), stopped > 0);
 }
 
+/// Guards against stops for a gang whose other units get capacity only later: what was freed would go
+/// to others meanwhile, such as the stopped unit itself.
+#[test]
+fn an_urgent_gang_gets_all_its_capacity_at_once() {
+    let mut sim = simulation(&["w1", "w2"]);
+    start_batch(&mut sim, "b1", "t", long_step(1, WORKER_CPU_MILLIS));
+    let ends_in_time = Step { estimate_ms: 2_500, ..step(1, WORKER_CPU_MILLIS) };
+    start_batch(&mut sim, "b2", "t", ends_in_time);
+    let gang = Step { is_gang: true, estimate_ms: 4_000, ..step(2, WORKER_CPU_MILLIS) };
+    sim.scheduler.add_job(job("u", vec![gang], sim.now), sim.now);
+    sim.run_for(millis(600));
+    assert_eq!(preempted(&sim).len(), 2);
+    assert!(is_running(&sim, &unit("u", 0, 0)) && is_running(&sim, &unit("u", 0, 1)));
+}
+
 /// Guards against a unit that runs twice, or nowhere, because the owner changed after it had decided
 /// to stop it: once before the stop was sent, once after.
 #[rstest]
