--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -170,6 +170,13 @@
         worker.long_running_runs += usize::from(kind.is_long_running);
     }
 
+    /// Withdraws the free capacity of some workers for the rest of the round.
+    pub fn close(&mut self, ids: &[WorkerId]) {
+        for worker in self.workers.iter_mut().filter(|worker| ids.contains(&worker.id)) {
+            worker.free_capacity = Resources::default();
+        }
+    }
+
     /// Returns the free capacity of all workers together.
     pub fn free_capacity(&self) -> Resources {
         let free = self.workers.iter().map(|worker| worker.free_capacity);
--- a/crates/scheduler/src/capacity_forecast.rs
+++ b/crates/scheduler/src/capacity_forecast.rs
@@ -68,23 +68,21 @@
         self.workers.push(WorkerForecast { index, free, promised, promised_units, runs });
     }
 
-    /// Promises a unit the capacity that comes free first, if that is until `until`. Returns whether
-    /// there is such capacity.
+    /// Promises a unit the capacity that comes free first, if that is until `until`. Returns the index
+    /// of its worker among the candidates.
     pub fn promise(
         &mut self,
         key: &UnitKey,
         step: &Step,
         candidates: &Candidates,
         until: Moment,
-    ) -> bool {
+    ) -> Option<usize> {
         let suitable = self.workers.iter_mut().filter(|worker| worker.suits(key, step, candidates));
         let free_at = |worker: &WorkerForecast| worker.free_at(step).filter(|at| *at <= until);
         let found = suitable.filter_map(|worker| Some((free_at(worker)?, worker)));
-        let Some((_, worker)) = found.min_by_key(|(at, _)| *at) else {
-            return false;
-        };
+        let (_, worker) = found.min_by_key(|(at, _)| *at)?;
         worker.promise(key, step);
-        true
+        Some(worker.index)
     }
 
     /// Returns the runs on one worker that free enough capacity for a unit with the least lost work;
@@ -104,18 +102,20 @@
     }
 
     /// Promises a unit the capacity on the worker of `victims`, after the runs of `stopped` units
-    /// were commanded to stop.
+    /// were commanded to stop. Returns the index of the worker among the candidates.
     pub fn promise_stopped(
         &mut self,
         key: &UnitKey,
         step: &Step,
         victims: &Victims,
         stopped: &[UnitKey],
-    ) {
+    ) -> usize {
         for worker in &mut self.workers {
             worker.stop(stopped);
         }
-        self.workers[victims.worker].promise(key, step);
+        let worker = &mut self.workers[victims.worker];
+        worker.promise(key, step);
+        worker.index
     }
 }
 
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -20,6 +20,7 @@
 use crate::lost_runs::Suspicion;
 use crate::placement_order::PlacementOrder;
 use crate::preemption::UNITS_PER_CHECK_MAX;
+use crate::preemption::URGENT_PRIORITY;
 use crate::priority::SchedulingPriority;
 use crate::priority::Urgency;
 use crate::sorted_map::SortedMap;
@@ -128,14 +129,24 @@
         // Strong suspects come first, since they may have to reserve a worker.
         let order = |step: &WaitingStep| (!step.has_strong_suspect, step.priority);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then_with(|| order(a).cmp(&order(b))));
+        let held = self.held_workers(now);
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &pool_steps[0].pool;
             let mut candidates = self.candidates(pool, now);
             let mut placement_order = self.placement_order(pool, pool_steps, &candidates, now);
             let (mut is_starved, mut is_long_running_starved) = (false, false);
             let mut starved = Vec::new();
+            // Steps of urgent queues come first, except those with strong suspects.
+            let mut is_closed = held.is_empty();
             while let Some(number) = placement_order.next() {
                 let step = &pool_steps[number];
+                let is_urgent = step.priority.queue_priority == URGENT_PRIORITY;
+                if !is_urgent
+                    && !step.has_strong_suspect
+                    && !std::mem::replace(&mut is_closed, true)
+                {
+                    candidates.close(&held);
+                }
                 let placement = self.place_step(step, &mut placement_order, &mut candidates, now);
                 let has_no_capacity = placement == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -14,6 +14,7 @@
 
 use crate::Moment;
 use crate::PoolName;
+use crate::WorkerId;
 use crate::candidates::Candidates;
 use crate::capacity_forecast::CapacityForecast;
 use crate::job::JobRecord;
@@ -27,13 +28,16 @@
 use crate::team_use::Claimant;
 
 /// Priority number of the queues whose units may stop others.
-const URGENT_PRIORITY: u32 = 0;
+pub(crate) const URGENT_PRIORITY: u32 = 0;
 /// Time over which preemptions are limited.
 const LIMIT_WINDOW: Duration = Duration::from_secs(1);
 /// Maximum number of units of a pool that are preempted in [`LIMIT_WINDOW`].
 const PER_POOL_MAX: usize = 10;
 /// Maximum number of units of a team that are preempted in [`LIMIT_WINDOW`].
 const PER_TEAM_MAX: usize = 4;
+/// Longest time for which a worker is held for an urgent unit, in multiples of the longest time of a
+/// stop: a poll reports the end later, and a lost stop is sent again.
+const HOLD_STOP_TIMES: u32 = 2;
 /// Minimum time between two checks of a pool, so that the forecast over its runs is not made in
 /// each round.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -54,6 +58,7 @@
     /// Those in the last [`LIMIT_WINDOW`], oldest first.
     recent: VecDeque<Preempted>,
     checked_at: SortedMap<PoolName, Moment>,
+    holds: SortedMap<WorkerId, Hold>,
 }
 
 /// Units of a step that have found no capacity, in a pool and round.
@@ -73,6 +78,22 @@
     urgent: UnitKey,
 }
 
+/// What lets some urgent units start together.
+#[derive(Clone, Debug, Default)]
+struct Plan {
+    stops: Vec<PlannedStop>,
+    /// Urgent units with their workers.
+    holds: Vec<(UnitKey, WorkerId)>,
+}
+
+/// A worker that starts no other units until an urgent one has started there. What is freed for it
+/// comes free bit by bit, and others would take each bit.
+#[derive(Clone, Debug)]
+struct Hold {
+    urgent: UnitKey,
+    until: Moment,
+}
+
 impl Preemptions {
     /// Forgets the preemptions that do not count any more.
     fn forget_old(&mut self, now: Moment) {
@@ -165,14 +186,14 @@
             }
             let until = self.latest_start(urgent.waiting, urgent.now);
             let unit = std::slice::from_ref(key);
-            let Some(stops) = self.plan_stops(urgent, unit, forecast, until) else {
+            let Some(plan) = self.plan_stops(urgent, unit, forecast, until) else {
                 // The other units of the step request the same resources.
                 return true;
             };
-            if !self.allows(urgent.pool, &stops) {
+            if !self.allows(urgent.pool, &plan.stops) {
                 return false;
             }
-            self.carry_out(urgent, stops);
+            self.carry_out(urgent, plan);
         }
         true
     }
@@ -192,21 +213,21 @@
         let UrgentUnits { waiting, step, candidates, now, .. } = *urgent;
         let latest_start = self.latest_start(waiting, now);
         let mut planned = forecast.clone();
-        if keys.iter().all(|key| planned.promise(key, step, candidates, latest_start)) {
+        if keys.iter().all(|key| planned.promise(key, step, candidates, latest_start).is_some()) {
             *forecast = planned;
             return true;
         }
         // What is freed now must not wait for capacity that comes later: others would take it.
         let until = now + self.settings.stop_time;
         planned = forecast.clone();
-        let Some(stops) = self.plan_stops(urgent, keys, &mut planned, until) else {
+        let Some(plan) = self.plan_stops(urgent, keys, &mut planned, until) else {
             return true;
         };
-        if !self.allows(urgent.pool, &stops) {
+        if !self.allows(urgent.pool, &plan.stops) {
             return false;
         }
         *forecast = planned;
-        self.carry_out(urgent, stops);
+        self.carry_out(urgent, plan);
         true
     }
 
@@ -218,20 +239,24 @@
         keys: &[UnitKey],
         forecast: &mut CapacityForecast,
         until: Moment,
-    ) -> Option<Vec<PlannedStop>> {
+    ) -> Option<Plan> {
         let UrgentUnits { step, candidates, .. } = *urgent;
-        let mut stops = Vec::new();
+        let mut plan = Plan::default();
         for key in keys {
-            if forecast.promise(key, step, candidates, until) {
-                continue;
-            }
-            let victims = forecast.victims(key, step, candidates)?;
-            let stopped = self.with_gangs(&victims.units);
-            forecast.promise_stopped(key, step, &victims, &stopped);
-            let planned = |unit| PlannedStop { unit, urgent: key.clone() };
-            stops.extend(stopped.into_iter().map(planned));
+            let worker = match forecast.promise(key, step, candidates, until) {
+                Some(worker) => worker,
+                None => {
+                    let victims = forecast.victims(key, step, candidates)?;
+                    let stopped = self.with_gangs(&victims.units);
+                    let worker = forecast.promise_stopped(key, step, &victims, &stopped);
+                    let planned = |unit| PlannedStop { unit, urgent: key.clone() };
+                    plan.stops.extend(stopped.into_iter().map(planned));
+                    worker
+                }
+            };
+            plan.holds.push((key.clone(), candidates.workers()[worker].id.clone()));
         }
-        Some(stops)
+        Some(plan)
     }
 
     /// Returns units together with the other units of their gangs.
@@ -258,8 +283,14 @@
             && teams.iter().all(is_within)
     }
 
-    fn carry_out(&mut self, urgent: &UrgentUnits, stops: Vec<PlannedStop>) {
-        for PlannedStop { unit: key, urgent: urgent_unit } in stops {
+    fn carry_out(&mut self, urgent: &UrgentUnits, plan: Plan) {
+        if !plan.stops.is_empty() {
+            let until = urgent.now + self.settings.stop_time * HOLD_STOP_TIMES;
+            for (urgent, worker) in plan.holds {
+                self.preemptions.holds.insert(worker, Hold { urgent, until });
+            }
+        }
+        for PlannedStop { unit: key, urgent: urgent_unit } in plan.stops {
             let work_lost_core_ms = self.work_lost_core_ms(&key, urgent.now);
             let Some(unit) = self.unit_mut(&key) else {
                 continue;
@@ -277,6 +308,22 @@
         }
     }
 
+    /// Returns the workers that are held for urgent units, and forgets those that are not any more.
+    pub(crate) fn held_workers(&mut self, now: Moment) -> Vec<WorkerId> {
+        if self.preemptions.holds.is_empty() {
+            return Vec::new();
+        }
+        let mut holds = std::mem::take(&mut self.preemptions.holds);
+        holds.retain(|_, hold| {
+            let job = self.jobs.get(&hold.urgent.job);
+            let is_open = job.is_some_and(|job| job.final_state.is_none());
+            let is_waiting = self.unit(&hold.urgent).is_some_and(|unit| unit.run.is_none());
+            is_open && is_waiting && now < hold.until
+        });
+        self.preemptions.holds = holds;
+        self.preemptions.holds.iter().map(|(worker, _)| worker.clone()).collect()
+    }
+
     /// Returns until when a unit of a step has to find capacity without preemption. One that is
     /// late or long-running cannot wait longer than a stop takes.
     fn latest_start(&self, waiting: &WaitingStep, now: Moment) -> Moment {
--- a/crates/scheduler/src/stop_costs.rs
+++ b/crates/scheduler/src/stop_costs.rs
@@ -17,6 +17,7 @@
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
+use crate::preemption::URGENT_PRIORITY;
 use crate::state::Scheduler;
 
 /// Time for which a unit that was preempted is exempt, counted from the start of its next run.
@@ -37,7 +38,7 @@
             };
             // A worker that has missed a poll may not stop its runs in time.
             let is_silent = worker.failed_polls > 0;
-            let mut free = candidate.free_capacity;
+            let mut free = worker.free_capacity();
             let mut runs = Vec::with_capacity(worker.runs.len());
             for key in &worker.runs {
                 let Some((job, unit, run)) = self.run_of(key) else {
@@ -95,7 +96,7 @@
         now: Moment,
     ) -> Option<StopCost> {
         let queue = self.config.queues.get(&job.record.queue);
-        let is_urgent = queue.is_some_and(|queue| queue.priority == 0);
+        let is_urgent = queue.is_some_and(|queue| queue.priority == URGENT_PRIORITY);
         let step = &job.record.steps[key.step];
         if is_urgent || step.is_long_running || job.final_state.is_some() {
             return None;
--- a/crates/scheduler/tests/preemption.rs
+++ b/crates/scheduler/tests/preemption.rs
@@ -230,6 +230,39 @@
     assert_eq!(is_running(&sim, &unit("u", 0, 1)), stopped > 0);
 }
 
+/// Guards against freed capacity that others take before all of it is free: of two runs that are
+/// stopped for a wide urgent unit, one ends earlier.
+#[test]
+fn freed_capacity_is_held_until_all_of_it_is_free() {
+    let mut sim = simulation(&["w1"]);
+    start_batch(&mut sim, "b", "t", long_step(2, 8_000));
+    start_batch(&mut sim, "small", "t", long_step(50, 1_000));
+    submit_urgent(&mut sim, "u", 1, WORKER_CPU_MILLIS);
+    sim.scheduler.plan(sim.now);
+    sim.commit();
+    let is_stop = |action: &Action| matches!(action, Action::Stop { .. });
+    assert_eq!(sim.scheduler.take_actions().iter().filter(|action| is_stop(action)).count(), 2);
+    sim.complete_run(&unit("b", 0, 0), RunOutcome::Stopped);
+    let starts = sim.run_for(millis(400));
+    assert!(starts.is_empty(), "{starts:?}");
+    sim.complete_run(&unit("b", 0, 1), RunOutcome::Stopped);
+    sim.run_for(millis(400));
+    assert!(is_running(&sim, &unit("u", 0, 0)));
+}
+
+/// Guards against capacity that stays idle because it is held for a unit that does not come.
+#[test]
+fn a_hold_ends_with_its_urgent_job() {
+    let mut sim = simulation(&["w1"]);
+    start_batch(&mut sim, "b", "t", long_step(1, WORKER_CPU_MILLIS));
+    submit_urgent(&mut sim, "u", 1, 8_000);
+    sim.run_round();
+    assert_eq!(preempted(&sim).len(), 1);
+    sim.scheduler.cancel("u");
+    sim.run_for(millis(600));
+    assert!(is_running(&sim, &unit("b", 0, 0)));
+}
+
 /// Guards against stops for a gang whose other units get capacity only later: what was freed would go
 /// to others meanwhile, such as the stopped unit itself.
 #[test]
