--- a/crates/scheduler/src/stop_costs.rs
+++ b/crates/scheduler/src/stop_costs.rs
@@ -33,7 +33,9 @@
         let exempt_teams = self.teams_at_preemption_limit();
         let mut forecast = CapacityForecast::default();
         for (index, candidate) in candidates.workers().iter().enumerate() {
-            let Some(worker) = self.workers.get(&candidate.id) else {
+            // A cold worker offers only a part of its capacity, so that a stop may free none.
+            let worker = self.workers.get(&candidate.id).filter(|worker| !worker.is_cold(now));
+            let Some(worker) = worker else {
                 continue;
             };
             // A worker that has missed a poll may not stop its runs in time.
