--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -44,11 +44,22 @@
 /// Time that units must have waited before another host is requested for them.
 const STARVED_AFTER: Duration = Duration::from_millis(300);
 
+/// Number of jobs over which the mean work of a job is taken.
+const MEAN_JOBS: u64 = 64;
+
 /// Work that was recently submitted to the queues of a pool.
+///
+/// The work of single jobs differs by an order of magnitude, so that the work of the few jobs in a
+/// window says little about those to come. The rate of new work is therefore the rate of jobs times
+/// the mean work of many earlier ones.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
-    /// Arrival times of jobs and their work in core-milliseconds, oldest first.
-    arrivals: Vec<(Moment, u64)>,
+    /// Times at which jobs were accepted, oldest first.
+    arrivals: Vec<Moment>,
+    /// Number of jobs in the mean, at most [`MEAN_JOBS`].
+    mean_jobs: u64,
+    /// Mean work of a job in core-milliseconds.
+    mean_work: u64,
 }
 
 /// What a pool holds and needs.
@@ -105,23 +116,28 @@
 }
 
 impl Demand {
-    fn add(&mut self, work: u64, now: Moment) {
+    fn add(&mut self, work: u64, accepted_at: Moment, now: Moment) {
         let longest = RATE_WINDOWS[RATE_WINDOWS.len() - 1];
-        self.arrivals.retain(|(at, _)| now.saturating_sub(*at) <= longest);
-        self.arrivals.push((now, work));
+        let is_recent = |at: &Moment| now.saturating_sub(*at) <= longest;
+        self.arrivals.retain(is_recent);
+        if is_recent(&accepted_at) {
+            self.arrivals.push(accepted_at);
+        }
+        self.mean_jobs = (self.mean_jobs + 1).min(MEAN_JOBS);
+        let others = self.mean_work.saturating_mul(self.mean_jobs - 1);
+        self.mean_work = others.saturating_add(work) / self.mean_jobs;
     }
 
     /// Returns the processors that the recent rate of new work keeps busy, in thousandths of a
     /// core.
     fn arrival_cpu_millis(&self, now: Moment) -> u64 {
         let arrivals_within = |window: Duration| {
-            self.arrivals.iter().filter(move |(at, _)| now.saturating_sub(*at) <= window)
+            self.arrivals.iter().filter(|at| now.saturating_sub(**at) <= window).count()
         };
-        let has_enough_arrivals =
-            |window: &&Duration| arrivals_within(**window).count() >= ARRIVALS_MIN;
+        let has_enough_arrivals = |window: &&Duration| arrivals_within(**window) >= ARRIVALS_MIN;
         let longest = &RATE_WINDOWS[RATE_WINDOWS.len() - 1];
         let window = *RATE_WINDOWS.iter().find(has_enough_arrivals).unwrap_or(longest);
-        let work = arrivals_within(window).fold(0, |sum: u64, (_, work)| sum.saturating_add(*work));
+        let work = self.mean_work.saturating_mul(arrivals_within(window) as u64);
         work.saturating_mul(1_000) / window.as_millis() as u64
     }
 }
@@ -145,6 +161,17 @@
             .max(self.hosts_for_long_running())
     }
 
+    /// Returns how many whole hosts the free capacity of `hosts` hosts amounts to.
+    pub(crate) fn free_hosts(&self, hosts: usize) -> usize {
+        let wanted = self.running.plus(&self.waiting);
+        let free = |wanted: u64, of_host: u64| {
+            (of_host * hosts as u64).saturating_sub(wanted).checked_div(of_host).unwrap_or(0)
+        };
+        let free_cpu = free(wanted.cpu_millis, self.host_capacity.cpu_millis);
+        let free_memory = free(wanted.memory_mb, self.host_capacity.memory_mb);
+        free_cpu.min(free_memory) as usize
+    }
+
     /// Returns the number of hosts needed for long-running units. If such a unit fits on none,
     /// unusable hosts are replaced: a wave may keep some hosts unavailable all the time.
     fn hosts_for_long_running(&self) -> usize {
@@ -177,8 +204,9 @@
 }
 
 impl Scheduler {
-    /// Records the work of a new job as demand of its pool.
-    pub(crate) fn record_demand(&mut self, record: &JobRecord, now: Moment) {
+    /// Records the work of a job as demand of its pool, from the time at which it was accepted: the
+    /// jobs that a new owner restores have not all arrived now.
+    pub(crate) fn record_demand(&mut self, record: &JobRecord, accepted_at: Moment, now: Moment) {
         let work = |step: &Step| {
             let expected_ms = self.durations.expected(record, step).as_millis() as u64;
             let unit_work = expected_ms.saturating_mul(step.requested.cpu_millis) / 1_000;
@@ -187,7 +215,8 @@
         let finite_steps = record.steps.iter().filter(|step| !step.is_long_running);
         let requested_work = finite_steps.map(work).fold(0, u64::saturating_add);
         if requested_work > 0 {
-            self.demand.entry_or(record.pool.clone(), Demand::default).add(requested_work, now);
+            let demand = self.demand.entry_or(record.pool.clone(), Demand::default);
+            demand.add(requested_work, accepted_at, now);
         }
     }
 
--- a/crates/scheduler/src/host_moves.rs
+++ b/crates/scheduler/src/host_moves.rs
@@ -33,8 +33,8 @@
 /// Time that a host must have been idle before it moves to a pool that is expected to have the next
 /// peak. A peak pauses for shorter times than this.
 const FILL_IDLE_MIN: Duration = Duration::from_millis(600);
-/// A pool between its peaks keeps one host more than it needs, and one more for each of this many
-/// hosts of its baseline.
+/// A pool between its peaks keeps capacity for the next jobs: that of one host, and of one more for
+/// each of this many hosts of its baseline.
 const RESERVE_DIVISOR: usize = 8;
 /// Time that a host must have been idle before it moves to the spare pool. An idle host costs about
 /// as much in this time as a move.
@@ -228,8 +228,12 @@
     let baseline = target.max(load.baseline_hosts);
     match expected.contains(name) {
         true => baseline,
-        // Room for the next job, which would otherwise wait for a host to arrive.
-        false => baseline.min(target + load.baseline_hosts / RESERVE_DIVISOR + 1),
+        // The next job would otherwise wait for a host to arrive. Hosts that long-running units are
+        // spread over have free capacity for it as well.
+        false => {
+            let reserve = load.baseline_hosts / RESERVE_DIVISOR + 1;
+            baseline.min(target + reserve.saturating_sub(load.free_hosts(target)))
+        }
     }
 }
 
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -65,9 +65,10 @@
         is_beyond_rate_share: bool,
         now: Moment,
     ) {
-        self.record_demand(&record, now);
+        let accepted_at = self.moment_of(record.accepted_ms).min(now);
+        self.record_demand(&record, accepted_at, now);
         let job = Job {
-            accepted_at: self.moment_of(record.accepted_ms).min(now),
+            accepted_at,
             record: record.clone(),
             is_beyond_rate_share,
             occurrences: Vec::new(),
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -89,6 +89,45 @@
     assert_eq!(baseline_hosts(&sim), 1);
 }
 
+/// Guards against a new owner taking all jobs that it restores for arrivals of the last second, and
+/// moving the whole fleet to their pool.
+#[test]
+fn jobs_that_a_takeover_restores_are_no_new_arrivals() {
+    let no_quota = Resources::default();
+    let mut sim = Simulation::new(&["w1"], config(3, no_quota));
+    let accepted_at = sim.now;
+    let records: Vec<_> =
+        (0..20).map(|n| job(&format!("j{n}"), vec![step(4, 1_000)], accepted_at)).collect();
+    let arrival_cpu_millis =
+        |sim: &Simulation| sim.scheduler.pool_loads(sim.now).get("p").unwrap().arrival_cpu_millis;
+    for record in &records {
+        sim.scheduler.add_job(record.clone(), sim.now);
+    }
+    assert!(arrival_cpu_millis(&sim) > 0);
+    sim.now += seconds(5);
+    sim.take_over(2, config(3, no_quota), seconds(6), &records);
+    assert_eq!(arrival_cpu_millis(&sim), 0);
+}
+
+/// Guards against a few large jobs in a short window passing for a rate of work that lasts.
+#[test]
+fn a_large_job_does_not_count_for_those_to_come() {
+    let mut sim = Simulation::new(&["w1"], config(3, Resources::default()));
+    let arrival_cpu_millis =
+        |sim: &Simulation| sim.scheduler.pool_loads(sim.now).get("p").unwrap().arrival_cpu_millis;
+    let mut submit = |sim: &mut Simulation, id: &str, units: u32| {
+        let record = job(id, vec![step(units, 1_000)], sim.now);
+        sim.scheduler.add_job(record, sim.now);
+        sim.now += millis(50);
+    };
+    for n in 0..70 {
+        submit(&mut sim, &format!("small{n}"), 2);
+    }
+    let usual = arrival_cpu_millis(&sim);
+    submit(&mut sim, "large", 40);
+    assert!(arrival_cpu_millis(&sim) < usual * 3 / 2, "{}", arrival_cpu_millis(&sim));
+}
+
 #[test]
 fn a_pool_gets_hosts_for_long_running_units_of_unresponsive_workers() {
     let no_quota = Resources::default();
--- a/crates/scheduler/tests/peaks.rs
+++ b/crates/scheduler/tests/peaks.rs
@@ -19,6 +19,7 @@
 use scheduler::Queue;
 use scheduler::Resources;
 use scheduler::RunOutcome;
+use scheduler::Step;
 use scheduler::WorkerRegistration;
 use simulation::Simulation;
 use simulation::config;
@@ -207,3 +208,24 @@
     fleet.run_for(6_000, 1_000);
     assert_eq!((fleet.count("p"), fleet.count("q"), fleet.count("spare")), (2, 1, 7));
 }
+
+/// Guards against a pool keeping idle hosts for the next job while long-running units are spread
+/// over hosts that have capacity for it.
+#[test]
+fn a_pool_keeps_no_idle_hosts_beside_the_free_capacity_of_others() {
+    let mut fleet = Fleet::new(&[("p", 16), ("q", 4), ("spare", 2)]);
+    fleet.run_for(1_000, 1_000);
+    let lasting = Step { is_long_running: true, per_worker_max: 1, ..step(3, 1_000) };
+    let record = job("lasting", vec![lasting], fleet.sim.now);
+    let record = JobRecord { queue: "queue-p".into(), pool: "p".into(), ..(*record).clone() };
+    fleet.sim.scheduler.add_job(Arc::new(record), fleet.sim.now);
+    // The peak of the pool, so that another one is expected next.
+    fleet.submit("p", "a", 56);
+    fleet.run_for(2_000, 60_000);
+    for index in 0..56 {
+        fleet.sim.complete_run(&simulation::unit("a", 0, index), RunOutcome::Done);
+    }
+    fleet.run_for(8_000, 60_000);
+    // One host for each long-running unit, and one where a unit could start again.
+    assert_eq!(fleet.count("p"), 4);
+}
