--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -32,6 +32,8 @@
 pub const UNITS_EVACUATED: &str = "units.evacuated";
 /// Runs that count as ended although no completion shows how.
 pub const RUNS_LOST: &str = "runs.lost";
+/// Runs that were stopped so that their units run on another worker.
+pub const RUNS_MOVED: &str = "runs.moved";
 /// Runs whose durations were recorded for the expected ones.
 pub const DURATION_SAMPLES: &str = "durations.samples";
 /// Runs that were stopped for an urgent unit.
@@ -78,6 +80,7 @@
     ),
     counter(UNITS_EVACUATED, "long-running units moved out of evacuated zones"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
+    counter(RUNS_MOVED, "runs stopped on slow or shrunk workers to run elsewhere"),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
     counter(RUNS_PREEMPTED, "runs that were stopped for an urgent unit"),
     counter(PREEMPTED_WORK, "work that preempted units lost, in core-milliseconds"),
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -72,6 +72,7 @@
             (metrics::UNITS_AHEAD_BY_SHARE, counts.units_ahead_by_share),
             (metrics::RUNS_PREEMPTED, counts.preempted_runs),
             (metrics::PREEMPTED_WORK, counts.preempted_work_core_ms),
+            (metrics::RUNS_MOVED, counts.moved_runs),
         ];
         for (name, count) in counters.into_iter().filter(|(_, count)| *count > 0) {
             self.telemetry.count_many(name, count);
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -20,6 +20,8 @@
     pub preempted_runs: u64,
     /// Work that these runs lost, in core-milliseconds.
     pub preempted_work_core_ms: u64,
+    /// Runs that were stopped so that their units run on another worker.
+    pub moved_runs: u64,
 }
 
 impl Scheduler {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -50,6 +50,7 @@
 mod rate_shares;
 mod run_samples;
 mod share_level;
+mod slow_workers;
 mod speed_limits;
 mod stalled;
 mod stop_costs;
@@ -59,6 +60,7 @@
 mod team_use;
 mod waves;
 mod worker_reports;
+mod worker_speeds;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/scheduler/src/run_samples.rs
+++ b/crates/scheduler/src/run_samples.rs
@@ -23,7 +23,7 @@
     /// Returns true if samples are taken.
     pub(crate) fn takes_samples(&self) -> bool {
         let policies = &self.settings.policies;
-        policies.enables(Policy::LearnedDurations)
+        policies.enables(Policy::LearnedDurations) || policies.enables(Policy::WorkerSpeeds)
     }
 
     /// Takes a sample from a completion that is about to be handled, if it shows how long the unit
@@ -44,6 +44,11 @@
             return;
         };
         let record = job.record.clone();
+        let step = &record.steps[key.step];
+        if let Some(expected) = self.durations.measured(&record, step).filter(|_| !step.is_gang) {
+            let speeds = &mut self.slow_workers.speeds;
+            speeds.record_end(worker, &key.job, expected, took, now);
+        }
         if self.is_at_full_speed(worker) {
             self.durations.record(&record, key.step, took, now);
             self.counts.duration_samples += 1;
@@ -105,7 +110,7 @@
     }
 
     /// Returns true if runs on a worker show how long units normally take.
-    fn is_at_full_speed(&self, _worker: &WorkerId) -> bool {
-        true
+    fn is_at_full_speed(&self, worker: &WorkerId) -> bool {
+        self.slow_workers.speeds.is_normal(worker)
     }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -41,6 +41,7 @@
 use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
 use crate::settings::Settings;
+use crate::slow_workers::SlowWorkers;
 use crate::sorted_map::SortedMap;
 use crate::team_shares::TeamShares;
 use crate::waves::WaveProgress;
@@ -109,6 +110,8 @@
     pub(crate) preemptions: Preemptions,
     /// Expected durations of units.
     pub(crate) durations: Durations,
+    /// Speeds of workers, and moves away from slow ones.
+    pub(crate) slow_workers: SlowWorkers,
     /// Events since the owner last took the counts.
     pub(crate) counts: Counts,
     /// Recently submitted work by pool.
