--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -86,6 +86,7 @@
     /// The units that are placed now wait rather than run on a cold worker.
     pub avoids_cold: bool,
     pool_use: PoolUse,
+    has_slow_workers: bool,
     /// Which units may run on slow workers; `None` if all may.
     slow_run_limit: Option<SlowRunLimit>,
 }
@@ -100,10 +101,9 @@
     /// that others do not fit either.
     pub fn record_unfit(&mut self, step: &Step) {
         // Others may run on a slow worker that this one may not use.
-        let fits_on_slow = self.workers.iter().any(|worker| {
-            worker.speed_percent < NORMAL_PERCENT
-                && step.reservation().fits_in(&worker.free_capacity)
-        });
+        let fits = |worker: &Candidate| step.reservation().fits_in(&worker.free_capacity);
+        let fits_on_slow =
+            self.has_slow_workers && self.workers.iter().any(|w| w.is_slow() && fits(w));
         if step.label.is_none() && step.per_worker_max == 0 && !fits_on_slow {
             self.unfit_reservations.push(step.reservation());
         }
@@ -190,7 +190,7 @@
 
     /// Returns true if some of the workers are slow.
     pub fn has_slow_workers(&self) -> bool {
-        self.workers.iter().any(|worker| worker.speed_percent < NORMAL_PERCENT)
+        self.has_slow_workers
     }
 
     /// Limits the runs on slow workers while at least half of the pool's capacity is in use.
@@ -256,6 +256,10 @@
             && (runs_max == 0 || self.runs_of_step(key) + planned < runs_max)
     }
 
+    fn is_slow(&self) -> bool {
+        self.speed_percent < NORMAL_PERCENT
+    }
+
     fn runs_of_step(&self, key: &UnitKey) -> usize {
         let is_same_step = |unit: &&UnitKey| {
             unit.job == key.job && unit.occurrence == key.occurrence && unit.step == key.step
@@ -298,8 +302,9 @@
         let accepting = workers.filter(|worker| self.accepts_runs(worker, now));
         let workers: Vec<Candidate> = accepting.map(|worker| self.candidate(worker, now)).collect();
         let has_cold = workers.iter().any(|worker| worker.is_cold);
-        let pool_use = self.pool_use(pool);
-        Candidates { workers, has_cold, pool_use, ..Candidates::default() }
+        let has_slow_workers = workers.iter().any(Candidate::is_slow);
+        let pool_use = self.pool_use(pool, now);
+        Candidates { workers, has_cold, has_slow_workers, pool_use, ..Candidates::default() }
     }
 
     /// Returns true if the worker accepts new runs.
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -84,7 +84,8 @@
     pub waiting: Resources,
     /// Processors that keep up with the recent rate of new work, in thousandths of a core.
     pub arrival_cpu_millis: u64,
-    /// Largest processor and memory capacity of any of the pool's workers.
+    /// Largest processor and memory capacity of any of the pool's workers, or their mean with the
+    /// policy [`crate::Policy::ShrunkWorkers`].
     pub host_capacity: Resources,
 }
 
@@ -235,6 +236,7 @@
             }
         }
         scale_baselines(&mut loads);
+        self.use_present_capacity(&mut loads);
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
             if let Some(load) = loads.get_mut(&self.pool_of(job)) {
                 add_waiting(load, job);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -50,6 +50,7 @@
 mod rate_shares;
 mod run_samples;
 mod share_level;
+mod shrunk_workers;
 mod slow_workers;
 mod speed_limits;
 mod stalled;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -96,6 +96,7 @@
         self.create_due_occurrences(now);
         self.stop_stalled_runs(now);
         self.review_worker_speeds(now);
+        self.relieve_shrunk_workers(now);
         self.resend_stops(now);
         self.review_evacuations(now);
         self.plan_hosts(now);
--- a/crates/scheduler/src/slow_workers.rs
+++ b/crates/scheduler/src/slow_workers.rs
@@ -115,14 +115,15 @@
         }
     }
 
-    /// Returns how much of a pool is in use. Nothing depends on it without slow workers, so that it
+    /// Returns how much of the workers of a pool that accept new runs is in use. Nothing depends on it without slow workers, so that it
     /// is empty then.
-    pub(crate) fn pool_use(&self, pool: &PoolName) -> PoolUse {
+    pub(crate) fn pool_use(&self, pool: &PoolName, now: Moment) -> PoolUse {
         let mut pool_use = PoolUse::default();
         if self.slow_workers.speeds.slow_workers().next().is_none() {
             return pool_use;
         }
-        let in_pool = |worker: &&Worker| worker.registration.pool == *pool;
+        let in_pool =
+            |worker: &&Worker| worker.registration.pool == *pool && self.accepts_runs(worker, now);
         for worker in self.workers.values().filter(in_pool) {
             pool_use.capacity += worker.registration.capacity;
             pool_use.reserved += worker.reserved;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -41,6 +41,7 @@
 use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
 use crate::settings::Settings;
+use crate::shrunk_workers::ShrunkWorkers;
 use crate::slow_workers::SlowWorkers;
 use crate::sorted_map::SortedMap;
 use crate::team_shares::TeamShares;
@@ -112,6 +113,8 @@
     pub(crate) durations: Durations,
     /// Speeds of workers, and moves away from slow ones.
     pub(crate) slow_workers: SlowWorkers,
+    /// Workers that have shrunk below what runs there.
+    pub(crate) shrunk_workers: ShrunkWorkers,
     /// Events since the owner last took the counts.
     pub(crate) counts: Counts,
     /// Recently submitted work by pool.
--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -442,6 +442,15 @@
     assert!(preempted > SEEDS, "only {preempted} units were preempted");
 }
 
+/// Guards against policies that break the invariants together.
+#[test]
+fn invariants_hold_with_all_policies() {
+    for seed in 0..SEEDS {
+        println!("seed {seed}");
+        run_random_test(RandomTest::with_policies(seed, config_with_two_queues(), &Policy::ALL));
+    }
+}
+
 #[rstest]
 #[ignore = "long: more seeds, run by hand"]
 fn invariants_hold_under_many_random_events() {
