--- a/crates/scheduler/src/durations.rs
+++ b/crates/scheduler/src/durations.rs
@@ -52,6 +52,7 @@
 pub struct Durations {
     /// Measured durations replace the estimates.
     replaces_estimates: bool,
+    /// Kinds of work by queue, sorted by step and image.
     by_queue: SortedMap<QueueName, Vec<WorkKind>>,
     /// A sample was recorded since the distributions were last added to a batch.
     is_dirty: bool,
@@ -167,10 +168,10 @@
         let step = &record.steps[step_index];
         let ratio = took.as_millis() as u64 * RATIO_ONE / step.estimate_ms.max(1);
         let kinds = self.by_queue.entry_or(record.queue.clone(), Vec::new);
-        let position = kinds.iter().position(|kind| kind.matches(step_index, step));
-        let position = position.unwrap_or_else(|| {
-            kinds.push(WorkKind::new(step_index, step.image.clone(), now));
-            kinds.len() - 1
+        let position = position(kinds, step_index, step.image.as_deref());
+        let position = position.unwrap_or_else(|position| {
+            kinds.insert(position, WorkKind::new(step_index, step.image.clone(), now));
+            position
         });
         kinds[position].add(ratio, now);
         self.is_dirty = true;
@@ -189,7 +190,7 @@
                 Some((kinds, position))
             });
             if let Some((kinds, position)) = oldest_kind {
-                kinds.swap_remove(position);
+                kinds.remove(position);
             }
         }
         self.by_queue.retain(|_, kinds| !kinds.is_empty());
@@ -234,7 +235,11 @@
             }
             kind.age(now);
             kind.update_quantiles();
-            self.by_queue.entry_or(stored.queue, Vec::new).push(kind);
+            let kinds = self.by_queue.entry_or(stored.queue, Vec::new);
+            match position(kinds, kind.step, kind.image.as_deref()) {
+                Ok(position) => kinds[position] = kind,
+                Err(position) => kinds.insert(position, kind),
+            }
         }
         self.evict_oldest();
     }
@@ -247,10 +252,6 @@
         Self { step, image, ratios, sampled_at, aged_to: sampled_at, quantiles: None }
     }
 
-    fn matches(&self, step_index: usize, step: &Step) -> bool {
-        self.step == step_index && self.image == step.image
-    }
-
     fn add(&mut self, ratio: u64, now: Moment) {
         self.age(now);
         self.ratios.saturating_record_n(ratio.clamp(RATIO_MIN, RATIO_MAX), SAMPLE_WEIGHT);
@@ -305,7 +306,13 @@
 
 /// Returns the measured durations of the units of a step.
 fn find<'a>(kinds: &'a [WorkKind], step_index: usize, step: &Step) -> Option<&'a WorkKind> {
-    kinds.iter().find(|kind| kind.matches(step_index, step))
+    let position = position(kinds, step_index, step.image.as_deref());
+    position.ok().map(|position| &kinds[position])
+}
+
+/// Returns the position of a kind of work, or where it would be inserted.
+fn position(kinds: &[WorkKind], step: usize, image: Option<&str>) -> Result<usize, usize> {
+    kinds.binary_search_by(|kind| (kind.step, kind.image.as_deref()).cmp(&(step, image)))
 }
 
 /// Returns the index of a step that is one of those of `record`, or equal to one.
