--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -176,10 +176,14 @@
     }
 
     pub fn put_inbox(&self, key: &str, row: &InboxRow) {
+        self.put(Table::Inbox, key, rows::encode(row));
+    }
+
+    pub fn put(&self, table: Table, key: &str, value: Bytes) {
         let mut data = self.data.lock().unwrap();
         data.version += 1;
-        let (key, version) = (row_key(0, Table::Inbox, key), data.version);
-        data.rows.insert(key, (rows::encode(row), version));
+        let (key, version) = (row_key(0, table, key), data.version);
+        data.rows.insert(key, (value, version));
     }
 
     pub fn remove_inbox(&self, key: &str) {
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -6,21 +6,27 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use coordinator::JobLookup;
 use coordinator::Node;
 use coordinator::Refusal;
 use coordinator::SubmitOutcome;
 use coordinator::caller_api::CancelResult;
 use coordinator::clock;
+use coordinator::ports::Store;
 use coordinator::ports::Table;
+use coordinator::rows;
+use coordinator::rows::DURATIONS_KEY;
 use coordinator::rows::InboxRow;
 use memory::Memory;
 use memory::TableFault;
 use memory::start_node;
 use memory::start_node_with_cpu;
+use scheduler::DurationsRow;
 use scheduler::FinalState;
 use scheduler::JobRecord;
 use scheduler::JobView;
+use scheduler::Policy;
 use scheduler::Resources;
 use scheduler::Step;
 use scheduler::TeamName;
@@ -75,6 +81,28 @@
 
 const COMPLETED: JobLookup = JobLookup::Found(JobView::Ended(FinalState::Completed));
 
+/// A row of learned durations that cannot be read must not keep a node from taking over; what is
+/// learned anew replaces it.
+#[tokio::test]
+async fn an_unreadable_row_of_durations_is_replaced() {
+    let memory = Memory::new(Duration::from_millis(50));
+    let memory = memory.with_policies(&[Policy::LearnedDurations], 0.0);
+    memory.put(Table::Owner, DURATIONS_KEY, Bytes::from_static(b"{\"kinds\":7}"));
+    let node = start_node("a", &memory).await;
+    wait_ready(&node).await;
+    assert_eq!(submit(&node, "j").await, SubmitOutcome::Accepted);
+    wait_for(&node, "j", COMPLETED).await;
+    let until = clock::now() + TIMEOUT;
+    loop {
+        let row = memory.get(0, Table::Owner, DURATIONS_KEY).await.unwrap().unwrap();
+        if rows::decode::<DurationsRow>(&row.key, &row.value).is_ok() {
+            return;
+        }
+        assert!(clock::now() < until, "the row is still unreadable");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 #[tokio::test]
 async fn any_node_reports_a_completed_job() {
     let memory = Memory::new(Duration::from_millis(50));
