--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -111,6 +111,8 @@
     pub checkpoint: String,
     /// When `checkpoint` last changed; `None` before the first one.
     pub checkpointed_at: Option<Moment>,
+    /// Progress in percent when `checkpoint` last changed.
+    pub checkpoint_percent: u32,
     /// Tail latency in milliseconds for serving units, processors in use for others.
     pub load: Option<u64>,
     /// Speed limit that was set for the run, in percent.
@@ -135,16 +137,23 @@
             progressed_at: now,
             checkpoint: String::new(),
             checkpointed_at: None,
+            checkpoint_percent: 0,
             load: None,
             speed_limit_percent: FULL_PERCENT,
         }
     }
 
-    /// Records the checkpoint in a report.
-    pub(crate) fn record_checkpoint(&mut self, checkpoint: &str, now: Moment) {
+    /// Records the checkpoint in a report, and the progress at that time.
+    pub(crate) fn record_checkpoint(
+        &mut self,
+        checkpoint: &str,
+        progress_percent: u32,
+        now: Moment,
+    ) {
         if self.checkpoint != checkpoint {
             checkpoint.clone_into(&mut self.checkpoint);
             self.checkpointed_at = Some(now);
+            self.checkpoint_percent = progress_percent;
         }
     }
 
--- a/crates/scheduler/src/slow_workers.rs
+++ b/crates/scheduler/src/slow_workers.rs
@@ -310,10 +310,14 @@
             return None;
         }
         let expected = self.durations.measured(&job.record, step)?;
-        let remaining = expected * (FULL_PERCENT - run.progress_percent) / FULL_PERCENT;
+        let time_from =
+            |percent: u32| expected * FULL_PERCENT.saturating_sub(percent) / FULL_PERCENT;
         let speed_percent = self.slow_workers.speeds.speed_percent(&run.worker).max(1);
-        let staying = remaining.saturating_mul(NORMAL_PERCENT) / speed_percent;
-        let moving = remaining + self.settings.stop_time + RESTART_TIME;
+        let staying =
+            time_from(run.progress_percent).saturating_mul(NORMAL_PERCENT) / speed_percent;
+        // The work since the last checkpoint may have to be done again.
+        let restart = self.settings.stop_time + RESTART_TIME;
+        let moving = time_from(run.checkpoint_percent) + restart;
         staying.checked_sub(moving).filter(|gain| !gain.is_zero())
     }
 }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -341,7 +341,7 @@
             run.progress_percent = running.progress_percent;
             run.progressed_at = now;
         }
-        run.record_checkpoint(&running.checkpoint, now);
+        run.record_checkpoint(&running.checkpoint, running.progress_percent, now);
         run.load = running.load;
         self.mark_started(&key.job);
     }
@@ -357,7 +357,7 @@
         };
         let mut run = Run::new(running.run, id.clone(), Phase::Reported, step, now);
         run.progress_percent = running.progress_percent;
-        run.record_checkpoint(&running.checkpoint, now);
+        run.record_checkpoint(&running.checkpoint, running.progress_percent, now);
         run.load = running.load;
         self.add_run(key, run, now);
     }
--- a/crates/scheduler/tests/worker_speeds.rs
+++ b/crates/scheduler/tests/worker_speeds.rs
@@ -351,3 +351,25 @@
     assert_eq!(fleet.take_decisions("worker slow"), ["a"]);
     assert!(fleet.sim.scheduler.view(&unit("j00001", 0, 0).job).is_none());
 }
+
+/// A run that has made much of its way since its last checkpoint stays: what it would lose takes
+/// longer elsewhere than the rest takes on the slow worker.
+#[rstest]
+#[case::old_checkpoint(false, 0)]
+#[case::new_checkpoint(true, 1)]
+fn work_since_the_checkpoint_counts(#[case] has_new: bool, #[case] expected: usize) {
+    let mut fleet = fleet_with_long_runs_on_slow_worker();
+    fleet.make_slow(&["a"], 0.4);
+    for run in &mut fleet.sim.worker("a").running {
+        *fleet.done.entry_or((run.unit.clone(), run.run), || 0.0) = 6.0;
+    }
+    let mut moves = 0;
+    for _ in 0..20 {
+        for run in &mut fleet.sim.worker("a").running {
+            run.checkpoint = if has_new { run.progress_percent.to_string() } else { String::new() };
+        }
+        fleet.advance(TICK, 0);
+        moves += fleet.take_decisions("run moved").len();
+    }
+    assert_eq!(moves.min(1), expected, "{moves} moves");
+}
