--- a/crates/scheduler/src/slow_workers.rs
+++ b/crates/scheduler/src/slow_workers.rs
@@ -274,6 +274,7 @@
         }
         let mut candidates = self.candidates(pool, now);
         candidates.exclude_slow_workers();
+        candidates.avoids_cold = true;
         let find = |(_, key): (Duration, &UnitKey)| self.find_move(pool, key, &mut candidates, now);
         movable.into_iter().filter_map(find).take(count).collect()
     }
--- a/crates/scheduler/tests/worker_speeds.rs
+++ b/crates/scheduler/tests/worker_speeds.rs
@@ -19,10 +19,12 @@
 use scheduler::Step;
 use scheduler::UnitKey;
 use scheduler::WorkerId;
+use scheduler::WorkerRegistration;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
 use simulation::millis;
+use simulation::registration;
 use simulation::seconds;
 use simulation::step;
 use simulation::unit;
@@ -373,3 +375,18 @@
     }
     assert_eq!(moves.min(1), expected, "{moves} moves");
 }
+
+/// A worker that has just started is slow for a while, which is no fault of it: it is not judged.
+#[rstest]
+#[case::cold(seconds(20), &[])]
+#[case::warm(seconds(0), &["a"])]
+fn a_cold_worker_does_not_count_as_slow(#[case] cold_left: Duration, #[case] found: &[&str]) {
+    let mut fleet = Fleet::new(&[Policy::WorkerSpeeds]);
+    fleet.advance(seconds(1), 9);
+    assert_eq!(fleet.runs_on("a"), 4);
+    let registration = WorkerRegistration { cold_left, ..registration("a") };
+    fleet.sim.scheduler.update_worker(registration, Duration::ZERO, fleet.sim.now);
+    fleet.make_slow(&["a"], 0.125);
+    fleet.advance(seconds(9), 9);
+    assert_eq!(fleet.take_decisions("worker slow"), found);
+}
