--- a/crates/scheduler/tests/worker_speeds.rs
+++ b/crates/scheduler/tests/worker_speeds.rs
@@ -50,11 +50,12 @@
     jobs: usize,
 }
 
-/// Returns a configuration with a second queue whose jobs can wait.
+/// Returns a configuration with a second queue whose jobs can wait, also for those of the first.
 fn config_with_patient_queue() -> Arc<Config> {
     let mut config = (*config(3, NO_QUOTA)).clone();
     let mut queue = config.queues.get("q").unwrap().clone();
     queue.deadline_slack = seconds(60);
+    queue.priority = 5;
     config.queues.insert("patient".into(), queue);
     Arc::new(config)
 }
@@ -84,8 +85,8 @@
     }
 
     /// Submits a job to the queue whose jobs can wait.
-    fn submit_patient(&mut self, id: &str) {
-        let record = job(id, vec![unit_step()], self.sim.now);
+    fn submit_patient(&mut self, id: &str, step: Step) {
+        let record = job(id, vec![step], self.sim.now);
         let record = JobRecord { queue: "patient".into(), ..(*record).clone() };
         self.sim.scheduler.add_job(Arc::new(record), self.sim.now);
     }
@@ -186,7 +187,7 @@
     while fleet.runs_on("a") > 0 {
         fleet.advance(TICK, 9);
     }
-    fleet.submit_patient("patient");
+    fleet.submit_patient("patient", unit_step());
     let starts = fleet.advance(millis(600), 9);
     let on_slow = starts.iter().filter(|start| &*start.worker == "a");
     assert_eq!(on_slow.map(|start| &*start.unit.job).collect::<Vec<_>>(), ["patient"]);
@@ -390,3 +391,25 @@
     fleet.advance(seconds(9), 9);
     assert_eq!(fleet.take_decisions("worker slow"), found);
 }
+
+/// A stop on a slow worker would free capacity that the urgent unit may not use there.
+#[test]
+fn nothing_is_stopped_on_a_slow_worker_for_an_urgent_unit() {
+    let mut fleet = Fleet::new(&[Policy::WorkerSpeeds, Policy::Preemption]);
+    let far = Step { estimate_ms: 8_000, ..unit_step() };
+    fleet.submit_patient("far-first", Step { count: 8, ..far.clone() });
+    fleet.advance(seconds(11), 0);
+    for number in 0..32 {
+        fleet.submit_patient(&format!("far{number}"), far.clone());
+    }
+    fleet.advance(millis(200), 0);
+    fleet.make_slow(&["a"], 0.125);
+    fleet.advance(seconds(3), 0);
+    assert_eq!(fleet.take_decisions("worker slow"), ["a"]);
+    fleet.submit(2, unit_step());
+    let starts = fleet.advance(seconds(3), 0);
+    assert_eq!(fleet.take_decisions("preempted").len(), 2);
+    let urgent = starts.iter().filter(|start| start.unit.job.starts_with('j'));
+    assert_eq!(urgent.filter(|start| &*start.worker != "a").count(), 2);
+    assert_eq!(fleet.runs_on("a"), 4);
+}
