--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -50,6 +50,8 @@
 mod rate_shares;
 mod run_samples;
 mod share_level;
+mod shrunk_workers;
+mod slow_workers;
 mod speed_limits;
 mod stalled;
 mod stop_costs;
@@ -59,6 +61,7 @@
 mod team_use;
 mod waves;
 mod worker_reports;
+mod worker_speeds;
 
 use std::sync::Arc;
 use std::time::Duration;
