--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -115,7 +115,7 @@
     let mut sim = Simulation::new(&["w1"], config(3, Resources::default()));
     let arrival_cpu_millis =
         |sim: &Simulation| sim.scheduler.pool_loads(sim.now).get("p").unwrap().arrival_cpu_millis;
-    let mut submit = |sim: &mut Simulation, id: &str, units: u32| {
+    let submit = |sim: &mut Simulation, id: &str, units: u32| {
         let record = job(id, vec![step(units, 1_000)], sim.now);
         sim.scheduler.add_job(record, sim.now);
         sim.now += millis(50);
