--- a/crates/coordinator/src/operator_changes.rs
+++ b/crates/coordinator/src/operator_changes.rs
@@ -17,6 +17,8 @@
 /// Longest wait of a call for changes. While nothing changes, it bounds the age of the
 /// configuration.
 const CHANGES_WAIT: Duration = Duration::from_millis(1_000);
+/// Time by which the reply of a call may exceed its wait before it counts as late.
+const LATE_MAX: Duration = Duration::from_millis(500);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -24,9 +26,12 @@
 pub(crate) async fn run<P: Platform>(node: Arc<NodeState<P>>) {
     let mut version: Option<RowVersion> = None;
     let mut is_connected = true;
+    let mut wait = CHANGES_WAIT;
     loop {
         let sent_at = clock::now();
-        match node.platform.operator_changes(version, CHANGES_WAIT).await {
+        let read = node.platform.operator_changes(version, wait).await;
+        wait = next_wait(read.is_ok(), clock::now().saturating_sub(sent_at));
+        match read {
             Ok(changes) => {
                 node.record_store_reply(true);
                 if !std::mem::replace(&mut is_connected, true) {
@@ -50,6 +55,16 @@
     }
 }
 
+/// Returns how long the next call may wait for changes. After one that has failed or took long, as
+/// in a suspended process, the last confirmed read is old already, and the next one is to reply at
+/// once.
+fn next_wait(has_succeeded: bool, took: Duration) -> Duration {
+    match has_succeeded && took <= CHANGES_WAIT + LATE_MAX {
+        true => CHANGES_WAIT,
+        false => Duration::ZERO,
+    }
+}
+
 fn apply<P: Platform>(node: &NodeState<P>, changes: Changes<OperatorChange>, sent_at: Moment) {
     let mut config = None;
     let mut waves = Vec::new();
--- a/crates/scheduler/src/absent_hosts.rs
+++ b/crates/scheduler/src/absent_hosts.rs
@@ -31,6 +31,11 @@
 impl Scheduler {
     /// Finds the zones all of whose workers are silent while others reply.
     pub(crate) fn find_lost_zones(&mut self, now: Moment) {
+        // Polls of a lost zone fail before its workers are removed.
+        let has_silent = self.workers.values().any(|worker| worker.failed_polls > 0);
+        if self.lost_zones.is_empty() && !has_silent {
+            return;
+        }
         let mut zones: SortedMap<&ZoneName, ZoneHosts> = SortedMap::default();
         for host in self.hosts.values().filter(|host| host.entry.state == HostState::Up) {
             if let Some(zone) = &host.zone {
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -72,6 +72,9 @@
     /// Reservations that fit on no worker. Within a round, free capacity only shrinks, so that
     /// larger ones do not fit either.
     unfit_reservations: Vec<Resources>,
+    /// Reservations that fit on no warm worker, as far as units that wait for
+    /// one have shown.
+    unfit_on_warm: Vec<Resources>,
     /// Some workers are cold.
     pub has_cold: bool,
     /// The units that are placed now wait rather than run on a cold worker.
@@ -141,12 +144,26 @@
         None
     }
 
-    /// Returns true if a unit of `step` waits for a warm worker, although it fits on a cold one.
+    /// Returns true if a unit of `step` that fits on no warm worker waits for one, although it fits
+    /// on a cold one.
     pub fn waits_for_warm(&self, key: &UnitKey, step: &Step) -> bool {
         self.avoids_cold
             && self.workers.iter().any(|worker| worker.is_cold && worker.can_run(key, step))
     }
 
+    /// Records that a unit of `step` fits on no warm worker; see [`Candidates::record_unfit`].
+    pub fn record_unfit_on_warm(&mut self, step: &Step) {
+        if step.label.is_none() && step.per_worker_max == 0 {
+            self.unfit_on_warm.push(step.reservation());
+        }
+    }
+
+    /// Returns true if it is already known that a unit of `step` waits for a warm worker.
+    pub fn is_known_to_wait(&self, step: &Step) -> bool {
+        let reservation = step.reservation();
+        self.avoids_cold && self.unfit_on_warm.iter().any(|unfit| unfit.fits_in(&reservation))
+    }
+
     /// Returns true if the units that are placed now may run on a worker.
     fn allows(&self, worker: &Candidate) -> bool {
         !(self.avoids_cold && worker.is_cold)
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -28,6 +28,8 @@
 /// Part of the bound of an evacuation up to which a read of the operators' rows permits starts, in
 /// percent. The rest is for commands that are on their way.
 const READ_AGE_PERCENT: u32 = 80;
+/// Minimum time between two decisions on which units move.
+const PLAN_PERIOD: Duration = Duration::from_millis(80);
 
 /// Zones that operators evacuate, and when the owner's node last read the operators' rows.
 #[derive(Clone, Debug, Default)]
@@ -35,6 +37,8 @@
     zones: SortedMap<ZoneName, Evacuation>,
     /// When the last read was sent that has confirmed `zones`.
     rows_read_at: Option<Moment>,
+    /// When it was last decided which units move.
+    planned_at: Moment,
     /// The last read was too old at the last review.
     is_withholding: bool,
     /// All workers were in evacuated zones at the last review.
@@ -118,14 +122,23 @@
         }
     }
 
-    /// Moves long-running units out of evacuated zones, and logs changes.
+    /// Moves long-running units out of evacuated zones. Follows a placement, so that units that wait
+    /// have taken the room that is theirs.
+    pub(crate) fn plan_evacuations(&mut self, now: Moment) {
+        let is_due = now.saturating_sub(self.evacuations.planned_at) >= PLAN_PERIOD;
+        if !self.evacuations.zones.is_empty() && is_due {
+            self.evacuations.planned_at = now;
+            self.move_long_running_units(now);
+        }
+    }
+
+    /// Logs what has become of evacuations.
     pub(crate) fn review_evacuations(&mut self, now: Moment) {
         self.review_withholding(now);
         if self.evacuations.zones.is_empty() {
             self.evacuations.has_no_zone_left = false;
             return;
         }
-        self.move_long_running_units(now);
         self.log_empty_zones();
         self.log_no_zone_left();
     }
@@ -146,10 +159,6 @@
     /// allow and other workers have room for them.
     fn move_long_running_units(&mut self, now: Moment) {
         for (pool, units) in self.long_running_units_in_evacuated_zones(now).iter() {
-            // A unit that waits for capacity would get the room first.
-            if self.long_running_starved_since.contains(pool) {
-                continue;
-            }
             let mut candidates = self.candidates(pool, now);
             let is_stopping = |key: &&UnitKey| {
                 self.unit(key).and_then(|unit| unit.run.as_ref()).is_some_and(|r| r.stop.is_some())
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -82,6 +82,7 @@
         self.review(now);
         if self.may_start_runs(now) {
             self.place_waiting_units(now);
+            self.plan_evacuations(now);
         }
     }
 
@@ -279,6 +280,9 @@
             if candidates.is_known_unfit(step) {
                 return Placement::NoCapacity;
             }
+            if candidates.is_known_to_wait(step) {
+                return Placement::Blocked;
+            }
             let suspicion = self.history(&key, now).suspicion;
             let Some(chosen) = self.choose_for_unit(&key, step, candidates, now) else {
                 if candidates.fits_on_reserved(&key, step) {
@@ -286,6 +290,9 @@
                     continue;
                 }
                 if candidates.waits_for_warm(&key, step) {
+                    if !needs_advice {
+                        candidates.record_unfit_on_warm(step);
+                    }
                     return Placement::Blocked;
                 }
                 if !needs_advice {
--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -186,6 +186,9 @@
     // Elsewhere, all but one core is taken.
     evacuate(&mut sim, &[zone]);
     let filler = Step { is_long_running: true, ..step(1, 15_000) };
+    // A unit that fits nowhere does not keep the others in the zone.
+    let unfit = Step { label: Some("none".to_owned()), ..long_running(1, 1) };
+    sim.scheduler.add_job(job("c", vec![unfit], sim.now), sim.now);
     sim.scheduler.add_job(job("b", vec![filler], sim.now), sim.now);
     sim.run_round();
     for _ in 0..20 {
