--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -119,6 +119,8 @@
     host_count: usize,
     /// Policies of the nodes.
     policies: Policies,
+    /// Bound of evacuations in the settings of the nodes.
+    evacuation_bound: Option<Duration>,
 }
 
 /// Time of a transaction of a slow table.
--- a/crates/coordinator/tests/common/memory_nodes.rs
+++ b/crates/coordinator/tests/common/memory_nodes.rs
@@ -74,6 +74,13 @@
     }
 }
 
+impl Memory {
+    /// Sets the bound of evacuations, before any node has started.
+    pub fn with_evacuation_bound(self, bound: Duration) -> Self {
+        Self { evacuation_bound: Some(bound), ..self }
+    }
+}
+
 /// Starts a node with default processor time on a free port.
 pub async fn start_node(name: &str, memory: &Memory) -> Node<Memory> {
     start_node_with_cpu(name, CPU_MILLIS, memory).await
@@ -89,7 +96,11 @@
         key_age_max: Duration::from_secs(4),
         local_write_timeout: Duration::from_secs(2),
         hosts_per_shard: HOSTS_PER_SHARD,
-        scheduling: Settings { policies: memory.policies.clone(), ..Settings::default() },
+        scheduling: Settings {
+            policies: memory.policies.clone(),
+            evacuation_bound: memory.evacuation_bound,
+            ..Settings::default()
+        },
     };
     let telemetry = Telemetry::new(None).unwrap();
     Node::start(settings, memory.clone(), Client::default(), telemetry).await.unwrap()
--- a/crates/coordinator/tests/evacuations.rs
+++ b/crates/coordinator/tests/evacuations.rs
@@ -140,3 +140,27 @@
     memory.hide_operators(false);
     wait_completed(&node, "a").await;
 }
+
+/// Failure: an owner that reaches its own rows, but not those of the operators, while they begin an
+/// evacuation. It accepts jobs and starts none of them until it has read the rows again.
+#[tokio::test]
+async fn an_owner_with_an_old_read_starts_nothing() {
+    let bound = Duration::from_secs(2);
+    let memory = Memory::new(Duration::from_millis(50)).with_evacuation_bound(bound);
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    submit(&node, "a").await;
+    wait_completed(&node, "a").await;
+    let starts = memory.starts().len();
+    memory.hide_operators(true);
+    memory.evacuate(&["z"]);
+    tokio::time::sleep(bound).await;
+    submit(&node, "b").await;
+    tokio::time::sleep(START_TIME).await;
+    assert_eq!(memory.starts().len(), starts);
+    memory.hide_operators(false);
+    tokio::time::sleep(START_TIME).await;
+    assert_eq!(memory.starts().len(), starts, "it knows of the evacuation now");
+    memory.evacuate(&[]);
+    wait_completed(&node, "b").await;
+}
--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -51,6 +51,19 @@
     sim.scheduler.set_evacuated_zones(&zones);
 }
 
+/// Creates an owner that has not read the operators' rows, on a deployment with a bound.
+fn simulation_with_bound(ids: &[&str]) -> Simulation {
+    let mut sim = Simulation::new(ids, config(3, NO_QUOTA));
+    let settings = Settings { evacuation_bound: Some(BOUND), ..Settings::default() };
+    let unix_ms = UNIX_MS + sim.now.as_millis() as u64;
+    sim.scheduler = Scheduler::new(settings, 2, unix_ms, sim.now);
+    sim.scheduler.set_config(config(3, NO_QUOTA));
+    let registrations = ids.iter().map(|id| registration(id)).collect();
+    sim.scheduler.set_workers(registrations, Duration::ZERO, sim.now);
+    sim.report_all();
+    sim
+}
+
 fn logged(sim: &Simulation) -> Vec<(EvacuationState, usize)> {
     let logged = sim.other_actions.iter().filter_map(|action| match action {
         Action::LogEvacuation { state, runs, .. } => {
@@ -141,13 +154,7 @@
     #[case] age: Duration,
     #[case] valid_for: Option<Duration>,
 ) {
-    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
-    let settings = Settings { evacuation_bound: Some(BOUND), ..Settings::default() };
-    let unix_ms = UNIX_MS + sim.now.as_millis() as u64;
-    sim.scheduler = Scheduler::new(settings, 2, unix_ms, sim.now);
-    sim.scheduler.set_config(config(3, NO_QUOTA));
-    sim.scheduler.set_workers(vec![registration("w1")], Duration::ZERO, sim.now);
-    sim.report_all();
+    let mut sim = simulation_with_bound(&["w1"]);
     sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
     assert!(sim.run_round().is_empty(), "nothing was read yet");
     let read_at: Moment = sim.now;
@@ -205,6 +212,26 @@
     assert_eq!(sim.scheduler.take_counts().units_evacuated, 4);
 }
 
+/// Failure: the read becomes too old while units are being moved. One that is stopped then could not
+/// start elsewhere.
+#[test]
+fn no_unit_is_moved_while_starts_are_withheld() {
+    let mut sim = simulation_with_bound(&["w1", "w2"]);
+    set_zones(&mut sim, &[("w1", "a"), ("w2", "a")]);
+    sim.scheduler.confirm_operator_rows(Some(sim.now));
+    sim.scheduler.add_job(job("a", vec![long_running(1, 1)], sim.now), sim.now);
+    sim.run_round();
+    run_available(&mut sim, READ_AGE_MAX);
+    let used: &str = if sim.worker("w1").running.is_empty() { "w2" } else { "w1" };
+    set_zones(&mut sim, &[(used, "b")]);
+    evacuate(&mut sim, &["b"]);
+    run_available(&mut sim, seconds(1));
+    assert_eq!(sim.worker(used).running.len(), 1);
+    sim.scheduler.confirm_operator_rows(Some(sim.now));
+    run_available(&mut sim, seconds(1));
+    assert!(sim.worker(used).running.is_empty());
+}
+
 /// Failures: the owner changes, and then the zone returns, while units are still being moved. No
 /// more units than the budget allows are down, and those that are left stay.
 #[test]
