--- /dev/null
+++ b/crates/scheduler/src/forecast.rs
@@ -0,0 +1,378 @@
+//! Forecast of when a new job would start, from the work that waits in its pool.
+//!
+//! After a placement, [`Scheduler::record_backlogs`] records what still waits in each pool, as sums
+//! along the order of placement, for all teams and for each team. Accepted jobs are added to the
+//! record until the next one. A new job then needs a few binary searches, however many jobs wait.
+//!
+//! The work ahead of a job is what the order puts before it, and the work of its own team that is
+//! late: this was accepted earlier and is still to be done. The job starts when the capacity that
+//! the pool has, or is about to get, has done that work. A team at its quota delays nobody else, so
+//! what it has waiting counts for itself only, divided by its quota.
+
+use std::time::Duration;
+
+use crate::JobId;
+use crate::Moment;
+use crate::PoolName;
+use crate::TeamName;
+use crate::capacity::HostCounts;
+use crate::capacity::PoolLoads;
+use crate::job::JobRecord;
+use crate::job::Resources;
+use crate::live_jobs::Job;
+use crate::plan::WaitingStep;
+use crate::plan::is_ready;
+use crate::policies::Policy;
+use crate::portions::WHOLE;
+use crate::portions::portion_of;
+use crate::priority::SchedulingPriority;
+use crate::priority::Urgency;
+use crate::sorted_map::SortedMap;
+use crate::state::Scheduler;
+use crate::work::CumulativeWork;
+use crate::work::Work;
+
+/// Minimum time between two records of the backlogs, which bounds their cost.
+const RECORD_PERIOD: Duration = Duration::from_millis(100);
+/// Time after which an accepted job that the scheduler does not know counts as not stored.
+const ACCEPTED_KEPT: Duration = Duration::from_secs(2);
+
+/// A new job, as far as its forecast depends on it.
+#[derive(Clone, Debug)]
+pub(crate) struct NewJob {
+    pub id: JobId,
+    pub pool: PoolName,
+    pub team: Option<TeamName>,
+    /// Its place in the order of placement.
+    pub priority: SchedulingPriority,
+    /// Work of all its steps.
+    pub work: Work,
+    /// Resources of the units that could start at once.
+    pub first_units: Resources,
+    /// Length of its critical path.
+    pub critical_path: Duration,
+    pub deadline: Moment,
+}
+
+/// When a new job is expected to start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct StartForecast {
+    /// Time until the pool has capacity for the job.
+    pub by_pool: Duration,
+    /// Time until the quota of its team admits the job.
+    pub by_quota: Duration,
+}
+
+/// A job that was accepted after the last record.
+#[derive(Clone, Debug)]
+struct AcceptedJob {
+    job: NewJob,
+    accepted_at: Moment,
+}
+
+/// Work that waits in a pool for the units of one team.
+#[derive(Clone, Debug, Default)]
+struct TeamBacklog {
+    queue: CumulativeWork,
+    /// The part of `queue` that is late.
+    late: CumulativeWork,
+}
+
+/// What waits in a pool, and the capacity that will do it.
+#[derive(Clone, Debug, Default)]
+struct PoolBacklog {
+    /// Waiting work of all teams that have not used up their quotas.
+    queue: CumulativeWork,
+    teams: SortedMap<Option<TeamName>, TeamBacklog>,
+    accepted: Vec<AcceptedJob>,
+    /// Capacity for finite work of the workers that the pool has now.
+    capacity: Resources,
+    /// The part of it that no run reserves.
+    free: Resources,
+    /// Some units fitted on no worker.
+    is_starved: bool,
+}
+
+/// What waits in each pool, as of the last record.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Forecasts {
+    /// When the backlogs were recorded; `None` before the first time.
+    recorded_at: Option<Moment>,
+    pools: SortedMap<PoolName, PoolBacklog>,
+    /// Capacity that each pool is about to get.
+    incoming: SortedMap<PoolName, Resources>,
+}
+
+impl StartForecast {
+    /// Returns the time until the job starts.
+    pub fn start_in(&self) -> Duration {
+        self.by_pool.max(self.by_quota)
+    }
+}
+
+impl PoolBacklog {
+    /// Returns true if the pool can start everything that waits there, apart from units of teams at
+    /// their quotas, and the first units of one more job.
+    fn has_free_capacity(&self, job: &NewJob) -> bool {
+        let accepted = self.accepted.iter().map(|accepted| accepted.job.first_units);
+        let wanted = accepted.fold(job.first_units, |sum, units| sum.plus(&units));
+        !self.is_starved && wanted.fits_in(&self.free)
+    }
+
+    /// Returns the work ahead of a job at its place in the order.
+    fn work_ahead(&self, job: &NewJob, priority: &SchedulingPriority) -> Work {
+        let is_ahead = |accepted: &&AcceptedJob| accepted.job.priority <= *priority;
+        let accepted = self.accepted.iter().filter(is_ahead).map(|accepted| accepted.job.work);
+        let own_late = self.teams.get(&job.team).map_or_else(Work::default, |team| {
+            team.late.sum_between(priority, priority.queue_priority)
+        });
+        accepted.fold(self.queue.sum_through(priority) + own_late, |sum, work| sum + work)
+    }
+
+    /// Returns the work of the job's own team that is ahead of it; `None` if nothing of the team
+    /// waits.
+    fn own_work_ahead(&self, job: &NewJob, priority: &SchedulingPriority) -> Option<Work> {
+        let team = self.teams.get(&job.team)?;
+        let is_ahead = |accepted: &&AcceptedJob| {
+            accepted.job.team == job.team && accepted.job.priority <= *priority
+        };
+        let accepted = self.accepted.iter().filter(is_ahead).map(|accepted| accepted.job.work);
+        let late = team.late.sum_between(priority, priority.queue_priority);
+        Some(accepted.fold(team.queue.sum_through(priority) + late, |sum, work| sum + work))
+    }
+}
+
+impl Forecasts {
+    /// Returns the age of the record; `None` if there is none.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.recorded_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns the capacity that a pool has or is about to get.
+    pub fn capacity(&self, pool: &PoolName) -> Resources {
+        let current = self.pools.get(pool).map(|backlog| backlog.capacity).unwrap_or_default();
+        current.plus(&self.incoming.get(pool).copied().unwrap_or_default())
+    }
+
+    /// Returns when a job would start; `None` if it could start at once, or if the pool has no
+    /// capacity to forecast with. `quota` is what the runs of its team may request at a time.
+    pub fn start(&self, job: &NewJob, quota: &Resources, now: Moment) -> Option<StartForecast> {
+        let in_time = self.start_at_place(job, &job.priority, quota, now)?;
+        if now + in_time.start_in() + job.critical_path <= job.deadline {
+            return Some(in_time);
+        }
+        // It will be late before its turn comes, and then goes behind the jobs that are in time.
+        let late = SchedulingPriority {
+            urgency: Urgency::Late,
+            tie_breaker: job.work.core_ms as u64,
+            ..job.priority
+        };
+        self.start_at_place(job, &late, quota, now)
+    }
+
+    fn start_at_place(
+        &self,
+        job: &NewJob,
+        priority: &SchedulingPriority,
+        quota: &Resources,
+        now: Moment,
+    ) -> Option<StartForecast> {
+        let backlog = self.pools.get(&job.pool)?;
+        // The backlog has been worked off since it was recorded.
+        let age = self.age(now)?;
+        let by_pool = if backlog.has_free_capacity(job) {
+            None
+        } else {
+            let ahead = backlog.work_ahead(job, priority);
+            Some(ahead.time_with(&self.capacity(&job.pool))?.saturating_sub(age))
+        };
+        let own = backlog.own_work_ahead(job, priority).filter(|_| *quota != Resources::default());
+        let by_quota = own.map(|own| own.time_within(quota).saturating_sub(age));
+        (by_pool.is_some() || by_quota.is_some()).then(|| StartForecast {
+            by_pool: by_pool.unwrap_or_default(),
+            by_quota: by_quota.unwrap_or_default(),
+        })
+    }
+
+    /// Adds an accepted job to the record.
+    pub fn add_accepted(&mut self, job: NewJob, now: Moment) {
+        let backlog = self.pools.entry_or(job.pool.clone(), PoolBacklog::default);
+        backlog.accepted.push(AcceptedJob { job, accepted_at: now });
+    }
+
+    /// Returns the time that each pool needs for what waits there.
+    pub fn backlog_times(&self) -> impl Iterator<Item = (&PoolName, Duration)> {
+        self.pools.iter().filter_map(|(pool, backlog)| {
+            let accepted = backlog.accepted.iter().map(|accepted| accepted.job.work);
+            let total = accepted.fold(backlog.queue.total(), |sum, work| sum + work);
+            Some((pool, total.time_with(&self.capacity(pool))?))
+        })
+    }
+}
+
+impl Scheduler {
+    /// Records the capacity that each pool is about to get: of the hosts that are moving there, and
+    /// of those that it lacks to its target.
+    pub(crate) fn record_incoming_capacity(&mut self, loads: &PoolLoads, targets: &HostCounts) {
+        if !self.settings.policies.enables(Policy::Admission) {
+            return;
+        }
+        let incoming = loads.iter().map(|(name, load)| {
+            let target = targets.get(name).copied().unwrap_or(0);
+            let hosts = load.incoming_hosts + target.saturating_sub(load.hosts);
+            (name.clone(), load.host_capacity.times(hosts as u64))
+        });
+        self.admission.forecasts.incoming = incoming.collect();
+    }
+
+    /// Records what still waits in each pool after a placement, unless this was done a moment ago.
+    pub(crate) fn record_backlogs(&mut self, waiting: &[WaitingStep], now: Moment) {
+        let forecasts = &self.admission.forecasts;
+        // No job may be refused because of a backlog that has just gone.
+        let has_backlog_gone = forecasts
+            .pools
+            .iter()
+            .any(|(pool, backlog)| backlog.is_starved && !self.starved_since.contains(pool));
+        let is_due = has_backlog_gone || forecasts.age(now).is_none_or(|age| age >= RECORD_PERIOD);
+        if !self.settings.policies.enables(Policy::Admission) || !is_due {
+            return;
+        }
+        let mut pools = self.capacities(now);
+        for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
+            let pool = &pool_steps[0].pool;
+            let backlog = pools.entry_or(pool.clone(), PoolBacklog::default);
+            backlog.is_starved = self.starved_since.contains(pool);
+            self.add_waiting_work(backlog, pool_steps);
+        }
+        let forecasts = &mut self.admission.forecasts;
+        for (pool, previous) in std::mem::take(&mut forecasts.pools).iter_mut() {
+            let is_unknown = |accepted: &AcceptedJob| {
+                !self.jobs.contains(&accepted.job.id)
+                    && !self.finished_jobs.contains(&accepted.job.id)
+                    && now.saturating_sub(accepted.accepted_at) < ACCEPTED_KEPT
+            };
+            previous.accepted.retain(is_unknown);
+            if !previous.accepted.is_empty() {
+                let backlog = pools.entry_or(pool.clone(), PoolBacklog::default);
+                backlog.accepted = std::mem::take(&mut previous.accepted);
+            }
+        }
+        forecasts.pools = pools;
+        forecasts.recorded_at = Some(now);
+    }
+
+    /// Returns the capacity of each pool, without waiting work. Workers that only get no new runs
+    /// for a moment count.
+    fn capacities(&self, now: Moment) -> SortedMap<PoolName, PoolBacklog> {
+        let mut pools: SortedMap<PoolName, PoolBacklog> = SortedMap::default();
+        let serving = self.workers.values().filter(|worker| {
+            worker.is_registered
+                && !worker.registration.is_draining
+                && !worker.is_cordoned
+                && worker.is_in_contact(self.settings.contact_max, now)
+        });
+        for worker in serving {
+            let pool = worker.registration.pool.clone();
+            let backlog = pools.entry_or(pool, PoolBacklog::default);
+            let unit = |key| self.unit(key)?.run.as_ref();
+            let long_running = worker.runs.iter().filter(|key| self.is_long_running(key));
+            let long_running = long_running.filter_map(unit).map(|run| run.reservation);
+            let occupied = long_running.fold(Resources::default(), |sum, run| sum.plus(&run));
+            backlog.capacity += worker.registration.capacity.minus(&occupied);
+            if self.accepts_runs(worker, now) {
+                backlog.free += worker.free_capacity();
+            }
+        }
+        pools
+    }
+
+    /// Adds the work of the units of a pool that are still waiting, and of the steps after them.
+    fn add_waiting_work(&self, backlog: &mut PoolBacklog, pool_steps: &[WaitingStep]) {
+        let mut last_occurrence = None;
+        for waiting in pool_steps {
+            let key = &waiting.first_unit;
+            let Some(job) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            let mut work = self.waiting_work(job, waiting);
+            if work.is_zero() {
+                continue;
+            }
+            // Steps of an occurrence that wait at the same time are followed by the same later ones.
+            let occurrence = Some((&key.job, key.occurrence));
+            if occurrence != last_occurrence {
+                work += self.later_work(job, key.occurrence);
+                last_occurrence = occurrence;
+            }
+            let team = backlog.teams.entry_or(job.record.team.clone(), TeamBacklog::default);
+            team.queue.push(waiting.priority, work);
+            if waiting.priority.urgency == Urgency::Late {
+                team.late.push(waiting.priority, work);
+            }
+            if !self.is_at_quota(&job.record, &job.record.steps[key.step].requested) {
+                backlog.queue.push(waiting.priority, work);
+            }
+        }
+        backlog.queue.sum_up();
+        for team in backlog.teams.values_mut() {
+            team.queue.sum_up();
+            team.late.sum_up();
+        }
+    }
+
+    /// Returns the work of the units of a step that were waiting and have got no run.
+    fn waiting_work(&self, job: &Job, waiting: &WaitingStep) -> Work {
+        let key = &waiting.first_unit;
+        let step = &job.record.steps[key.step];
+        let occurrences = &mut job.occurrences.iter();
+        let Some(occurrence) = occurrences.find(|occurrence| occurrence.number == key.occurrence)
+        else {
+            return Work::default();
+        };
+        let units = &occurrence.steps[key.step];
+        let left = waiting.units.iter().filter(|&&index| units[index].run.is_none()).count();
+        Work::of_units(step, left, self.durations.expected(&job.record, step))
+    }
+
+    /// Returns the work of the steps of an occurrence that depend on unfinished ones.
+    fn later_work(&self, job: &Job, number: u32) -> Work {
+        let Some(occurrence) = job.occurrences.iter().find(|o| o.number == number) else {
+            return Work::default();
+        };
+        let later = job.record.steps.iter().filter(|step| !is_ready(step, occurrence));
+        later.fold(Work::default(), |sum, step| {
+            let duration = self.durations.expected(&job.record, step);
+            sum + Work::of_units(step, step.count as usize, duration)
+        })
+    }
+
+    /// Returns true if one more unit would exceed the quota of the job's team in this shard.
+    fn is_at_quota(&self, record: &JobRecord, requested: &Resources) -> bool {
+        let Some(team) = &record.team else {
+            return false;
+        };
+        let quota = self.config.teams.get(team).map(|team| team.quota).unwrap_or_default();
+        portion_of(&self.team_usage(team).plus(requested), &quota) > self.quota_portion(team)
+    }
+
+    /// Returns what the runs of a team may request at a time in this shard; an amount of 0 is not
+    /// limited.
+    pub(crate) fn quota_here(&self, team: Option<&TeamName>) -> Resources {
+        let Some(team) = team else {
+            return Resources::default();
+        };
+        let quota = self.config.teams.get(team).map(|team| team.quota).unwrap_or_default();
+        // A shard that holds less than an equal portion takes more once it needs it.
+        let equal = WHOLE / self.shard_count.max(1) as u32;
+        let portion = u64::from(self.quota_portion(team).max(equal));
+        let part = |amount: u64| match amount {
+            0 => 0,
+            amount => (amount.saturating_mul(portion) / u64::from(WHOLE)).max(1),
+        };
+        Resources {
+            cpu_millis: part(quota.cpu_millis),
+            memory_mb: part(quota.memory_mb),
+            gpus: part(quota.gpus),
+        }
+    }
+}
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -216,7 +216,7 @@
 }
 
 /// A job that has not finished, or that still has runs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Job {
     /// The job as it was accepted.
     pub record: Arc<JobRecord>,
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingStep {
     pub priority: SchedulingPriority,
-    pool: PoolName,
+    pub pool: PoolName,
     /// Team that submitted the job.
     pub team: Option<TeamName>,
     /// Resources that each unit reserves.
@@ -169,6 +169,7 @@
         self.starved_since.retain(|pool, _| is_waiting(pool));
         self.long_running_starved_since.retain(|pool, _| is_waiting(pool));
         self.retain_full_pools(is_waiting);
+        self.record_backlogs(&waiting, now);
     }
 
     fn waiting_steps(&mut self, now: Moment) -> Vec<WaitingStep> {
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::Moment;
+use crate::config::Queue;
 use crate::job::JobRecord;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
@@ -78,9 +79,7 @@
         let expected = self.durations.expected_by_step(&job.record);
         let remaining = remaining_critical_path(&job.record, occurrence, &expected);
         let critical_path_total = critical_path_of(&job.record, |index| expected[index]);
-        let (stretch, deadline_slack) =
-            queue.map_or((1.0, Duration::ZERO), |queue| (queue.stretch, queue.deadline_slack));
-        let deadline = occurrence.due_at + critical_path_total.mul_f64(stretch) + deadline_slack;
+        let deadline = occurrence.due_at + time_to_deadline(critical_path_total, queue);
         let (urgency, tie_breaker) = if now + remaining <= deadline {
             (Urgency::InTime, deadline.saturating_sub(remaining).as_millis() as u64)
         } else {
@@ -95,6 +94,13 @@
     }
 }
 
+/// Returns the time from the due time of a job of a queue to its deadline.
+pub(crate) fn time_to_deadline(critical_path: Duration, queue: Option<&Queue>) -> Duration {
+    let (stretch, deadline_slack) =
+        queue.map_or((1.0, Duration::ZERO), |queue| (queue.stretch, queue.deadline_slack));
+    critical_path.mul_f64(stretch) + deadline_slack
+}
+
 /// Returns the length of the critical path through the unfinished units. `expected` has the expected
 /// duration of a unit of each step.
 fn remaining_critical_path(
@@ -118,7 +124,11 @@
     1.0 - f64::from(progress_percent) / 100.0
 }
 
-fn critical_path_of(record: &JobRecord, time_of: impl Fn(usize) -> Duration) -> Duration {
+/// Returns the length of the critical path. `time_of` returns the time of the step at an index.
+pub(crate) fn critical_path_of(
+    record: &JobRecord,
+    time_of: impl Fn(usize) -> Duration,
+) -> Duration {
     let mut finish_times: Vec<Duration> = Vec::with_capacity(record.steps.len());
     for (index, step) in record.steps.iter().enumerate() {
         let dependencies_finish =
--- /dev/null
+++ b/crates/scheduler/src/refusals.rs
@@ -0,0 +1,168 @@
+//! Jobs that were refused a moment ago, so that their callers return in order and go before new
+//! ones of their team.
+//!
+//! The memory is bounded in size and time, and it is not stored: after a change of the owner,
+//! callers that return count as new.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::JobId;
+use crate::Moment;
+use crate::PoolName;
+use crate::TeamName;
+use crate::sorted_map::SortedMap;
+use crate::work::Work;
+
+/// Maximum number of jobs that are remembered.
+const JOBS_MAX: usize = 4_096;
+/// Time for which a job is remembered.
+const KEPT: Duration = Duration::from_secs(60);
+/// Time after which a caller that was told to return is no longer expected: the request, and the
+/// caller's own timer, may be late.
+const RETURN_GRACE: Duration = Duration::from_secs(2);
+
+/// Place of a refused job among all refused ones; a lower one was refused earlier.
+pub(crate) type RefusalNumber = u64;
+
+/// Callers of one team that want capacity of one pool.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct CallerGroup {
+    pub pool: PoolName,
+    pub team: Option<TeamName>,
+}
+
+/// A job that was refused.
+#[derive(Clone, Debug)]
+struct RefusedJob {
+    number: RefusalNumber,
+    work: Work,
+    /// When the caller was told to return.
+    return_at: Moment,
+    /// Time of the refused submission, in milliseconds since the Unix epoch.
+    submitted_ms: u64,
+}
+
+/// Where a refused job is found.
+#[derive(Clone, Debug)]
+struct Place {
+    group: CallerGroup,
+    number: RefusalNumber,
+}
+
+/// The jobs that were refused a moment ago.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RefusedJobs {
+    /// Jobs by group, sorted by number.
+    groups: SortedMap<CallerGroup, Vec<RefusedJob>>,
+    places: SortedMap<JobId, Place>,
+    /// When each job was first refused, oldest first. Jobs that have been accepted since may be
+    /// among them.
+    first_refused: VecDeque<(Moment, JobId, RefusalNumber)>,
+    last_number: RefusalNumber,
+}
+
+impl RefusedJobs {
+    /// Returns the place of a job among the refused ones if its caller has returned in time.
+    pub fn number_of(&self, id: &JobId, now: Moment) -> Option<RefusalNumber> {
+        let job = self.job(id)?;
+        is_expected(job, now).then_some(job.number)
+    }
+
+    /// Returns the work of the group's jobs whose callers are expected until `until`; with a
+    /// `number`, only of those before it.
+    pub fn expected_work(
+        &self,
+        group: &CallerGroup,
+        number: Option<RefusalNumber>,
+        until: Moment,
+        now: Moment,
+    ) -> Work {
+        let jobs = self.groups.get(group).map_or(&[][..], |jobs| jobs);
+        let is_before = |job: &&RefusedJob| number.is_none_or(|number| job.number < number);
+        let expected = jobs.iter().take_while(is_before);
+        let expected = expected.filter(|job| is_expected(job, now) && job.return_at <= until);
+        expected.fold(Work::default(), |sum, job| sum + job.work)
+    }
+
+    /// Remembers a refused job. A job that was refused before keeps its place.
+    pub fn insert(
+        &mut self,
+        id: JobId,
+        group: CallerGroup,
+        work: Work,
+        submitted_ms: u64,
+        return_at: Moment,
+        now: Moment,
+    ) {
+        self.remove_old(now);
+        if self.number_of(&id, now).is_some()
+            && let Some(job) = self.job_mut(&id)
+        {
+            job.return_at = return_at;
+            job.submitted_ms = submitted_ms;
+            return;
+        }
+        self.remove(&id);
+        self.last_number += 1;
+        let number = self.last_number;
+        let job = RefusedJob { number, work, return_at, submitted_ms };
+        self.groups.entry_or(group.clone(), Vec::new).push(job);
+        self.places.insert(id.clone(), Place { group, number });
+        self.first_refused.push_back((now, id, number));
+        if self.first_refused.len() > JOBS_MAX {
+            self.remove_oldest();
+        }
+    }
+
+    /// Forgets a job, since it was accepted.
+    pub fn remove(&mut self, id: &JobId) {
+        let Some(place) = self.places.remove(id) else {
+            return;
+        };
+        if let Some(jobs) = self.groups.get_mut(&place.group) {
+            jobs.retain(|job| job.number != place.number);
+            if jobs.is_empty() {
+                self.groups.remove(&place.group);
+            }
+        }
+    }
+
+    /// Returns true if a later submission of the same job was refused.
+    pub fn is_refused_after(&self, id: &JobId, submitted_ms: u64) -> bool {
+        self.job(id).is_some_and(|job| submitted_ms < job.submitted_ms)
+    }
+
+    fn remove_old(&mut self, now: Moment) {
+        while self.first_refused.front().is_some_and(|(at, ..)| now.saturating_sub(*at) > KEPT) {
+            self.remove_oldest();
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        let Some((_, id, number)) = self.first_refused.pop_front() else {
+            return;
+        };
+        if self.places.get(&id).is_some_and(|place| place.number == number) {
+            self.remove(&id);
+        }
+    }
+
+    fn job(&self, id: &JobId) -> Option<&RefusedJob> {
+        let place = self.places.get(id)?;
+        let jobs = self.groups.get(&place.group)?;
+        let index = jobs.binary_search_by_key(&place.number, |job| job.number).ok()?;
+        jobs.get(index)
+    }
+
+    fn job_mut(&mut self, id: &JobId) -> Option<&mut RefusedJob> {
+        let place = self.places.get(id)?;
+        let jobs = self.groups.get_mut(&place.group)?;
+        let index = jobs.binary_search_by_key(&place.number, |job| job.number).ok()?;
+        jobs.get_mut(index)
+    }
+}
+
+fn is_expected(job: &RefusedJob, now: Moment) -> bool {
+    now <= job.return_at + RETURN_GRACE
+}
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -13,6 +13,7 @@
 use crate::WaveId;
 use crate::WorkerId;
 use crate::ZoneName;
+use crate::admission::Admission;
 use crate::advice::Tickets;
 use crate::capacity::BaselineHosts;
 use crate::capacity::Demand;
@@ -117,6 +118,8 @@
     pub(crate) shrunk_workers: ShrunkWorkers,
     /// Events since the owner last took the counts.
     pub(crate) counts: Counts,
+    /// What decides whether new jobs are accepted.
+    pub(crate) admission: Admission,
     /// Recently submitted work by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Since when a pool has had a waiting unit that fits on none of its workers.
@@ -151,6 +154,7 @@
             run_number_base: run_number_base(epoch),
             unix_offset_ms: unix_now_ms as i64 - now.as_millis() as i64,
             needs_placement: true,
+            admission: Admission::new(now),
             ..Self::default()
         }
     }
