--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -13,6 +13,12 @@
 pub const JOBS_SUBMIT: &str = "jobs.submit";
 /// Jobs that this owner has stored.
 pub const JOBS_ACCEPTED: &str = "jobs.accepted";
+/// Jobs refused because too much work waits for the capacity of their pool.
+pub const JOBS_REJECTED_POOL: &str = "jobs.rejected.pool";
+/// Jobs refused because too much work waits for the quota of their team.
+pub const JOBS_REJECTED_QUOTA: &str = "jobs.rejected.quota";
+/// Submissions that this node could not store.
+pub const JOBS_NOT_STORED: &str = "jobs.not-stored";
 /// Jobs whose final state this owner has stored.
 pub const JOBS_ENDED: &str = "jobs.ended";
 /// Time from the acceptance of a job to the start of its first unit.
@@ -61,6 +67,12 @@
 /// Time from a takeover to the first decision.
 pub const OWNERSHIP_LOAD: &str = "ownership.load";
 
+/// Name of the gauge of the time that a pool needs for what waits there, in milliseconds. There is
+/// one for each pool, at the owner.
+pub fn pool_backlog_ms(pool: &str) -> String {
+    format!("pools.backlog-ms.{pool}")
+}
+
 /// All metrics of a node.
 pub const METRICS: &[MetricSpec] = &[
     counter(REQUESTS, "requests with a known queue and key"),
@@ -68,6 +80,9 @@
     counter(JOBS_MALFORMED, "submissions that are not jobs"),
     timer(JOBS_SUBMIT, "time to the answer of a submission"),
     counter(JOBS_ACCEPTED, "jobs that this owner has stored"),
+    counter(JOBS_REJECTED_POOL, "jobs refused for the work that waits in their pool"),
+    counter(JOBS_REJECTED_QUOTA, "jobs refused for the work that waits for their team's quota"),
+    counter(JOBS_NOT_STORED, "submissions that could not be stored"),
     counter(JOBS_ENDED, "jobs whose end this owner has stored"),
     timer(JOBS_WAIT, "time from the acceptance of a job to the begin of its first unit"),
     gauge(JOBS_LIVE, "live jobs at this owner"),
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -106,6 +106,8 @@
     /// When a follower was last requested to take over because a transaction failed.
     takeover_requested_at: Moment,
     pools_logged_at: Moment,
+    /// When the inbox was last read up to its end.
+    inbox_read_at: Moment,
     stats: OwnerStats,
     /// Evacuated zones that the scheduler knows.
     evacuated_zones: EvacuatedZones,
@@ -189,6 +191,7 @@
         host_commands: 0,
         takeover_requested_at: Moment::ZERO,
         pools_logged_at: Moment::ZERO,
+        inbox_read_at: Moment::ZERO,
         stats: OwnerStats::new(shared.node.telemetry.clone()),
         evacuated_zones: EvacuatedZones::default(),
         config_version: 0,
--- a/crates/coordinator/src/owner/event.rs
+++ b/crates/coordinator/src/owner/event.rs
@@ -45,8 +45,8 @@
     InboxRemoved { keys: Vec<String>, outcome: WriteOutcome },
     /// Registrations of workers have changed.
     RegistryChanged { changes: Changes<WorkerRegistration> },
-    /// Nodes have stored requests.
-    InboxChanged { rows: Vec<Row> },
+    /// The inbox was read; nodes may have stored requests.
+    InboxRead { rows: Vec<Row> },
     /// Owners of shards have changed divisions.
     DivisionsChanged { rows: Vec<Row> },
     /// A change of a division was sent.
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -134,10 +134,7 @@
         };
         let send = move |changes: Changes<Row>| {
             let events = events.clone();
-            async move {
-                let rows = changes.changed;
-                rows.is_empty() || events.send(Event::InboxChanged { rows }).await.is_ok()
-            }
+            async move { events.send(Event::InboxRead { rows: changes.changed }).await.is_ok() }
         };
         self.calls.spawn(follow_changes("inbox-not-read", None, read, send));
     }
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -10,10 +10,12 @@
 use axum::extract::Path;
 use axum::extract::State;
 use axum::http::StatusCode;
+use axum::response::IntoResponse;
 use axum::routing::post;
 use bytes::Bytes;
 use http::Method;
 use scheduler::JobRecord;
+use scheduler::Rejection;
 use scheduler::ShardIndex;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +29,7 @@
 use crate::http::CallKind;
 use crate::http::Client;
 use crate::http::Request;
+use crate::http::Response;
 use crate::ports::Platform;
 use crate::shared::CancelReply;
 use crate::shared::NodeState;
@@ -163,8 +166,15 @@
     }
 
     /// Submits a job.
+    ///
+    /// The owner refuses a job with a status of its own. Older nodes take each status other than
+    /// 200 for a job that is not stored.
     pub async fn submit(&self, record: &JobRecord) -> Result<SubmitReply, PeerError> {
-        self.call("submit", record, WRITE_TIMEOUT).await
+        let response = self.send("submit", record, WRITE_TIMEOUT).await?;
+        match response.status {
+            StatusCode::TOO_MANY_REQUESTS => decode(&response).map(SubmitReply::Rejected),
+            _ => decode_ok(&response),
+        }
     }
 
     /// Cancels a job.
@@ -200,23 +210,38 @@
         body: &impl Serialize,
         timeout: Duration,
     ) -> Result<T, PeerError> {
+        decode_ok(&self.send(name, body, timeout).await?)
+    }
+
+    async fn send(
+        &self,
+        name: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<Response, PeerError> {
         let body = Bytes::from(
             serde_json::to_vec(body).expect("serialization fails only for non-string keys"),
         );
         let request = Request::new(Method::POST, self.path(name), body, timeout);
-        let response = match self.client.call(self.address, CallKind::Waiting, request).await {
-            Ok(response) => response,
-            Err(CallError::NoResponse(why)) => return Err(PeerError::NoReply(why)),
-            Err(error) => return Err(PeerError::NotExecuted(error.to_string())),
-        };
-        if response.status != StatusCode::OK {
-            return Err(PeerError::NotExecuted(response.status.to_string()));
-        }
-        serde_json::from_slice(&response.body)
-            .map_err(|error| PeerError::NoReply(error.to_string()))
+        let response = self.client.call(self.address, CallKind::Waiting, request).await;
+        response.map_err(|error| match error {
+            CallError::NoResponse(why) => PeerError::NoReply(why),
+            error => PeerError::NotExecuted(error.to_string()),
+        })
     }
 }
 
+fn decode_ok<T: DeserializeOwned>(response: &Response) -> Result<T, PeerError> {
+    match response.status {
+        StatusCode::OK => decode(response),
+        status => Err(PeerError::NotExecuted(status.to_string())),
+    }
+}
+
+fn decode<T: DeserializeOwned>(response: &Response) -> Result<T, PeerError> {
+    serde_json::from_slice(&response.body).map_err(|error| PeerError::NoReply(error.to_string()))
+}
+
 /// Serves the calls of other nodes.
 pub(crate) fn router<P: Platform>(node: Arc<NodeState<P>>) -> Router {
     Router::new()
@@ -282,10 +307,30 @@
 async fn submit<P: Platform>(
     target: Target<P>,
     Json(record): Json<JobRecord>,
-) -> Result<Json<SubmitReply>, StatusCode> {
+) -> Result<Json<SubmitReply>, SubmitError> {
     let record = Arc::new(record);
-    let outcome = request_owner(target, |reply| OwnerRequest::Submit { record, reply }).await?;
-    Ok(Json(outcome.unwrap_or(SubmitReply::Unknown)))
+    let outcome = request_owner(target, |reply| OwnerRequest::Submit { record, reply }).await;
+    match outcome.map_err(SubmitError::NotExecuted)? {
+        Some(SubmitReply::Rejected(rejection)) => Err(SubmitError::Rejected(rejection)),
+        outcome => Ok(Json(outcome.unwrap_or(SubmitReply::Unknown))),
+    }
+}
+
+/// Why a submission by another node was not carried out.
+enum SubmitError {
+    NotExecuted(StatusCode),
+    Rejected(Rejection),
+}
+
+impl IntoResponse for SubmitError {
+    fn into_response(self) -> axum::response::Response {
+        match self {
+            Self::NotExecuted(status) => status.into_response(),
+            Self::Rejected(rejection) => {
+                (StatusCode::TOO_MANY_REQUESTS, Json(rejection)).into_response()
+            }
+        }
+    }
 }
 
 async fn cancel<P: Platform>(
