--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -81,6 +81,8 @@
     /// Reservations that fit on no worker. Within a round, free capacity only shrinks, so that
     /// larger ones do not fit either.
     unfit_reservations: Vec<Resources>,
+    /// Reservations that fit on no worker that is not held for a wide step.
+    unfit_beside_held: Vec<Resources>,
     /// Reservations that fit on no warm worker, as far as units that wait for
     /// one have shown.
     unfit_on_warm: Vec<Resources>,
@@ -100,22 +102,29 @@
         &self.workers
     }
 
-    /// Records that a unit of `step` fits on no worker. Only a step that may run on any worker shows
-    /// that others do not fit either.
-    pub fn record_unfit(&mut self, step: &Step) {
+    /// Records that a unit of `step` fits on no worker, or on none that is not held for a wide step
+    /// if `is_held_back`. Only a step that may run on any worker shows that others do not fit
+    /// either.
+    pub fn record_unfit(&mut self, step: &Step, is_held_back: bool) {
         // Others may run on a slow worker that this one may not use.
         let fits = |worker: &Candidate| step.reservation().fits_in(&worker.free_capacity);
         let fits_on_slow =
             self.has_slow_workers && self.workers.iter().any(|w| w.is_slow() && fits(w));
         if step.label.is_none() && step.per_worker_max == 0 && !fits_on_slow {
-            self.unfit_reservations.push(step.reservation());
+            let unfit = match is_held_back {
+                true => &mut self.unfit_beside_held,
+                false => &mut self.unfit_reservations,
+            };
+            unfit.push(step.reservation());
         }
     }
 
-    /// Returns true if it is already known that a unit of `step` fits on no worker.
-    pub fn is_known_unfit(&self, step: &Step) -> bool {
+    /// Returns true if it is already known that a unit of `step` fits on no worker, or on none that
+    /// is not held for a wide step if `is_held_back`.
+    pub fn is_known_unfit(&self, step: &Step, is_held_back: bool) -> bool {
         let reservation = step.reservation();
-        self.unfit_reservations.iter().any(|unfit| unfit.fits_in(&reservation))
+        let is_unfit = |unfit: &[Resources]| unfit.iter().any(|unfit| unfit.fits_in(&reservation));
+        is_unfit(&self.unfit_reservations) || (is_held_back && is_unfit(&self.unfit_beside_held))
     }
 
     /// Returns the index of the best worker for a unit of `step`, on `rack` if one is given; `None`
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -51,6 +51,7 @@
 mod quotas;
 mod rate_shares;
 mod refusals;
+mod reservations;
 mod run_samples;
 mod share_level;
 mod shrunk_workers;
@@ -65,6 +66,7 @@
 mod waves;
 mod work;
 mod worker_reports;
+mod worker_slots;
 mod worker_speeds;
 
 use std::sync::Arc;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -23,6 +23,7 @@
 use crate::preemption::URGENT_PRIORITY;
 use crate::priority::SchedulingPriority;
 use crate::priority::Urgency;
+use crate::reservations::PlacementResults;
 use crate::sorted_map::SortedMap;
 use crate::state::Scheduler;
 
@@ -34,7 +35,7 @@
 
 /// Result of placing the waiting units of a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Placement {
+pub(crate) enum Placement {
     /// All units were placed.
     All,
     /// No worker has enough free capacity for the remaining units.
@@ -139,6 +140,7 @@
             let mut placement_order = self.placement_order(pool, pool_steps, &candidates, now);
             let (mut is_starved, mut is_long_running_starved) = (false, false);
             let mut starved = Vec::new();
+            let mut results = PlacementResults::default();
             // Steps of urgent queues come first, except those with strong suspects.
             let mut is_closed = held.is_empty();
             while let Some(number) = placement_order.next() {
@@ -151,6 +153,7 @@
                     candidates.close(&held);
                 }
                 let placement = self.place_step(step, &mut placement_order, &mut candidates, now);
+                results.push(step, placement);
                 let has_no_capacity = placement == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
                 if has_no_capacity && starved.len() < UNITS_PER_CHECK_MAX && self.may_preempt(step)
@@ -164,11 +167,13 @@
             self.counts.units_ahead_by_share += placement_order.units_ahead();
             update_since(&mut self.starved_since, pool, is_starved, now);
             update_since(&mut self.long_running_starved_since, pool, is_long_running_starved, now);
+            self.update_reservation(pool, &results, now);
         }
         let is_waiting = |pool: &PoolName| waiting.iter().any(|step| step.pool == *pool);
         self.starved_since.retain(|pool, _| is_waiting(pool));
         self.long_running_starved_since.retain(|pool, _| is_waiting(pool));
         self.retain_full_pools(is_waiting);
+        self.end_reservations(is_waiting);
         self.record_backlogs(&waiting, now);
     }
 
@@ -278,13 +283,14 @@
             }
             return placement;
         }
+        let is_held_back = self.is_held_back(&waiting.first_unit, now);
         let mut placement = Placement::All;
         for (placed, key) in waiting.keys().enumerate().skip(order.visited()) {
             let remaining = (waiting.units.len() - placed) as u64;
             if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
             }
-            if candidates.is_known_unfit(step) {
+            if candidates.is_known_unfit(step, is_held_back) {
                 return Placement::NoCapacity;
             }
             if candidates.is_known_to_wait(step) {
@@ -297,13 +303,13 @@
                     continue;
                 }
                 if candidates.waits_for_warm(&key, step) {
-                    if !needs_advice {
+                    if !needs_advice && !is_held_back {
                         candidates.record_unfit_on_warm(step);
                     }
                     return Placement::Blocked;
                 }
                 if !needs_advice {
-                    candidates.record_unfit(step);
+                    candidates.record_unfit(step, is_held_back);
                 }
                 // The other units of the step request the same resources.
                 return Placement::NoCapacity;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -41,6 +41,7 @@
 use crate::preemption::Preemptions;
 use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
+use crate::reservations::Reservations;
 use crate::settings::Settings;
 use crate::shrunk_workers::ShrunkWorkers;
 use crate::slow_workers::SlowWorkers;
@@ -126,6 +127,8 @@
     pub(crate) starved_since: SortedMap<PoolName, Moment>,
     /// Since when a pool has had a long-running unit that fits on none of its workers.
     pub(crate) long_running_starved_since: SortedMap<PoolName, Moment>,
+    /// Workers that are held for wide steps.
+    pub(crate) reservations: Reservations,
     /// Run numbers of this owner are higher than this one.
     pub(crate) run_number_base: u32,
     /// Unix time minus [`Moment`], in milliseconds.
