--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -261,17 +261,10 @@
         forecasts.recorded_at = Some(now);
     }
 
-    /// Returns the capacity of each pool, without waiting work. Workers that only get no new runs
-    /// for a moment count.
+    /// Returns the capacity of each pool, without waiting work.
     fn capacities(&self, now: Moment) -> SortedMap<PoolName, PoolBacklog> {
         let mut pools: SortedMap<PoolName, PoolBacklog> = SortedMap::default();
-        let serving = self.workers.values().filter(|worker| {
-            worker.is_registered
-                && !worker.registration.is_draining
-                && !worker.is_cordoned
-                && worker.is_in_contact(self.settings.contact_max, now)
-        });
-        for worker in serving {
+        for worker in self.workers.values().filter(|worker| self.is_dependable(worker, now)) {
             let pool = worker.registration.pool.clone();
             let backlog = pools.entry_or(pool, PoolBacklog::default);
             let unit = |key| self.unit(key)?.run.as_ref();
--- a/crates/scheduler/src/worker_slots.rs
+++ b/crates/scheduler/src/worker_slots.rs
@@ -158,6 +158,7 @@
         worker.is_registered
             && !worker.registration.is_draining
             && !worker.is_cordoned
+            && !self.is_evacuated(&worker.registration.zone)
             && worker.unexpected_runs == 0
             && worker.is_in_contact(self.settings.contact_max, now)
             && !self.failure_history.is_quarantined(&worker.registration.id, now)
--- a/crates/scheduler/tests/wide_steps.rs
+++ b/crates/scheduler/tests/wide_steps.rs
@@ -19,10 +19,12 @@
 use scheduler::StartCommand;
 use scheduler::Step;
 use scheduler::UnitKey;
+use scheduler::WorkerRegistration;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
 use simulation::millis;
+use simulation::registration;
 use simulation::seconds;
 use simulation::step;
 
@@ -238,17 +240,29 @@
     assert!(stream.decisions("workers reserved").is_empty());
 }
 
-/// Failure: a reserved worker is lost. Another one takes its place.
-#[test]
-fn a_lost_worker_is_replaced() {
+fn crash(sim: &mut Simulation, worker: &str) {
+    sim.worker(worker).crash();
+    sim.scheduler.unregister_worker(worker);
+}
+
+fn evacuate(sim: &mut Simulation, worker: &str) {
+    let registration = WorkerRegistration { zone: "a".into(), ..registration(worker) };
+    sim.scheduler.update_worker(registration, Duration::ZERO, sim.now);
+    sim.scheduler.set_evacuated_zones(&["a".into()]);
+}
+
+/// Failure: a reserved worker is lost, or its zone is evacuated. Another one takes its place.
+#[rstest]
+#[case::crashed(crash)]
+#[case::evacuated(evacuate)]
+fn a_lost_worker_is_replaced(#[case] lose: fn(&mut Simulation, &str)) {
     let mut stream = Stream::new(&[Policy::WideSteps]);
     let submitted_at = stream.submit_wide(Step { is_gang: true, ..step(2, 8_000) });
     while stream.decisions("workers reserved").is_empty() {
         stream.tick();
     }
     let lost = stream.reserved_workers()[0].clone();
-    stream.sim.worker(&lost).crash();
-    stream.sim.scheduler.unregister_worker(&lost);
+    lose(&mut stream.sim, &lost);
     stream.run_for(seconds(5));
     assert_eq!(stream.decisions("workers reserved").len(), 2);
     assert!(!stream.reserved_workers().contains(&lost));
