--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -31,6 +31,7 @@
 use crate::state::Scheduler;
 use crate::work::CumulativeWork;
 use crate::work::Work;
+use crate::worker::Worker;
 
 /// Minimum time between two records of the backlogs, which bounds their cost.
 const RECORD_PERIOD: Duration = Duration::from_millis(100);
@@ -267,11 +268,10 @@
         for worker in self.workers.values().filter(|worker| self.is_dependable(worker, now)) {
             let pool = worker.registration.pool.clone();
             let backlog = pools.entry_or(pool, PoolBacklog::default);
-            let unit = |key| self.unit(key)?.run.as_ref();
-            let long_running = worker.runs.iter().filter(|key| self.is_long_running(key));
-            let long_running = long_running.filter_map(unit).map(|run| run.reservation);
-            let occupied = long_running.fold(Resources::default(), |sum, run| sum.plus(&run));
-            backlog.capacity += worker.registration.capacity.minus(&occupied);
+            backlog.capacity += worker.registration.capacity;
+            if worker.long_running_runs > 0 {
+                backlog.capacity -= self.long_running_reservation(worker);
+            }
             if self.accepts_runs(worker, now) {
                 backlog.free += worker.free_capacity();
             }
@@ -279,6 +279,13 @@
         pools
     }
 
+    /// Returns what the long-running units on a worker reserve.
+    fn long_running_reservation(&self, worker: &Worker) -> Resources {
+        let runs = worker.runs.iter().filter_map(|key| self.unit(key)?.run.as_ref());
+        let long_running = runs.filter(|run| run.kind.is_long_running);
+        long_running.fold(Resources::default(), |sum, run| sum.plus(&run.reservation))
+    }
+
     /// Adds the work of the units of a pool that are still waiting, and of the steps after them.
     fn add_waiting_work(&self, backlog: &mut PoolBacklog, pool_steps: &[WaitingStep]) {
         let mut last_occurrence = None;
