--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -238,6 +238,7 @@
         if !self.settings.policies.enables(Policy::Admission) || !is_due {
             return;
         }
+        self.admission.refused.remove_old(now);
         let mut pools = self.capacities(now);
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &pool_steps[0].pool;
--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -95,7 +95,6 @@
         return_at: Moment,
         now: Moment,
     ) {
-        self.remove_old(now);
         if self.number_of(&id, now).is_some()
             && let Some(job) = self.job_mut(&id)
         {
@@ -133,7 +132,8 @@
         self.job(id).is_some_and(|job| submitted_ms < job.submitted_ms)
     }
 
-    fn remove_old(&mut self, now: Moment) {
+    /// Forgets the jobs that were refused too long ago.
+    pub fn remove_old(&mut self, now: Moment) {
         while self.first_refused.front().is_some_and(|(at, ..)| now.saturating_sub(*at) > KEPT) {
             self.remove_oldest();
         }
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -316,6 +316,28 @@
     assert!(!load.sim.scheduler.is_refused_since(&submitted_at(-1)), "it was accepted since");
 }
 
+/// Load: a flood of ids that never return. The owner remembers the last 4,096 of them, and none for
+/// longer than a minute.
+#[test]
+fn the_memory_of_refused_jobs_is_bounded() {
+    let mut load = Load::warmed_up(config_with(0.0, NO_QUOTA), &[Policy::Admission]);
+    let (first, _) = load.submit_until_refused("hot");
+    let mut last = first.clone();
+    let is_remembered = |load: &Load, refused: &JobRecord| {
+        let earlier = JobRecord { accepted_ms: refused.accepted_ms - 1, ..refused.clone() };
+        load.sim.scheduler.is_refused_since(&earlier)
+    };
+    for number in 0..4_096 {
+        assert!(is_remembered(&load, &first), "{number}");
+        last = job_of("hot", &format!("flood-{number}"), load.sim.now);
+        assert!(load.submit(last.clone()).is_some());
+    }
+    assert!(!is_remembered(&load, &first));
+    assert!(is_remembered(&load, &last));
+    load.run_for(seconds(61));
+    assert!(!is_remembered(&load, &last));
+}
+
 /// Load: a team has used up its quota while the pool has free capacity. Only its own jobs are
 /// refused, and its backlog delays nobody else.
 #[test]
