--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -18,10 +18,9 @@
 use crate::JobId;
 use crate::Moment;
 use crate::PoolName;
+use crate::backlogs::NewJob;
 use crate::config::Queue;
 use crate::forecast::Forecasts;
-use crate::forecast::NewJob;
-use crate::forecast::StartForecast;
 use crate::job::JobRecord;
 use crate::job::Resources;
 use crate::live_jobs::Job;
@@ -113,6 +112,7 @@
         let submitted_at = self.moment_of(record.accepted_ms).min(now);
         let job = self.new_job(record, submitted_at, now);
         let useful_until = submitted_at + (job.deadline - submitted_at) * USEFUL_FACTOR;
+        self.admission.refused.record_return(&job.id, now);
         let rejection = has_deadline.then(|| self.rejection(&job, useful_until, now));
         match rejection.flatten() {
             Some(rejection) => {
@@ -151,12 +151,12 @@
             return None;
         }
         let quota = self.quota_here(job.team.as_ref());
-        let alone = forecasts.start(job, &quota, now)?;
+        let alone = forecasts.start(job, &quota, Work::default(), now)?;
         let (group, number) = (group_of(job), refused.number_of(&job.id, now));
-        let capacity = forecasts.capacity(&job.pool);
         // Callers that return before this job starts go before it.
         let returning = refused.expected_work(&group, number, now + alone.start_in(), now);
-        let start = delayed(alone, returning, &capacity, &quota);
+        let returning = returning.scaled(refused.return_ratio(&group));
+        let start = forecasts.start(job, &quota, returning, now)?;
         let end_in = start.start_in() + job.critical_path;
         if now + end_in <= useful_until {
             return None;
@@ -166,7 +166,7 @@
             false => RejectionReason::PoolBacklog,
         };
         let refused_before = refused.expected_work(&group, number, Moment::MAX, now);
-        let served_in = delayed(alone, refused_before, &capacity, &quota).start_in();
+        let served_in = forecasts.start(job, &quota, refused_before, now)?.backlog_gone;
         let retry_after_s = served_in.as_secs_f64().ceil() as u64;
         let retry_after_s = retry_after_s.clamp(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
         let retry_after = Duration::from_secs(retry_after_s);
@@ -204,6 +204,7 @@
             first_units,
             critical_path,
             deadline: submitted_at + time_to_deadline(critical_path, queue),
+            has_returned: self.admission.refused.number_of(&record.id, now).is_some(),
         }
     }
 
@@ -226,17 +227,3 @@
 fn group_of(job: &NewJob) -> CallerGroup {
     CallerGroup { pool: job.pool.clone(), team: job.team.clone() }
 }
-
-/// Returns a forecast with more work ahead of the job.
-fn delayed(
-    forecast: StartForecast,
-    work: Work,
-    capacity: &Resources,
-    quota: &Resources,
-) -> StartForecast {
-    let waits_for_pool = !forecast.by_pool.is_zero();
-    let waits_for_quota = !forecast.by_quota.is_zero();
-    let by_pool = work.time_with(capacity).filter(|_| waits_for_pool).unwrap_or_default();
-    let by_quota = if waits_for_quota { work.time_within(quota) } else { Duration::ZERO };
-    StartForecast { by_pool: forecast.by_pool + by_pool, by_quota: forecast.by_quota + by_quota }
-}
--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -4,17 +4,22 @@
 //! along the order of placement, for all teams and for each team. Accepted jobs are added to the
 //! record until the next one. A new job then needs a few binary searches, however many jobs wait.
 //!
-//! The work ahead of a job is what the order puts before it, and the work of its own team that is
-//! late: this was accepted earlier and is still to be done. The job starts when the capacity that
-//! the pool has, or is about to get, has done that work. A team at its quota delays nobody else, so
-//! what it has waiting counts for itself only, divided by its quota.
+//! The work ahead of a job is what the order puts before it, and what its own team has late. The job
+//! starts when the capacity that the pool has, or is about to get, has done that work, as far as new
+//! jobs that go before it leave that capacity. If the order alone makes it late, it stands behind all
+//! that is in time, and new jobs in time go before it as well. A team at its quota delays nobody
+//! else, so what it has waiting counts for itself only, divided by its quota.
 
 use std::time::Duration;
 
-use crate::JobId;
 use crate::Moment;
 use crate::PoolName;
 use crate::TeamName;
+use crate::backlogs::AcceptedJob;
+use crate::backlogs::NewJob;
+use crate::backlogs::Place;
+use crate::backlogs::PoolBacklog;
+use crate::backlogs::TeamBacklog;
 use crate::capacity::HostCounts;
 use crate::capacity::PoolLoads;
 use crate::job::JobRecord;
@@ -29,7 +34,8 @@
 use crate::priority::Urgency;
 use crate::sorted_map::SortedMap;
 use crate::state::Scheduler;
-use crate::work::CumulativeWork;
+use crate::work::RecentWork;
+use crate::work::TIME_MAX;
 use crate::work::Work;
 use crate::worker::Worker;
 
@@ -38,23 +44,6 @@
 /// Time after which an accepted job that the scheduler does not know counts as not stored.
 const ACCEPTED_KEPT: Duration = Duration::from_secs(2);
 
-/// A new job, as far as its forecast depends on it.
-#[derive(Clone, Debug)]
-pub(crate) struct NewJob {
-    pub id: JobId,
-    pub pool: PoolName,
-    pub team: Option<TeamName>,
-    /// Its place in the order of placement.
-    pub priority: SchedulingPriority,
-    /// Work of all its steps.
-    pub work: Work,
-    /// Resources of the units that could start at once.
-    pub first_units: Resources,
-    /// Length of its critical path.
-    pub critical_path: Duration,
-    pub deadline: Moment,
-}
-
 /// When a new job is expected to start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct StartForecast {
@@ -62,36 +51,8 @@
     pub by_pool: Duration,
     /// Time until the quota of its team admits the job.
     pub by_quota: Duration,
-}
-
-/// A job that was accepted after the last record.
-#[derive(Clone, Debug)]
-struct AcceptedJob {
-    job: NewJob,
-    accepted_at: Moment,
-}
-
-/// Work that waits in a pool for the units of one team.
-#[derive(Clone, Debug, Default)]
-struct TeamBacklog {
-    queue: CumulativeWork,
-    /// The part of `queue` that is late.
-    late: CumulativeWork,
-}
-
-/// What waits in a pool, and the capacity that will do it.
-#[derive(Clone, Debug, Default)]
-struct PoolBacklog {
-    /// Waiting work of all teams that have not used up their quotas.
-    queue: CumulativeWork,
-    teams: SortedMap<Option<TeamName>, TeamBacklog>,
-    accepted: Vec<AcceptedJob>,
-    /// Capacity for finite work of the workers that the pool has now.
-    capacity: Resources,
-    /// The part of it that no run reserves.
-    free: Resources,
-    /// Some units fitted on no worker.
-    is_starved: bool,
+    /// Time until the work that is ahead now is done.
+    pub backlog_gone: Duration,
 }
 
 /// What waits in each pool, as of the last record.
@@ -102,6 +63,8 @@
     pools: SortedMap<PoolName, PoolBacklog>,
     /// Capacity that each pool is about to get.
     incoming: SortedMap<PoolName, Resources>,
+    /// Work of the jobs that were accepted recently.
+    recent_work: SortedMap<PoolName, RecentWork>,
 }
 
 impl StartForecast {
@@ -111,38 +74,6 @@
     }
 }
 
-impl PoolBacklog {
-    /// Returns true if the pool can start everything that waits there, apart from units of teams at
-    /// their quotas, and the first units of one more job.
-    fn has_free_capacity(&self, job: &NewJob) -> bool {
-        let accepted = self.accepted.iter().map(|accepted| accepted.job.first_units);
-        let wanted = accepted.fold(job.first_units, |sum, units| sum.plus(&units));
-        !self.is_starved && wanted.fits_in(&self.free)
-    }
-
-    /// Returns the work ahead of a job at its place in the order.
-    fn work_ahead(&self, job: &NewJob, priority: &SchedulingPriority) -> Work {
-        let is_ahead = |accepted: &&AcceptedJob| accepted.job.priority <= *priority;
-        let accepted = self.accepted.iter().filter(is_ahead).map(|accepted| accepted.job.work);
-        let own_late = self.teams.get(&job.team).map_or_else(Work::default, |team| {
-            team.late.sum_between(priority, priority.queue_priority)
-        });
-        accepted.fold(self.queue.sum_through(priority) + own_late, |sum, work| sum + work)
-    }
-
-    /// Returns the work of the job's own team that is ahead of it; `None` if nothing of the team
-    /// waits.
-    fn own_work_ahead(&self, job: &NewJob, priority: &SchedulingPriority) -> Option<Work> {
-        let team = self.teams.get(&job.team)?;
-        let is_ahead = |accepted: &&AcceptedJob| {
-            accepted.job.team == job.team && accepted.job.priority <= *priority
-        };
-        let accepted = self.accepted.iter().filter(is_ahead).map(|accepted| accepted.job.work);
-        let late = team.late.sum_between(priority, priority.queue_priority);
-        Some(accepted.fold(team.queue.sum_through(priority) + late, |sum, work| sum + work))
-    }
-}
-
 impl Forecasts {
     /// Returns the age of the record; `None` if there is none.
     pub fn age(&self, now: Moment) -> Option<Duration> {
@@ -156,48 +87,69 @@
     }
 
     /// Returns when a job would start; `None` if it could start at once, or if the pool has no
-    /// capacity to forecast with. `quota` is what the runs of its team may request at a time.
-    pub fn start(&self, job: &NewJob, quota: &Resources, now: Moment) -> Option<StartForecast> {
-        let in_time = self.start_at_place(job, &job.priority, quota, now)?;
-        if now + in_time.start_in() + job.critical_path <= job.deadline {
-            return Some(in_time);
-        }
-        // It will be late before its turn comes, and then goes behind the jobs that are in time.
+    /// capacity to forecast with. `quota` is what the runs of its team may request at a time,
+    /// `expected` the work of its team that does not wait yet and goes before it.
+    pub fn start(
+        &self,
+        job: &NewJob,
+        quota: &Resources,
+        expected: Work,
+        now: Moment,
+    ) -> Option<StartForecast> {
+        let in_order = Place { priority: job.priority, waits_for_own_late: false };
+        let start = self.start_at_place(job, &in_order, quota, expected, now)?;
+        let is_in_time = now + start.start_in() + job.critical_path <= job.deadline;
         let late = SchedulingPriority {
             urgency: Urgency::Late,
             tie_breaker: job.work.core_ms as u64,
             ..job.priority
         };
-        self.start_at_place(job, &late, quota, now)
+        let priority = if is_in_time { job.priority } else { late };
+        let place = Place { priority, waits_for_own_late: true };
+        self.start_at_place(job, &place, quota, expected, now)
     }
 
     fn start_at_place(
         &self,
         job: &NewJob,
-        priority: &SchedulingPriority,
+        place: &Place,
         quota: &Resources,
+        expected: Work,
         now: Moment,
     ) -> Option<StartForecast> {
         let backlog = self.pools.get(&job.pool)?;
         // The backlog has been worked off since it was recorded.
         let age = self.age(now)?;
-        let by_pool = if backlog.has_free_capacity(job) {
+        let capacity = self.capacity(&job.pool);
+        let for_pool = if backlog.has_free_capacity(job) {
             None
         } else {
-            let ahead = backlog.work_ahead(job, priority);
-            Some(ahead.time_with(&self.capacity(&job.pool))?.saturating_sub(age))
+            let ahead = backlog.work_ahead(job, place) + expected;
+            Some(ahead.time_with(&capacity)?.saturating_sub(age))
         };
-        let own = backlog.own_work_ahead(job, priority).filter(|_| *quota != Resources::default());
-        let by_quota = own.map(|own| own.time_within(quota).saturating_sub(age));
-        (by_pool.is_some() || by_quota.is_some()).then(|| StartForecast {
-            by_pool: by_pool.unwrap_or_default(),
-            by_quota: by_quota.unwrap_or_default(),
+        // A caller that has returned in time was told that there would be capacity.
+        let recent = self.recent_work.get(&job.pool).filter(|_| !job.has_returned);
+        let left =
+            recent.map_or(1.0, |recent| recent.capacity_left(&place.priority, &capacity, now));
+        let own = backlog.own_work_ahead(job, place).filter(|_| *quota != Resources::default());
+        let by_quota = own.map(|own| (own + expected).time_within(quota).saturating_sub(age));
+        (for_pool.is_some() || by_quota.is_some()).then(|| {
+            let (for_pool, by_quota) = (for_pool.unwrap_or_default(), by_quota.unwrap_or_default());
+            StartForecast {
+                by_pool: stretched(for_pool, left),
+                by_quota,
+                backlog_gone: for_pool.max(by_quota),
+            }
         })
     }
 
     /// Adds an accepted job to the record.
     pub fn add_accepted(&mut self, job: NewJob, now: Moment) {
         let backlog = self.pools.entry_or(job.pool.clone(), PoolBacklog::default);
+        if !backlog.is_at_quota(&job.team) {
+            let recent_work = self.recent_work.entry_or(job.pool.clone(), RecentWork::default);
+            recent_work.push(job.priority, job.work, now);
+        }
         backlog.accepted.push(AcceptedJob { job, accepted_at: now });
     }
 
@@ -238,7 +190,7 @@
         if !self.settings.policies.enables(Policy::Admission) || !is_due {
             return;
         }
-        self.admission.refused.remove_old(now);
+        self.admission.refused.review(now);
         let mut pools = self.capacities(now);
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &pool_steps[0].pool;
@@ -310,7 +262,9 @@
             if waiting.priority.urgency == Urgency::Late {
                 team.late.push(waiting.priority, work);
             }
-            if !self.is_at_quota(&job.record, &job.record.steps[key.step].requested) {
+            if self.is_at_quota(&job.record, &job.record.steps[key.step].requested) {
+                team.is_at_quota = true;
+            } else {
                 backlog.queue.push(waiting.priority, work);
             }
         }
@@ -377,3 +331,12 @@
         }
     }
 }
+
+/// Returns the time that work takes if only a part of the capacity is left for it.
+fn stretched(time: Duration, capacity_left: f64) -> Duration {
+    if time.is_zero() {
+        return time;
+    }
+    let time_s = time.as_secs_f64() / capacity_left.max(f64::MIN_POSITIVE);
+    Duration::from_secs_f64(time_s.min(TIME_MAX.as_secs_f64()))
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -29,6 +29,7 @@
 mod advice;
 mod amounts;
 mod assignments;
+mod backlogs;
 mod candidates;
 mod capacity;
 mod capacity_forecast;
--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -22,6 +22,9 @@
 /// caller's own timer, may be late.
 const RETURN_GRACE: Duration = Duration::from_secs(2);
 
+/// Number of callers from which the older ones count half.
+const CALLERS_COUNTED_MAX: u32 = 64;
+
 /// Place of a refused job among all refused ones; a lower one was refused earlier.
 pub(crate) type RefusalNumber = u64;
 
@@ -41,6 +44,19 @@
     return_at: Moment,
     /// Time of the refused submission, in milliseconds since the Unix epoch.
     submitted_ms: u64,
+    /// The caller has not returned in time.
+    has_missed: bool,
+}
+
+/// The refused jobs of a group, and whether its callers return.
+#[derive(Clone, Debug, Default)]
+struct RefusedGroup {
+    /// Jobs, sorted by number.
+    jobs: Vec<RefusedJob>,
+    /// Number of callers that have returned in time.
+    returned: u32,
+    /// Number of callers that have not.
+    missed: u32,
 }
 
 /// Where a refused job is found.
@@ -53,8 +69,7 @@
 /// The jobs that were refused a moment ago.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RefusedJobs {
-    /// Jobs by group, sorted by number.
-    groups: SortedMap<CallerGroup, Vec<RefusedJob>>,
+    groups: SortedMap<CallerGroup, RefusedGroup>,
     places: SortedMap<JobId, Place>,
     /// When each job was first refused, oldest first. Jobs that have been accepted since may be
     /// among them.
@@ -62,6 +77,17 @@
     last_number: RefusalNumber,
 }
 
+impl RefusedGroup {
+    fn count(&mut self, has_returned: bool) {
+        if self.returned + self.missed >= CALLERS_COUNTED_MAX {
+            self.returned /= 2;
+            self.missed /= 2;
+        }
+        self.returned += u32::from(has_returned);
+        self.missed += u32::from(!has_returned);
+    }
+}
+
 impl RefusedJobs {
     /// Returns the place of a job among the refused ones if its caller has returned in time.
     pub fn number_of(&self, id: &JobId, now: Moment) -> Option<RefusalNumber> {
@@ -78,13 +104,31 @@
         until: Moment,
         now: Moment,
     ) -> Work {
-        let jobs = self.groups.get(group).map_or(&[][..], |jobs| jobs);
+        let jobs = self.groups.get(group).map_or(&[][..], |group| &group.jobs);
         let is_before = |job: &&RefusedJob| number.is_none_or(|number| job.number < number);
         let expected = jobs.iter().take_while(is_before);
         let expected = expected.filter(|job| is_expected(job, now) && job.return_at <= until);
         expected.fold(Work::default(), |sum, job| sum + job.work)
     }
 
+    /// Returns the part of the group's callers that return in time, from 0 to 1; 0 until the first
+    /// one has.
+    pub fn return_ratio(&self, group: &CallerGroup) -> f64 {
+        let counts = self.groups.get(group).map(|group| (group.returned, group.missed));
+        let (returned, missed) = counts.unwrap_or_default();
+        f64::from(returned) / f64::from((returned + missed).max(1))
+    }
+
+    /// Counts a caller that submits a job again, if it is expected.
+    pub fn record_return(&mut self, id: &JobId, now: Moment) {
+        if self.number_of(id, now).is_some()
+            && let Some(place) = self.places.get(id)
+            && let Some(group) = self.groups.get_mut(&place.group)
+        {
+            group.count(true);
+        }
+    }
+
     /// Remembers a refused job. A job that was refused before keeps its place.
     pub fn insert(
         &mut self,
@@ -105,8 +149,8 @@
         self.remove(&id);
         self.last_number += 1;
         let number = self.last_number;
-        let job = RefusedJob { number, work, return_at, submitted_ms };
-        self.groups.entry_or(group.clone(), Vec::new).push(job);
+        let job = RefusedJob { number, work, return_at, submitted_ms, has_missed: false };
+        self.groups.entry_or(group.clone(), RefusedGroup::default).jobs.push(job);
         self.places.insert(id.clone(), Place { group, number });
         self.first_refused.push_back((now, id, number));
         if self.first_refused.len() > JOBS_MAX {
@@ -119,9 +163,9 @@
         let Some(place) = self.places.remove(id) else {
             return;
         };
-        if let Some(jobs) = self.groups.get_mut(&place.group) {
-            jobs.retain(|job| job.number != place.number);
-            if jobs.is_empty() {
+        if let Some(group) = self.groups.get_mut(&place.group) {
+            group.jobs.retain(|job| job.number != place.number);
+            if group.jobs.is_empty() {
                 self.groups.remove(&place.group);
             }
         }
@@ -132,11 +176,20 @@
         self.job(id).is_some_and(|job| submitted_ms < job.submitted_ms)
     }
 
-    /// Forgets the jobs that were refused too long ago.
-    pub fn remove_old(&mut self, now: Moment) {
+    /// Forgets the jobs that were refused too long ago, and counts the callers that have not
+    /// returned.
+    pub fn review(&mut self, now: Moment) {
         while self.first_refused.front().is_some_and(|(at, ..)| now.saturating_sub(*at) > KEPT) {
             self.remove_oldest();
         }
+        for group in self.groups.values_mut() {
+            let has_missed = |job: &&mut RefusedJob| !job.has_missed && !is_expected(job, now);
+            let missed = group.jobs.iter_mut().filter(has_missed);
+            let missed = missed.map(|job| job.has_missed = true).count();
+            for _ in 0..missed {
+                group.count(false);
+            }
+        }
     }
 
     fn remove_oldest(&mut self) {
@@ -150,14 +203,14 @@
 
     fn job(&self, id: &JobId) -> Option<&RefusedJob> {
         let place = self.places.get(id)?;
-        let jobs = self.groups.get(&place.group)?;
+        let jobs = &self.groups.get(&place.group)?.jobs;
         let index = jobs.binary_search_by_key(&place.number, |job| job.number).ok()?;
         jobs.get(index)
     }
 
     fn job_mut(&mut self, id: &JobId) -> Option<&mut RefusedJob> {
         let place = self.places.get(id)?;
-        let jobs = self.groups.get_mut(&place.group)?;
+        let jobs = &mut self.groups.get_mut(&place.group)?.jobs;
         let index = jobs.binary_search_by_key(&place.number, |job| job.number).ok()?;
         jobs.get_mut(index)
     }
--- a/crates/scheduler/src/work.rs
+++ b/crates/scheduler/src/work.rs
@@ -1,15 +1,22 @@
 //! Amounts of work, and their sums along the order of placement.
 
+use std::collections::VecDeque;
 use std::ops::Add;
 use std::ops::AddAssign;
 use std::time::Duration;
 
+use crate::Moment;
 use crate::job::Resources;
 use crate::job::Step;
 use crate::priority::SchedulingPriority;
+use crate::priority::Urgency;
 
 /// Longest time that a forecast tells; everything beyond is the same to a caller.
-const TIME_MAX: Duration = Duration::from_secs(3_600);
+pub(crate) const TIME_MAX: Duration = Duration::from_secs(3_600);
+
+/// Time over which the rate of new work is measured. A peak lasts several times as long, and jobs
+/// come often enough in it to be counted.
+const RATE_WINDOW: Duration = Duration::from_millis(1_500);
 
 /// Resources that units occupy, times how long they do.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -26,6 +33,13 @@
     entries: Vec<(SchedulingPriority, Work)>,
 }
 
+/// Work that has come recently, with its place in the order at that time.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RecentWork {
+    /// The oldest first.
+    entries: VecDeque<(Moment, SchedulingPriority, Work)>,
+}
+
 impl Work {
     /// Returns the work of `count` units of a step that run for `duration` each. Long-running units
     /// have no end, so they count as capacity that is taken and not as work.
@@ -41,6 +55,11 @@
         }
     }
 
+    /// Returns a part of the work.
+    pub fn scaled(&self, part: f64) -> Self {
+        Self { core_ms: self.core_ms * part, memory_mb_ms: self.memory_mb_ms * part }
+    }
+
     /// Returns true if there is no work.
     pub fn is_zero(&self) -> bool {
         self.core_ms <= 0.0 && self.memory_mb_ms <= 0.0
@@ -121,3 +140,39 @@
         count.checked_sub(1).map_or_else(Work::default, |index| self.entries[index].1)
     }
 }
+
+impl RecentWork {
+    /// Adds work that has just come.
+    pub fn push(&mut self, priority: SchedulingPriority, work: Work, now: Moment) {
+        while self.entries.front().is_some_and(|(at, ..)| now.saturating_sub(*at) > RATE_WINDOW) {
+            self.entries.pop_front();
+        }
+        self.entries.push_back((now, priority, work));
+    }
+
+    /// Returns the part of a capacity that new work leaves to what is at a place of the order, from
+    /// 0 to 1.
+    pub fn capacity_left(
+        &self,
+        place: &SchedulingPriority,
+        capacity: &Resources,
+        now: Moment,
+    ) -> f64 {
+        let is_ahead = |(at, priority, _): &&(Moment, SchedulingPriority, Work)| {
+            now.saturating_sub(*at) <= RATE_WINDOW && goes_before(priority, place)
+        };
+        let ahead = self.entries.iter().filter(is_ahead);
+        let ahead = ahead.fold(Work::default(), |sum, (.., work)| sum + *work);
+        let taken = ahead.time_within(capacity).as_secs_f64() / RATE_WINDOW.as_secs_f64();
+        (1.0 - taken).max(0.0)
+    }
+}
+
+/// Returns true if later work like that with `priority` will go before what is at `place` now. Later
+/// jobs that are in time go before those that are late, and have later latest starts than those that
+/// are in time.
+fn goes_before(priority: &SchedulingPriority, place: &SchedulingPriority) -> bool {
+    let SchedulingPriority { urgency, tie_breaker, .. } = *place;
+    let is_class_before = SchedulingPriority { urgency, tie_breaker, ..*priority } < *place;
+    is_class_before || (urgency == Urgency::Late && priority <= place)
+}
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -168,9 +168,9 @@
     assert_eq!(calm.len(), 20);
     assert!(calm.iter().all(|time| *time <= millis(1_900)), "{calm:?}");
     let hot = load.times_to_end("hot");
-    assert!(hot.len() > 80, "the pool is used: {}", hot.len());
-    // A job that has become late waits for later ones that are in time, which no forecast knows.
+    // The pool can run 100 jobs in the time of the flood, 20 of which are of `calm`.
     let useful = hot.iter().filter(|time| **time <= USEFUL_TIME).count();
+    assert!(useful >= 80, "the pool is used: {useful}");
     assert!(useful * 100 >= hot.len() * 80, "{useful} of {}", hot.len());
 }
 
@@ -202,7 +202,9 @@
         }
         load.tick();
         let unfinished = load.submitted.len() - load.ended.len();
-        assert!(unfinished <= 60, "the useful time of 3.1 s holds 46 jobs: {unfinished}");
+        // By too low an estimate, 46 late jobs fit into the useful time, and 11 jobs can still start
+        // in time; without a bound, 300 would wait in the end.
+        assert!(unfinished <= 60, "{unfinished}");
     }
     load.run_for(seconds(120));
     assert!(!load.rejections.is_empty());
@@ -210,8 +212,8 @@
     assert!(times.len() >= 95, "the pool is used: {}", times.len());
 }
 
-/// Load: refused callers return at the time that they were told. They go before new callers of
-/// their team, and all are served.
+/// Load: refused callers return at the time that they were told, each with a new caller of their
+/// team beside it. They go before the new ones, and are told to come back sooner.
 #[test]
 fn callers_that_return_in_time_go_before_new_ones_and_are_spread() {
     let mut load = Load::warmed_up(config_with(0.0, NO_QUOTA), &[Policy::Admission]);
@@ -229,16 +231,19 @@
         .iter()
         .map(|(id, at, rejection)| (id.clone(), *at + rejection.retry_after))
         .collect();
-    let mut refused_again = 0;
+    let (mut returned, mut new) = (Vec::new(), Vec::new());
     for (number, (id, return_at)) in told.iter().enumerate() {
         load.run_for(return_at.saturating_sub(load.sim.now));
-        // A new caller wants to be served at the same time.
         let newcomer = job_of("hot", &format!("new-{number}"), load.sim.now);
-        load.submit(newcomer);
-        refused_again += usize::from(load.submit(job_of("hot", id, load.sim.now)).is_some());
+        new.extend(load.submit(newcomer).map(|rejection| rejection.retry_after));
+        let returning = job_of("hot", id, load.sim.now);
+        returned.extend(load.submit(returning).map(|rejection| rejection.retry_after));
     }
+    let (refused_again, refused_new) = (returned.len(), new.len());
     assert!(refused_again <= 4, "{refused_again} of {} were refused again", told.len());
-    load.run_for(seconds(60));
+    assert!(refused_new >= told.len() / 2, "{refused_new}");
+    let longest = returned.iter().max().copied().unwrap_or_default();
+    assert!(new.iter().all(|retry| *retry > longest), "{longest:?} {new:?}");
 }
 
 /// Failure: callers that do not return must not keep others away for longer than they are expected.
