--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -226,7 +226,7 @@
                 backlog.capacity -= self.long_running_reservation(worker);
             }
             if self.accepts_runs(worker, now) {
-                backlog.free += worker.free_capacity();
+                backlog.free += worker.free_usable_capacity(now);
             }
         }
         pools
