--- a/crates/scheduler/src/backlogs.rs
+++ b/crates/scheduler/src/backlogs.rs
@@ -8,8 +8,10 @@
 use crate::TeamName;
 use crate::job::Resources;
 use crate::priority::SchedulingPriority;
+use crate::priority::ShareRank;
 use crate::sorted_map::SortedMap;
 use crate::work::CumulativeWork;
+use crate::work::OrderKey;
 use crate::work::Work;
 
 /// A new job, as far as its forecast depends on it.
@@ -18,7 +20,6 @@
     pub id: JobId,
     pub pool: PoolName,
     pub team: Option<TeamName>,
-    /// Its place in the order of placement.
     pub priority: SchedulingPriority,
     /// Work of all its steps.
     pub work: Work,
@@ -34,7 +35,7 @@
 /// Where a new job stands among what waits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Place {
-    pub priority: SchedulingPriority,
+    pub key: OrderKey,
     /// It waits for all late work of its team, also for what comes later in the order: that was
     /// accepted earlier and is still to be done.
     pub waits_for_own_late: bool,
@@ -70,6 +71,8 @@
     pub free: Resources,
     /// Some units fitted on no worker.
     pub is_starved: bool,
+    /// Teams of a full pool that use more than their shares.
+    pub share_ranks: SortedMap<Option<TeamName>, ShareRank>,
 }
 
 impl PoolBacklog {
@@ -86,16 +89,23 @@
         self.teams.get(team).is_some_and(|team| team.is_at_quota)
     }
 
+    /// Returns the place of a team's work among that of all teams.
+    pub fn key_of(&self, team: &Option<TeamName>, priority: SchedulingPriority) -> OrderKey {
+        let share = self.share_ranks.get(team).copied().unwrap_or_default();
+        OrderKey { queue_priority: priority.queue_priority, share, priority }
+    }
+
     /// Returns the work ahead of a job at its place in the order.
     pub fn work_ahead(&self, job: &NewJob, place: &Place) -> Work {
         let is_ahead = |accepted: &&AcceptedJob| {
-            accepted.job.priority <= place.priority && !self.is_at_quota(&accepted.job.team)
+            self.key_of(&accepted.job.team, accepted.job.priority) <= place.key
+                && !self.is_at_quota(&accepted.job.team)
         };
         let accepted = self.accepted.iter().filter(is_ahead);
         let accepted = accepted.map(|accepted| accepted.job.work);
         let own_late =
             self.teams.get(&job.team).map_or_else(Work::default, |team| team.late_behind(place));
-        accepted.fold(self.queue.sum_through(&place.priority) + own_late, |sum, work| sum + work)
+        accepted.fold(self.queue.sum_through(&place.key) + own_late, |sum, work| sum + work)
     }
 
     /// Returns the work of the job's own team that is ahead of it; `None` if nothing of the team
@@ -103,10 +113,10 @@
     pub fn own_work_ahead(&self, job: &NewJob, place: &Place) -> Option<Work> {
         let team = self.teams.get(&job.team)?;
         let is_ahead = |accepted: &&AcceptedJob| {
-            accepted.job.team == job.team && accepted.job.priority <= place.priority
+            accepted.job.team == job.team && accepted.job.priority <= place.key.priority
         };
         let accepted = self.accepted.iter().filter(is_ahead).map(|accepted| accepted.job.work);
-        let ahead = team.queue.sum_through(&place.priority) + team.late_behind(place);
+        let ahead = team.queue.sum_through(&place.key) + team.late_behind(place);
         Some(accepted.fold(ahead, |sum, work| sum + work))
     }
 }
@@ -115,7 +125,7 @@
     /// Returns the late work behind a place, if a job there waits for it all the same.
     fn late_behind(&self, place: &Place) -> Work {
         match place.waits_for_own_late {
-            true => self.late.sum_between(&place.priority, place.priority.queue_priority),
+            true => self.late.sum_between(&place.key, place.key.queue_priority),
             false => Work::default(),
         }
     }
--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -31,9 +31,14 @@
 use crate::portions::WHOLE;
 use crate::portions::portion_of;
 use crate::priority::SchedulingPriority;
+use crate::priority::ShareRank;
 use crate::priority::Urgency;
 use crate::sorted_map::SortedMap;
 use crate::state::Scheduler;
+use crate::team_shares::PER_MILLE;
+use crate::team_shares::smallest_weight;
+use crate::work::OrderKey;
+use crate::work::RecentJob;
 use crate::work::RecentWork;
 use crate::work::TIME_MAX;
 use crate::work::Work;
@@ -96,7 +101,8 @@
         expected: Work,
         now: Moment,
     ) -> Option<StartForecast> {
-        let in_order = Place { priority: job.priority, waits_for_own_late: false };
+        let key = self.pools.get(&job.pool)?.key_of(&job.team, job.priority);
+        let in_order = Place { key, waits_for_own_late: false };
         let start = self.start_at_place(job, &in_order, quota, expected, now)?;
         let is_in_time = now + start.start_in() + job.critical_path <= job.deadline;
         let late = SchedulingPriority {
@@ -105,7 +111,7 @@
             ..job.priority
         };
         let priority = if is_in_time { job.priority } else { late };
-        let place = Place { priority, waits_for_own_late: true };
+        let place = Place { key: OrderKey { priority, ..key }, waits_for_own_late: true };
         self.start_at_place(job, &place, quota, expected, now)
     }
 
@@ -129,8 +135,9 @@
         };
         // A caller that has returned in time was told that there would be capacity.
         let recent = self.recent_work.get(&job.pool).filter(|_| !job.has_returned);
+        let place_of = |job: &RecentJob| backlog.key_of(&job.team, job.priority);
         let left =
-            recent.map_or(1.0, |recent| recent.capacity_left(&place.priority, &capacity, now));
+            recent.map_or(1.0, |recent| recent.capacity_left(&place.key, &capacity, place_of, now));
         let own = backlog.own_work_ahead(job, place).filter(|_| *quota != Resources::default());
         let by_quota = own.map(|own| (own + expected).time_within(quota).saturating_sub(age));
         (for_pool.is_some() || by_quota.is_some()).then(|| {
@@ -148,7 +155,8 @@
         let backlog = self.pools.entry_or(job.pool.clone(), PoolBacklog::default);
         if !backlog.is_at_quota(&job.team) {
             let recent_work = self.recent_work.entry_or(job.pool.clone(), RecentWork::default);
-            recent_work.push(job.priority, job.work, now);
+            let (team, priority, work) = (job.team.clone(), job.priority, job.work);
+            recent_work.push(RecentJob { at: now, team, priority, work });
         }
         backlog.accepted.push(AcceptedJob { job, accepted_at: now });
     }
@@ -196,6 +204,7 @@
             let pool = &pool_steps[0].pool;
             let backlog = pools.entry_or(pool.clone(), PoolBacklog::default);
             backlog.is_starved = self.starved_since.contains(pool);
+            backlog.share_ranks = self.share_ranks(pool);
             self.add_waiting_work(backlog, pool_steps);
         }
         let forecasts = &mut self.admission.forecasts;
@@ -257,15 +266,16 @@
                 work += self.later_work(job, key.occurrence);
                 last_occurrence = occurrence;
             }
+            let place = backlog.key_of(&job.record.team, waiting.priority);
             let team = backlog.teams.entry_or(job.record.team.clone(), TeamBacklog::default);
-            team.queue.push(waiting.priority, work);
-            if waiting.priority.urgency == Urgency::Late {
-                team.late.push(waiting.priority, work);
+            team.queue.push(place, work);
+            if place.priority.urgency == Urgency::Late {
+                team.late.push(place, work);
             }
             if self.is_at_quota(&job.record, &job.record.steps[key.step].requested) {
                 team.is_at_quota = true;
             } else {
-                backlog.queue.push(waiting.priority, work);
+                backlog.queue.push(place, work);
             }
         }
         backlog.queue.sum_up();
@@ -301,6 +311,27 @@
         })
     }
 
+    /// Returns the ranks of the teams that used more of a full pool at the last placement than they
+    /// could if one more team came: its jobs would go before theirs.
+    fn share_ranks(&self, pool: &PoolName) -> SortedMap<Option<TeamName>, ShareRank> {
+        let Some((_, shares)) = self.team_shares().find(|(name, _)| *name == pool) else {
+            return SortedMap::default();
+        };
+        let smallest = smallest_weight(&self.config).unwrap_or(1.0);
+        let weight = |team: &Option<TeamName>| {
+            let team = team.as_ref().and_then(|team| self.config.teams.get(team));
+            team.map(|team| team.rate_share).filter(|weight| *weight > 0.0).unwrap_or(smallest)
+        };
+        let total = shares.iter().map(|share| weight(&share.team)).sum::<f64>() + smallest;
+        let ranks = shares.iter().filter_map(|share| {
+            // What the team uses, by what it could use.
+            let part = share.use_permille as f64 / PER_MILLE * total / weight(&share.team);
+            let rank = ShareRank::Above((part * PER_MILLE) as u64);
+            (part > 1.0).then(|| (share.team.clone(), rank))
+        });
+        ranks.collect()
+    }
+
     /// Returns true if one more unit would exceed the quota of the job's team in this shard.
     fn is_at_quota(&self, record: &JobRecord, requested: &Resources) -> bool {
         let Some(team) = &record.team else {
--- a/crates/scheduler/src/team_shares.rs
+++ b/crates/scheduler/src/team_shares.rs
@@ -36,7 +36,7 @@
 use crate::team_use::TeamUses;
 
 /// Thousandths in a whole.
-const PER_MILLE: f64 = 1_000.0;
+pub(crate) const PER_MILLE: f64 = 1_000.0;
 
 /// Share and use of a team in a pool, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -275,7 +275,7 @@
 }
 
 /// Returns the smallest weight that is set for a team; none if none is.
-fn smallest_weight(config: &Config) -> Option<f64> {
+pub(crate) fn smallest_weight(config: &Config) -> Option<f64> {
     let weights = config.teams.values().map(|team| team.rate_share);
     weights.filter(|weight| *weight > 0.0).min_by(f64::total_cmp)
 }
--- a/crates/scheduler/src/work.rs
+++ b/crates/scheduler/src/work.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use crate::Moment;
+use crate::TeamName;
 use crate::job::Resources;
 use crate::job::Step;
 use crate::priority::SchedulingPriority;
+use crate::priority::ShareRank;
 use crate::priority::Urgency;
 
 /// Longest time that a forecast tells; everything beyond is the same to a caller.
@@ -18,6 +20,15 @@
 /// come often enough in it to be counted.
 const RATE_WINDOW: Duration = Duration::from_millis(1_500);
 
+/// Place in the order of placement among the work of all teams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct OrderKey {
+    pub queue_priority: u32,
+    /// How the team's use compares with its share.
+    pub share: ShareRank,
+    pub priority: SchedulingPriority,
+}
+
 /// Resources that units occupy, times how long they do.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Work {
@@ -30,14 +41,23 @@
 /// Work at places of an order, with the sums of all that is at a place or before it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CumulativeWork {
-    entries: Vec<(SchedulingPriority, Work)>,
+    entries: Vec<(OrderKey, Work)>,
+}
+
+/// Work of a team that has come recently, with its place in the order at that time.
+#[derive(Clone, Debug)]
+pub(crate) struct RecentJob {
+    pub at: Moment,
+    pub team: Option<TeamName>,
+    pub priority: SchedulingPriority,
+    pub work: Work,
 }
 
-/// Work that has come recently, with its place in the order at that time.
+/// Work that has come recently.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecentWork {
     /// The oldest first.
-    entries: VecDeque<(Moment, SchedulingPriority, Work)>,
+    jobs: VecDeque<RecentJob>,
 }
 
 impl Work {
@@ -101,13 +121,13 @@
 
 impl CumulativeWork {
     /// Adds work at a place; [`CumulativeWork::sum_up`] has to follow.
-    pub fn push(&mut self, priority: SchedulingPriority, work: Work) {
-        self.entries.push((priority, work));
+    pub fn push(&mut self, key: OrderKey, work: Work) {
+        self.entries.push((key, work));
     }
 
     /// Turns the work that was added into sums.
     pub fn sum_up(&mut self) {
-        self.entries.sort_by_key(|(priority, _)| *priority);
+        self.entries.sort_by_key(|(key, _)| *key);
         let mut sum = Work::default();
         for (_, work) in &mut self.entries {
             sum += *work;
@@ -116,14 +136,14 @@
     }
 
     /// Returns the work at a place and before it.
-    pub fn sum_through(&self, place: &SchedulingPriority) -> Work {
-        self.sum_while(|priority| priority <= place)
+    pub fn sum_through(&self, place: &OrderKey) -> Work {
+        self.sum_while(|key| key <= place)
     }
 
     /// Returns the work after a place, up to the last one of a queue priority.
-    pub fn sum_between(&self, place: &SchedulingPriority, queue_priority: u32) -> Work {
+    pub fn sum_between(&self, place: &OrderKey, queue_priority: u32) -> Work {
         let before = self.sum_through(place);
-        let through = self.sum_while(|priority| priority.queue_priority <= queue_priority);
+        let through = self.sum_while(|key| key.queue_priority <= queue_priority);
         Work {
             core_ms: (through.core_ms - before.core_ms).max(0.0),
             memory_mb_ms: (through.memory_mb_ms - before.memory_mb_ms).max(0.0),
@@ -135,44 +155,46 @@
         self.entries.last().map_or_else(Work::default, |(_, sum)| *sum)
     }
 
-    fn sum_while(&self, is_within: impl Fn(&SchedulingPriority) -> bool) -> Work {
-        let count = self.entries.partition_point(|(priority, _)| is_within(priority));
+    fn sum_while(&self, is_within: impl Fn(&OrderKey) -> bool) -> Work {
+        let count = self.entries.partition_point(|(key, _)| is_within(key));
         count.checked_sub(1).map_or_else(Work::default, |index| self.entries[index].1)
     }
 }
 
 impl RecentWork {
     /// Adds work that has just come.
-    pub fn push(&mut self, priority: SchedulingPriority, work: Work, now: Moment) {
-        while self.entries.front().is_some_and(|(at, ..)| now.saturating_sub(*at) > RATE_WINDOW) {
-            self.entries.pop_front();
+    pub fn push(&mut self, job: RecentJob) {
+        while self.jobs.front().is_some_and(|old| job.at.saturating_sub(old.at) > RATE_WINDOW) {
+            self.jobs.pop_front();
         }
-        self.entries.push_back((now, priority, work));
+        self.jobs.push_back(job);
     }
 
     /// Returns the part of a capacity that new work leaves to what is at a place of the order, from
-    /// 0 to 1.
+    /// 0 to 1. `place_of` returns where a job would stand now.
     pub fn capacity_left(
         &self,
-        place: &SchedulingPriority,
+        place: &OrderKey,
         capacity: &Resources,
+        place_of: impl Fn(&RecentJob) -> OrderKey,
         now: Moment,
     ) -> f64 {
-        let is_ahead = |(at, priority, _): &&(Moment, SchedulingPriority, Work)| {
-            now.saturating_sub(*at) <= RATE_WINDOW && goes_before(priority, place)
+        let is_ahead = |job: &&RecentJob| {
+            now.saturating_sub(job.at) <= RATE_WINDOW && goes_before(&place_of(job), place)
         };
-        let ahead = self.entries.iter().filter(is_ahead);
-        let ahead = ahead.fold(Work::default(), |sum, (.., work)| sum + *work);
+        let ahead = self.jobs.iter().filter(is_ahead);
+        let ahead = ahead.fold(Work::default(), |sum, job| sum + job.work);
         let taken = ahead.time_within(capacity).as_secs_f64() / RATE_WINDOW.as_secs_f64();
         (1.0 - taken).max(0.0)
     }
 }
 
-/// Returns true if later work like that with `priority` will go before what is at `place` now. Later
-/// jobs that are in time go before those that are late, and have later latest starts than those that
-/// are in time.
-fn goes_before(priority: &SchedulingPriority, place: &SchedulingPriority) -> bool {
-    let SchedulingPriority { urgency, tie_breaker, .. } = *place;
-    let is_class_before = SchedulingPriority { urgency, tie_breaker, ..*priority } < *place;
-    is_class_before || (urgency == Urgency::Late && priority <= place)
+/// Returns true if later work like that at `key` will go before what is at `place` now. Later jobs
+/// that are in time go before those that are late, and have later latest starts than those that are
+/// in time.
+fn goes_before(key: &OrderKey, place: &OrderKey) -> bool {
+    let SchedulingPriority { urgency, tie_breaker, .. } = place.priority;
+    let same_turn = SchedulingPriority { urgency, tie_breaker, ..key.priority };
+    let is_class_before = OrderKey { priority: same_turn, ..*key } < *place;
+    is_class_before || (urgency == Urgency::Late && key <= place)
 }
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -185,6 +185,20 @@
     assert!(useful * 100 < hot.len() * 25, "{useful} of {}", hot.len());
 }
 
+/// Load: a team floods a pool that teams share by weight, within its rate share. It is behind its
+/// share, and the other team is served as if it was not there.
+#[test]
+fn a_team_within_its_share_is_not_refused_for_the_flood_of_another() {
+    let policies = [Policy::FairShares, Policy::Admission];
+    let mut load = Load::warmed_up(config_with(100.0, NO_QUOTA), &policies);
+    run_flood(&mut load, 200);
+    let refused = load.rejections.iter().filter(|(id, ..)| id.starts_with("calm"));
+    assert_eq!(refused.count(), 0);
+    let calm = load.times_to_end("calm");
+    let in_time = calm.iter().filter(|time| **time <= millis(1_900)).count();
+    assert!(in_time >= 18, "{calm:?}");
+}
+
 /// Load: the durations of units are three times the callers' estimates, or a third of them. The
 /// pool must neither be idle while jobs are refused nor collect work without bound.
 #[rstest]
