--- a/crates/scheduler/src/worker_slots.rs
+++ b/crates/scheduler/src/worker_slots.rs
@@ -144,12 +144,17 @@
 }
 
 impl Scheduler {
-    /// Returns the warm workers of a pool that can be counted on, with their finite runs.
+    /// Returns the workers of a pool that can be counted on and run at normal speed, with their
+    /// finite runs.
     pub(crate) fn busy_workers(&self, pool: &PoolName, now: Moment) -> Vec<BusyWorker<'_>> {
         let in_pool = self.workers.values().filter(|worker| worker.registration.pool == *pool);
-        let dependable =
-            in_pool.filter(|worker| self.is_dependable(worker, now) && !worker.is_cold(now));
-        dependable
+        let has_normal_speed = |worker: &&Worker| {
+            let speeds = &self.slow_workers.speeds;
+            !worker.is_cold(now) && speeds.is_normal(&worker.registration.id)
+        };
+        in_pool
+            .filter(|worker| self.is_dependable(worker, now))
+            .filter(has_normal_speed)
             .map(|worker| BusyWorker { worker, runs: self.runs_by_end(worker, now) })
             .collect()
     }
