--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -138,6 +138,6 @@
     }
 }
 
-fn step_key(key: &UnitKey) -> StepKey {
+pub(crate) fn step_key(key: &UnitKey) -> StepKey {
     (key.job.clone(), key.occurrence, key.step)
 }
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -4,7 +4,7 @@
 //! may be running, with its run number: a unit that no row names is not running anywhere. A row is
 //! written when a run is added to its worker. Runs that have ended stay in the row until it is
 //! written again. This is harmless, since their units have finished or have a run with a higher
-//! number.
+//! number. A row also tells of a copy which run it was started beside: that one may still exist too.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 use crate::PoolName;
 use crate::WorkerId;
 use crate::batch::Batch;
+use crate::copies;
 use crate::job::UnitKey;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
@@ -44,6 +45,20 @@
     /// has confirmed.
     #[serde(rename = "old", default)]
     pub preceding_runs: usize,
+    /// Those of `runs` that were started as copies.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub copies: Vec<AssignedCopy>,
+}
+
+/// A run that was started as a copy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AssignedCopy {
+    /// Name of the unit.
+    pub unit: String,
+    /// Number of the run.
+    pub number: u32,
+    /// Number of the run beside which it was started.
+    pub beside: u32,
 }
 
 /// A run in a stored row.
@@ -54,6 +69,8 @@
     worker: WorkerId,
     /// The worker has confirmed others that were started after this one.
     precedes_others: bool,
+    /// Number of the run beside which it was started as a copy.
+    beside: Option<u32>,
 }
 
 impl AssignmentRow {
@@ -65,9 +82,16 @@
                 number: *number,
                 worker: worker.clone(),
                 precedes_others: index < self.preceding_runs,
+                beside: self.beside(unit, *number),
             })
         })
     }
+
+    /// Returns the number of the run beside which a run was started as a copy.
+    fn beside(&self, unit: &str, number: u32) -> Option<u32> {
+        let copy = self.copies.iter().find(|copy| copy.unit == unit && copy.number == number);
+        copy.map(|copy| copy.beside)
+    }
 }
 
 impl Scheduler {
@@ -75,7 +99,8 @@
     /// removed; at most `rows_max` rows in total.
     pub(crate) fn add_assignments(&mut self, batch: &mut Batch, rows_max: usize) {
         let with_new_runs = self.workers.iter().filter(|(_, worker)| {
-            worker.has_unstored_run && worker.runs.iter().any(|key| self.may_store_planned(key))
+            worker.has_unstored_run
+                && worker.runs.iter().any(|key| self.may_store_planned(worker, key))
         });
         let rows =
             with_new_runs.take(rows_max).map(|(id, worker)| (id.clone(), self.row_of(worker)));
@@ -85,7 +110,7 @@
                 continue;
             };
             let has_unstored_run =
-                worker.runs.iter().any(|key| self.must_wait_for_completions(key));
+                worker.runs.iter().any(|key| self.must_wait_for_completions(worker, key));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.has_unstored_run = has_unstored_run;
                 worker.has_row = true;
@@ -133,10 +158,7 @@
             }
             runs.extend(row.stored_runs(id));
         }
-        // A unit gets a run with a higher number only after the run before it has ended.
-        runs.sort_by(|a, b| a.unit.cmp(&b.unit).then(b.number.cmp(&a.number)));
-        runs.dedup_by(|later, first| later.unit == first.unit);
-        for run in runs {
+        for run in possible_runs(runs) {
             self.adopt_run_in_doubt(run, now);
         }
         for id in restarted {
@@ -158,30 +180,30 @@
         Some(worker)
     }
 
-    /// Returns true if the unit has a planned run.
-    fn is_planned(&self, key: &UnitKey) -> bool {
-        let run = self.unit(key).and_then(|unit| unit.run.as_ref());
+    /// Returns true if the unit has a planned run on a worker.
+    fn is_planned(&self, worker: &Worker, key: &UnitKey) -> bool {
+        let run = self.run_on(key, &worker.registration.id);
         run.is_some_and(|run| run.phase == Phase::Planned)
     }
 
     /// Returns true if a planned run has to wait for earlier completions of its job: these have to
     /// be stored in the same batch as the run, or before.
-    fn must_wait_for_completions(&self, key: &UnitKey) -> bool {
-        self.is_planned(key) && self.jobs.get(&key.job).is_some_and(|job| job.is_dirty)
+    fn must_wait_for_completions(&self, worker: &Worker, key: &UnitKey) -> bool {
+        self.is_planned(worker, key) && self.jobs.get(&key.job).is_some_and(|job| job.is_dirty)
     }
 
-    fn may_store_planned(&self, key: &UnitKey) -> bool {
-        self.is_planned(key) && !self.must_wait_for_completions(key)
+    fn may_store_planned(&self, worker: &Worker, key: &UnitKey) -> bool {
+        self.is_planned(worker, key) && !self.must_wait_for_completions(worker, key)
     }
 
     fn row_of(&self, worker: &Worker) -> AssignmentRow {
         let run = |key: &UnitKey| {
-            let run = self.unit(key)?.run.as_ref()?;
-            (!self.must_wait_for_completions(key)).then(|| (key.to_string(), run.number))
+            let run = self.run_on(key, &worker.registration.id)?;
+            (!self.must_wait_for_completions(worker, key)).then(|| (key.to_string(), run.number))
         };
         let last_start = self.last_confirmed_start(worker);
         let precedes_others = |key: &UnitKey| {
-            let run = self.unit(key).and_then(|unit| unit.run.as_ref());
+            let run = self.run_on(key, &worker.registration.id);
             run.is_some_and(|run| precedes(run, last_start))
         };
         let (preceding, others): (Vec<&UnitKey>, Vec<&UnitKey>) =
@@ -203,26 +225,47 @@
             incarnation_started_ms: worker.registration.incarnation_started_ms,
             runs,
             preceding_runs,
+            copies: self.copies_on(worker),
         }
     }
 
+    /// Returns those of the runs in a worker's row that were started as copies.
+    fn copies_on(&self, worker: &Worker) -> Vec<AssignedCopy> {
+        let of = |key: &UnitKey, number: u32, beside: Option<u32>| {
+            let unit = || key.to_string();
+            beside.map(|beside| AssignedCopy { unit: unit(), number, beside })
+        };
+        let runs = worker.runs.iter().filter_map(|key| {
+            let run = self.run_on(key, &worker.registration.id)?;
+            of(key, run.number, run.beside)
+        });
+        let ended = worker.pending_completions.iter();
+        runs.chain(ended.filter_map(|end| of(&end.unit, end.run, end.beside))).collect()
+    }
+
     fn send_start(&mut self, id: &WorkerId, key: &UnitKey, number: u32, now: Moment) {
         let is_planned =
             |run: &Run| run.worker == *id && run.number == number && run.phase == Phase::Planned;
-        if !self.unit(key).and_then(|unit| unit.run.as_ref()).is_some_and(is_planned) {
+        let Some(run) = self.run_on(key, id).filter(|run| is_planned(run)) else {
             return;
-        }
+        };
+        let validity = match run.beside {
+            None => Some(self.start_validity(now)),
+            Some(_) => {
+                copies::start_validity_left(run, now).map(|left| left.min(self.start_validity(now)))
+            }
+        };
         let ticket = self.tickets.ticket(key, id, now);
         let spec = self.jobs.get(&key.job).map(|job| job.record.spec.clone()).unwrap_or_default();
-        let validity = self.start_validity(now);
         let Some(worker) = self.workers.get(id) else {
             return;
         };
         // The worker may have changed while the run was being stored.
         let can_start = self.can_start_planned(worker, now);
-        let Some(clock_ms) = worker.clock_min_ms(now).filter(|_| can_start) else {
+        let clock_ms = worker.clock_min_ms(now).filter(|_| can_start);
+        let (Some(clock_ms), Some(validity)) = (clock_ms, validity) else {
             self.count_withheld(id, now);
-            self.withdraw_planned(key, now);
+            self.withdraw_planned(id, key, now);
             return;
         };
         let Some(worker) = self.workers.get_mut(id) else {
@@ -235,7 +278,7 @@
             return;
         };
         let checkpoint = unit.checkpoint.clone();
-        if let Some(run) = unit.run.as_mut() {
+        if let Some(run) = unit.run_on_mut(id) {
             run.phase = Phase::Commanded;
             run.since = now;
             run.progressed_at = now;
@@ -254,8 +297,8 @@
     }
 
     /// Removes a planned run whose start command is not sent. A gang does not start without it.
-    fn withdraw_planned(&mut self, key: &UnitKey, now: Moment) {
-        self.remove_run(key, now);
+    fn withdraw_planned(&mut self, worker: &str, key: &UnitKey, now: Moment) {
+        self.remove_run(key, worker, now);
         let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
         if step.is_some_and(|step| step.is_gang) {
             for member in self.units_finishing_with(key, true) {
@@ -272,11 +315,30 @@
         };
         // A finished unit may still have a run: another run of it, or another unit of its gang, has
         // finished it.
-        if unit.run.is_some() {
+        let may_be_added = match &unit.run {
+            None => true,
+            Some(run) => stored.beside == Some(run.number) && run.worker != stored.worker,
+        };
+        if !may_be_added {
             return;
         }
         let mut run = Run::new(stored.number, stored.worker, Phase::InDoubt, step, now);
         run.precedes_others = stored.precedes_others;
+        run.beside = stored.beside;
         self.add_run(key, run, now);
     }
 }
+
+/// Returns the stored runs that may still exist. A unit gets a run with a higher number only after
+/// the run before it has ended, unless it is a copy of that run.
+fn possible_runs(mut runs: Vec<StoredRun>) -> Vec<StoredRun> {
+    runs.sort_by(|a, b| a.unit.cmp(&b.unit).then(b.number.cmp(&a.number)));
+    let mut possible = Vec::with_capacity(runs.len());
+    for of_unit in runs.chunk_by(|a, b| a.unit == b.unit) {
+        let last = &of_unit[0];
+        let copied = |run: &&StoredRun| Some(run.number) == last.beside;
+        possible.extend(of_unit.iter().find(copied).cloned());
+        possible.push(last.clone());
+    }
+    possible
+}
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -342,8 +342,7 @@
         for unit in worker.suspects.iter().filter_map(|key| self.unit(key)) {
             let suspicion = unit.suspicion(now);
             let has_just_started = unit
-                .run
-                .as_ref()
+                .run_on(&worker.registration.id)
                 .is_some_and(|run| now.saturating_sub(run.started_at(now)) < QUIET_TIME);
             suspect_runs += usize::from(suspicion > Suspicion::None);
             is_reserved |= suspicion == Suspicion::Strong && has_just_started;
--- a/crates/scheduler/src/choice.rs
+++ b/crates/scheduler/src/choice.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns a function that tells whether the advisor allows a unit to run on a worker.
-    fn advice_filter<'a>(
+    pub(crate) fn advice_filter<'a>(
         &'a self,
         key: &'a UnitKey,
         now: Moment,
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -30,9 +30,7 @@
         reply: StartReply,
         now: Moment,
     ) {
-        let is_current = |unit: &Unit| {
-            unit.run.as_ref().is_some_and(|run| run.number == number && run.worker == *worker)
-        };
+        let is_current = |unit: &Unit| unit.run_on(worker).is_some_and(|run| run.number == number);
         if reply == StartReply::Fenced {
             self.is_fenced = true;
         }
@@ -42,7 +40,7 @@
         match reply {
             StartReply::Started => {
                 self.count_cold_start(worker, now);
-                self.confirm_start(key, now);
+                self.confirm_start(worker, key, now);
             }
             StartReply::Unknown => self.mark_in_doubt(worker, key, now),
             StartReply::OtherInstance => {
@@ -68,26 +66,31 @@
         has_reply: bool,
         now: Moment,
     ) {
-        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+        let Some(run) = self.run_on_mut(key, worker).filter(|run| run.number == number) else {
             return;
         };
-        if run.number != number || run.worker != *worker {
-            return;
-        }
         if let Some(stop) = run.stop.as_mut().filter(|_| has_reply) {
             stop.replied_at = Some(now);
         }
     }
 
-    /// Commands the run of a unit to stop, unless this was done a moment ago or the worker has
-    /// already replied.
+    /// Commands all runs of a unit to stop.
     pub(crate) fn request_stop(&mut self, key: &UnitKey, now: Moment) {
-        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+        let runs = self.unit(key).into_iter().flat_map(Unit::runs);
+        for worker in runs.map(|run| run.worker.clone()).collect::<Vec<WorkerId>>() {
+            self.request_stop_on(&worker, key, now);
+        }
+    }
+
+    /// Commands the run of a unit on a worker to stop, unless this was done a moment ago or the
+    /// worker has already replied.
+    pub(crate) fn request_stop_on(&mut self, worker: &str, key: &UnitKey, now: Moment) {
+        let Some(run) = self.run_on_mut(key, worker) else {
             return;
         };
         if run.phase == Phase::Planned {
             // The start command has not been sent yet, and now it will not be.
-            self.remove_run(key, now);
+            self.remove_run(key, worker, now);
             return;
         }
         let is_due = match &run.stop {
@@ -106,21 +109,21 @@
     /// Sends again the stop commands that got no reply.
     pub(crate) fn resend_stops(&mut self, now: Moment) {
         let mut due = Vec::new();
-        for worker in self.workers.values() {
+        for (id, worker) in self.workers.iter() {
             for key in &worker.runs {
-                let stop = self.unit(key).and_then(|unit| unit.run.as_ref()?.stop);
+                let stop = self.run_on(key, id).and_then(|run| run.stop);
                 if stop.is_some_and(|stop| stop.replied_at.is_none()) {
-                    due.push(key.clone());
+                    due.push((id.clone(), key.clone()));
                 }
             }
         }
-        for key in due {
-            self.request_stop(&key, now);
+        for (worker, key) in due {
+            self.request_stop_on(&worker, &key, now);
         }
     }
 
-    fn confirm_start(&mut self, key: &UnitKey, now: Moment) {
-        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+    fn confirm_start(&mut self, worker: &WorkerId, key: &UnitKey, now: Moment) {
+        let Some(run) = self.run_on_mut(key, worker) else {
             return;
         };
         if run.phase != Phase::Reported {
@@ -131,7 +134,7 @@
     }
 
     fn mark_in_doubt(&mut self, worker: &WorkerId, key: &UnitKey, now: Moment) {
-        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+        let Some(run) = self.run_on_mut(key, worker) else {
             return;
         };
         if run.phase == Phase::Commanded {
@@ -140,7 +143,7 @@
             // disruption budget of its step is spent on other units. The next report shows whether
             // it runs, and after the deadline of the start command it cannot start any more.
             if !self.is_long_running(key) {
-                self.request_stop(key, now);
+                self.request_stop_on(worker, key, now);
             }
         }
         if let Some(worker) = self.workers.get_mut(worker) {
@@ -149,7 +152,7 @@
     }
 
     fn handle_not_started(&mut self, id: &WorkerId, key: &UnitKey, reply: StartReply, now: Moment) {
-        self.remove_run(key, now);
+        self.remove_run(key, id, now);
         let Some(unit) = self.unit_mut(key) else {
             return;
         };
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -1,5 +1,6 @@
 //! Counts of events for the owner's metrics.
 
+use crate::copy_outcomes::CopyCounts;
 use crate::state::Scheduler;
 
 /// Events since the counts were last taken.
@@ -22,6 +23,8 @@
     pub preempted_work_core_ms: u64,
     /// Runs that were stopped so that their units run on another worker.
     pub moved_runs: u64,
+    /// Copies, and the work that was done twice.
+    pub copies: CopyCounts,
 }
 
 impl Scheduler {
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -369,7 +369,7 @@
                 cordoned_for >= FINISH_GRACE
             };
             if may_stop {
-                self.request_stop(&key, now);
+                self.request_stop_on(id, &key, now);
             }
         }
     }
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -59,7 +59,7 @@
     /// Returns how likely it is that the unit crashes its worker.
     pub(crate) fn suspicion(&self, now: Moment) -> Suspicion {
         let has_lasted = |run: &Run| now.saturating_sub(run.started_at(now)) > SUSPECT_AGE_MAX;
-        if self.crashed_runs.is_empty() || self.run.as_ref().is_some_and(has_lasted) {
+        if self.crashed_runs.is_empty() || self.runs().any(has_lasted) {
             return Suspicion::None;
         }
         let is_strong = self.crashes_when_last() + 1 >= CRASHES_MAX_AS_LAST
@@ -130,7 +130,7 @@
     ) {
         let mut runs = Vec::with_capacity(units.len());
         for key in units {
-            let run = self.remove_run(key, now);
+            let run = self.remove_run(key, id, now);
             runs.extend(run.map(|run| (key.clone(), run.number)));
             self.remove_finished(&key.job, now);
         }
@@ -184,7 +184,8 @@
     }
 
     fn runs_on<'a>(&'a self, worker: &'a Worker) -> impl Iterator<Item = (&'a UnitKey, &'a Run)> {
-        worker.runs.iter().filter_map(|key| Some((key, self.unit(key)?.run.as_ref()?)))
+        let id = &worker.registration.id;
+        worker.runs.iter().filter_map(|key| Some((key, self.run_on(key, id)?)))
     }
 
     /// Returns true if a unit has to wait until it is known whether its last workers have crashed:
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -114,11 +114,14 @@
 
 /// Returns the fraction of a unit's work that remains.
 fn remaining_fraction(unit: &Unit) -> f64 {
-    let progress_percent = unit.run.as_ref().map_or(0, |run| run.progress_percent.min(100));
+    let progress_percent = unit.runs().map(|run| run.progress_percent.min(100)).max().unwrap_or(0);
     1.0 - f64::from(progress_percent) / 100.0
 }
 
-fn critical_path_of(record: &JobRecord, time_of: impl Fn(usize) -> Duration) -> Duration {
+pub(crate) fn critical_path_of(
+    record: &JobRecord,
+    time_of: impl Fn(usize) -> Duration,
+) -> Duration {
     let mut finish_times: Vec<Duration> = Vec::with_capacity(record.steps.len());
     for (index, step) in record.steps.iter().enumerate() {
         let dependencies_finish =
--- a/crates/scheduler/src/run_samples.rs
+++ b/crates/scheduler/src/run_samples.rs
@@ -86,11 +86,11 @@
     ) -> Option<Duration> {
         let key = &completion.unit;
         let unit = self.unit(key)?;
-        let run = unit.run.as_ref()?;
+        let run = unit.run_on(worker)?;
         let step = self.jobs.get(&key.job)?.record.steps.get(key.step)?;
         let is_first_success =
             completion.outcome == RunOutcome::Done && unit.finish_state == FinishState::Unfinished;
-        let is_current = run.worker == *worker && run.number == completion.run;
+        let is_current = run.number == completion.run;
         let is_own_start = run.deadline_ms != 0 && run.phase != Phase::Planned;
         let ran_undisturbed = unit.checkpoint.is_empty()
             && run.stop.is_none()
--- a/crates/scheduler/src/shrunk_workers.rs
+++ b/crates/scheduler/src/shrunk_workers.rs
@@ -82,13 +82,13 @@
         let mut remaining = worker.reserved;
         let mut remaining_soon = worker.reserved;
         for key in &worker.runs {
-            let Some(reservation) = self.reservation_of(key) else {
+            let Some(reservation) = self.reservation_of(id, key) else {
                 continue;
             };
-            if self.is_stopping(key) {
+            if self.is_stopping(id, key) {
                 remaining -= reservation;
                 remaining_soon -= reservation;
-            } else if !time_left.is_zero() && self.ends_within(key, time_left) {
+            } else if !time_left.is_zero() && self.ends_within(id, key, time_left) {
                 remaining_soon -= reservation;
             }
         }
@@ -96,7 +96,7 @@
             return;
         }
         let mut victims: Vec<Victim> =
-            worker.runs.iter().filter_map(|key| self.victim(key)).collect();
+            worker.runs.iter().filter_map(|key| self.victim(id, key)).collect();
         // The youngest of those that lose alike come first.
         victims.sort_by_key(|victim| (victim.loss, Reverse(victim.since)));
         for victim in victims {
@@ -119,27 +119,31 @@
         }
         self.log_decision("run moved", key, format!("worker={id} cause=shrunk"));
         self.counts.moved_runs += 1;
-        for member in self.units_finishing_with(key, victim.loss == Loss::Gang) {
-            self.request_stop(&member, now);
+        if victim.loss == Loss::Gang {
+            for member in self.units_finishing_with(key, true) {
+                self.request_stop(&member, now);
+            }
+        } else {
+            self.request_stop_on(id, key, now);
         }
         true
     }
 
-    fn is_stopping(&self, key: &UnitKey) -> bool {
-        let run = self.unit(key).and_then(|unit| unit.run.as_ref());
+    fn is_stopping(&self, worker: &WorkerId, key: &UnitKey) -> bool {
+        let run = self.run_on(key, worker);
         run.is_some_and(|run| run.stop.is_some())
     }
 
-    fn reservation_of(&self, key: &UnitKey) -> Option<Resources> {
-        Some(self.unit(key)?.run.as_ref()?.reservation)
+    fn reservation_of(&self, worker: &WorkerId, key: &UnitKey) -> Option<Resources> {
+        Some(self.run_on(key, worker)?.reservation)
     }
 
     /// Returns true if a run is expected to end within a time.
-    fn ends_within(&self, key: &UnitKey, time: Duration) -> bool {
-        let (Some(unit), Some(job)) = (self.unit(key), self.jobs.get(&key.job)) else {
+    fn ends_within(&self, worker: &WorkerId, key: &UnitKey, time: Duration) -> bool {
+        let (Some(run), Some(job)) = (self.run_on(key, worker), self.jobs.get(&key.job)) else {
             return false;
         };
-        let (Some(run), Some(step)) = (&unit.run, job.record.steps.get(key.step)) else {
+        let Some(step) = job.record.steps.get(key.step) else {
             return false;
         };
         let expected = self.durations.expected(&job.record, step);
@@ -148,8 +152,8 @@
     }
 
     /// Returns what is lost if the run of a unit is stopped; `None` if it is being stopped.
-    fn victim(&self, key: &UnitKey) -> Option<Victim> {
-        let run = self.unit(key)?.run.as_ref().filter(|run| run.stop.is_none())?;
+    fn victim(&self, worker: &WorkerId, key: &UnitKey) -> Option<Victim> {
+        let run = self.run_on(key, worker).filter(|run| run.stop.is_none())?;
         let step = self.jobs.get(&key.job)?.record.steps.get(key.step)?;
         let loss = if step.is_long_running {
             Loss::LongRunning
--- a/crates/scheduler/src/slow_workers.rs
+++ b/crates/scheduler/src/slow_workers.rs
@@ -196,7 +196,8 @@
     /// its slowest unit, and best-effort units get the processor time that others leave.
     fn measurable_runs(&self, worker: &Worker) -> Vec<RunProgress> {
         let measurable = |key: &UnitKey| {
-            let run = self.unit(key)?.run.as_ref().filter(|run| can_be_measured(run))?;
+            let run = self.run_on(key, &worker.registration.id);
+            let run = run.filter(|run| can_be_measured(run))?;
             let record = &self.jobs.get(&key.job)?.record;
             let step = record.steps.get(key.step)?;
             if step.is_gang || step.is_best_effort || step.is_long_running {
@@ -265,7 +266,11 @@
                 && worker.is_in_contact(self.settings.contact_max, now)
         };
         for worker in workers.filter(is_reachable) {
-            let gains = worker.runs.iter().filter_map(|key| Some((self.gain_of_move(key)?, key)));
+            let id = &worker.registration.id;
+            // The unit of a run with a copy does not depend on this worker.
+            let alone = |key: &&UnitKey| self.unit(key).is_some_and(|unit| unit.copy.is_none());
+            let runs = worker.runs.iter().filter(alone);
+            let gains = runs.filter_map(|key| Some((self.gain_of_move(id, key)?, key)));
             movable.extend(gains);
         }
         movable.sort_by(|a, b| b.cmp(a));
@@ -303,8 +308,8 @@
 
     /// Returns how much earlier a unit ends if it moves away from its slow worker; `None` if it
     /// can't move or ends later.
-    fn gain_of_move(&self, key: &UnitKey) -> Option<Duration> {
-        let run = self.unit(key)?.run.as_ref().filter(|run| can_be_measured(run))?;
+    fn gain_of_move(&self, worker: &WorkerId, key: &UnitKey) -> Option<Duration> {
+        let run = self.run_on(key, worker).filter(|run| can_be_measured(run))?;
         let job = self.jobs.get(&key.job)?;
         let step = job.record.steps.get(key.step)?;
         if !step.has_checkpoints || step.is_long_running || step.is_gang || step.is_best_effort {
--- a/crates/scheduler/src/speed_limits.rs
+++ b/crates/scheduler/src/speed_limits.rs
@@ -32,7 +32,7 @@
                 continue;
             }
             let runs = worker.runs.clone();
-            let Some(worst_latency_percent) = self.worst_latency_percent(&runs) else {
+            let Some(worst_latency_percent) = self.worst_latency_percent(&id, &runs) else {
                 continue;
             };
             let best_effort: Vec<&UnitKey> =
@@ -45,11 +45,11 @@
 
     /// Returns the worst tail latency of the serving units, in percent of its target; `None` if no
     /// unit serves.
-    fn worst_latency_percent(&self, runs: &[UnitKey]) -> Option<u64> {
+    fn worst_latency_percent(&self, worker: &WorkerId, runs: &[UnitKey]) -> Option<u64> {
         let latency_percent = |key: &UnitKey| {
             let target_ms =
                 self.jobs.get(&key.job)?.record.steps.get(key.step)?.tail_latency_target_ms;
-            let load = self.unit(key)?.run.as_ref()?.load?;
+            let load = self.run_on(key, worker)?.load?;
             (target_ms > 0).then(|| load * 100 / target_ms)
         };
         runs.iter().filter_map(latency_percent).max()
@@ -65,7 +65,7 @@
         else {
             return;
         };
-        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+        let Some(run) = self.run_on_mut(key, worker) else {
             return;
         };
         let old_percent = run.speed_limit_percent;
--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::Moment;
+use crate::WorkerId;
 use crate::job::UnitKey;
 use crate::live_jobs::FULL_PERCENT;
 use crate::live_jobs::Phase;
@@ -15,7 +16,7 @@
     /// Stops stalled runs, so that their units run elsewhere.
     pub(crate) fn stop_stalled_runs(&mut self, now: Moment) {
         let mut stalled = Vec::new();
-        for worker in self.workers.values() {
+        for (id, worker) in self.workers.iter() {
             // A run is judged by reports only: a silent worker shows no progress either way.
             let Some(reported_at) = worker.last_contact_at() else {
                 continue;
@@ -23,16 +24,16 @@
             if self.may_be_slow_from_start(worker, now) {
                 continue;
             }
-            let runs = worker.runs.iter().filter(|key| self.is_stalled(key, reported_at));
-            stalled.extend(runs.cloned());
+            let runs = worker.runs.iter().filter(|key| self.is_stalled(id, key, reported_at));
+            stalled.extend(runs.map(|key| (id.clone(), key.clone())));
         }
-        for key in stalled {
-            self.stop_stalled_run(&key, now);
+        for (worker, key) in stalled {
+            self.stop_stalled_run(worker, &key, now);
         }
     }
 
-    fn is_stalled(&self, key: &UnitKey, reported_at: Moment) -> bool {
-        let Some(run) = self.unit(key).and_then(|unit| unit.run.as_ref()) else {
+    fn is_stalled(&self, worker: &WorkerId, key: &UnitKey, reported_at: Moment) -> bool {
+        let Some(run) = self.run_on(key, worker) else {
             return false;
         };
         let is_gang = self.jobs.get(&key.job).is_some_and(|job| job.record.steps[key.step].is_gang);
@@ -44,11 +45,11 @@
             && reported_at.saturating_sub(run.progressed_at) > STALLED_AFTER
     }
 
-    fn stop_stalled_run(&mut self, key: &UnitKey, now: Moment) {
-        let Some(run) = self.unit(key).and_then(|unit| unit.run.as_ref()) else {
+    fn stop_stalled_run(&mut self, worker: WorkerId, key: &UnitKey, now: Moment) {
+        let Some(run) = self.run_on(key, &worker) else {
             return;
         };
-        let (worker, progress_percent) = (run.worker.clone(), run.progress_percent);
+        let progress_percent = run.progress_percent;
         self.log_decision(
             "run stands still",
             key,
@@ -58,8 +59,8 @@
         if let Some(unit) = self.unit_mut(key)
             && !unit.excluded_workers.contains(&worker)
         {
-            unit.excluded_workers.push(worker);
+            unit.excluded_workers.push(worker.clone());
         }
-        self.request_stop(key, now);
+        self.request_stop_on(&worker, key, now);
     }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -17,6 +17,7 @@
 use crate::capacity::BaselineHosts;
 use crate::capacity::Demand;
 use crate::config::Config;
+use crate::copies::Copies;
 use crate::counts::Counts;
 use crate::durations::Durations;
 use crate::evacuation::Evacuations;
@@ -44,6 +45,7 @@
 use crate::shrunk_workers::ShrunkWorkers;
 use crate::slow_workers::SlowWorkers;
 use crate::sorted_map::SortedMap;
+use crate::stragglers::Stragglers;
 use crate::team_shares::TeamShares;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
@@ -117,6 +119,10 @@
     pub(crate) shrunk_workers: ShrunkWorkers,
     /// Events since the owner last took the counts.
     pub(crate) counts: Counts,
+    /// Copies of units whose run is slow.
+    pub(crate) copies: Copies,
+    /// Runs that are much slower than others of their step.
+    pub(crate) stragglers: Stragglers,
     /// Recently submitted work by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Since when a pool has had a waiting unit that fits on none of its workers.
@@ -192,10 +198,10 @@
         percent: u32,
         has_reply: bool,
     ) {
-        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run.as_mut()) else {
+        let Some(run) = self.unit_mut(key).and_then(|unit| unit.run_numbered_mut(number)) else {
             return;
         };
-        if run.number == number && run.speed_limit_percent == percent && !has_reply {
+        if run.speed_limit_percent == percent && !has_reply {
             // The next review sends the command again if the limit still applies.
             run.speed_limit_percent = 100;
         }
@@ -328,14 +334,22 @@
             *self.team_usage.entry_or(team, Resources::default) += run.requested;
         }
         if let Some(unit) = self.unit_mut(key) {
-            unit.last_run = unit.last_run.max(run.number);
-            unit.run = Some(run);
+            unit.add_run(run);
+            let has_copy = unit.copy.is_some();
+            self.copies.update(key, has_copy);
         }
     }
 
-    /// Removes the run of a unit once it is certain that it is not running any more.
-    pub(crate) fn remove_run(&mut self, key: &UnitKey, now: Moment) -> Option<Run> {
-        let run = self.unit_mut(key)?.run.take()?;
+    /// Removes the run of a unit on a worker once it is certain that it is not running any more.
+    pub(crate) fn remove_run(&mut self, key: &UnitKey, worker: &str, now: Moment) -> Option<Run> {
+        let run = self.take_run(key, worker, now)?;
+        self.record_copy_end(key, &run, now);
+        Some(run)
+    }
+
+    /// As [`Scheduler::remove_run`], but leaves it to the caller to record how a copy has ended.
+    pub(crate) fn take_run(&mut self, key: &UnitKey, worker: &str, now: Moment) -> Option<Run> {
+        let run = self.unit_mut(key)?.take_run(worker)?;
         let job = self.jobs.get_mut(&key.job);
         let team = job.and_then(|job| {
             job.may_have_waiting_units = true;
@@ -352,6 +366,7 @@
         }
         if let Some(unit) = self.unit_mut(key) {
             unit.last_unavailable_at = now;
+            self.copies.update(key, false);
         }
         self.needs_placement = true;
         Some(run)
--- a/crates/scheduler/src/stop_costs.rs
+++ b/crates/scheduler/src/stop_costs.rs
@@ -46,7 +46,7 @@
             let mut free = worker.free_capacity();
             let mut runs = Vec::with_capacity(worker.runs.len());
             for key in &worker.runs {
-                let Some((job, unit, run)) = self.run_of(key) else {
+                let Some((job, unit, run)) = self.run_of_on(key, &candidate.id) else {
                     continue;
                 };
                 if run.stop.is_some() {
@@ -91,6 +91,11 @@
         Some((self.jobs.get(&key.job)?, unit, unit.run.as_ref()?))
     }
 
+    fn run_of_on(&self, key: &UnitKey, worker: &str) -> Option<(&Job, &Unit, &Run)> {
+        let unit = self.unit(key)?;
+        Some((self.jobs.get(&key.job)?, unit, unit.run_on(worker)?))
+    }
+
     /// Returns what stopping a run for an urgent queue would cost; none if it must not be stopped.
     fn stop_cost(
         &self,
@@ -134,10 +139,12 @@
 }
 
 /// Returns true if a run may be stopped for an urgent queue. What is not confirmed may start after
-/// the stop, and a unit that was preempted before is exempt for a while.
+/// the stop, and a unit that was preempted before is exempt for a while. A unit with a copy would
+/// have to stop both runs.
 fn may_be_preempted(unit: &Unit, run: &Run, now: Moment) -> bool {
     let is_exempt = unit.was_preempted && now.saturating_sub(run.since) < EXEMPT_TIME;
     unit.finish_state == FinishState::Unfinished
+        && unit.copy.is_none()
         && run.stop.is_none()
         && matches!(run.phase, Phase::Confirmed(_) | Phase::Reported)
         && !is_exempt
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -9,6 +9,7 @@
 
 use crate::JobId;
 use crate::Moment;
+use crate::WorkerId;
 use crate::batch::Batch;
 use crate::batch::BatchLimits;
 use crate::batch::StoredCompletions;
@@ -89,7 +90,10 @@
     /// Removes a job that could not be stored; none of its start commands has been sent.
     pub fn withdraw_job(&mut self, id: &str, now: Moment) {
         for key in self.units_with_run(id) {
-            self.remove_run(&key, now);
+            let runs = self.unit(&key).into_iter().flat_map(Unit::runs);
+            for worker in runs.map(|run| run.worker.clone()).collect::<Vec<WorkerId>>() {
+                self.remove_run(&key, &worker, now);
+            }
         }
         self.jobs.remove(id);
     }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -159,8 +159,7 @@
             return;
         };
         unit.last_run = unit.last_run.max(completion.run);
-        let is_current =
-            unit.run.as_ref().is_some_and(|run| run.worker == *id && run.number <= completion.run);
+        let is_current = unit.run_on(id).is_some_and(|run| run.number <= completion.run);
         if !completion.checkpoint.is_empty() && unit.finish_state == FinishState::Unfinished {
             unit.checkpoint = completion.checkpoint.clone();
         }
@@ -169,16 +168,21 @@
         // A new owner may learn of several failures of a unit in any order.
         let is_new_failure =
             completion.outcome == RunOutcome::Failed && !unit.failed_runs.contains(&completion.run);
-        if is_current {
-            self.remove_run(key, now);
-        }
+        let is_beside_success = unit.finish_state != FinishState::Unfinished;
+        // Where copies are made, the end of the run beside the one that succeeded does not matter.
+        let is_new_failure = is_new_failure && !(is_beside_success && self.may_have_copy(key));
+        let ended_run = if is_current { self.take_run(key, id, now) } else { None };
+        let beside = ended_run.as_ref().and_then(|run| run.beside);
         if completion.outcome != RunOutcome::Done {
             let why = format!("ending={:?} run={} worker={id}", completion.outcome, completion.run);
             self.log_decision("run ended", key, why);
         }
         self.update_failure_history(id, key, completion.outcome, now);
         if is_first_success {
+            self.record_first_success(key, ended_run.as_ref(), now);
             self.finish_unit(key, now);
+        } else if let Some(run) = ended_run {
+            self.record_copy_end(key, &run, now);
         }
         if is_new_failure {
             self.handle_unit_failure(id, key, completion.run, now);
@@ -187,7 +191,7 @@
             self.mark_dirty(&key.job);
             if let Some(worker) = self.workers.get_mut(id) {
                 let (number, unit, run) = (completion.number, key.clone(), completion.run);
-                worker.pending_completions.push(PendingCompletion { number, unit, run });
+                worker.pending_completions.push(PendingCompletion { number, unit, run, beside });
             }
         }
         self.remove_finished(&key.job, now);
@@ -207,8 +211,8 @@
                 continue;
             };
             unit.finish_state = FinishState::Finished;
-            // The unit may have another run, started after a lease expired. It has nothing left to
-            // do.
+            // The unit may have another run: a copy, or one that was started after a lease expired.
+            // It has nothing left to do.
             self.request_stop(&member, now);
         }
         // Steps that depend on this one may be ready.
@@ -303,12 +307,21 @@
         let is_wanted = unit.finish_state == FinishState::Unfinished
             && self.jobs.get(&key.job).is_some_and(|job| !job.is_final_state_stored);
         match &unit.run {
-            Some(run) if run.worker == *id => self.update_run(key, running, now),
-            // An owner assigns a higher run number only after it is certain that the earlier run
-            // has ended.
-            Some(run) if run.phase == Phase::InDoubt && run.number < running.run => {
-                self.remove_run(key, now);
-                self.adopt_run(id, running, now);
+            _ if unit.run_on(id).is_some() => self.update_run(id, key, running, now),
+            Some(run) if run.phase == Phase::InDoubt && unit.copy.is_none() => {
+                let (worker, is_earlier) = (run.worker.clone(), run.number < running.run);
+                if self.may_have_copy(key) {
+                    // Either run may be a copy of the other.
+                    self.adopt_run(id, running, now);
+                } else if is_earlier {
+                    // An owner assigns a higher run number only after it is certain that the
+                    // earlier run has ended.
+                    self.remove_run(key, &worker, now);
+                    self.adopt_run(id, running, now);
+                } else {
+                    self.send_stop(id, key, running.run);
+                    return false;
+                }
             }
             // The unit is assigned to another worker, so this is a leftover of an earlier run.
             Some(_) => {
@@ -317,13 +330,15 @@
             }
             None => self.adopt_run(id, running, now),
         }
-        if !is_wanted {
-            self.request_stop(key, now);
+        if is_wanted {
+            self.record_straggler(id, key, now);
+        } else {
+            self.request_stop_on(id, key, now);
         }
         true
     }
 
-    fn update_run(&mut self, key: &UnitKey, running: &RunStatus, now: Moment) {
+    fn update_run(&mut self, id: &WorkerId, key: &UnitKey, running: &RunStatus, now: Moment) {
         let is_long_running = self.is_long_running(key);
         let Some(unit) = self.unit_mut(key) else {
             return;
@@ -332,7 +347,7 @@
         if is_long_running && running.progress_percent < FULL_PERCENT {
             unit.last_unavailable_at = now;
         }
-        let Some(run) = unit.run.as_mut() else {
+        let Some(run) = unit.run_on_mut(id) else {
             return;
         };
         run.number = running.run;
@@ -356,6 +371,7 @@
             return;
         };
         let mut run = Run::new(running.run, id.clone(), Phase::Reported, step, now);
+        run.beside = self.unit(key).and_then(|unit| Some(unit.run.as_ref()?.number));
         run.progress_percent = running.progress_percent;
         run.record_checkpoint(&running.checkpoint, running.progress_percent, now);
         run.load = running.load;
@@ -375,7 +391,7 @@
         };
         let mut absent = Vec::new();
         for key in &worker.runs {
-            let Some(run) = self.unit(key).and_then(|unit| unit.run.as_ref()) else {
+            let Some(run) = self.run_on(key, id) else {
                 continue;
             };
             if report.running.iter().any(|running| running.unit == *key) {
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -47,6 +47,7 @@
     pub completion_count: u64,
     pub is_responsive: bool,
     pub incarnation_started_ms: u64,
+    pub rack: &'static str,
 }
 
 /// A scheduler, its workers and its store.
@@ -369,12 +370,14 @@
             completion_count: 0,
             is_responsive: true,
             incarnation_started_ms: 1,
+            rack: "r1-1",
         }
     }
 
     fn registration(&self) -> WorkerRegistration {
         WorkerRegistration {
             incarnation_started_ms: self.incarnation_started_ms,
+            labels: vec!["a".to_owned(), self.rack.to_owned()].into(),
             ..registration(&self.id)
         }
     }
