--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -77,6 +77,10 @@
     /// Workers that have crashed under a unit, with the unit; once for each crash.
     crashes: Vec<UnitKey>,
     epoch: u64,
+    /// Steps may allow copies, and some runs are slow.
+    has_copies: bool,
+    /// Number of starts of a unit that ran already.
+    copies: usize,
 }
 
 impl RandomTest {
@@ -99,9 +103,20 @@
             down: Vec::new(),
             crashes: Vec::new(),
             epoch: 1,
+            has_copies: false,
+            copies: 0,
         }
     }
 
+    /// Creates a test with slow units, steps that allow copies and workers on two racks.
+    fn with_copies(seed: u64, policies: &[Policy]) -> Self {
+        let mut test = Self::with_policies(seed, config_with_two_queues(), policies);
+        test.has_copies = true;
+        test.sim.workers.iter_mut().skip(2).for_each(|worker| worker.rack = "r1-2");
+        test.take_over();
+        test
+    }
+
     fn random_event(&mut self) {
         match self.rng.random_range(0..100) {
             0..20 => self.submit(),
@@ -124,6 +139,12 @@
             step.depends_on = (0..index).filter(|_| self.rng.random_bool(0.6)).collect();
             step.is_gang = count > 1 && self.rng.random_bool(0.2);
             step.per_worker_max = if self.rng.random_bool(0.3) { 2 } else { 0 };
+            if self.has_copies && !step.is_gang {
+                step.allows_copies = self.rng.random_bool(0.7);
+                step.count = 8;
+                step.per_worker_max = 0;
+                step.requested.cpu_millis = self.rng.random_range(10..200);
+            }
             steps.push(step);
         }
         let mut record = job(&id, steps, self.sim.now);
@@ -260,7 +281,8 @@
             }
         }
         for running in self.sim.workers.iter_mut().flat_map(|worker| &mut worker.running) {
-            running.progress_percent = (running.progress_percent + 1) % 99;
+            let step = if self.has_copies && running.unit.index != 0 { 20 } else { 1 };
+            running.progress_percent = (running.progress_percent + step) % 99;
         }
         self.sim.report_all();
         let progress_rows = self.rng.random_range(0..4);
@@ -268,10 +290,12 @@
             self.sim.commit_with_limit(progress_rows * 2);
         }
         self.record_acknowledged();
+        let running = self.running();
         let starts = self.sim.run_round();
         for start in &starts {
             self.check_start(start);
         }
+        self.copies += starts.iter().filter(|start| running.contains(&start.unit)).count();
         for start in &starts {
             let id = WORKERS
                 .into_iter()
@@ -344,10 +368,12 @@
         }
         let are_within = team_usage.values().all(|usage| usage.is_within(&QUOTA));
         assert!(are_within, "a team exceeds its quota: {team_usage:?}");
-        let count = running_units.len();
         running_units.sort();
-        running_units.dedup();
-        assert_eq!(running_units.len(), count, "a unit runs twice at the same time");
+        for runs in running_units.chunk_by(|a, b| a == b) {
+            let record = self.jobs.iter().find(|record| record.id == runs[0].job).expect("a job");
+            let runs_max = if record.steps[runs[0].step].allows_copies { 2 } else { 1 };
+            assert!(runs.len() <= runs_max, "{} runs {} times at once", runs[0], runs.len());
+        }
     }
 
     /// Makes all workers responsive and completes all runs: every job must end.
@@ -411,13 +437,13 @@
     Arc::new(config)
 }
 
-/// Plays random events; returns the number of units that the last owner has preempted.
-fn run_random_test(mut test: RandomTest) -> u64 {
+/// Plays random events; returns the test after its end.
+fn run_random_test(mut test: RandomTest) -> RandomTest {
     for _ in 0..EVENTS {
         test.random_event();
     }
     test.finish_all_jobs();
-    test.sim.scheduler.take_counts().preempted_runs
+    test
 }
 
 #[test]
@@ -437,7 +463,7 @@
     for seed in 0..SEEDS {
         println!("seed {seed}");
         let test = RandomTest::with_policies(seed, config_with_two_queues(), &policies);
-        preempted += run_random_test(test);
+        preempted += run_random_test(test).sim.scheduler.take_counts().preempted_runs;
     }
     assert!(preempted > SEEDS, "only {preempted} units were preempted");
 }
@@ -451,11 +477,24 @@
     }
 }
 
+/// Guards against a third run, or a second one where copies are not allowed, and against capacity
+/// and quotas that count only one run of a unit.
+#[rstest]
+#[case::alone(&[Policy::Copies])]
+#[case::with_others(&Policy::ALL)]
+fn invariants_hold_with_copies(#[case] policies: &[Policy]) {
+    let seeds = (0..2 * SEEDS).inspect(|seed| println!("seed {seed}"));
+    let tests = seeds.map(|seed| run_random_test(RandomTest::with_copies(seed, policies)));
+    let copies: usize = tests.map(|test| test.copies).sum();
+    assert!(copies > 50, "too few copies to be meaningful: {copies}");
+}
+
 #[rstest]
 #[ignore = "long: more seeds, run by hand"]
 fn invariants_hold_under_many_random_events() {
     for seed in 0..5_000 {
         println!("seed {seed}");
         run_random_test(RandomTest::new(seed));
+        run_random_test(RandomTest::with_copies(seed, &Policy::ALL));
     }
 }
