--- a/crates/scheduler/src/copies.rs
+++ b/crates/scheduler/src/copies.rs
@@ -99,9 +99,9 @@
             self.copies.idle_tried_at = now;
         }
         let stragglers = self.stragglers.units.iter();
-        let copies = stragglers.filter_map(|(key, slow)| self.waiting_copy(key, slow, now));
-        let is_due = |copy: &WaitingCopy| is_idle_due || copy.placement == CopyPlacement::Urgent;
-        let mut copies: Vec<WaitingCopy> = copies.filter(is_due).collect();
+        let copies =
+            stragglers.filter_map(|(key, slow)| self.waiting_copy(key, slow, is_idle_due, now));
+        let mut copies: Vec<WaitingCopy> = copies.collect();
         copies.sort_by_key(|copy| (copy.placement, copy.priority));
         for copy in copies {
             by_pool.entry_or(copy.pool.clone(), VecDeque::new).push_back(copy);
@@ -228,10 +228,12 @@
         self.log_decision("copy started", key, why);
     }
 
+    /// Returns the copy that a straggler is to get in this round, if any.
     fn waiting_copy(
         &self,
         key: &UnitKey,
         straggler: &Straggler,
+        is_idle_due: bool,
         now: Moment,
     ) -> Option<WaitingCopy> {
         let job = self.jobs.get(&key.job).filter(|job| job.final_state.is_none())?;
@@ -247,6 +249,9 @@
             return None;
         }
         let is_urgent = self.needs_copy_for_deadline(job, occurrence, key.step, straggler, now);
+        if !is_urgent && !is_idle_due {
+            return None;
+        }
         Some(WaitingCopy {
             unit: key.clone(),
             pool: self.pool_of(job),
--- a/crates/scheduler/src/stragglers.rs
+++ b/crates/scheduler/src/stragglers.rs
@@ -103,8 +103,8 @@
         if !self.may_have_copy(key) {
             return;
         }
-        self.update_usual(key, now);
-        match self.straggler(worker, key, now) {
+        let usual = self.usual(key, now);
+        match usual.and_then(|usual| self.straggler(worker, key, usual, now)) {
             Some(straggler) => {
                 self.needs_placement |= !self.stragglers.units.contains(key);
                 self.stragglers.units.insert(key.clone(), straggler);
@@ -128,32 +128,38 @@
         durations.finished.push(now.saturating_sub(run.since));
     }
 
-    fn straggler(&self, worker: &WorkerId, key: &UnitKey, now: Moment) -> Option<Straggler> {
+    fn straggler(
+        &self,
+        worker: &WorkerId,
+        key: &UnitKey,
+        usual: Usual,
+        now: Moment,
+    ) -> Option<Straggler> {
         let unit = self.unit(key)?;
         let run = unit.run.as_ref().filter(|run| run.worker == *worker)?;
         if !may_be_copied(unit, run) {
             return None;
         }
-        let usual = self.stragglers.steps.get(&step_key(key))?.usual?;
         let age = now.saturating_sub(run.since);
         let remaining = remaining_time(run, age);
         let is_straggler = age > usual.long && remaining > usual.median * 2;
         is_straggler.then_some(Straggler { remaining, fresh: usual.median, reported_at: now })
     }
 
-    /// Computes again what is usual for a step, unless this was done a moment ago.
-    fn update_usual(&mut self, key: &UnitKey, now: Moment) {
+    /// Returns what is usual for a step; computes it again unless this was done a moment ago.
+    fn usual(&mut self, key: &UnitKey, now: Moment) -> Option<Usual> {
         let step = step_key(key);
         let known = self.stragglers.steps.get(&step);
         let is_recent = |at: Moment| now.saturating_sub(at) < USUAL_AGE_MAX;
-        if known.and_then(|known| known.usual_at).is_some_and(is_recent) {
-            return;
+        if let Some(known) = known.filter(|known| known.usual_at.is_some_and(is_recent)) {
+            return known.usual;
         }
         let finished = known.map(|known| known.finished.clone()).unwrap_or_default();
         let usual = self.usual_durations(key, finished, now);
         let durations = self.stragglers.steps.entry_or(step, StepDurations::default);
         durations.usual = usual;
         durations.usual_at = Some(now);
+        usual
     }
 
     fn usual_durations(
