--- a/crates/scheduler/src/stragglers.rs
+++ b/crates/scheduler/src/stragglers.rs
@@ -185,10 +185,11 @@
     }
 
     /// Returns true if it is known when the run was started, since this owner has commanded it, and
-    /// if its worker was not cold.
+    /// if its worker was not cold and has normal speed.
     fn shows_usual_duration(&self, run: &Run) -> bool {
         let worker = self.workers.get(&run.worker);
         run.deadline_ms != 0
+            && self.slow_workers.speeds.is_normal(&run.worker)
             && worker.is_none_or(|worker| !self.may_be_slow_from_start(worker, run.since))
     }
 
