--- a/crates/scheduler/tests/copies.rs
+++ b/crates/scheduler/tests/copies.rs
@@ -280,6 +280,22 @@
     assert!(test.is_done() && test.runs().is_empty());
 }
 
+/// Load: the worker of the copy shrinks. Only the copy is stopped there, not the run elsewhere.
+#[test]
+fn a_shrunk_worker_stops_only_its_own_run() {
+    let policies = [Policy::Copies, Policy::ShrunkWorkers].into_iter().collect();
+    let mut test = Test::new(true, policies, config(3, NO_QUOTA));
+    let copy = test.run_for(seconds(2)).pop().expect("a copy was started");
+    let capacity = Resources::default();
+    let shrunk = WorkerRegistration { capacity, ..registration(&copy.worker) };
+    test.sim.scheduler.update_worker(shrunk, Duration::ZERO, test.sim.now);
+    test.run_for(seconds(2));
+    assert!(!test.runs().contains(&copy.worker) && test.has_decided("run moved"));
+    let first = test.first_worker();
+    let starts = test.starts.iter().filter(|start| start.unit == slow() && start.worker == first);
+    assert!(test.runs().contains(&first) && starts.count() == 1);
+}
+
 /// Guards against runs that are left after a cancellation.
 #[test]
 fn a_cancelled_job_stops_both_runs() {
