--- a/crates/scheduler/src/team_shares.rs
+++ b/crates/scheduler/src/team_shares.rs
@@ -264,7 +264,7 @@
         let mut held = Vec::new();
         for worker in self.workers.values() {
             for key in &worker.runs {
-                let run = self.unit(key).and_then(|unit| unit.run.as_ref());
+                let run = self.run_on(key, &worker.registration.id);
                 held.extend(run.map(|run| (key.clone(), run.reservation)));
             }
         }
--- a/crates/scheduler/src/worker_slots.rs
+++ b/crates/scheduler/src/worker_slots.rs
@@ -9,7 +9,7 @@
 use crate::job::Step;
 use crate::job::UnitKey;
 use crate::live_jobs::FULL_PERCENT;
-use crate::live_jobs::Unit;
+use crate::live_jobs::Run;
 use crate::reservations::is_same_step;
 use crate::state::Scheduler;
 use crate::worker::Worker;
@@ -99,14 +99,13 @@
 }
 
 impl ExpectedRun {
-    /// Returns the run of a unit, if it has one. A run that takes longer than expected goes on for
-    /// the part that its progress leaves.
-    fn of(unit: &Unit, duration: Duration, now: Moment) -> Option<Self> {
-        let run = unit.run.as_ref()?;
+    /// Returns the expected end of a run. A run that takes longer than expected goes on for the part
+    /// that its progress leaves.
+    fn of(run: &Run, duration: Duration, now: Moment) -> Self {
         let left = 1.0 - f64::from(run.progress_percent.min(FULL_PERCENT)) / 100.0;
         let by_start = run.started_at(now) + duration;
         let end_at = if by_start > now { by_start } else { now + duration.mul_f64(left) };
-        Some(Self { end_at, duration, reservation: run.reservation })
+        Self { end_at, duration, reservation: run.reservation }
     }
 }
 
@@ -176,7 +175,7 @@
             let job = self.jobs.get(&key.job)?;
             let step = job.record.steps.get(key.step).filter(|step| !step.is_long_running)?;
             let duration = self.durations.expected(&job.record, step);
-            ExpectedRun::of(self.unit(key)?, duration, now)
+            Some(ExpectedRun::of(self.run_on(key, &worker.registration.id)?, duration, now))
         };
         let mut runs: Vec<ExpectedRun> = worker.runs.iter().filter_map(expected).collect();
         runs.sort_by_key(|run| run.end_at);
