--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -14,6 +14,7 @@
 mod requests;
 mod shares;
 mod stats;
+mod write_times;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -73,7 +73,9 @@
                     self.scheduler.handle_advice_failure();
                 }
             },
-            Event::TransactionDone { outcome } => self.handle_write_outcome(outcome),
+            Event::TransactionDone { sequence, sent_at, outcome } => {
+                self.handle_write_outcome(sequence, sent_at, outcome);
+            }
             Event::InboxRemoved { keys, outcome } => self.handle_inbox_removed(keys, outcome),
             Event::RegistryChanged { changes } => {
                 self.poll_schedule_reviewed_at = Moment::ZERO;
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -69,18 +69,34 @@
         self.send(in_flight, now);
     }
 
-    /// Handles the result of a transaction.
-    pub(super) fn handle_write_outcome(&mut self, outcome: WriteOutcome) {
+    /// Handles the result of an attempt to send a transaction.
+    pub(super) fn handle_write_outcome(
+        &mut self,
+        sequence: u64,
+        sent_at: Moment,
+        outcome: WriteOutcome,
+    ) {
         let now = clock::now();
-        self.pipeline.is_sending = false;
-        let Some(mut in_flight) = self.pipeline.in_flight.take() else {
+        // Another attempt may have shown the result already.
+        let is_of_sequence = |in_flight: &mut InFlight| in_flight.row.sequence == sequence;
+        let Some(mut in_flight) = self.pipeline.in_flight.take_if(is_of_sequence) else {
             return;
         };
-        self.stats.record_transaction(now.saturating_sub(in_flight.sent_at));
+        self.pipeline.pending_replies -= 1;
+        let took = now.saturating_sub(sent_at);
+        self.stats.record_transaction(took);
         let has_succeeded =
             matches!(outcome, WriteOutcome::Committed(_) | WriteOutcome::Conflict(_));
         let is_unknown = matches!(outcome, WriteOutcome::Unknown(_));
         self.shared.node.record_store_reply(has_succeeded);
+        if has_succeeded {
+            self.pipeline.write_times.record(took);
+            in_flight.sent_at = sent_at;
+        } else if self.pipeline.pending_replies > 0 {
+            in_flight.is_in_doubt |= is_unknown;
+            self.pipeline.in_flight = Some(in_flight);
+            return;
+        }
         match outcome {
             WriteOutcome::Committed(version) => self.handle_committed(in_flight, version, now),
             WriteOutcome::Conflict(found) => match version_if_committed(&found, &in_flight.row) {
@@ -193,28 +209,59 @@
         }
         add_rows(&mut transaction, &batch);
         let cancellations = pipeline.take_ready_cancellations(&batch);
-        let is_in_doubt = false;
-        InFlight { transaction, row, batch, submissions, cancellations, sent_at: now, is_in_doubt }
+        let (attempts, is_in_doubt) = (0, false);
+        InFlight {
+            transaction,
+            row,
+            batch,
+            submissions,
+            cancellations,
+            sent_at: now,
+            attempts,
+            attempted_at: now,
+            is_in_doubt,
+        }
     }
 
+    /// Sends a transaction, or sends it again after all attempts have failed.
     fn send(&mut self, in_flight: InFlight, now: Moment) {
-        let transaction = in_flight.transaction.clone();
         self.pipeline.sent_at = now;
-        self.pipeline.is_sending = true;
-        self.pipeline.in_flight = Some(InFlight { sent_at: now, ..in_flight });
+        self.pipeline.pending_replies = 0;
+        self.send_attempt(InFlight { sent_at: now, attempts: 0, ..in_flight }, now);
+    }
+
+    /// Makes one attempt to send a transaction. Others may be pending: at most one of them is
+    /// committed, and the others then find its row.
+    fn send_attempt(&mut self, in_flight: InFlight, now: Moment) {
+        let (transaction, sequence) = (in_flight.transaction.clone(), in_flight.row.sequence);
+        self.pipeline.pending_replies += 1;
+        let attempts = in_flight.attempts + 1;
+        self.pipeline.in_flight = Some(InFlight { attempts, attempted_at: now, ..in_flight });
         let shared = self.shared.clone();
         self.spawn(async move {
-            Event::TransactionDone { outcome: shared.node.platform.write(transaction).await }
+            let outcome = shared.node.platform.write(transaction).await;
+            Event::TransactionDone { sequence, sent_at: now, outcome }
         });
     }
 
+    /// Sends the transaction in flight again if it has failed, or if its reply is late and may have
+    /// been lost.
     fn resend(&mut self, now: Moment) {
-        let is_due = self.pipeline.retry_at.is_some_and(|at| now >= at);
-        if !is_due || self.pipeline.is_sending {
+        let retry_at = self.pipeline.retry_at;
+        let is_failed = self.pipeline.pending_replies == 0;
+        let is_due = |in_flight: &mut InFlight| match is_failed {
+            true => retry_at.is_some_and(|at| now >= at),
+            false => {
+                let InFlight { attempted_at, attempts, .. } = *in_flight;
+                self.pipeline.write_times.is_late(attempted_at, attempts, now)
+            }
+        };
+        let Some(in_flight) = self.pipeline.in_flight.take_if(is_due) else {
             return;
-        }
-        if let Some(in_flight) = self.pipeline.in_flight.take() {
-            self.send(in_flight, now);
+        };
+        match is_failed {
+            true => self.send(in_flight, now),
+            false => self.send_attempt(in_flight, now),
         }
     }
 
--- a/crates/coordinator/src/owner/event.rs
+++ b/crates/coordinator/src/owner/event.rs
@@ -39,8 +39,8 @@
         requested_at: Moment,
         result: Result<Vec<(WorkerId, Arc<str>)>, ReadError>,
     },
-    /// A transaction was sent.
-    TransactionDone { outcome: WriteOutcome },
+    /// A transaction was sent; it wrote the owner's row with this sequence number.
+    TransactionDone { sequence: u64, sent_at: Moment, outcome: WriteOutcome },
     /// Rows of the inbox were to be removed.
     InboxRemoved { keys: Vec<String>, outcome: WriteOutcome },
     /// Registrations of workers have changed.
--- a/crates/coordinator/src/owner/pipeline.rs
+++ b/crates/coordinator/src/owner/pipeline.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::requests::send_reply;
+use super::write_times::WriteTimes;
 use crate::ports::RowVersion;
 use crate::ports::Table;
 use crate::ports::Transaction;
@@ -50,6 +51,10 @@
     pub submissions: Vec<Submission>,
     pub cancellations: Vec<Cancellation>,
     pub sent_at: Moment,
+    /// Number of times that it was sent since `sent_at`.
+    pub attempts: u32,
+    /// When it was last sent.
+    pub attempted_at: Moment,
     /// Whether an attempt got no reply, so that the transaction may have been committed.
     pub is_in_doubt: bool,
 }
@@ -78,8 +83,9 @@
     pub in_flight: Option<InFlight>,
     /// When the transaction in flight is sent again, after it has failed.
     pub retry_at: Option<Moment>,
-    /// Whether a reply to the transaction in flight is outstanding.
-    pub is_sending: bool,
+    /// Number of attempts to send the transaction in flight that have no reply yet.
+    pub pending_replies: usize,
+    pub write_times: WriteTimes,
 }
 
 impl Pipeline {
@@ -96,7 +102,8 @@
             is_removing_inbox: false,
             in_flight: None,
             retry_at: None,
-            is_sending: false,
+            pending_replies: 0,
+            write_times: WriteTimes::default(),
         }
     }
 
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -96,6 +96,7 @@
     fault: TableFault,
     /// Number of reads of whole tables that panic, as a fault of the program would.
     panics_left: u32,
+    hung_writes_left: u32,
     running: Vec<(WorkerId, RunStatus, std::time::Instant)>,
     completions: Vec<(WorkerId, Completion)>,
     completion_count: u64,
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -22,6 +22,19 @@
 use super::table_number;
 
 impl Memory {
+    /// Commits the next writes without ever replying to them.
+    pub fn hang_writes(&self, count: u32) {
+        self.data.lock().unwrap().hung_writes_left = count;
+    }
+
+    /// Returns true if a write that was committed gets no reply.
+    fn takes_hung_write(&self) -> bool {
+        let mut data = self.data.lock().unwrap();
+        let is_hung = data.hung_writes_left > 0;
+        data.hung_writes_left = data.hung_writes_left.saturating_sub(1);
+        is_hung
+    }
+
     /// Reads the rows of a table; those of all shards unless one is given.
     fn read(&self, shard: Option<ShardIndex>, table: Table) -> Result<Vec<Row>, ReadError> {
         let data = self.data.lock().unwrap();
@@ -96,6 +109,16 @@
         if is_slow {
             tokio::time::sleep(SLOW_WRITE_TIME).await;
         }
+        let outcome = self.commit(transaction);
+        if self.takes_hung_write() {
+            std::future::pending::<()>().await;
+        }
+        outcome
+    }
+}
+
+impl Memory {
+    fn commit(&self, transaction: Transaction) -> WriteOutcome {
         let mut data = self.data.lock().unwrap();
         match data.fault {
             TableFault::Unavailable => return WriteOutcome::Refused("table is down".to_owned()),
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -165,6 +165,22 @@
     assert_eq!(memory.starts().len(), 6, "each unit of both jobs is started once");
 }
 
+/// Guards against an owner that waits for the time limit of a call, and starts nothing meanwhile,
+/// when the table commits its transactions but the replies are lost.
+#[tokio::test]
+async fn a_lost_reply_of_the_table_does_not_stop_the_owner() {
+    let memory = Memory::new(Duration::from_millis(50));
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    assert_eq!(submit(&node, "a").await, SubmitOutcome::Accepted);
+    wait_for(&node, "a", COMPLETED).await;
+    memory.hang_writes(2);
+    let outcome = tokio::time::timeout(Duration::from_millis(900), submit(&node, "b")).await;
+    assert_eq!(outcome, Ok(SubmitOutcome::Accepted));
+    wait_for(&node, "b", COMPLETED).await;
+    assert_eq!(memory.starts().len(), 6, "each unit of both jobs is started once");
+}
+
 #[tokio::test]
 async fn a_cancelled_job_starts_no_more_units() {
     let memory = Memory::new(Duration::from_secs(60));
