--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -12,6 +12,7 @@
 use crate::job::JobRecord;
 use crate::job::Resources;
 use crate::job::Step;
+use crate::job::UnitKey;
 use crate::progress::CrashedRun;
 use crate::progress::FinalState;
 
@@ -252,6 +253,20 @@
     pub has_record: bool,
 }
 
+impl Job {
+    /// Returns a unit of the job.
+    pub(crate) fn unit(&self, key: &UnitKey) -> Option<&Unit> {
+        let occurrence = self.occurrences.iter().find(|o| o.number == key.occurrence)?;
+        occurrence.steps.get(key.step)?.get(key.index)
+    }
+
+    /// Returns a unit of the job, to change it.
+    pub(crate) fn unit_mut(&mut self, key: &UnitKey) -> Option<&mut Unit> {
+        let occurrence = self.occurrences.iter_mut().find(|o| o.number == key.occurrence)?;
+        occurrence.steps.get_mut(key.step)?.get_mut(key.index)
+    }
+}
+
 /// A job that has finished and has no runs.
 #[derive(Clone, Debug)]
 pub struct FinishedJob {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -31,7 +31,6 @@
 use crate::live_jobs::FinishedJob;
 use crate::live_jobs::Job;
 use crate::live_jobs::JobView;
-use crate::live_jobs::Occurrence;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
@@ -309,19 +308,11 @@
     }
 
     pub(crate) fn unit(&self, key: &UnitKey) -> Option<&Unit> {
-        let occurrence = self.occurrence(key)?;
-        occurrence.steps.get(key.step)?.get(key.index)
+        self.jobs.get(&key.job)?.unit(key)
     }
 
     pub(crate) fn unit_mut(&mut self, key: &UnitKey) -> Option<&mut Unit> {
-        let job = self.jobs.get_mut(&key.job)?;
-        let occurrence = job.occurrences.iter_mut().find(|o| o.number == key.occurrence)?;
-        occurrence.steps.get_mut(key.step)?.get_mut(key.index)
-    }
-
-    fn occurrence(&self, key: &UnitKey) -> Option<&Occurrence> {
-        let job = self.jobs.get(&key.job)?;
-        job.occurrences.iter().find(|occurrence| occurrence.number == key.occurrence)
+        self.jobs.get_mut(&key.job)?.unit_mut(key)
     }
 
     /// Adds the run of a unit, and counts it for its worker and its team.
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -300,12 +300,12 @@
     /// there, and commands it to stop.
     fn handle_run_status(&mut self, id: &WorkerId, running: &RunStatus, now: Moment) -> bool {
         let key = &running.unit;
-        let Some(unit) = self.unit(key) else {
+        let job = self.jobs.get(&key.job);
+        let Some((job, unit)) = job.and_then(|job| Some((job, job.unit(key)?))) else {
             self.send_stop(id, key, running.run);
             return false;
         };
-        let is_wanted = unit.finish_state == FinishState::Unfinished
-            && self.jobs.get(&key.job).is_some_and(|job| !job.is_final_state_stored);
+        let is_wanted = unit.finish_state == FinishState::Unfinished && !job.is_final_state_stored;
         match &unit.run {
             _ if unit.run_on(id).is_some() => self.update_run(id, key, running, now),
             Some(run) if run.phase == Phase::InDoubt && unit.copy.is_none() => {
@@ -339,8 +339,12 @@
     }
 
     fn update_run(&mut self, id: &WorkerId, key: &UnitKey, running: &RunStatus, now: Moment) {
-        let is_long_running = self.is_long_running(key);
-        let Some(unit) = self.unit_mut(key) else {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        job.has_started = true;
+        let is_long_running = job.record.steps.get(key.step).is_some_and(|s| s.is_long_running);
+        let Some(unit) = job.unit_mut(key) else {
             return;
         };
         unit.last_run = unit.last_run.max(running.run);
@@ -358,7 +362,6 @@
         }
         run.record_checkpoint(&running.checkpoint, running.progress_percent, now);
         run.load = running.load;
-        self.mark_started(&key.job);
     }
 
     /// Adds a run that an earlier owner has started, or whose start command took effect late.
@@ -391,12 +394,12 @@
         };
         let mut absent = Vec::new();
         for key in &worker.runs {
-            let Some(run) = self.run_on(key, id) else {
-                continue;
-            };
             if report.running.iter().any(|running| running.unit == *key) {
                 continue;
             }
+            let Some(run) = self.run_on(key, id) else {
+                continue;
+            };
             let is_stopped =
                 run.stop.and_then(|stop| stop.replied_at).is_some_and(|at| at <= sent_at);
             let has_missed_deadline =
