--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -300,6 +300,10 @@
         if !has_new {
             return None;
         }
+        // A command that has waited to be stored is sent from now on.
+        for command in self.host_commands.values_mut().filter(|command| !command.is_stored) {
+            command.issued_at = now;
+        }
         self.host_commands.retain(|_, command| now.saturating_sub(command.issued_at) <= lease);
         let rows = self.host_commands.iter().map(|(host, command)| HostCommandRow {
             host: host.clone(),
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -63,6 +63,20 @@
     assert_eq!(maintained(&sim).len(), 1);
 }
 
+/// Guards against a command that is dropped, while its host waits for it forever, because the table
+/// was away for longer than the lease of a host when the command was to be stored.
+#[test]
+fn a_command_that_was_stored_late_is_sent() {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    sim.list_hosts_in_pool(&[("h1", "w1")]);
+    sim.scheduler.set_waves(vec![wave(&["h1"], 1)], sim.now);
+    sim.scheduler.review(sim.now);
+    sim.now += seconds(4);
+    sim.report_all();
+    sim.run_for(seconds(1));
+    assert_eq!(maintained(&sim), ["h1"]);
+}
+
 #[test]
 fn long_running_units_leave_a_host_one_after_another() {
     let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
