--- a/crates/coordinator/src/evacuated_zones.rs
+++ b/crates/coordinator/src/evacuated_zones.rs
@@ -1,8 +1,9 @@
-//! Zones that operators evacuate, as a node follows their rows, and whether the node may start runs.
+//! Zones that operators evacuate, as a node follows their rows, and whether the node may start
+//! runs.
 //!
 //! Failures: a malformed row changes nothing; rows that were removed while the node was away are
-//! missing in the next snapshot; a node that was suspended, or is cut off from the table, has an old
-//! read, with which it starts nothing.
+//! missing in the next snapshot; a node that was suspended, or is cut off from the table, has an
+//! old read, with which it starts nothing.
 
 use std::sync::Arc;
 
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,8 +7,9 @@
 //! transaction of an earlier owner, or one that arrives late, has no effect.
 //!
 //! [`Node`] runs all parts, and the traits of [`ports`] abstract the platform. [`election`] decides
-//! when a node takes over, [`evacuated_zones`] which zones operators evacuate, `owner` carries out what [`scheduler`] decides, [`caller_api`] serves
-//! callers, and `peers` holds the calls between nodes.
+//! when a node takes over, [`evacuated_zones`] which zones operators evacuate, `owner` carries out
+//! what [`scheduler`] decides, [`caller_api`] serves callers, and `peers` holds the calls between
+//! nodes.
 
 pub mod caller_api;
 pub mod clock;
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -36,8 +36,8 @@
 
 /// Maximum number of jobs that one transaction accepts.
 const SUBMISSIONS_MAX: usize = 16;
-/// Maximum number of the scheduler's rows and of accepted jobs in one transaction. Together with the
-/// owner's row and its precondition, they stay below the limit of the store, 100 entries.
+/// Maximum number of the scheduler's rows and of accepted jobs in one transaction. Together with
+/// the owner's row and its precondition, they stay below the limit of the store, 100 entries.
 const ROWS_MAX: usize = 96;
 /// Time after which a transaction renews the ownership even if there is nothing else to store.
 const RENEW_AFTER: Duration = Duration::from_millis(500);
--- a/crates/coordinator/src/owner/write_times.rs
+++ b/crates/coordinator/src/owner/write_times.rs
@@ -30,8 +30,8 @@
         self.usual = (self.usual * EARLIER_WEIGHT + took) / (EARLIER_WEIGHT + 1);
     }
 
-    /// Returns true if a transaction should be sent once more: it was sent `attempts` times, last at
-    /// `attempted_at`, without a reply. The time between attempts doubles.
+    /// Returns true if a transaction should be sent once more: it was sent `attempts` times, last
+    /// at `attempted_at`, without a reply. The time between attempts doubles.
     pub fn is_late(&self, attempted_at: Moment, attempts: u32, now: Moment) -> bool {
         let late_after = (self.usual * LATE_FACTOR).max(LATE_MIN);
         let doublings = attempts.saturating_sub(1).min(DOUBLINGS_MAX);
--- a/crates/coordinator/src/team_uses.rs
+++ b/crates/coordinator/src/team_uses.rs
@@ -1,8 +1,8 @@
 //! What teams use in a shard, as its owner publishes it to the owners of the other shards.
 //!
 //! Each owner writes one row for its shard, so that the number of writes does not depend on the
-//! number of jobs. The readers judge a row by its age, so the time in it has to agree among nodes to
-//! within a second, as the times of acceptance of jobs do.
+//! number of jobs. The readers judge a row by its age, so the time in it has to agree among nodes
+//! to within a second, as the times of acceptance of jobs do.
 
 use std::time::Duration;
 
--- a/crates/coordinator/tests/team_uses.rs
+++ b/crates/coordinator/tests/team_uses.rs
@@ -41,8 +41,8 @@
     assert_eq!(publisher.is_due(&current, start + Duration::from_millis(age_ms)), is_due);
 }
 
-/// Guards against a lost reply that blocks later rows or writes one twice, and against an owner that
-/// counts the uses of its own shard a second time.
+/// Guards against a lost reply that blocks later rows or writes one twice, and against an owner
+/// that counts the uses of its own shard a second time.
 #[test]
 fn a_row_whose_reply_was_lost_is_sent_again_and_read_by_others() {
     let now = Duration::from_secs(100);
--- a/crates/scheduler/src/absent_hosts.rs
+++ b/crates/scheduler/src/absent_hosts.rs
@@ -2,7 +2,8 @@
 //! are lost as a whole.
 //!
 //! Load: a zone loses its power or its network, with the nodes in it. Its workers are known to be
-//! silent long before their leases expire. Pools are refilled from elsewhere, and absent hosts are neither moved nor given to other pools.
+//! silent long before their leases expire. Pools are refilled from elsewhere, and absent hosts are
+//! neither moved nor given to other pools.
 
 use crate::Moment;
 use crate::ZoneName;
@@ -16,8 +17,8 @@
 use crate::worker::Worker;
 use crate::worker_reports::FAILED_POLLS_MAX;
 
-/// Minimum number of hosts of a zone that count as its loss if all are silent. Fewer may have failed
-/// by chance.
+/// Minimum number of hosts of a zone that count as its loss if all are silent. Fewer may have
+/// failed by chance.
 const LOST_ZONE_HOSTS_MIN: usize = 3;
 
 /// Hosts of a zone that are in service.
@@ -101,8 +102,8 @@
         }
     }
 
-    /// Returns the resources on a worker that its pool goes on to need. Finite units in an evacuated
-    /// zone finish there.
+    /// Returns the resources on a worker that its pool goes on to need. Finite units in an
+    /// evacuated zone finish there.
     pub(crate) fn lasting_reservation(&self, worker: &Worker) -> Resources {
         if !self.is_evacuated(&worker.registration.zone) {
             return worker.reserved;
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -4,7 +4,8 @@
 //! may be running, with its run number: a unit that no row names is not running anywhere. A row is
 //! written when a run is added to its worker. Runs that have ended stay in the row until it is
 //! written again. This is harmless, since their units have finished or have a run with a higher
-//! number. A row also tells of a copy which run it was started beside: that one may still exist too.
+//! number. A row also tells of a copy which run it was started beside: that one may still exist
+//! too.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/scheduler/src/backlogs.rs
+++ b/crates/scheduler/src/backlogs.rs
@@ -1,4 +1,5 @@
-//! What waits in a pool, as sums along the order of placement, and what of it is ahead of a new job.
+//! What waits in a pool, as sums along the order of placement, and what of it is ahead of a new
+//! job.
 
 use std::time::Duration;
 
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -146,8 +146,8 @@
         fitting.min_by_key(|(_, worker)| worker.fit(step, history)).map(|(index, _)| index)
     }
 
-    /// Returns the index of a worker for a unit that is strongly suspected to crash it: the one that
-    /// has started nothing for the longest time. If that is too short, reserves the worker and
+    /// Returns the index of a worker for a unit that is strongly suspected to crash it: the one
+    /// that has started nothing for the longest time. If that is too short, reserves the worker and
     /// returns `None`.
     pub fn choose_for_strong_suspect(
         &mut self,
--- a/crates/scheduler/src/capacity_forecast.rs
+++ b/crates/scheduler/src/capacity_forecast.rs
@@ -68,8 +68,8 @@
         self.workers.push(WorkerForecast { index, free, promised, promised_units, runs });
     }
 
-    /// Promises a unit the capacity that comes free first, if that is until `until`. Returns the index
-    /// of its worker among the candidates.
+    /// Promises a unit the capacity that comes free first, if that is until `until`. Returns the
+    /// index of its worker among the candidates.
     pub fn promise(
         &mut self,
         key: &UnitKey,
@@ -85,8 +85,8 @@
         Some(worker.index)
     }
 
-    /// Returns the runs on one worker that free enough capacity for a unit with the least lost work;
-    /// none if no worker has such runs.
+    /// Returns the runs on one worker that free enough capacity for a unit with the least lost
+    /// work; none if no worker has such runs.
     pub fn victims(&self, key: &UnitKey, step: &Step, candidates: &Candidates) -> Option<Victims> {
         let suitable = self.workers.iter().enumerate();
         let suitable = suitable.filter(|(_, worker)| worker.suits(key, step, candidates));
--- a/crates/scheduler/src/copies.rs
+++ b/crates/scheduler/src/copies.rs
@@ -109,7 +109,8 @@
         by_pool
     }
 
-    /// Places the urgent copies whose jobs have a higher priority than the step that is placed next.
+    /// Places the urgent copies whose jobs have a higher priority than the step that is placed
+    /// next.
     pub(crate) fn place_copies_before(
         &mut self,
         next: &WaitingStep,
@@ -343,13 +344,14 @@
     copies_cpu_millis * 100 <= running_cpu_millis * BUDGET_PERCENT
 }
 
-/// Returns what a copy counts against the budgets; one that requests no processors counts as little.
+/// Returns what a copy counts against the budgets; one that requests no processors counts as
+/// little.
 fn copy_cpu_millis(step: &Step) -> u64 {
     step.requested.cpu_millis.max(1)
 }
 
-/// Returns the length of the longest path through the steps that wait for a step. `expected` has the
-/// expected duration of a unit of each step.
+/// Returns the length of the longest path through the steps that wait for a step. `expected` has
+/// the expected duration of a unit of each step.
 fn time_after_step(record: &JobRecord, step: usize, expected: &[Duration]) -> Duration {
     // Time from the end of `step` to the end of each step; `None` if that one does not wait for it.
     let mut ends: Vec<Option<Duration>> = vec![None; record.steps.len()];
--- a/crates/scheduler/src/copy_outcomes.rs
+++ b/crates/scheduler/src/copy_outcomes.rs
@@ -1,5 +1,5 @@
-//! How copies end, and what they cost: the first success of a unit counts, and what the run beside it
-//! has done was done twice.
+//! How copies end, and what they cost: the first success of a unit counts, and what the run beside
+//! it has done was done twice.
 
 use crate::Moment;
 use crate::job::UnitKey;
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -1,9 +1,9 @@
 //! Evacuation of availability zones.
 //!
-//! Load: an operator evacuates one or several zones for a while. No run starts there from the moment
-//! the owner knows of it, including runs that were already planned and stored. Finite units finish.
-//! Long-running units are moved out one after another, within the disruption budgets of their steps
-//! and only while a worker elsewhere has room for them.
+//! Load: an operator evacuates one or several zones for a while. No run starts there from the
+//! moment the owner knows of it, including runs that were already planned and stored. Finite units
+//! finish. Long-running units are moved out one after another, within the disruption budgets of
+//! their steps and only while a worker elsewhere has room for them.
 //!
 //! A node that cannot read the operators' rows may have missed an evacuation. An owner whose last
 //! confirmed read is older than a part of [`Settings::evacuation_bound`] therefore starts nothing,
@@ -97,7 +97,8 @@
         self.settings.permits_starts(self.evacuations.rows_read_at, now)
     }
 
-    /// Returns true if a run that was planned on a worker, and is now stored, may still start there.
+    /// Returns true if a run that was planned on a worker, and is now stored, may still start
+    /// there.
     pub(crate) fn can_start_planned(&self, worker: &Worker, now: Moment) -> bool {
         worker.can_start_planned()
             && !self.is_evacuated(&worker.registration.zone)
@@ -122,8 +123,8 @@
         }
     }
 
-    /// Moves long-running units out of evacuated zones. Follows a placement, so that units that wait
-    /// have taken the room that is theirs.
+    /// Moves long-running units out of evacuated zones. Follows a placement, so that units that
+    /// wait have taken the room that is theirs.
     pub(crate) fn plan_evacuations(&mut self, now: Moment) {
         let is_due = now.saturating_sub(self.evacuations.planned_at) >= PLAN_PERIOD;
         if !self.evacuations.zones.is_empty() && is_due {
@@ -197,8 +198,8 @@
         units
     }
 
-    /// Returns true if the disruption budget of its step allows a long-running unit to be moved now.
-    /// A gang ends as a whole, so the budget must allow for all its units.
+    /// Returns true if the disruption budget of its step allows a long-running unit to be moved
+    /// now. A gang ends as a whole, so the budget must allow for all its units.
     fn may_move_unit(&self, key: &UnitKey, now: Moment) -> bool {
         let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
         let is_within_budget =
@@ -206,8 +207,8 @@
         is_within_budget && self.may_be_unavailable(key, now)
     }
 
-    /// Reserves room on a candidate for a unit, or for all units of its gang. Returns false if there
-    /// is not enough.
+    /// Reserves room on a candidate for a unit, or for all units of its gang. Returns false if
+    /// there is not enough.
     fn reserve_elsewhere(&self, key: &UnitKey, candidates: &mut Candidates, now: Moment) -> bool {
         let Some(step) = self.jobs.get(&key.job).map(|job| &job.record.steps[key.step]) else {
             return true;
--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -4,11 +4,11 @@
 //! along the order of placement, for all teams and for each team. Accepted jobs are added to the
 //! record until the next one. A new job then needs a few binary searches, however many jobs wait.
 //!
-//! The work ahead of a job is what the order puts before it, and what its own team has late. The job
-//! starts when the capacity that the pool has, or is about to get, has done that work, as far as new
-//! jobs that go before it leave that capacity. If the order alone makes it late, it stands behind all
-//! that is in time, and new jobs in time go before it as well. A team at its quota delays nobody
-//! else, so what it has waiting counts for itself only, divided by its quota.
+//! The work ahead of a job is what the order puts before it, and what its own team has late. The
+//! job starts when the capacity that the pool has, or is about to get, has done that work, as far
+//! as new jobs that go before it leave that capacity. If the order alone makes it late, it stands
+//! behind all that is in time, and new jobs in time go before it as well. A team at its quota
+//! delays nobody else, so what it has waiting counts for itself only, divided by its quota.
 
 use std::time::Duration;
 
@@ -260,7 +260,8 @@
             if work.is_zero() {
                 continue;
             }
-            // Steps of an occurrence that wait at the same time are followed by the same later ones.
+            // Steps of an occurrence that wait at the same time are followed by the same later
+            // ones.
             let occurrence = Some((&key.job, key.occurrence));
             if occurrence != last_occurrence {
                 work += self.later_work(job, key.occurrence);
--- a/crates/scheduler/src/job_map.rs
+++ b/crates/scheduler/src/job_map.rs
@@ -1,8 +1,9 @@
 //! A map by job id, built for thousands of jobs that are looked up many times a round.
 //!
-//! Each report of a worker and each round of placement looks up the job of every unit concerned. The
-//! first bytes of the ids are kept in a dense vector of their own, so that a binary search seldom
-//! follows a pointer. Values are boxed, so that adding and removing a job moves little memory.
+//! Each report of a worker and each round of placement looks up the job of every unit concerned.
+//! The first bytes of the ids are kept in a dense vector of their own, so that a binary search
+//! seldom follows a pointer. Values are boxed, so that adding and removing a job moves little
+//! memory.
 
 use crate::JobId;
 
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -25,8 +25,8 @@
 /// Number of crashes at which the job of a unit fails, if the unit was among the last ones to start
 /// each time, and the only one the last time.
 const CRASHES_MAX_AS_LAST: usize = 3;
-/// Number of crashes at which the job of a unit fails whatever else they hit, unless another unit is
-/// known to have started later; those included that are not certain.
+/// Number of crashes at which the job of a unit fails whatever else they hit, unless another unit
+/// is known to have started later; those included that are not certain.
 const CRASHES_MAX: usize = 5;
 /// Number of certain crashes without which a job does not fail.
 const CERTAIN_CRASHES_MIN: usize = 2;
@@ -264,8 +264,8 @@
     is_confirmed && run.deadline_ms != 0
 }
 
-/// Returns true if the run may have crashed its worker, should the worker have ended, and was at most
-/// `age_max` old then.
+/// Returns true if the run may have crashed its worker, should the worker have ended, and was at
+/// most `age_max` old then.
 fn may_have_crashed(run: &Run, worker: &Worker, age_max: Duration) -> bool {
     let has_started = match run.phase {
         // A command that is still unanswered was sent long after the crash.
--- a/crates/scheduler/src/placement_order.rs
+++ b/crates/scheduler/src/placement_order.rs
@@ -1,8 +1,9 @@
 //! The order in which the waiting steps of a pool are placed during one round.
 //!
 //! Without shares, it is the order of their priorities. With shares, a team above its share comes
-//! after the others of the same queue priority. The steps of each team stay in order, and the team whose first step has the lowest key goes next. A placed unit changes
-//! only the key of its own team, so that the order is kept up with a heap of the teams.
+//! after the others of the same queue priority. The steps of each team stay in order, and the team
+//! whose first step has the lowest key goes next. A placed unit changes only the key of its own
+//! team, so that the order is kept up with a heap of the teams.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -151,8 +152,8 @@
         self.visited
     }
 
-    /// Records that `units` units of the current step were placed, the last one after `visited` were
-    /// visited. Returns true if the step has more units, and another team goes first now.
+    /// Records that `units` units of the current step were placed, the last one after `visited`
+    /// were visited. Returns true if the step has more units, and another team goes first now.
     pub fn record_placed(&mut self, units: usize, visited: usize, reservation: &Resources) -> bool {
         let (Some(shares), Some(current)) = (&mut self.shares, self.current) else {
             return false;
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -1,10 +1,10 @@
 //! Urgent units that find no free capacity stop units of other queues.
 //!
 //! The load: jobs of a queue with priority 0 come to a pool that is full of work that can wait. A
-//! unit of such a queue that would miss its latest start stops runs of queues with a higher priority
-//! number in its pool, those that lose the least work. Nothing is stopped if enough capacity comes
-//! free in time anyway, which includes what is being stopped already. A stopped unit goes back to
-//! waiting with its checkpoint and its place.
+//! unit of such a queue that would miss its latest start stops runs of queues with a higher
+//! priority number in its pool, those that lose the least work. Nothing is stopped if enough
+//! capacity comes free in time anyway, which includes what is being stopped already. A stopped unit
+//! goes back to waiting with its checkpoint and its place.
 //!
 //! Long-running units are never stopped: they lose no work that could be compared, and in a full
 //! pool it is not certain that they start again in time.
@@ -35,8 +35,8 @@
 const PER_POOL_MAX: usize = 10;
 /// Maximum number of units of a team that are preempted in [`LIMIT_WINDOW`].
 const PER_TEAM_MAX: usize = 4;
-/// Longest time for which a worker is held for an urgent unit, in multiples of the longest time of a
-/// stop: a poll reports the end later, and a lost stop is sent again.
+/// Longest time for which a worker is held for an urgent unit, in multiples of the longest time of
+/// a stop: a poll reports the end later, and a lost stop is sent again.
 const HOLD_STOP_TIMES: u32 = 2;
 /// Minimum time between two checks of a pool, so that the forecast over its runs is not made in
 /// each round.
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -101,8 +101,8 @@
     critical_path.mul_f64(stretch) + deadline_slack
 }
 
-/// Returns the length of the critical path through the unfinished units. `expected` has the expected
-/// duration of a unit of each step.
+/// Returns the length of the critical path through the unfinished units. `expected` has the
+/// expected duration of a unit of each step.
 fn remaining_critical_path(
     record: &JobRecord,
     occurrence: &Occurrence,
--- a/crates/scheduler/src/run_samples.rs
+++ b/crates/scheduler/src/run_samples.rs
@@ -1,9 +1,10 @@
 //! What completions of runs tell about the durations of units and the speeds of workers.
 //!
-//! Only successful runs that show how long a unit takes on a worker at full speed are samples.
-//! Not among them are runs that an earlier owner has started, since their start is not known;
-//! runs that began on a cold worker or soon after; runs that have resumed from a checkpoint; runs that were told to stop; best-effort units, which
-//! get the processor time that others leave; and units that run until their job is cancelled.
+//! Only successful runs that show how long a unit takes on a worker at full speed are samples. Not
+//! among them are runs that an earlier owner has started, since their start is not known; runs that
+//! began on a cold worker or soon after; runs that have resumed from a checkpoint; runs that were
+//! told to stop; best-effort units, which get the processor time that others leave; and units that
+//! run until their job is cancelled.
 
 use std::time::Duration;
 
--- a/crates/scheduler/src/slow_workers.rs
+++ b/crates/scheduler/src/slow_workers.rs
@@ -115,8 +115,8 @@
         }
     }
 
-    /// Returns how much of the workers of a pool that accept new runs is in use. Nothing depends on it without slow workers, so that it
-    /// is empty then.
+    /// Returns how much of the workers of a pool that accept new runs is in use. Nothing depends on
+    /// it without slow workers, so that it is empty then.
     pub(crate) fn pool_use(&self, pool: &PoolName, now: Moment) -> PoolUse {
         let mut pool_use = PoolUse::default();
         if self.slow_workers.speeds.slow_workers().next().is_none() {
--- a/crates/scheduler/src/stragglers.rs
+++ b/crates/scheduler/src/stragglers.rs
@@ -1,14 +1,14 @@
 //! Runs that are much slower than others of their step.
 //!
 //! Handles the load that one unit in thirty takes seven times as long. A run is a straggler if its
-//! remaining time is more than twice the time of a fresh run, and if it is older than nine tenths of
-//! the runs of its step. What is usual comes from the siblings, the units of the same step of the
-//! same occurrence: they are exact where the estimate of a caller may be off by a factor of ten. A
-//! step with few units has the learned durations only. Without these, none of its runs counts as a
-//! straggler, since a slow run and a low estimate look alike.
+//! remaining time is more than twice the time of a fresh run, and if it is older than nine tenths
+//! of the runs of its step. What is usual comes from the siblings, the units of the same step of
+//! the same occurrence: they are exact where the estimate of a caller may be off by a factor of
+//! ten. A step with few units has the learned durations only. Without these, none of its runs
+//! counts as a straggler, since a slow run and a low estimate look alike.
 //!
-//! Reports of workers trigger the comparison, so that its cost grows with the reported runs of steps
-//! that allow copies. What is usual for a step is computed again after [`USUAL_AGE_MAX`].
+//! Reports of workers trigger the comparison, so that its cost grows with the reported runs of
+//! steps that allow copies. What is usual for a step is computed again after [`USUAL_AGE_MAX`].
 
 use std::time::Duration;
 
--- a/crates/scheduler/src/worker_slots.rs
+++ b/crates/scheduler/src/worker_slots.rs
@@ -99,8 +99,8 @@
 }
 
 impl ExpectedRun {
-    /// Returns the expected end of a run. A run that takes longer than expected goes on for the part
-    /// that its progress leaves.
+    /// Returns the expected end of a run. A run that takes longer than expected goes on for the
+    /// part that its progress leaves.
     fn of(run: &Run, duration: Duration, now: Moment) -> Self {
         let left = 1.0 - f64::from(run.progress_percent.min(FULL_PERCENT)) / 100.0;
         let by_start = run.started_at(now) + duration;
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -216,8 +216,8 @@
         }
         load.tick();
         let unfinished = load.submitted.len() - load.ended.len();
-        // By too low an estimate, 46 late jobs fit into the useful time, and 11 jobs can still start
-        // in time; without a bound, 300 would wait in the end.
+        // By too low an estimate, 46 late jobs fit into the useful time, and 11 jobs can still
+        // start in time; without a bound, 300 would wait in the end.
         assert!(unfinished <= 60, "{unfinished}");
     }
     load.run_for(seconds(120));
@@ -316,8 +316,8 @@
     load.submit_until_refused("hot");
 }
 
-/// Failure: the reply to a refusal is lost, so that a node stores the same submission; or an earlier
-/// submission is stored only after a later one was refused. Only the latter is dropped.
+/// Failure: the reply to a refusal is lost, so that a node stores the same submission; or an
+/// earlier submission is stored only after a later one was refused. Only the latter is dropped.
 #[test]
 fn only_submissions_before_a_refused_one_are_dropped() {
     let mut load = Load::warmed_up(config_with(0.0, NO_QUOTA), &[Policy::Admission]);
--- a/crates/scheduler/tests/copies.rs
+++ b/crates/scheduler/tests/copies.rs
@@ -244,7 +244,8 @@
     assert!(test.is_done() && test.runs().is_empty());
 }
 
-/// Failure: the copy fails or its worker crashes. The run goes on, and the unit may get another copy.
+/// Failure: the copy fails or its worker crashes. The run goes on, and the unit may get another
+/// copy.
 #[rstest]
 #[case::fails(false)]
 #[case::worker_crashes(true)]
@@ -417,8 +418,8 @@
     assert_eq!(test.has_decided("copy started"), known);
 }
 
-/// Goal: where nothing is slow, copies cost less than 1 % of the work. Units take 600 to 1,800 ms, of
-/// which their callers know nothing.
+/// Goal: where nothing is slow, copies cost less than 1 % of the work. Units take 600 to 1,800 ms,
+/// of which their callers know nothing.
 #[test]
 fn usual_variation_leads_to_few_copies() {
     let mut sim = simulation(copies(), config(3, NO_QUOTA));
--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -212,8 +212,8 @@
     assert_eq!(sim.scheduler.take_counts().units_evacuated, 4);
 }
 
-/// Failure: the read becomes too old while units are being moved. One that is stopped then could not
-/// start elsewhere.
+/// Failure: the read becomes too old while units are being moved. One that is stopped then could
+/// not start elsewhere.
 #[test]
 fn no_unit_is_moved_while_starts_are_withheld() {
     let mut sim = simulation_with_bound(&["w1", "w2"]);
--- a/crates/scheduler/tests/fair_shares.rs
+++ b/crates/scheduler/tests/fair_shares.rs
@@ -222,7 +222,8 @@
 }
 
 /// Guards against shares that do not follow the weights under random loads, against capacity that
-/// is left idle for the sake of shares, and against an order that passes over a team below its share.
+/// is left idle for the sake of shares, and against an order that passes over a team below its
+/// share.
 #[rstest]
 fn saturated_teams_hold_their_weights_and_the_total_work_is_the_same(
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
@@ -282,7 +283,8 @@
     assert_eq!(run(SHARES), run(&[]));
 }
 
-/// Returns the use of team `a` in a full pool, in thousandths, if it uses 32 cores in another shard.
+/// Returns the use of team `a` in a full pool, in thousandths, if it uses 32 cores in another
+/// shard.
 fn use_with_foreign_row(age: Duration) -> u64 {
     let mut load = Load::new(config_with_teams(&[("a", LARGE), ("b", LARGE)]), SHARES);
     load.submit("b", 40, 4_000, 10_000);
@@ -324,8 +326,8 @@
     assert!((500..530).contains(&used), "{shares:?}");
 }
 
-/// Guards against a team that gets its share in each shard although it already has more than that in
-/// another one: over two shards, both teams get as much.
+/// Guards against a team that gets its share in each shard although it already has more than that
+/// in another one: over two shards, both teams get as much.
 #[test]
 fn a_team_that_has_one_shard_leaves_the_other_one() {
     let config = config_with_teams(&[("a", LARGE), ("b", LARGE)]);
--- a/crates/scheduler/tests/preemption.rs
+++ b/crates/scheduler/tests/preemption.rs
@@ -157,7 +157,8 @@
     assert!(preempted(&sim).is_empty());
 }
 
-/// Guards against a burst of urgent jobs that stops the work of all others, or of one team, at once.
+/// Guards against a burst of urgent jobs that stops the work of all others, or of one team, at
+/// once.
 #[rstest]
 #[case::one_team(1, 4)]
 #[case::many_teams(20, 10)]
@@ -263,8 +264,8 @@
     assert!(is_running(&sim, &unit("b", 0, 0)));
 }
 
-/// Guards against stops for a gang whose other units get capacity only later: what was freed would go
-/// to others meanwhile, such as the stopped unit itself.
+/// Guards against stops for a gang whose other units get capacity only later: what was freed would
+/// go to others meanwhile, such as the stopped unit itself.
 #[test]
 fn an_urgent_gang_gets_all_its_capacity_at_once() {
     let mut sim = simulation(&["w1", "w2"]);
@@ -278,8 +279,8 @@
     assert!(is_running(&sim, &unit("u", 0, 0)) && is_running(&sim, &unit("u", 0, 1)));
 }
 
-/// Guards against a unit that runs twice, or nowhere, because the owner changed after it had decided
-/// to stop it: once before the stop was sent, once after.
+/// Guards against a unit that runs twice, or nowhere, because the owner changed after it had
+/// decided to stop it: once before the stop was sent, once after.
 #[rstest]
 #[case::stop_not_sent(false)]
 #[case::stop_sent(true)]
--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -1,5 +1,5 @@
-//! Invariants under random jobs, workers, completions, cancellations, crashes and takeovers, checked
-//! after each event.
+//! Invariants under random jobs, workers, completions, cancellations, crashes and takeovers,
+//! checked after each event.
 //!
 //! A seed that has ever failed stays in [`REGRESSIONS`], with its cause.
 
--- a/crates/scheduler/tests/takeover_copies_model.rs
+++ b/crates/scheduler/tests/takeover_copies_model.rs
@@ -2,9 +2,9 @@
 //!
 //! It has the ticks, late writes and commands of `takeover_model.rs`; a tick is about a second. A
 //! unit may run on both workers at a time if its step allows copies, and otherwise never. At most
-//! one end is stored. A run that is no copy starts only if no other is running, and a copy starts at
-//! most a tick after an end was stored. Each guard is disabled in turn; the model must then find a
-//! violation.
+//! one end is stored. A run that is no copy starts only if no other is running, and a copy starts
+//! at most a tick after an end was stored. Each guard is disabled in turn; the model must then find
+//! a violation.
 
 use std::collections::HashSet;
 
@@ -371,8 +371,8 @@
     (state.owners[owner].end == End::Seen).then_some(next)
 }
 
-/// Normalizes a state: the lease of a worker without a run makes no difference, nor does what a node
-/// knows whose ownership has ended.
+/// Normalizes a state: the lease of a worker without a run makes no difference, nor does what a
+/// node knows whose ownership has ended.
 fn normalized(mut state: State) -> State {
     for worker in state.workers.iter_mut().filter(|worker| worker.running.is_none()) {
         worker.lease_until = 0;
