--- a/crates/savorypitch/tests/soak.rs
+++ b/crates/savorypitch/tests/soak.rs
@@ -5,9 +5,9 @@
 //! suspended, killed, or stopped and restarted; the table is unavailable, slow or loses replies;
 //! connections are delayed, blocked, blocked in one direction or reset; workers crash and restart,
 //! also under a few harmful jobs, which crash each worker that starts them; half of the workers are
-//! in a zone that is evacuated. Faults overlap. While
-//! they last, the stand-in workers record every violation of a guarantee. Afterwards every accepted
-//! job must complete, or fail if it is harmful, and no refused job may have run.
+//! in a zone that is evacuated. Faults overlap. While they last, the stand-in workers record every
+//! violation of a guarantee. Afterwards every accepted job must complete, or fail if it is harmful,
+//! and no refused job may have run.
 //!
 //! To run many seeds: `SAVORYPITCH_SOAK_SEEDS=50 cargo test -p savorypitch --test soak --
 //! --ignored`; `SAVORYPITCH_SOAK_LOGS` names a folder for the logs of the nodes. A seed that has
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -152,7 +152,7 @@
         }
         let quota = self.quota_here(job.team.as_ref());
         let alone = forecasts.start(job, &quota, Work::default(), now)?;
-        let (group, number) = (group_of(job), refused.number_of(&job.id, now));
+        let (group, number) = (group_of(job), refused.expected_number(&job.id, now));
         // Callers that return before this job starts go before it.
         let returning = refused.expected_work(&group, number, now + alone.start_in(), now);
         let returning = returning.scaled(refused.return_ratio(&group));
@@ -204,7 +204,7 @@
             first_units,
             critical_path,
             deadline: submitted_at + time_to_deadline(critical_path, queue),
-            has_returned: self.admission.refused.number_of(&record.id, now).is_some(),
+            has_returned: self.admission.refused.expected_number(&record.id, now).is_some(),
         }
     }
 
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -83,8 +83,8 @@
     unfit_reservations: Vec<Resources>,
     /// Reservations that fit on no worker that is not held for a wide step.
     unfit_beside_held: Vec<Resources>,
-    /// Reservations that fit on no warm worker, as far as units that wait for
-    /// one have shown.
+    /// Reservations that fit on no warm worker, as far as units that wait for one have
+    /// shown.
     unfit_on_warm: Vec<Resources>,
     /// Some workers are cold.
     pub has_cold: bool,
--- a/crates/scheduler/src/policies.rs
+++ b/crates/scheduler/src/policies.rs
@@ -16,7 +16,7 @@
     Preemption,
     /// Measured durations replace the estimates of callers.
     LearnedDurations,
-    /// Slow runs get a second copy where their step allows it.
+    /// Units with a slow run get a second run where their step allows it.
     Copies,
     /// Slow workers are avoided.
     WorkerSpeeds,
--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -25,7 +25,7 @@
 /// Number of callers from which the older ones count half.
 const CALLERS_COUNTED_MAX: u32 = 64;
 
-/// Place of a refused job among all refused ones; a lower one was refused earlier.
+/// Position of a refused job among all refused ones; a lower one was refused earlier.
 pub(crate) type RefusalNumber = u64;
 
 /// Callers of one team that want capacity of one pool.
@@ -61,7 +61,7 @@
 
 /// Where a refused job is found.
 #[derive(Clone, Debug)]
-struct Place {
+struct RefusalLocation {
     group: CallerGroup,
     number: RefusalNumber,
 }
@@ -70,7 +70,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RefusedJobs {
     groups: SortedMap<CallerGroup, RefusedGroup>,
-    places: SortedMap<JobId, Place>,
+    locations: SortedMap<JobId, RefusalLocation>,
     /// When each job was first refused, oldest first. Jobs that have been accepted since may be
     /// among them.
     first_refused: VecDeque<(Moment, JobId, RefusalNumber)>,
@@ -89,8 +89,8 @@
 }
 
 impl RefusedJobs {
-    /// Returns the place of a job among the refused ones if its caller has returned in time.
-    pub fn number_of(&self, id: &JobId, now: Moment) -> Option<RefusalNumber> {
+    /// Returns the number of a refused job whose caller is still expected.
+    pub fn expected_number(&self, id: &JobId, now: Moment) -> Option<RefusalNumber> {
         let job = self.job(id)?;
         is_expected(job, now).then_some(job.number)
     }
@@ -121,15 +121,15 @@
 
     /// Counts a caller that submits a job again, if it is expected.
     pub fn record_return(&mut self, id: &JobId, now: Moment) {
-        if self.number_of(id, now).is_some()
-            && let Some(place) = self.places.get(id)
-            && let Some(group) = self.groups.get_mut(&place.group)
+        if self.expected_number(id, now).is_some()
+            && let Some(location) = self.locations.get(id)
+            && let Some(group) = self.groups.get_mut(&location.group)
         {
             group.count(true);
         }
     }
 
-    /// Remembers a refused job. A job that was refused before keeps its place.
+    /// Remembers a refused job. A job that was refused before keeps its number.
     pub fn insert(
         &mut self,
         id: JobId,
@@ -139,7 +139,7 @@
         return_at: Moment,
         now: Moment,
     ) {
-        if self.number_of(&id, now).is_some()
+        if self.expected_number(&id, now).is_some()
             && let Some(job) = self.job_mut(&id)
         {
             job.return_at = return_at;
@@ -151,7 +151,7 @@
         let number = self.last_number;
         let job = RefusedJob { number, work, return_at, submitted_ms, has_missed: false };
         self.groups.entry_or(group.clone(), RefusedGroup::default).jobs.push(job);
-        self.places.insert(id.clone(), Place { group, number });
+        self.locations.insert(id.clone(), RefusalLocation { group, number });
         self.first_refused.push_back((now, id, number));
         if self.first_refused.len() > JOBS_MAX {
             self.remove_oldest();
@@ -160,13 +160,13 @@
 
     /// Forgets a job, since it was accepted.
     pub fn remove(&mut self, id: &JobId) {
-        let Some(place) = self.places.remove(id) else {
+        let Some(location) = self.locations.remove(id) else {
             return;
         };
-        if let Some(group) = self.groups.get_mut(&place.group) {
-            group.jobs.retain(|job| job.number != place.number);
+        if let Some(group) = self.groups.get_mut(&location.group) {
+            group.jobs.retain(|job| job.number != location.number);
             if group.jobs.is_empty() {
-                self.groups.remove(&place.group);
+                self.groups.remove(&location.group);
             }
         }
     }
@@ -196,22 +196,22 @@
         let Some((_, id, number)) = self.first_refused.pop_front() else {
             return;
         };
-        if self.places.get(&id).is_some_and(|place| place.number == number) {
+        if self.locations.get(&id).is_some_and(|location| location.number == number) {
             self.remove(&id);
         }
     }
 
     fn job(&self, id: &JobId) -> Option<&RefusedJob> {
-        let place = self.places.get(id)?;
-        let jobs = &self.groups.get(&place.group)?.jobs;
-        let index = jobs.binary_search_by_key(&place.number, |job| job.number).ok()?;
+        let location = self.locations.get(id)?;
+        let jobs = &self.groups.get(&location.group)?.jobs;
+        let index = jobs.binary_search_by_key(&location.number, |job| job.number).ok()?;
         jobs.get(index)
     }
 
     fn job_mut(&mut self, id: &JobId) -> Option<&mut RefusedJob> {
-        let place = self.places.get(id)?;
-        let jobs = &mut self.groups.get_mut(&place.group)?.jobs;
-        let index = jobs.binary_search_by_key(&place.number, |job| job.number).ok()?;
+        let location = self.locations.get(id)?;
+        let jobs = &mut self.groups.get_mut(&location.group)?.jobs;
+        let index = jobs.binary_search_by_key(&location.number, |job| job.number).ok()?;
         jobs.get_mut(index)
     }
 }
--- a/crates/scheduler/src/reservations.rs
+++ b/crates/scheduler/src/reservations.rs
@@ -60,7 +60,7 @@
 
 /// A wide step that waits for capacity.
 #[derive(Clone, Debug)]
-struct CrowdedStep {
+struct StarvedStep {
     first_unit: UnitKey,
     since: Moment,
     /// Units behind it in the order have started meanwhile.
@@ -72,7 +72,7 @@
 struct PoolReservations {
     current: Option<Reservation>,
     /// Wide steps without capacity, in the order of placement.
-    crowded: Vec<CrowdedStep>,
+    starved: Vec<StarvedStep>,
     attempted_at: Moment,
     /// Step whose reservation has ended before the step could start, and until when others get
     /// their turn.
@@ -170,7 +170,7 @@
             return;
         }
         let mut state = self.reservations.pools.remove(pool).unwrap_or_default();
-        state.crowded = self.crowded_steps(&state.crowded, results, now);
+        state.starved = self.starved_steps(&state.starved, results, now);
         if let Some(reservation) = state.current.take() {
             state.current = self.keep_reservation(reservation, pool, results, &mut state, now);
         }
@@ -179,7 +179,7 @@
             state.attempted_at = now;
             state.current = self.make_reservation(pool, &state, results, now);
         }
-        if state.current.is_some() || !state.crowded.is_empty() || state.expired.is_some() {
+        if state.current.is_some() || !state.starved.is_empty() || state.expired.is_some() {
             self.reservations.pools.insert(pool.clone(), state);
         }
     }
@@ -197,23 +197,23 @@
     }
 
     /// Returns the first wide steps in order that lack capacity.
-    fn crowded_steps(
+    fn starved_steps(
         &self,
-        previous: &[CrowdedStep],
+        previous: &[StarvedStep],
         results: &PlacementResults<'_>,
         now: Moment,
-    ) -> Vec<CrowdedStep> {
+    ) -> Vec<StarvedStep> {
         let wide = results.without_capacity.iter().filter(|(_, waiting)| self.is_wide(waiting));
-        let crowded = wide.take(WAITING_STEPS_MAX).map(|(position, waiting)| {
+        let starved = wide.take(WAITING_STEPS_MAX).map(|(position, waiting)| {
             let known = previous.iter().find(|step| step.first_unit == waiting.first_unit);
-            CrowdedStep {
+            StarvedStep {
                 first_unit: waiting.first_unit.clone(),
                 since: known.map_or(now, |step| step.since),
                 is_passed: results.last_placed > *position
                     || known.is_some_and(|step| step.is_passed),
             }
         });
-        crowded.collect()
+        starved.collect()
     }
 
     fn is_wide(&self, waiting: &WaitingStep) -> bool {
@@ -268,7 +268,7 @@
         let has_expired = |key: &UnitKey| {
             state.expired.as_ref().is_some_and(|(expired, until)| expired == key && now < *until)
         };
-        let entitled = state.crowded.iter().filter(|step| {
+        let entitled = state.starved.iter().filter(|step| {
             step.is_passed
                 && now.saturating_sub(step.since) >= WAITED_MIN
                 && !has_expired(&step.first_unit)
--- a/crates/scheduler/src/share_level.rs
+++ b/crates/scheduler/src/share_level.rs
@@ -1,7 +1,7 @@
 //! Division of a pool by weighted max-min fairness over the dominant resource.
 //!
-//! All teams rise together to one level of use per weight, as water does. A team stops rising once
-//! it has all that it demands, which leaves more to the others. What it has lately used, or uses in
+//! The use per weight of all teams rises together to one level (water filling). A team stops rising
+//! once it has all that it demands, which leaves more to the others. What it has lately used, or uses in
 //! other shards, counts as if it had risen by that already.
 
 use crate::amounts::Amounts;
--- a/crates/scheduler/src/shrunk_workers.rs
+++ b/crates/scheduler/src/shrunk_workers.rs
@@ -200,7 +200,8 @@
     }
 }
 
-/// Returns true if without a reservation, less of a resource that exceeds the capacity is reserved.
+/// Returns true if a reservation has a part in a resource of which more than the capacity is
+/// reserved.
 fn relieves(reservation: &Resources, reserved: &Resources, capacity: &Resources) -> bool {
     let helps = |amount: u64, reserved: u64, capacity: u64| amount > 0 && reserved > capacity;
     helps(reservation.cpu_millis, reserved.cpu_millis, capacity.cpu_millis)
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -327,7 +327,7 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.add_run(key, &run, is_suspect, now);
         }
-        self.count_team_use(key, &run.reservation, now);
+        self.add_team_use(key, &run.reservation, now);
         if let Some(team) = team {
             *self.team_usage.entry_or(team, Resources::default) += run.requested;
         }
@@ -356,7 +356,7 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.remove_run(key, &run, now);
         }
-        self.discount_team_use(key, &run.reservation, now);
+        self.remove_team_use(key, &run.reservation, now);
         if let Some(team) = team
             && let Some(used) = self.team_usage.get_mut(&team)
         {
--- a/crates/scheduler/src/team_shares.rs
+++ b/crates/scheduler/src/team_shares.rs
@@ -98,7 +98,7 @@
     }
 
     /// Records that a unit's team holds a reservation in the unit's pool.
-    pub(crate) fn count_team_use(&mut self, key: &UnitKey, reservation: &Resources, now: Moment) {
+    pub(crate) fn add_team_use(&mut self, key: &UnitKey, reservation: &Resources, now: Moment) {
         if self.team_shares.is_enabled
             && let Some(job) = self.jobs.get(&key.job)
         {
@@ -108,12 +108,7 @@
     }
 
     /// Records that a unit's team has given up a reservation.
-    pub(crate) fn discount_team_use(
-        &mut self,
-        key: &UnitKey,
-        reservation: &Resources,
-        now: Moment,
-    ) {
+    pub(crate) fn remove_team_use(&mut self, key: &UnitKey, reservation: &Resources, now: Moment) {
         if self.team_shares.is_enabled
             && let Some(job) = self.jobs.get(&key.job)
         {
@@ -269,7 +264,7 @@
             }
         }
         for (key, reservation) in held {
-            self.count_team_use(&key, &reservation, now);
+            self.add_team_use(&key, &reservation, now);
         }
     }
 }
--- a/crates/scheduler/src/worker_speeds.rs
+++ b/crates/scheduler/src/worker_speeds.rs
@@ -5,8 +5,8 @@
 //! units of the same kind of work have typically taken on other workers. Running units are measured
 //! over short windows, so that a worker that has just become slow shows, and ended ones as a whole.
 //!
-//! A worker counts as slow if nearly all that was seen lately is slow: one unit in thirty takes
-//! seven times as long anywhere, and such units are not the worker's fault. A slow worker gets
+//! A worker counts as slow if three quarters of its recent evidence are slow: one unit in thirty
+//! takes seven times as long anywhere, and such units are not the worker's fault. A slow worker gets
 //! little to run, so it may never show that it has recovered; after a while without runs it is
 //! tried again, with a part of its capacity at first.
 
@@ -22,7 +22,8 @@
 const SLOW_BELOW: f64 = 0.5;
 /// Speed from which a slow worker counts as recovered.
 const RECOVERED_FROM: f64 = 0.75;
-/// Fraction of the recent evidence that has to be slow. Three quarters of three runs are all three.
+/// Fraction of the recent evidence that has to be slow. Of three runs with the same weight, this takes
+/// all three.
 const SLOW_SHARE_MIN: f64 = 0.75;
 /// Number of slow runs, and of their jobs, that are needed for a worker to count as slow.
 const RUNS_MIN: usize = 3;
@@ -52,8 +53,8 @@
 const RAMP_PERCENT: u32 = 25;
 /// Percentage of the normal speed, and of the whole capacity.
 pub(crate) const NORMAL_PERCENT: u32 = 100;
-/// Fraction of a pool above which the norm must be wrong, so that none of its workers counts as
-/// slow.
+/// If more than one worker out of this many of a pool seems slow, the norm must be wrong, and none
+/// of its workers counts as slow.
 const SLOW_POOL_DIVISOR: usize = 4;
 
 /// Speeds of all workers that have shown theirs.
