--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -83,8 +83,8 @@
     unfit_reservations: Vec<Resources>,
     /// Reservations that fit on no worker that is not held for a wide step.
     unfit_beside_held: Vec<Resources>,
-    /// Reservations that fit on no warm worker, as far as units that wait for
-    /// one have shown.
+    /// Reservations that fit on no warm worker, as far as units that wait for one have
+    /// shown.
     unfit_on_warm: Vec<Resources>,
     /// Some workers are cold.
     pub has_cold: bool,
@@ -146,8 +146,8 @@
         fitting.min_by_key(|(_, worker)| worker.fit(step, history)).map(|(index, _)| index)
     }
 
-    /// Returns the index of a worker for a unit that is strongly suspected to crash it: the one that
-    /// has started nothing for the longest time. If that is too short, reserves the worker and
+    /// Returns the index of a worker for a unit that is strongly suspected to crash it: the one
+    /// that has started nothing for the longest time. If that is too short, reserves the worker and
     /// returns `None`.
     pub fn choose_for_strong_suspect(
         &mut self,
