--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -79,6 +79,10 @@
             Event::InboxRemoved { keys, outcome } => self.handle_inbox_removed(keys, outcome),
             Event::RegistryChanged { changes } => {
                 self.poll_schedule_reviewed_at = Moment::ZERO;
+                // A worker in both lists has registered again after its removal.
+                for id in changes.removed {
+                    self.scheduler.unregister_worker(&id);
+                }
                 if changes.is_snapshot {
                     self.scheduler.set_workers(changes.changed, Duration::ZERO, now);
                 } else {
@@ -86,9 +90,6 @@
                         self.scheduler.update_worker(registration, Duration::ZERO, now);
                     }
                 }
-                for id in changes.removed {
-                    self.scheduler.unregister_worker(&id);
-                }
             }
             Event::InboxRead { rows } => {
                 self.inbox_read_at = now;
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -91,7 +91,9 @@
         self.shared.node.record_store_reply(has_succeeded);
         if has_succeeded {
             self.pipeline.write_times.record(took);
-            in_flight.sent_at = sent_at;
+            // A conflict does not show which attempt was committed.
+            let is_committed = matches!(outcome, WriteOutcome::Committed(_));
+            in_flight.sent_at = if is_committed { sent_at } else { in_flight.first_sent_at };
         } else if self.pipeline.pending_replies > 0 {
             in_flight.is_in_doubt |= is_unknown;
             self.pipeline.in_flight = Some(in_flight);
@@ -217,6 +219,7 @@
             submissions,
             cancellations,
             sent_at: now,
+            first_sent_at: now,
             attempts,
             attempted_at: now,
             is_in_doubt,
--- a/crates/coordinator/src/owner/pipeline.rs
+++ b/crates/coordinator/src/owner/pipeline.rs
@@ -51,6 +51,8 @@
     pub submissions: Vec<Submission>,
     pub cancellations: Vec<Cancellation>,
     pub sent_at: Moment,
+    /// When it was sent for the first time.
+    pub first_sent_at: Moment,
     /// Number of times that it was sent since `sent_at`.
     pub attempts: u32,
     /// When it was last sent.
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -97,6 +97,7 @@
     /// Number of reads of whole tables that panic, as a fault of the program would.
     panics_left: u32,
     hung_writes_left: u32,
+    are_workers_registered_again: bool,
     running: Vec<(WorkerId, RunStatus, std::time::Instant)>,
     completions: Vec<(WorkerId, Completion)>,
     completion_count: u64,
@@ -321,7 +322,7 @@
             changed: (1..=self.host_count).map(registration).collect(),
             is_snapshot: true,
             version: 1,
-            removed: Vec::new(),
+            removed: self.removed_workers(),
         })
     }
 
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -20,6 +20,7 @@
 use super::row_key;
 use super::shard_of;
 use super::table_number;
+use super::worker_name;
 
 impl Memory {
     /// Commits the next writes without ever replying to them.
@@ -27,6 +28,18 @@
         self.data.lock().unwrap().hung_writes_left = count;
     }
 
+    /// Makes each read of the registry tell that all workers were removed and registered again.
+    pub fn register_workers_again(&self) {
+        self.data.lock().unwrap().are_workers_registered_again = true;
+    }
+
+    /// Returns the workers that were removed and registered again.
+    pub fn removed_workers(&self) -> Vec<String> {
+        let are_registered_again = self.data.lock().unwrap().are_workers_registered_again;
+        let count = if are_registered_again { self.host_count } else { 0 };
+        (1..=count).map(|number| worker_name(number).to_string()).collect()
+    }
+
     /// Returns true if a write that was committed gets no reply.
     fn takes_hung_write(&self) -> bool {
         let mut data = self.data.lock().unwrap();
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -181,6 +181,18 @@
     assert_eq!(memory.starts().len(), 6, "each unit of both jobs is started once");
 }
 
+/// Guards against a worker that gets no runs any more, since one read of the registry shows that it
+/// was removed and registered again.
+#[tokio::test]
+async fn a_worker_that_has_registered_again_gets_runs() {
+    let memory = Memory::new(Duration::from_millis(50));
+    memory.register_workers_again();
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    assert_eq!(submit(&node, "a").await, SubmitOutcome::Accepted);
+    wait_for(&node, "a", COMPLETED).await;
+}
+
 #[tokio::test]
 async fn a_cancelled_job_starts_no_more_units() {
     let memory = Memory::new(Duration::from_secs(60));
