--- a/crates/coordinator/src/layout.rs
+++ b/crates/coordinator/src/layout.rs
@@ -20,9 +20,12 @@
 
 /// Pause after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Upper end of the random time before a node stores a layout, in milliseconds. Most nodes of a
-/// fleet that starts then find the layout of another one.
+/// Upper end of the random delay before a node lists the hosts to store a layout. The first node that
+/// does so should be done before the others begin.
 const STORE_DELAY_MAX_MS: u64 = 400;
+/// Maximum number of times that the upper end doubles. Each listing takes several calls, and when
+/// hundreds of nodes make them at once, the platform's rate limit refuses some of each listing.
+const DELAY_DOUBLINGS_MAX: u32 = 4;
 /// Maximum number of hosts in one row; below the platform's limit on the size of a row.
 const HOSTS_PER_ROW: usize = 1_000;
 /// Shard whose part of the store holds the layout.
@@ -30,8 +33,10 @@
 
 /// Reads the layout, or stores one; retries until one of them succeeds.
 pub(crate) async fn read_or_store<P: Platform>(node: &NodeState<P>) -> Layout {
+    let mut doublings = 0;
     loop {
-        match try_read_or_store(node).await {
+        let delay_max_ms = STORE_DELAY_MAX_MS << doublings;
+        match try_read_or_store(node, delay_max_ms).await {
             Ok(Some(layout)) => {
                 telemetry::log::line("layout-known")
                     .field("shards", layout.shard_count)
@@ -45,11 +50,15 @@
             }
         }
         tokio::time::sleep(RETRY_PAUSE).await;
+        doublings = (doublings + 1).min(DELAY_DOUBLINGS_MAX);
     }
 }
 
 /// Returns none if another node has stored a layout meanwhile, or if a write had no effect.
-async fn try_read_or_store<P: Platform>(node: &NodeState<P>) -> Result<Option<Layout>, ReadError> {
+async fn try_read_or_store<P: Platform>(
+    node: &NodeState<P>,
+    delay_max_ms: u64,
+) -> Result<Option<Layout>, ReadError> {
     if let Some(layout) = read(node).await? {
         return Ok(Some(layout));
     }
@@ -57,7 +66,7 @@
     if node.platform.get(LAYOUT_SHARD, Table::Owner, OWNER_KEY).await?.is_some() {
         return store(node, Layout::single()).await;
     }
-    let delay_ms = rand::rng().random_range(0..STORE_DELAY_MAX_MS);
+    let delay_ms = rand::rng().random_range(0..delay_max_ms);
     tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     if let Some(layout) = read(node).await? {
         return Ok(Some(layout));
