Poll a worker once more when its reply is late

A lost reply to a poll kept the completions of that worker unknown for 2.15 s: the wait, the time limit and the pause. Change: 150 ms after the requested wait, a second poll without a wait goes beside the first one; the first reply counts. Polls are idempotent.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -33,6 +33,7 @@
 mod shared;
 pub mod succession;
 pub mod team_uses;
+pub mod worker_poll;
 
 pub use caller_api::Access;
 pub use caller_api::JobLookup;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -64,6 +64,8 @@
 pub const POLLS: &str = "looks";
 /// Polls that workers did not answer.
 pub const POLLS_FAILED: &str = "looks.failed";
+/// Polls that were made once more, since the reply was late.
+pub const POLLS_REPEATED: &str = "looks.repeated";
 /// Time of a transaction of the owner.
 pub const STORE_WRITE: &str = "store.write";
 /// Transactions of the owner that were refused or not answered.
@@ -116,6 +118,7 @@
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
     counter(POLLS, "looks at workers"),
     counter(POLLS_FAILED, "looks that workers did not answer"),
+    counter(POLLS_REPEATED, "looks that were repeated, since the answer was late"),
     timer(STORE_WRITE, "time of a transaction of the owner"),
     counter(STORE_FAILED, "transactions of the owner that were refused or not answered"),
     counter(DIVISIONS_CHANGED, "changes of divisions among shards that this node has sent"),
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -21,6 +21,7 @@
 use crate::ports::RowVersion;
 use crate::ports::Table;
 use crate::ports::WorkerError;
+use crate::worker_poll;
 
 /// How long a worker with runs may hold back its reply to wait for a completion.
 const BUSY_WAIT_MAX: Duration = Duration::from_millis(1_000);
@@ -195,9 +196,11 @@
         self.stats.record_poll();
         let shared = self.shared.clone();
         self.spawn(async move {
-            let sent_at = clock::now();
-            let result = shared.node.platform.renew_lease(request).await;
-            Event::Reported { worker: id, sent_at, result }
+            let node = &shared.node;
+            let send = |request| node.platform.renew_lease(request);
+            let record_repeat = || node.telemetry.count(metrics::POLLS_REPEATED);
+            let polled = worker_poll::poll(request, send, record_repeat).await;
+            Event::Reported { worker: id, sent_at: polled.sent_at, result: polled.reply }
         });
     }
 }
--- /dev/null
+++ b/crates/coordinator/src/worker_poll.rs
@@ -0,0 +1,62 @@
+//! A poll of a worker whose reply may be lost.
+//!
+//! Some workers leave calls unanswered, and connections may break without a reset. While a poll is
+//! in flight, completions of that worker remain unknown and what they would free stays in use, so
+//! that waiting for the time limit of the call would leave the worker idle for seconds during a
+//! peak. A poll that is late is therefore made once more, beside the first one. Polls are
+//! idempotent: each renews the lease to at least the requested deadline and lists the same runs.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use scheduler::Moment;
+use scheduler::WorkerReport;
+
+use crate::clock;
+use crate::ports::LeaseRequest;
+use crate::ports::WorkerError;
+
+/// Time beyond the requested wait after which a reply counts as late.
+pub const LATE_AFTER: Duration = Duration::from_millis(150);
+
+/// Result of a poll, and when it was sent.
+#[derive(Clone, Debug)]
+pub struct PollResult {
+    /// When the poll that gave the result was sent.
+    pub sent_at: Moment,
+    /// The worker's reply, or why there is none.
+    pub reply: Result<WorkerReport, WorkerError>,
+}
+
+/// Polls a worker by means of `send`, and once more if the reply is late. Returns the first
+/// result, unless that is [`WorkerError::NoReply`] and the other one says more. `record_repeat` is called before the second poll.
+pub async fn poll<F>(
+    request: LeaseRequest,
+    send: impl Fn(LeaseRequest) -> F,
+    record_repeat: impl FnOnce(),
+) -> PollResult
+where
+    F: Future<Output = Result<WorkerReport, WorkerError>>,
+{
+    let late_after = request.wait + LATE_AFTER;
+    let send_now = |request| async {
+        let sent_at = clock::now();
+        PollResult { sent_at, reply: send(request).await }
+    };
+    let mut first = pin!(send_now(request.clone()));
+    if let Ok(result) = tokio::time::timeout(late_after, &mut first).await {
+        return result;
+    }
+    record_repeat();
+    let mut second = pin!(send_now(LeaseRequest { wait: Duration::ZERO, ..request }));
+    tokio::select! {
+        result = &mut first => match result.reply {
+            Err(WorkerError::NoReply(_)) => second.await,
+            _ => result,
+        },
+        result = &mut second => match result.reply {
+            Err(WorkerError::NoReply(_)) => first.await,
+            _ => result,
+        },
+    }
+}
