Collect completions while nothing waits for capacity

Ruled out: longer waits of idle workers; they are few of the polls, and disruption budgets need contacts younger than 1.6 s. Change: a worker that has listed completions is polled again after a sixth of the shortest deadline slack of its pool, at most 150 ms after its reply, and at once while units wait for capacity there.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Makes a poll due for each worker whose completions are now all stored.
+    /// Schedules a poll of each worker whose completions are now all stored.
     pub(super) fn resume_polls(&mut self, now: Moment) {
         let scheduler = &self.scheduler;
         let are_all_stored =
@@ -94,7 +94,7 @@
             }
         }
         if self.scheduler.worker(&id).is_some_and(Worker::has_unstored_completions) {
-            next = NextPoll::AfterStore;
+            next = NextPoll::AfterStore(self.scheduler.completion_pause(&id));
         }
         self.poll_schedule.handle_reply(&id, next, now);
     }
--- a/crates/coordinator/src/poll_schedule.rs
+++ b/crates/coordinator/src/poll_schedule.rs
@@ -2,7 +2,8 @@
 //!
 //! The schedule is built for hundreds of workers whose units finish at the same time. A worker
 //! lists its completions in every reply until they are stored, so it is polled again only once they
-//! are stored, or after [`UNSTORED_POLL_PAUSE`] to renew its lease. Due workers come from a
+//! are stored and a pause is over that collects further ones, or after [`UNSTORED_POLL_PAUSE`] to
+//! renew its lease. Due workers come from a
 //! priority queue, without a scan of all others.
 
 use std::cmp::Reverse;
@@ -24,8 +25,9 @@
 pub enum NextPoll {
     /// Now: the worker replied, and all its completions are stored.
     Immediate,
-    /// As soon as the completions that the worker listed are stored.
-    AfterStore,
+    /// As soon as the completions that the worker listed are stored and this time has passed since
+    /// its reply.
+    AfterStore(Duration),
     /// After [`RETRY_PAUSE`]: the worker did not reply.
     AfterPause,
 }
@@ -34,8 +36,9 @@
 struct WorkerPoll {
     /// Whether a poll was sent and its result has not arrived.
     is_in_flight: bool,
-    /// Whether the next poll waits until the worker's completions are stored.
-    is_waiting_for_store: bool,
+    /// When the worker replied, and the pause after that, if the next poll waits until its
+    /// completions are stored.
+    waiting_for_store: Option<(Moment, Duration)>,
     /// Time of the next poll; meaningless while one is in flight.
     due_at: Moment,
 }
@@ -53,7 +56,7 @@
     /// Adds a worker that is due at once; does nothing if it is in the schedule.
     pub fn add(&mut self, id: &WorkerId, now: Moment) {
         if !self.polls.contains(id) {
-            let poll = WorkerPoll { is_in_flight: false, is_waiting_for_store: false, due_at: now };
+            let poll = WorkerPoll { is_in_flight: false, waiting_for_store: None, due_at: now };
             self.polls.insert(id.clone(), poll);
             self.queue.push(Reverse((now, id.clone())));
         }
@@ -71,7 +74,7 @@
                 continue;
             };
             poll.is_in_flight = true;
-            poll.is_waiting_for_store = false;
+            poll.waiting_for_store = None;
             due.push(id);
         }
         due
@@ -83,30 +86,34 @@
             return;
         };
         poll.is_in_flight = false;
-        poll.is_waiting_for_store = next == NextPoll::AfterStore;
+        poll.waiting_for_store = match next {
+            NextPoll::AfterStore(pause) => Some((now, pause)),
+            NextPoll::Immediate | NextPoll::AfterPause => None,
+        };
         poll.due_at = match next {
             NextPoll::Immediate => now,
-            NextPoll::AfterStore => now + UNSTORED_POLL_PAUSE,
+            NextPoll::AfterStore(_) => now + UNSTORED_POLL_PAUSE,
             NextPoll::AfterPause => now + RETRY_PAUSE,
         };
         self.queue.push(Reverse((poll.due_at, id.clone())));
     }
 
-    /// Makes a poll due for each worker whose completions are now all stored; returns how long each
-    /// has waited.
+    /// Schedules a poll of each worker whose completions are now all stored, after its pause;
+    /// returns how long each has waited for the store.
     pub fn resume_stored(
         &mut self,
         are_all_stored: impl Fn(&WorkerId) -> bool,
         now: Moment,
     ) -> Vec<Duration> {
         let mut waited = Vec::new();
-        let waiting = self.polls.iter_mut().filter(|(_, poll)| poll.is_waiting_for_store);
-        for (id, poll) in waiting.filter(|(id, _)| are_all_stored(id)) {
-            let replied_at = poll.due_at.saturating_sub(UNSTORED_POLL_PAUSE);
+        for (id, poll) in self.polls.iter_mut() {
+            let Some((replied_at, pause)) = poll.waiting_for_store.take_if(|_| are_all_stored(id))
+            else {
+                continue;
+            };
             waited.push(now.saturating_sub(replied_at));
-            poll.is_waiting_for_store = false;
-            poll.due_at = now;
-            self.queue.push(Reverse((now, id.clone())));
+            poll.due_at = now.max(replied_at + pause);
+            self.queue.push(Reverse((poll.due_at, id.clone())));
         }
         waited
     }
--- a/crates/coordinator/tests/poll_schedule.rs
+++ b/crates/coordinator/tests/poll_schedule.rs
@@ -44,7 +44,7 @@
     let mut schedule = schedule(&ids);
     let mut now = NOW;
     for id in schedule.take_due(now) {
-        schedule.handle_reply(&id, NextPoll::AfterStore, now);
+        schedule.handle_reply(&id, NextPoll::AfterStore(Duration::ZERO), now);
     }
     // Each transaction stores the completions of ten workers.
     for stored_now in ids.chunks(10) {
@@ -60,12 +60,35 @@
     let ids = workers(1);
     let mut schedule = schedule(&ids);
     schedule.take_due(NOW);
-    schedule.handle_reply(&ids[0], NextPoll::AfterStore, NOW);
+    schedule.handle_reply(&ids[0], NextPoll::AfterStore(Duration::ZERO), NOW);
     schedule.resume_stored(|_| false, NOW + STEP);
     assert!(schedule.take_due(NOW + STEP).is_empty());
     assert_eq!(schedule.take_due(NOW + UNSTORED_POLL_PAUSE), ids);
 }
 
+/// Guards against a poll for each unit during a peak, when one finishes every few milliseconds.
+#[test]
+fn a_worker_with_stored_completions_is_polled_after_its_pause() {
+    let ids = workers(1);
+    let pause = STEP * 5;
+    let mut schedule = schedule(&ids);
+    schedule.take_due(NOW);
+    schedule.handle_reply(&ids[0], NextPoll::AfterStore(pause), NOW);
+    assert_eq!(schedule.resume_stored(|_| true, NOW + STEP), [STEP]);
+    assert!(schedule.take_due(NOW + pause - STEP).is_empty());
+    assert_eq!(schedule.take_due(NOW + pause), ids);
+}
+
+#[test]
+fn a_pause_that_is_over_when_the_completions_are_stored_delays_nothing() {
+    let ids = workers(1);
+    let mut schedule = schedule(&ids);
+    schedule.take_due(NOW);
+    schedule.handle_reply(&ids[0], NextPoll::AfterStore(STEP), NOW);
+    schedule.resume_stored(|_| true, NOW + STEP * 3);
+    assert_eq!(schedule.take_due(NOW + STEP * 3), ids);
+}
+
 #[test]
 fn a_removed_worker_is_not_polled() {
     let ids = workers(1);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -36,6 +36,7 @@
 mod choice;
 mod cold_workers;
 mod commands;
+mod completion_pause;
 mod copies;
 mod copy_outcomes;
 mod counts;
