Let waves leave the hosts that a pool needs during its peak

Change: while a wave has twice the time that its remaining hosts take, it takes only hosts that its pool can spare from what runs, waits and arrives. Pool loads are computed once a review for waves and moves. The line pool-load tells the hosts that units have to be spread over.

--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -235,6 +235,7 @@
                 .field("hosts_kept", load.baseline_hosts)
                 .field("absent_hosts", load.absent_hosts)
                 .field("lasting_hosts", load.long_running_hosts)
+                .field("spread_hosts", load.spread_hosts_min)
                 .field("coming_hosts", load.incoming_hosts)
                 .field("cold_workers", load.cold_workers)
                 .field("lost_hosts", load.unusable_hosts)
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -146,22 +146,36 @@
 impl PoolLoad {
     /// Returns the number of hosts that the pool needs now.
     pub fn hosts_needed(&self) -> usize {
-        let wanted = self.running.plus(&self.waiting);
-        let arriving_cpu_millis =
-            self.arrival_cpu_millis.min(wanted.cpu_millis * ARRIVAL_FACTOR_MAX);
-        let for_cpu =
-            hosts_for(wanted.cpu_millis.max(arriving_cpu_millis), self.host_capacity.cpu_millis);
-        let for_memory = hosts_for(wanted.memory_mb, self.host_capacity.memory_mb);
         // A host that has not arrived yet may have capacity for the waiting units.
         let have_all_arrived = self.ready_workers >= self.hosts;
         let for_starved = if self.is_starved && have_all_arrived { self.hosts + 1 } else { 0 };
-        for_cpu
-            .max(for_memory)
+        self.hosts_for_work()
             .max(for_starved)
             .max(self.spread_hosts_min)
             .max(self.hosts_for_long_running())
     }
 
+    /// Returns the number of hosts needed for the resources of what runs, waits and arrives.
+    fn hosts_for_work(&self) -> usize {
+        let wanted = self.running.plus(&self.waiting);
+        let arriving_cpu_millis =
+            self.arrival_cpu_millis.min(wanted.cpu_millis * ARRIVAL_FACTOR_MAX);
+        let for_cpu =
+            hosts_for(wanted.cpu_millis.max(arriving_cpu_millis), self.host_capacity.cpu_millis);
+        let for_memory = hosts_for(wanted.memory_mb, self.host_capacity.memory_mb);
+        for_cpu.max(for_memory)
+    }
+
+    /// Returns how many hosts may be drained while the pool still has those that its work needs.
+    /// Without new work these are all, since disruption budgets protect the long-running units.
+    pub(crate) fn drainable_hosts(&self) -> usize {
+        if self.waiting == Resources::default() && self.arrival_cpu_millis == 0 {
+            return self.hosts;
+        }
+        let usable = self.hosts.saturating_sub(self.incoming_hosts + self.unusable_hosts);
+        usable.saturating_sub(self.hosts_for_work())
+    }
+
     /// Returns how many whole hosts the free capacity of `hosts` hosts amounts to.
     pub(crate) fn free_hosts(&self, hosts: usize) -> usize {
         let wanted = self.running.plus(&self.waiting);
--- a/crates/scheduler/src/host_moves.rs
+++ b/crates/scheduler/src/host_moves.rs
@@ -42,15 +42,14 @@
 
 impl Scheduler {
     /// Plans which hosts move to another pool.
-    pub(crate) fn plan_moves(&mut self, now: Moment) {
-        let loads = self.pool_loads(now);
-        self.record_baseline_hosts(&loads);
-        self.peaks.record(&loads, now);
-        let expected = self.peaks.expected_pools(&loads, now);
+    pub(crate) fn plan_moves(&mut self, loads: &PoolLoads, now: Moment) {
+        self.record_baseline_hosts(loads);
+        self.peaks.record(loads, now);
+        let expected = self.peaks.expected_pools(loads, now);
         let is_held = |host: &&Host| host.entry.state != HostState::Down && !self.is_absent(host);
         let total = self.hosts.values().filter(is_held).count();
-        let targets = host_targets(&loads, total);
-        self.record_incoming_capacity(&loads, &targets);
+        let targets = host_targets(loads, total);
+        self.record_incoming_capacity(loads, &targets);
         let missing = |(name, load): (&PoolName, &PoolLoad)| {
             let target = targets.get(name).copied().unwrap_or(0);
             (target > load.hosts).then(|| (target - load.hosts, name.clone()))
@@ -59,7 +58,7 @@
         needy.sort_by_key(|(missing, _)| Reverse(*missing));
         let mut donors = match needy.is_empty() {
             true => Vec::new(),
-            false => self.donors(&loads, &targets, &expected, now),
+            false => self.donors(loads, &targets, &expected, now),
         };
         for (missing, pool) in needy {
             for _ in 0..missing {
@@ -69,8 +68,8 @@
                 self.plan_move(&host, &pool);
             }
         }
-        self.fill_expected_pools(&loads, &targets, &expected, now);
-        self.park_idle_hosts(&loads, &targets, &expected, now);
+        self.fill_expected_pools(loads, &targets, &expected, now);
+        self.park_idle_hosts(loads, &targets, &expected, now);
     }
 
     /// Moves idle hosts to the pools that are expected to have the next peak.
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -182,9 +182,10 @@
         }
         self.drain_leaving_workers(now);
         self.find_lost_zones(now);
-        self.plan_waves(now);
         self.cancel_moves_of_absent_hosts();
-        self.plan_moves(now);
+        let loads = self.pool_loads(now);
+        self.plan_waves(&loads, now);
+        self.plan_moves(&loads, now);
         self.set_cordons(now);
         let names: Vec<HostName> = self.hosts.iter().map(|(name, _)| name.clone()).collect();
         for name in names {
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -1,5 +1,8 @@
 //! Maintenance waves. Each one maintains a set of hosts within a given time, with a limit on how
 //! many are unavailable at the same time.
+//!
+//! The queues of different pools have their peaks at different times, and a wave usually has more
+//! time than it needs. While it has, it takes no hosts that a pool needs for its work.
 
 use std::time::Duration;
 
@@ -9,6 +12,8 @@
 use crate::HostName;
 use crate::Moment;
 use crate::WaveId;
+use crate::capacity::HostCounts;
+use crate::capacity::PoolLoads;
 use crate::hosts::Host;
 use crate::hosts::HostIntent;
 use crate::messages::Action;
@@ -22,6 +27,10 @@
 /// Number of hosts that are drained in advance, beyond those that may be unavailable.
 const DRAINED_AHEAD_MAX: usize = 2;
 
+/// A wave leaves out hosts that their pools need as long as it has this many times the time that the
+/// remaining hosts take. Drains take longer than planned while workers are slow or silent.
+const WAIT_FACTOR: u32 = 2;
+
 /// Progress of a wave, as it is stored.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveRow {
@@ -72,24 +81,43 @@
         let Some(progress) = self.waves.get(&id) else {
             return false;
         };
-        let due = self.moment_of(progress.row.first_seen_ms + progress.wave.duration_ms);
-        let rounds = self
-            .remaining_hosts(progress)
-            .len()
-            .div_ceil(progress.wave.unavailable_hosts_max.max(1));
-        let needed = (self.settings.maintain_time + DRAIN_TIME) * rounds as u32;
-        now + needed >= due
+        now + self.time_needed(progress) >= self.due_time(progress)
+    }
+
+    /// Returns true if a wave may leave out hosts that their pools need, since there is time to
+    /// maintain them later.
+    fn may_wait(&self, id: WaveId, now: Moment) -> bool {
+        let Some(progress) = self.waves.get(&id) else {
+            return false;
+        };
+        now + self.time_needed(progress) * WAIT_FACTOR < self.due_time(progress)
+    }
+
+    /// Returns when a wave has to be completed.
+    fn due_time(&self, progress: &WaveProgress) -> Moment {
+        self.moment_of(progress.row.first_seen_ms + progress.wave.duration_ms)
+    }
+
+    /// Returns how long it takes to maintain the remaining hosts of a wave.
+    fn time_needed(&self, progress: &WaveProgress) -> Duration {
+        let remaining = self.remaining_hosts(progress).len();
+        let rounds = remaining.div_ceil(progress.wave.unavailable_hosts_max.max(1));
+        (self.settings.maintain_time + DRAIN_TIME) * rounds as u32
     }
 
     /// Plans which hosts are maintained next.
-    pub(crate) fn plan_waves(&mut self, now: Moment) {
+    pub(crate) fn plan_waves(&mut self, loads: &PoolLoads, now: Moment) {
+        let drainable = loads.iter().map(|(pool, load)| (pool.clone(), load.drainable_hosts()));
+        let mut drainable: HostCounts = drainable.collect();
         let ids: Vec<WaveId> = self.waves.iter().map(|(id, _)| *id).collect();
         for id in ids {
-            self.plan_wave(id, now);
+            self.plan_wave(id, &mut drainable, now);
         }
     }
 
-    fn plan_wave(&mut self, id: WaveId, now: Moment) {
+    /// Plans the next hosts of a wave. While the wave may wait, it takes at most as many hosts of a
+    /// pool as `drainable` allows. Hosts of spare pools are not counted there.
+    fn plan_wave(&mut self, id: WaveId, drainable: &mut HostCounts, now: Moment) {
         let Some(progress) = self.waves.get(&id) else {
             return;
         };
@@ -105,7 +133,8 @@
             0 => 0,
             slots => slots + DRAINED_AHEAD_MAX,
         };
-        let free_slots = slots.saturating_sub(self.hosts_in_progress(id));
+        let mut free_slots = slots.saturating_sub(self.hosts_in_progress(id));
+        let may_wait = self.may_wait(id, now);
         let mut candidates: Vec<(usize, u64, HostName)> = Vec::new();
         for name in remaining {
             let Some(host) = self.hosts.get(&name) else {
@@ -117,10 +146,18 @@
             }
         }
         candidates.sort();
-        for (_, _, name) in candidates.into_iter().take(free_slots) {
-            if let Some(host) = self.hosts.get_mut(&name) {
-                host.intent = Some(HostIntent::Maintain(id));
+        for (_, _, name) in candidates {
+            let Some(host) = self.hosts.get_mut(&name).filter(|_| free_slots > 0) else {
+                break;
+            };
+            if let Some(drainable) = drainable.get_mut(&host.entry.pool) {
+                if *drainable == 0 && may_wait {
+                    continue;
+                }
+                *drainable = drainable.saturating_sub(1);
             }
+            host.intent = Some(HostIntent::Maintain(id));
+            free_slots -= 1;
         }
     }
 
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -7,6 +7,7 @@
 use scheduler::Action;
 use scheduler::HostReply;
 use scheduler::Resources;
+use scheduler::RunOutcome;
 use scheduler::StartReply;
 use scheduler::Step;
 use scheduler::Wave;
@@ -16,6 +17,7 @@
 use simulation::millis;
 use simulation::seconds;
 use simulation::step;
+use simulation::unit;
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
 
@@ -63,6 +65,40 @@
     assert_eq!(maintained(&sim).len(), 1);
 }
 
+/// A pool of two hosts of 16 cores with as many units of one core, and a wave over both hosts.
+fn wave_during_a_peak(units: u32) -> Simulation {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.list_hosts_in_pool(&[("h1", "w1"), ("h2", "w2")]);
+    sim.run_for(seconds(1));
+    sim.scheduler.add_job(job("a", vec![step(units, 1_000)], sim.now), sim.now);
+    sim.run_round();
+    sim.scheduler.set_waves(vec![wave(&["h1", "h2"], 1)], sim.now);
+    sim
+}
+
+/// Guards against a wave that drains the hosts of a pool at its peak although it has the time to
+/// wait.
+#[test]
+fn a_wave_with_time_left_leaves_the_hosts_that_a_pool_needs() {
+    let mut sim = wave_during_a_peak(28);
+    sim.run_for(seconds(1));
+    for index in 0..28 {
+        sim.complete_run(&unit("a", 0, index), RunOutcome::Done);
+    }
+    assert!(maintained(&sim).is_empty());
+    sim.run_for(seconds(1));
+    assert_eq!(maintained(&sim).len(), 1);
+}
+
+/// Guards against a wave that is late since its hosts are needed all the time.
+#[test]
+fn a_wave_without_time_to_wait_drains_hosts_that_a_pool_needs() {
+    let mut sim = wave_during_a_peak(40);
+    sim.run_for(seconds(8));
+    let loads = sim.scheduler.pool_loads(sim.now);
+    assert!(loads.values().any(|load| load.unusable_hosts > 0));
+}
+
 /// Guards against a command that is dropped, while its host waits for it forever, because the table
 /// was away for longer than the lease of a host when the command was to be stored.
 #[test]
