Remove copies of slow runs

Ruled out: that long tails need it: learned durations help there. Change: the policy, its modules, tests, metrics, page and the row field of copies are gone; a unit has one run again.

--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -48,14 +48,6 @@
 pub const PREEMPTED_WORK: &str = "runs.preempted-core-ms";
 /// Units that were placed before units of a higher priority because of the shares of their teams.
 pub const UNITS_AHEAD_BY_SHARE: &str = "units.ahead-by-share";
-/// Copies of slow runs that this owner has decided to start.
-pub const COPIES_STARTED: &str = "copies.started";
-/// Copies that finished their unit.
-pub const COPIES_WON: &str = "copies.won";
-/// Copies that did not finish their unit.
-pub const COPIES_LOST: &str = "copies.lost";
-/// Core-milliseconds of runs beside the one that finished their unit.
-pub const COPIES_DUPLICATE: &str = "copies.duplicate-core-ms";
 /// Time until a start command is answered.
 pub const RUNS_START: &str = "runs.start";
 /// Time from the report of completions until they are stored and can be acknowledged.
@@ -110,10 +102,6 @@
     counter(RUNS_PREEMPTED, "runs that were stopped for an urgent unit"),
     counter(PREEMPTED_WORK, "work that preempted units lost, in core-milliseconds"),
     counter(UNITS_AHEAD_BY_SHARE, "units placed ahead of others by the share of their team"),
-    counter(COPIES_STARTED, "copies of slow runs that this owner has decided to start"),
-    counter(COPIES_WON, "copies that finished their unit"),
-    counter(COPIES_LOST, "copies that did not finish their unit"),
-    counter(COPIES_DUPLICATE, "core-milliseconds of runs beside the one that finished their unit"),
     timer(RUNS_START, "time of an order to start"),
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
     counter(POLLS, "looks at workers"),
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -64,7 +64,6 @@
 
     /// Records what the scheduler has counted.
     pub fn record_counts(&mut self, counts: SchedulerCounts) {
-        let copies = counts.copies;
         let counters = [
             (metrics::DURATION_SAMPLES, counts.duration_samples),
             (metrics::RUNS_STARTED_COLD, counts.cold_starts),
@@ -74,10 +73,6 @@
             (metrics::RUNS_PREEMPTED, counts.preempted_runs),
             (metrics::PREEMPTED_WORK, counts.preempted_work_core_ms),
             (metrics::RUNS_MOVED, counts.moved_runs),
-            (metrics::COPIES_STARTED, copies.started),
-            (metrics::COPIES_WON, copies.won),
-            (metrics::COPIES_LOST, copies.lost),
-            (metrics::COPIES_DUPLICATE, copies.duplicate_core_ms),
         ];
         for (name, count) in counters.into_iter().filter(|(_, count)| *count > 0) {
             self.telemetry.count_many(name, count);
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -4,8 +4,7 @@
 //! may be running, with its run number: a unit that no row names is not running anywhere. A row is
 //! written when a run is added to its worker. Runs that have ended stay in the row until it is
 //! written again. This is harmless, since their units have finished or have a run with a higher
-//! number. A row also tells of a copy which run it was started beside: that one may still exist
-//! too.
+//! number.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,7 +17,6 @@
 use crate::PoolName;
 use crate::WorkerId;
 use crate::batch::Batch;
-use crate::copies;
 use crate::job::UnitKey;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
@@ -46,20 +44,6 @@
     /// has confirmed.
     #[serde(rename = "old", default)]
     pub preceding_runs: usize,
-    /// Those of `runs` that were started as copies.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub copies: Vec<AssignedCopy>,
-}
-
-/// A run that was started as a copy.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AssignedCopy {
-    /// Name of the unit.
-    pub unit: String,
-    /// Number of the run.
-    pub number: u32,
-    /// Number of the run beside which it was started.
-    pub beside: u32,
 }
 
 /// A run in a stored row.
@@ -70,8 +54,6 @@
     worker: WorkerId,
     /// The worker has confirmed others that were started after this one.
     precedes_others: bool,
-    /// Number of the run beside which it was started as a copy.
-    beside: Option<u32>,
 }
 
 impl AssignmentRow {
@@ -83,16 +65,9 @@
                 number: *number,
                 worker: worker.clone(),
                 precedes_others: index < self.preceding_runs,
-                beside: self.beside(unit, *number),
             })
         })
     }
-
-    /// Returns the number of the run beside which a run was started as a copy.
-    fn beside(&self, unit: &str, number: u32) -> Option<u32> {
-        let copy = self.copies.iter().find(|copy| copy.unit == unit && copy.number == number);
-        copy.map(|copy| copy.beside)
-    }
 }
 
 impl Scheduler {
@@ -226,36 +201,16 @@
             incarnation_started_ms: worker.registration.incarnation_started_ms,
             runs,
             preceding_runs,
-            copies: self.copies_on(worker),
         }
     }
 
-    /// Returns those of the runs in a worker's row that were started as copies.
-    fn copies_on(&self, worker: &Worker) -> Vec<AssignedCopy> {
-        let of = |key: &UnitKey, number: u32, beside: Option<u32>| {
-            let unit = || key.to_string();
-            beside.map(|beside| AssignedCopy { unit: unit(), number, beside })
-        };
-        let runs = worker.runs.iter().filter_map(|key| {
-            let run = self.run_on(key, &worker.registration.id)?;
-            of(key, run.number, run.beside)
-        });
-        let ended = worker.pending_completions.iter();
-        runs.chain(ended.filter_map(|end| of(&end.unit, end.run, end.beside))).collect()
-    }
-
     fn send_start(&mut self, id: &WorkerId, key: &UnitKey, number: u32, now: Moment) {
         let is_planned =
             |run: &Run| run.worker == *id && run.number == number && run.phase == Phase::Planned;
-        let Some(run) = self.run_on(key, id).filter(|run| is_planned(run)) else {
+        if !self.run_on(key, id).is_some_and(is_planned) {
             return;
-        };
-        let validity = match run.beside {
-            None => Some(self.start_validity(now)),
-            Some(_) => {
-                copies::start_validity_left(run, now).map(|left| left.min(self.start_validity(now)))
-            }
-        };
+        }
+        let validity = self.start_validity(now);
         let ticket = self.tickets.ticket(key, id, now);
         let spec = self.jobs.get(&key.job).map(|job| job.record.spec.clone()).unwrap_or_default();
         let Some(worker) = self.workers.get(id) else {
@@ -264,7 +219,7 @@
         // The worker may have changed while the run was being stored.
         let can_start = self.can_start_planned(worker, now);
         let clock_ms = worker.clock_min_ms(now).filter(|_| can_start);
-        let (Some(clock_ms), Some(validity)) = (clock_ms, validity) else {
+        let Some(clock_ms) = clock_ms else {
             self.count_withheld(id, now);
             self.withdraw_planned(id, key, now);
             return;
@@ -316,30 +271,19 @@
         };
         // A finished unit may still have a run: another run of it, or another unit of its gang, has
         // finished it.
-        let may_be_added = match &unit.run {
-            None => true,
-            Some(run) => stored.beside == Some(run.number) && run.worker != stored.worker,
-        };
-        if !may_be_added {
+        if unit.run.is_some() {
             return;
         }
         let mut run = Run::new(stored.number, stored.worker, Phase::InDoubt, step, now);
         run.precedes_others = stored.precedes_others;
-        run.beside = stored.beside;
         self.add_run(key, run, now);
     }
 }
 
 /// Returns the stored runs that may still exist. A unit gets a run with a higher number only after
-/// the run before it has ended, unless it is a copy of that run.
+/// the run before it has ended.
 fn possible_runs(mut runs: Vec<StoredRun>) -> Vec<StoredRun> {
     runs.sort_by(|a, b| a.unit.cmp(&b.unit).then(b.number.cmp(&a.number)));
-    let mut possible = Vec::with_capacity(runs.len());
-    for of_unit in runs.chunk_by(|a, b| a.unit == b.unit) {
-        let last = &of_unit[0];
-        let copied = |run: &&StoredRun| Some(run.number) == last.beside;
-        possible.extend(of_unit.iter().find(copied).cloned());
-        possible.push(last.clone());
-    }
-    possible
+    runs.dedup_by(|a, b| a.unit == b.unit);
+    runs
 }
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -76,8 +76,8 @@
 
     /// Commands all runs of a unit to stop.
     pub(crate) fn request_stop(&mut self, key: &UnitKey, now: Moment) {
-        let runs = self.unit(key).into_iter().flat_map(Unit::runs);
-        for worker in runs.map(|run| run.worker.clone()).collect::<Vec<WorkerId>>() {
+        let run = self.unit(key).and_then(|unit| unit.run.as_ref());
+        if let Some(worker) = run.map(|run| run.worker.clone()) {
             self.request_stop_on(&worker, key, now);
         }
     }
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -1,6 +1,5 @@
 //! Counts of events for the owner's metrics.
 
-use crate::copy_outcomes::CopyCounts;
 use crate::state::Scheduler;
 
 /// Events since the counts were last taken.
@@ -24,8 +23,6 @@
     pub preempted_work_core_ms: u64,
     /// Runs that were stopped so that their units run on another worker.
     pub moved_runs: u64,
-    /// Copies, and the work that was done twice.
-    pub copies: CopyCounts,
 }
 
 impl Scheduler {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -115,9 +115,6 @@
     /// Maximum number of units of this step on one worker; 0 is no limit.
     #[serde(rename = "pw", skip_serializing_if = "is_zero")]
     pub per_worker_max: u32,
-    /// Several copies of a unit may run at the same time.
-    #[serde(rename = "co", skip_serializing_if = "is_false")]
-    pub allows_copies: bool,
     /// The units run until the job is cancelled.
     #[serde(rename = "la", skip_serializing_if = "is_false")]
     pub is_long_running: bool,
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -118,8 +118,6 @@
     pub load: Option<u64>,
     /// Speed limit that was set for the run, in percent.
     pub speed_limit_percent: u32,
-    /// Number of the run beside which this one was started as a copy; `None` if it was no copy.
-    pub beside: Option<u32>,
 }
 
 impl Run {
@@ -143,7 +141,6 @@
             checkpoint_percent: 0,
             load: None,
             speed_limit_percent: FULL_PERCENT,
-            beside: None,
         }
     }
 
@@ -182,8 +179,6 @@
     pub checkpoint: String,
     /// The run that is or may be on a worker.
     pub run: Option<Run>,
-    /// A second run on another worker, if the step allows copies. Only beside `run`.
-    pub copy: Option<Run>,
     /// Workers on which it failed or stalled; others are preferred.
     pub excluded_workers: Vec<WorkerId>,
     /// One of its runs was stopped for an urgent unit.
@@ -203,7 +198,6 @@
             last_run: run_number_base,
             checkpoint: String::new(),
             run: None,
-            copy: None,
             excluded_workers: Vec::new(),
             was_preempted: false,
             last_unavailable_at: now,
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -59,7 +59,7 @@
     /// Returns how likely it is that the unit crashes its worker.
     pub(crate) fn suspicion(&self, now: Moment) -> Suspicion {
         let has_lasted = |run: &Run| now.saturating_sub(run.started_at(now)) > SUSPECT_AGE_MAX;
-        if self.crashed_runs.is_empty() || self.runs().any(has_lasted) {
+        if self.crashed_runs.is_empty() || self.run.as_ref().is_some_and(has_lasted) {
             return Suspicion::None;
         }
         let is_strong = self.crashes_when_last() + 1 >= CRASHES_MAX_AS_LAST
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -130,7 +130,6 @@
         self.placed_at = now;
         self.quota_needs = SortedMap::default();
         let mut waiting = self.waiting_steps(now);
-        let mut copies = self.copies_to_place(now);
         // Strong suspects come first, since they may have to reserve a worker.
         let order = |step: &WaitingStep| (!step.has_strong_suspect, step.priority);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then_with(|| order(a).cmp(&order(b))));
@@ -138,7 +137,6 @@
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &pool_steps[0].pool;
             let mut candidates = self.candidates(pool, now);
-            let mut pool_copies = copies.remove(pool).unwrap_or_default();
             let mut placement_order = self.placement_order(pool, pool_steps, &candidates, now);
             let (mut is_starved, mut is_long_running_starved) = (false, false);
             let mut starved = Vec::new();
@@ -154,7 +152,6 @@
                 {
                     candidates.close(&held);
                 }
-                self.place_copies_before(step, &mut pool_copies, &mut candidates, now);
                 let placement = self.place_step(step, &mut placement_order, &mut candidates, now);
                 results.push(step, placement);
                 let has_no_capacity = placement == Placement::NoCapacity;
@@ -167,13 +164,11 @@
                     has_no_capacity && step.priority.urgency == Urgency::LongRunning;
             }
             self.preempt_for(pool, &starved, &candidates, now);
-            self.place_copies(pool_copies, &held, &mut candidates, now);
             self.counts.units_ahead_by_share += placement_order.units_ahead();
             update_since(&mut self.starved_since, pool, is_starved, now);
             update_since(&mut self.long_running_starved_since, pool, is_long_running_starved, now);
             self.update_reservation(pool, &results, now);
         }
-        self.place_other_copies(copies, &held, now);
         let is_waiting = |pool: &PoolName| waiting.iter().any(|step| step.pool == *pool);
         self.starved_since.retain(|pool, _| is_waiting(pool));
         self.long_running_starved_since.retain(|pool, _| is_waiting(pool));
--- a/crates/scheduler/src/policies.rs
+++ b/crates/scheduler/src/policies.rs
@@ -16,8 +16,6 @@
     Preemption,
     /// Measured durations replace the estimates of callers.
     LearnedDurations,
-    /// Units with a slow run get a second run where their step allows it.
-    Copies,
     /// Slow workers are avoided.
     WorkerSpeeds,
     /// Runs are stopped on workers whose capacity has shrunk below them.
@@ -38,13 +36,12 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 7] = [
         Self::FairShares,
         Self::Admission,
         Self::WideSteps,
         Self::Preemption,
         Self::LearnedDurations,
-        Self::Copies,
         Self::WorkerSpeeds,
         Self::ShrunkWorkers,
     ];
@@ -57,7 +54,6 @@
             Self::WideSteps => "wide-steps",
             Self::Preemption => "preemption",
             Self::LearnedDurations => "learned-durations",
-            Self::Copies => "copies",
             Self::WorkerSpeeds => "worker-speeds",
             Self::ShrunkWorkers => "shrunk-workers",
         }
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -120,7 +120,7 @@
 
 /// Returns the fraction of a unit's work that remains.
 fn remaining_fraction(unit: &Unit) -> f64 {
-    let progress_percent = unit.runs().map(|run| run.progress_percent.min(100)).max().unwrap_or(0);
+    let progress_percent = unit.run.as_ref().map_or(0, |run| run.progress_percent.min(100));
     1.0 - f64::from(progress_percent) / 100.0
 }
 
--- a/crates/scheduler/src/slow_workers.rs
+++ b/crates/scheduler/src/slow_workers.rs
@@ -267,10 +267,8 @@
         };
         for worker in workers.filter(is_reachable) {
             let id = &worker.registration.id;
-            // The unit of a run with a copy does not depend on this worker.
-            let alone = |key: &&UnitKey| self.unit(key).is_some_and(|unit| unit.copy.is_none());
-            let runs = worker.runs.iter().filter(alone);
-            let gains = runs.filter_map(|key| Some((self.gain_of_move(id, key)?, key)));
+            let gains =
+                worker.runs.iter().filter_map(|key| Some((self.gain_of_move(id, key)?, key)));
             movable.extend(gains);
         }
         movable.sort_by(|a, b| b.cmp(a));
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -18,7 +18,6 @@
 use crate::capacity::BaselineHosts;
 use crate::capacity::Demand;
 use crate::config::Config;
-use crate::copies::Copies;
 use crate::counts::Counts;
 use crate::durations::Durations;
 use crate::evacuation::Evacuations;
@@ -46,7 +45,6 @@
 use crate::shrunk_workers::ShrunkWorkers;
 use crate::slow_workers::SlowWorkers;
 use crate::sorted_map::SortedMap;
-use crate::stragglers::Stragglers;
 use crate::team_shares::TeamShares;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
@@ -122,10 +120,6 @@
     pub(crate) counts: Counts,
     /// What decides whether new jobs are accepted.
     pub(crate) admission: Admission,
-    /// Copies of units whose run is slow.
-    pub(crate) copies: Copies,
-    /// Runs that are much slower than others of their step.
-    pub(crate) stragglers: Stragglers,
     /// Recently submitted work by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Since when a pool has had a waiting unit that fits on none of its workers.
@@ -332,22 +326,14 @@
             *self.team_usage.entry_or(team, Resources::default) += run.requested;
         }
         if let Some(unit) = self.unit_mut(key) {
-            unit.add_run(run);
-            let has_copy = unit.copy.is_some();
-            self.copies.update(key, has_copy);
+            unit.last_run = unit.last_run.max(run.number);
+            unit.run = Some(run);
         }
     }
 
     /// Removes the run of a unit on a worker once it is certain that it is not running any more.
     pub(crate) fn remove_run(&mut self, key: &UnitKey, worker: &str, now: Moment) -> Option<Run> {
-        let run = self.take_run(key, worker, now)?;
-        self.record_copy_end(key, &run, now);
-        Some(run)
-    }
-
-    /// As [`Scheduler::remove_run`], but leaves it to the caller to record how a copy has ended.
-    pub(crate) fn take_run(&mut self, key: &UnitKey, worker: &str, now: Moment) -> Option<Run> {
-        let run = self.unit_mut(key)?.take_run(worker)?;
+        let run = self.unit_mut(key)?.run.take_if(|run| *run.worker == *worker)?;
         let job = self.jobs.get_mut(&key.job);
         let team = job.and_then(|job| {
             job.may_have_waiting_units = true;
@@ -364,7 +350,6 @@
         }
         if let Some(unit) = self.unit_mut(key) {
             unit.last_unavailable_at = now;
-            self.copies.update(key, false);
         }
         self.needs_placement = true;
         Some(run)
--- a/crates/scheduler/src/stop_costs.rs
+++ b/crates/scheduler/src/stop_costs.rs
@@ -145,7 +145,6 @@
 fn may_be_preempted(unit: &Unit, run: &Run, now: Moment) -> bool {
     let is_exempt = unit.was_preempted && now.saturating_sub(run.since) < EXEMPT_TIME;
     unit.finish_state == FinishState::Unfinished
-        && unit.copy.is_none()
         && run.stop.is_none()
         && matches!(run.phase, Phase::Confirmed(_) | Phase::Reported)
         && !is_exempt
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -9,7 +9,6 @@
 
 use crate::JobId;
 use crate::Moment;
-use crate::WorkerId;
 use crate::batch::Batch;
 use crate::batch::BatchLimits;
 use crate::batch::StoredCompletions;
@@ -90,8 +89,8 @@
     /// Removes a job that could not be stored; none of its start commands has been sent.
     pub fn withdraw_job(&mut self, id: &str, now: Moment) {
         for key in self.units_with_run(id) {
-            let runs = self.unit(&key).into_iter().flat_map(Unit::runs);
-            for worker in runs.map(|run| run.worker.clone()).collect::<Vec<WorkerId>>() {
+            let run = self.unit(&key).and_then(|unit| unit.run.as_ref());
+            if let Some(worker) = run.map(|run| run.worker.clone()) {
                 self.remove_run(&key, &worker, now);
             }
         }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -42,8 +42,6 @@
     pub unit: UnitKey,
     /// Number of the run.
     pub run: u32,
-    /// Number of the run beside which it was started, if it was a copy.
-    pub beside: Option<u32>,
 }
 
 /// State of a worker and of the runs that are or may be there.
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -168,21 +168,16 @@
         // A new owner may learn of several failures of a unit in any order.
         let is_new_failure =
             completion.outcome == RunOutcome::Failed && !unit.failed_runs.contains(&completion.run);
-        let is_beside_success = unit.finish_state != FinishState::Unfinished;
-        // Where copies are made, the end of the run beside the one that succeeded does not matter.
-        let is_new_failure = is_new_failure && !(is_beside_success && self.may_have_copy(key));
-        let ended_run = if is_current { self.take_run(key, id, now) } else { None };
-        let beside = ended_run.as_ref().and_then(|run| run.beside);
+        if is_current {
+            self.remove_run(key, id, now);
+        }
         if completion.outcome != RunOutcome::Done {
             let why = format!("ending={:?} run={} worker={id}", completion.outcome, completion.run);
             self.log_decision("run ended", key, why);
         }
         self.update_failure_history(id, key, completion.outcome, now);
         if is_first_success {
-            self.record_first_success(key, ended_run.as_ref(), now);
             self.finish_unit(key, now);
-        } else if let Some(run) = ended_run {
-            self.record_copy_end(key, &run, now);
         }
         if is_new_failure {
             self.handle_unit_failure(id, key, completion.run, now);
@@ -191,7 +186,7 @@
             self.mark_dirty(&key.job);
             if let Some(worker) = self.workers.get_mut(id) {
                 let (number, unit, run) = (completion.number, key.clone(), completion.run);
-                worker.pending_completions.push(PendingCompletion { number, unit, run, beside });
+                worker.pending_completions.push(PendingCompletion { number, unit, run });
             }
         }
         self.remove_finished(&key.job, now);
@@ -211,8 +206,8 @@
                 continue;
             };
             unit.finish_state = FinishState::Finished;
-            // The unit may have another run: a copy, or one that was started after a lease expired.
-            // It has nothing left to do.
+            // The unit may have another run, which was started after a lease expired. It has
+            // nothing left to do.
             self.request_stop(&member, now);
         }
         // Steps that depend on this one may be ready.
@@ -308,12 +303,9 @@
         let is_wanted = unit.finish_state == FinishState::Unfinished && !job.is_final_state_stored;
         match &unit.run {
             _ if unit.run_on(id).is_some() => self.update_run(id, key, running, now),
-            Some(run) if run.phase == Phase::InDoubt && unit.copy.is_none() => {
+            Some(run) if run.phase == Phase::InDoubt => {
                 let (worker, is_earlier) = (run.worker.clone(), run.number < running.run);
-                if self.may_have_copy(key) {
-                    // Either run may be a copy of the other.
-                    self.adopt_run(id, running, now);
-                } else if is_earlier {
+                if is_earlier {
                     // An owner assigns a higher run number only after it is certain that the
                     // earlier run has ended.
                     self.remove_run(key, &worker, now);
@@ -330,9 +322,7 @@
             }
             None => self.adopt_run(id, running, now),
         }
-        if is_wanted {
-            self.record_straggler(id, key, now);
-        } else {
+        if !is_wanted {
             self.request_stop_on(id, key, now);
         }
         true
@@ -374,7 +364,6 @@
             return;
         };
         let mut run = Run::new(running.run, id.clone(), Phase::Reported, step, now);
-        run.beside = self.unit(key).and_then(|unit| Some(unit.run.as_ref()?.number));
         run.progress_percent = running.progress_percent;
         run.record_checkpoint(&running.checkpoint, running.progress_percent, now);
         run.load = running.load;
