Remove the speeds of workers

Ruled out: that slow workers need it: runs that stand still are found without it. Change: the policy, its modules and tests are gone; runs that are stopped on shrunk workers are still counted as moved.

--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -97,7 +97,7 @@
     ),
     counter(UNITS_EVACUATED, "long-running units moved out of evacuated zones"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
-    counter(RUNS_MOVED, "runs stopped on slow or shrunk workers to run elsewhere"),
+    counter(RUNS_MOVED, "runs stopped on shrunk workers to run elsewhere"),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
     counter(RUNS_PREEMPTED, "runs that were stopped for an urgent unit"),
     counter(PREEMPTED_WORK, "work that preempted units lost, in core-milliseconds"),
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -11,11 +11,8 @@
 use crate::live_jobs::UnitKind;
 use crate::lost_runs::QUIET_TIME;
 use crate::lost_runs::Suspicion;
-use crate::slow_workers::PoolUse;
-use crate::slow_workers::SlowRunLimit;
 use crate::state::Scheduler;
 use crate::worker::Worker;
-use crate::worker_speeds::NORMAL_PERCENT;
 
 /// A worker that accepts new runs, as it is during one round of placement.
 #[derive(Clone, Debug)]
@@ -36,10 +33,6 @@
     /// has just started, or is about to start, is at fault.
     is_reserved: bool,
     is_reliable: bool,
-    /// Speed in percent of the normal one.
-    speed_percent: u32,
-    /// It is neither slow nor recovering from that.
-    has_normal_speed: bool,
 }
 
 /// What earlier runs of a unit tell about where to run it next.
@@ -54,8 +47,6 @@
 /// How well a worker suits a unit; the lowest value suits best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
-    /// The worker is slow or recovers from that.
-    is_slow: bool,
     /// An earlier run of the unit has failed or stalled there.
     is_excluded: bool,
     /// The worker is slow, since it has just started.
@@ -90,10 +81,6 @@
     pub has_cold: bool,
     /// The units that are placed now wait rather than run on a cold worker.
     pub avoids_cold: bool,
-    pool_use: PoolUse,
-    has_slow_workers: bool,
-    /// Which units may run on slow workers; `None` if all may.
-    slow_run_limit: Option<SlowRunLimit>,
 }
 
 impl Candidates {
@@ -106,11 +93,7 @@
     /// if `is_held_back`. Only a step that may run on any worker shows that others do not fit
     /// either.
     pub fn record_unfit(&mut self, step: &Step, is_held_back: bool) {
-        // Others may run on a slow worker that this one may not use.
-        let fits = |worker: &Candidate| step.reservation().fits_in(&worker.free_capacity);
-        let fits_on_slow =
-            self.has_slow_workers && self.workers.iter().any(|w| w.is_slow() && fits(w));
-        if step.label.is_none() && step.per_worker_max == 0 && !fits_on_slow {
+        if step.label.is_none() && step.per_worker_max == 0 {
             let unfit = match is_held_back {
                 true => &mut self.unfit_beside_held,
                 false => &mut self.unfit_reservations,
@@ -192,7 +175,7 @@
 
     /// Returns true if the units that are placed now may run on a worker.
     fn allows(&self, worker: &Candidate) -> bool {
-        !(self.avoids_cold && worker.is_cold) && self.allows_speed(worker.speed_percent)
+        !(self.avoids_cold && worker.is_cold)
     }
 
     /// Returns true if a unit of `step` would fit on a worker that is reserved.
@@ -211,28 +194,6 @@
         worker.serving_runs += usize::from(kind.is_serving);
         worker.best_effort_runs += usize::from(kind.is_best_effort);
         worker.long_running_runs += usize::from(kind.is_long_running);
-        self.pool_use.reserved += step.reservation();
-    }
-
-    /// Returns true if some of the workers are slow.
-    pub fn has_slow_workers(&self) -> bool {
-        self.has_slow_workers
-    }
-
-    /// Limits the runs on slow workers while at least half of the pool's capacity is in use.
-    pub fn limit_slow_runs(&mut self, limit: SlowRunLimit) {
-        self.slow_run_limit = Some(limit);
-    }
-
-    /// Leaves out the workers that are slow or recover from that.
-    pub fn exclude_slow_workers(&mut self) {
-        self.workers.retain(|worker| worker.has_normal_speed);
-    }
-
-    /// Returns true if the next unit may run on a worker of this speed.
-    fn allows_speed(&self, speed_percent: u32) -> bool {
-        let allows = |limit: SlowRunLimit| limit.allows(speed_percent);
-        self.slow_run_limit.is_none_or(allows) || self.pool_use.is_half_free()
     }
 
     /// Withdraws the free capacity of some workers for the rest of the round.
@@ -282,10 +243,6 @@
             && (runs_max == 0 || self.runs_of_step(key) + planned < runs_max)
     }
 
-    fn is_slow(&self) -> bool {
-        self.speed_percent < NORMAL_PERCENT
-    }
-
     fn runs_of_step(&self, key: &UnitKey) -> usize {
         let is_same_step = |unit: &&UnitKey| {
             unit.job == key.job && unit.occurrence == key.occurrence && unit.step == key.step
@@ -304,7 +261,6 @@
         };
         let near = step.near_rack.as_deref();
         Fit {
-            is_slow: !self.has_normal_speed,
             is_excluded: history.excluded_workers.contains(&self.id),
             is_cold: self.is_cold,
             is_remote: near.is_some() && self.rack.as_deref() != near,
@@ -328,9 +284,7 @@
         let accepting = workers.filter(|worker| self.accepts_runs(worker, now));
         let workers: Vec<Candidate> = accepting.map(|worker| self.candidate(worker, now)).collect();
         let has_cold = workers.iter().any(|worker| worker.is_cold);
-        let has_slow_workers = workers.iter().any(Candidate::is_slow);
-        let pool_use = self.pool_use(pool, now);
-        Candidates { workers, has_cold, has_slow_workers, pool_use, ..Candidates::default() }
+        Candidates { workers, has_cold, ..Candidates::default() }
     }
 
     /// Returns true if the worker accepts new runs.
@@ -358,7 +312,7 @@
         }
         Candidate {
             id: worker.registration.id.clone(),
-            free_capacity: self.usable_capacity(worker, now),
+            free_capacity: worker.free_usable_capacity(now),
             is_cold: worker.is_cold(now),
             rack: worker.rack.clone(),
             labels: worker.registration.labels.clone(),
@@ -369,8 +323,6 @@
             suspect_runs,
             is_reserved,
             is_reliable: !self.failure_history.has_recent_failure(&worker.registration.id, now),
-            speed_percent: self.slow_workers.speeds.speed_percent(&worker.registration.id),
-            has_normal_speed: self.slow_workers.speeds.is_normal(&worker.registration.id),
         }
     }
 }
--- a/crates/scheduler/src/forecast.rs
+++ b/crates/scheduler/src/forecast.rs
@@ -235,7 +235,7 @@
                 backlog.capacity -= self.long_running_reservation(worker);
             }
             if self.accepts_runs(worker, now) {
-                backlog.free += self.usable_capacity(worker, now);
+                backlog.free += worker.free_usable_capacity(now);
             }
         }
         pools
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -57,7 +57,6 @@
 mod run_samples;
 mod share_level;
 mod shrunk_workers;
-mod slow_workers;
 mod speed_limits;
 mod stalled;
 mod stop_costs;
@@ -70,7 +69,6 @@
 mod work;
 mod worker_reports;
 mod worker_slots;
-mod worker_speeds;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -97,7 +97,6 @@
         self.expire_leases(now);
         self.create_due_occurrences(now);
         self.stop_stalled_runs(now);
-        self.review_worker_speeds(now);
         self.relieve_shrunk_workers(now);
         self.resend_stops(now);
         self.review_evacuations(now);
@@ -271,10 +270,6 @@
         }
         candidates.avoids_cold = candidates.has_cold
             && self.can_wait_for_warm_worker(&waiting.priority, &record, step, now);
-        if candidates.has_slow_workers() {
-            let limit = self.slow_run_limit(&record, step, &waiting.priority, now);
-            candidates.limit_slow_runs(limit);
-        }
         if step.is_gang {
             let placement = self.place_gang(waiting, step, candidates, now);
             if placement == Placement::All {
--- a/crates/scheduler/src/policies.rs
+++ b/crates/scheduler/src/policies.rs
@@ -16,8 +16,6 @@
     Preemption,
     /// Measured durations replace the estimates of callers.
     LearnedDurations,
-    /// Slow workers are avoided.
-    WorkerSpeeds,
     /// Runs are stopped on workers whose capacity has shrunk below them.
     ShrunkWorkers,
 }
@@ -36,13 +34,12 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 6] = [
         Self::FairShares,
         Self::Admission,
         Self::WideSteps,
         Self::Preemption,
         Self::LearnedDurations,
-        Self::WorkerSpeeds,
         Self::ShrunkWorkers,
     ];
 
@@ -54,7 +51,6 @@
             Self::WideSteps => "wide-steps",
             Self::Preemption => "preemption",
             Self::LearnedDurations => "learned-durations",
-            Self::WorkerSpeeds => "worker-speeds",
             Self::ShrunkWorkers => "shrunk-workers",
         }
     }
--- a/crates/scheduler/src/run_samples.rs
+++ b/crates/scheduler/src/run_samples.rs
@@ -1,4 +1,4 @@
-//! What completions of runs tell about the durations of units and the speeds of workers.
+//! What completions of runs tell about the durations of units.
 //!
 //! Only successful runs that show how long a unit takes on a worker at full speed are samples. Not
 //! among them are runs that an earlier owner has started, since their start is not known; runs that
@@ -23,8 +23,7 @@
 impl Scheduler {
     /// Returns true if samples are taken.
     pub(crate) fn takes_samples(&self) -> bool {
-        let policies = &self.settings.policies;
-        policies.enables(Policy::LearnedDurations) || policies.enables(Policy::WorkerSpeeds)
+        self.settings.policies.enables(Policy::LearnedDurations)
     }
 
     /// Takes a sample from a completion that is about to be handled, if it shows how long the unit
@@ -45,15 +44,8 @@
             return;
         };
         let record = job.record.clone();
-        let step = &record.steps[key.step];
-        if let Some(expected) = self.durations.measured(&record, step).filter(|_| !step.is_gang) {
-            let speeds = &mut self.slow_workers.speeds;
-            speeds.record_end(worker, &key.job, expected, took, now);
-        }
-        if self.is_at_full_speed(worker) {
-            self.durations.record(&record, key.step, took, now);
-            self.counts.duration_samples += 1;
-        }
+        self.durations.record(&record, key.step, took, now);
+        self.counts.duration_samples += 1;
     }
 
     /// Returns the expected durations of units.
@@ -109,9 +101,4 @@
             && is_finite;
         is_sample.then(|| now.saturating_sub(run.since))
     }
-
-    /// Returns true if runs on a worker show how long units normally take.
-    fn is_at_full_speed(&self, worker: &WorkerId) -> bool {
-        self.slow_workers.speeds.is_normal(worker)
-    }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -43,7 +43,6 @@
 use crate::reservations::Reservations;
 use crate::settings::Settings;
 use crate::shrunk_workers::ShrunkWorkers;
-use crate::slow_workers::SlowWorkers;
 use crate::sorted_map::SortedMap;
 use crate::team_shares::TeamShares;
 use crate::waves::WaveProgress;
@@ -112,8 +111,6 @@
     pub(crate) preemptions: Preemptions,
     /// Expected durations of units.
     pub(crate) durations: Durations,
-    /// Speeds of workers, and moves away from slow ones.
-    pub(crate) slow_workers: SlowWorkers,
     /// Workers that have shrunk below what runs there.
     pub(crate) shrunk_workers: ShrunkWorkers,
     /// Events since the owner last took the counts.
--- a/crates/scheduler/src/stop_costs.rs
+++ b/crates/scheduler/src/stop_costs.rs
@@ -33,12 +33,8 @@
         let exempt_teams = self.teams_at_preemption_limit();
         let mut forecast = CapacityForecast::default();
         for (index, candidate) in candidates.workers().iter().enumerate() {
-            // A cold worker, or one that recovers from slowness, offers only a part of its
-            // capacity, so that a stop may free none. A slow one may be of no use to the urgent
-            // unit.
-            let has_normal_speed = self.slow_workers.speeds.is_normal(&candidate.id);
-            let worker = self.workers.get(&candidate.id);
-            let worker = worker.filter(|worker| has_normal_speed && !worker.is_cold(now));
+            // A cold worker offers only a part of its capacity, so that a stop may free none.
+            let worker = self.workers.get(&candidate.id).filter(|worker| !worker.is_cold(now));
             let Some(worker) = worker else {
                 continue;
             };
--- a/crates/scheduler/src/worker_slots.rs
+++ b/crates/scheduler/src/worker_slots.rs
@@ -143,17 +143,13 @@
 }
 
 impl Scheduler {
-    /// Returns the workers of a pool that can be counted on and run at normal speed, with their
-    /// finite runs.
+    /// Returns the workers of a pool that can be counted on and are warm, with their finite
+    /// runs.
     pub(crate) fn busy_workers(&self, pool: &PoolName, now: Moment) -> Vec<BusyWorker<'_>> {
         let in_pool = self.workers.values().filter(|worker| worker.registration.pool == *pool);
-        let has_normal_speed = |worker: &&Worker| {
-            let speeds = &self.slow_workers.speeds;
-            !worker.is_cold(now) && speeds.is_normal(&worker.registration.id)
-        };
         in_pool
             .filter(|worker| self.is_dependable(worker, now))
-            .filter(has_normal_speed)
+            .filter(|worker| !worker.is_cold(now))
             .map(|worker| BusyWorker { worker, runs: self.runs_by_end(worker, now) })
             .collect()
     }
