Remove fair shares, admission, reservations of wide steps and preemption

All four were off everywhere. Change: the policies, their modules, tests, metrics, rows and pages are gone; placement follows priorities alone.

--- a/crates/coordinator/src/caller_api.rs
+++ b/crates/coordinator/src/caller_api.rs
@@ -10,7 +10,6 @@
 use scheduler::Moment;
 use scheduler::Progress;
 use scheduler::QueueName;
-use scheduler::Rejection;
 use scheduler::ShardIndex;
 use scheduler::TeamName;
 
@@ -85,8 +84,6 @@
         /// Time after which the caller may retry.
         retry_after: Duration,
     },
-    /// The job can't be served in time: it is not stored and never runs.
-    Rejected(Rejection),
     /// The job may be stored; the caller may submit it again.
     Unknown,
 }
@@ -172,7 +169,6 @@
         let by_owner = self.owner(shared).submit(&record).await;
         match by_owner {
             Ok(SubmitReply::Accepted) => SubmitOutcome::Accepted,
-            Ok(SubmitReply::Rejected(rejection)) => SubmitOutcome::Rejected(rejection),
             Ok(SubmitReply::NotStored) => self.submit_through_inbox(&record, false, deadline).await,
             Ok(SubmitReply::Unknown) => self.submit_through_inbox(&record, true, deadline).await,
             Err(error) => {
--- a/crates/coordinator/src/divisions.rs
+++ b/crates/coordinator/src/divisions.rs
@@ -29,7 +29,6 @@
 use crate::rows::DIVISION_GROUPS;
 use crate::rows::DivisionKey;
 use crate::rows::WaveDivisionRow;
-use crate::team_uses::TeamUsesRow;
 
 /// Time between the gifts of two shards that hold portions of a quota that is requested. The first
 /// one often gives enough, and changes at the same time would conflict.
@@ -80,7 +79,6 @@
     epochs: SortedMap<u64, u64>,
     teams: SortedMap<TeamName, Versioned<PortionRow>>,
     waves: SortedMap<WaveId, Versioned<WaveDivisionRow>>,
-    team_uses: SortedMap<ShardIndex, Versioned<TeamUsesRow>>,
     /// Changes whose results are not known, by key.
     pending: SortedMap<String, PendingChange>,
     /// Teams in whose rows some shard requests more, and since when the row is known.
@@ -136,14 +134,6 @@
                         *known = Versioned { row: decoded, version: row.version };
                     }
                 }
-                Some((_, DivisionKey::TeamUses(shard))) => {
-                    let known = self.team_uses.entry_or(shard, Versioned::default);
-                    if row.version > known.version
-                        && let Some(decoded) = rows::decode_or_log(row)
-                    {
-                        *known = Versioned { row: decoded, version: row.version };
-                    }
-                }
                 Some((group, DivisionKey::Epoch(shard))) if shard == self.shard => {
                     self.set_epoch(group, row);
                 }
@@ -237,30 +227,6 @@
         Some(self.start_change(key, &row, known.version, None))
     }
 
-    /// Returns what teams use in another shard, as it was last published.
-    pub fn foreign_team_uses(&self, shard: ShardIndex) -> Option<&TeamUsesRow> {
-        let known = self.team_uses.get(&shard).filter(|_| shard != self.shard)?;
-        Some(&known.row)
-    }
-
-    /// Returns the shards that have published what teams use there.
-    pub fn shards_with_team_uses(&self) -> impl Iterator<Item = ShardIndex> {
-        self.team_uses.iter().map(|(shard, _)| *shard)
-    }
-
-    /// Returns the change that publishes what teams use in this shard; none while the result of the
-    /// last one is not known.
-    pub fn plan_team_uses(&mut self, row: &TeamUsesRow) -> Option<Change> {
-        let key = DivisionKey::TeamUses(self.shard);
-        let key = key.in_group(key.group().unwrap_or_default());
-        if self.is_superseded || self.pending.contains(&key) {
-            return None;
-        }
-        let known = self.team_uses.get(&self.shard);
-        let version = known.map_or(0, |known| known.version);
-        Some(self.start_change(key, row, version, None))
-    }
-
     /// Returns the changes that are due to be sent again.
     pub fn take_due(&mut self, now: Moment) -> Vec<Change> {
         let mut due = Vec::new();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -32,7 +32,6 @@
 pub mod sharding;
 mod shared;
 pub mod succession;
-pub mod team_uses;
 pub mod worker_poll;
 
 pub use caller_api::Access;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -13,10 +13,6 @@
 pub const JOBS_SUBMIT: &str = "jobs.submit";
 /// Jobs that this owner has stored.
 pub const JOBS_ACCEPTED: &str = "jobs.accepted";
-/// Jobs refused because too much work waits for the capacity of their pool.
-pub const JOBS_REJECTED_POOL: &str = "jobs.rejected.pool";
-/// Jobs refused because too much work waits for the quota of their team.
-pub const JOBS_REJECTED_QUOTA: &str = "jobs.rejected.quota";
 /// Submissions that this node could not store.
 pub const JOBS_NOT_STORED: &str = "jobs.not-stored";
 /// Jobs whose final state this owner has stored.
@@ -42,12 +38,6 @@
 pub const RUNS_MOVED: &str = "runs.moved";
 /// Runs whose durations were recorded for the expected ones.
 pub const DURATION_SAMPLES: &str = "durations.samples";
-/// Runs that were stopped for an urgent unit.
-pub const RUNS_PREEMPTED: &str = "runs.preempted";
-/// Work that preempted units lost, in core-milliseconds.
-pub const PREEMPTED_WORK: &str = "runs.preempted-core-ms";
-/// Units that were placed before units of a higher priority because of the shares of their teams.
-pub const UNITS_AHEAD_BY_SHARE: &str = "units.ahead-by-share";
 /// Time until a start command is answered.
 pub const RUNS_START: &str = "runs.start";
 /// Time from the report of completions until they are stored and can be acknowledged.
@@ -69,12 +59,6 @@
 /// Time from a takeover to the first decision.
 pub const OWNERSHIP_LOAD: &str = "ownership.load";
 
-/// Name of the gauge of the time that a pool needs for what waits there, in milliseconds. There is
-/// one for each pool, at the owner.
-pub fn pool_backlog_ms(pool: &str) -> String {
-    format!("pools.backlog-ms.{pool}")
-}
-
 /// All metrics of a node.
 pub const METRICS: &[MetricSpec] = &[
     counter(REQUESTS, "requests with a known queue and key"),
@@ -82,8 +66,6 @@
     counter(JOBS_MALFORMED, "submissions that are not jobs"),
     timer(JOBS_SUBMIT, "time to the answer of a submission"),
     counter(JOBS_ACCEPTED, "jobs that this owner has stored"),
-    counter(JOBS_REJECTED_POOL, "jobs refused for the work that waits in their pool"),
-    counter(JOBS_REJECTED_QUOTA, "jobs refused for the work that waits for their team's quota"),
     counter(JOBS_NOT_STORED, "submissions that could not be stored"),
     counter(JOBS_ENDED, "jobs whose end this owner has stored"),
     timer(JOBS_WAIT, "time from the acceptance of a job to the begin of its first unit"),
@@ -99,9 +81,6 @@
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
     counter(RUNS_MOVED, "runs stopped on shrunk workers to run elsewhere"),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
-    counter(RUNS_PREEMPTED, "runs that were stopped for an urgent unit"),
-    counter(PREEMPTED_WORK, "work that preempted units lost, in core-milliseconds"),
-    counter(UNITS_AHEAD_BY_SHARE, "units placed ahead of others by the share of their team"),
     timer(RUNS_START, "time of an order to start"),
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
     counter(POLLS, "looks at workers"),
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -12,7 +12,6 @@
 mod load;
 mod pipeline;
 mod requests;
-mod shares;
 mod stats;
 mod write_times;
 
@@ -46,7 +45,6 @@
 use crate::shared::HeldOwnership;
 use crate::shared::OwnerRequest;
 use crate::shared::Shared;
-use crate::team_uses::TeamUsesPublisher;
 
 /// Time for which an owner may act, counted from the sending of its last committed transaction.
 const VALIDITY: Duration = Duration::from_millis(3_500);
@@ -98,7 +96,6 @@
     /// State of each maintenance wave as last reported to operators.
     reported_waves: SortedMap<WaveId, WaveState>,
     divisions: Divisions,
-    team_uses: TeamUsesPublisher,
     /// When the list of hosts was last requested; zero makes the next request due at once.
     hosts_listed_at: Moment,
     is_listing_hosts: bool,
@@ -107,8 +104,6 @@
     /// When a follower was last requested to take over because a transaction failed.
     takeover_requested_at: Moment,
     pools_logged_at: Moment,
-    /// When the inbox was last read up to its end.
-    inbox_read_at: Moment,
     stats: OwnerStats,
     /// Evacuated zones that the scheduler knows.
     evacuated_zones: EvacuatedZones,
@@ -186,20 +181,17 @@
         poll_schedule_reviewed_at: Moment::ZERO,
         reported_waves: SortedMap::default(),
         divisions: loaded.divisions,
-        team_uses: TeamUsesPublisher::default(),
         hosts_listed_at: Moment::ZERO,
         is_listing_hosts: false,
         host_commands: 0,
         takeover_requested_at: Moment::ZERO,
         pools_logged_at: Moment::ZERO,
-        inbox_read_at: Moment::ZERO,
         stats: OwnerStats::new(shared.node.telemetry.clone()),
         evacuated_zones: EvacuatedZones::default(),
         config_version: 0,
         end_reason: None,
         release: None,
     };
-    owner.apply_all_team_uses();
     owner.handle_inbox(loaded.inbox);
     owner.follow_registry();
     owner.follow_inbox();
@@ -263,7 +255,6 @@
         }
         if is_valid && self.release.is_none() {
             self.divide_quotas(now);
-            self.publish_team_uses(now);
         }
         self.commit_next(now);
         self.remove_inbox_rows();
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -7,7 +7,6 @@
 use scheduler::HostName;
 use scheduler::JobId;
 use scheduler::Moment;
-use scheduler::PoolName;
 use scheduler::SortedMap;
 use scheduler::StartCommand;
 use scheduler::StartReply;
@@ -92,7 +91,6 @@
                 }
             }
             Event::InboxRead { rows } => {
-                self.inbox_read_at = now;
                 self.handle_inbox(rows);
             }
             Event::DivisionsChanged { rows } => self.handle_divisions(&rows),
@@ -218,15 +216,7 @@
         self.pools_logged_at = now;
         self.shared.live_jobs.store(self.scheduler.live_jobs(), Ordering::Relaxed);
         self.shared.node.report_live_jobs();
-        self.log_team_shares();
-        let mut backlogs: SortedMap<PoolName, Duration> = SortedMap::default();
-        for (pool, time) in self.scheduler.backlog_times() {
-            let time_ms = time.as_millis() as u64;
-            self.shared.node.telemetry.gauge(&metrics::pool_backlog_ms(pool), time_ms);
-            backlogs.insert(pool.clone(), time);
-        }
         for (pool, load) in self.scheduler.pool_loads(now).iter() {
-            let backlog_ms = backlogs.get(pool).map(|time| time.as_millis() as u64);
             telemetry::log::line("pool-load")
                 .field("shard", self.shared.shard)
                 .field("pool", &**pool)
@@ -243,7 +233,6 @@
                 .field("running_cpu_millis", load.running.cpu_millis)
                 .field("waiting_cpu_millis", load.waiting.cpu_millis)
                 .field("rate_cpu_millis", load.arrival_cpu_millis)
-                .field("backlog_ms", backlog_ms)
                 .write();
         }
     }
--- a/crates/coordinator/src/owner/divide.rs
+++ b/crates/coordinator/src/owner/divide.rs
@@ -112,7 +112,6 @@
             match DivisionKey::parse(key) {
                 Some((_, DivisionKey::Team(team))) => self.apply_portion(&team),
                 Some((_, DivisionKey::Wave(_))) => has_wave = true,
-                Some((_, DivisionKey::TeamUses(shard))) => self.apply_team_uses(shard),
                 Some((_, DivisionKey::Epoch(_))) | None => {}
             }
         }
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -1,13 +1,8 @@
 //! Handles the requests of callers that nodes pass to the owner.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use scheduler::AdmissionDecision;
-use scheduler::JobRecord;
 use scheduler::JobView;
-use scheduler::Rejection;
-use scheduler::RejectionReason;
 use tokio::sync::oneshot;
 
 use super::Owner;
@@ -16,7 +11,6 @@
 use super::pipeline::Submission;
 use crate::caller_api::is_allowed;
 use crate::clock;
-use crate::metrics;
 use crate::ports::Platform;
 use crate::ports::Row;
 use crate::rows;
@@ -27,9 +21,6 @@
 use crate::shared::StateReply;
 use crate::shared::SubmitReply;
 
-/// Largest age of the last read of the inbox at which jobs are refused; above the time for which a
-/// read waits for changes.
-const INBOX_AGE_MAX: Duration = Duration::from_millis(2_500);
 /// Prefix of the keys of submissions in the inbox.
 const SUBMIT_PREFIX: &str = "submit/";
 
@@ -46,10 +37,6 @@
                     send_reply(reply, SubmitReply::NotStored);
                     return;
                 }
-                if !has_submission && let Some(rejection) = self.rejection(&record) {
-                    send_reply(reply, SubmitReply::Rejected(rejection));
-                    return;
-                }
                 self.pipeline.add_submission(Submission { record, reply: Some(reply) });
             }
             OwnerRequest::State { job, requester, reply } => {
@@ -80,12 +67,7 @@
                 Some(InboxRow::Submit(record)) => {
                     // A job in a transaction that is in flight may still be refused.
                     let has_submission = self.pipeline.has_submission(&record.id);
-                    if self.scheduler.is_refused_since(&record) {
-                        telemetry::log::line("late-submission-dropped")
-                            .field("job", &*record.id)
-                            .field("epoch", self.epoch)
-                            .write();
-                    } else if self.scheduler.view(&record.id).is_none() || has_submission {
+                    if self.scheduler.view(&record.id).is_none() || has_submission {
                         let record = Arc::new(record);
                         self.pipeline.add_submission(Submission { record, reply: None });
                     }
@@ -104,23 +86,6 @@
         }
     }
 
-    /// Returns why a submitted job is refused; none if it is accepted. A job that may already be in
-    /// the inbox is never refused.
-    fn rejection(&mut self, record: &Arc<JobRecord>) -> Option<Rejection> {
-        let now = clock::now();
-        if now.saturating_sub(self.inbox_read_at) > INBOX_AGE_MAX {
-            return None;
-        }
-        let AdmissionDecision::Reject(rejection) = self.scheduler.admit(record, now) else {
-            return None;
-        };
-        self.shared.node.telemetry.count(match rejection.reason {
-            RejectionReason::PoolBacklog => metrics::JOBS_REJECTED_POOL,
-            RejectionReason::TeamQuota => metrics::JOBS_REJECTED_QUOTA,
-        });
-        Some(rejection)
-    }
-
     fn state(&self, job: &str, requester: &Requester) -> StateReply {
         match (self.scheduler.view(job), self.scheduler.team_of(job)) {
             (Some(view), Some(team)) if is_allowed(team.as_ref(), requester.as_ref()) => {
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -69,9 +69,6 @@
             (metrics::RUNS_STARTED_COLD, counts.cold_starts),
             (metrics::STARTS_WITHHELD, counts.starts_withheld),
             (metrics::UNITS_EVACUATED, counts.units_evacuated),
-            (metrics::UNITS_AHEAD_BY_SHARE, counts.units_ahead_by_share),
-            (metrics::RUNS_PREEMPTED, counts.preempted_runs),
-            (metrics::PREEMPTED_WORK, counts.preempted_work_core_ms),
             (metrics::RUNS_MOVED, counts.moved_runs),
         ];
         for (name, count) in counters.into_iter().filter(|(_, count)| *count > 0) {
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -10,12 +10,10 @@
 use axum::extract::Path;
 use axum::extract::State;
 use axum::http::StatusCode;
-use axum::response::IntoResponse;
 use axum::routing::post;
 use bytes::Bytes;
 use http::Method;
 use scheduler::JobRecord;
-use scheduler::Rejection;
 use scheduler::ShardIndex;
 use serde::Deserialize;
 use serde::Serialize;
@@ -166,15 +164,8 @@
     }
 
     /// Submits a job.
-    ///
-    /// The owner refuses a job with a status of its own. Older nodes take each status other than
-    /// 200 for a job that is not stored.
     pub async fn submit(&self, record: &JobRecord) -> Result<SubmitReply, PeerError> {
-        let response = self.send("submit", record, WRITE_TIMEOUT).await?;
-        match response.status {
-            StatusCode::TOO_MANY_REQUESTS => decode(&response).map(SubmitReply::Rejected),
-            _ => decode_ok(&response),
-        }
+        self.call("submit", record, WRITE_TIMEOUT).await
     }
 
     /// Cancels a job.
@@ -307,30 +298,10 @@
 async fn submit<P: Platform>(
     target: Target<P>,
     Json(record): Json<JobRecord>,
-) -> Result<Json<SubmitReply>, SubmitError> {
+) -> Result<Json<SubmitReply>, StatusCode> {
     let record = Arc::new(record);
-    let outcome = request_owner(target, |reply| OwnerRequest::Submit { record, reply }).await;
-    match outcome.map_err(SubmitError::NotExecuted)? {
-        Some(SubmitReply::Rejected(rejection)) => Err(SubmitError::Rejected(rejection)),
-        outcome => Ok(Json(outcome.unwrap_or(SubmitReply::Unknown))),
-    }
-}
-
-/// Why a submission by another node was not carried out.
-enum SubmitError {
-    NotExecuted(StatusCode),
-    Rejected(Rejection),
-}
-
-impl IntoResponse for SubmitError {
-    fn into_response(self) -> axum::response::Response {
-        match self {
-            Self::NotExecuted(status) => status.into_response(),
-            Self::Rejected(rejection) => {
-                (StatusCode::TOO_MANY_REQUESTS, Json(rejection)).into_response()
-            }
-        }
-    }
+    let outcome = request_owner(target, |reply| OwnerRequest::Submit { record, reply }).await?;
+    Ok(Json(outcome.unwrap_or(SubmitReply::Unknown)))
 }
 
 async fn cancel<P: Platform>(
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -45,8 +45,6 @@
     Wave(WaveId),
     /// The epoch of a shard's owner, in each group. Changes of rows of the group require it.
     Epoch(ShardIndex),
-    /// What teams use in a shard.
-    TeamUses(ShardIndex),
 }
 
 impl DivisionKey {
@@ -55,7 +53,6 @@
         let name = match self {
             Self::Team(team) => format!("team/{team}"),
             Self::Wave(wave) => format!("wave/{wave}"),
-            Self::TeamUses(shard) => format!("uses/{shard}"),
             Self::Epoch(_) => return None,
         };
         Some(stable_hash(name.as_bytes()) % DIVISION_GROUPS)
@@ -67,7 +64,6 @@
             Self::Team(team) => format!("{group}/team/{team}"),
             Self::Wave(wave) => format!("{group}/wave/{wave}"),
             Self::Epoch(shard) => format!("{group}/epoch/{shard}"),
-            Self::TeamUses(shard) => format!("{group}/uses/{shard}"),
         }
     }
 
@@ -79,7 +75,6 @@
             "team" => Self::Team(name.into()),
             "wave" => Self::Wave(name.parse().ok()?),
             "epoch" => Self::Epoch(name.parse().ok()?),
-            "uses" => Self::TeamUses(name.parse().ok()?),
             _ => return None,
         };
         Some((group.parse().ok()?, parsed))
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -17,7 +17,6 @@
 use scheduler::JobView;
 use scheduler::Moment;
 use scheduler::QueueName;
-use scheduler::Rejection;
 use scheduler::ShardIndex;
 use scheduler::SortedMap;
 use scheduler::TeamName;
@@ -95,8 +94,6 @@
     /// The job is not stored and will not be.
     #[serde(rename = "not-taken")]
     NotStored,
-    /// The job cannot be served in time: it is not stored and never runs.
-    Rejected(Rejection),
     /// The job may be stored.
     Unknown,
 }
--- a/crates/coordinator/tests/common/memory_nodes.rs
+++ b/crates/coordinator/tests/common/memory_nodes.rs
@@ -60,16 +60,9 @@
 }
 
 impl Memory {
-    /// Enables policies and sets the weight of the team, before any node has started.
-    pub fn with_policies(mut self, policies: &[Policy], weight: f64) -> Self {
+    /// Enables only these policies, before any node has started.
+    pub fn with_policies(mut self, policies: &[Policy]) -> Self {
         self.policies = policies.iter().copied().collect();
-        let mut data = self.data.lock().unwrap();
-        let mut config = data.config.as_deref().cloned().unwrap();
-        let mut scheduling = (*config.scheduling).clone();
-        scheduling.teams.entry_or("t".into(), Team::default).rate_share = weight;
-        config.scheduling = Arc::new(scheduling);
-        data.config = Some(Arc::new(config));
-        drop(data);
         self
     }
 }
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -86,7 +86,7 @@
 #[tokio::test]
 async fn an_unreadable_row_of_durations_is_replaced() {
     let memory = Memory::new(Duration::from_millis(50));
-    let memory = memory.with_policies(&[Policy::LearnedDurations], 0.0);
+    let memory = memory.with_policies(&[Policy::LearnedDurations]);
     memory.put(Table::Owner, DURATIONS_KEY, Bytes::from_static(b"{\"kinds\":7}"));
     let node = start_node("a", &memory).await;
     wait_ready(&node).await;
--- a/crates/coordinator/tests/shards.rs
+++ b/crates/coordinator/tests/shards.rs
@@ -10,7 +10,6 @@
 use coordinator::SubmitOutcome;
 use coordinator::clock;
 use coordinator::ports::Table;
-use coordinator::rows::DivisionKey;
 use coordinator::rows::InboxRow;
 use memory::Memory;
 use memory::TableFault;
@@ -19,7 +18,6 @@
 use scheduler::FinalState;
 use scheduler::JobRecord;
 use scheduler::JobView;
-use scheduler::Policy;
 use scheduler::Resources;
 use scheduler::ShardIndex;
 use scheduler::Step;
@@ -193,36 +191,3 @@
     wait_until("the inbox is empty", async || memory.rows(Table::Inbox).is_empty()).await;
     assert_eq!(memory.starts().len(), 9);
 }
-
-/// Returns the keys of the rows about what teams use, after runs have started in all shards.
-async fn keys_of_team_uses(policies: &[Policy]) -> Vec<String> {
-    let memory = Memory::with_hosts(Duration::from_secs(60), SHARDS, LARGE_QUOTA_UNITS);
-    let memory = memory.with_policies(policies, 1_000.0);
-    let node = start_node("n1", &memory).await;
-    wait_ready(&node).await;
-    for number in 0..12 {
-        assert_eq!(submit(&node, number, 1).await, SubmitOutcome::Accepted);
-    }
-    tokio::time::sleep(Duration::from_millis(2_500)).await;
-    let is_about_uses = |key: &String| {
-        let parsed = DivisionKey::parse(key).map(|(_, key)| key);
-        matches!(parsed, Some(DivisionKey::TeamUses(_)))
-    };
-    memory.rows(Table::Divisions).into_iter().filter(is_about_uses).collect()
-}
-
-/// Guards against owners that do not tell each other what teams use, and against rows while the
-/// policy is off.
-#[tokio::test]
-async fn each_owner_publishes_what_teams_use_if_shares_are_enabled() {
-    let key = |shard: ShardIndex| {
-        let key = DivisionKey::TeamUses(shard);
-        key.in_group(key.group().unwrap())
-    };
-    let mut expected: Vec<String> = (0..SHARDS as ShardIndex).map(key).collect();
-    let mut found = keys_of_team_uses(&[Policy::FairShares]).await;
-    found.sort();
-    expected.sort();
-    assert_eq!(found, expected);
-    assert!(keys_of_team_uses(&[]).await.is_empty());
-}
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -72,8 +72,6 @@
     /// Reservations that fit on no worker. Within a round, free capacity only shrinks, so that
     /// larger ones do not fit either.
     unfit_reservations: Vec<Resources>,
-    /// Reservations that fit on no worker that is not held for a wide step.
-    unfit_beside_held: Vec<Resources>,
     /// Reservations that fit on no warm worker, as far as units that wait for one have
     /// shown.
     unfit_on_warm: Vec<Resources>,
@@ -89,25 +87,18 @@
         &self.workers
     }
 
-    /// Records that a unit of `step` fits on no worker, or on none that is not held for a wide step
-    /// if `is_held_back`. Only a step that may run on any worker shows that others do not fit
-    /// either.
-    pub fn record_unfit(&mut self, step: &Step, is_held_back: bool) {
+    /// Records that a unit of `step` fits on no worker. Only a step that may run on any worker shows
+    /// that others do not fit either.
+    pub fn record_unfit(&mut self, step: &Step) {
         if step.label.is_none() && step.per_worker_max == 0 {
-            let unfit = match is_held_back {
-                true => &mut self.unfit_beside_held,
-                false => &mut self.unfit_reservations,
-            };
-            unfit.push(step.reservation());
+            self.unfit_reservations.push(step.reservation());
         }
     }
 
-    /// Returns true if it is already known that a unit of `step` fits on no worker, or on none that
-    /// is not held for a wide step if `is_held_back`.
-    pub fn is_known_unfit(&self, step: &Step, is_held_back: bool) -> bool {
+    /// Returns true if it is already known that a unit of `step` fits on no worker.
+    pub fn is_known_unfit(&self, step: &Step) -> bool {
         let reservation = step.reservation();
-        let is_unfit = |unfit: &[Resources]| unfit.iter().any(|unfit| unfit.fits_in(&reservation));
-        is_unfit(&self.unfit_reservations) || (is_held_back && is_unfit(&self.unfit_beside_held))
+        self.unfit_reservations.iter().any(|unfit| unfit.fits_in(&reservation))
     }
 
     /// Returns the index of the best worker for a unit of `step`, on `rack` if one is given; `None`
@@ -196,19 +187,6 @@
         worker.long_running_runs += usize::from(kind.is_long_running);
     }
 
-    /// Withdraws the free capacity of some workers for the rest of the round.
-    pub fn close(&mut self, ids: &[WorkerId]) {
-        for worker in self.workers.iter_mut().filter(|worker| ids.contains(&worker.id)) {
-            worker.free_capacity = Resources::default();
-        }
-    }
-
-    /// Returns the free capacity of all workers together.
-    pub fn free_capacity(&self) -> Resources {
-        let free = self.workers.iter().map(|worker| worker.free_capacity);
-        free.fold(Resources::default(), |sum, free| sum.plus(&free))
-    }
-
     /// Returns the racks of the workers, sorted and without duplicates.
     pub fn racks(&self) -> Vec<Arc<str>> {
         let mut racks: Vec<Arc<str>> =
@@ -228,19 +206,13 @@
 
     /// Returns true if a unit of `step` fits on the worker, whether it is reserved or not.
     fn fits(&self, key: &UnitKey, step: &Step) -> bool {
-        step.reservation().fits_in(&self.free_capacity) && self.allows(key, step, 0)
-    }
-
-    /// Returns true if a unit of `step` could run on the worker if that had enough free capacity.
-    /// `planned` other units of the step are to run there too.
-    pub fn suits(&self, key: &UnitKey, step: &Step, planned: usize) -> bool {
-        !self.is_reserved && self.allows(key, step, planned)
+        step.reservation().fits_in(&self.free_capacity) && self.allows(key, step)
     }
 
-    fn allows(&self, key: &UnitKey, step: &Step, planned: usize) -> bool {
+    fn allows(&self, key: &UnitKey, step: &Step) -> bool {
         let runs_max = step.per_worker_max as usize;
         step.label.as_ref().is_none_or(|label| self.labels.contains(label))
-            && (runs_max == 0 || self.runs_of_step(key) + planned < runs_max)
+            && (runs_max == 0 || self.runs_of_step(key) < runs_max)
     }
 
     fn runs_of_step(&self, key: &UnitKey) -> usize {
--- a/crates/scheduler/src/choice.rs
+++ b/crates/scheduler/src/choice.rs
@@ -21,7 +21,7 @@
         let history = self.history(key, now);
         match history.suspicion {
             Suspicion::Strong => {
-                let may_run = self.worker_filter(key, now);
+                let may_run = self.advice_filter(key, now);
                 let last_start = |worker: &WorkerId| self.last_start_on(worker, now);
                 candidates.choose_for_strong_suspect(key, step, may_run, last_start, now)
             }
@@ -41,7 +41,7 @@
         rack: Option<&str>,
         now: Moment,
     ) -> Option<usize> {
-        candidates.choose(key, step, history, rack, self.worker_filter(key, now))
+        candidates.choose(key, step, history, rack, self.advice_filter(key, now))
     }
 
     /// Returns a function that tells whether the advisor allows a unit to run on a worker.
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -14,13 +14,6 @@
     pub starts_withheld: u64,
     /// Long-running units that were stopped in an evacuated zone, to run elsewhere.
     pub units_evacuated: u64,
-    /// Units that were placed before units of a higher priority because of the shares of their
-    /// teams.
-    pub units_ahead_by_share: u64,
-    /// Runs that were stopped for an urgent unit.
-    pub preempted_runs: u64,
-    /// Work that these runs lost, in core-milliseconds.
-    pub preempted_work_core_ms: u64,
     /// Runs that were stopped so that their units run on another worker.
     pub moved_runs: u64,
 }
--- a/crates/scheduler/src/host_moves.rs
+++ b/crates/scheduler/src/host_moves.rs
@@ -49,7 +49,6 @@
         let is_held = |host: &&Host| host.entry.state != HostState::Down && !self.is_absent(host);
         let total = self.hosts.values().filter(is_held).count();
         let targets = host_targets(loads, total);
-        self.record_incoming_capacity(loads, &targets);
         let missing = |(name, load): (&PoolName, &PoolLoad)| {
             let target = targets.get(name).copied().unwrap_or(0);
             (target > load.hosts).then(|| (target - load.hosts, name.clone()))
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -181,8 +181,6 @@
     pub run: Option<Run>,
     /// Workers on which it failed or stalled; others are preferred.
     pub excluded_workers: Vec<WorkerId>,
-    /// One of its runs was stopped for an urgent unit.
-    pub was_preempted: bool,
     /// When the unit last lost its run or, if it is long-running, was last reported as not fully
     /// available.
     pub last_unavailable_at: Moment,
@@ -199,7 +197,6 @@
             checkpoint: String::new(),
             run: None,
             excluded_workers: Vec::new(),
-            was_preempted: false,
             last_unavailable_at: now,
         }
     }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -4,12 +4,10 @@
 
 use crate::Moment;
 use crate::PoolName;
-use crate::TeamName;
 use crate::UnitKey;
 use crate::WorkerId;
 use crate::candidates::Candidates;
 use crate::candidates::UnitHistory;
-use crate::job::Resources;
 use crate::job::Step;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Job;
@@ -18,12 +16,8 @@
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
 use crate::lost_runs::Suspicion;
-use crate::placement_order::PlacementOrder;
-use crate::preemption::UNITS_PER_CHECK_MAX;
-use crate::preemption::URGENT_PRIORITY;
 use crate::priority::SchedulingPriority;
 use crate::priority::Urgency;
-use crate::reservations::PlacementResults;
 use crate::sorted_map::SortedMap;
 use crate::state::Scheduler;
 
@@ -43,8 +37,6 @@
     /// The remaining units wait for the team's quota, for advice, for a warm worker, or for what a
     /// crash will show.
     Blocked,
-    /// The remaining units are placed after those of another team.
-    Yielded,
 }
 
 /// A step with waiting units.
@@ -52,10 +44,6 @@
 pub(crate) struct WaitingStep {
     pub priority: SchedulingPriority,
     pub pool: PoolName,
-    /// Team that submitted the job.
-    pub team: Option<TeamName>,
-    /// Resources that each unit reserves.
-    pub reservation: Resources,
     /// Unit 0 of the step, whether it waits or not.
     pub first_unit: UnitKey,
     /// Indices of the waiting units.
@@ -65,11 +53,6 @@
 }
 
 impl WaitingStep {
-    /// Returns the resources that all waiting units together reserve.
-    pub fn demand(&self) -> Resources {
-        self.reservation.times(self.units.len() as u64)
-    }
-
     /// Returns the waiting units.
     pub fn keys(&self) -> impl Iterator<Item = UnitKey> {
         self.units.iter().map(|&index| UnitKey { index, ..self.first_unit.clone() })
@@ -132,48 +115,23 @@
         // Strong suspects come first, since they may have to reserve a worker.
         let order = |step: &WaitingStep| (!step.has_strong_suspect, step.priority);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then_with(|| order(a).cmp(&order(b))));
-        let held = self.held_workers(now);
         for pool_steps in waiting.chunk_by(|a, b| a.pool == b.pool) {
             let pool = &pool_steps[0].pool;
             let mut candidates = self.candidates(pool, now);
-            let mut placement_order = self.placement_order(pool, pool_steps, &candidates, now);
             let (mut is_starved, mut is_long_running_starved) = (false, false);
-            let mut starved = Vec::new();
-            let mut results = PlacementResults::default();
-            // Steps of urgent queues come first, except those with strong suspects.
-            let mut is_closed = held.is_empty();
-            while let Some(number) = placement_order.next() {
-                let step = &pool_steps[number];
-                let is_urgent = step.priority.queue_priority == URGENT_PRIORITY;
-                if !is_urgent
-                    && !step.has_strong_suspect
-                    && !std::mem::replace(&mut is_closed, true)
-                {
-                    candidates.close(&held);
-                }
-                let placement = self.place_step(step, &mut placement_order, &mut candidates, now);
-                results.push(step, placement);
+            for step in pool_steps {
+                let placement = self.place_step(step, &mut candidates, now);
                 let has_no_capacity = placement == Placement::NoCapacity;
                 is_starved |= has_no_capacity;
-                if has_no_capacity && starved.len() < UNITS_PER_CHECK_MAX && self.may_preempt(step)
-                {
-                    starved.push(step);
-                }
                 is_long_running_starved |=
                     has_no_capacity && step.priority.urgency == Urgency::LongRunning;
             }
-            self.preempt_for(pool, &starved, &candidates, now);
-            self.counts.units_ahead_by_share += placement_order.units_ahead();
             update_since(&mut self.starved_since, pool, is_starved, now);
             update_since(&mut self.long_running_starved_since, pool, is_long_running_starved, now);
-            self.update_reservation(pool, &results, now);
         }
         let is_waiting = |pool: &PoolName| waiting.iter().any(|step| step.pool == *pool);
         self.starved_since.retain(|pool, _| is_waiting(pool));
         self.long_running_starved_since.retain(|pool, _| is_waiting(pool));
-        self.retain_full_pools(is_waiting);
-        self.end_reservations(is_waiting);
-        self.record_backlogs(&waiting, now);
     }
 
     fn waiting_steps(&mut self, now: Moment) -> Vec<WaitingStep> {
@@ -238,24 +196,14 @@
             let first_unit = key_of(0);
             let suspicion = |unit: &usize| occurrence.steps[index][*unit].suspicion(now);
             let has_strong_suspect = units.iter().any(|unit| suspicion(unit) == Suspicion::Strong);
-            let (pool, team) = (pool.clone(), job.record.team.clone());
-            let reservation = step.reservation();
-            waiting.push(WaitingStep {
-                priority,
-                pool,
-                team,
-                reservation,
-                first_unit,
-                units,
-                has_strong_suspect,
-            });
+            let pool = pool.clone();
+            waiting.push(WaitingStep { priority, pool, first_unit, units, has_strong_suspect });
         }
     }
 
     fn place_step(
         &mut self,
         waiting: &WaitingStep,
-        order: &mut PlacementOrder,
         candidates: &mut Candidates,
         now: Moment,
     ) -> Placement {
@@ -271,21 +219,15 @@
         candidates.avoids_cold = candidates.has_cold
             && self.can_wait_for_warm_worker(&waiting.priority, &record, step, now);
         if step.is_gang {
-            let placement = self.place_gang(waiting, step, candidates, now);
-            if placement == Placement::All {
-                let units = waiting.units.len();
-                order.record_placed(units, units, &waiting.reservation);
-            }
-            return placement;
+            return self.place_gang(waiting, step, candidates, now);
         }
-        let is_held_back = self.is_held_back(&waiting.first_unit, now);
         let mut placement = Placement::All;
-        for (placed, key) in waiting.keys().enumerate().skip(order.visited()) {
+        for (placed, key) in waiting.keys().enumerate() {
             let remaining = (waiting.units.len() - placed) as u64;
             if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
             }
-            if candidates.is_known_unfit(step, is_held_back) {
+            if candidates.is_known_unfit(step) {
                 return Placement::NoCapacity;
             }
             if candidates.is_known_to_wait(step) {
@@ -298,13 +240,13 @@
                     continue;
                 }
                 if candidates.waits_for_warm(&key, step) {
-                    if !needs_advice && !is_held_back {
+                    if !needs_advice {
                         candidates.record_unfit_on_warm(step);
                     }
                     return Placement::Blocked;
                 }
                 if !needs_advice {
-                    candidates.record_unfit(step, is_held_back);
+                    candidates.record_unfit(step);
                 }
                 // The other units of the step request the same resources.
                 return Placement::NoCapacity;
@@ -313,9 +255,6 @@
             candidates.place(chosen, &key, step, suspicion);
             let worker = candidates.workers()[chosen].id.clone();
             self.plan_run(&key, step, worker, number, now);
-            if order.record_placed(1, placed + 1, &waiting.reservation) {
-                return Placement::Yielded;
-            }
         }
         placement
     }
--- a/crates/scheduler/src/policies.rs
+++ b/crates/scheduler/src/policies.rs
@@ -1,19 +1,11 @@
-//! Scheduling policies that operators enable one by one.
+//! Scheduling policies that operators may disable one by one.
 
 use std::fmt;
 use std::str::FromStr;
 
-/// A part of the scheduling that has an effect only where an operator has enabled it.
+/// A part of the scheduling that operators may disable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Policy {
-    /// Teams get capacity by their weights while a pool is full.
-    FairShares,
-    /// Jobs that cannot be served in time are rejected when they are submitted.
-    Admission,
-    /// Wide steps get a reservation, and smaller ones backfill around it.
-    WideSteps,
-    /// Urgent queues may stop units of other queues.
-    Preemption,
     /// Measured durations replace the estimates of callers.
     LearnedDurations,
     /// Runs are stopped on workers whose capacity has shrunk below them.
@@ -26,7 +18,7 @@
 pub struct ParsePolicyError(String);
 
 /// The policies that are enabled.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Policies {
     /// Enabled policies, sorted and without duplicates.
     enabled: Vec<Policy>,
@@ -34,22 +26,11 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 6] = [
-        Self::FairShares,
-        Self::Admission,
-        Self::WideSteps,
-        Self::Preemption,
-        Self::LearnedDurations,
-        Self::ShrunkWorkers,
-    ];
+    pub const ALL: [Self; 2] = [Self::LearnedDurations, Self::ShrunkWorkers];
 
     /// Returns the name of the policy on the command line.
     pub fn name(self) -> &'static str {
         match self {
-            Self::FairShares => "fair-shares",
-            Self::Admission => "admission",
-            Self::WideSteps => "wide-steps",
-            Self::Preemption => "preemption",
             Self::LearnedDurations => "learned-durations",
             Self::ShrunkWorkers => "shrunk-workers",
         }
@@ -71,7 +52,18 @@
     }
 }
 
+impl Default for Policies {
+    fn default() -> Self {
+        Self::without(&[])
+    }
+}
+
 impl Policies {
+    /// Returns all policies but the disabled ones.
+    pub fn without(disabled: &[Policy]) -> Self {
+        Policy::ALL.into_iter().filter(|policy| !disabled.contains(policy)).collect()
+    }
+
     /// Returns true if a policy is enabled.
     pub fn enables(&self, policy: Policy) -> bool {
         self.enabled.binary_search(&policy).is_ok()
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -1,9 +1,8 @@
 //! The order in which waiting units are placed.
 //!
 //! Queues with a lower priority number go first. Among jobs of the same priority, those with
-//! long-running units go first, since each moment without them is lost. With fair shares in a full
-//! pool, jobs of teams above their share come last, the team with the least use per weight first.
-//! Then come jobs within the rate shares of their teams, and then jobs beyond them. In both groups,
+//! long-running units go first, since each moment without them is lost. Then come
+//! jobs within the rate shares of their teams, and then jobs beyond them. In both groups,
 //! jobs that can still meet their deadline go first, in the order of their latest start, and then
 //! jobs that cannot, the one with the least remaining work first.
 
@@ -29,18 +28,6 @@
     Late,
 }
 
-/// How a team's use of a pool compares with its share. It changes while units are placed, so it is
-/// no part of [`SchedulingPriority`]; [`crate::placement_order`] puts it after the priority of the
-/// queue.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ShareRank {
-    /// The team is at or below its share, or shares do not matter.
-    #[default]
-    Within,
-    /// The team is above its share; holds its use per weight.
-    Above(u64),
-}
-
 /// Scheduling priority of an occurrence of a job; the lowest value goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SchedulingPriority {
--- a/crates/scheduler/src/quotas.rs
+++ b/crates/scheduler/src/quotas.rs
@@ -41,17 +41,6 @@
         self.quota_needs.iter().map(|(team, portion)| (team, *portion))
     }
 
-    /// Returns true if `count` more units of a step fit into this shard's portion of the team's
-    /// quota.
-    pub(crate) fn fits_quota(&self, record: &JobRecord, step: &Step, count: u64) -> bool {
-        let Some(team) = &record.team else {
-            return true;
-        };
-        let quota = self.config.teams.get(team).map(|team| team.quota).unwrap_or_default();
-        let requested = self.team_usage(team).plus(&step.requested.times(count));
-        portion_of(&requested, &quota) <= self.quota_portion(team)
-    }
-
     /// Returns true if `count` more units of a step fit into this shard's portion of the team's
     /// quota. Otherwise records the portion that `waiting` units would need, of which at least
     /// `count` have to start together.
--- a/crates/scheduler/src/rate_shares.rs
+++ b/crates/scheduler/src/rate_shares.rs
@@ -43,13 +43,4 @@
         }
         is_within
     }
-
-    /// Returns true if one more job of a team would be within its rate share.
-    pub fn has_token(&self, team: &TeamName, rate_share: f64, now: Moment) -> bool {
-        let Some(bucket) = self.buckets.get(team).filter(|_| rate_share > 0.0) else {
-            return true;
-        };
-        let elapsed = now.saturating_sub(bucket.refilled_at).as_secs_f64();
-        bucket.tokens + elapsed * rate_share >= 1.0
-    }
 }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -27,7 +27,7 @@
     /// Time after the acknowledgement of an evacuation from which no node that reaches the platform
     /// may start a run in the zone; `None` if there is no such limit.
     pub evacuation_bound: Option<Duration>,
-    /// Policies that are enabled.
+    /// Policies that are enabled; all unless an operator has disabled some.
     pub policies: Policies,
 }
 
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -13,7 +13,6 @@
 use crate::WaveId;
 use crate::WorkerId;
 use crate::ZoneName;
-use crate::admission::Admission;
 use crate::advice::Tickets;
 use crate::capacity::BaselineHosts;
 use crate::capacity::Demand;
@@ -37,14 +36,11 @@
 use crate::peaks::Peaks;
 use crate::policies::Policy;
 use crate::portions::Portion;
-use crate::preemption::Preemptions;
 use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
-use crate::reservations::Reservations;
 use crate::settings::Settings;
 use crate::shrunk_workers::ShrunkWorkers;
 use crate::sorted_map::SortedMap;
-use crate::team_shares::TeamShares;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
 
@@ -105,26 +101,18 @@
     pub(crate) peaks: Peaks,
     /// Rate limiters that tell which jobs are within their team's rate share.
     pub(crate) rate_shares: RateShares,
-    /// What teams use of each pool, and their shares.
-    pub(crate) team_shares: TeamShares,
-    /// Recent stops of runs for urgent units.
-    pub(crate) preemptions: Preemptions,
     /// Expected durations of units.
     pub(crate) durations: Durations,
     /// Workers that have shrunk below what runs there.
     pub(crate) shrunk_workers: ShrunkWorkers,
     /// Events since the owner last took the counts.
     pub(crate) counts: Counts,
-    /// What decides whether new jobs are accepted.
-    pub(crate) admission: Admission,
     /// Recently submitted work by pool.
     pub(crate) demand: SortedMap<PoolName, Demand>,
     /// Since when a pool has had a waiting unit that fits on none of its workers.
     pub(crate) starved_since: SortedMap<PoolName, Moment>,
     /// Since when a pool has had a long-running unit that fits on none of its workers.
     pub(crate) long_running_starved_since: SortedMap<PoolName, Moment>,
-    /// Workers that are held for wide steps.
-    pub(crate) reservations: Reservations,
     /// Run numbers of this owner are higher than this one.
     pub(crate) run_number_base: u32,
     /// Unix time minus [`Moment`], in milliseconds.
@@ -153,7 +141,6 @@
             run_number_base: run_number_base(epoch),
             unix_offset_ms: unix_now_ms as i64 - now.as_millis() as i64,
             needs_placement: true,
-            admission: Admission::new(now),
             ..Self::default()
         }
     }
@@ -162,7 +149,6 @@
     pub fn set_config(&mut self, config: Arc<Config>) {
         self.config = config;
         self.needs_placement = true;
-        self.team_shares.handle_config(&self.settings, &self.config);
     }
 
     /// Records that a worker has refused the fencing token, since another owner has taken over.
@@ -318,7 +304,6 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.add_run(key, &run, is_suspect, now);
         }
-        self.add_team_use(key, &run.reservation, now);
         if let Some(team) = team {
             *self.team_usage.entry_or(team, Resources::default) += run.requested;
         }
@@ -339,7 +324,6 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.remove_run(key, &run, now);
         }
-        self.remove_team_use(key, &run.reservation, now);
         if let Some(team) = team
             && let Some(used) = self.team_usage.get_mut(&team)
         {
--- a/crates/scheduler/tests/random.rs
+++ b/crates/scheduler/tests/random.rs
@@ -428,20 +428,6 @@
     }
 }
 
-/// Guards against units that run twice, are lost or exceed a quota or their attempts because they
-/// were preempted or because shares changed the order.
-#[test]
-fn invariants_hold_with_shares_and_preemption() {
-    let policies = [Policy::FairShares, Policy::Preemption];
-    let mut preempted = 0;
-    for seed in 0..SEEDS {
-        println!("seed {seed}");
-        let test = RandomTest::with_policies(seed, config_with_two_queues(), &policies);
-        preempted += run_random_test(test).sim.scheduler.take_counts().preempted_runs;
-    }
-    assert!(preempted > SEEDS, "only {preempted} units were preempted");
-}
-
 /// Guards against policies that break the invariants together.
 #[test]
 fn invariants_hold_with_all_policies() {
