Resume lost units from the checkpoint that was last reported

Cause: reports list the checkpoint of each run, but only completions changed that of the unit. A unit whose worker had crashed began anew. Ruled out: storing each reported checkpoint; a row for each would be written all the time, and most are never needed. Change: when a run is lost, its last reported checkpoint becomes that of its unit, and is stored with its progress.

--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -130,8 +130,10 @@
     ) {
         let mut runs = Vec::with_capacity(units.len());
         for key in units {
-            let run = self.remove_run(key, id, now);
-            runs.extend(run.map(|run| (key.clone(), run.number)));
+            if let Some(run) = self.remove_run(key, id, now) {
+                self.keep_checkpoint(key, &run);
+                runs.push((key.clone(), run.number));
+            }
             self.remove_finished(&key.job, now);
         }
         if !runs.is_empty() {
@@ -140,6 +142,18 @@
         }
     }
 
+    /// Lets the next run of a unit resume from the last checkpoint that reports of a lost run have
+    /// listed.
+    fn keep_checkpoint(&mut self, key: &UnitKey, run: &Run) {
+        if run.checkpoint.is_empty() {
+            return;
+        }
+        if let Some(unit) = self.open_unit_mut(key) {
+            unit.checkpoint.clone_from(&run.checkpoint);
+            self.mark_dirty(&key.job);
+        }
+    }
+
     /// Returns the units one of which has crashed the worker if it has ended.
     fn suspects_on(&self, id: &str) -> Vec<(UnitKey, CrashedRun)> {
         let Some(worker) = self.workers.get(id) else {
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -427,3 +427,20 @@
     }
     assert_eq!(sim.scheduler.view("a"), Some(JobView::Queued));
 }
+
+/// Guards against work that is done again although the worker had reported a checkpoint of it
+/// before it crashed.
+#[test]
+fn a_lost_unit_resumes_from_the_checkpoint_that_was_last_reported() {
+    let mut sim = Simulation::new(&["a", "b"], config(3, NO_QUOTA));
+    let with_checkpoints = Step { has_checkpoints: true, ..step(1, 1_000) };
+    sim.scheduler.add_job(job("j", vec![with_checkpoints], sim.now), sim.now);
+    let started_on = sim.run_round()[0].worker.clone();
+    sim.worker(&started_on).running[0].checkpoint = "half".to_owned();
+    sim.run_for(seconds(1));
+    sim.worker(&started_on).crash();
+    sim.restart_worker(&started_on);
+    let starts = sim.run_for(seconds(5));
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].checkpoint, "half");
+}
