Describe what is left of the policies, and remove what only they used

Ruled out: keeping the 90th percentile of durations and the age of checkpoints for later; nothing reads them.

--- a/crates/scheduler/src/durations.rs
+++ b/crates/scheduler/src/durations.rs
@@ -44,8 +44,6 @@
 const STORE_PERIOD: Duration = Duration::from_secs(2);
 /// Quantile of the typical duration.
 const TYPICAL_QUANTILE: f64 = 0.5;
-/// Quantile of a long duration.
-const LONG_QUANTILE: f64 = 0.9;
 
 /// Expected durations of the units of steps.
 #[derive(Clone, Debug, Default)]
@@ -73,15 +71,8 @@
     sampled_at: Moment,
     /// Time up to which the samples have been aged.
     aged_to: Moment,
-    /// Quantiles of `ratios`; `None` if there are too few samples.
-    quantiles: Option<Quantiles>,
-}
-
-/// Ratios of durations to estimates, in thousandths.
-#[derive(Clone, Copy, Debug)]
-struct Quantiles {
-    typical: u64,
-    long: u64,
+    /// Median of `ratios`; `None` if there are too few samples.
+    typical_ratio: Option<u64>,
 }
 
 /// Measured durations as they are stored.
@@ -129,31 +120,22 @@
         }
     }
 
-    /// Returns how long a unit of a step of `record` runs if it takes long: the 90th percentile.
-    pub fn long(&self, record: &JobRecord, step: &Step) -> Duration {
-        let quantiles = self.quantiles(record, step).filter(|_| self.replaces_estimates);
-        quantiles.map_or(estimate(step), |quantiles| scale(step, quantiles.long))
-    }
-
     /// Returns the typical durations of the units of all steps, in the order of the steps.
     pub(crate) fn expected_by_step(&self, record: &JobRecord) -> Vec<Duration> {
         let kinds = self.kinds_of(record).filter(|_| self.replaces_estimates);
         let expected = |(index, step): (usize, &Step)| {
-            let quantiles = kinds.and_then(|kinds| find(kinds, index, step)?.quantiles);
-            quantiles.map_or(estimate(step), |quantiles| scale(step, quantiles.typical))
+            let ratio = kinds.and_then(|kinds| find(kinds, index, step)?.typical_ratio);
+            ratio.map_or(estimate(step), |ratio| scale(step, ratio))
         };
         record.steps.iter().enumerate().map(expected).collect()
     }
 
     /// Returns how long units of a step of `record` have typically run; `None` if too few have been
-    /// measured. This does not depend on whether measured durations replace the estimates.
-    pub(crate) fn measured(&self, record: &JobRecord, step: &Step) -> Option<Duration> {
-        self.quantiles(record, step).map(|quantiles| scale(step, quantiles.typical))
-    }
-
-    fn quantiles(&self, record: &JobRecord, step: &Step) -> Option<Quantiles> {
+    /// measured.
+    fn measured(&self, record: &JobRecord, step: &Step) -> Option<Duration> {
         let kinds = self.kinds_of(record)?;
-        find(kinds, step_index(record, step)?, step)?.quantiles
+        let ratio = find(kinds, step_index(record, step)?, step)?.typical_ratio?;
+        Some(scale(step, ratio))
     }
 
     fn kinds_of(&self, record: &JobRecord) -> Option<&Vec<WorkKind>> {
@@ -240,7 +222,7 @@
                 kind.ratios.saturating_record_n(ratio.clamp(RATIO_MIN, RATIO_MAX), weight);
             }
             kind.age(now);
-            kind.update_quantiles();
+            kind.update_typical_ratio();
             let kinds = self.by_queue.entry_or(stored.queue, Vec::new);
             match position(kinds, kind.step, kind.image.as_deref()) {
                 Ok(position) => kinds[position] = kind,
@@ -255,7 +237,7 @@
     fn new(step: usize, image: Option<String>, sampled_at: Moment) -> Self {
         let ratios = Histogram::new_with_bounds(RATIO_MIN, RATIO_MAX, RATIO_DIGITS)
             .expect("the bounds and digits are in the range of the library");
-        Self { step, image, ratios, sampled_at, aged_to: sampled_at, quantiles: None }
+        Self { step, image, ratios, sampled_at, aged_to: sampled_at, typical_ratio: None }
     }
 
     fn add(&mut self, ratio: u64, now: Moment) {
@@ -265,7 +247,7 @@
             self.halve_weights(1);
         }
         self.sampled_at = now;
-        self.update_quantiles();
+        self.update_typical_ratio();
     }
 
     /// Halves the weights once for each half-life that has passed.
@@ -286,13 +268,12 @@
         }
     }
 
-    fn update_quantiles(&mut self) {
+    fn update_typical_ratio(&mut self) {
         let has_enough = self.ratios.len() >= SAMPLES_MIN * u64::from(SAMPLE_WEIGHT);
-        let at = |quantile| {
-            self.ratios.median_equivalent(self.ratios.value_at_quantile(quantile)).max(RATIO_MIN)
-        };
-        self.quantiles = has_enough
-            .then(|| Quantiles { typical: at(TYPICAL_QUANTILE), long: at(LONG_QUANTILE) });
+        self.typical_ratio = has_enough.then(|| {
+            let ratio = self.ratios.value_at_quantile(TYPICAL_QUANTILE);
+            self.ratios.median_equivalent(ratio).max(RATIO_MIN)
+        });
     }
 
     /// Returns the ratios that have a weight, each with its weight.
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -110,10 +110,6 @@
     pub progressed_at: Moment,
     /// Latest checkpoint that a report has listed; empty if there is none.
     pub checkpoint: String,
-    /// When `checkpoint` last changed; `None` before the first one.
-    pub checkpointed_at: Option<Moment>,
-    /// Progress in percent when `checkpoint` last changed.
-    pub checkpoint_percent: u32,
     /// Tail latency in milliseconds for serving units, processors in use for others.
     pub load: Option<u64>,
     /// Speed limit that was set for the run, in percent.
@@ -137,27 +133,11 @@
             progress_percent: 0,
             progressed_at: now,
             checkpoint: String::new(),
-            checkpointed_at: None,
-            checkpoint_percent: 0,
             load: None,
             speed_limit_percent: FULL_PERCENT,
         }
     }
 
-    /// Records the checkpoint in a report, and the progress at that time.
-    pub(crate) fn record_checkpoint(
-        &mut self,
-        checkpoint: &str,
-        progress_percent: u32,
-        now: Moment,
-    ) {
-        if self.checkpoint != checkpoint {
-            checkpoint.clone_into(&mut self.checkpoint);
-            self.checkpointed_at = Some(now);
-            self.checkpoint_percent = progress_percent;
-        }
-    }
-
     /// Returns when the run was started; a planned run will be started now or later.
     pub(crate) fn started_at(&self, now: Moment) -> Moment {
         if self.phase == Phase::Planned { now } else { self.since }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -350,7 +350,7 @@
             run.progress_percent = running.progress_percent;
             run.progressed_at = now;
         }
-        run.record_checkpoint(&running.checkpoint, running.progress_percent, now);
+        running.checkpoint.clone_into(&mut run.checkpoint);
         run.load = running.load;
     }
 
@@ -365,7 +365,7 @@
         };
         let mut run = Run::new(running.run, id.clone(), Phase::Reported, step, now);
         run.progress_percent = running.progress_percent;
-        run.record_checkpoint(&running.checkpoint, running.progress_percent, now);
+        running.checkpoint.clone_into(&mut run.checkpoint);
         run.load = running.load;
         self.add_run(key, run, now);
     }
--- a/crates/scheduler/tests/durations.rs
+++ b/crates/scheduler/tests/durations.rs
@@ -77,17 +77,14 @@
     assert_eq!(sim.scheduler.take_counts().duration_samples, 8);
 }
 
-/// One unit in eight takes seven times as long: the typical duration stays, the long one shows it.
+/// One unit in eight takes seven times as long: the typical duration stays.
 #[test]
-fn outliers_change_the_long_duration_only() {
+fn outliers_do_not_change_the_typical_duration() {
     let mut sim = learning();
     let kind = step_of("image");
     run_jobs(&mut sim, "a", 21, &kind, millis(800));
     run_jobs(&mut sim, "b", 3, &kind, millis(5_600));
     assert_close(expected_ms(&sim, &kind), 800);
-    let record = record_of(&kind);
-    let long = sim.scheduler.durations().long(&record, &record.steps[0]);
-    assert_close(long.as_millis() as u64, 5_600);
 }
 
 /// A new version of a program takes another time: the old samples must not hold for long.
