Wrap comments after the read of the change

Cause: the read of the whole change as a newcomer. Ruled out: changes of logic. Change: line breaks of comments, and one sentence on polls.

--- a/crates/coordinator/src/poll_schedule.rs
+++ b/crates/coordinator/src/poll_schedule.rs
@@ -3,8 +3,7 @@
 //! The schedule is built for hundreds of workers whose units finish at the same time. A worker
 //! lists its completions in every reply until they are stored, so it is polled again only once they
 //! are stored and a pause is over that collects further ones, or after [`UNSTORED_POLL_PAUSE`] to
-//! renew its lease. Due workers come from a
-//! priority queue, without a scan of all others.
+//! renew its lease. Due workers come from a priority queue, without a scan of all others.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -28,8 +28,9 @@
     pub reply: Result<WorkerReport, WorkerError>,
 }
 
-/// Polls a worker by means of `send`, and once more if the reply is late. Returns the first
-/// result, unless that is [`WorkerError::NoReply`] and the other one says more. `record_repeat` is called before the second poll.
+/// Polls a worker by means of `send`, and once more if the reply is late; `record_repeat` is called
+/// before that. Returns the first result, unless that is [`WorkerError::NoReply`]: then it returns
+/// the other one.
 pub async fn poll<F>(
     request: LeaseRequest,
     send: impl Fn(LeaseRequest) -> F,
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -87,8 +87,8 @@
         &self.workers
     }
 
-    /// Records that a unit of `step` fits on no worker. Only a step that may run on any worker shows
-    /// that others do not fit either.
+    /// Records that a unit of `step` fits on no worker. Only a step that may run on any worker
+    /// shows that others do not fit either.
     pub fn record_unfit(&mut self, step: &Step) {
         if step.label.is_none() && step.per_worker_max == 0 {
             self.unfit_reservations.push(step.reservation());
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -1,10 +1,10 @@
 //! The order in which waiting units are placed.
 //!
 //! Queues with a lower priority number go first. Among jobs of the same priority, those with
-//! long-running units go first, since each moment without them is lost. Then come
-//! jobs within the rate shares of their teams, and then jobs beyond them. In both groups,
-//! jobs that can still meet their deadline go first, in the order of their latest start, and then
-//! jobs that cannot, the one with the least remaining work first.
+//! long-running units go first, since each moment without them is lost. Then come jobs within the
+//! rate shares of their teams, and then jobs beyond them. In both groups, jobs that can still meet
+//! their deadline go first, in the order of their latest start, and then jobs that cannot, the one
+//! with the least remaining work first.
 
 use std::time::Duration;
 
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -27,8 +27,8 @@
 /// Number of hosts that are drained in advance, beyond those that may be unavailable.
 const DRAINED_AHEAD_MAX: usize = 2;
 
-/// A wave leaves out hosts that their pools need as long as it has this many times the time that the
-/// remaining hosts take. Drains take longer than planned while workers are slow or silent.
+/// A wave leaves out hosts that their pools need as long as it has this many times the time that
+/// the remaining hosts take. Drains take longer than planned while workers are slow or silent.
 const WAIT_FACTOR: u32 = 2;
 
 /// Progress of a wave, as it is stored.
