Log when commands to hosts are sent, and when hosts are back

A line per sent command, its token and duration with the reply, a decision per host that is back, and a counter of commands without a reply tell an unanswered command, a successor that does not know of one, and a premature return apart. No decision changes.

--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -48,6 +48,8 @@
 pub const POLLS_FAILED: &str = "looks.failed";
 /// Polls that were made once more, since the reply was late.
 pub const POLLS_REPEATED: &str = "looks.repeated";
+/// Commands to hosts without a reply.
+pub const HOST_COMMANDS_UNKNOWN: &str = "hosts.commands-unknown";
 /// Time of a transaction of the owner.
 pub const STORE_WRITE: &str = "store.write";
 /// Transactions of the owner that were refused or not answered.
@@ -86,6 +88,7 @@
     counter(POLLS, "looks at workers"),
     counter(POLLS_FAILED, "looks that workers did not answer"),
     counter(POLLS_REPEATED, "looks that were repeated, since the answer was late"),
+    counter(HOST_COMMANDS_UNKNOWN, "orders to hosts that were not answered"),
     timer(STORE_WRITE, "time of a transaction of the owner"),
     counter(STORE_FAILED, "transactions of the owner that were refused or not answered"),
     counter(DIVISIONS_CHANGED, "changes of divisions among shards that this node has sent"),
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -5,6 +5,7 @@
 
 use scheduler::Action;
 use scheduler::HostName;
+use scheduler::HostReply;
 use scheduler::JobId;
 use scheduler::Moment;
 use scheduler::SortedMap;
@@ -21,6 +22,7 @@
 use super::event::HostCommand;
 use crate::clock;
 use crate::metrics;
+use crate::ports::FencingToken;
 use crate::ports::Platform;
 use crate::ports::WriteOutcome;
 
@@ -107,10 +109,15 @@
                     }
                 }
             }
-            Event::HostCommanded { host, command, reply } => {
+            Event::HostCommanded { host, command, token, sent_at, reply } => {
+                if reply == HostReply::Unknown {
+                    self.shared.node.telemetry.count(metrics::HOST_COMMANDS_UNKNOWN);
+                }
                 telemetry::log::line("host-ordered")
                     .field("host", &*host)
                     .text("order", format!("{command:?}"))
+                    .field("token", token)
+                    .field("took_ms", now.saturating_sub(sent_at).as_millis() as u64)
                     .text("reply", format!("{reply:?}"))
                     .write();
                 self.scheduler.handle_host_reply(&host, reply, now);
@@ -278,7 +285,9 @@
         // Each command has its own token, so that one that arrives after a newer one is refused.
         self.host_commands += 1;
         let token = self.epoch * HOST_COMMANDS_PER_EPOCH + self.host_commands;
+        self.log_host_command(&host, &command, token);
         self.spawn(async move {
+            let sent_at = clock::now();
             let holder = &shared.node.settings.name;
             let platform = &shared.node.platform;
             let reply = match &command {
@@ -287,10 +296,27 @@
                     platform.maintain_host(&host, *wave, holder, token).await
                 }
             };
-            Event::HostCommanded { host, command, reply }
+            Event::HostCommanded { host, command, token, sent_at, reply }
         });
     }
 
+    /// Logs a command to a host that is about to be sent, for maintenance with the hosts that count
+    /// against the limit of the wave, this one included.
+    fn log_host_command(&self, host: &HostName, command: &HostCommand, token: FencingToken) {
+        let mut line = telemetry::log::line("host-order-sent")
+            .field("shard", self.shared.shard)
+            .field("epoch", self.epoch)
+            .field("host", &**host)
+            .text("order", format!("{command:?}"))
+            .field("token", token);
+        if let HostCommand::Maintain(wave) = command {
+            line = line
+                .field("unavailable_hosts", self.scheduler.unavailable_hosts(*wave))
+                .field("unavailable_hosts_max", self.scheduler.unavailable_hosts_max(*wave));
+        }
+        line.write();
+    }
+
     pub(super) fn report_wave(&mut self, wave: WaveId, state: WaveState) {
         if self.reported_waves.get(&wave) == Some(&state) {
             return;
--- a/crates/coordinator/src/owner/event.rs
+++ b/crates/coordinator/src/owner/event.rs
@@ -16,6 +16,7 @@
 use scheduler::WorkerReport;
 
 use crate::ports::Changes;
+use crate::ports::FencingToken;
 use crate::ports::ReadError;
 use crate::ports::Row;
 use crate::ports::WorkerError;
@@ -54,7 +55,13 @@
     /// The hosts were listed.
     HostsListed { result: Result<Vec<HostEntry>, ReadError> },
     /// A host was commanded to move or to go into maintenance.
-    HostCommanded { host: HostName, command: HostCommand, reply: HostReply },
+    HostCommanded {
+        host: HostName,
+        command: HostCommand,
+        token: FencingToken,
+        sent_at: Moment,
+        reply: HostReply,
+    },
     /// The state of a maintenance wave was reported to operators.
     WaveReported { wave: WaveId, state: WaveState, outcome: WriteOutcome },
 }
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -132,6 +132,7 @@
         let mut names: Vec<HostName> = entries.iter().map(|entry| entry.name.clone()).collect();
         names.sort();
         self.hosts.retain(|name, _| names.binary_search(name).is_ok());
+        let mut returned = Vec::new();
         for entry in entries {
             let name = entry.name.clone();
             let no_command_before = self.host_no_command_before.remove(&name).unwrap_or_default();
@@ -152,9 +153,16 @@
                 host.zone = Some(worker.registration.zone.clone());
             }
             if now >= host.unavailable_until {
+                if host.entry.state != HostState::Up && entry.state == HostState::Up {
+                    returned.push(entry.clone());
+                }
                 host.entry = entry;
             }
         }
+        for entry in returned {
+            let why = format!("worker={} pool={}", entry.worker.unwrap_or_default(), entry.pool);
+            self.log_decision("host back", entry.name, why);
+        }
         self.has_host_list = true;
     }
 
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -198,13 +198,16 @@
         match intent {
             HostIntent::Move(_) => true,
             HostIntent::Maintain(id) => {
-                let unavailable_hosts_max =
-                    self.waves.get(id).map_or(0, |progress| progress.wave.unavailable_hosts_max);
-                self.unavailable_hosts(*id) < unavailable_hosts_max
+                self.unavailable_hosts(*id) < self.unavailable_hosts_max(*id)
             }
         }
     }
 
+    /// Returns the limit of a wave on unavailable hosts; 0 for an unknown wave.
+    pub fn unavailable_hosts_max(&self, id: WaveId) -> usize {
+        self.waves.get(&id).map_or(0, |progress| progress.wave.unavailable_hosts_max)
+    }
+
     /// Records that the maintenance of a host has started.
     pub(crate) fn record_maintenance_started(&mut self, id: WaveId, name: &HostName) {
         let Some(progress) = self.waves.get_mut(&id) else {
