Reproduce waves over their limit and units that run twice

Operators saw more hosts of a wave in maintenance than allowed, and callers saw units run twice. Both come from commands to hosts whose replies are later than the time limit of the call.

--- /dev/null
+++ b/crates/scheduler/tests/host_commands.rs
@@ -0,0 +1,90 @@
+//! Commands to hosts whose replies are late, lost, or tell of an earlier attempt.
+
+#[path = "common/simulation.rs"]
+mod simulation;
+
+use scheduler::Action;
+use scheduler::HostReply;
+use scheduler::Resources;
+use scheduler::Wave;
+use simulation::Simulation;
+use simulation::config;
+use simulation::job;
+use simulation::millis;
+use simulation::seconds;
+use simulation::step;
+
+const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+
+/// Creates a pool with a host for each of these workers, named after it, and a wave over all of
+/// them that leaves one at a time.
+fn fleet_with_wave(workers: &[&str]) -> Simulation {
+    let mut sim = Simulation::new(workers, config(3, NO_QUOTA));
+    list_own_hosts(&mut sim, workers);
+    let hosts = workers.iter().map(|worker| host_of(worker).as_str().into()).collect();
+    let wave = Wave { id: 1, hosts, duration_ms: 20_000, unavailable_hosts_max: 1 };
+    sim.scheduler.set_waves(vec![wave], sim.now);
+    sim
+}
+
+fn host_of(worker: &str) -> String {
+    format!("h-{worker}")
+}
+
+/// Lists the host of each of these workers.
+fn list_own_hosts(sim: &mut Simulation, workers: &[&str]) {
+    let hosts: Vec<(String, &str)> =
+        workers.iter().map(|worker| (host_of(worker), *worker)).collect();
+    let hosts: Vec<(&str, &str)> =
+        hosts.iter().map(|(host, worker)| (host.as_str(), *worker)).collect();
+    sim.list_hosts_in_pool(&hosts);
+}
+
+/// Removes and returns the hosts that were commanded to go into maintenance, in order.
+fn take_maintained(sim: &mut Simulation) -> Vec<String> {
+    let maintained = sim.other_actions.drain(..).filter_map(|action| match action {
+        Action::MaintainHost { host, .. } => Some(host.to_string()),
+        _ => None,
+    });
+    maintained.collect()
+}
+
+fn reply(sim: &mut Simulation, host: &str, reply: HostReply) {
+    sim.scheduler.handle_host_reply(&host.into(), reply, sim.now);
+}
+
+/// Guards against a wave that takes more hosts out of service than it may, because a command
+/// without a reply, which may have been carried out, no longer counts against the wave's limit.
+#[test]
+fn a_command_without_a_reply_counts_against_the_limit_of_its_wave() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    for _ in 0..3 {
+        reply(&mut sim, "h-w1", HostReply::Unknown);
+        sim.run_for(seconds(2));
+        assert_eq!(take_maintained(&mut sim), ["h-w1"], "only the same command is repeated");
+    }
+}
+
+/// Guards against units that run twice: the platform also accepts a repeated command that it
+/// carried out before, and the runs of the worker that the host has had since then go on.
+#[test]
+fn an_accepted_command_ends_no_runs_of_a_later_worker() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.list_hosts_in_pool(&[("h1", "w1")]);
+    let wave =
+        Wave { id: 1, hosts: vec!["h1".into()], duration_ms: 20_000, unavailable_hosts_max: 1 };
+    sim.scheduler.set_waves(vec![wave], sim.now);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h1"]);
+    reply(&mut sim, "h1", HostReply::Unknown);
+    // The host is back with its next worker, while the list still shows the one before.
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.run_for(seconds(1));
+    assert_eq!(take_maintained(&mut sim), ["h1"]);
+    assert_eq!(sim.worker("w2").running.len(), 1);
+    sim.list_hosts_in_pool(&[("h1", "w2")]);
+    reply(&mut sim, "h1", HostReply::Accepted);
+    assert!(sim.run_for(seconds(1)).is_empty(), "the unit is not started again");
+}
