Put commands to hosts into a module of their own

A command now holds what the host is to do and how far it has come; so far, a flag of the host and its plan told that together. No decision changes: a command that is stored is sent although the plan of the host has changed meanwhile, which cannot happen today, as plans with a pending command stay.

--- a/crates/scheduler/src/absent_hosts.rs
+++ b/crates/scheduler/src/absent_hosts.rs
@@ -90,7 +90,7 @@
     pub(crate) fn cancel_moves_of_absent_hosts(&mut self) {
         let is_cancelled = |host: &&Host| {
             matches!(host.intent, Some(HostIntent::Move(_)))
-                && !host.has_pending_command
+                && !self.is_command_pending(&host.entry.name)
                 && self.is_absent(host)
         };
         let cancelled = self.hosts.values().filter(is_cancelled);
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -6,7 +6,7 @@
 use crate::assignments::AssignmentRow;
 use crate::capacity::BaselineHosts;
 use crate::durations::DurationsRow;
-use crate::hosts::HostCommandRow;
+use crate::host_commands::HostCommandRow;
 use crate::progress::Progress;
 use crate::waves::WaveRow;
 
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -7,9 +7,6 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::HostName;
 use crate::Moment;
 use crate::PoolName;
@@ -19,11 +16,8 @@
 use crate::job::UnitKey;
 use crate::live_jobs::FULL_PERCENT;
 use crate::live_jobs::Unit;
-use crate::messages::Action;
 use crate::messages::HostEntry;
-use crate::messages::HostReply;
 use crate::messages::HostState;
-use crate::messages::LossCause;
 use crate::state::Scheduler;
 use crate::worker::Contact;
 use crate::worker::Worker;
@@ -33,15 +27,9 @@
 const CHECKPOINT_GRACE: Duration = Duration::from_millis(1_500);
 /// Time that other finite units get to finish on a cordoned host.
 const FINISH_GRACE: Duration = Duration::from_millis(6_000);
-/// Time before a command to a host is sent again after it failed.
-const COMMAND_RETRY_BACKOFF: Duration = Duration::from_millis(700);
-/// Time for which the platform's list may be out of date after a host has accepted a command.
-const HOST_LIST_LAG: Duration = Duration::from_millis(1_500);
 /// Maximum age of a worker's last reply for its units to count as available. It exceeds the time
 /// for which a worker may delay its reply.
 const RUNNING_CONTACT_AGE_MAX: Duration = Duration::from_millis(1_600);
-/// Maximum difference between the clocks of two nodes.
-const CLOCK_SKEW_MAX: Duration = Duration::from_millis(500);
 
 /// What is planned for a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,31 +40,13 @@
     Move(PoolName),
 }
 
-/// A command to a host, as it is stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostCommandRow {
-    /// Host that the command was given to.
-    pub host: HostName,
-    /// Time of the command in milliseconds since the Unix epoch.
-    pub at_ms: u64,
-}
-
-/// A command that was given to a host.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct HostCommandState {
-    issued_at: Moment,
-    is_stored: bool,
-}
-
-/// State of a host and of the commands to it.
+/// State of a host.
 #[derive(Clone, Debug)]
 pub struct Host {
     /// The host in the platform's list.
     pub entry: HostEntry,
     /// What is planned for the host.
     pub intent: Option<HostIntent>,
-    /// A command to the host waits to be stored, or for a reply.
-    pub has_pending_command: bool,
     /// The host gets no command before this time.
     pub no_command_before: Moment,
     /// Time until which an accepted command is expected to keep the host out of service.
@@ -94,7 +64,6 @@
         Self {
             entry,
             intent: None,
-            has_pending_command: false,
             no_command_before: Moment::ZERO,
             unavailable_until: Moment::ZERO,
             had_worker: false,
@@ -166,22 +135,6 @@
         self.has_host_list = true;
     }
 
-    /// Handles the result of a command to a host.
-    pub fn handle_host_reply(&mut self, name: &HostName, reply: HostReply, now: Moment) {
-        let Some(host) = self.hosts.get_mut(name) else {
-            return;
-        };
-        host.has_pending_command = false;
-        host.no_command_before = now + COMMAND_RETRY_BACKOFF;
-        match reply {
-            HostReply::Accepted => self.handle_host_accepted(name, now),
-            HostReply::Fenced => self.is_fenced = true,
-            HostReply::Invalid => host.intent = None,
-            // The command may already have taken effect; the next list of hosts shows it.
-            HostReply::Busy | HostReply::Refused | HostReply::Unknown => {}
-        }
-    }
-
     /// Plans moves and maintenance of hosts, and drains the hosts concerned.
     pub(crate) fn plan_hosts(&mut self, now: Moment) {
         self.remove_stale_tickets();
@@ -220,35 +173,6 @@
         host.entry.worker.clone()
     }
 
-    fn handle_host_accepted(&mut self, name: &HostName, now: Moment) {
-        let (move_time, maintain_time) = (self.settings.move_time, self.settings.maintain_time);
-        let Some(host) = self.hosts.get_mut(name) else {
-            return;
-        };
-        let worker = host.entry.worker.take();
-        host.terminated_worker = worker.clone();
-        match host.intent.take() {
-            Some(HostIntent::Maintain(wave)) => {
-                host.entry.state = HostState::InMaintenance;
-                host.unavailable_until = now + maintain_time + HOST_LIST_LAG;
-                self.record_maintenance_started(wave, name);
-            }
-            Some(HostIntent::Move(pool)) => {
-                host.entry.state = HostState::Moving;
-                host.entry.pool = pool;
-                host.unavailable_until = now + move_time + HOST_LIST_LAG;
-            }
-            None => {}
-        }
-        // The command has terminated the worker and all its runs.
-        if let Some(worker) = worker {
-            self.remove_runs_on(&worker, LossCause::HostCommanded, now);
-            if let Some(removed) = self.remove_worker(&worker) {
-                self.terminated_workers.insert(worker, removed.registration.incarnation_started_ms);
-            }
-        }
-    }
-
     fn set_cordons(&mut self, now: Moment) {
         let mut leaving: Vec<WorkerId> = self
             .hosts
@@ -278,7 +202,7 @@
         let Some(intent) = host.intent.clone() else {
             return;
         };
-        if host.has_pending_command || host.entry.state != HostState::Up {
+        if self.is_command_pending(name) || host.entry.state != HostState::Up {
             return;
         }
         if let Some(id) = self.worker_of(host) {
@@ -294,63 +218,7 @@
         if now < host.no_command_before || !self.may_command(&intent) {
             return;
         }
-        if let Some(host) = self.hosts.get_mut(name) {
-            host.has_pending_command = true;
-        }
-        self.host_commands
-            .insert(name.clone(), HostCommandState { issued_at: now, is_stored: false });
-    }
-
-    /// Returns the recent commands to hosts if some of them are not stored yet. A successor waits
-    /// for the host lease of each to expire before it gives the host a command of its own.
-    pub(crate) fn changed_host_commands(&mut self, now: Moment) -> Option<Vec<HostCommandRow>> {
-        let lease = self.settings.host_lease;
-        let has_new = self.host_commands.values().any(|command| !command.is_stored);
-        if !has_new {
-            return None;
-        }
-        // A command that has waited to be stored is sent from now on.
-        for command in self.host_commands.values_mut().filter(|command| !command.is_stored) {
-            command.issued_at = now;
-        }
-        self.host_commands.retain(|_, command| now.saturating_sub(command.issued_at) <= lease);
-        let rows = self.host_commands.iter().map(|(host, command)| HostCommandRow {
-            host: host.clone(),
-            at_ms: self.unix_ms(command.issued_at),
-        });
-        Some(rows.collect())
-    }
-
-    /// Sends the commands to hosts that are now stored.
-    pub(crate) fn handle_host_commands_stored(&mut self, rows: &[HostCommandRow]) {
-        for row in rows {
-            let Some(command) =
-                self.host_commands.get_mut(&row.host).filter(|command| !command.is_stored)
-            else {
-                continue;
-            };
-            command.is_stored = true;
-            let host = row.host.clone();
-            match self.hosts.get(&host).and_then(|host| host.intent.clone()) {
-                Some(HostIntent::Maintain(wave)) => {
-                    self.actions.push(Action::MaintainHost { host, wave });
-                }
-                Some(HostIntent::Move(pool)) => self.actions.push(Action::MoveHost { host, pool }),
-                None => {}
-            }
-        }
-    }
-
-    /// Restores the recent commands of the previous owner to hosts.
-    pub fn restore_host_commands(&mut self, rows: Vec<HostCommandRow>, now: Moment) {
-        for row in rows {
-            // The clocks of the two nodes may differ, but a command cannot have been given in the
-            // future.
-            let issued_at = self.moment_of(row.at_ms).min(now);
-            let allowed_at =
-                issued_at.max(now.saturating_sub(CLOCK_SKEW_MAX)) + self.settings.host_lease;
-            self.host_no_command_before.insert(row.host, allowed_at + CLOCK_SKEW_MAX);
-        }
+        self.issue_host_command(name, intent, now);
     }
 
     /// Stops the runs on a cordoned worker that may be stopped now.
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -21,8 +21,8 @@
 use crate::durations::Durations;
 use crate::evacuation::Evacuations;
 use crate::failure_history::FailureHistory;
+use crate::host_commands::HostCommand;
 use crate::hosts::Host;
-use crate::hosts::HostCommandState;
 use crate::job::Resources;
 use crate::job::UnitKey;
 use crate::job_map::JobMap;
@@ -82,7 +82,7 @@
     /// that ended. The registry still lists them for a while.
     pub(crate) terminated_workers: SortedMap<WorkerId, u64>,
     /// Commands that were recently given to hosts.
-    pub(crate) host_commands: SortedMap<HostName, HostCommandState>,
+    pub(crate) host_commands: SortedMap<HostName, HostCommand>,
     /// Hosts that the previous owner has recently commanded, and when they may get a new command.
     pub(crate) host_no_command_before: SortedMap<HostName, Moment>,
     /// The platform has listed its hosts at least once.
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -185,12 +185,12 @@
         let Some(wave) = self.waves.get(&id).map(|progress| &progress.wave) else {
             return 0;
         };
-        let is_unavailable = |host: &Host| {
-            (host.has_pending_command && host.intent == Some(HostIntent::Maintain(id)))
+        let is_unavailable = |name: &HostName, host: &Host| {
+            (self.is_command_pending(name) && host.intent == Some(HostIntent::Maintain(id)))
                 || host.entry.state == HostState::InMaintenance
         };
         let hosts = self.hosts.iter().filter(|(name, _)| wave.contains_host(name));
-        hosts.filter(|(_, host)| is_unavailable(host)).count()
+        hosts.filter(|(name, host)| is_unavailable(name, host)).count()
     }
 
     /// Returns true if the limit on unavailable hosts allows the command for this intent.
