End only the runs of the worker that a command to a host was meant for

Callers saw units run twice: both runs went on until they were done. The reply to a command is late, the host is moved and back with another worker, which gets units, and the repeated command is accepted, since it was carried out before. The owner then took the later worker for terminated and started its units elsewhere.

A command now names the worker that the host had when it was decided, and its acceptance ends only the runs of that one. What runs on a later worker is found out by polls and leases, as after any other end of a worker. A command that waited to be stored is not sent once the host has another worker, whose units it would stop. Ruled out: leases, late starts and takeovers; the traced run had one owner and no late starts.

--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -1,6 +1,8 @@
 //! Commands that move or maintain hosts.
 //!
-//! A command is stored before it is sent, so that a successor knows of it.
+//! A command is stored before it is sent, so that a successor knows of it. It is meant for the worker
+//! that the host has when the command is decided. The platform also accepts a command that it
+//! carried out before, so the reply tells nothing about a worker that the host has had since then.
 
 use std::time::Duration;
 
@@ -9,6 +11,7 @@
 
 use crate::HostName;
 use crate::Moment;
+use crate::WorkerId;
 use crate::hosts::HostIntent;
 use crate::messages::Action;
 use crate::messages::HostReply;
@@ -36,6 +39,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct HostCommand {
     pub intent: HostIntent,
+    /// Worker that the command terminates; none if the host has none.
+    worker: Option<WorkerId>,
     /// When it was decided or, once it is stored, sent.
     issued_at: Moment,
     pub progress: CommandProgress,
@@ -55,8 +60,10 @@
 impl Scheduler {
     /// Decides on a command to a host, which is sent once it is stored.
     pub(crate) fn issue_host_command(&mut self, name: &HostName, intent: HostIntent, now: Moment) {
+        let worker = self.hosts.get(name).and_then(|host| self.worker_of(host));
         let progress = CommandProgress::Unstored;
-        self.host_commands.insert(name.clone(), HostCommand { intent, issued_at: now, progress });
+        let command = HostCommand { intent, worker, issued_at: now, progress };
+        self.host_commands.insert(name.clone(), command);
     }
 
     /// Returns true if a command to a host waits to be stored or for a reply.
@@ -67,15 +74,17 @@
 
     /// Handles the result of a command to a host.
     pub fn handle_host_reply(&mut self, name: &HostName, reply: HostReply, now: Moment) {
-        if let Some(command) = self.host_commands.get_mut(name) {
-            command.progress = CommandProgress::Ended;
-        }
+        let Some(command) = self.host_commands.get_mut(name) else {
+            return;
+        };
+        command.progress = CommandProgress::Ended;
+        let command = command.clone();
         let Some(host) = self.hosts.get_mut(name) else {
             return;
         };
         host.no_command_before = now + COMMAND_RETRY_BACKOFF;
         match reply {
-            HostReply::Accepted => self.handle_host_accepted(name, now),
+            HostReply::Accepted => self.handle_host_accepted(name, command, now),
             HostReply::Fenced => self.is_fenced = true,
             HostReply::Invalid => host.intent = None,
             // The command may already have taken effect; the next list of hosts shows it.
@@ -83,28 +92,29 @@
         }
     }
 
-    fn handle_host_accepted(&mut self, name: &HostName, now: Moment) {
+    fn handle_host_accepted(&mut self, name: &HostName, command: HostCommand, now: Moment) {
         let (move_time, maintain_time) = (self.settings.move_time, self.settings.maintain_time);
         let Some(host) = self.hosts.get_mut(name) else {
             return;
         };
-        let worker = host.entry.worker.take();
-        host.terminated_worker = worker.clone();
-        match host.intent.take() {
-            Some(HostIntent::Maintain(wave)) => {
+        host.intent = None;
+        host.terminated_worker = command.worker.clone();
+        if host.entry.worker == command.worker {
+            host.entry.worker = None;
+        }
+        match command.intent {
+            HostIntent::Maintain(wave) => {
                 host.entry.state = HostState::InMaintenance;
                 host.unavailable_until = now + maintain_time + HOST_LIST_LAG;
                 self.record_maintenance_started(wave, name);
             }
-            Some(HostIntent::Move(pool)) => {
+            HostIntent::Move(pool) => {
                 host.entry.state = HostState::Moving;
                 host.entry.pool = pool;
                 host.unavailable_until = now + move_time + HOST_LIST_LAG;
             }
-            None => {}
         }
-        // The command has terminated the worker and all its runs.
-        if let Some(worker) = worker {
+        if let Some(worker) = command.worker {
             self.remove_runs_on(&worker, LossCause::HostCommanded, now);
             if let Some(removed) = self.remove_worker(&worker) {
                 self.terminated_workers.insert(worker, removed.registration.incarnation_started_ms);
@@ -147,6 +157,12 @@
             if command.progress != CommandProgress::Unstored {
                 continue;
             }
+            // Another worker may have units by now.
+            let host = self.hosts.get(&row.host);
+            if host.is_some_and(|host| host.entry.worker != command.worker) {
+                command.progress = CommandProgress::Ended;
+                continue;
+            }
             command.progress = CommandProgress::Sent;
             let host = row.host.clone();
             self.actions.push(match command.intent.clone() {
--- a/crates/scheduler/tests/host_commands.rs
+++ b/crates/scheduler/tests/host_commands.rs
@@ -21,10 +21,17 @@
 fn fleet_with_wave(workers: &[&str]) -> Simulation {
     let mut sim = Simulation::new(workers, config(3, NO_QUOTA));
     list_own_hosts(&mut sim, workers);
-    let hosts = workers.iter().map(|worker| host_of(worker).as_str().into()).collect();
+    let hosts: Vec<String> = workers.iter().map(|worker| host_of(worker)).collect();
+    let hosts: Vec<&str> = hosts.iter().map(String::as_str).collect();
+    set_wave(&mut sim, &hosts);
+    sim
+}
+
+/// Sets a wave over these hosts that leaves one at a time.
+fn set_wave(sim: &mut Simulation, hosts: &[&str]) {
+    let hosts = hosts.iter().map(|host| (*host).into()).collect();
     let wave = Wave { id: 1, hosts, duration_ms: 20_000, unavailable_hosts_max: 1 };
     sim.scheduler.set_waves(vec![wave], sim.now);
-    sim
 }
 
 fn host_of(worker: &str) -> String {
@@ -88,3 +95,19 @@
     reply(&mut sim, "h1", HostReply::Accepted);
     assert!(sim.run_for(seconds(1)).is_empty(), "the unit is not started again");
 }
+
+/// Guards against units that are stopped by a command for the previous worker of their host: the
+/// host may get another one, which starts units, while the command waits to be stored.
+#[test]
+fn a_command_is_not_sent_once_the_host_has_another_worker() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    sim.list_hosts_in_pool(&[("h-w1", "w1")]);
+    set_wave(&mut sim, &["h-w1"]);
+    sim.scheduler.review(sim.now);
+    sim.list_hosts_in_pool(&[("h-w1", "w2")]);
+    sim.commit();
+    sim.carry_out_actions();
+    assert!(take_maintained(&mut sim).is_empty());
+    sim.run_for(seconds(1));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"], "the command is decided again");
+}
