Give the command before its reply in the test of a terminated worker

The worker is now drained, the command is given and then accepted. What it checks is unchanged: the stored row of the terminated worker is removed at once, although the registry still lists it, and that of the other worker stays.

--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -4,12 +4,14 @@
 #[path = "common/simulation.rs"]
 mod simulation;
 
+use scheduler::Action;
 use scheduler::FinalState;
 use scheduler::HostReply;
 use scheduler::JobView;
 use scheduler::Resources;
 use scheduler::RunOutcome;
 use scheduler::Step;
+use scheduler::Wave;
 use scheduler::WorkerReport;
 use simulation::Simulation;
 use simulation::config;
@@ -161,6 +163,16 @@
     sim.scheduler.add_job(job("a", vec![step(32, 1_000)], sim.now), sim.now);
     sim.run_round();
     sim.list_hosts_in_pool(&[("h1", "w1"), ("h2", "w2")]);
+    for run in sim.worker("w1").running.clone() {
+        sim.complete_run(&run.unit, RunOutcome::Done);
+    }
+    let hosts = vec!["h1".into()];
+    let wave = Wave { id: 1, hosts, duration_ms: 4_000, unavailable_hosts_max: 1 };
+    sim.scheduler.set_waves(vec![wave], sim.now);
+    sim.run_for(seconds(1));
+    let is_command = |action: &Action| matches!(action, Action::MaintainHost { .. });
+    assert!(sim.other_actions.iter().any(is_command));
+    assert!(sim.assignments.get("w1").is_some());
     sim.scheduler.handle_host_reply(&"h1".into(), HostReply::Accepted, sim.now);
     // The registry still lists the terminated worker for a while.
     sim.scheduler.update_worker(registration("w1"), seconds(0), sim.now);
