Model check the protocol of commands to hosts

Two owners command maintenance of two hosts of one wave that allows one unavailable host at a time. Commands, replies and lists are delayed or lost, either owner is suspended, and a host may be out of service for another reason. Each of the 16 guards, left out alone, leads to a violation, and the test prints a shortest sequence of events.

Guards beyond a stored command, the precondition, the token and slots held while a command is unknown, accepted or restored: an outcome is stored before its slot is taken, a settled command is stored again before it is repeated, a late reply does not count for a later attempt, "busy" to a repeat holds the slot, and neither an old list, a list from before the takeover, a host listed as up, an absent host nor another outage frees it.

Times are not modelled: a host returns after any time. Each host is maintained once, so a second wave over the same hosts is not covered.

--- /dev/null
+++ b/crates/scheduler/tests/host_commands_model.rs
@@ -0,0 +1,499 @@
+//! Model checker for the protocol of commands to hosts, with two owners and two hosts of one wave.
+//!
+//! The wave allows one unavailable host at a time. The checker explores all interleavings of
+//! events. Events have no times: an owner may be suspended, a message delayed and a host out of
+//! service for any time. A message that is lost never arrives. An owner whose write or command is
+//! refused stops, which is the same as being suspended forever. Each owner's writes are in order.
+//!
+//! The platform maintains each host once. It answers later commands with "accepted", and those that
+//! arrive while the host is out of service, for whatever reason, with "busy".
+//!
+//! A host must never go out of service for the wave while the other one is. To show that each guard
+//! of the protocol is needed, each one is disabled in turn; the model must then find a violation.
+//! The events that are printed for it are a shortest sequence.
+
+use std::collections::HashSet;
+use std::iter;
+
+use rstest::rstest;
+
+const HOSTS: usize = 2;
+const OWNERS: usize = 2;
+const ATTEMPTS_MAX: usize = 3;
+/// Number of commands that each owner sends to a host.
+const OWNER_ATTEMPTS_MAX: [u8; OWNERS] = [3, 2];
+
+/// The guards of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Guard {
+    /// A command is stored before it is sent.
+    StoredCommand,
+    /// A command is stored only once the outcome of the one whose slot it takes is stored.
+    StoredOutcome,
+    /// Each write has the epoch in the owner's row as a precondition.
+    Precondition,
+    /// A command whose outcome was stored is stored again before it is repeated.
+    StoredRepeat,
+    /// A host refuses commands with a lower fencing token than that of one it has answered.
+    Token,
+    /// A reply counts only for the attempt that it answers, not for later ones.
+    ReplyAttempt,
+    /// A host counts as unavailable while the outcome of the command to it is unknown.
+    UnknownHoldsSlot,
+    /// "Accepted" makes a host count as unavailable until a list shows it in service.
+    AcceptedHoldsSlot,
+    /// So does "busy" as the reply to a repeated command, since an earlier attempt may be the reason.
+    BusyRepeatHoldsSlot,
+    /// A new owner counts the hosts of stored commands as unavailable if no outcome is stored.
+    RestoredHoldsSlot,
+    /// A new owner counts hosts as unavailable that the previous one has not seen in service again.
+    RestoredAcceptedHoldsSlot,
+    /// A list that was taken before the reply to a command does not show that the host is back.
+    ListAge,
+    /// Nor does a list that was taken before the owner took over.
+    TakeoverListAge,
+    /// A host that is in service may still get a command whose outcome is unknown.
+    UpHoldsSlot,
+    /// A host that a list leaves out may still be unavailable.
+    AbsentHoldsSlot,
+    /// Only maintenance for the wave shows that a command was carried out, not another outage.
+    OutageCause,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+enum HostState {
+    #[default]
+    Up,
+    /// Out of service for the wave.
+    InMaintenance,
+    /// Out of service for another reason.
+    Down,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Token {
+    epoch: u8,
+    attempt: u8,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Host {
+    state: HostState,
+    /// The host has been maintained for the wave, or is now.
+    is_maintained: bool,
+    /// Highest token of the commands that were answered.
+    token: Token,
+}
+
+/// An attempt at a command, or the reply to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+enum Message {
+    /// The attempt has not been made, or its reply was delivered.
+    #[default]
+    Nothing,
+    Command,
+    Accepted,
+    Busy,
+}
+
+/// What an owner knows about the command to a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+enum Known {
+    /// There is no command that can still take effect, and the host is not unavailable by one.
+    #[default]
+    Nothing,
+    /// The command is stored, and has not been sent.
+    Planned,
+    /// The command was sent once; its outcome is unknown.
+    Sent,
+    /// The command was sent several times, or perhaps by the previous owner; its outcome is unknown.
+    InDoubt,
+    /// No attempt can take effect any more, but the host may be unavailable by one that has.
+    Settled,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Owner {
+    /// 0 if this node does not own the scheduling yet.
+    epoch: u8,
+    known: [Known; HOSTS],
+    /// Number of commands that were sent to each host.
+    attempts: [u8; HOSTS],
+    messages: [[Message; ATTEMPTS_MAX]; HOSTS],
+    /// The last list entry of each host, until it is delivered.
+    entries: [Option<HostState>; HOSTS],
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct State {
+    /// Epoch in the owner's row.
+    epoch: u8,
+    /// What a new owner knows: nothing, or that the command is in doubt or settled.
+    rows: [Known; HOSTS],
+    hosts: [Host; HOSTS],
+    owners: [Owner; OWNERS],
+    had_outage: bool,
+    has_violation: bool,
+}
+
+/// An event, as it is printed.
+#[derive(Clone, Copy, Debug)]
+#[expect(dead_code, reason = "The fields are only printed")]
+struct Event {
+    action: &'static str,
+    owner: Option<usize>,
+    host: Option<usize>,
+    attempt: Option<usize>,
+}
+
+struct Model {
+    disabled: Option<Guard>,
+}
+
+impl Model {
+    fn has(&self, guard: Guard) -> bool {
+        self.disabled != Some(guard)
+    }
+
+    /// Returns all states that may follow, with the event that leads to each.
+    fn successors(&self, state: &State) -> Vec<(Event, State)> {
+        let mut successors = Vec::new();
+        let mut add = |action, owner, host, attempt, next: Option<State>| {
+            successors.extend(next.map(|next| (Event { action, owner, host, attempt }, next)));
+        };
+        add("take over", None, None, None, self.take_over(state));
+        add("start outage", None, Some(0), None, start_outage(state));
+        for index in 0..HOSTS {
+            let host = Some(index);
+            add("return to service", None, host, None, return_to_service(state, index));
+            for node in 0..OWNERS {
+                let owner = Some(node);
+                add("store command", owner, host, None, self.store_command(state, node, index));
+                add("send command", owner, host, None, self.send_command(state, node, index));
+                add("store outcome", owner, host, None, self.store_outcome(state, node, index));
+                add("take list", owner, host, None, take_list(state, node, index));
+                add("deliver list", owner, host, None, self.deliver_list(state, node, index));
+                let next = self.deliver_list_without_host(state, node, index);
+                add("deliver list without host", owner, host, None, next);
+                for attempt in 0..ATTEMPTS_MAX {
+                    let next = self.execute(state, node, index, attempt);
+                    add("deliver command", owner, host, Some(attempt), next);
+                    let next = self.receive(state, node, index, attempt);
+                    add("deliver reply", owner, host, Some(attempt), next);
+                }
+            }
+        }
+        successors
+    }
+
+    fn take_over(&self, state: &State) -> Option<State> {
+        if usize::from(state.epoch) >= OWNERS {
+            return None;
+        }
+        let mut next = *state;
+        let owner = &mut next.owners[usize::from(state.epoch)];
+        next.epoch += 1;
+        owner.epoch = next.epoch;
+        owner.known = state.rows.map(|row| match row {
+            Known::InDoubt if !self.has(Guard::RestoredHoldsSlot) => Known::Nothing,
+            Known::Settled if !self.has(Guard::RestoredAcceptedHoldsSlot) => Known::Nothing,
+            row => row,
+        });
+        if self.has(Guard::TakeoverListAge) {
+            owner.entries = [None; HOSTS];
+        }
+        Some(next)
+    }
+
+    /// Returns true if an owner counts a host as unavailable.
+    fn holds_slot(&self, known: Known) -> bool {
+        match known {
+            Known::Nothing => false,
+            Known::Planned | Known::Settled => true,
+            Known::Sent | Known::InDoubt => self.has(Guard::UnknownHoldsSlot),
+        }
+    }
+
+    fn may_write(&self, state: &State, owner: usize) -> bool {
+        let epoch = state.owners[owner].epoch;
+        epoch > 0 && (epoch == state.epoch || !self.has(Guard::Precondition))
+    }
+
+    /// An owner decides on a command and stores it.
+    fn store_command(&self, state: &State, owner: usize, host: usize) -> Option<State> {
+        let node = state.owners[owner];
+        let is_limit_reached = node.known.iter().any(|known| self.holds_slot(*known));
+        let is_stored = self.has(Guard::StoredCommand);
+        let has_other_row =
+            (0..HOSTS).any(|other| other != host && state.rows[other] != Known::Nothing);
+        if node.epoch == 0
+            || node.known[host] != Known::Nothing
+            || is_limit_reached
+            || (has_other_row && self.has(Guard::StoredOutcome))
+            || node.attempts[host] >= OWNER_ATTEMPTS_MAX[owner]
+            || (is_stored && !self.may_write(state, owner))
+        {
+            return None;
+        }
+        let mut next = *state;
+        if is_stored {
+            next.rows[host] = Known::InDoubt;
+        }
+        next.owners[owner].known[host] = Known::Planned;
+        Some(next)
+    }
+
+    /// An owner sends a command that is stored, or repeats one with a higher token.
+    fn send_command(&self, state: &State, owner: usize, host: usize) -> Option<State> {
+        let mut next = *state;
+        let node = &mut next.owners[owner];
+        let attempt = node.attempts[host];
+        if attempt >= OWNER_ATTEMPTS_MAX[owner] {
+            return None;
+        }
+        node.known[host] = match node.known[host] {
+            Known::Planned => Known::Sent,
+            Known::Sent | Known::InDoubt => Known::InDoubt,
+            Known::Settled if !self.has(Guard::StoredRepeat) => Known::InDoubt,
+            Known::Settled | Known::Nothing => return None,
+        };
+        node.messages[host][usize::from(attempt)] = Message::Command;
+        node.attempts[host] += 1;
+        Some(next)
+    }
+
+    /// A host executes a command that arrives, and replies.
+    fn execute(&self, state: &State, owner: usize, host: usize, attempt: usize) -> Option<State> {
+        if state.owners[owner].messages[host][attempt] != Message::Command {
+            return None;
+        }
+        let mut next = *state;
+        let token = Token { epoch: state.owners[owner].epoch, attempt: attempt as u8 };
+        let target = &mut next.hosts[host];
+        if self.has(Guard::Token) && token < target.token {
+            return None;
+        }
+        target.token = target.token.max(token);
+        let is_up = target.state == HostState::Up;
+        if is_up && !target.is_maintained {
+            target.is_maintained = true;
+            target.state = HostState::InMaintenance;
+            next.has_violation =
+                next.hosts.iter().all(|host| host.state == HostState::InMaintenance);
+        }
+        next.owners[owner].messages[host][attempt] =
+            if is_up { Message::Accepted } else { Message::Busy };
+        Some(next)
+    }
+
+    /// An owner receives a reply.
+    fn receive(&self, state: &State, owner: usize, host: usize, attempt: usize) -> Option<State> {
+        let mut next = *state;
+        let node = &mut next.owners[owner];
+        let known = node.known[host];
+        if !matches!(known, Known::Sent | Known::InDoubt) {
+            return None;
+        }
+        let is_last = attempt + 1 == usize::from(node.attempts[host]);
+        let holds_slot = match node.messages[host][attempt] {
+            Message::Nothing | Message::Command => return None,
+            Message::Accepted => self.has(Guard::AcceptedHoldsSlot),
+            Message::Busy if !is_last && self.has(Guard::ReplyAttempt) => return None,
+            Message::Busy => known == Known::InDoubt && self.has(Guard::BusyRepeatHoldsSlot),
+        };
+        node.known[host] = if holds_slot { Known::Settled } else { Known::Nothing };
+        node.messages[host][attempt] = Message::Nothing;
+        if self.has(Guard::ListAge) {
+            node.entries[host] = None;
+        }
+        Some(next)
+    }
+
+    /// An owner stores what it knows of the outcome.
+    fn store_outcome(&self, state: &State, owner: usize, host: usize) -> Option<State> {
+        let row = match state.owners[owner].known[host] {
+            Known::Settled => Known::Settled,
+            known if !self.holds_slot(known) => Known::Nothing,
+            _ => return None,
+        };
+        if !self.may_write(state, owner) || state.rows[host] == row {
+            return None;
+        }
+        let mut next = *state;
+        next.rows[host] = row;
+        Some(next)
+    }
+
+    /// A list arrives at the owner.
+    fn deliver_list(&self, state: &State, owner: usize, host: usize) -> Option<State> {
+        let mut next = *state;
+        let node = &mut next.owners[owner];
+        if node.epoch == 0 {
+            return None;
+        }
+        let entry = node.entries[host].take()?;
+        let is_unknown = matches!(node.known[host], Known::Sent | Known::InDoubt);
+        if !is_unknown && node.known[host] != Known::Settled {
+            return Some(next);
+        }
+        match entry {
+            HostState::Up if is_unknown && self.has(Guard::UpHoldsSlot) => {}
+            HostState::Up => node.known[host] = Known::Nothing,
+            HostState::Down if self.has(Guard::OutageCause) => {}
+            HostState::InMaintenance | HostState::Down if is_unknown => {
+                node.known[host] = Known::Settled;
+            }
+            HostState::InMaintenance | HostState::Down => {}
+        }
+        Some(next)
+    }
+
+    fn deliver_list_without_host(&self, state: &State, owner: usize, host: usize) -> Option<State> {
+        let holds_slot = self.holds_slot(state.owners[owner].known[host]);
+        if self.has(Guard::AbsentHoldsSlot) || !holds_slot {
+            return None;
+        }
+        let mut next = *state;
+        next.owners[owner].known[host] = Known::Nothing;
+        Some(next)
+    }
+
+    /// Normalizes a state: messages and list entries that can have no effect are left out. Without a
+    /// guard, this may leave out some that have one, which is the same as losing them.
+    fn without_ineffective_messages(&self, mut state: State) -> State {
+        let needs_entries = matches!(
+            self.disabled,
+            Some(Guard::ListAge | Guard::TakeoverListAge | Guard::UpHoldsSlot | Guard::OutageCause)
+        );
+        for owner in &mut state.owners {
+            let is_superseded = owner.epoch > 0 && owner.epoch < state.epoch;
+            for host in 0..HOSTS {
+                // An owner that was superseded can only send what it has stored.
+                owner.known[host] = match owner.known[host] {
+                    Known::Settled if is_superseded && self.has(Guard::StoredRepeat) => {
+                        Known::Nothing
+                    }
+                    Known::Sent if is_superseded => Known::InDoubt,
+                    known => known,
+                };
+                let effective_entry = match owner.known[host] {
+                    Known::Nothing | Known::Planned => None,
+                    Known::Sent | Known::InDoubt => Some(HostState::InMaintenance),
+                    Known::Settled => Some(HostState::Up),
+                };
+                if is_superseded || (!needs_entries && owner.entries[host] != effective_entry) {
+                    owner.entries[host] = None;
+                }
+                let last = usize::from(owner.attempts[host]).saturating_sub(1);
+                for (attempt, message) in owner.messages[host].iter_mut().enumerate() {
+                    let token = Token { epoch: owner.epoch, attempt: attempt as u8 };
+                    let is_effective = match message {
+                        Message::Nothing => continue,
+                        Message::Command => {
+                            !self.has(Guard::Token) || token >= state.hosts[host].token
+                        }
+                        Message::Accepted => !is_superseded,
+                        Message::Busy => {
+                            !is_superseded && (attempt == last || !self.has(Guard::ReplyAttempt))
+                        }
+                    };
+                    if !is_effective {
+                        *message = Message::Nothing;
+                    }
+                }
+            }
+        }
+        state
+    }
+}
+
+/// The hosts are interchangeable, so it is enough if the first one has an outage, once.
+fn start_outage(state: &State) -> Option<State> {
+    if state.had_outage || state.hosts[0].state != HostState::Up {
+        return None;
+    }
+    let mut next = *state;
+    next.had_outage = true;
+    next.hosts[0].state = HostState::Down;
+    Some(next)
+}
+
+fn return_to_service(state: &State, host: usize) -> Option<State> {
+    if state.hosts[host].state == HostState::Up {
+        return None;
+    }
+    let mut next = *state;
+    next.hosts[host].state = HostState::Up;
+    Some(next)
+}
+
+/// The platform takes a list for a node.
+fn take_list(state: &State, owner: usize, host: usize) -> Option<State> {
+    let mut next = *state;
+    next.owners[owner].entries[host] = Some(state.hosts[host].state);
+    Some(next)
+}
+
+fn initial_state() -> State {
+    let mut state = State { epoch: 1, ..State::default() };
+    state.owners[0].epoch = 1;
+    state
+}
+
+/// Explores all states; returns the events that lead to a violation and the number of states.
+fn explore(model: &Model) -> (Option<Vec<Event>>, usize) {
+    let mut visited = HashSet::from([initial_state()]);
+    // The states in the order of their discovery, with the index of the previous one.
+    let mut steps: Vec<(State, usize, Option<Event>)> = vec![(initial_state(), 0, None)];
+    let mut index = 0;
+    while index < steps.len() {
+        for (event, next) in model.successors(&steps[index].0) {
+            let next = model.without_ineffective_messages(next);
+            if !visited.insert(next) {
+                continue;
+            }
+            steps.push((next, index, Some(event)));
+            if next.has_violation {
+                let path = iter::successors(steps.last(), |step| Some(&steps[step.1]));
+                let mut events: Vec<Event> = path.map_while(|step| step.2).collect();
+                events.reverse();
+                return (Some(events), visited.len());
+            }
+        }
+        index += 1;
+    }
+    (None, visited.len())
+}
+
+/// Guards against a protocol by which two hosts of a wave can be unavailable at the same time.
+#[test]
+fn no_two_hosts_are_maintained_at_once_in_any_order_of_events() {
+    let (violation, states) = explore(&Model { disabled: None });
+    println!("{states} states");
+    assert!(violation.is_none(), "{violation:#?}");
+    assert!(states > 100_000, "too few states to be meaningful: {states}");
+}
+
+/// Guards against a model that cannot see a violation, and against guards without effect.
+#[rstest]
+#[case::stored_command(Guard::StoredCommand)]
+#[case::stored_outcome(Guard::StoredOutcome)]
+#[case::precondition(Guard::Precondition)]
+#[case::stored_repeat(Guard::StoredRepeat)]
+#[case::token(Guard::Token)]
+#[case::reply_attempt(Guard::ReplyAttempt)]
+#[case::unknown_holds_slot(Guard::UnknownHoldsSlot)]
+#[case::accepted_holds_slot(Guard::AcceptedHoldsSlot)]
+#[case::busy_repeat_holds_slot(Guard::BusyRepeatHoldsSlot)]
+#[case::restored_holds_slot(Guard::RestoredHoldsSlot)]
+#[case::restored_accepted_holds_slot(Guard::RestoredAcceptedHoldsSlot)]
+#[case::list_age(Guard::ListAge)]
+#[case::takeover_list_age(Guard::TakeoverListAge)]
+#[case::up_holds_slot(Guard::UpHoldsSlot)]
+#[case::absent_holds_slot(Guard::AbsentHoldsSlot)]
+#[case::outage_cause(Guard::OutageCause)]
+fn each_guard_is_needed(#[case] guard: Guard) {
+    let (violation, states) = explore(&Model { disabled: Some(guard) });
+    println!("without {guard:?}, after {states} states: {violation:#?}");
+    assert!(violation.is_some(), "no violation without {guard:?}");
+}
