Count commands of unknown outcome against the limit of their wave

Operators saw more hosts of a wave in maintenance than allowed. A command whose reply came later than the time limit of the call no longer counted: the next hosts were commanded in the same round, while the first were in maintenance, and the list of hosts, as late as the replies, did not show that.

A command without a reply is now in doubt, and counts, until its outcome is known: its repetition, which has a higher token, is answered; a list requested after it shows the host in maintenance, or moved; or the host is gone. A refused repetition settles nothing. A repetition is sent even if the host's worker does not reply, since the command may have ended it. Moves are settled in the same way.

--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -97,12 +97,12 @@
             }
             Event::DivisionsChanged { rows } => self.handle_divisions(&rows),
             Event::DivisionWritten { key, outcome } => self.handle_division_written(&key, outcome),
-            Event::HostsListed { result } => {
+            Event::HostsListed { requested_at, result } => {
                 self.is_listing_hosts = false;
                 match result {
                     Ok(mut hosts) => {
                         hosts.retain(|host| self.shared.has_host(&host.name));
-                        self.scheduler.set_hosts(hosts, now);
+                        self.scheduler.set_hosts(hosts, requested_at, now);
                     }
                     Err(error) => {
                         telemetry::log::line("hosts-not-listed").text("why", error).write();
@@ -211,7 +211,9 @@
         self.hosts_listed_at = now;
         let shared = self.shared.clone();
         self.spawn(async move {
-            Event::HostsListed { result: shared.node.platform.list_hosts().await }
+            let requested_at = clock::now();
+            let result = shared.node.platform.list_hosts().await;
+            Event::HostsListed { requested_at, result }
         });
     }
 
--- a/crates/coordinator/src/owner/event.rs
+++ b/crates/coordinator/src/owner/event.rs
@@ -53,7 +53,7 @@
     /// A change of a division was sent.
     DivisionWritten { key: String, outcome: WriteOutcome },
     /// The hosts were listed.
-    HostsListed { result: Result<Vec<HostEntry>, ReadError> },
+    HostsListed { requested_at: Moment, result: Result<Vec<HostEntry>, ReadError> },
     /// A host was commanded to move or to go into maintenance.
     HostCommanded {
         host: HostName,
--- a/crates/scheduler/src/absent_hosts.rs
+++ b/crates/scheduler/src/absent_hosts.rs
@@ -86,11 +86,11 @@
         host.is_available(now) && !self.is_absent(host)
     }
 
-    /// Cancels the moves of hosts that are absent now, unless the command was already decided.
+    /// Cancels the moves of hosts that are absent now, unless a command may be carried out.
     pub(crate) fn cancel_moves_of_absent_hosts(&mut self) {
         let is_cancelled = |host: &&Host| {
             matches!(host.intent, Some(HostIntent::Move(_)))
-                && !self.is_command_pending(&host.entry.name)
+                && !self.is_command_unsettled(&host.entry.name)
                 && self.is_absent(host)
         };
         let cancelled = self.hosts.values().filter(is_cancelled);
--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -3,6 +3,11 @@
 //! A command is stored before it is sent, so that a successor knows of it. It is meant for the worker
 //! that the host has when the command is decided. The platform also accepts a command that it
 //! carried out before, so the reply tells nothing about a worker that the host has had since then.
+//!
+//! A command without a reply may have been carried out, and may still be, seconds later. It stays in
+//! doubt, and counts against the limit of its wave, until its outcome is known: it is repeated with
+//! a higher token, after which the platform refuses the earlier attempts, or the list of hosts shows
+//! that it was carried out or that the host is gone.
 
 use std::time::Duration;
 
@@ -14,6 +19,7 @@
 use crate::WorkerId;
 use crate::hosts::HostIntent;
 use crate::messages::Action;
+use crate::messages::HostEntry;
 use crate::messages::HostReply;
 use crate::messages::HostState;
 use crate::messages::LossCause;
@@ -41,9 +47,13 @@
     pub intent: HostIntent,
     /// Worker that the command terminates; none if the host has none.
     worker: Option<WorkerId>,
-    /// When it was decided or, once it is stored, sent.
+    /// When the last attempt was decided or, once it is stored, sent.
     issued_at: Moment,
-    pub progress: CommandProgress,
+    /// When the first attempt was decided.
+    first_issued_at: Moment,
+    progress: CommandProgress,
+    /// An earlier attempt got no reply, and no later reply has told its outcome.
+    has_unanswered_attempt: bool,
 }
 
 /// What has become of a command.
@@ -53,23 +63,67 @@
     Unstored,
     /// It was sent and waits for a reply.
     Sent,
-    /// It was answered, or the time for that has passed.
-    Ended,
+    /// It got no reply and is to be repeated.
+    InDoubt,
+    /// Its outcome is known.
+    Settled,
+}
+
+impl HostCommand {
+    /// Returns true if the command waits to be stored or for a reply.
+    fn is_pending(&self) -> bool {
+        matches!(self.progress, CommandProgress::Unstored | CommandProgress::Sent)
+    }
+
+    /// Returns true unless the outcome of the command is known.
+    pub fn is_unsettled(&self) -> bool {
+        self.progress != CommandProgress::Settled
+    }
+
+    /// Returns true if the listed state of the host shows that the command was carried out.
+    fn is_shown_by(&self, entry: &HostEntry) -> bool {
+        match &self.intent {
+            HostIntent::Maintain(_) => entry.state == HostState::InMaintenance,
+            HostIntent::Move(pool) => {
+                entry.state == HostState::Moving
+                    || (entry.state == HostState::Up && entry.pool == *pool)
+            }
+        }
+    }
+
+    /// Ends an attempt that was not carried out.
+    fn end_attempt(&mut self) {
+        self.progress = match self.has_unanswered_attempt {
+            true => CommandProgress::InDoubt,
+            false => CommandProgress::Settled,
+        };
+    }
 }
 
 impl Scheduler {
-    /// Decides on a command to a host, which is sent once it is stored.
+    /// Decides on a command to a host, or on its repetition, which is sent once it is stored.
     pub(crate) fn issue_host_command(&mut self, name: &HostName, intent: HostIntent, now: Moment) {
         let worker = self.hosts.get(name).and_then(|host| self.worker_of(host));
-        let progress = CommandProgress::Unstored;
-        let command = HostCommand { intent, worker, issued_at: now, progress };
+        let before = self.host_commands.get(name).filter(|command| command.is_unsettled());
+        let command = HostCommand {
+            intent,
+            worker,
+            issued_at: now,
+            first_issued_at: before.map_or(now, |before| before.first_issued_at),
+            progress: CommandProgress::Unstored,
+            has_unanswered_attempt: before.is_some_and(|before| before.has_unanswered_attempt),
+        };
         self.host_commands.insert(name.clone(), command);
     }
 
     /// Returns true if a command to a host waits to be stored or for a reply.
     pub(crate) fn is_command_pending(&self, name: &HostName) -> bool {
-        let command = self.host_commands.get(name);
-        command.is_some_and(|command| command.progress != CommandProgress::Ended)
+        self.host_commands.get(name).is_some_and(HostCommand::is_pending)
+    }
+
+    /// Returns true if a command to a host may have been carried out, or may still be.
+    pub(crate) fn is_command_unsettled(&self, name: &HostName) -> bool {
+        self.host_commands.get(name).is_some_and(HostCommand::is_unsettled)
     }
 
     /// Handles the result of a command to a host.
@@ -77,18 +131,54 @@
         let Some(command) = self.host_commands.get_mut(name) else {
             return;
         };
-        command.progress = CommandProgress::Ended;
-        let command = command.clone();
-        let Some(host) = self.hosts.get_mut(name) else {
-            return;
-        };
-        host.no_command_before = now + COMMAND_RETRY_BACKOFF;
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.no_command_before = now + COMMAND_RETRY_BACKOFF;
+        }
         match reply {
-            HostReply::Accepted => self.handle_host_accepted(name, command, now),
+            HostReply::Accepted => {
+                command.progress = CommandProgress::Settled;
+                let command = command.clone();
+                self.handle_host_accepted(name, command, now);
+            }
             HostReply::Fenced => self.is_fenced = true,
-            HostReply::Invalid => host.intent = None,
-            // The command may already have taken effect; the next list of hosts shows it.
-            HostReply::Busy | HostReply::Refused | HostReply::Unknown => {}
+            HostReply::Invalid => {
+                command.progress = CommandProgress::Settled;
+                if let Some(host) = self.hosts.get_mut(name) {
+                    host.intent = None;
+                }
+            }
+            HostReply::Busy | HostReply::Refused => command.end_attempt(),
+            HostReply::Unknown => {
+                command.has_unanswered_attempt = true;
+                command.end_attempt();
+            }
+        }
+    }
+
+    /// Settles the commands in doubt whose outcome the list of hosts shows. `listed` are the listed
+    /// hosts, sorted by name.
+    pub(crate) fn settle_host_commands(&mut self, listed: &[HostEntry], requested_at: Moment) {
+        let mut maintained = Vec::new();
+        for (name, command) in self.host_commands.iter_mut() {
+            let is_in_doubt = command.progress == CommandProgress::InDoubt;
+            if !is_in_doubt || requested_at < command.first_issued_at + HOST_LIST_LAG {
+                continue;
+            }
+            let found = listed.binary_search_by(|entry| entry.name.cmp(name));
+            let entry = found.ok().map(|index| &listed[index]);
+            if entry.is_some_and(|entry| !command.is_shown_by(entry)) {
+                continue;
+            }
+            command.progress = CommandProgress::Settled;
+            if let Some(host) = self.hosts.get_mut(name) {
+                host.intent = None;
+            }
+            if let (Some(_), HostIntent::Maintain(wave)) = (entry, &command.intent) {
+                maintained.push((*wave, name.clone()));
+            }
+        }
+        for (wave, name) in maintained {
+            self.record_maintenance_started(wave, &name);
         }
     }
 
@@ -138,8 +228,7 @@
             return None;
         }
         self.host_commands.retain(|_, command| {
-            command.progress != CommandProgress::Ended
-                || now.saturating_sub(command.issued_at) <= lease
+            command.is_unsettled() || now.saturating_sub(command.issued_at) <= lease
         });
         let rows = self.host_commands.iter().map(|(host, command)| HostCommandRow {
             host: host.clone(),
@@ -160,7 +249,7 @@
             // Another worker may have units by now.
             let host = self.hosts.get(&row.host);
             if host.is_some_and(|host| host.entry.worker != command.worker) {
-                command.progress = CommandProgress::Ended;
+                command.end_attempt();
                 continue;
             }
             command.progress = CommandProgress::Sent;
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -96,11 +96,12 @@
 }
 
 impl Scheduler {
-    /// Updates the hosts from the platform's list.
-    pub fn set_hosts(&mut self, entries: Vec<HostEntry>, now: Moment) {
-        let mut names: Vec<HostName> = entries.iter().map(|entry| entry.name.clone()).collect();
-        names.sort();
-        self.hosts.retain(|name, _| names.binary_search(name).is_ok());
+    /// Updates the hosts from the platform's list, which was requested at `requested_at`.
+    pub fn set_hosts(&mut self, mut entries: Vec<HostEntry>, requested_at: Moment, now: Moment) {
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        let is_listed = |name: &HostName| entries.binary_search_by(|e| e.name.cmp(name)).is_ok();
+        self.hosts.retain(|name, _| is_listed(name));
+        self.settle_host_commands(&entries, requested_at);
         let mut returned = Vec::new();
         for entry in entries {
             let name = entry.name.clone();
@@ -205,17 +206,22 @@
         if self.is_command_pending(name) || host.entry.state != HostState::Up {
             return;
         }
+        // A command in doubt may have terminated the worker, and already counts against the limit.
+        let is_repetition = self.is_command_unsettled(name);
         if let Some(id) = self.worker_of(host) {
             // The runs of a worker are unknown until it has replied.
             let contact_max = self.settings.contact_max;
-            let reachable = self.workers.get(&id).filter(|w| w.is_in_contact(contact_max, now));
-            match reachable.map(|worker| worker.runs.is_empty() && worker.unexpected_runs == 0) {
-                Some(true) => {}
-                Some(false) => return self.drain_worker(&id, now),
-                None => return,
+            let worker = self.workers.get(&id);
+            let is_in_contact = worker.is_some_and(|worker| worker.is_in_contact(contact_max, now));
+            let is_idle = |worker: &Worker| worker.runs.is_empty() && worker.unexpected_runs == 0;
+            match (worker.is_none_or(is_idle), is_in_contact) {
+                (true, true) => {}
+                (true, false) if is_repetition => {}
+                (false, true) => return self.drain_worker(&id, now),
+                (_, false) => return,
             }
         }
-        if now < host.no_command_before || !self.may_command(&intent) {
+        if now < host.no_command_before || !(is_repetition || self.may_command(&intent)) {
             return;
         }
         self.issue_host_command(name, intent, now);
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -180,17 +180,21 @@
         self.hosts.iter().filter(|(name, host)| is_busy(name, host)).count()
     }
 
-    /// Returns the number of hosts that are unavailable for a wave, or about to be.
+    /// Returns the number of hosts of a wave that are in maintenance, about to be, or may be.
     pub fn unavailable_hosts(&self, id: WaveId) -> usize {
         let Some(wave) = self.waves.get(&id).map(|progress| &progress.wave) else {
             return 0;
         };
-        let is_unavailable = |name: &HostName, host: &Host| {
-            (self.is_command_pending(name) && host.intent == Some(HostIntent::Maintain(id)))
-                || host.entry.state == HostState::InMaintenance
+        let is_in_maintenance = |name: &HostName| {
+            let host = self.hosts.get(name);
+            host.is_some_and(|host| host.entry.state == HostState::InMaintenance)
         };
-        let hosts = self.hosts.iter().filter(|(name, _)| wave.contains_host(name));
-        hosts.filter(|(name, host)| is_unavailable(name, host)).count()
+        let may_begin = |name: &HostName| {
+            let command = self.host_commands.get(name).filter(|command| command.is_unsettled());
+            command.is_some_and(|command| matches!(command.intent, HostIntent::Maintain(_)))
+        };
+        let is_unavailable = |name: &&HostName| is_in_maintenance(name) || may_begin(name);
+        wave.hosts.iter().filter(is_unavailable).count()
     }
 
     /// Returns true if the limit on unavailable hosts allows the command for this intent.
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -432,6 +432,6 @@
             state: HostState::Up,
             worker: (!worker.is_empty()).then(|| (*worker).into()),
         };
-        self.scheduler.set_hosts(hosts.iter().map(host).collect(), self.now);
+        self.scheduler.set_hosts(hosts.iter().map(host).collect(), self.now, self.now);
     }
 }
--- a/crates/scheduler/tests/host_commands.rs
+++ b/crates/scheduler/tests/host_commands.rs
@@ -4,7 +4,9 @@
 mod simulation;
 
 use scheduler::Action;
+use scheduler::HostEntry;
 use scheduler::HostReply;
+use scheduler::HostState;
 use scheduler::Resources;
 use scheduler::Wave;
 use simulation::Simulation;
@@ -111,3 +113,81 @@
     sim.run_for(seconds(1));
     assert_eq!(take_maintained(&mut sim), ["h-w1"], "the command is decided again");
 }
+
+/// Guards against a wave that stalls although the list of hosts shows that the command in doubt was
+/// carried out, or that its host is gone.
+#[test]
+fn the_list_of_hosts_settles_a_command_in_doubt() {
+    for state in [Some(HostState::InMaintenance), None] {
+        let mut sim = fleet_with_wave(&["w1", "w2"]);
+        sim.run_for(millis(600));
+        assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+        reply(&mut sim, "h-w1", HostReply::Unknown);
+        sim.now += millis(1_600);
+        let name = "h-w1".into();
+        let first = state.map(|state| HostEntry { name, pool: "p".into(), state, worker: None });
+        let second = HostEntry {
+            name: "h-w2".into(),
+            pool: "p".into(),
+            state: HostState::Up,
+            worker: Some("w2".into()),
+        };
+        let entries = first.into_iter().chain([second.clone()]).collect();
+        sim.scheduler.set_hosts(entries, sim.now, sim.now);
+        sim.run_for(seconds(1));
+        match state {
+            Some(_) => assert!(take_maintained(&mut sim).is_empty(), "one is in maintenance"),
+            None => assert_eq!(take_maintained(&mut sim), ["h-w2"]),
+        }
+    }
+}
+
+/// Guards against a wave that takes more hosts out of service than it may: a list that was requested
+/// before a command may be older than it, and does not show what has become of it.
+#[test]
+fn an_older_list_of_hosts_settles_no_command() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    let requested_at = sim.now;
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    reply(&mut sim, "h-w1", HostReply::Unknown);
+    sim.now += millis(1_600);
+    let entry = |name: &str, state| HostEntry {
+        name: name.into(),
+        pool: "p".into(),
+        state,
+        worker: Some(name[2..].into()),
+    };
+    let entries = vec![entry("h-w1", HostState::InMaintenance), entry("h-w2", HostState::Up)];
+    sim.scheduler.set_hosts(entries, requested_at, sim.now);
+    list_own_hosts(&mut sim, &["w1", "w2"]);
+    sim.run_for(seconds(1));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"], "the command is repeated");
+}
+
+/// Guards against a repetition that the platform refuses, since the host is being moved or
+/// maintained, and that frees a place in the wave although an earlier attempt is in doubt.
+#[test]
+fn a_refused_repetition_leaves_the_command_in_doubt() {
+    for refusal in [HostReply::Busy, HostReply::Refused] {
+        let mut sim = fleet_with_wave(&["w1", "w2"]);
+        sim.run_for(millis(600));
+        reply(&mut sim, "h-w1", HostReply::Unknown);
+        sim.run_for(seconds(1));
+        take_maintained(&mut sim);
+        reply(&mut sim, "h-w1", refusal);
+        sim.run_for(seconds(1));
+        assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    }
+}
+
+/// Guards against a place in the wave that stays taken when a command was not carried out for sure.
+#[test]
+fn a_refused_command_frees_its_place_in_the_wave() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    reply(&mut sim, "h-w1", HostReply::Refused);
+    sim.run_for(millis(400));
+    assert_eq!(take_maintained(&mut sim), ["h-w2"]);
+}
--- a/crates/scheduler/tests/peaks.rs
+++ b/crates/scheduler/tests/peaks.rs
@@ -134,7 +134,7 @@
             worker: (host.pool != "spare").then(|| host.worker.as_str().into()),
         };
         let entries = self.hosts.iter().map(entry).collect();
-        self.sim.scheduler.set_hosts(entries, self.sim.now);
+        self.sim.scheduler.set_hosts(entries, self.sim.now, self.sim.now);
         for host in self.hosts.iter().filter(|host| host.pool != "spare") {
             let pool = host.pool.as_str().into();
             let registration = WorkerRegistration { pool, ..registration(&host.worker) };
