Restore the commands to hosts of a previous owner as ones in doubt

A successor knew of its predecessor's commands only that it had to wait before it commanded the same hosts. They did not count against the limits of their waves, so that a command that was just carried out, or carried out later, came beside those of the successor. It also started units on the hosts concerned, which such a command stops.

The stored row of a command now says what the host is to do, unless it is certain that it was not carried out. A successor takes it for in doubt: it counts against the limit, and is repeated unless the wave's row shows that it was carried out, or settled by a list that was requested late enough after the takeover. Workers whose host has such a command get no units, as far as they have registered with their host. Rows of earlier versions lack the new field and only delay commands, as before.

Tests, each failing without the change: a_successor_counts_the_commands_of_its_predecessor, a_successor_does_not_rely_on_a_list_from_the_time_of_its_takeover, a_successor_starts_nothing_on_a_host_whose_command_is_in_doubt.

--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -7,7 +7,8 @@
 //! A command without a reply may have been carried out, and may still be, seconds later. It stays in
 //! doubt, and counts against the limit of its wave, until its outcome is known: it is repeated with
 //! a higher token, after which the platform refuses the earlier attempts, or the list of hosts shows
-//! that it was carried out or that the host is gone.
+//! that it was carried out or that the host is gone. A successor restores the stored commands as
+//! ones in doubt, since their outcomes were not stored.
 
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 
 use crate::HostName;
 use crate::Moment;
+use crate::WaveId;
 use crate::WorkerId;
 use crate::hosts::HostIntent;
 use crate::messages::Action;
@@ -39,6 +41,9 @@
     pub host: HostName,
     /// Time of the command in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// What the host is to do; none if it is certain that the command was not carried out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub intent: Option<HostIntent>,
 }
 
 /// The last command that was given to a host.
@@ -49,7 +54,7 @@
     worker: Option<WorkerId>,
     /// When the last attempt was decided or, once it is stored, sent.
     issued_at: Moment,
-    /// When the first attempt was decided.
+    /// When the first attempt was decided, or the command was restored.
     first_issued_at: Moment,
     progress: CommandProgress,
     /// An earlier attempt got no reply, and no later reply has told its outcome.
@@ -65,8 +70,10 @@
     Sent,
     /// It got no reply and is to be repeated.
     InDoubt,
-    /// Its outcome is known.
-    Settled,
+    /// It was carried out.
+    CarriedOut,
+    /// It was not carried out, and won't be.
+    Refused,
 }
 
 impl HostCommand {
@@ -77,7 +84,7 @@
 
     /// Returns true unless the outcome of the command is known.
     pub fn is_unsettled(&self) -> bool {
-        self.progress != CommandProgress::Settled
+        !matches!(self.progress, CommandProgress::CarriedOut | CommandProgress::Refused)
     }
 
     /// Returns true if the listed state of the host shows that the command was carried out.
@@ -91,11 +98,19 @@
         }
     }
 
+    /// Returns the wave of a command for maintenance.
+    pub fn wave(&self) -> Option<WaveId> {
+        match self.intent {
+            HostIntent::Maintain(wave) => Some(wave),
+            HostIntent::Move(_) => None,
+        }
+    }
+
     /// Ends an attempt that was not carried out.
     fn end_attempt(&mut self) {
         self.progress = match self.has_unanswered_attempt {
             true => CommandProgress::InDoubt,
-            false => CommandProgress::Settled,
+            false => CommandProgress::Refused,
         };
     }
 }
@@ -136,13 +151,13 @@
         }
         match reply {
             HostReply::Accepted => {
-                command.progress = CommandProgress::Settled;
+                command.progress = CommandProgress::CarriedOut;
                 let command = command.clone();
                 self.handle_host_accepted(name, command, now);
             }
             HostReply::Fenced => self.is_fenced = true,
             HostReply::Invalid => {
-                command.progress = CommandProgress::Settled;
+                command.progress = CommandProgress::Refused;
                 if let Some(host) = self.hosts.get_mut(name) {
                     host.intent = None;
                 }
@@ -166,15 +181,24 @@
             }
             let found = listed.binary_search_by(|entry| entry.name.cmp(name));
             let entry = found.ok().map(|index| &listed[index]);
-            if entry.is_some_and(|entry| !command.is_shown_by(entry)) {
+            let has_started = command.wave().is_some_and(|wave| {
+                self.waves.get(&wave).is_some_and(|progress| progress.row.has_started(name))
+            });
+            let is_settled = |entry: &HostEntry| {
+                command.is_shown_by(entry) || (has_started && entry.state == HostState::Up)
+            };
+            if !entry.is_none_or(is_settled) {
                 continue;
             }
-            command.progress = CommandProgress::Settled;
+            command.progress = match entry {
+                Some(_) => CommandProgress::CarriedOut,
+                None => CommandProgress::Refused,
+            };
             if let Some(host) = self.hosts.get_mut(name) {
                 host.intent = None;
             }
-            if let (Some(_), HostIntent::Maintain(wave)) = (entry, &command.intent) {
-                maintained.push((*wave, name.clone()));
+            if let (Some(_), Some(wave)) = (entry, command.wave()) {
+                maintained.push((wave, name.clone()));
             }
         }
         for (wave, name) in maintained {
@@ -182,6 +206,21 @@
         }
     }
 
+    /// Plans the repetition of the commands in doubt that the previous owner has given.
+    pub(crate) fn plan_restored_commands(&mut self) {
+        for (name, command) in self.host_commands.iter() {
+            let has_started = command.wave().is_some_and(|wave| {
+                self.waves.get(&wave).is_some_and(|progress| progress.row.has_started(name))
+            });
+            if command.progress != CommandProgress::InDoubt || has_started {
+                continue;
+            }
+            if let Some(host) = self.hosts.get_mut(name).filter(|host| host.intent.is_none()) {
+                host.intent = Some(command.intent.clone());
+            }
+        }
+    }
+
     fn handle_host_accepted(&mut self, name: &HostName, command: HostCommand, now: Moment) {
         let (move_time, maintain_time) = (self.settings.move_time, self.settings.maintain_time);
         let Some(host) = self.hosts.get_mut(name) else {
@@ -233,6 +272,7 @@
         let rows = self.host_commands.iter().map(|(host, command)| HostCommandRow {
             host: host.clone(),
             at_ms: self.unix_ms(command.issued_at),
+            intent: (command.progress != CommandProgress::Refused).then(|| command.intent.clone()),
         });
         Some(rows.collect())
     }
@@ -261,7 +301,7 @@
         }
     }
 
-    /// Restores the recent commands of the previous owner to hosts.
+    /// Restores the commands of the previous owner to hosts.
     pub fn restore_host_commands(&mut self, rows: Vec<HostCommandRow>, now: Moment) {
         for row in rows {
             // The clocks of the two nodes may differ, but a command cannot have been given in the
@@ -269,7 +309,19 @@
             let issued_at = self.moment_of(row.at_ms).min(now);
             let allowed_at =
                 issued_at.max(now.saturating_sub(CLOCK_SKEW_MAX)) + self.settings.host_lease;
-            self.host_no_command_before.insert(row.host, allowed_at + CLOCK_SKEW_MAX);
+            self.host_no_command_before.insert(row.host.clone(), allowed_at + CLOCK_SKEW_MAX);
+            let Some(intent) = row.intent else {
+                continue;
+            };
+            let command = HostCommand {
+                intent,
+                worker: None,
+                issued_at,
+                first_issued_at: now,
+                progress: CommandProgress::InDoubt,
+                has_unanswered_attempt: true,
+            };
+            self.host_commands.insert(row.host, command);
         }
     }
 }
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -7,12 +7,16 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::HostName;
 use crate::Moment;
 use crate::PoolName;
 use crate::WaveId;
 use crate::WorkerId;
 use crate::ZoneName;
+use crate::host_commands::HostCommand;
 use crate::job::UnitKey;
 use crate::live_jobs::FULL_PERCENT;
 use crate::live_jobs::Unit;
@@ -32,7 +36,7 @@
 const RUNNING_CONTACT_AGE_MAX: Duration = Duration::from_millis(1_600);
 
 /// What is planned for a host.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HostIntent {
     /// The host is to be maintained for a wave.
     Maintain(WaveId),
@@ -133,6 +137,7 @@
             let why = format!("worker={} pool={}", entry.worker.unwrap_or_default(), entry.pool);
             self.log_decision("host back", entry.name, why);
         }
+        self.plan_restored_commands();
         self.has_host_list = true;
     }
 
@@ -140,7 +145,7 @@
     pub(crate) fn plan_hosts(&mut self, now: Moment) {
         self.remove_stale_tickets();
         if !self.has_host_list {
-            return;
+            return self.set_cordons(now);
         }
         self.drain_leaving_workers(now);
         self.find_lost_zones(now);
@@ -182,9 +187,17 @@
             .filter_map(|host| host.entry.worker.clone())
             .collect();
         leaving.sort();
+        let commands = &self.host_commands;
+        // The list of hosts may not show the worker yet that a command is going to terminate.
+        let may_be_terminated = |worker: &Worker| {
+            let host = worker.registration.host.as_ref();
+            let command = host.and_then(|host| commands.get(host));
+            command.is_some_and(HostCommand::is_unsettled)
+        };
         let mut is_uncordoned = false;
         for worker in self.workers.values_mut() {
-            let is_cordoned = leaving.binary_search(&worker.registration.id).is_ok();
+            let is_cordoned =
+                leaving.binary_search(&worker.registration.id).is_ok() || may_be_terminated(worker);
             if is_cordoned && !worker.is_cordoned {
                 worker.cordoned_at = now;
             }
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -43,6 +43,13 @@
     pub first_seen_ms: u64,
 }
 
+impl WaveRow {
+    /// Returns true if the maintenance of a host has started.
+    pub(crate) fn has_started(&self, name: &HostName) -> bool {
+        self.started_hosts.binary_search(name).is_ok()
+    }
+}
+
 /// A wave and its progress.
 #[derive(Clone, Debug)]
 pub struct WaveProgress {
@@ -164,9 +171,8 @@
     /// Returns the hosts of a wave whose maintenance has not started.
     fn remaining_hosts(&self, progress: &WaveProgress) -> Vec<HostName> {
         let is_listed = |name: &&HostName| self.hosts.contains(*name);
-        let has_started = |name: &HostName| progress.row.started_hosts.binary_search(name).is_ok();
         let hosts = progress.wave.hosts.iter();
-        hosts.filter(is_listed).filter(|name| !has_started(name)).cloned().collect()
+        hosts.filter(is_listed).filter(|name| !progress.row.has_started(name)).cloned().collect()
     }
 
     /// Returns the number of hosts that are being drained or maintained for a wave.
@@ -191,7 +197,7 @@
         };
         let may_begin = |name: &HostName| {
             let command = self.host_commands.get(name).filter(|command| command.is_unsettled());
-            command.is_some_and(|command| matches!(command.intent, HostIntent::Maintain(_)))
+            command.is_some_and(|command| command.wave().is_some())
         };
         let is_unavailable = |name: &&HostName| is_in_maintenance(name) || may_begin(name);
         wave.hosts.iter().filter(is_unavailable).count()
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -11,6 +11,7 @@
 use scheduler::Completion;
 use scheduler::Config;
 use scheduler::DurationsRow;
+use scheduler::HostCommandRow;
 use scheduler::HostEntry;
 use scheduler::HostState;
 use scheduler::JobRecord;
@@ -31,6 +32,8 @@
 use scheduler::Step;
 use scheduler::Team;
 use scheduler::UnitKey;
+use scheduler::WaveId;
+use scheduler::WaveRow;
 use scheduler::WorkerId;
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
@@ -57,6 +60,8 @@
     pub stored_progress: SortedMap<Arc<str>, Progress>,
     pub assignments: SortedMap<WorkerId, AssignmentRow>,
     pub baseline_hosts: BaselineHosts,
+    pub host_commands: Vec<HostCommandRow>,
+    pub waves: SortedMap<WaveId, WaveRow>,
     pub durations: Option<DurationsRow>,
     pub policies: Policies,
     pub now: Moment,
@@ -150,6 +155,8 @@
             stored_progress: SortedMap::default(),
             assignments: SortedMap::default(),
             baseline_hosts: BaselineHosts::default(),
+            host_commands: Vec::new(),
+            waves: SortedMap::default(),
             durations: None,
             policies: policies.iter().copied().collect(),
             now,
@@ -185,6 +192,10 @@
             self.scheduler.restore_job(record.clone(), &progress, self.now);
         }
         self.scheduler.restore_baseline_hosts(self.baseline_hosts.clone());
+        self.scheduler.restore_host_commands(self.host_commands.clone(), self.now);
+        for (wave, row) in self.waves.iter() {
+            self.scheduler.restore_wave(*wave, row.clone());
+        }
         if let Some(durations) = self.durations.clone() {
             self.scheduler.restore_durations(durations, self.now);
         }
@@ -272,6 +283,12 @@
             if let Some(baseline_hosts) = &batch.baseline_hosts {
                 self.baseline_hosts = baseline_hosts.clone();
             }
+            if let Some(host_commands) = &batch.host_commands {
+                self.host_commands = host_commands.clone();
+            }
+            for (wave, row) in &batch.waves {
+                self.waves.insert(*wave, row.clone());
+            }
             self.durations = batch.durations.clone().or(self.durations.take());
             self.scheduler.handle_commit(&batch, self.now);
             for completions in &batch.completions {
--- a/crates/scheduler/tests/host_commands.rs
+++ b/crates/scheduler/tests/host_commands.rs
@@ -9,10 +9,12 @@
 use scheduler::HostState;
 use scheduler::Resources;
 use scheduler::Wave;
+use scheduler::WorkerRegistration;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
 use simulation::millis;
+use simulation::registration;
 use simulation::seconds;
 use simulation::step;
 
@@ -191,3 +193,70 @@
     sim.run_for(millis(400));
     assert_eq!(take_maintained(&mut sim), ["h-w2"]);
 }
+
+/// Replaces the owner of a fleet with a wave.
+fn take_over(sim: &mut Simulation, workers: &[&str]) {
+    take_maintained(sim);
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[]);
+    let hosts: Vec<String> = workers.iter().map(|worker| host_of(worker)).collect();
+    let hosts: Vec<&str> = hosts.iter().map(String::as_str).collect();
+    set_wave(sim, &hosts);
+    list_own_hosts(sim, workers);
+}
+
+/// Guards against a wave that takes more hosts out of service than it may, because a successor does
+/// not count the commands of its predecessor, which may have been carried out or may still be.
+#[test]
+fn a_successor_counts_the_commands_of_its_predecessor() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    take_over(&mut sim, &["w1", "w2"]);
+    for _ in 0..10 {
+        sim.run_for(seconds(1));
+        let maintained = take_maintained(&mut sim);
+        assert!(!maintained.contains(&"h-w2".to_owned()), "the first command is in doubt");
+        if !maintained.is_empty() {
+            reply(&mut sim, "h-w1", HostReply::Unknown);
+            return;
+        }
+        list_own_hosts(&mut sim, &["w1", "w2"]);
+    }
+    panic!("the command in doubt is not repeated");
+}
+
+/// Guards against a host that a successor takes for available, because a list of hosts is older than
+/// the maintenance that has just begun.
+#[test]
+fn a_successor_does_not_rely_on_a_list_from_the_time_of_its_takeover() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    reply(&mut sim, "h-w1", HostReply::Accepted);
+    sim.commit();
+    take_over(&mut sim, &["w1", "w2"]);
+    sim.run_for(seconds(1));
+    assert!(take_maintained(&mut sim).is_empty());
+    sim.run_for(seconds(1));
+    list_own_hosts(&mut sim, &["w1", "w2"]);
+    sim.run_for(seconds(1));
+    assert_eq!(take_maintained(&mut sim), ["h-w2"], "the first host is back");
+}
+
+/// Guards against units that a command of the previous owner stops, since they were started on its
+/// host before the first list of hosts has arrived.
+#[test]
+fn a_successor_starts_nothing_on_a_host_whose_command_is_in_doubt() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[]);
+    for id in ["w1", "w2"] {
+        let host = Some(host_of(id).as_str().into());
+        let registration = WorkerRegistration { host, ..registration(id) };
+        sim.scheduler.update_worker(registration, seconds(0), sim.now);
+    }
+    sim.scheduler.add_job(job("a", vec![step(20, 1_000)], sim.now), sim.now);
+    let starts = sim.run_for(seconds(1));
+    assert_eq!(starts.len(), 16);
+    assert!(starts.iter().all(|start| &*start.worker == "w2"));
+}
