Send no command to a host after the ownership has expired

A suspended owner that resumed after another node had taken over sent the commands whose transaction was committed meanwhile. Hosts compare fencing tokens each for itself, so they refuse such a command only if the new owner has commanded the same host.

The ownership is now checked right before the command is sent. A command that is not sent counts as refused and is decided again once the ownership is renewed. Starts need no such check: their deadline is over by then, and workers refuse the token.

--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -18,6 +18,7 @@
 use serde_json::json;
 
 use super::Owner;
+use super::VALIDITY;
 use super::event::Event;
 use super::event::HostCommand;
 use crate::clock;
@@ -288,11 +289,15 @@
         self.host_commands += 1;
         let token = self.epoch * HOST_COMMANDS_PER_EPOCH + self.host_commands;
         self.log_host_command(&host, &command, token);
+        let epoch = self.epoch;
         self.spawn(async move {
             let sent_at = clock::now();
             let holder = &shared.node.settings.name;
             let platform = &shared.node.platform;
             let reply = match &command {
+                // The process may have been suspended since the command was stored. Hosts compare
+                // tokens each for itself, so they don't refuse it if another node has taken over.
+                _ if !shared.may_act(epoch, VALIDITY, sent_at) => HostReply::Refused,
                 HostCommand::Move(pool) => platform.move_host(&host, pool, holder, token).await,
                 HostCommand::Maintain(wave) => {
                     platform.maintain_host(&host, *wave, holder, token).await
--- a/crates/coordinator/src/shared.rs
+++ b/crates/coordinator/src/shared.rs
@@ -364,6 +364,15 @@
         self.owner.lock().expect("lock is never poisoned").is_some()
     }
 
+    /// Returns whether this node owns the shard with this epoch, and its last committed transaction
+    /// was sent at most `validity` ago.
+    pub fn may_act(&self, epoch: u64, validity: Duration, now: Moment) -> bool {
+        let owner = self.owner.lock().expect("lock is never poisoned");
+        owner.as_ref().is_some_and(|owner| {
+            owner.epoch == epoch && now.saturating_sub(owner.renewed_at) <= validity
+        })
+    }
+
     /// Records that this node no longer owns the shard.
     pub fn forget_ownership(&self) {
         *self.owner.lock().expect("lock is never poisoned") = None;
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -11,6 +11,7 @@
 use coordinator::ports::Table;
 use coordinator::ports::Transaction;
 use coordinator::ports::WriteOutcome;
+use coordinator::rows::HOST_COMMANDS_KEY;
 use scheduler::ShardIndex;
 
 use super::Memory;
@@ -28,6 +29,11 @@
         self.data.lock().unwrap().hung_writes_left = count;
     }
 
+    /// Delays the replies to writes that store commands to hosts; these are committed at once.
+    pub fn delay_host_commands(&self, delay: Duration) {
+        self.data.lock().unwrap().host_commands_reply_delay = delay;
+    }
+
     /// Makes each read of the registry tell that all workers were removed and registered again.
     pub fn register_workers_again(&self) {
         self.data.lock().unwrap().are_workers_registered_again = true;
@@ -122,10 +128,15 @@
         if is_slow {
             tokio::time::sleep(SLOW_WRITE_TIME).await;
         }
+        let has_host_commands = transaction.puts.iter().any(|(_, key, _)| key == HOST_COMMANDS_KEY);
         let outcome = self.commit(transaction);
         if self.takes_hung_write() {
             std::future::pending::<()>().await;
         }
+        if has_host_commands {
+            let delay = self.data.lock().unwrap().host_commands_reply_delay;
+            tokio::time::sleep(delay).await;
+        }
         outcome
     }
 }
