Ignore lists of hosts from before a host can be back

A host counted as back from maintenance when a list showed a worker other than the terminated one. A list that is older than the command shows, after a restart of the worker that the owner has not seen yet, such a worker as well, and the next host of the wave was commanded too early. A host is never back before its move or maintenance is over, so lists that were requested before that no longer count for it.

Test: an_older_list_does_not_show_a_host_as_back, which fails without the check.

--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -222,7 +222,6 @@
     }
 
     fn handle_host_accepted(&mut self, name: &HostName, command: HostCommand, now: Moment) {
-        let (move_time, maintain_time) = (self.settings.move_time, self.settings.maintain_time);
         let Some(host) = self.hosts.get_mut(name) else {
             return;
         };
@@ -231,16 +230,20 @@
         if host.entry.worker == command.worker {
             host.entry.worker = None;
         }
+        let duration = match command.intent {
+            HostIntent::Maintain(_) => self.settings.maintain_time,
+            HostIntent::Move(_) => self.settings.move_time,
+        };
+        host.not_back_before = now + duration;
+        host.unavailable_until = host.not_back_before + HOST_LIST_LAG;
         match command.intent {
             HostIntent::Maintain(wave) => {
                 host.entry.state = HostState::InMaintenance;
-                host.unavailable_until = now + maintain_time + HOST_LIST_LAG;
                 self.record_maintenance_started(wave, name);
             }
             HostIntent::Move(pool) => {
                 host.entry.state = HostState::Moving;
                 host.entry.pool = pool;
-                host.unavailable_until = now + move_time + HOST_LIST_LAG;
             }
         }
         if let Some(worker) = command.worker {
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -55,6 +55,8 @@
     pub no_command_before: Moment,
     /// Time until which an accepted command is expected to keep the host out of service.
     pub unavailable_until: Moment,
+    /// Time before which an accepted command keeps the host out of service.
+    pub not_back_before: Moment,
     /// This owner has seen a worker on the host.
     pub had_worker: bool,
     /// Worker that was terminated by the last accepted command.
@@ -70,6 +72,7 @@
             intent: None,
             no_command_before: Moment::ZERO,
             unavailable_until: Moment::ZERO,
+            not_back_before: Moment::ZERO,
             had_worker: false,
             terminated_worker: None,
             zone: None,
@@ -112,6 +115,10 @@
             let no_command_before = self.host_no_command_before.remove(&name).unwrap_or_default();
             let host = self.hosts.entry_or(name, || Host::new(entry.clone()));
             host.no_command_before = host.no_command_before.max(no_command_before);
+            // The list may be older than the command, and show the worker from before as a new one.
+            if requested_at < host.not_back_before {
+                continue;
+            }
             // A new worker on the host shows that the command has been carried out.
             let is_back = entry.state == HostState::Up
                 && entry.worker.is_some()
--- a/crates/scheduler/tests/host_commands.rs
+++ b/crates/scheduler/tests/host_commands.rs
@@ -260,3 +260,25 @@
     assert_eq!(starts.len(), 16);
     assert!(starts.iter().all(|start| &*start.worker == "w2"));
 }
+
+/// Guards against a wave that takes more hosts out of service than it may: a list that is older than
+/// a command may name a worker that the owner has not known, as if the host were back with it.
+#[test]
+fn an_older_list_does_not_show_a_host_as_back() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    let requested_at = sim.now;
+    sim.now += millis(200);
+    reply(&mut sim, "h-w1", HostReply::Accepted);
+    let entry = |host: &str, worker: &str| HostEntry {
+        name: host.into(),
+        pool: "p".into(),
+        state: HostState::Up,
+        worker: Some(worker.into()),
+    };
+    let entries = vec![entry("h-w1", "w3"), entry("h-w2", "w2")];
+    sim.scheduler.set_hosts(entries, requested_at, sim.now);
+    sim.run_for(seconds(1));
+    assert!(take_maintained(&mut sim).is_empty());
+}
