Repeat commands in doubt to hosts that the list leaves out

A command in doubt was settled when its host was missing from one list. The model finds that unsafe: the command may be carried out later, beside that to the next host. It is now repeated until the platform answers; a host that is gone gets the answer that there is no such host. If the host is commanded after all, it counts as unavailable until it is listed again.

Test: a_command_in_doubt_is_repeated_to_a_host_that_is_not_listed, which failed before.

--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -7,7 +7,7 @@
 //! A command without a reply may have been carried out, and may still be, seconds later. It stays in
 //! doubt, and counts against the limit of its wave, until its outcome is known: it is repeated with
 //! a higher token, after which the platform refuses the earlier attempts, or the list of hosts shows
-//! that it was carried out or that the host is gone. A successor restores the stored commands as
+//! that it was carried out. A successor restores the stored commands as
 //! ones in doubt, since their outcomes were not stored.
 
 use std::time::Duration;
@@ -29,6 +29,8 @@
 
 /// Time before a command to a host is sent again after it failed.
 const COMMAND_RETRY_BACKOFF: Duration = Duration::from_millis(700);
+/// Time between two attempts at a command to a host that is not listed.
+const UNLISTED_RETRY_PERIOD: Duration = Duration::from_millis(2_000);
 /// Time for which the platform's list may be out of date after a host has accepted a command.
 const HOST_LIST_LAG: Duration = Duration::from_millis(1_500);
 /// Maximum difference between the clocks of two nodes.
@@ -179,25 +181,23 @@
             if !is_in_doubt || requested_at < command.first_issued_at + HOST_LIST_LAG {
                 continue;
             }
-            let found = listed.binary_search_by(|entry| entry.name.cmp(name));
-            let entry = found.ok().map(|index| &listed[index]);
+            // A host that is not listed may still carry out the command.
+            let Ok(index) = listed.binary_search_by(|entry| entry.name.cmp(name)) else {
+                continue;
+            };
+            let entry = &listed[index];
             let has_started = command.wave().is_some_and(|wave| {
                 self.waves.get(&wave).is_some_and(|progress| progress.row.has_started(name))
             });
-            let is_settled = |entry: &HostEntry| {
-                command.is_shown_by(entry) || (has_started && entry.state == HostState::Up)
-            };
-            if !entry.is_none_or(is_settled) {
+            let is_back = has_started && entry.state == HostState::Up;
+            if !command.is_shown_by(entry) && !is_back {
                 continue;
             }
-            command.progress = match entry {
-                Some(_) => CommandProgress::CarriedOut,
-                None => CommandProgress::Refused,
-            };
+            command.progress = CommandProgress::CarriedOut;
             if let Some(host) = self.hosts.get_mut(name) {
                 host.intent = None;
             }
-            if let (Some(_), Some(wave)) = (entry, command.wave()) {
+            if let Some(wave) = command.wave() {
                 maintained.push((wave, name.clone()));
             }
         }
@@ -206,6 +206,24 @@
         }
     }
 
+    /// Repeats the commands in doubt to hosts that are not listed. If a host is gone, the reply
+    /// tells that the command cannot be carried out any more.
+    pub(crate) fn repeat_commands_to_unlisted_hosts(&mut self, now: Moment) {
+        let is_due = |name: &HostName, command: &HostCommand| {
+            let allowed_at = self.host_no_command_before.get(name).copied().unwrap_or_default();
+            command.progress == CommandProgress::InDoubt
+                && !self.hosts.contains(name)
+                && now >= command.issued_at + UNLISTED_RETRY_PERIOD
+                && now >= allowed_at
+        };
+        let due = self.host_commands.iter().filter(|(name, command)| is_due(name, command));
+        let due: Vec<(HostName, HostIntent)> =
+            due.map(|(name, command)| (name.clone(), command.intent.clone())).collect();
+        for (name, intent) in due {
+            self.issue_host_command(&name, intent, now);
+        }
+    }
+
     /// Plans the repetition of the commands in doubt that the previous owner has given.
     pub(crate) fn plan_restored_commands(&mut self) {
         for (name, command) in self.host_commands.iter() {
@@ -222,7 +240,19 @@
     }
 
     fn handle_host_accepted(&mut self, name: &HostName, command: HostCommand, now: Moment) {
+        let duration = match command.intent {
+            HostIntent::Maintain(_) => self.settings.maintain_time,
+            HostIntent::Move(_) => self.settings.move_time,
+        };
+        if let Some(wave) = command.wave() {
+            self.record_maintenance_started(wave, name);
+        }
         let Some(host) = self.hosts.get_mut(name) else {
+            // Until the host is listed, it counts as unavailable.
+            if let Some(command) = self.host_commands.get_mut(name) {
+                command.progress = CommandProgress::InDoubt;
+                command.first_issued_at = now + duration;
+            }
             return;
         };
         host.intent = None;
@@ -230,17 +260,10 @@
         if host.entry.worker == command.worker {
             host.entry.worker = None;
         }
-        let duration = match command.intent {
-            HostIntent::Maintain(_) => self.settings.maintain_time,
-            HostIntent::Move(_) => self.settings.move_time,
-        };
         host.not_back_before = now + duration;
         host.unavailable_until = host.not_back_before + HOST_LIST_LAG;
         match command.intent {
-            HostIntent::Maintain(wave) => {
-                host.entry.state = HostState::InMaintenance;
-                self.record_maintenance_started(wave, name);
-            }
+            HostIntent::Maintain(_) => host.entry.state = HostState::InMaintenance,
             HostIntent::Move(pool) => {
                 host.entry.state = HostState::Moving;
                 host.entry.pool = pool;
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -165,6 +165,7 @@
         for name in names {
             self.advance_host(&name, now);
         }
+        self.repeat_commands_to_unlisted_hosts(now);
     }
 
     /// Drains the workers that have registered as draining.
--- a/crates/scheduler/tests/host_commands.rs
+++ b/crates/scheduler/tests/host_commands.rs
@@ -116,32 +116,51 @@
     assert_eq!(take_maintained(&mut sim), ["h-w1"], "the command is decided again");
 }
 
+fn listed(worker: &str, state: HostState) -> HostEntry {
+    HostEntry {
+        name: host_of(worker).as_str().into(),
+        pool: "p".into(),
+        state,
+        worker: (state == HostState::Up).then(|| worker.into()),
+    }
+}
+
 /// Guards against a wave that stalls although the list of hosts shows that the command in doubt was
-/// carried out, or that its host is gone.
+/// carried out.
 #[test]
 fn the_list_of_hosts_settles_a_command_in_doubt() {
-    for state in [Some(HostState::InMaintenance), None] {
-        let mut sim = fleet_with_wave(&["w1", "w2"]);
-        sim.run_for(millis(600));
-        assert_eq!(take_maintained(&mut sim), ["h-w1"]);
-        reply(&mut sim, "h-w1", HostReply::Unknown);
-        sim.now += millis(1_600);
-        let name = "h-w1".into();
-        let first = state.map(|state| HostEntry { name, pool: "p".into(), state, worker: None });
-        let second = HostEntry {
-            name: "h-w2".into(),
-            pool: "p".into(),
-            state: HostState::Up,
-            worker: Some("w2".into()),
-        };
-        let entries = first.into_iter().chain([second.clone()]).collect();
-        sim.scheduler.set_hosts(entries, sim.now, sim.now);
-        sim.run_for(seconds(1));
-        match state {
-            Some(_) => assert!(take_maintained(&mut sim).is_empty(), "one is in maintenance"),
-            None => assert_eq!(take_maintained(&mut sim), ["h-w2"]),
-        }
-    }
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    reply(&mut sim, "h-w1", HostReply::Unknown);
+    sim.now += millis(1_600);
+    let entries = vec![listed("w1", HostState::InMaintenance), listed("w2", HostState::Up)];
+    sim.scheduler.set_hosts(entries, sim.now, sim.now);
+    sim.run_for(seconds(1));
+    assert!(take_maintained(&mut sim).is_empty(), "one is in maintenance");
+    list_own_hosts(&mut sim, &["w1", "w2"]);
+    sim.run_for(seconds(1));
+    assert_eq!(take_maintained(&mut sim), ["h-w2"]);
+}
+
+/// Guards against a wave that takes more hosts out of service than it may, when a list leaves out a
+/// host, and against one that stalls forever when the host is gone.
+#[test]
+fn a_command_in_doubt_is_repeated_to_a_host_that_is_not_listed() {
+    let mut sim = fleet_with_wave(&["w1", "w2"]);
+    sim.run_for(millis(600));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    reply(&mut sim, "h-w1", HostReply::Unknown);
+    sim.now += millis(1_600);
+    sim.scheduler.set_hosts(vec![listed("w2", HostState::Up)], sim.now, sim.now);
+    sim.run_for(seconds(2));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"]);
+    reply(&mut sim, "h-w1", HostReply::Accepted);
+    sim.run_for(seconds(3));
+    assert_eq!(take_maintained(&mut sim), ["h-w1"], "the host still counts as unavailable");
+    reply(&mut sim, "h-w1", HostReply::Invalid);
+    sim.run_for(seconds(1));
+    assert_eq!(take_maintained(&mut sim), ["h-w2"]);
 }
 
 /// Guards against a wave that takes more hosts out of service than it may: a list that was requested
