Use a worker again that an accepted command has not terminated

A host got no units any more after a repeated command was accepted that had been carried out before: its worker, which lived on, was taken for terminated for as long as the registry listed it. Waves and moves could not use the host either.

When a list that is recent enough shows the host in service with that worker, its last registration is used again. The runs of the worker were removed with the command; it had none, as its host was drained.

Test: a_worker_that_an_accepted_command_has_not_terminated_gets_units_again, which fails without the change.

--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -272,11 +272,20 @@
         if let Some(worker) = command.worker {
             self.remove_runs_on(&worker, LossCause::HostCommanded, now);
             if let Some(removed) = self.remove_worker(&worker) {
-                self.terminated_workers.insert(worker, removed.registration.incarnation_started_ms);
+                self.terminated_workers.insert(worker, removed.registration);
             }
         }
     }
 
+    /// Uses a worker again that was taken for terminated, since its host is in service with it: the
+    /// command had been carried out before, and the worker is the one that the host has had since.
+    pub(crate) fn restore_terminated_worker(&mut self, id: &WorkerId, now: Moment) {
+        if let Some(registration) = self.terminated_workers.remove(id) {
+            self.log_decision("worker back", id, "its host is in service with it".to_owned());
+            self.update_worker(registration, Duration::ZERO, now);
+        }
+    }
+
     /// Returns the recent commands to hosts if some of them are not stored yet. A successor waits
     /// for the host lease of each to expire before it gives the host a command of its own.
     pub(crate) fn changed_host_commands(&mut self, now: Moment) -> Option<Vec<HostCommandRow>> {
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -110,6 +110,7 @@
         self.hosts.retain(|name, _| is_listed(name));
         self.settle_host_commands(&entries, requested_at);
         let mut returned = Vec::new();
+        let mut survivors = Vec::new();
         for entry in entries {
             let name = entry.name.clone();
             let no_command_before = self.host_no_command_before.remove(&name).unwrap_or_default();
@@ -136,6 +137,9 @@
             if now >= host.unavailable_until {
                 if host.entry.state != HostState::Up && entry.state == HostState::Up {
                     returned.push(entry.clone());
+                    let terminated_worker = host.terminated_worker.take();
+                    survivors
+                        .extend(terminated_worker.filter(|id| entry.worker.as_ref() == Some(id)));
                 }
                 host.entry = entry;
             }
@@ -144,6 +148,9 @@
             let why = format!("worker={} pool={}", entry.worker.unwrap_or_default(), entry.pool);
             self.log_decision("host back", entry.name, why);
         }
+        for worker in survivors {
+            self.restore_terminated_worker(&worker, now);
+        }
         self.plan_restored_commands();
         self.has_host_list = true;
     }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -33,6 +33,7 @@
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
 use crate::messages::Action;
+use crate::messages::WorkerRegistration;
 use crate::peaks::Peaks;
 use crate::policies::Policy;
 use crate::portions::Portion;
@@ -78,9 +79,9 @@
     /// Units that ran on silent workers when the leases of these expired. If a worker turns out to
     /// have crashed, one of its units may have caused that.
     pub(crate) silent_suspects: SortedMap<WorkerId, Vec<(UnitKey, CrashedRun)>>,
-    /// Workers that were terminated by a command to their host, with the start of the incarnation
-    /// that ended. The registry still lists them for a while.
-    pub(crate) terminated_workers: SortedMap<WorkerId, u64>,
+    /// Last registrations of workers that were terminated by a command to their host. The registry
+    /// still lists them for a while.
+    pub(crate) terminated_workers: SortedMap<WorkerId, WorkerRegistration>,
     /// Commands that were recently given to hosts.
     pub(crate) host_commands: SortedMap<HostName, HostCommand>,
     /// Hosts that the previous owner has recently commanded, and when they may get a new command.
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -96,9 +96,10 @@
         lease_left: Duration,
         now: Moment,
     ) {
-        if self.terminated_workers.get(&registration.id).is_some_and(|incarnation_started_ms| {
-            registration.incarnation_started_ms <= *incarnation_started_ms
-        }) {
+        if let Some(terminated) = self.terminated_workers.get_mut(&registration.id)
+            && registration.incarnation_started_ms <= terminated.incarnation_started_ms
+        {
+            *terminated = registration;
             return;
         }
         self.needs_placement = true;
--- a/crates/scheduler/tests/host_commands.rs
+++ b/crates/scheduler/tests/host_commands.rs
@@ -301,3 +301,19 @@
     sim.run_for(seconds(1));
     assert!(take_maintained(&mut sim).is_empty());
 }
+
+/// Guards against a host that gets no units any more, because a repeated command that had been
+/// carried out before was accepted, and its worker is taken for terminated.
+#[test]
+fn a_worker_that_an_accepted_command_has_not_terminated_gets_units_again() {
+    let mut sim = fleet_with_wave(&["w1"]);
+    sim.run_for(millis(600));
+    reply(&mut sim, "h-w1", HostReply::Accepted);
+    sim.run_for(seconds(2));
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    for _ in 0..3 {
+        list_own_hosts(&mut sim, &["w1"]);
+        sim.run_for(seconds(1));
+    }
+    assert_eq!(sim.worker("w1").running.len(), 1);
+}
