Take over beside a stored job whose runs are due beyond the range of times

Cause: the sum for the due time of an occurrence overflows. Ruled out: rows of the nodes' own tables that can't be decoded (empty, not JSON, nested 100,000 levels deep, of other types), and a first run at the end of the range; the owner goes on, as tests say. Change: a time beyond the range counts as the largest one, and the occurrence is never due.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -184,10 +184,12 @@
         self.repetitions > 0
     }
 
-    /// Returns the due time of an occurrence in milliseconds since the Unix epoch.
+    /// Returns the due time of an occurrence in milliseconds since the Unix epoch. Beyond the range of
+    /// numbers, it is the largest one: such an occurrence is never due.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let after_first_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
         match self.has_schedule() {
-            true => self.first_due_ms + u64::from(occurrence) * self.interval_ms,
+            true => self.first_due_ms.saturating_add(after_first_ms),
             false => self.accepted_ms,
         }
     }
