Start no run after the ownership has expired

Callers saw a unit run twice: the previous owner was suspended for 11 s while the reply to the transaction that stored a run was on its way. Its successor could not reach the worker, waited for the lease there to expire and started the unit on another one. The first owner resumed, handled the commit and sent the start with a deadline from the worker's present clock; the worker had not seen the successor's token and ran it.

The ownership is now checked right before a start is sent, as for commands to hosts; a run that is not sent is planned again. Ruled out: the fencing token, which protects only workers that the successor has reached, and late or lost replies of workers.

--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -27,8 +27,8 @@
 pub const RUNS_NOT_STARTED: &str = "runs.not-started";
 /// Start commands that cold workers have carried out.
 pub const RUNS_STARTED_COLD: &str = "runs.started-cold";
-/// Planned or commanded runs that were not started, for an evacuation or an old read of the
-/// operators' rows.
+/// Planned or commanded runs that were not started, for an evacuation, an old read of the operators'
+/// rows or an expired ownership.
 pub const STARTS_WITHHELD: &str = "starts.withheld";
 /// Long-running units that were stopped in an evacuated zone, to run elsewhere.
 pub const UNITS_EVACUATED: &str = "units.evacuated";
@@ -77,7 +77,7 @@
     counter(RUNS_STARTED_COLD, "orders to start that cold workers have carried out"),
     counter(
         STARTS_WITHHELD,
-        "starts withheld for an evacuation or an old read of the operators' rows",
+        "starts withheld for an evacuation, an old read of the operators' rows or an expired ownership",
     ),
     counter(UNITS_EVACUATED, "long-running units moved out of evacuated zones"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -271,8 +271,10 @@
         self.spawn(async move {
             let sent_at = clock::now();
             // The process may have been suspended, or have learned of an evacuation, since the
-            // decision.
-            let reply = match shared.node.may_start_in(&zone, sent_at) {
+            // decision. A worker that a successor has not reached does not refuse the token.
+            let may_start = shared.may_act(token, VALIDITY, sent_at)
+                && shared.node.may_start_in(&zone, sent_at);
+            let reply = match may_start {
                 true => shared.node.platform.start_run(&command, token).await,
                 false => StartReply::Withheld,
             };
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -156,7 +156,8 @@
     OtherInstance,
     /// The command was not sent.
     NotSent,
-    /// The command was not sent, since the zone of the worker is evacuated, or may be.
+    /// The command was not sent, since the zone of the worker is evacuated, or may be, or since the
+    /// ownership has expired.
     Withheld,
     /// No reply: the command may have taken effect, or may still do so.
     Unknown,
