Keep occurrences that a previous owner has created, whatever the clock shows

An occurrence of a scheduled job that was finished, or still ran on a silent worker, ran again after a takeover by a node whose time of day was behind: for that node it was not due yet, so it was not created, and what was stored about it was dropped.

A successor now creates the occurrences that stored progress or runs name, besides those that are due for it. Ruled out: the acknowledgement of ends, which names units of unknown occurrences only as unexpected.

Tests: a_finished_occurrence_does_not_run_again_if_the_clock_of_the_successor_is_behind and a_running_occurrence_is_not_started_again_if_the_clock_of_the_successor_is_behind, which failed before. Not played: no deployment at hand has scheduled jobs and clocks that step.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -265,6 +265,7 @@
 
     fn adopt_run_in_doubt(&mut self, stored: StoredRun, now: Moment) {
         let key = &stored.unit;
+        self.create_occurrences_of(&key.job, key.occurrence.saturating_add(1), now);
         let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
         let (Some(step), Some(unit)) = (step, self.unit(key)) else {
             return;
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -78,3 +78,20 @@
     #[serde(rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub checkpoints: Vec<(UnitPosition, String)>,
 }
+
+impl Progress {
+    /// Returns the number of occurrences that were created, as far as their progress shows.
+    pub(crate) fn created_occurrences(&self) -> u32 {
+        let units = self.finished_units.iter().map(|(occurrence, ..)| *occurrence);
+        let last = self
+            .finished_steps
+            .iter()
+            .map(|(occurrence, _)| *occurrence)
+            .chain(units)
+            .chain(self.failed_runs.iter().map(|((occurrence, ..), _)| *occurrence))
+            .chain(self.crashed_runs.iter().map(|((occurrence, ..), _)| *occurrence))
+            .chain(self.checkpoints.iter().map(|((occurrence, ..), _)| *occurrence))
+            .max();
+        last.map_or(0, |last| last.saturating_add(1))
+    }
+}
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -119,6 +119,12 @@
 
     /// Creates the occurrences of a job that have become due.
     pub(crate) fn create_due_occurrences_of(&mut self, id: &str, now: Moment) {
+        self.create_occurrences_of(id, 0, now);
+    }
+
+    /// Creates the occurrences of a job that have become due, and the first `count_min` ones in any
+    /// case: a previous owner whose time of day was ahead has created these.
+    pub(crate) fn create_occurrences_of(&mut self, id: &str, count_min: u32, now: Moment) {
         let unix_now_ms = self.unix_ms(now);
         let (run_number_base, offset) = (self.run_number_base, self.unix_offset_ms);
         let Some(job) = self.jobs.get_mut(id) else {
@@ -126,7 +132,8 @@
         };
         while job.next_occurrence < job.record.occurrences() {
             let due_ms = job.record.due_ms(job.next_occurrence);
-            if job.record.has_schedule() && due_ms > unix_now_ms {
+            let is_due = !job.record.has_schedule() || due_ms <= unix_now_ms;
+            if !is_due && job.next_occurrence >= count_min {
                 return;
             }
             let due_at = Moment::from_millis((due_ms as i64 - offset).max(0) as u64).min(now);
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -26,6 +26,7 @@
         // The time of its submission is not known precisely enough to tell whether it was beyond
         // the rate share of its team.
         self.insert_job(record, false, now);
+        self.create_occurrences_of(&id, progress.created_occurrences(), now);
         let steps = progress.finished_steps.iter();
         for (number, step) in steps.copied() {
             self.restore_step(&id, number, step);
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -65,6 +65,8 @@
     pub durations: Option<DurationsRow>,
     pub policies: Policies,
     pub now: Moment,
+    /// How far the time of day of the next owner is behind.
+    pub clock_behind: Duration,
     /// Actions other than starts and stops.
     pub other_actions: Vec<Action>,
 }
@@ -160,6 +162,7 @@
             durations: None,
             policies: policies.iter().copied().collect(),
             now,
+            clock_behind: Duration::ZERO,
             other_actions: Vec::new(),
         };
         sim.scheduler = sim.owner(1, config, Duration::ZERO);
@@ -169,7 +172,7 @@
     }
 
     fn owner(&self, epoch: u64, config: Arc<Config>, lease_left: Duration) -> Scheduler {
-        let unix_now_ms = UNIX_MS + self.now.as_millis() as u64;
+        let unix_now_ms = UNIX_MS + (self.now - self.clock_behind).as_millis() as u64;
         let settings = Settings { policies: self.policies.clone(), ..Settings::default() };
         let mut scheduler = Scheduler::new(settings, epoch, unix_now_ms, self.now);
         scheduler.set_config(config);
