Follow each command to a host until its host is back

A review of the fixes for commands of unknown outcome found sequences that still took a wave over its limit, completed it too early, or held hosts and places back. They have one cause: what is known of a command was spread over the command, the host's entry and the stored row, and each forgot it at another time.

- a command was sent with the commit of an older row of its host, without being stored;
- a host in maintenance, or in doubt, that a list left out no longer counted, lost its host lease and its worker, and let its wave be completed;
- a command in doubt excused one with another intent from the limit, and was settled by it;
- rows were dropped while their hosts were in maintenance, or by a second takeover in a row;
- rows of earlier versions, and outcomes that were known but not stored, were misread by a successor, which drained hosts for moves that had long been carried out;
- a host that stays down held its place forever;
- a worker that registered between two reviews was not cordoned;
- a lowered limit, and a host that left its wave, were not regarded.

A command is now followed from its decision until a list shows its host back, and its host stays known meanwhile. Only a command that the batch has taken is sent on its commit. Outcomes are stored with the next transaction, and a successor repeats a command only once a list that is recent enough has not shown its outcome. A host that refuses all attempts while it is down is let go.

Not covered: a wave that operators delete.

--- a/crates/scheduler/src/absent_hosts.rs
+++ b/crates/scheduler/src/absent_hosts.rs
@@ -83,14 +83,14 @@
 
     /// Returns true if a move may be planned for a host.
     pub(crate) fn may_move(&self, host: &Host, now: Moment) -> bool {
-        host.is_available(now) && !self.is_absent(host)
+        host.is_available(now) && !self.is_absent(host) && !self.has_open_command(&host.entry.name)
     }
 
     /// Cancels the moves of hosts that are absent now, unless a command may be carried out.
     pub(crate) fn cancel_moves_of_absent_hosts(&mut self) {
         let is_cancelled = |host: &&Host| {
             matches!(host.intent, Some(HostIntent::Move(_)))
-                && !self.is_command_unsettled(&host.entry.name)
+                && !self.has_open_command(&host.entry.name)
                 && self.is_absent(host)
         };
         let cancelled = self.hosts.values().filter(is_cancelled);
--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -1,4 +1,4 @@
-//! Commands that move or maintain hosts.
+//! Commands that move or maintain hosts, and what is known of their outcomes.
 //!
 //! A command is stored before it is sent, so that a successor knows of it. It is meant for the worker
 //! that the host has when the command is decided. The platform also accepts a command that it
@@ -6,9 +6,8 @@
 //!
 //! A command without a reply may have been carried out, and may still be, seconds later. It stays in
 //! doubt, and counts against the limit of its wave, until its outcome is known: it is repeated with
-//! a higher token, after which the platform refuses the earlier attempts, or the list of hosts shows
-//! that it was carried out. A successor restores the stored commands as
-//! ones in doubt, since their outcomes were not stored.
+//! a higher token until it is answered, or the list of hosts shows that it was carried out. A
+//! successor takes stored commands without an outcome for in doubt.
 
 use std::time::Duration;
 
@@ -19,18 +18,18 @@
 use crate::Moment;
 use crate::WaveId;
 use crate::WorkerId;
+use crate::hosts::Host;
 use crate::hosts::HostIntent;
 use crate::messages::Action;
 use crate::messages::HostEntry;
 use crate::messages::HostReply;
 use crate::messages::HostState;
 use crate::messages::LossCause;
+use crate::messages::WorkerRegistration;
 use crate::state::Scheduler;
 
 /// Time before a command to a host is sent again after it failed.
 const COMMAND_RETRY_BACKOFF: Duration = Duration::from_millis(700);
-/// Time between two attempts at a command to a host that is not listed.
-const UNLISTED_RETRY_PERIOD: Duration = Duration::from_millis(2_000);
 /// Time for which the platform's list may be out of date after a host has accepted a command.
 const HOST_LIST_LAG: Duration = Duration::from_millis(1_500);
 /// Maximum difference between the clocks of two nodes.
@@ -43,68 +42,139 @@
     pub host: HostName,
     /// Time of the command in milliseconds since the Unix epoch.
     pub at_ms: u64,
-    /// What the host is to do; none if it is certain that the command was not carried out.
+    /// What the host is to do; none in rows of earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub intent: Option<HostIntent>,
+    /// Outcome of the command; none if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<CommandOutcome>,
+}
+
+/// Outcome of a command to a host, as it is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CommandOutcome {
+    /// It was carried out, and the host has not been seen in service since.
+    CarriedOut,
+    /// It was not carried out, or the host is back.
+    Settled,
 }
 
 /// The last command that was given to a host.
 #[derive(Clone, Debug)]
 pub(crate) struct HostCommand {
-    pub intent: HostIntent,
+    /// What the host is to do; none if the previous owner's row does not tell.
+    intent: Option<HostIntent>,
     /// Worker that the command terminates; none if the host has none.
     worker: Option<WorkerId>,
-    /// When the last attempt was decided or, once it is stored, sent.
+    /// When the last attempt was decided or, once it is being stored, when it was taken for that.
     issued_at: Moment,
-    /// When the first attempt was decided, or the command was restored.
-    first_issued_at: Moment,
+    /// Lists that were requested before this time don't show what has become of the command.
+    lists_count_from: Moment,
     progress: CommandProgress,
     /// An earlier attempt got no reply, and no later reply has told its outcome.
     has_unanswered_attempt: bool,
+    /// Since when all attempts were answered that the host is not in service.
+    busy_since: Option<Moment>,
 }
 
 /// What has become of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CommandProgress {
+enum CommandProgress {
     /// It has to be stored before it is sent.
     Unstored,
+    /// It is part of the batch that is being committed.
+    Storing,
     /// It was sent and waits for a reply.
     Sent,
     /// It got no reply and is to be repeated.
     InDoubt,
-    /// It was carried out.
+    /// It was carried out, and the host has not been seen in service since.
     CarriedOut,
-    /// It was not carried out, and won't be.
-    Refused,
+    /// It was not carried out and won't be, or the host is back.
+    Settled,
 }
 
 impl HostCommand {
     /// Returns true if the command waits to be stored or for a reply.
     fn is_pending(&self) -> bool {
-        matches!(self.progress, CommandProgress::Unstored | CommandProgress::Sent)
+        use CommandProgress::Sent;
+        use CommandProgress::Storing;
+        use CommandProgress::Unstored;
+
+        matches!(self.progress, Unstored | Storing | Sent)
+    }
+
+    /// Returns true if the command may still be carried out.
+    fn may_be_carried_out(&self) -> bool {
+        self.is_pending() || self.progress == CommandProgress::InDoubt
+    }
+
+    /// Returns true if the command may keep its host out of service, now or later.
+    pub fn is_open(&self) -> bool {
+        self.progress != CommandProgress::Settled
+    }
+
+    /// Returns the wave of a command for maintenance.
+    fn wave(&self) -> Option<WaveId> {
+        match &self.intent {
+            Some(HostIntent::Maintain(wave)) => Some(*wave),
+            _ => None,
+        }
+    }
+
+    /// Returns true if the host may be in maintenance, now or later.
+    pub fn may_maintain(&self) -> bool {
+        self.is_open() && !matches!(self.intent, Some(HostIntent::Move(_)))
     }
 
-    /// Returns true unless the outcome of the command is known.
-    pub fn is_unsettled(&self) -> bool {
-        !matches!(self.progress, CommandProgress::CarriedOut | CommandProgress::Refused)
+    /// Returns true if the host may be in maintenance for a wave, now or later.
+    pub fn may_maintain_for(&self, wave: WaveId) -> bool {
+        self.is_open() && self.wave() == Some(wave)
     }
 
     /// Returns true if the listed state of the host shows that the command was carried out.
     fn is_shown_by(&self, entry: &HostEntry) -> bool {
         match &self.intent {
-            HostIntent::Maintain(_) => entry.state == HostState::InMaintenance,
-            HostIntent::Move(pool) => {
+            Some(HostIntent::Maintain(_)) => entry.state == HostState::InMaintenance,
+            Some(HostIntent::Move(pool)) => {
                 entry.state == HostState::Moving
                     || (entry.state == HostState::Up && entry.pool == *pool)
             }
+            None => false,
         }
     }
 
-    /// Returns the wave of a command for maintenance.
-    pub fn wave(&self) -> Option<WaveId> {
-        match self.intent {
-            HostIntent::Maintain(wave) => Some(wave),
-            HostIntent::Move(_) => None,
+    /// Returns what a list that was requested at `requested_at` shows of the command, with the
+    /// listed state of the host; `None` if it shows nothing new.
+    fn progress_shown_by(
+        &self,
+        entry: Option<&HostEntry>,
+        requested_at: Moment,
+    ) -> Option<CommandProgress> {
+        if requested_at < self.lists_count_from {
+            return None;
+        }
+        let state = entry.map(|entry| entry.state);
+        let is_away = matches!(state, Some(HostState::InMaintenance | HostState::Moving));
+        match self.progress {
+            CommandProgress::CarriedOut => (!is_away).then_some(CommandProgress::Settled),
+            CommandProgress::InDoubt => {
+                // A host that is not listed, or in service, may still carry out the command.
+                let entry = entry?;
+                let is_answered =
+                    self.busy_since.is_some_and(|at| requested_at >= at + HOST_LIST_LAG);
+                match (self.is_shown_by(entry), is_away) {
+                    (true, true) => Some(CommandProgress::CarriedOut),
+                    (true, false) => Some(CommandProgress::Settled),
+                    // It is out of service for another reason, and has refused all attempts.
+                    (false, _) if entry.state == HostState::Down && is_answered => {
+                        Some(CommandProgress::Settled)
+                    }
+                    (false, _) => None,
+                }
+            }
+            _ => None,
         }
     }
 
@@ -112,35 +182,69 @@
     fn end_attempt(&mut self) {
         self.progress = match self.has_unanswered_attempt {
             true => CommandProgress::InDoubt,
-            false => CommandProgress::Refused,
+            false => CommandProgress::Settled,
         };
     }
+
+    fn outcome(&self) -> Option<CommandOutcome> {
+        match self.progress {
+            CommandProgress::CarriedOut => Some(CommandOutcome::CarriedOut),
+            CommandProgress::Settled => Some(CommandOutcome::Settled),
+            _ => None,
+        }
+    }
 }
 
 impl Scheduler {
     /// Decides on a command to a host, or on its repetition, which is sent once it is stored.
     pub(crate) fn issue_host_command(&mut self, name: &HostName, intent: HostIntent, now: Moment) {
         let worker = self.hosts.get(name).and_then(|host| self.worker_of(host));
-        let before = self.host_commands.get(name).filter(|command| command.is_unsettled());
+        let before = self.host_commands.get(name).filter(|command| command.may_be_carried_out());
+        let lists_count_from = now + HOST_LIST_LAG;
         let command = HostCommand {
-            intent,
+            intent: Some(intent),
             worker,
             issued_at: now,
-            first_issued_at: before.map_or(now, |before| before.first_issued_at),
+            lists_count_from: before.map_or(lists_count_from, |before| before.lists_count_from),
             progress: CommandProgress::Unstored,
             has_unanswered_attempt: before.is_some_and(|before| before.has_unanswered_attempt),
+            busy_since: before.and_then(|before| before.busy_since),
         };
         self.host_commands.insert(name.clone(), command);
     }
 
-    /// Returns true if a command to a host waits to be stored or for a reply.
-    pub(crate) fn is_command_pending(&self, name: &HostName) -> bool {
-        self.host_commands.get(name).is_some_and(HostCommand::is_pending)
+    /// Returns true if a command may keep a host out of service, now or later.
+    pub(crate) fn has_open_command(&self, name: &HostName) -> bool {
+        self.host_commands.get(name).is_some_and(HostCommand::is_open)
     }
 
-    /// Returns true if a command to a host may have been carried out, or may still be.
-    pub(crate) fn is_command_unsettled(&self, name: &HostName) -> bool {
-        self.host_commands.get(name).is_some_and(HostCommand::is_unsettled)
+    /// Returns true if a command with this intent is in doubt and may be repeated. Of the commands of
+    /// a wave, no more are repeated than its limit allows, which operators may have lowered.
+    pub(crate) fn may_repeat_command(&self, name: &HostName, intent: &HostIntent) -> bool {
+        let command = self.host_commands.get(name);
+        let is_in_doubt = command.is_some_and(|command| {
+            command.progress == CommandProgress::InDoubt && command.intent.as_ref() == Some(intent)
+        });
+        // A host that is down refuses all attempts.
+        let is_down = command.is_some_and(|command| command.busy_since.is_some())
+            && self.hosts.get(name).is_some_and(|host| host.entry.state == HostState::Down);
+        is_in_doubt
+            && !is_down
+            && match intent {
+                HostIntent::Move(_) => true,
+                HostIntent::Maintain(wave) => {
+                    let commands = self.host_commands.iter();
+                    let mut open = commands.filter(|(_, other)| other.may_maintain_for(*wave));
+                    let position = open.position(|(other, _)| other == name);
+                    position.is_some_and(|position| position < self.unavailable_hosts_max(*wave))
+                }
+            }
+    }
+
+    /// Returns true if a command may terminate a worker that has registered with its host.
+    pub(crate) fn may_be_terminated(&self, registration: &WorkerRegistration) -> bool {
+        let command = registration.host.as_ref().and_then(|host| self.host_commands.get(host));
+        command.is_some_and(HostCommand::may_be_carried_out)
     }
 
     /// Handles the result of a command to a host.
@@ -148,6 +252,7 @@
         let Some(command) = self.host_commands.get_mut(name) else {
             return;
         };
+        self.has_unstored_outcome = true;
         if let Some(host) = self.hosts.get_mut(name) {
             host.no_command_before = now + COMMAND_RETRY_BACKOFF;
         }
@@ -159,157 +264,132 @@
             }
             HostReply::Fenced => self.is_fenced = true,
             HostReply::Invalid => {
-                command.progress = CommandProgress::Refused;
+                command.progress = CommandProgress::Settled;
                 if let Some(host) = self.hosts.get_mut(name) {
                     host.intent = None;
                 }
             }
-            HostReply::Busy | HostReply::Refused => command.end_attempt(),
+            HostReply::Busy => {
+                command.busy_since = command.busy_since.or(Some(now));
+                command.end_attempt();
+            }
+            HostReply::Refused => command.end_attempt(),
             HostReply::Unknown => {
                 command.has_unanswered_attempt = true;
+                command.busy_since = None;
                 command.end_attempt();
             }
         }
     }
 
-    /// Settles the commands in doubt whose outcome the list of hosts shows. `listed` are the listed
-    /// hosts, sorted by name.
+    fn handle_host_accepted(&mut self, name: &HostName, command: HostCommand, now: Moment) {
+        let duration = match command.wave() {
+            Some(_) => self.settings.maintain_time,
+            None => self.settings.move_time,
+        };
+        let back_at = now + duration;
+        if let Some(stored) = self.host_commands.get_mut(name) {
+            stored.lists_count_from = back_at;
+        }
+        if let Some(wave) = command.wave() {
+            self.record_maintenance_started(wave, name);
+        }
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.handle_command(&command, back_at);
+        }
+        if let Some(worker) = command.worker {
+            self.remove_runs_on(&worker, LossCause::HostCommanded, now);
+            if let Some(removed) = self.remove_worker(&worker) {
+                self.terminated_workers.insert(worker, removed.registration);
+            }
+        }
+    }
+
+    /// Uses a worker again that was taken for terminated, since its host is in service with it: the
+    /// command had been carried out before, and the worker is the one that the host has had since.
+    pub(crate) fn restore_terminated_worker(&mut self, id: &WorkerId, now: Moment) {
+        if let Some(registration) = self.terminated_workers.remove(id) {
+            self.log_decision("worker back", id, "its host is in service with it".to_owned());
+            self.update_worker(registration, Duration::ZERO, now);
+        }
+    }
+
+    /// Learns from the list of hosts what has become of commands. `listed` are the listed hosts,
+    /// sorted by name.
     pub(crate) fn settle_host_commands(&mut self, listed: &[HostEntry], requested_at: Moment) {
         let mut maintained = Vec::new();
         for (name, command) in self.host_commands.iter_mut() {
-            let is_in_doubt = command.progress == CommandProgress::InDoubt;
-            if !is_in_doubt || requested_at < command.first_issued_at + HOST_LIST_LAG {
-                continue;
+            let progress = command.wave().and_then(|wave| self.waves.get(&wave));
+            let has_started = progress.is_some_and(|progress| progress.row.has_started(name));
+            if has_started && command.progress == CommandProgress::InDoubt {
+                command.progress = CommandProgress::CarriedOut;
             }
-            // A host that is not listed may still carry out the command.
-            let Ok(index) = listed.binary_search_by(|entry| entry.name.cmp(name)) else {
+            let index = listed.binary_search_by(|entry| entry.name.cmp(name)).ok();
+            let entry = index.map(|index| &listed[index]);
+            let Some(progress) = command.progress_shown_by(entry, requested_at) else {
                 continue;
             };
-            let entry = &listed[index];
-            let has_started = command.wave().is_some_and(|wave| {
-                self.waves.get(&wave).is_some_and(|progress| progress.row.has_started(name))
-            });
-            let is_back = has_started && entry.state == HostState::Up;
-            if !command.is_shown_by(entry) && !is_back {
-                continue;
+            let is_carried_out = entry.is_some_and(|entry| command.is_shown_by(entry));
+            if let Some(wave) = command.wave().filter(|_| is_carried_out) {
+                maintained.push((wave, name.clone()));
             }
-            command.progress = CommandProgress::CarriedOut;
+            command.progress = progress;
+            command.lists_count_from = requested_at;
+            self.has_unstored_outcome = true;
             if let Some(host) = self.hosts.get_mut(name) {
                 host.intent = None;
             }
-            if let Some(wave) = command.wave() {
-                maintained.push((wave, name.clone()));
-            }
         }
         for (wave, name) in maintained {
             self.record_maintenance_started(wave, &name);
         }
     }
 
-    /// Repeats the commands in doubt to hosts that are not listed. If a host is gone, the reply
-    /// tells that the command cannot be carried out any more.
-    pub(crate) fn repeat_commands_to_unlisted_hosts(&mut self, now: Moment) {
-        let is_due = |name: &HostName, command: &HostCommand| {
-            let allowed_at = self.host_no_command_before.get(name).copied().unwrap_or_default();
-            command.progress == CommandProgress::InDoubt
-                && !self.hosts.contains(name)
-                && now >= command.issued_at + UNLISTED_RETRY_PERIOD
-                && now >= allowed_at
-        };
-        let due = self.host_commands.iter().filter(|(name, command)| is_due(name, command));
-        let due: Vec<(HostName, HostIntent)> =
-            due.map(|(name, command)| (name.clone(), command.intent.clone())).collect();
-        for (name, intent) in due {
-            self.issue_host_command(&name, intent, now);
-        }
-    }
-
-    /// Plans the repetition of the commands in doubt that the previous owner has given.
-    pub(crate) fn plan_restored_commands(&mut self) {
+    /// Plans the repetition of the commands in doubt that the previous owner has given, once a list
+    /// that is recent enough has not shown their outcome.
+    pub(crate) fn plan_restored_commands(&mut self, requested_at: Moment) {
         for (name, command) in self.host_commands.iter() {
-            let has_started = command.wave().is_some_and(|wave| {
-                self.waves.get(&wave).is_some_and(|progress| progress.row.has_started(name))
-            });
-            if command.progress != CommandProgress::InDoubt || has_started {
+            if command.progress != CommandProgress::InDoubt
+                || requested_at < command.lists_count_from
+            {
                 continue;
             }
-            if let Some(host) = self.hosts.get_mut(name).filter(|host| host.intent.is_none()) {
-                host.intent = Some(command.intent.clone());
-            }
-        }
-    }
-
-    fn handle_host_accepted(&mut self, name: &HostName, command: HostCommand, now: Moment) {
-        let duration = match command.intent {
-            HostIntent::Maintain(_) => self.settings.maintain_time,
-            HostIntent::Move(_) => self.settings.move_time,
-        };
-        if let Some(wave) = command.wave() {
-            self.record_maintenance_started(wave, name);
-        }
-        let Some(host) = self.hosts.get_mut(name) else {
-            // Until the host is listed, it counts as unavailable.
-            if let Some(command) = self.host_commands.get_mut(name) {
-                command.progress = CommandProgress::InDoubt;
-                command.first_issued_at = now + duration;
-            }
-            return;
-        };
-        host.intent = None;
-        host.terminated_worker = command.worker.clone();
-        if host.entry.worker == command.worker {
-            host.entry.worker = None;
-        }
-        host.not_back_before = now + duration;
-        host.unavailable_until = host.not_back_before + HOST_LIST_LAG;
-        match command.intent {
-            HostIntent::Maintain(_) => host.entry.state = HostState::InMaintenance,
-            HostIntent::Move(pool) => {
-                host.entry.state = HostState::Moving;
-                host.entry.pool = pool;
-            }
-        }
-        if let Some(worker) = command.worker {
-            self.remove_runs_on(&worker, LossCause::HostCommanded, now);
-            if let Some(removed) = self.remove_worker(&worker) {
-                self.terminated_workers.insert(worker, removed.registration);
+            let not_listed = || Host::new(HostEntry::unlisted(name.clone()));
+            let host = self.hosts.entry_or(name.clone(), not_listed);
+            if host.intent.is_none() {
+                host.intent = command.intent.clone();
             }
         }
     }
 
-    /// Uses a worker again that was taken for terminated, since its host is in service with it: the
-    /// command had been carried out before, and the worker is the one that the host has had since.
-    pub(crate) fn restore_terminated_worker(&mut self, id: &WorkerId, now: Moment) {
-        if let Some(registration) = self.terminated_workers.remove(id) {
-            self.log_decision("worker back", id, "its host is in service with it".to_owned());
-            self.update_worker(registration, Duration::ZERO, now);
-        }
+    /// Returns true if commands to hosts have to be stored before they are sent.
+    pub(crate) fn has_unstored_commands(&self) -> bool {
+        let mut commands = self.host_commands.values();
+        commands.any(|command| command.progress == CommandProgress::Unstored)
     }
 
-    /// Returns the recent commands to hosts if some of them are not stored yet. A successor waits
-    /// for the host lease of each to expire before it gives the host a command of its own.
-    pub(crate) fn changed_host_commands(&mut self, now: Moment) -> Option<Vec<HostCommandRow>> {
+    /// Returns the recent commands to hosts, and the open ones, to be stored. A successor waits for
+    /// the host lease of each to expire before it gives the host a command of its own.
+    pub(crate) fn host_commands_to_store(&mut self, now: Moment) -> Vec<HostCommandRow> {
         let lease = self.settings.host_lease;
         let is_unstored =
             |command: &&mut HostCommand| command.progress == CommandProgress::Unstored;
-        let mut has_new = false;
         // A command that has waited to be stored is sent from now on.
         for command in self.host_commands.values_mut().filter(is_unstored) {
             command.issued_at = now;
-            has_new = true;
-        }
-        if !has_new {
-            return None;
+            command.progress = CommandProgress::Storing;
         }
         self.host_commands.retain(|_, command| {
-            command.is_unsettled() || now.saturating_sub(command.issued_at) <= lease
+            command.is_open() || now.saturating_sub(command.issued_at) <= lease
         });
+        self.has_unstored_outcome = false;
         let rows = self.host_commands.iter().map(|(host, command)| HostCommandRow {
             host: host.clone(),
             at_ms: self.unix_ms(command.issued_at),
-            intent: (command.progress != CommandProgress::Refused).then(|| command.intent.clone()),
+            intent: command.intent.clone(),
+            outcome: command.outcome(),
         });
-        Some(rows.collect())
+        rows.collect()
     }
 
     /// Sends the commands to hosts that are now stored.
@@ -318,7 +398,7 @@
             let Some(command) = self.host_commands.get_mut(&row.host) else {
                 continue;
             };
-            if command.progress != CommandProgress::Unstored {
+            if command.progress != CommandProgress::Storing {
                 continue;
             }
             // Another worker may have units by now.
@@ -329,10 +409,10 @@
             }
             command.progress = CommandProgress::Sent;
             let host = row.host.clone();
-            self.actions.push(match command.intent.clone() {
+            self.actions.extend(command.intent.clone().map(|intent| match intent {
                 HostIntent::Maintain(wave) => Action::MaintainHost { host, wave },
                 HostIntent::Move(pool) => Action::MoveHost { host, pool },
-            });
+            }));
         }
     }
 
@@ -345,18 +425,43 @@
             let allowed_at =
                 issued_at.max(now.saturating_sub(CLOCK_SKEW_MAX)) + self.settings.host_lease;
             self.host_no_command_before.insert(row.host.clone(), allowed_at + CLOCK_SKEW_MAX);
-            let Some(intent) = row.intent else {
-                continue;
+            let progress = match (row.outcome, &row.intent) {
+                (Some(CommandOutcome::Settled), _) => CommandProgress::Settled,
+                (None, Some(_)) => CommandProgress::InDoubt,
+                // A command that is not known can't be repeated. It counts until a list shows that
+                // its host is not in maintenance.
+                (Some(CommandOutcome::CarriedOut), _) | (None, None) => CommandProgress::CarriedOut,
             };
             let command = HostCommand {
-                intent,
+                intent: row.intent,
                 worker: None,
                 issued_at,
-                first_issued_at: now,
-                progress: CommandProgress::InDoubt,
+                lists_count_from: now + HOST_LIST_LAG,
+                progress,
                 has_unanswered_attempt: true,
+                busy_since: None,
             };
             self.host_commands.insert(row.host, command);
         }
     }
 }
+
+impl Host {
+    /// Takes the host out of service until it is back from a command that was accepted.
+    fn handle_command(&mut self, command: &HostCommand, back_at: Moment) {
+        self.intent = None;
+        self.terminated_worker = command.worker.clone();
+        if self.entry.worker == command.worker {
+            self.entry.worker = None;
+        }
+        self.not_back_before = back_at;
+        self.unavailable_until = back_at + HOST_LIST_LAG;
+        match &command.intent {
+            Some(HostIntent::Move(pool)) => {
+                self.entry.state = HostState::Moving;
+                self.entry.pool = pool.clone();
+            }
+            _ => self.entry.state = HostState::InMaintenance,
+        }
+    }
+}
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -66,7 +66,7 @@
 }
 
 impl Host {
-    fn new(entry: HostEntry) -> Self {
+    pub(crate) fn new(entry: HostEntry) -> Self {
         Self {
             entry,
             intent: None,
@@ -107,7 +107,10 @@
     pub fn set_hosts(&mut self, mut entries: Vec<HostEntry>, requested_at: Moment, now: Moment) {
         entries.sort_by(|a, b| a.name.cmp(&b.name));
         let is_listed = |name: &HostName| entries.binary_search_by(|e| e.name.cmp(name)).is_ok();
-        self.hosts.retain(|name, _| is_listed(name));
+        let commands = &self.host_commands;
+        let has_open_command =
+            |name: &HostName| commands.get(name).is_some_and(HostCommand::is_open);
+        self.hosts.retain(|name, _| is_listed(name) || has_open_command(name));
         self.settle_host_commands(&entries, requested_at);
         let mut returned = Vec::new();
         let mut survivors = Vec::new();
@@ -151,7 +154,7 @@
         for worker in survivors {
             self.restore_terminated_worker(&worker, now);
         }
-        self.plan_restored_commands();
+        self.plan_restored_commands(requested_at);
         self.has_host_list = true;
     }
 
@@ -172,7 +175,6 @@
         for name in names {
             self.advance_host(&name, now);
         }
-        self.repeat_commands_to_unlisted_hosts(now);
     }
 
     /// Drains the workers that have registered as draining.
@@ -201,18 +203,14 @@
             .filter(|host| host.intent.is_some())
             .filter_map(|host| host.entry.worker.clone())
             .collect();
-        leaving.sort();
-        let commands = &self.host_commands;
         // The list of hosts may not show the worker yet that a command is going to terminate.
-        let may_be_terminated = |worker: &Worker| {
-            let host = worker.registration.host.as_ref();
-            let command = host.and_then(|host| commands.get(host));
-            command.is_some_and(HostCommand::is_unsettled)
-        };
+        let workers = self.workers.values();
+        let in_doubt = workers.filter(|worker| self.may_be_terminated(&worker.registration));
+        leaving.extend(in_doubt.map(|worker| worker.registration.id.clone()));
+        leaving.sort();
         let mut is_uncordoned = false;
         for worker in self.workers.values_mut() {
-            let is_cordoned =
-                leaving.binary_search(&worker.registration.id).is_ok() || may_be_terminated(worker);
+            let is_cordoned = leaving.binary_search(&worker.registration.id).is_ok();
             if is_cordoned && !worker.is_cordoned {
                 worker.cordoned_at = now;
             }
@@ -231,11 +229,13 @@
         let Some(intent) = host.intent.clone() else {
             return;
         };
-        if self.is_command_pending(name) || host.entry.state != HostState::Up {
+        // A command in doubt may have taken the host out of service and terminated the worker, and
+        // already counts against the limit.
+        let is_repetition = self.may_repeat_command(name, &intent);
+        let may_begin = host.entry.state == HostState::Up && !self.has_open_command(name);
+        if !may_begin && !is_repetition {
             return;
         }
-        // A command in doubt may have terminated the worker, and already counts against the limit.
-        let is_repetition = self.is_command_unsettled(name);
         if let Some(id) = self.worker_of(host) {
             // The runs of a worker are unknown until it has replied.
             let contact_max = self.settings.contact_max;
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -189,6 +189,13 @@
     pub worker: Option<WorkerId>,
 }
 
+impl HostEntry {
+    /// Creates the entry of a host of which only the name is known.
+    pub fn unlisted(name: HostName) -> Self {
+        Self { name, pool: "".into(), state: HostState::Down, worker: None }
+    }
+}
+
 /// Result of a command to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostReply {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -84,6 +84,8 @@
     pub(crate) terminated_workers: SortedMap<WorkerId, WorkerRegistration>,
     /// Commands that were recently given to hosts.
     pub(crate) host_commands: SortedMap<HostName, HostCommand>,
+    /// Outcomes of commands to hosts are known that are not stored yet.
+    pub(crate) has_unstored_outcome: bool,
     /// Hosts that the previous owner has recently commanded, and when they may get a new command.
     pub(crate) host_no_command_before: SortedMap<HostName, Moment>,
     /// The platform has listed its hosts at least once.
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -154,7 +154,9 @@
         let is_dirty = std::mem::take(&mut self.is_baseline_hosts_dirty);
         batch.baseline_hosts = is_dirty.then(|| self.baseline_hosts.clone());
         batch.durations = self.take_durations_row(now);
-        batch.host_commands = self.changed_host_commands(now);
+        if self.has_unstored_commands() {
+            batch.host_commands = Some(self.host_commands_to_store(now));
+        }
         for (id, wave) in self.waves.iter_mut().filter(|(_, wave)| wave.is_dirty) {
             wave.is_dirty = false;
             batch.waves.push((*id, wave.row.clone()));
@@ -173,6 +175,13 @@
         self.add_jobs_to_unstore(&mut batch, rows_left);
         let rows_left = limits.rows_max.saturating_sub(batch.row_count());
         self.add_expired_jobs(&mut batch, rows_left, now);
+        // Outcomes are no reason for a transaction of their own: a successor finds them out.
+        if self.has_unstored_outcome
+            && !batch.has_no_writes()
+            && batch.row_count() < limits.rows_max
+        {
+            batch.host_commands = Some(self.host_commands_to_store(now));
+        }
         batch
     }
 
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -106,7 +106,10 @@
         self.needs_placement = true;
         let Some(worker) = self.workers.get_mut(&registration.id) else {
             let id = registration.id.clone();
-            let worker = Worker::new(registration, now + lease_left, now);
+            let is_cordoned = self.may_be_terminated(&registration);
+            let mut worker = Worker::new(registration, now + lease_left, now);
+            worker.is_cordoned = is_cordoned;
+            worker.cordoned_at = now;
             self.workers.insert(id, worker);
             return;
         };
@@ -149,9 +152,11 @@
         self.log_decision("worker started again", subject, why);
         self.handle_worker_end(id, LossCause::WorkerRestarted, now);
         if let Some(worker) = self.workers.get_mut(id) {
-            let has_row = worker.has_row;
+            let (has_row, is_cordoned) = (worker.has_row, worker.is_cordoned);
             *worker = Worker::new(registration, now, now);
             worker.has_row = has_row;
+            worker.is_cordoned = is_cordoned;
+            worker.cordoned_at = now;
         }
     }
 
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -14,6 +14,7 @@
 use crate::WaveId;
 use crate::capacity::HostCounts;
 use crate::capacity::PoolLoads;
+use crate::host_commands::HostCommand;
 use crate::hosts::Host;
 use crate::hosts::HostIntent;
 use crate::messages::Action;
@@ -147,7 +148,7 @@
             let Some(host) = self.hosts.get(&name) else {
                 continue;
             };
-            if host.is_available(now) {
+            if host.is_available(now) && !self.has_open_command(&name) {
                 let (long_running, work) = self.host_load(host);
                 candidates.push((long_running, work, name));
             }
@@ -195,12 +196,16 @@
             let host = self.hosts.get(name);
             host.is_some_and(|host| host.entry.state == HostState::InMaintenance)
         };
-        let may_begin = |name: &HostName| {
-            let command = self.host_commands.get(name).filter(|command| command.is_unsettled());
-            command.is_some_and(|command| command.wave().is_some())
-        };
-        let is_unavailable = |name: &&HostName| is_in_maintenance(name) || may_begin(name);
-        wave.hosts.iter().filter(is_unavailable).count()
+        // Maintenance for another wave makes a host unavailable as well.
+        let may_be_maintained =
+            |name: &HostName| self.host_commands.get(name).is_some_and(HostCommand::may_maintain);
+        let hosts = wave.hosts.iter();
+        let unavailable = hosts.filter(|name| is_in_maintenance(name) || may_be_maintained(name));
+        let removed = self
+            .host_commands
+            .iter()
+            .filter(|(name, command)| command.may_maintain_for(id) && !wave.contains_host(name));
+        unavailable.count() + removed.count()
     }
 
     /// Returns true if the limit on unavailable hosts allows the command for this intent.
