Send a speed limit again that got no reply

A best-effort unit could stand still for good: a speed limit without a reply counted as lifted, although it may have taken effect. Once the serving units beside it were fast again, there was nothing to lift.

The limit is now kept, marked as in doubt and sent again, raised or not, with the next review. After a takeover, limits still count as lifted.

--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -114,6 +114,8 @@
     pub load: Option<u64>,
     /// Speed limit that was set for the run, in percent.
     pub speed_limit_percent: u32,
+    /// The command that set the speed limit got no reply.
+    pub is_speed_limit_in_doubt: bool,
 }
 
 impl Run {
@@ -135,6 +137,7 @@
             checkpoint: String::new(),
             load: None,
             speed_limit_percent: FULL_PERCENT,
+            is_speed_limit_in_doubt: false,
         }
     }
 
--- a/crates/scheduler/src/speed_limits.rs
+++ b/crates/scheduler/src/speed_limits.rs
@@ -78,7 +78,8 @@
         } else {
             old_percent
         };
-        if new_percent == old_percent {
+        let is_in_doubt = std::mem::take(&mut run.is_speed_limit_in_doubt);
+        if new_percent == old_percent && !is_in_doubt {
             return;
         }
         run.speed_limit_percent = new_percent;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -188,8 +188,8 @@
             return;
         };
         if run.speed_limit_percent == percent && !has_reply {
-            // The next review sends the command again if the limit still applies.
-            run.speed_limit_percent = 100;
+            // It may have taken effect, or may still do so. The next review sends it again.
+            run.is_speed_limit_in_doubt = true;
         }
     }
 
