--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -98,11 +98,10 @@
 impl HostCommand {
     /// Returns true if the command waits to be stored or for a reply.
     fn is_pending(&self) -> bool {
-        use CommandProgress::Sent;
-        use CommandProgress::Storing;
-        use CommandProgress::Unstored;
-
-        matches!(self.progress, Unstored | Storing | Sent)
+        matches!(
+            self.progress,
+            CommandProgress::Unstored | CommandProgress::Storing | CommandProgress::Sent
+        )
     }
 
     /// Returns true if the command may still be carried out.
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -113,7 +113,7 @@
         self.hosts.retain(|name, _| is_listed(name) || has_open_command(name));
         self.settle_host_commands(&entries, requested_at);
         let mut returned = Vec::new();
-        let mut survivors = Vec::new();
+        let mut live_workers = Vec::new();
         for entry in entries {
             let name = entry.name.clone();
             let no_command_before = self.host_no_command_before.remove(&name).unwrap_or_default();
@@ -141,7 +141,7 @@
                 if host.entry.state != HostState::Up && entry.state == HostState::Up {
                     returned.push(entry.clone());
                     let terminated_worker = host.terminated_worker.take();
-                    survivors
+                    live_workers
                         .extend(terminated_worker.filter(|id| entry.worker.as_ref() == Some(id)));
                 }
                 host.entry = entry;
@@ -151,7 +151,7 @@
             let why = format!("worker={} pool={}", entry.worker.unwrap_or_default(), entry.pool);
             self.log_decision("host back", entry.name, why);
         }
-        for worker in survivors {
+        for worker in live_workers {
             self.restore_terminated_worker(&worker, now);
         }
         self.plan_restored_commands(requested_at);
