--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -76,12 +76,20 @@
     """Serves `handle(method, path, query, headers, body)`, which returns status and body, or none to
     leave the call without an answer."""
 
-    async def listen(self, host="127.0.0.1"):
-        self.server = await asyncio.start_server(self.serve, host, 0, backlog=512)
-        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+    async def listen(self, host="127.0.0.1", port=0):
+        self.open = set()
+        self.server = await asyncio.start_server(self.serve, host, port, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{self.port}"
         return self.address
 
+    def close(self):
+        """Ends the process at this address: nothing listens there, and all channels are reset."""
+        self.server.close()
+        reset_channels(self.open)
+
     async def serve(self, reader, writer):
+        self.open.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -96,6 +104,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.open.discard(writer)
             writer.close()
 
 
@@ -266,8 +275,16 @@
 
 
 class Run:
-    def __init__(self, unit, number, ends_at):
-        self.unit, self.number, self.ends_at = unit, number, ends_at
+    def __init__(self, unit, number, work_s):
+        self.unit, self.number = unit, number
+        self.began, self.work_s = time.monotonic(), work_s
+        self.ends_at = self.began + work_s
+
+    def percent(self):
+        """Of the work that is done; work units that last for an hour and more are all at work after
+        half a second."""
+        took = time.monotonic() - self.began
+        return min(100, int(100 * took / (0.5 if self.work_s >= 3600 else self.work_s)))
 
 
 class Fleet:
@@ -314,26 +331,67 @@
         self.id, self.machine = f"i-{index:08x}", f"m-{index:05x}"
         self.zone, self.labels = "z-" + "abc"[index % 3], ["a", f"r1-{index // 4}"]
         self.capacity = {"cpu": cpu, "memMb": mem_mb, "gpu": 0}
+        self.is_down = self.is_cut = False
+        self.begin_life()
+        self.duration = lambda unit, spec: int(spec.split()[0])
+        fleet.executors.append(self)
+
+    def begin_life(self):
+        """Holds and knows nothing of before; all counts and the clock start anew."""
         self.born = int(time.time() * 1000)
         self.began = time.monotonic()
         self.seq, self.token, self.lease_ms = 0, 0, 0
         self.runs, self.ends, self.end_count, self.highest = {}, [], 0, {}
         self.changed = asyncio.Event()
-        self.duration = lambda unit, spec: int(spec.split()[0])
-        fleet.executors.append(self)
 
     def clock_ms(self):
         return int((time.monotonic() - self.began) * 1000)
 
+    def crash(self):
+        self.fleet.record.write(f"executor {self.id} crashes")
+        self.is_down = True
+        for run in self.runs.values():
+            self.fleet.end(self, run.unit, run.number, "gone with its executor")
+        self.runs = {}
+        self.close()
+
+    async def restart(self, first_beat_s):
+        """Starts again under the same id at the same address."""
+        self.begin_life()
+        await self.listen(port=self.port)
+        self.fleet.record.write(f"executor {self.id} has started again")
+        await asyncio.sleep(first_beat_s)
+        self.is_down = False
+        self.beat()
+
+    def cut(self):
+        """Cuts the executor off: no call reaches it, no answer leaves it, and it works on."""
+        self.fleet.record.write(f"executor {self.id} is cut off")
+        self.is_cut = True
+
+    def heal(self):
+        self.is_cut = False
+        reset_channels(self.open)
+        self.beat()
+        self.fleet.record.write(f"executor {self.id} is back in touch")
+
+    def beat(self):
+        self.seq += 1
+        self.beat_at = time.monotonic()
+        self.store.put_json("servers", self.id, {
+            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+            "slots": 8, "state": "ready", "coldLeftMs": 0, "capacity": self.capacity,
+            "labels": self.labels, "clockMs": self.clock_ms(), "seqNo": self.seq,
+            "born": self.born, "machine": self.machine,
+        })
+
     async def register(self):
+        """Writes an entry every 1.5 s; after three intervals of silence the store removes it."""
         while True:
-            self.seq += 1
-            self.store.put_json("servers", self.id, {
-                "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-                "slots": 8, "state": "ready", "coldLeftMs": 0, "capacity": self.capacity,
-                "labels": self.labels, "clockMs": self.clock_ms(), "seqNo": self.seq,
-                "born": self.born, "machine": self.machine,
-            })
+            if not self.is_down and not self.is_cut:
+                self.beat()
+            elif time.monotonic() - self.beat_at > 4.5 and ("servers", "", self.id) in self.store.rows:
+                self.store.remove_row("servers", self.id)
             await asyncio.sleep(1.5)
 
     async def work(self):
@@ -351,13 +409,16 @@
         self.end_count += 1
         self.ends.append([self.end_count, run.unit, run.number, how, ""])
         self.fleet.end(self, run.unit, run.number, how)
-        if how == "done":
-            # With no lapse of the lease between, the end counts as noted once `ackCursor` reaches it.
-            run.is_done = True
         self.changed.set()
         self.changed = asyncio.Event()
 
     async def handle(self, method, path, query, headers, body):
+        if self.is_cut:
+            return None
+        answer = await self.answer(path, headers, body)
+        return None if self.is_cut else answer
+
+    async def answer(self, path, headers, body):
         if headers.get("expected-instance", self.id) != self.id:
             return 421, {"error": "another instance"}
         call = json.loads(body) if body else {}
@@ -379,20 +440,21 @@
         self.lease_ms = max(self.lease_ms, min(deadline_ms, self.clock_ms() + BOUNDS["holdMaxMs"]))
 
     async def hold(self, call):
-        if "deadlineMs" in call:
-            self.extend(call["deadlineMs"])
         cursor = call.get("ackCursor", 0)
         for end in self.ends:
-            if end[0] <= cursor and end[3] == "done":
+            # An end counts as taken note of, unless the lease has lapsed between.
+            if end[0] <= cursor and end[3] == "done" and self.clock_ms() <= self.lease_ms:
                 self.fleet.noted.add(end[1])
         self.ends = [end for end in self.ends if end[0] > cursor]
+        if "deadlineMs" in call:
+            self.extend(call["deadlineMs"])
         until = time.monotonic() + min(call.get("waitMs", 0), 2000) / 1000
         while not self.ends and time.monotonic() < until:
             try:
                 await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
             except asyncio.TimeoutError:
                 pass
-        running = [[run.unit, run.number, "", 50, 1] for run in self.runs.values()]
+        running = [[run.unit, run.number, "", run.percent(), 1] for run in self.runs.values()]
         return 200, {"clockMs": self.clock_ms(), "born": self.born, "running": running,
                      "endedRuns": self.ends[:500]}
 
@@ -408,9 +470,8 @@
         if number <= self.highest.get(unit, 0):
             return 409, {**answer, "reason": "old"}
         self.highest[unit] = number
-        ends_at = time.monotonic() + self.duration(unit, call.get("spec", "")) / 1000
         self.fleet.start(self, unit, number)
-        self.runs[unit] = Run(unit, number, ends_at)
+        self.runs[unit] = Run(unit, number, self.duration(unit, call.get("spec", "")) / 1000)
         return 200, answer
 
     def stop(self, call):
@@ -498,19 +559,21 @@
     """A channel ended without an answer, or no answer came in time."""
 
 
-async def call(address, method, path, headers=(), body=None, timeout=3.0, reset_after=None):
-    """Sends one request on a channel of its own; returns status and body. With `reset_after`, the
-    channel is reset after that many seconds, unless the answer has come."""
+async def call(address, method, path, headers=(), body=None, timeout=3.0, channels=None):
+    """Sends one request on a channel of its own; returns status and body. `channels` is a set that
+    holds the open channel meanwhile, so that it may be reset (see `reset_channels`)."""
     data = json.dumps(body).encode() if body is not None else b""
     lines = [f"{method} {path} HTTP/1.1", *headers, "Content-Type: application/json",
              f"Content-Length: {len(data)}", "", ""]
+    channels = set() if channels is None else channels
     try:
         reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), 1.0)
     except (OSError, asyncio.TimeoutError) as error:
         raise Broken(f"no channel: {error}") from error
+    channels.add(writer)
     try:
         writer.write("\r\n".join(lines).encode() + data)
-        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), reset_after or timeout)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout)
         text = head.decode("latin-1")
         status = int(text.split(" ")[1])
         size = 0
@@ -520,15 +583,24 @@
         content = await asyncio.wait_for(reader.readexactly(size), 1.0)
         return status, json.loads(content) if content else None
     except asyncio.TimeoutError as error:
-        linger = struct.pack("ii", 1, 0)
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        raise Broken("reset" if reset_after else "no answer in time") from error
+        raise Broken("no answer in time") from error
     except (OSError, asyncio.IncompleteReadError) as error:
-        raise Broken(f"channel ended: {error!r}") from error
+        raise Broken("the channel ended without an answer") from error
     finally:
+        channels.discard(writer)
         writer.close()
 
 
+def reset_channels(channels):
+    """Resets open channels: each end sees a reset."""
+    for writer in list(channels):
+        if writer.transport.is_closing():
+            continue
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
 class World:
     """All stand-ins and nodes of one script."""
 
@@ -543,8 +615,9 @@
         self.nodes = []
         self.tasks = []
 
-    async def begin(self, config, services, nodes):
-        """Starts stand-ins and nodes. `services` holds name and number of executors."""
+    async def begin(self, config, services, nodes, kinds=None):
+        """Starts stand-ins and nodes. `services` holds name and number of executors; `kinds` the
+        kind of some of them, by number."""
         await self.store.listen()
         await self.cloud.listen()
         self.store.put_json("op", "config", config)
@@ -552,6 +625,7 @@
         for name, count in services:
             for _ in range(count):
                 executor = Executor(self.fleet, self.store, index, name)
+                executor.labels[0] = (kinds or {}).get(index, "a")
                 await executor.listen()
                 self.tasks += [asyncio.ensure_future(executor.register()),
                                asyncio.ensure_future(executor.work())]
