--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -297,6 +297,7 @@
         self.done = {}
         self.noted = set()
         self.starts = []
+        self.ended = []
         self.twice = []
 
     def start(self, executor, unit, number):
@@ -317,6 +318,7 @@
 
     def end(self, executor, unit, number, how):
         self.running[unit].remove((executor.id, number))
+        self.ended.append((unit, number, how))
         if how == "done":
             self.done[unit] = time.monotonic()
         self.record.write(f"executor {executor.id} ends {unit} run {number}: {how}")
