Review case 5: work of many images stops the last node

Cause: the row of measured durations has no limit in bytes; the store refuses it, and the transaction is sent again for ever. With other nodes alive a takeover hides it; the last node stays so.

Nothing of the project changes.

--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -77,12 +77,16 @@
     leave the call without an answer."""
 
     async def listen(self, host="127.0.0.1", port=0):
-        self.open = set()
+        self.open, self.silent = set(), set()
         self.server = await asyncio.start_server(self.serve, host, port, backlog=512)
         self.port = self.server.sockets[0].getsockname()[1]
         self.address = f"{host}:{self.port}"
         return self.address
 
+    def silence(self):
+        """Makes the open channels silent for good, without a reset; new ones work."""
+        self.silent |= self.open
+
     def close(self):
         """Ends the process at this address: nothing listens there, and all channels are reset."""
         self.server.close()
@@ -95,8 +99,11 @@
                 request = await read_request(reader)
                 if request is None:
                     break
+                if writer in self.silent:
+                    await asyncio.sleep(30)
+                    break
                 answer = await self.handle(*request)
-                if answer is None:
+                if answer is None or writer in self.silent:
                     await asyncio.sleep(30)
                     break
                 writer.write(encode_response(*answer))
@@ -105,6 +112,7 @@
             pass
         finally:
             self.open.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
 
@@ -334,6 +342,7 @@
         self.zone, self.labels = "z-" + "abc"[index % 3], ["a", f"r1-{index // 4}"]
         self.capacity = {"cpu": cpu, "memMb": mem_mb, "gpu": 0}
         self.is_down = self.is_cut = False
+        self.state = "ready"
         self.begin_life()
         self.duration = lambda unit, spec: int(spec.split()[0])
         fleet.executors.append(self)
@@ -382,7 +391,7 @@
         self.beat_at = time.monotonic()
         self.store.put_json("servers", self.id, {
             "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-            "slots": 8, "state": "ready", "coldLeftMs": 0, "capacity": self.capacity,
+            "slots": 8, "state": self.state, "coldLeftMs": 0, "capacity": self.capacity,
             "labels": self.labels, "clockMs": self.clock_ms(), "seqNo": self.seq,
             "born": self.born, "machine": self.machine,
         })
@@ -615,6 +624,7 @@
         self.fleet = Fleet(self.record)
         self.cloud = Cloud(self.fleet.executors)
         self.nodes = []
+        self.all_nodes = []
         self.tasks = []
 
     async def begin(self, config, services, nodes, kinds=None):
@@ -636,6 +646,7 @@
             node = Node(self.temporary, number, self.store.address, self.cloud.address)
             node.start()
             self.nodes.append(node)
+            self.all_nodes.append(node)
         for node in self.nodes:
             await self.wait_ready(node)
 
@@ -654,7 +665,7 @@
         raise RuntimeError(f"{node.name} did not become ready")
 
     def end(self):
-        for node in self.nodes:
+        for node in self.all_nodes:
             node.end()
         if os.environ.get("KEEP_LOGS"):
             print("logs in", self.temporary)
