--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,10 +17,10 @@
 REFUSES_AFTER_S, REFUSES_S = 0.9, 0.6
 # Channels are reset around the beginning of the refusals: each time 0.55 of those of one node.
 RESETS_AT_S, RESET_SHARE = (0.56, 0.62, 0.70, 0.78, 0.85, 0.92), 0.55
-ROUNDS, ROUND_S = 6, 9.0
+ROUNDS, ROUND_S = 12, 8.0
 JOBS_PER_S = 16.0
-# 1.6 steps of 6 work units, each 1 s on 1.1 cores (`intake-photo`).
-JOB = {"spec": "1000", "steps": [{"count": 6, "cpu": 1100, "memMb": 256, "estimateMs": 1000}]}
+# 6 work units, each 0.4 s on 2.5 cores: one job fills an executor.
+JOB = {"spec": "400", "steps": [{"count": 6, "cpu": 2500, "memMb": 256, "estimateMs": 400}]}
 
 
 async def submit(world, number, channels):
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,8 @@
-"""Work of many images on the one node that is left: see claim.txt."""
+"""Cancels that an owner of before takes away: see claim.txt."""
 
 import asyncio
-import hashlib
 import os
-import random
+import signal
 import sys
 import time
 
@@ -13,88 +12,105 @@
 
 import fleet  # noqa: E402
 
-HOST, KEY = "jobs.example", "key-of-the-tenant-0001"
+HOST, KEY = "jobs.example", "key-of-the-tenant-a001"
 HEADERS = [f"Host: {HOST}", f"Authorization: Bearer {KEY}", "Deadline: 3000"]
-JOBS, IMAGES, JOBS_PER_S = 640, 128, 25.0
-FINISH_S, IDLE_S = 14, 3.0
+# One work unit that lasts.
+BODY = {"spec": "3600000", "steps": [
+    {"count": 1, "cpu": 500, "memMb": 64, "estimateMs": 700, "longRunning": True}]}
+ROUNDS, JOBS, CANCELS_EACH_S = 6, 100, 0.004
+LOST_ANSWERS_S = 4.5
+CANCEL_S, STOP_TIMEOUT_S, CONTACT_S = 3.0, 0.9, 3.0
 
 
-def job_of(number):
-    name = hashlib.sha256(str(number % IMAGES).encode()).hexdigest()
-    image = f"registry.levy-reporting.example/declarations/emissions-calculator@sha256:{name}"
-    step = {"count": 8, "cpu": 500, "memMb": 256, "estimateMs": 150, "image": image}
-    return {"spec": "150", "steps": [step, {**step, "dependsOn": [0]}]}
-
-
-async def submit(world, number, accepted):
-    job = f"{number:016x}"
+async def ask(world, nodes, method, job, body=None):
+    """Asks one node after another until one answers with 2xx or 410."""
     for attempt in range(5):
-        node = world.nodes[(number + attempt) % len(world.nodes)]
+        node = nodes[attempt % len(nodes)]
         try:
-            status, _ = await fleet.call(
-                node.front, "POST", f"/q/{job}", HEADERS, job_of(number))
-            world.record.write(f"client: POST {job} at {node.name}: {status}")
-            if 200 <= status < 300:
-                accepted[job] = time.monotonic()
-                return
+            status, _ = await fleet.call(node.front, method, f"/q/{job}", HEADERS, body)
+            world.record.write(f"client: {method} {job} at {node.name}: {status}")
+            if status == 200 or status == 410:
+                return status
         except fleet.Broken as error:
-            world.record.write(f"client: POST {job} at {node.name}: {error}")
-        await asyncio.sleep(1.0)
+            world.record.write(f"client: {method} {job} at {node.name}: {error}")
+        await asyncio.sleep(0.3)
+    return None
 
 
-async def state_of(world, job):
-    for node in world.nodes:
-        try:
-            status, body = await fleet.call(node.front, "GET", f"/q/{job}", HEADERS)
-            if status == 200:
-                return body["state"]
-        except fleet.Broken:
-            pass
-    return "no answer"
+async def lose_answers(world, node):
+    world.record.write(f"the store's answers to transactions of {node.name} are lost")
+    writes_before = world.store.writes
+    node.door.loses_answers, node.door.lost = True, 0
+    await asyncio.sleep(LOST_ANSWERS_S)
+    node.door.loses_answers = False
+    writes = world.store.writes - writes_before
+    world.record.write(f"answers are lost no more; {node.door.lost} of {writes} writes got none")
+
+
+async def play_round(world, number, acked):
+    """Two changes of the owner, with jobs accepted between them and cancelled at the second."""
+    first, epoch = world.owner()
+    others = [node for node in world.nodes if node is not first]
+    lost = None
+    if world.trouble:
+        lost = asyncio.ensure_future(lose_answers(world, first))
+        until = time.monotonic() + 3.5
+        while world.owner()[1] == epoch and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+    second, second_epoch = world.owner()
+    world.record.write(f"owners: {first.name}, epoch {epoch}, then {second.name}, epoch {second_epoch}")
+    await asyncio.sleep(0.4)
+    jobs = [f"{number:08x}{index:08x}" for index in range(JOBS)]
+    taken = await asyncio.gather(*(ask(world, others, "POST", job, BODY) for job in jobs))
+    accepted = [job for job, status in zip(jobs, taken) if status == 200]
+    world.record.write(f"{len(accepted)} jobs accepted")
+    stops = world.trouble and second is not first
+    if stops:
+        world.record.write(f"{second.name} gets SIGTERM")
+        second.signal(signal.SIGTERM)
+    cancels = []
+
+    async def cancel(job, nodes):
+        if await ask(world, nodes, "DELETE", job):
+            acked[job] = time.monotonic()
+
+    # Each client reaches a node of its own; half of them the node that was the owner.
+    for index, job in enumerate(accepted):
+        nodes = [first, *others] if index % 2 else [*others, first]
+        nodes = [node for node in nodes if not (stops and node is second)]
+        cancels.append(asyncio.ensure_future(cancel(job, nodes)))
+        await asyncio.sleep(CANCELS_EACH_S)
+    await asyncio.gather(*cancels)
+    world.record.write(f"{len(acked)} cancels acknowledged; owner: epoch {world.owner()[1]}")
+    if lost:
+        await lost
+    if stops:
+        await asyncio.sleep(4)
+        second.end()
+        second.start()
+        await world.wait_ready(second)
+    await asyncio.sleep(2)
 
 
 async def scenario(world):
     routes = [fleet.route("r-4jcda9r", HOST, "/q/", "calc")]
     tenants = [fleet.tenant("tenant-a", [KEY])]
     await world.begin(fleet.config(routes, ["calc"], tenants), [("calc", 9)], nodes=3)
-    chance = random.Random(1)
-    for executor in world.fleet.executors:
-        # Durations of work units spread about their estimate, as on the users' sites.
-        executor.duration = lambda unit, spec: min(400, 150 * chance.lognormvariate(0, 0.5))
-    await asyncio.sleep(2)
-    if world.trouble:
-        # The loss of any number of nodes has to be borne: one is left.
-        for node in world.nodes[1:]:
-            world.record.write(f"{node.name} is killed and stays away")
-            node.end()
-        del world.nodes[1:]
-        await asyncio.sleep(3)
-    accepted, sent = {}, []
-    for number in range(JOBS):
-        sent.append(asyncio.ensure_future(submit(world, number, accepted)))
-        await asyncio.sleep(1 / JOBS_PER_S)
-    await asyncio.gather(*sent)
-    world.record.write(f"end of the traffic: {len(accepted)} of {JOBS} jobs accepted")
-    await asyncio.sleep(FINISH_S)
-    # Rule LOST: nothing of the job runs for 3 s, though a unit's turn has come and there is room.
-    open_jobs = {}
-    states = [await state_of(world, job) for job in accepted]
-    for job, state in zip(accepted, states):
-        if state not in ("completed", "failed", "cancelled"):
-            open_jobs[job] = state
-    running_before = [unit for unit, runs in world.fleet.running.items() if runs]
-    starts_before = len(world.fleet.starts)
-    await asyncio.sleep(IDLE_S + 0.5)
-    started = world.fleet.starts[starts_before:]
-    world.record.write(f"{FINISH_S} s later: {len(open_jobs)} jobs are open, {len(running_before)}"
-                       f" units run; in the next {IDLE_S} s {len(started)} units start")
-    busy = {unit.split(".")[0] for unit in running_before} | {unit.split(".")[0] for _, unit in started}
+    await asyncio.sleep(3)
+    acked = {}
+    for number in range(ROUNDS):
+        await play_round(world, number, acked)
+    await asyncio.sleep(CONTACT_S + CANCEL_S + STOP_TIMEOUT_S + 3)
+    # Rule UNASKED: a work unit runs on `stopTimeoutMs` after `cancel_ms` after the ack.
     broken = []
-    for job, state in open_jobs.items():
-        text = f"LOST {job}: accepted, '{state}'; nothing of it runs, and all executors are free"
-        if job not in busy and not running_before and not started:
-            broken.append(text)
-            world.record.write(text)
+    for executor in world.fleet.executors:
+        for run in executor.runs.values():
+            job = run.unit.split(".")[0]
+            if job in acked:
+                age = time.monotonic() - acked[job]
+                broken.append(f"UNASKED {run.unit}: runs {age:.1f} s after its job's cancel was acknowledged")
+    for text in broken:
+        world.record.write(text)
     return broken
 
 
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -130,6 +130,7 @@
         self.part_free_at = {}
         self.slow = 1.0
         self.busy = False
+        self.writes = 0
         self.largest = {}
         self.began = time.monotonic()
 
@@ -265,6 +266,24 @@
                 pass
 
 
+class StoreDoor(Server):
+    """The address of the store for one node. While `loses_answers` is set, transactions of this node
+    on the part `owner` are done and not answered."""
+
+    def __init__(self, store):
+        self.store = store
+        self.loses_answers = False
+        self.lost = 0
+
+    async def handle(self, method, path, query, headers, body):
+        answer = await self.store.handle(method, path, query, headers, body)
+        self.store.writes += path == "/v1/rows-tx"
+        if self.loses_answers and path == "/v1/rows-tx" and b'"part":"owner"' in body:
+            self.lost += 1
+            return None
+        return answer
+
+
 class Cloud(Server):
     """The list of machines. No test moves a machine or gives it upkeep: there is one pool."""
 
@@ -643,7 +662,10 @@
                                asyncio.ensure_future(executor.work())]
                 index += 1
         for number in range(nodes):
-            node = Node(self.temporary, number, self.store.address, self.cloud.address)
+            door = StoreDoor(self.store)
+            await door.listen()
+            node = Node(self.temporary, number, door.address, self.cloud.address)
+            node.door = door
             node.start()
             self.nodes.append(node)
             self.all_nodes.append(node)
@@ -664,6 +686,12 @@
             await asyncio.sleep(0.1)
         raise RuntimeError(f"{node.name} did not become ready")
 
+    def owner(self):
+        """Returns the node that the owner's row names, and its epoch."""
+        value, _ = self.store.rows[("owner", "owner", "owner")]
+        row = json.loads(base64.b64decode(value))
+        return next(node for node in self.all_nodes if node.name == row["node"]), row["epoch"]
+
     def end(self):
         for node in self.all_nodes:
             node.end()
