Read TROUBLE in each script of the review, and end all processes on a signal

Cause: the scripts took TROUBLE from the environment in a module only, and one that was told to stop left its nodes behind.

Change: run.sh reads TROUBLE and hands it on; the stand-ins end their nodes on SIGTERM, SIGINT and SIGHUP.

--- a/review/found/many-images/run.sh
+++ b/review/found/many-images/run.sh
@@ -1,2 +1,5 @@
 #!/usr/bin/env bash
-exec python3 "$(dirname "$0")/case.py"
+cd "$(dirname "$0")" || exit 2
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
+exec python3 case.py
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -725,6 +725,10 @@
     if the rule was broken, 0 if it held, and 2 if the case couldn't run."""
 
     async def run():
+        # A script that is told to stop ends its processes first.
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         world = World(folder)
         try:
             return await asyncio.wait_for(scenario(world), 115)
@@ -733,7 +737,7 @@
 
     try:
         breaks = asyncio.run(run())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         print(f"the case couldn't run: {error!r}")
         sys.exit(2)
     for text in breaks[:10]:
