Keep one entry for each job that is being stored

Cause: callers saw units of accepted jobs run twice, or accepted jobs vanish, when connections broke while the store was slow and then refused transactions. A job that is being stored stood in several lists that only its id joined, and could stand in several of them. A repeated request for a job whose transaction was in flight was queued for the next one. When the store refused that one, the job that the first had stored was withdrawn from the scheduler. In the same way a caller's refusal took a job of the inbox out of their common transaction, and its row was removed as if it were stored.

Change: one entry a job id, with its stage and the callers that wait for it. A repeated request joins the entry. Only an entry in the transaction that is known not to be committed is withdrawn, and none that the inbox holds. A request for a job whose transaction is in doubt waits for the result instead of being told that the job is not stored.

--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -13,6 +13,7 @@
 mod pipeline;
 mod requests;
 mod stats;
+mod submissions;
 mod write_times;
 
 use std::sync::Arc;
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -32,7 +32,6 @@
 use crate::rows::OWNER_KEY;
 use crate::rows::OwnerRow;
 use crate::shared::CancelReply;
-use crate::shared::SubmitReply;
 
 /// Maximum number of jobs that one transaction accepts.
 const SUBMISSIONS_MAX: usize = 16;
@@ -53,11 +52,12 @@
             self.resend(now);
             return;
         }
-        let rows_max = ROWS_MAX - self.pipeline.admitted.len().min(SUBMISSIONS_MAX);
+        let submissions = self.pipeline.submissions.in_transaction().count();
+        let rows_max = ROWS_MAX - submissions;
         let limits = BatchLimits { rows_max, progress_rows_max: rows_max };
         let batch = self.scheduler.take_batch(limits, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
-        let has_rows = !batch.has_no_writes() || !self.pipeline.admitted.is_empty();
+        let has_rows = !batch.has_no_writes() || submissions > 0;
         if !has_rows && !is_due && self.release.is_none() {
             if !batch.completions.is_empty() {
                 self.scheduler.handle_commit(&batch, now);
@@ -108,11 +108,9 @@
             WriteOutcome::Refused(why) | WriteOutcome::Unknown(why) => {
                 in_flight.is_in_doubt |= is_unknown;
                 if !in_flight.is_in_doubt {
-                    for job in in_flight.refuse_submissions() {
-                        self.scheduler.withdraw_job(&job, now);
-                    }
+                    self.withdraw_refused(&mut in_flight, now);
                 }
-                self.pipeline.refuse_submissions();
+                self.pipeline.submissions.refuse_waiting();
                 self.shared.node.telemetry.count(metrics::STORE_FAILED);
                 telemetry::log::line("store-write-failed")
                     .field("sequence", in_flight.row.sequence)
@@ -161,13 +159,20 @@
         if !self.pipeline.is_idle() {
             return;
         }
-        let capacity = SUBMISSIONS_MAX.saturating_sub(self.pipeline.admitted.len());
-        let remaining =
-            self.pipeline.submissions.split_off(self.pipeline.submissions.len().min(capacity));
-        let admitted = std::mem::replace(&mut self.pipeline.submissions, remaining);
-        for submission in admitted {
-            self.scheduler.add_job(submission.record.clone(), now);
-            self.pipeline.admitted.push(submission);
+        for record in self.pipeline.submissions.admit(SUBMISSIONS_MAX) {
+            self.scheduler.add_job(record, now);
+        }
+    }
+
+    /// Takes the callers' jobs out of a transaction that is known not to be committed. None of
+    /// their runs has been started.
+    fn withdraw_refused(&mut self, in_flight: &mut InFlight, now: Moment) {
+        for job in self.pipeline.submissions.withdraw_refused() {
+            self.scheduler.withdraw_job(&job, now);
+            in_flight
+                .transaction
+                .puts
+                .retain(|(table, key, _)| *table != Table::Jobs || *key != *job);
         }
     }
 
@@ -180,7 +185,7 @@
                 CancelOutcome::Ended => {
                     self.pipeline.finish_cancellation(cancellation, CancelReply::Done)
                 }
-                CancelOutcome::Unknown if self.pipeline.has_submission(&cancellation.job) => {
+                CancelOutcome::Unknown if self.pipeline.submissions.contains(&cancellation.job) => {
                     self.pipeline.cancellations.push(cancellation);
                 }
                 CancelOutcome::Unknown => {
@@ -191,7 +196,6 @@
     }
 
     fn prepare(&mut self, batch: Batch, now: Moment) -> InFlight {
-        let submissions = std::mem::take(&mut self.pipeline.admitted);
         let pipeline = &mut self.pipeline;
         let row = OwnerRow {
             sequence: pipeline.row.sequence + 1,
@@ -204,8 +208,7 @@
             puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row))],
             removals: Vec::new(),
         };
-        for submission in &submissions {
-            let record = &submission.record;
+        for record in pipeline.submissions.in_transaction() {
             let value = rows::encode(&**record);
             transaction.puts.push((Table::Jobs, record.id.to_string(), value));
         }
@@ -216,7 +219,6 @@
             transaction,
             row,
             batch,
-            submissions,
             cancellations,
             sent_at: now,
             first_sent_at: now,
@@ -278,18 +280,15 @@
             ownership.renewed_at = in_flight.sent_at;
         }
         self.shared.set_owner_row(in_flight.row.clone(), version);
-        for submission in in_flight.submissions {
+        for record in self.pipeline.submissions.take_stored() {
             self.shared.node.telemetry.count(metrics::JOBS_ACCEPTED);
             telemetry::log::line("job-accepted")
-                .field("job", &*submission.record.id)
-                .field("queue", &*submission.record.queue)
+                .field("job", &*record.id)
+                .field("queue", &*record.queue)
                 .field("shard", self.shared.shard)
                 .field("epoch", self.epoch)
                 .field("config_version", self.config_version)
                 .write();
-            if let Some(reply) = submission.reply {
-                send_reply(reply, SubmitReply::Accepted);
-            }
         }
         self.scheduler.handle_commit(&in_flight.batch, now);
         for (id, progress) in &in_flight.batch.progress {
@@ -331,11 +330,7 @@
     }
 
     fn handle_conflict(&mut self, in_flight: InFlight) {
-        for submission in in_flight.submissions {
-            if let Some(reply) = submission.reply {
-                send_reply(reply, SubmitReply::Unknown);
-            }
-        }
+        self.pipeline.submissions.reply_unknown();
         for cancellation in in_flight.cancellations {
             cancellation.send_reply(CancelReply::Unknown);
         }
--- a/crates/coordinator/src/owner/pipeline.rs
+++ b/crates/coordinator/src/owner/pipeline.rs
@@ -1,22 +1,19 @@
 //! Requests that an owner has yet to store, and the transaction in flight.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use scheduler::Batch;
 use scheduler::JobId;
-use scheduler::JobRecord;
 use scheduler::Moment;
 use tokio::sync::oneshot;
 
 use super::requests::send_reply;
+use super::submissions::Submissions;
 use super::write_times::WriteTimes;
 use crate::ports::RowVersion;
-use crate::ports::Table;
 use crate::ports::Transaction;
 use crate::rows::OwnerRow;
 use crate::shared::CancelReply;
-use crate::shared::SubmitReply;
 
 /// Time after which a transaction in flight counts as late, so that no more jobs are accepted;
 /// above the time of a transaction of a slow store.
@@ -25,13 +22,6 @@
 /// Maximum number of inbox rows that are removed together.
 const INBOX_REMOVALS_MAX: usize = 32;
 
-/// A job that is to be stored.
-pub(super) struct Submission {
-    pub record: Arc<JobRecord>,
-    /// Receives the result; none if the job comes from the inbox.
-    pub reply: Option<oneshot::Sender<SubmitReply>>,
-}
-
 /// A cancellation that is to be stored.
 pub(super) struct Cancellation {
     pub job: JobId,
@@ -48,7 +38,6 @@
     pub row: OwnerRow,
     /// Rows of the scheduler that the transaction writes.
     pub batch: Batch,
-    pub submissions: Vec<Submission>,
     pub cancellations: Vec<Cancellation>,
     pub sent_at: Moment,
     /// When it was sent for the first time.
@@ -71,11 +60,8 @@
     pub renewed_at: Moment,
     /// When the last transaction was sent, committed or not.
     pub sent_at: Moment,
-    /// Jobs that are not admitted to a transaction yet.
-    pub submissions: Vec<Submission>,
-    /// Jobs that the next transaction stores. The scheduler already knows them, so that the same
-    /// transaction also stores their first runs.
-    pub admitted: Vec<Submission>,
+    /// Jobs that are not stored yet.
+    pub submissions: Submissions,
     /// Cancellations of jobs that are not finished yet.
     pub cancellations: Vec<Cancellation>,
     /// Keys of the inbox rows to remove once their requests are stored.
@@ -97,8 +83,7 @@
             version,
             renewed_at: sent_at,
             sent_at,
-            submissions: Vec::new(),
-            admitted: Vec::new(),
+            submissions: Submissions::default(),
             cancellations: Vec::new(),
             inbox_removals: Vec::new(),
             is_removing_inbox: false,
@@ -114,27 +99,6 @@
         self.renewed_at
     }
 
-    /// Adds a job to those that the next transactions store.
-    pub fn add_submission(&mut self, submission: Submission) {
-        self.submissions.push(submission);
-    }
-
-    /// Returns whether the job is waiting to be stored or is part of the transaction in flight.
-    pub fn has_submission(&self, job: &str) -> bool {
-        let is_same_job = |submission: &Submission| *submission.record.id == *job;
-        self.submissions.iter().any(is_same_job)
-            || self.admitted.iter().any(is_same_job)
-            || self
-                .in_flight
-                .as_ref()
-                .is_some_and(|in_flight| in_flight.submissions.iter().any(is_same_job))
-    }
-
-    /// Returns the number of jobs of a queue that are not admitted to a transaction yet.
-    pub fn waiting_submissions(&self, queue: &str) -> usize {
-        self.submissions.iter().filter(|submission| *submission.record.queue == *queue).count()
-    }
-
     /// Returns whether no transaction is in flight.
     pub fn is_idle(&self) -> bool {
         self.in_flight.is_none()
@@ -148,17 +112,6 @@
         })
     }
 
-    /// Refuses the callers' jobs that are not admitted to a transaction yet.
-    pub fn refuse_submissions(&mut self) {
-        for submission in std::mem::take(&mut self.submissions) {
-            match submission.reply {
-                Some(reply) => send_reply(reply, SubmitReply::NotStored),
-                // The job is stored in the inbox and was accepted there.
-                None => self.submissions.push(submission),
-            }
-        }
-    }
-
     /// Adds a cancellation, which takes effect once its job is stored.
     pub fn add_cancellation(&mut self, cancellation: Cancellation) {
         self.cancellations.push(cancellation);
@@ -172,31 +125,15 @@
     }
 }
 
-impl InFlight {
-    /// Removes the callers' jobs from a transaction that was not committed, refuses them, and
-    /// returns their ids.
-    pub fn refuse_submissions(&mut self) -> Vec<JobId> {
-        let mut refused = Vec::new();
-        for submission in std::mem::take(&mut self.submissions) {
-            let Some(reply) = submission.reply else {
-                self.submissions.push(submission);
-                continue;
-            };
-            let id = &*submission.record.id;
-            self.transaction.puts.retain(|(table, key, _)| *table != Table::Jobs || key != id);
-            send_reply(reply, SubmitReply::NotStored);
-            refused.push(submission.record.id.clone());
-        }
-        refused
-    }
-}
-
 impl Pipeline {
     /// Takes the rows of the inbox that may be removed because their jobs are stored, up to
     /// [`INBOX_REMOVALS_MAX`].
     pub fn take_inbox_removals(&mut self) -> Vec<String> {
         let keys = std::mem::take(&mut self.inbox_removals);
-        let is_stored = |key: &String| !self.has_submission(key.rsplit('/').next().unwrap_or(key));
+        let is_stored = |key: &String| {
+            let job = key.rsplit('/').next().unwrap_or(key);
+            !self.submissions.contains(job)
+        };
         let (mut ready, waiting): (Vec<String>, Vec<String>) =
             keys.into_iter().partition(is_stored);
         let rest = ready.split_off(ready.len().min(INBOX_REMOVALS_MAX));
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
+use scheduler::JobRecord;
 use scheduler::JobView;
 use tokio::sync::oneshot;
 
 use super::Owner;
 use super::Release;
 use super::pipeline::Cancellation;
-use super::pipeline::Submission;
+use super::submissions::Submitter;
 use crate::caller_api::is_allowed;
 use crate::clock;
 use crate::ports::Platform;
@@ -27,18 +28,7 @@
 impl<P: Platform> Owner<P> {
     pub(super) fn handle_request(&mut self, request: OwnerRequest) {
         match request {
-            OwnerRequest::Submit { record, reply } => {
-                let has_submission = self.pipeline.has_submission(&record.id);
-                if self.scheduler.view(&record.id).is_some() && !has_submission {
-                    send_reply(reply, SubmitReply::Accepted);
-                    return;
-                }
-                if self.release.is_some() || self.pipeline.is_stuck(clock::now()) {
-                    send_reply(reply, SubmitReply::NotStored);
-                    return;
-                }
-                self.pipeline.add_submission(Submission { record, reply: Some(reply) });
-            }
+            OwnerRequest::Submit { record, reply } => self.handle_submit(record, reply),
             OwnerRequest::State { job, requester, reply } => {
                 send_reply(reply, self.state(&job, &requester))
             }
@@ -46,14 +36,29 @@
                 self.handle_cancel(&job, &requester, reply)
             }
             OwnerRequest::CountWaiting { queue, reply } => {
-                let waiting =
-                    self.scheduler.queued_jobs(&queue) + self.pipeline.waiting_submissions(&queue);
-                send_reply(reply, waiting);
+                let waiting = self.pipeline.submissions.waiting_in(&queue);
+                send_reply(reply, self.scheduler.queued_jobs(&queue) + waiting);
             }
             OwnerRequest::Release { reply } => self.release = Some(Release { reply: Some(reply) }),
         }
     }
 
+    fn handle_submit(&mut self, record: Arc<JobRecord>, reply: oneshot::Sender<SubmitReply>) {
+        if self.is_stored(&record.id) {
+            return send_reply(reply, SubmitReply::Accepted);
+        }
+        let is_refusing = self.release.is_some() || self.pipeline.is_stuck(clock::now());
+        if is_refusing && self.pipeline.submissions.may_refuse(&record.id) {
+            return send_reply(reply, SubmitReply::NotStored);
+        }
+        self.pipeline.submissions.add(record, Submitter::Caller(reply));
+    }
+
+    /// Returns whether the job is stored; one in a transaction in flight may still be refused.
+    fn is_stored(&self, job: &str) -> bool {
+        self.scheduler.view(job).is_some() && !self.pipeline.submissions.contains(job)
+    }
+
     /// Handles the requests that nodes have stored in the inbox; those of other shards are left
     /// alone.
     pub(super) fn handle_inbox(&mut self, mut stored: Vec<Row>) {
@@ -65,11 +70,8 @@
                 Some(InboxRow::Submit(record)) if !self.shared.has_job(&record) => {}
                 Some(InboxRow::Cancel { shard, .. }) if shard != self.shared.shard => {}
                 Some(InboxRow::Submit(record)) => {
-                    // A job in a transaction that is in flight may still be refused.
-                    let has_submission = self.pipeline.has_submission(&record.id);
-                    if self.scheduler.view(&record.id).is_none() || has_submission {
-                        let record = Arc::new(record);
-                        self.pipeline.add_submission(Submission { record, reply: None });
+                    if !self.is_stored(&record.id) {
+                        self.pipeline.submissions.add(Arc::new(record), Submitter::Inbox);
                     }
                     self.pipeline.add_inbox_removal(row.key);
                 }
@@ -92,7 +94,9 @@
                 StateReply::Found(view)
             }
             (Some(_), _) => StateReply::OtherTeam,
-            (None, _) if self.pipeline.has_submission(job) => StateReply::Found(JobView::Queued),
+            (None, _) if self.pipeline.submissions.contains(job) => {
+                StateReply::Found(JobView::Queued)
+            }
             (None, _) => StateReply::NoJob,
         }
     }
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -97,6 +97,8 @@
     /// Number of reads of whole tables that panic, as a fault of the program would.
     panics_left: u32,
     hung_writes_left: u32,
+    /// Writes of a slow table that are not committed yet.
+    writes_in_progress: usize,
     /// Time from the commit of a write to the reply of the table.
     reply_delay: Duration,
     are_workers_registered_again: bool,
@@ -239,6 +241,18 @@
         self.owner_of(0)
     }
 
+    /// Returns the values of the rows of a table.
+    pub fn values(&self, table: Table) -> Vec<Bytes> {
+        let data = self.data.lock().unwrap();
+        let rows = data.rows.iter().filter(|((number, ..), _)| *number == table_number(table));
+        rows.map(|(_, (value, _))| value.clone()).collect()
+    }
+
+    /// Returns the number of writes of a slow table that are not committed yet.
+    pub fn writes_in_progress(&self) -> usize {
+        self.data.lock().unwrap().writes_in_progress
+    }
+
     pub fn rows(&self, table: Table) -> Vec<String> {
         let data = self.data.lock().unwrap();
         let rows = data.rows.keys().filter(|(number, ..)| *number == table_number(table));
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -126,7 +126,9 @@
     async fn write(&self, transaction: Transaction) -> WriteOutcome {
         let is_slow = self.data.lock().unwrap().fault == TableFault::Slow;
         if is_slow {
+            self.data.lock().unwrap().writes_in_progress += 1;
             tokio::time::sleep(SLOW_WRITE_TIME).await;
+            self.data.lock().unwrap().writes_in_progress -= 1;
         }
         let outcome = self.commit(transaction);
         if self.takes_hung_write() {
