Leave nothing of a withdrawn job in the transaction that is sent again

Cause: a transaction that the store has refused is sent again without the callers' jobs, but it still assigned their units to workers. After the caller's next request the same run numbers could go to other workers. A successor that finds a run number on two workers can't tell which run exists; if it picks the wrong one, the unit runs twice.

Ruled out: that the start commands of such runs are sent. The scheduler has removed the runs, and the commit finds none to start.

Change: the batch drops progress, record and assignments of the withdrawn job, a cancel of it is answered, and the transaction is built anew from the batch.

Measured: a_refused_job_leaves_no_assignment failed before (the row named a.0.0.0 and a.0.0.1) and passes.

--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -14,6 +14,7 @@
 use super::EndReason;
 use super::Owner;
 use super::event::Event;
+use super::pipeline::Cancellation;
 use super::pipeline::InFlight;
 use super::requests::send_reply;
 use crate::clock;
@@ -165,15 +166,22 @@
     }
 
     /// Takes the callers' jobs out of a transaction that is known not to be committed. None of
-    /// their runs has been started.
+    /// their runs has been started, and none must be left in a row: the next request for the job may
+    /// give its run numbers to other workers.
     fn withdraw_refused(&mut self, in_flight: &mut InFlight, now: Moment) {
-        for job in self.pipeline.submissions.withdraw_refused() {
-            self.scheduler.withdraw_job(&job, now);
-            in_flight
-                .transaction
-                .puts
-                .retain(|(table, key, _)| *table != Table::Jobs || *key != *job);
+        let withdrawn = self.pipeline.submissions.withdraw_refused();
+        if withdrawn.is_empty() {
+            return;
+        }
+        for job in &withdrawn {
+            self.scheduler.withdraw_job(job, now);
+            in_flight.batch.remove_job(job);
+        }
+        let is_withdrawn = |cancellation: &mut Cancellation| withdrawn.contains(&cancellation.job);
+        for cancellation in in_flight.cancellations.extract_if(.., is_withdrawn) {
+            self.pipeline.finish_cancellation(cancellation, CancelReply::NoJob);
         }
+        in_flight.transaction = self.transaction(&in_flight.row, &in_flight.batch);
     }
 
     /// Passes the pending cancellations to the scheduler. Those of submissions that it doesn't know
@@ -196,24 +204,13 @@
     }
 
     fn prepare(&mut self, batch: Batch, now: Moment) -> InFlight {
-        let pipeline = &mut self.pipeline;
         let row = OwnerRow {
-            sequence: pipeline.row.sequence + 1,
+            sequence: self.pipeline.row.sequence + 1,
             is_released: self.release.is_some(),
-            ..pipeline.row.clone()
-        };
-        let mut transaction = Transaction {
-            shard: self.shared.shard,
-            preconditions: vec![(Table::Owner, OWNER_KEY.to_owned(), pipeline.version)],
-            puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(&row))],
-            removals: Vec::new(),
+            ..self.pipeline.row.clone()
         };
-        for record in pipeline.submissions.in_transaction() {
-            let value = rows::encode(&**record);
-            transaction.puts.push((Table::Jobs, record.id.to_string(), value));
-        }
-        add_rows(&mut transaction, &batch);
-        let cancellations = pipeline.take_ready_cancellations(&batch);
+        let transaction = self.transaction(&row, &batch);
+        let cancellations = self.pipeline.take_ready_cancellations(&batch);
         let (attempts, is_in_doubt) = (0, false);
         InFlight {
             transaction,
@@ -228,6 +225,22 @@
         }
     }
 
+    /// Returns the transaction that writes the owner's row, a batch and the admitted jobs.
+    fn transaction(&self, row: &OwnerRow, batch: &Batch) -> Transaction {
+        let mut transaction = Transaction {
+            shard: self.shared.shard,
+            preconditions: vec![(Table::Owner, OWNER_KEY.to_owned(), self.pipeline.version)],
+            puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(row))],
+            removals: Vec::new(),
+        };
+        for record in self.pipeline.submissions.in_transaction() {
+            let value = rows::encode(&**record);
+            transaction.puts.push((Table::Jobs, record.id.to_string(), value));
+        }
+        add_rows(&mut transaction, batch);
+        transaction
+    }
+
     /// Sends a transaction, or sends it again after all attempts have failed.
     fn send(&mut self, in_flight: InFlight, now: Moment) {
         self.pipeline.sent_at = now;
--- a/crates/coordinator/tests/repeated_submissions.rs
+++ b/crates/coordinator/tests/repeated_submissions.rs
@@ -129,3 +129,20 @@
     assert_eq!(starts_of(&memory, "a").len(), 2);
     wait_until("the row stays", async || memory.rows(Table::Inbox).is_empty()).await;
 }
+/// Guards against two runs after a takeover: a transaction that was sent again without the jobs
+/// that were refused still assigned their units to workers. After the caller's next request the
+/// same run numbers were given to other workers, and a successor couldn't tell which run exists.
+#[tokio::test]
+async fn a_refused_job_leaves_no_assignment() {
+    let memory = Memory::new(Duration::from_secs(60));
+    let node = Arc::new(start_owner(&memory).await);
+    memory.set_fault(TableFault::Unavailable);
+    let outcome = submit(&node, "a").await;
+    assert!(matches!(outcome, SubmitOutcome::NotStored { .. }), "{outcome:?}");
+    memory.set_fault(TableFault::None);
+    let renewed = memory.owner().sequence + 2;
+    wait_until("nothing is stored", async || memory.owner().sequence > renewed).await;
+    let assignments = memory.values(Table::Assignments);
+    let names_job = |value: &bytes::Bytes| value.windows(4).any(|part| part == b"\"a.0");
+    assert!(!assignments.iter().any(names_job), "{assignments:?}");
+}
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -57,6 +57,13 @@
 }
 
 impl AssignmentRow {
+    /// Removes the runs of a job.
+    pub(crate) fn remove_job(&mut self, job: &str) {
+        let is_kept = |(unit, _): &&(String, u32)| !is_of_job(unit, job);
+        self.preceding_runs = self.runs.iter().take(self.preceding_runs).filter(is_kept).count();
+        self.runs.retain(|run| is_kept(&run));
+    }
+
     /// Returns the runs of the row, without those whose unit has no valid name.
     fn stored_runs(&self, worker: &WorkerId) -> impl Iterator<Item = StoredRun> {
         self.runs.iter().enumerate().filter_map(move |(index, (unit, number))| {
@@ -281,6 +288,11 @@
     }
 }
 
+/// Returns true if a unit with this name is one of the job's.
+fn is_of_job(unit: &str, job: &str) -> bool {
+    unit.strip_prefix(job).is_some_and(|rest| rest.starts_with('.'))
+}
+
 /// Returns the stored runs that may still exist. A unit gets a run with a higher number only after
 /// the run before it has ended.
 fn possible_runs(mut runs: Vec<StoredRun>) -> Vec<StoredRun> {
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -69,6 +69,15 @@
             && self.durations.is_none()
     }
 
+    /// Leaves out all that the batch has of a job that is not stored after all.
+    pub fn remove_job(&mut self, job: &str) {
+        self.progress.retain(|(id, _)| **id != *job);
+        self.jobs_to_unstore.retain(|id| **id != *job);
+        for (_, row) in &mut self.assignments {
+            row.remove_job(job);
+        }
+    }
+
     /// Returns the number of rows that are written or removed.
     pub fn row_count(&self) -> usize {
         self.progress.len()
