Settle the cancellation of an unknown job only as the confirmed owner

Cause: callers saw jobs run on for good after DELETE had been answered with 200. An owner that was superseded, and didn't know it since replies of the store were lost, read a cancellation from the inbox whose job its successor had accepted. It took the unknown job for one that had ended, and removed the row while the next owner was loading.

Ruled out: that the next owner reads past the row (the row is gone before it reads), and that submissions are removed in the same way: their rows go only if the job is stored.

Removals are logged as inbox-rows-removed.

--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -133,6 +133,11 @@
         if keys.is_empty() {
             return;
         }
+        telemetry::log::line("inbox-rows-removed")
+            .field("shard", self.shared.shard)
+            .field("epoch", self.epoch)
+            .field("rows", keys.clone())
+            .write();
         self.pipeline.is_removing_inbox = true;
         let shared = self.shared.clone();
         self.spawn(async move {
@@ -185,7 +190,7 @@
     }
 
     /// Passes the pending cancellations to the scheduler. Those of submissions that it doesn't know
-    /// yet wait; those of jobs that have ended or don't exist are answered.
+    /// yet wait; those of jobs that have ended or certainly don't exist are answered.
     pub(super) fn process_cancellations(&mut self) {
         for cancellation in std::mem::take(&mut self.pipeline.cancellations) {
             match self.scheduler.cancel(&cancellation.job) {
@@ -193,7 +198,7 @@
                 CancelOutcome::Ended => {
                     self.pipeline.finish_cancellation(cancellation, CancelReply::Done)
                 }
-                CancelOutcome::Unknown if self.pipeline.submissions.contains(&cancellation.job) => {
+                CancelOutcome::Unknown if self.must_keep_unknown(&cancellation) => {
                     self.pipeline.cancellations.push(cancellation);
                 }
                 CancelOutcome::Unknown => {
@@ -203,6 +208,12 @@
         }
     }
 
+    /// Returns whether the job of a cancellation, which the scheduler doesn't know, may exist.
+    fn must_keep_unknown(&self, cancellation: &Cancellation) -> bool {
+        self.pipeline.submissions.contains(&cancellation.job)
+            || !self.pipeline.is_settled_if_unknown(cancellation)
+    }
+
     fn prepare(&mut self, batch: Batch, now: Moment) -> InFlight {
         let row = OwnerRow {
             sequence: self.pipeline.row.sequence + 1,
--- a/crates/coordinator/src/owner/pipeline.rs
+++ b/crates/coordinator/src/owner/pipeline.rs
@@ -27,8 +27,15 @@
     pub job: JobId,
     /// Receives the result; none if the request comes from the inbox.
     pub reply: Option<oneshot::Sender<CancelReply>>,
-    /// Key of the inbox row that requested it; none if a caller is waiting.
-    pub inbox_key: Option<String>,
+    /// Inbox row that requested it; none if a caller is waiting.
+    pub inbox_row: Option<InboxRef>,
+}
+
+/// A row of the inbox.
+pub(super) struct InboxRef {
+    pub key: String,
+    /// When the owner learned of the row, after it had been read.
+    pub read_at: Moment,
 }
 
 /// The transaction in flight, with what depends on its result.
@@ -142,6 +149,13 @@
         ready
     }
 
+    /// Returns whether the cancellation of a job that the owner doesn't know is settled. Another
+    /// node may have taken over and accepted the job, unless a transaction that was sent after the
+    /// row had been read is committed. A caller's node looks for the job in the store.
+    pub fn is_settled_if_unknown(&self, cancellation: &Cancellation) -> bool {
+        cancellation.inbox_row.as_ref().is_none_or(|row| self.renewed_at > row.read_at)
+    }
+
     /// Takes the cancellations of the jobs whose final state a batch stores.
     pub fn take_ready_cancellations(&mut self, batch: &Batch) -> Vec<Cancellation> {
         let is_in = |cancellation: &Cancellation| {
@@ -155,8 +169,8 @@
     }
 
     pub fn finish_cancellation(&mut self, cancellation: Cancellation, reply: CancelReply) {
-        if let Some(key) = &cancellation.inbox_key {
-            self.add_inbox_removal(key.clone());
+        if let Some(row) = &cancellation.inbox_row {
+            self.add_inbox_removal(row.key.clone());
         }
         cancellation.send_reply(reply);
     }
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -9,6 +9,7 @@
 use super::Owner;
 use super::Release;
 use super::pipeline::Cancellation;
+use super::pipeline::InboxRef;
 use super::submissions::Submitter;
 use crate::caller_api::is_allowed;
 use crate::clock;
@@ -77,11 +78,8 @@
                 }
                 Some(InboxRow::Cancel { job, .. }) => {
                     let (job, reply) = (job.into(), None);
-                    self.pipeline.add_cancellation(Cancellation {
-                        job,
-                        reply,
-                        inbox_key: Some(row.key),
-                    });
+                    let inbox_row = Some(InboxRef { key: row.key, read_at: clock::now() });
+                    self.pipeline.add_cancellation(Cancellation { job, reply, inbox_row });
                 }
                 None => self.pipeline.add_inbox_removal(row.key),
             }
@@ -117,7 +115,7 @@
         self.pipeline.add_cancellation(Cancellation {
             job: job.into(),
             reply: Some(reply),
-            inbox_key: None,
+            inbox_row: None,
         });
     }
 }
