Keep rows of the inbox that can't be decoded

Cause: an owner removed each row of the inbox that it couldn't decode. During a rolling update to a version with another form of these rows, they are requests that a node has acknowledged.

Ruled out: that such rows keep the others from being read: odd_rows shows that a node serves beside one.

Measured: a_row_that_cannot_be_decoded_stays failed before and passes. By a test only.

--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -81,7 +81,8 @@
                     let inbox_row = Some(InboxRef { key: row.key, read_at: clock::now() });
                     self.pipeline.add_cancellation(Cancellation { job, reply, inbox_row });
                 }
-                None => self.pipeline.add_inbox_removal(row.key),
+                // It stays: a node of a later version may have stored an accepted request.
+                None => {}
             }
         }
     }
--- a/crates/coordinator/tests/inbox_removals.rs
+++ b/crates/coordinator/tests/inbox_removals.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use coordinator::Node;
 use coordinator::clock;
 use coordinator::ports::Table;
@@ -67,3 +68,14 @@
     memory.put_inbox("cancel/unknown", &cancel("unknown"));
     wait_until("the row stays", || memory.rows(Table::Inbox).is_empty()).await;
 }
+
+/// Guards against a lost request during a rolling update: a node of a later version stores it in a
+/// form that this one can't decode.
+#[tokio::test]
+async fn a_row_that_cannot_be_decoded_stays() {
+    let memory = Memory::new(Duration::from_secs(60));
+    let _node = start_owner(&memory).await;
+    memory.put(Table::Inbox, "submit/later", Bytes::from_static(b"{\"submit-2\":{}}"));
+    tokio::time::sleep(REMOVAL_TIME).await;
+    assert_eq!(memory.rows(Table::Inbox), ["submit/later"]);
+}
