Bound each stored row and each transaction

Cause: callers saw all work of all teams stop for good after one job of 8,000 units. The row of its progress lists each finished unit and outgrew the store's limit. The store refuses such a transaction for good (400), which was taken for a refusal that passes, and the same transaction was sent again for ever. The row of measured durations could grow in the same way.

Ruled out: that a takeover helps (workers list the same completions again), and that larger transactions are at fault: the refused one had few rows, one of which was above 65,536 bytes.

Change: row_sizes has a bound for each row that grows with the work. Finished units become bitmaps where the list doesn't fit; checkpoints, crashed runs and old durations are left out; failures gate new runs of their job; the runs of a worker, occurrences and the bytes of a transaction are limited. Final refusals of the store have an outcome of their own, a counter and a log line that names the largest rows.

--- a/crates/coordinator/src/caller_api.rs
+++ b/crates/coordinator/src/caller_api.rs
@@ -12,6 +12,7 @@
 use scheduler::QueueName;
 use scheduler::ShardIndex;
 use scheduler::TeamName;
+use scheduler::UnstorableJob;
 
 use crate::clock;
 use crate::config::CallerConfig;
@@ -84,10 +85,28 @@
         /// Time after which the caller may retry.
         retry_after: Duration,
     },
+    /// The job can't be stored, and submitting it again is of no use.
+    Unstorable(Unstorable),
     /// The job may be stored; the caller may submit it again.
     Unknown,
 }
 
+/// Why a job can't be stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unstorable {
+    /// The job is larger than a row.
+    #[error("the stored form of the job has {bytes} bytes; at most {bytes_max} fit")]
+    Record {
+        /// Size of its record.
+        bytes: usize,
+        /// Largest value of a row.
+        bytes_max: usize,
+    },
+    /// Its progress may become larger than a row.
+    #[error(transparent)]
+    Progress(#[from] UnstorableJob),
+}
+
 /// Result of a request for the state of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobLookup {
@@ -164,6 +183,9 @@
     /// Submits a job, which is stored before it is reported as accepted. A submission whose result
     /// is not known at `deadline` is reported as unknown.
     pub async fn submit(&self, record: JobRecord, deadline: Moment) -> SubmitOutcome {
+        if let Err(unstorable) = self.check_storable(&record) {
+            return SubmitOutcome::Unstorable(unstorable);
+        }
         let record = Arc::new(record);
         let shared = self.node.shard_of_job(&record);
         let by_owner = self.owner(shared).submit(&record).await;
@@ -179,6 +201,17 @@
         }
     }
 
+    /// Checks that the job and its progress fit into rows of the store.
+    fn check_storable(&self, record: &JobRecord) -> Result<(), Unstorable> {
+        let bytes_max = self.node.settings.scheduling.row_bytes_max;
+        record.check_storable(bytes_max)?;
+        let bytes = rows::encode(&InboxRow::Submit(record.clone())).len();
+        match bytes > bytes_max {
+            true => Err(Unstorable::Record { bytes, bytes_max }),
+            false => Ok(()),
+        }
+    }
+
     /// Returns the state of a job of a queue.
     pub async fn job(&self, queue: &str, id: &str, team: Option<&TeamName>) -> JobLookup {
         for shared in self.node.shards_of_job(queue, id).unwrap_or_default() {
@@ -270,8 +303,16 @@
                     return SubmitOutcome::Accepted;
                 }
                 WriteOutcome::Unknown(_) => is_unsure = true,
-                WriteOutcome::Conflict(_) | WriteOutcome::Refused(_) if !is_unsure => return retry,
-                WriteOutcome::Conflict(_) | WriteOutcome::Refused(_) => {}
+                WriteOutcome::Conflict(_)
+                | WriteOutcome::Refused(_)
+                | WriteOutcome::Rejected(_)
+                    if !is_unsure =>
+                {
+                    return retry;
+                }
+                WriteOutcome::Conflict(_)
+                | WriteOutcome::Refused(_)
+                | WriteOutcome::Rejected(_) => {}
             }
             self.node.record_store_reply(false);
             if clock::now() + INBOX_RETRY_PAUSE >= deadline {
--- a/crates/coordinator/src/divisions.rs
+++ b/crates/coordinator/src/divisions.rs
@@ -251,7 +251,7 @@
                 }
             }
             WriteOutcome::Conflict(found) => self.apply(&found, now),
-            WriteOutcome::Refused(_) | WriteOutcome::Unknown(_) => {
+            WriteOutcome::Refused(_) | WriteOutcome::Rejected(_) | WriteOutcome::Unknown(_) => {
                 let is_unknown = matches!(outcome, WriteOutcome::Unknown(_));
                 let Some(pending) = self.pending.get_mut(key) else {
                     return;
--- a/crates/coordinator/src/layout.rs
+++ b/crates/coordinator/src/layout.rs
@@ -117,6 +117,6 @@
     match node.platform.write(transaction).await {
         WriteOutcome::Committed(_) => Ok(Some(layout)),
         WriteOutcome::Conflict(_) | WriteOutcome::Unknown(_) => Ok(None),
-        WriteOutcome::Refused(why) => Err(ReadError::Refused(why)),
+        WriteOutcome::Refused(why) | WriteOutcome::Rejected(why) => Err(ReadError::Refused(why)),
     }
 }
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -54,6 +54,8 @@
 pub const STORE_WRITE: &str = "store.write";
 /// Transactions of the owner that were refused or not answered.
 pub const STORE_FAILED: &str = "store.failed";
+/// Transactions of the owner that the store rejects as they are.
+pub const STORE_REJECTED: &str = "store.rejected";
 /// Changes of the portions of quotas, or of waves, that this node has sent.
 pub const DIVISIONS_CHANGED: &str = "divisions.changed";
 /// Takeovers by this node.
@@ -91,6 +93,7 @@
     counter(HOST_COMMANDS_UNKNOWN, "orders to hosts that were not answered"),
     timer(STORE_WRITE, "time of a transaction of the owner"),
     counter(STORE_FAILED, "transactions of the owner that were refused or not answered"),
+    counter(STORE_REJECTED, "transactions of the owner that the store rejects as they are"),
     counter(DIVISIONS_CHANGED, "changes of divisions among shards that this node has sent"),
     counter(OWNERSHIP_TAKEN, "take-overs by this node"),
     timer(OWNERSHIP_LOAD, "time from a take-over to the first decision"),
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -342,7 +342,9 @@
             Ok(Some((found, version))) if found == row => version,
             _ => return None,
         },
-        WriteOutcome::Conflict(_) | WriteOutcome::Refused(_) => return None,
+        WriteOutcome::Conflict(_) | WriteOutcome::Refused(_) | WriteOutcome::Rejected(_) => {
+            return None;
+        }
     };
     shared.set_owner_row(row.clone(), version);
     telemetry::log::line("ownership-taken")
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -10,6 +10,8 @@
 use scheduler::BatchLimits;
 use scheduler::CancelOutcome;
 use scheduler::Moment;
+use serde_json::Value;
+use serde_json::json;
 
 use super::EndReason;
 use super::Owner;
@@ -39,10 +41,20 @@
 /// Maximum number of the scheduler's rows and of accepted jobs in one transaction. Together with
 /// the owner's row and its precondition, they stay below the limit of the store, 100 entries.
 const ROWS_MAX: usize = 96;
+/// Maximum number of bytes of the values in a transaction. The store takes 1 MB of their encoded
+/// form, which is a third longer, with the names of the rows.
+const TRANSACTION_BYTES_MAX: usize = 700_000;
+/// Number of these bytes from which a transaction accepts no further job.
+const SUBMISSIONS_BYTES_MAX: usize = 300_000;
 /// Time after which a transaction renews the ownership even if there is nothing else to store.
 const RENEW_AFTER: Duration = Duration::from_millis(500);
+/// Number of rows that are named when the store rejects a transaction.
+const LARGEST_ROWS_LOGGED: usize = 3;
 /// Pause between two requests to a follower to take over.
 const TAKEOVER_REQUEST_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a transaction that the store rejects as it is. A successor stores the changes in other
+/// transactions.
+const REJECTED_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause after a transaction that was refused or got no reply.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -55,7 +67,8 @@
         }
         let submissions = self.pipeline.submissions.in_transaction().count();
         let rows_max = ROWS_MAX - submissions;
-        let limits = BatchLimits { rows_max, progress_rows_max: rows_max };
+        let bytes_max = TRANSACTION_BYTES_MAX - SUBMISSIONS_BYTES_MAX;
+        let limits = BatchLimits { rows_max, progress_rows_max: rows_max, bytes_max };
         let batch = self.scheduler.take_batch(limits, now);
         let is_due = now.saturating_sub(self.pipeline.sent_at) >= RENEW_AFTER;
         let has_rows = !batch.has_no_writes() || submissions > 0;
@@ -89,6 +102,7 @@
         let has_succeeded =
             matches!(outcome, WriteOutcome::Committed(_) | WriteOutcome::Conflict(_));
         let is_unknown = matches!(outcome, WriteOutcome::Unknown(_));
+        let is_rejected = matches!(outcome, WriteOutcome::Rejected(_));
         self.shared.node.record_store_reply(has_succeeded);
         if has_succeeded {
             self.pipeline.write_times.record(took);
@@ -106,7 +120,9 @@
                 Some(version) => self.handle_committed(in_flight, version, now),
                 None => self.handle_conflict(in_flight),
             },
-            WriteOutcome::Refused(why) | WriteOutcome::Unknown(why) => {
+            WriteOutcome::Refused(why)
+            | WriteOutcome::Rejected(why)
+            | WriteOutcome::Unknown(why) => {
                 in_flight.is_in_doubt |= is_unknown;
                 if !in_flight.is_in_doubt {
                     self.withdraw_refused(&mut in_flight, now);
@@ -117,8 +133,12 @@
                     .field("sequence", in_flight.row.sequence)
                     .text("why", why)
                     .write();
+                if is_rejected {
+                    self.report_rejected(&in_flight);
+                }
+                let pause = if is_rejected { REJECTED_RETRY_PAUSE } else { RETRY_PAUSE };
                 self.pipeline.in_flight = Some(in_flight);
-                self.pipeline.retry_at = Some(now + RETRY_PAUSE);
+                self.pipeline.retry_at = Some(now + pause);
                 self.request_takeover(now);
             }
         }
@@ -165,7 +185,8 @@
         if !self.pipeline.is_idle() {
             return;
         }
-        for record in self.pipeline.submissions.admit(SUBMISSIONS_MAX) {
+        let admitted = self.pipeline.submissions.admit(SUBMISSIONS_MAX, SUBMISSIONS_BYTES_MAX);
+        for record in admitted {
             self.scheduler.add_job(record, now);
         }
     }
@@ -244,14 +265,32 @@
             puts: vec![(Table::Owner, OWNER_KEY.to_owned(), rows::encode(row))],
             removals: Vec::new(),
         };
-        for record in self.pipeline.submissions.in_transaction() {
-            let value = rows::encode(&**record);
-            transaction.puts.push((Table::Jobs, record.id.to_string(), value));
+        for (record, value) in self.pipeline.submissions.in_transaction() {
+            transaction.puts.push((Table::Jobs, record.id.to_string(), value.clone()));
         }
         add_rows(&mut transaction, batch);
         transaction
     }
 
+    /// Logs the largest rows of a transaction that the store rejects as it is.
+    fn report_rejected(&self, in_flight: &InFlight) {
+        self.shared.node.telemetry.count(metrics::STORE_REJECTED);
+        let puts = &in_flight.transaction.puts;
+        let mut sizes: Vec<(usize, String)> = puts
+            .iter()
+            .map(|(table, key, value)| (value.len(), format!("{table:?}/{key}")))
+            .collect();
+        sizes.sort_unstable_by(|a, b| b.cmp(a));
+        sizes.truncate(LARGEST_ROWS_LOGGED);
+        let largest = sizes.iter().map(|(bytes, row)| json!([row, bytes]));
+        telemetry::log::line("store-write-rejected")
+            .field("sequence", in_flight.row.sequence)
+            .field("rows", puts.len())
+            .field("bytes", puts.iter().map(|(.., value)| value.len()).sum::<usize>())
+            .field("largest", largest.collect::<Vec<Value>>())
+            .write();
+    }
+
     /// Sends a transaction, or sends it again after all attempts have failed.
     fn send(&mut self, in_flight: InFlight, now: Moment) {
         self.pipeline.sent_at = now;
--- a/crates/coordinator/src/owner/divide.rs
+++ b/crates/coordinator/src/owner/divide.rs
@@ -50,7 +50,10 @@
 
     /// Handles the result of a change to a division.
     pub(super) fn handle_division_written(&mut self, key: &str, outcome: WriteOutcome) {
-        if let WriteOutcome::Refused(why) | WriteOutcome::Unknown(why) = &outcome {
+        if let WriteOutcome::Refused(why)
+        | WriteOutcome::Rejected(why)
+        | WriteOutcome::Unknown(why) = &outcome
+        {
             telemetry::log::line("division-not-written")
                 .field("shard", self.shared.shard)
                 .field("key", key)
--- a/crates/coordinator/src/owner/submissions.rs
+++ b/crates/coordinator/src/owner/submissions.rs
@@ -6,11 +6,13 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use scheduler::JobId;
 use scheduler::JobRecord;
 use tokio::sync::oneshot;
 
 use super::requests::send_reply;
+use crate::rows;
 use crate::shared::SubmitReply;
 
 /// Who submits a job.
@@ -22,13 +24,13 @@
 }
 
 /// How far the storage of a job has got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 enum Stage {
     /// No transaction has the job, and the scheduler doesn't know it.
     Waiting,
-    /// The job is in the transaction that is in flight or about to be sent. The scheduler knows it,
-    /// so that the same transaction also stores its first runs.
-    InTransaction,
+    /// The job is in the transaction that is in flight or about to be sent, with this value. The
+    /// scheduler knows it, so that the same transaction also stores its first runs.
+    InTransaction(Bytes),
 }
 
 /// A job that is to be stored.
@@ -88,33 +90,42 @@
         self.entries.iter().filter(is_waiting).count()
     }
 
-    /// Returns the jobs of the transaction that is in flight or about to be sent.
-    pub fn in_transaction(&self) -> impl Iterator<Item = &Arc<JobRecord>> {
-        let is_in_transaction = |entry: &&Submission| entry.stage == Stage::InTransaction;
-        self.entries.iter().filter(is_in_transaction).map(|entry| &entry.record)
+    /// Returns the jobs of the transaction that is in flight or about to be sent, and their encoded
+    /// records.
+    pub fn in_transaction(&self) -> impl Iterator<Item = (&Arc<JobRecord>, &Bytes)> {
+        self.entries.iter().filter_map(|entry| match &entry.stage {
+            Stage::Waiting => None,
+            Stage::InTransaction(value) => Some((&entry.record, value)),
+        })
     }
 
-    /// Moves up to `count_max` waiting jobs to the next transaction and returns them.
-    pub fn admit(&mut self, count_max: usize) -> Vec<Arc<JobRecord>> {
-        let waiting = self.entries.iter_mut().filter(|entry| entry.stage == Stage::Waiting);
-        let admitted = waiting.take(count_max).map(|entry| {
-            entry.stage = Stage::InTransaction;
-            entry.record.clone()
-        });
-        admitted.collect()
+    /// Moves up to `count_max` waiting jobs to the next transaction and returns them; fewer if their
+    /// records have more than `bytes_max` bytes.
+    pub fn admit(&mut self, count_max: usize, bytes_max: usize) -> Vec<Arc<JobRecord>> {
+        let mut admitted = Vec::new();
+        let mut bytes = 0;
+        for entry in self.entries.iter_mut().filter(|entry| entry.stage == Stage::Waiting) {
+            let value = rows::encode(&*entry.record);
+            bytes += value.len();
+            if admitted.len() == count_max || (bytes > bytes_max && !admitted.is_empty()) {
+                break;
+            }
+            entry.stage = Stage::InTransaction(value);
+            admitted.push(entry.record.clone());
+        }
+        admitted
     }
 
     /// Replies to the callers of the jobs of the transaction in flight, which is committed, and
     /// returns these jobs.
     pub fn take_stored(&mut self) -> Vec<Arc<JobRecord>> {
-        self.take_if(|entry| entry.stage == Stage::InTransaction, SubmitReply::Accepted)
+        self.take_if(Submission::is_in_transaction, SubmitReply::Accepted)
     }
 
     /// Takes the callers' jobs out of the transaction in flight, which is known not to be committed,
     /// refuses them and returns them.
     pub fn withdraw_refused(&mut self) -> Vec<JobId> {
-        let is_withdrawn =
-            |entry: &Submission| entry.stage == Stage::InTransaction && !entry.is_in_inbox;
+        let is_withdrawn = |entry: &Submission| entry.is_in_transaction() && !entry.is_in_inbox;
         let withdrawn = self.take_if(is_withdrawn, SubmitReply::NotStored);
         withdrawn.into_iter().map(|record| record.id.clone()).collect()
     }
@@ -127,7 +138,7 @@
     /// Tells the callers of the jobs in the transaction in flight that it is not known whether it is
     /// committed.
     pub fn reply_unknown(&mut self) {
-        self.take_if(|entry| entry.stage == Stage::InTransaction, SubmitReply::Unknown);
+        self.take_if(Submission::is_in_transaction, SubmitReply::Unknown);
     }
 
     fn entry(&self, job: &str) -> Option<&Submission> {
@@ -150,6 +161,10 @@
 }
 
 impl Submission {
+    fn is_in_transaction(&self) -> bool {
+        matches!(self.stage, Stage::InTransaction(_))
+    }
+
     fn may_refuse(&self) -> bool {
         self.stage == Stage::Waiting && !self.is_in_inbox
     }
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -81,6 +81,9 @@
     Conflict(Vec<Row>),
     /// Nothing was written; the transaction may be retried. Holds the reason.
     Refused(String),
+    /// Nothing was written, and the store will never accept the transaction as it is. Holds the
+    /// reason.
+    Rejected(String),
     /// No reply: the transaction may be committed already, or may be committed later. Holds the
     /// reason.
     Unknown(String),
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -230,29 +230,11 @@
         self.data.lock().unwrap().host_tokens.clone()
     }
 
-    /// Returns whether the table holds the record of a job.
-    pub fn has_job(&self, id: &str) -> bool {
-        let key = row_key(0, Table::Jobs, id);
-        self.data.lock().unwrap().rows.contains_key(&key)
-    }
-
     /// Returns the row of the owner of the first shard.
     pub fn owner(&self) -> OwnerRow {
         self.owner_of(0)
     }
 
-    /// Returns the values of the rows of a table.
-    pub fn values(&self, table: Table) -> Vec<Bytes> {
-        let data = self.data.lock().unwrap();
-        let rows = data.rows.iter().filter(|((number, ..), _)| *number == table_number(table));
-        rows.map(|(_, (value, _))| value.clone()).collect()
-    }
-
-    /// Returns the number of writes of a slow table that are not committed yet.
-    pub fn writes_in_progress(&self) -> usize {
-        self.data.lock().unwrap().writes_in_progress
-    }
-
     pub fn rows(&self, table: Table) -> Vec<String> {
         let data = self.data.lock().unwrap();
         let rows = data.rows.keys().filter(|(number, ..)| *number == table_number(table));
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -46,6 +46,24 @@
         (1..=count).map(|number| worker_name(number).to_string()).collect()
     }
 
+    /// Returns the values of the rows of a table.
+    pub fn values(&self, table: Table) -> Vec<Bytes> {
+        let data = self.data.lock().unwrap();
+        let rows = data.rows.iter().filter(|((number, ..), _)| *number == table_number(table));
+        rows.map(|(_, (value, _))| value.clone()).collect()
+    }
+
+    /// Returns the number of writes of a slow table that are not committed yet.
+    pub fn writes_in_progress(&self) -> usize {
+        self.data.lock().unwrap().writes_in_progress
+    }
+
+    /// Returns whether the table holds the record of a job.
+    pub fn has_job(&self, id: &str) -> bool {
+        let key = row_key(0, Table::Jobs, id);
+        self.data.lock().unwrap().rows.contains_key(&key)
+    }
+
     /// Returns true if a write that was committed gets no reply.
     fn takes_hung_write(&self) -> bool {
         let mut data = self.data.lock().unwrap();
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -12,6 +12,7 @@
 use coordinator::Refusal;
 use coordinator::SubmitOutcome;
 use coordinator::caller_api::CancelResult;
+use coordinator::caller_api::Unstorable;
 use coordinator::clock;
 use coordinator::ports::Store;
 use coordinator::ports::Table;
@@ -335,3 +336,22 @@
     assert_eq!(submit(&node, "a").await, SubmitOutcome::Accepted);
     wait_for(&node, "a", COMPLETED).await;
 }
+
+/// Guards against an owner that can store nothing any more: a job that is larger than a row of the
+/// store was accepted into a transaction that the store refuses for good.
+#[tokio::test]
+async fn a_job_that_no_row_holds_is_refused_at_once() {
+    let memory = Memory::new(Duration::from_millis(50));
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    let step = Step { label: Some("l".repeat(2_000)), ..record("large").steps[0].clone() };
+    let large = JobRecord { steps: vec![step; 30], ..record("large") };
+    let outcome = node.submit(large, clock::now() + Duration::from_secs(3)).await;
+    assert!(matches!(outcome, SubmitOutcome::Unstorable(Unstorable::Record { .. })), "{outcome:?}");
+    let units = Step { count: 10_000, ..record("many").steps[0].clone() };
+    let many = JobRecord { steps: vec![units; 200], ..record("many") };
+    let outcome = node.submit(many, clock::now() + Duration::from_secs(3)).await;
+    assert!(matches!(outcome, SubmitOutcome::Unstorable(Unstorable::Progress(_))), "{outcome:?}");
+    assert_eq!(submit(&node, "small").await, SubmitOutcome::Accepted);
+    wait_for(&node, "small", COMPLETED).await;
+}
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -82,14 +82,26 @@
 
 impl Scheduler {
     /// Adds the rows of workers that got new runs, and removes the rows of workers that were
-    /// removed; at most `rows_max` rows in total.
-    pub(crate) fn add_assignments(&mut self, batch: &mut Batch, rows_max: usize, now: Moment) {
+    /// removed; at most `rows_max` rows in total, and about `bytes_max` bytes in the whole batch.
+    pub(crate) fn add_assignments(
+        &mut self,
+        batch: &mut Batch,
+        rows_max: usize,
+        bytes_max: usize,
+        now: Moment,
+    ) {
         let with_new_runs = self.workers.iter().filter(|(_, worker)| {
             worker.has_unstored_run
                 && worker.runs.iter().any(|key| self.may_store_planned(worker, key))
         });
         let rows =
             with_new_runs.take(rows_max).map(|(id, worker)| (id.clone(), self.row_of(worker, now)));
+        let row_bytes_max = self.settings.row_bytes_max;
+        let mut bytes = batch.stored_bytes_max(row_bytes_max);
+        let rows = rows.take_while(|(_, row)| {
+            bytes += row.stored_bytes_max();
+            bytes <= bytes_max
+        });
         batch.assignments = rows.collect();
         for (id, _) in &batch.assignments {
             let Some(worker) = self.workers.get(id) else {
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -17,6 +17,8 @@
     pub rows_max: usize,
     /// Maximum number of these rows that store the progress of jobs.
     pub progress_rows_max: usize,
+    /// Maximum number of bytes of the values of these rows.
+    pub bytes_max: usize,
 }
 
 /// Completions of a worker whose consequences are all stored.
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -29,6 +29,8 @@
     long_running_runs: usize,
     /// Number of its runs whose units may crash it.
     suspect_runs: usize,
+    /// Number of runs for which its assignment row has room.
+    assignable_runs: usize,
     /// It starts nothing else for a moment, so that a crash shows whether a strong suspect that it
     /// has just started, or is about to start, is at fault.
     is_reserved: bool,
@@ -181,6 +183,7 @@
         worker.is_reserved |= suspicion == Suspicion::Strong;
         worker.free_capacity -= step.reservation();
         worker.units.push(key.clone());
+        worker.assignable_runs = worker.assignable_runs.saturating_sub(1);
         let kind = UnitKind::of(step);
         worker.serving_runs += usize::from(kind.is_serving);
         worker.best_effort_runs += usize::from(kind.is_best_effort);
@@ -206,7 +209,9 @@
 
     /// Returns true if a unit of `step` fits on the worker, whether it is reserved or not.
     fn fits(&self, key: &UnitKey, step: &Step) -> bool {
-        step.reservation().fits_in(&self.free_capacity) && self.allows(key, step)
+        self.assignable_runs > 0
+            && step.reservation().fits_in(&self.free_capacity)
+            && self.allows(key, step)
     }
 
     fn allows(&self, key: &UnitKey, step: &Step) -> bool {
@@ -293,6 +298,7 @@
             best_effort_runs: worker.best_effort_runs,
             long_running_runs: worker.long_running_runs,
             suspect_runs,
+            assignable_runs: self.assignable_runs(worker),
             is_reserved,
             is_reliable: !self.failure_history.has_recent_failure(&worker.registration.id, now),
         }
--- a/crates/scheduler/src/durations.rs
+++ b/crates/scheduler/src/durations.rs
@@ -18,6 +18,8 @@
 use crate::QueueName;
 use crate::job::JobRecord;
 use crate::job::Step;
+use crate::row_sizes::ESCAPED_BYTES;
+use crate::row_sizes::FRAME_BYTES;
 use crate::sorted_map::SortedMap;
 
 /// Ratio of a run that takes as long as estimated.
@@ -42,6 +44,10 @@
 const KINDS_MAX: usize = 256;
 /// Minimum time between two batches that store the distributions.
 const STORE_PERIOD: Duration = Duration::from_secs(2);
+/// Most bytes that a kind of work takes when stored, apart from its names and ratios.
+const KIND_BYTES: usize = 128;
+/// Most bytes that a ratio and its weight take when stored.
+const RATIO_BYTES: usize = 24;
 /// Quantile of the typical duration.
 const TYPICAL_QUANTILE: f64 = 0.5;
 
@@ -105,6 +111,25 @@
     ratios: Vec<(u64, u32)>,
 }
 
+impl DurationsRow {
+    /// Leaves out the kinds of work with the oldest samples until the stored form fits into
+    /// `bytes_max`.
+    fn shrink_to(&mut self, bytes_max: usize) {
+        let bytes_of = |kind: &WorkKindRow| {
+            let names = kind.queue.len() + kind.image.as_deref().map_or(0, str::len);
+            KIND_BYTES + ESCAPED_BYTES * names + RATIO_BYTES * kind.ratios.len()
+        };
+        let mut bytes: usize = FRAME_BYTES + self.kinds.iter().map(bytes_of).sum::<usize>();
+        while bytes > bytes_max {
+            let ages = self.kinds.iter().enumerate();
+            let Some((oldest, _)) = ages.min_by_key(|(_, kind)| kind.sampled_ms) else {
+                return;
+            };
+            bytes -= bytes_of(&self.kinds.remove(oldest));
+        }
+    }
+}
+
 impl Durations {
     /// Creates a record without samples. If `replaces_estimates` is false, expected durations are
     /// the estimates.
@@ -185,6 +210,7 @@
     pub(crate) fn take_row(
         &mut self,
         unix_ms: impl Fn(Moment) -> u64,
+        bytes_max: usize,
         now: Moment,
     ) -> Option<DurationsRow> {
         if !self.is_dirty || now.saturating_sub(self.row_taken_at) < STORE_PERIOD {
@@ -202,7 +228,9 @@
                 ratios: kind.weights(),
             }));
         }
-        Some(DurationsRow { kinds })
+        let mut row = DurationsRow { kinds };
+        row.shrink_to(bytes_max);
+        Some(row)
     }
 
     /// Restores what an earlier owner has stored.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -34,8 +34,8 @@
     All,
     /// No worker has enough free capacity for the remaining units.
     NoCapacity,
-    /// The remaining units wait for the team's quota, for advice, for a warm worker, or for what a
-    /// crash will show.
+    /// The remaining units wait for the team's quota, for advice, for a warm worker, for what a
+    /// crash will show, or for room in the row of their job.
     Blocked,
 }
 
@@ -218,11 +218,19 @@
         }
         candidates.avoids_cold = candidates.has_cold
             && self.can_wait_for_warm_worker(&waiting.priority, &record, step, now);
+        let units = self.storable_units(waiting);
         if step.is_gang {
-            return self.place_gang(waiting, step, candidates, now);
+            return match units.len() < waiting.units.len() {
+                true => Placement::Blocked,
+                false => self.place_gang(waiting, step, candidates, now),
+            };
         }
-        let mut placement = Placement::All;
-        for (placed, key) in waiting.keys().enumerate() {
+        let mut placement = match units.len() < waiting.units.len() {
+            true => Placement::Blocked,
+            false => Placement::All,
+        };
+        for (placed, &index) in units.iter().enumerate() {
+            let key = UnitKey { index, ..waiting.first_unit.clone() };
             let remaining = (waiting.units.len() - placed) as u64;
             if !self.is_within_quota(&record, step, 1, remaining) {
                 return Placement::Blocked;
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::unit_set::UnitSet;
+
 /// Position of a unit in its job: occurrence, step, index.
 pub type UnitPosition = (u32, usize, usize);
 
@@ -68,6 +70,14 @@
     /// Units of other steps that have succeeded.
     #[serde(rename = "d", skip_serializing_if = "Vec::is_empty")]
     pub finished_units: Vec<UnitPosition>,
+    /// The same as bitmaps, by occurrence and step, where the list would be too long. Earlier
+    /// versions don't read it.
+    #[serde(rename = "u", skip_serializing_if = "Vec::is_empty")]
+    pub finished_unit_sets: Vec<((u32, usize), UnitSet)>,
+    /// Ranges of occurrences that have finished, the last one included, where the list of their
+    /// steps would be too long. Earlier versions don't read it.
+    #[serde(rename = "o", skip_serializing_if = "Vec::is_empty")]
+    pub finished_occurrences: Vec<(u32, u32)>,
     /// Numbers of the failed runs, by unit.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<(UnitPosition, Vec<u32>)>,
@@ -80,14 +90,26 @@
 }
 
 impl Progress {
+    /// Returns the units of unfinished steps that have succeeded, in whichever form they are stored.
+    pub(crate) fn all_finished_units(&self) -> impl Iterator<Item = UnitPosition> {
+        let of_sets = self.finished_unit_sets.iter().flat_map(|((occurrence, step), set)| {
+            set.iter().map(|index| (*occurrence, *step, index))
+        });
+        self.finished_units.iter().copied().chain(of_sets)
+    }
+
     /// Returns the number of occurrences that were created, as far as their progress shows.
     pub(crate) fn created_occurrences(&self) -> u32 {
         let units = self.finished_units.iter().map(|(occurrence, ..)| *occurrence);
+        let sets = self.finished_unit_sets.iter().map(|((occurrence, _), _)| *occurrence);
+        let ranges = self.finished_occurrences.iter().map(|(_, last)| *last);
         let last = self
             .finished_steps
             .iter()
             .map(|(occurrence, _)| *occurrence)
             .chain(units)
+            .chain(sets)
+            .chain(ranges)
             .chain(self.failed_runs.iter().map(|((occurrence, ..), _)| *occurrence))
             .chain(self.crashed_runs.iter().map(|((occurrence, ..), _)| *occurrence))
             .chain(self.checkpoints.iter().map(|((occurrence, ..), _)| *occurrence))
--- a/crates/scheduler/src/run_samples.rs
+++ b/crates/scheduler/src/run_samples.rs
@@ -65,7 +65,7 @@
     /// Returns the measured durations if they are to be stored.
     pub(crate) fn take_durations_row(&mut self, now: Moment) -> Option<DurationsRow> {
         let mut durations = std::mem::take(&mut self.durations);
-        let row = durations.take_row(|at| self.unix_ms(at), now);
+        let row = durations.take_row(|at| self.unix_ms(at), self.settings.row_bytes_max, now);
         self.durations = durations;
         row
     }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -29,6 +29,8 @@
     /// Time after the acknowledgement of an evacuation from which no node that reaches the platform
     /// may start a run in the zone; `None` if there is no such limit.
     pub evacuation_bound: Option<Duration>,
+    /// Largest value of a stored row, in bytes.
+    pub row_bytes_max: usize,
     /// Policies that are enabled; all unless an operator has disabled some.
     pub policies: Policies,
 }
@@ -46,6 +48,7 @@
             host_lease: Duration::from_secs(3),
             ended_kept: Duration::from_secs(120),
             evacuation_bound: None,
+            row_bytes_max: 48 << 10,
             policies: Policies::default(),
         }
     }
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -21,6 +21,7 @@
 use crate::live_jobs::Unit;
 use crate::progress::FinalState;
 use crate::progress::Progress;
+use crate::row_sizes::has_room_for_occurrence;
 use crate::state::Scheduler;
 
 /// Rows that a finished job takes in a batch: its progress is written and its record is removed.
@@ -127,13 +128,15 @@
     pub(crate) fn create_occurrences_of(&mut self, id: &str, count_min: u32, now: Moment) {
         let unix_now_ms = self.unix_ms(now);
         let (run_number_base, offset) = (self.run_number_base, self.unix_offset_ms);
+        let row_bytes_max = self.settings.row_bytes_max;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         while job.next_occurrence < job.record.occurrences() {
             let due_ms = job.record.due_ms(job.next_occurrence);
             let is_due = !job.record.has_schedule() || due_ms <= unix_now_ms;
-            if !is_due && job.next_occurrence >= count_min {
+            let may_create = is_due && has_room_for_occurrence(job, row_bytes_max);
+            if !may_create && job.next_occurrence >= count_min {
                 return;
             }
             let due_at = Moment::from_millis((due_ms as i64 - offset).max(0) as u64).min(now);
@@ -167,10 +170,12 @@
         let assignment_rows =
             self.workers.values().filter(|worker| worker.has_unstored_run).count();
         let progress_rows = rows_left - assignment_rows.min(rows_left / 2);
-        self.add_progress(&mut batch, progress_rows.min(limits.progress_rows_max), now);
+        let progress_rows = progress_rows.min(limits.progress_rows_max);
+        // Assignments get a part of the bytes as well.
+        self.add_progress(&mut batch, progress_rows, limits.bytes_max / 2, now);
         self.add_completions(&mut batch);
         let rows_left = limits.rows_max.saturating_sub(batch.row_count());
-        self.add_assignments(&mut batch, rows_left, now);
+        self.add_assignments(&mut batch, rows_left, limits.bytes_max, now);
         let rows_left = limits.rows_max.saturating_sub(batch.row_count());
         self.add_jobs_to_unstore(&mut batch, rows_left);
         let rows_left = limits.rows_max.saturating_sub(batch.row_count());
@@ -186,10 +191,13 @@
     }
 
     /// Adds the progress of jobs that have changed, in at most `rows_max` rows.
-    fn add_progress(&mut self, batch: &mut Batch, rows_max: usize, now: Moment) {
+    fn add_progress(&mut self, batch: &mut Batch, rows_max: usize, bytes_max: usize, now: Moment) {
         let unix_now_ms = self.unix_ms(now);
+        let row_bytes_max = self.settings.row_bytes_max;
+        let mut bytes = batch.stored_bytes_max(row_bytes_max);
         let mut row_count = 0;
         while row_count + ROWS_PER_FINISHED_JOB <= rows_max
+            && bytes + row_bytes_max <= bytes_max
             && let Some(id) = self.dirty_jobs.pop_front()
         {
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -203,7 +211,9 @@
                 row_count += 1;
                 batch.jobs_to_unstore.push(id.clone());
             }
-            batch.progress.push((id, progress_of(job, unix_now_ms)));
+            let progress = progress_of(job, unix_now_ms, row_bytes_max);
+            bytes += progress.stored_bytes_max();
+            batch.progress.push((id, progress));
         }
     }
 
@@ -375,8 +385,23 @@
     occurrence.steps.iter().flatten().all(is_stored_and_idle)
 }
 
-/// Returns the progress of a job, as it is to be stored.
-fn progress_of(job: &Job, unix_now_ms: u64) -> Progress {
+/// Returns the ranges of occurrences that were removed since they have finished, the last one of
+/// each included.
+fn removed_occurrences(job: &Job) -> Vec<(u32, u32)> {
+    let left = job.occurrences.iter().map(|occurrence| occurrence.number);
+    let mut ranges = Vec::new();
+    let mut next = 0;
+    for number in left.chain([job.next_occurrence]) {
+        if next < number {
+            ranges.push((next, number - 1));
+        }
+        next = number + 1;
+    }
+    ranges
+}
+
+/// Returns the progress of a job, as it is to be stored in a row of at most `bytes_max` bytes.
+fn progress_of(job: &Job, unix_now_ms: u64, bytes_max: usize) -> Progress {
     let mut progress = Progress {
         final_state: job.final_state,
         finished_ms: job.final_state.map(|_| unix_now_ms),
@@ -387,20 +412,13 @@
     if job.final_state.is_some() {
         return progress;
     }
-    // Finished occurrences were removed, among them all before the first one that is left.
-    let first_left = job.occurrences.first().map_or(job.next_occurrence, |o| o.number);
-    let steps = job.record.steps.len();
-    for number in 0..job.next_occurrence {
-        let is_removed = !job.occurrences.iter().any(|o| o.number == number);
-        if number < first_left || is_removed {
-            progress.finished_steps.extend((0..steps).map(|step| (number, step)));
-        }
-    }
+    progress.add_finished_occurrences(removed_occurrences(job), job.record.steps.len(), bytes_max);
     for occurrence in &job.occurrences {
         for (step, units) in occurrence.steps.iter().enumerate() {
             add_step_progress(&mut progress, occurrence.number, step, units);
         }
     }
+    progress.shrink_to(bytes_max);
     progress
 }
 
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -10,6 +10,7 @@
 use crate::job::UnitKey;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::FinishedJob;
+use crate::live_jobs::Occurrence;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
@@ -33,8 +34,11 @@
         for (number, step) in steps.copied() {
             self.restore_step(&id, number, step);
         }
-        for position in &progress.finished_units {
-            if let Some(unit) = self.unit_at(&id, *position) {
+        for (first, last) in progress.finished_occurrences.iter().copied() {
+            self.restore_occurrences(&id, first, last);
+        }
+        for position in progress.all_finished_units() {
+            if let Some(unit) = self.unit_at(&id, position) {
                 unit.finish_state = FinishState::Stored;
             }
         }
@@ -198,6 +202,19 @@
         self.unit_mut(&UnitKey { job: id.clone(), occurrence, step, index })
     }
 
+    /// Restores occurrences that have finished.
+    fn restore_occurrences(&mut self, id: &JobId, first: u32, last: u32) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let is_finished =
+            |occurrence: &&mut Occurrence| (first..=last).contains(&occurrence.number);
+        let occurrences = job.occurrences.iter_mut().filter(is_finished);
+        for unit in occurrences.flat_map(|occurrence| occurrence.steps.iter_mut().flatten()) {
+            unit.finish_state = FinishState::Stored;
+        }
+    }
+
     fn restore_step(&mut self, id: &JobId, number: u32, step: usize) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -71,6 +71,9 @@
     pub other_actions: Vec<Action>,
 }
 
+/// Maximum number of bytes of a batch.
+pub const BATCH_BYTES_MAX: usize = 400_000;
+
 pub fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
@@ -267,7 +270,7 @@
     /// Commits all changes that are not stored yet, in batches with at most `progress_rows_max`
     /// rows for the progress of jobs.
     pub fn commit_with_limit(&mut self, progress_rows_max: usize) {
-        let limits = BatchLimits { rows_max: 100, progress_rows_max };
+        let limits = BatchLimits { rows_max: 100, progress_rows_max, bytes_max: BATCH_BYTES_MAX };
         loop {
             let batch = self.scheduler.take_batch(limits, self.now);
             assert!(batch.row_count() <= limits.rows_max);
@@ -363,6 +366,15 @@
         worker.complete_run(unit, outcome);
     }
 
+    /// Ends the run of a unit, with a checkpoint.
+    pub fn complete_run_with(&mut self, unit: &UnitKey, outcome: RunOutcome, checkpoint: String) {
+        let runs = |worker: &&mut SimulatedWorker| worker.running.iter().any(|r| r.unit == *unit);
+        let worker = self.workers.iter_mut().find(runs).expect("the unit runs");
+        let running = worker.running.iter_mut().find(|r| r.unit == *unit);
+        running.expect("the unit runs here").checkpoint = checkpoint;
+        worker.complete_run(unit, outcome);
+    }
+
     /// Advances the time. Every 200 ms all runs make progress, so that none counts as stalled,
     /// workers report and the owner makes a round of decisions. Returns the start commands.
     pub fn run_for(&mut self, time: Duration) -> Vec<StartCommand> {
--- a/crates/scheduler/tests/durations.rs
+++ b/crates/scheduler/tests/durations.rs
@@ -21,7 +21,8 @@
 use simulation::unit;
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
-const LIMITS: BatchLimits = BatchLimits { rows_max: 100, progress_rows_max: 100 };
+const LIMITS: BatchLimits =
+    BatchLimits { rows_max: 100, progress_rows_max: 100, bytes_max: simulation::BATCH_BYTES_MAX };
 
 fn learning() -> Simulation {
     Simulation::with_policies(&["a"], config(3, NO_QUOTA), &[Policy::LearnedDurations])
--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -134,7 +134,11 @@
     set_zones(&mut sim, &[("w1", "a")]);
     sim.scheduler.add_job(job("a", vec![step(3, 1_000)], sim.now), sim.now);
     sim.scheduler.plan(sim.now);
-    let limits = scheduler::BatchLimits { rows_max: 100, progress_rows_max: 100 };
+    let limits = scheduler::BatchLimits {
+        rows_max: 100,
+        progress_rows_max: 100,
+        bytes_max: simulation::BATCH_BYTES_MAX,
+    };
     let batch = sim.scheduler.take_batch(limits, sim.now);
     assert_eq!(batch.assignments.len(), 1);
     evacuate(&mut sim, &["a"]);
@@ -161,7 +165,11 @@
     sim.scheduler.confirm_operator_rows(Some(read_at));
     // A run that was planned on a recent read is checked again once it is stored.
     sim.scheduler.plan(sim.now);
-    let limits = scheduler::BatchLimits { rows_max: 100, progress_rows_max: 100 };
+    let limits = scheduler::BatchLimits {
+        rows_max: 100,
+        progress_rows_max: 100,
+        bytes_max: simulation::BATCH_BYTES_MAX,
+    };
     let batch = sim.scheduler.take_batch(limits, sim.now);
     sim.now += age;
     sim.report_all();
--- a/crates/scheduler/tests/host_command_outcomes.rs
+++ b/crates/scheduler/tests/host_command_outcomes.rs
@@ -26,7 +26,8 @@
 use simulation::step;
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
-const LIMITS: BatchLimits = BatchLimits { rows_max: 100, progress_rows_max: 100 };
+const LIMITS: BatchLimits =
+    BatchLimits { rows_max: 100, progress_rows_max: 100, bytes_max: simulation::BATCH_BYTES_MAX };
 
 fn host_of(worker: &str) -> String {
     format!("h-{worker}")
--- a/crates/scheduler/tests/host_commands.rs
+++ b/crates/scheduler/tests/host_commands.rs
@@ -332,7 +332,11 @@
     assert_eq!(take_maintained(&mut sim), ["h-w1"]);
     reply(&mut sim, "h-w1", HostReply::Unknown);
     change_job(&mut sim);
-    let limits = BatchLimits { rows_max: 100, progress_rows_max: 100 };
+    let limits = BatchLimits {
+        rows_max: 100,
+        progress_rows_max: 100,
+        bytes_max: simulation::BATCH_BYTES_MAX,
+    };
     let batch = sim.scheduler.take_batch(limits, sim.now);
     assert!(batch.host_commands.is_some(), "the outcome is stored");
     sim.now += seconds(1);
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -216,7 +216,11 @@
     // identifiers.
     for (id, number) in [("c", 1), ("b", 2), ("a", 3)] {
         // A finished job takes two rows.
-        let limits = BatchLimits { rows_max: 10, progress_rows_max: 2 };
+        let limits = BatchLimits {
+            rows_max: 10,
+            progress_rows_max: 2,
+            bytes_max: simulation::BATCH_BYTES_MAX,
+        };
         let batch = sim.scheduler.take_batch(limits, sim.now);
         let stored: Vec<&str> = batch.progress.iter().map(|(id, _)| &**id).collect();
         assert_eq!(stored, [id]);
--- a/crates/scheduler/tests/load.rs
+++ b/crates/scheduler/tests/load.rs
@@ -16,7 +16,8 @@
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
 const WORKERS: usize = 200;
-const LIMITS: BatchLimits = BatchLimits { rows_max: 70, progress_rows_max: 70 };
+const LIMITS: BatchLimits =
+    BatchLimits { rows_max: 70, progress_rows_max: 70, bytes_max: simulation::BATCH_BYTES_MAX };
 
 fn simulation_with_workers() -> Simulation {
     let ids: Vec<String> = (0..WORKERS).map(|number| format!("w{number:03}")).collect();
