Reckon with the real size of the few rows that a batch has once

Cause: rows of which a batch has at most a few counted with the size of the largest row. Two waves, commands to hosts and durations together left no room for the progress of jobs, so that completions would have waited for the next transaction.

Ruled out: that their sizes aren't known: they follow from the hosts, pools and kinds that they list.

Change: bounds from what the rows list.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -96,8 +96,7 @@
         });
         let rows =
             with_new_runs.take(rows_max).map(|(id, worker)| (id.clone(), self.row_of(worker, now)));
-        let row_bytes_max = self.settings.row_bytes_max;
-        let mut bytes = batch.stored_bytes_max(row_bytes_max);
+        let mut bytes = batch.stored_bytes_max();
         let rows = rows.take_while(|(_, row)| {
             bytes += row.stored_bytes_max();
             bytes <= bytes_max
--- a/crates/scheduler/src/durations.rs
+++ b/crates/scheduler/src/durations.rs
@@ -115,19 +115,27 @@
     /// Leaves out the kinds of work with the oldest samples until the stored form fits into
     /// `bytes_max`.
     fn shrink_to(&mut self, bytes_max: usize) {
-        let bytes_of = |kind: &WorkKindRow| {
-            let names = kind.queue.len() + kind.image.as_deref().map_or(0, str::len);
-            KIND_BYTES + ESCAPED_BYTES * names + RATIO_BYTES * kind.ratios.len()
-        };
-        let mut bytes: usize = FRAME_BYTES + self.kinds.iter().map(bytes_of).sum::<usize>();
+        let mut bytes = self.stored_bytes_max();
         while bytes > bytes_max {
             let ages = self.kinds.iter().enumerate();
             let Some((oldest, _)) = ages.min_by_key(|(_, kind)| kind.sampled_ms) else {
                 return;
             };
-            bytes -= bytes_of(&self.kinds.remove(oldest));
+            bytes -= self.kinds.remove(oldest).stored_bytes_max();
         }
     }
+
+    /// Returns a number of bytes that the stored form does not exceed.
+    pub(crate) fn stored_bytes_max(&self) -> usize {
+        FRAME_BYTES + self.kinds.iter().map(WorkKindRow::stored_bytes_max).sum::<usize>()
+    }
+}
+
+impl WorkKindRow {
+    fn stored_bytes_max(&self) -> usize {
+        let names = self.queue.len() + self.image.as_deref().map_or(0, str::len);
+        KIND_BYTES + ESCAPED_BYTES * names + RATIO_BYTES * self.ratios.len()
+    }
 }
 
 impl Durations {
--- a/crates/scheduler/src/row_sizes.rs
+++ b/crates/scheduler/src/row_sizes.rs
@@ -14,6 +14,7 @@
 
 use crate::assignments::AssignmentRow;
 use crate::batch::Batch;
+use crate::durations::DurationsRow;
 use crate::job::JobRecord;
 use crate::job::Step;
 use crate::job::UnitKey;
@@ -36,6 +37,10 @@
 pub(crate) const FRAME_BYTES: usize = 256;
 /// Most bytes that a run takes in an assignment row: job id, numbers, brackets and quotes.
 const ASSIGNED_RUN_BYTES: usize = 64;
+/// Most bytes that the name of a host or pool takes, with quotes and a number.
+const HOST_BYTES: usize = 64;
+/// Most bytes that a command to a host takes.
+const HOST_COMMAND_BYTES: usize = 256;
 /// Most bytes that one run may add to the progress of its job by failing.
 const FAILURE_BYTES: usize = 2 * POSITION_BYTES + NUMBER_BYTES;
 /// Bytes that the text of a string may take in JSON for each of its own, for control characters.
@@ -216,16 +221,20 @@
 }
 
 impl Batch {
-    /// Returns a number of bytes that the values of the rows don't exceed. Rows of which a batch has
-    /// few count as `row_bytes_max`.
-    pub(crate) fn stored_bytes_max(&self, row_bytes_max: usize) -> usize {
-        let few = self.waves.len()
-            + usize::from(self.host_commands.is_some())
-            + usize::from(self.baseline_hosts.is_some())
-            + usize::from(self.durations.is_some());
+    /// Returns a number of bytes that the values of the rows don't exceed.
+    pub(crate) fn stored_bytes_max(&self) -> usize {
         let progress = self.progress.iter().map(|(_, progress)| progress.stored_bytes_max());
         let assignments = self.assignments.iter().map(|(_, row)| row.stored_bytes_max());
-        few * row_bytes_max + progress.sum::<usize>() + assignments.sum::<usize>()
+        let wave_hosts = self.waves.iter().map(|(_, row)| row.started_hosts.len());
+        let commands = self.host_commands.as_ref().map_or(0, Vec::len);
+        let pools = self.baseline_hosts.as_ref().map_or(0, |hosts| hosts.by_pool.len());
+        FRAME_BYTES * (self.waves.len() + 2)
+            + HOST_BYTES * wave_hosts.sum::<usize>()
+            + HOST_COMMAND_BYTES * commands
+            + HOST_BYTES * pools
+            + self.durations.as_ref().map_or(0, DurationsRow::stored_bytes_max)
+            + progress.sum::<usize>()
+            + assignments.sum::<usize>()
     }
 }
 
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -194,7 +194,7 @@
     fn add_progress(&mut self, batch: &mut Batch, rows_max: usize, bytes_max: usize, now: Moment) {
         let unix_now_ms = self.unix_ms(now);
         let row_bytes_max = self.settings.row_bytes_max;
-        let mut bytes = batch.stored_bytes_max(row_bytes_max);
+        let mut bytes = batch.stored_bytes_max();
         let mut row_count = 0;
         while row_count + ROWS_PER_FINISHED_JOB <= rows_max
             && bytes + row_bytes_max <= bytes_max
