Let the model of commands to hosts let go of hosts that are down or not listed

Ruled out: that they are covered by the other guards: without either of the two new ones the model finds two hosts of a wave in maintenance.

Change: both rules and a guard for each.

--- a/crates/scheduler/tests/host_commands_model.rs
+++ b/crates/scheduler/tests/host_commands_model.rs
@@ -4,6 +4,7 @@
 //! events. Events have no times: an owner may be suspended, a message delayed and a host out of
 //! service for any time. A message that is lost never arrives. An owner whose write or command is
 //! refused stops, which is the same as being suspended forever. Each owner's writes are in order.
+//! That maintenance is over by a certain time is an event that comes after its end.
 //!
 //! The platform maintains each host once. It answers later commands with "accepted", and those that
 //! arrive while the host is out of service, for whatever reason, with "busy".
@@ -58,6 +59,10 @@
     AbsentHoldsSlot,
     /// Only maintenance for the wave shows that a command was carried out, not another outage.
     OutageCause,
+    /// A host that a list leaves out is let go only once its maintenance must be over.
+    BackByTime,
+    /// A host that is down for another reason is let go only if no attempt can take effect any more.
+    DownAfterReply,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -339,6 +344,10 @@
         match entry {
             HostState::Up if is_unknown && self.has(Guard::UpHoldsSlot) => {}
             HostState::Up => node.known[host] = Known::Nothing,
+            // The host has refused all attempts, or is back from maintenance and down since.
+            HostState::Down if !is_unknown || !self.has(Guard::DownAfterReply) => {
+                node.known[host] = Known::Nothing;
+            }
             HostState::Down if self.has(Guard::OutageCause) => {}
             HostState::InMaintenance | HostState::Down if is_unknown => {
                 node.known[host] = Known::Settled;
@@ -349,8 +358,11 @@
     }
 
     fn deliver_list_without_host(&self, state: &State, owner: usize, host: usize) -> Option<State> {
-        let holds_slot = self.holds_slot(state.owners[owner].known[host]);
-        if self.has(Guard::AbsentHoldsSlot) || !holds_slot {
+        let known = state.owners[owner].known[host];
+        let is_over = state.hosts[host].state != HostState::InMaintenance;
+        let is_back_by_time = known == Known::Settled && (is_over || !self.has(Guard::BackByTime));
+        let is_let_go = is_back_by_time || !self.has(Guard::AbsentHoldsSlot);
+        if !self.holds_slot(known) || !is_let_go {
             return None;
         }
         let mut next = *state;
@@ -363,7 +375,13 @@
     fn without_ineffective_messages(&self, mut state: State) -> State {
         let needs_entries = matches!(
             self.disabled,
-            Some(Guard::ListAge | Guard::TakeoverListAge | Guard::UpHoldsSlot | Guard::OutageCause)
+            Some(
+                Guard::ListAge
+                    | Guard::TakeoverListAge
+                    | Guard::UpHoldsSlot
+                    | Guard::OutageCause
+                    | Guard::DownAfterReply
+            )
         );
         for owner in &mut state.owners {
             let is_superseded = owner.epoch > 0 && owner.epoch < state.epoch;
@@ -381,7 +399,11 @@
                     Known::Sent | Known::InDoubt => Some(HostState::InMaintenance),
                     Known::Settled => Some(HostState::Up),
                 };
-                if is_superseded || (!needs_entries && owner.entries[host] != effective_entry) {
+                let is_down_effective = owner.known[host] == Known::Settled
+                    && owner.entries[host] == Some(HostState::Down);
+                let is_entry_effective =
+                    owner.entries[host] == effective_entry || is_down_effective;
+                if is_superseded || (!needs_entries && !is_entry_effective) {
                     owner.entries[host] = None;
                 }
                 let last = usize::from(owner.attempts[host]).saturating_sub(1);
@@ -492,6 +514,8 @@
 #[case::up_holds_slot(Guard::UpHoldsSlot)]
 #[case::absent_holds_slot(Guard::AbsentHoldsSlot)]
 #[case::outage_cause(Guard::OutageCause)]
+#[case::back_by_time(Guard::BackByTime)]
+#[case::down_after_reply(Guard::DownAfterReply)]
 fn each_guard_is_needed(#[case] guard: Guard) {
     let (violation, states) = explore(&Model { disabled: Some(guard) });
     println!("without {guard:?}, after {states} states: {violation:#?}");
