Count a host that a list leaves out until its command must be over

Cause: a command to a host that was carried out counted as over as soon as a list left the host out, if the list was requested 1.5 s after a takeover, or after a list had shown the host in maintenance. Maintenance takes 2 s, so that a successor could send the next host of a wave too early (LIMIT).

Ruled out: an accepted command of the same owner: lists count for it only from the time at which the host is back. A host that was listed in maintenance was still counted by its listed state for the time that the test looks at.

Change: each command knows when its host is back at the latest, counted from when the owner learned that it was carried out. A list without the host counts from then on.

--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -26,6 +26,7 @@
 use crate::messages::HostState;
 use crate::messages::LossCause;
 use crate::messages::WorkerRegistration;
+use crate::settings::Settings;
 use crate::state::Scheduler;
 
 /// Time before a command to a host is sent again after it failed.
@@ -71,6 +72,8 @@
     issued_at: Moment,
     /// Lists that were requested before this time don't show what has become of the command.
     lists_count_from: Moment,
+    /// When the host is back at the latest, if the command was carried out.
+    back_by: Moment,
     progress: CommandProgress,
     /// An earlier attempt got no reply, and no later reply has told its outcome.
     has_unanswered_attempt: bool,
@@ -157,7 +160,14 @@
         let state = entry.map(|entry| entry.state);
         let is_away = matches!(state, Some(HostState::InMaintenance | HostState::Moving));
         match self.progress {
-            CommandProgress::CarriedOut => (!is_away).then_some(CommandProgress::Settled),
+            CommandProgress::CarriedOut => {
+                // A list may leave out a host that is still out of service.
+                let is_back = match entry {
+                    Some(_) => !is_away,
+                    None => requested_at >= self.back_by,
+                };
+                is_back.then_some(CommandProgress::Settled)
+            }
             CommandProgress::InDoubt => {
                 // A host that is not listed, or in service, may still carry out the command.
                 let entry = entry?;
@@ -194,6 +204,16 @@
     }
 }
 
+impl Settings {
+    /// Returns how long a host is out of service when it carries out a command.
+    fn absence_of(&self, command: &HostCommand) -> Duration {
+        match command.wave() {
+            Some(_) => self.maintain_time,
+            None => self.move_time,
+        }
+    }
+}
+
 impl Scheduler {
     /// Decides on a command to a host, or on its repetition, which is sent once it is stored.
     pub(crate) fn issue_host_command(&mut self, name: &HostName, intent: HostIntent, now: Moment) {
@@ -205,6 +225,7 @@
             worker,
             issued_at: now,
             lists_count_from: before.map_or(lists_count_from, |before| before.lists_count_from),
+            back_by: Moment::MAX,
             progress: CommandProgress::Unstored,
             has_unanswered_attempt: before.is_some_and(|before| before.has_unanswered_attempt),
             busy_since: before.and_then(|before| before.busy_since),
@@ -282,13 +303,10 @@
     }
 
     fn handle_host_accepted(&mut self, name: &HostName, command: HostCommand, now: Moment) {
-        let duration = match command.wave() {
-            Some(_) => self.settings.maintain_time,
-            None => self.settings.move_time,
-        };
-        let back_at = now + duration;
+        let back_at = now + self.settings.absence_of(&command);
         if let Some(stored) = self.host_commands.get_mut(name) {
             stored.lists_count_from = back_at;
+            stored.back_by = back_at;
         }
         if let Some(wave) = command.wave() {
             self.record_maintenance_started(wave, name);
@@ -315,13 +333,19 @@
 
     /// Learns from the list of hosts what has become of commands. `listed` are the listed hosts,
     /// sorted by name.
-    pub(crate) fn settle_host_commands(&mut self, listed: &[HostEntry], requested_at: Moment) {
+    pub(crate) fn settle_host_commands(
+        &mut self,
+        listed: &[HostEntry],
+        requested_at: Moment,
+        now: Moment,
+    ) {
         let mut maintained = Vec::new();
         for (name, command) in self.host_commands.iter_mut() {
             let progress = command.wave().and_then(|wave| self.waves.get(&wave));
             let has_started = progress.is_some_and(|progress| progress.row.has_started(name));
             if has_started && command.progress == CommandProgress::InDoubt {
                 command.progress = CommandProgress::CarriedOut;
+                command.back_by = now + self.settings.absence_of(command);
             }
             let index = listed.binary_search_by(|entry| entry.name.cmp(name)).ok();
             let entry = index.map(|index| &listed[index]);
@@ -332,6 +356,10 @@
             if let Some(wave) = command.wave().filter(|_| is_carried_out) {
                 maintained.push((wave, name.clone()));
             }
+            if progress == CommandProgress::CarriedOut {
+                // It was carried out before the list arrived.
+                command.back_by = now + self.settings.absence_of(command);
+            }
             command.progress = progress;
             command.lists_count_from = requested_at;
             self.has_unstored_outcome = true;
@@ -431,11 +459,13 @@
                 // its host is not in maintenance.
                 (Some(CommandOutcome::CarriedOut), _) | (None, None) => CommandProgress::CarriedOut,
             };
+            let absence = self.settings.move_time.max(self.settings.maintain_time);
             let command = HostCommand {
                 intent: row.intent,
                 worker: None,
                 issued_at,
                 lists_count_from: now + HOST_LIST_LAG,
+                back_by: now + absence + HOST_LIST_LAG,
                 progress,
                 has_unanswered_attempt: true,
                 busy_since: None,
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -111,7 +111,7 @@
         let has_open_command =
             |name: &HostName| commands.get(name).is_some_and(HostCommand::is_open);
         self.hosts.retain(|name, _| is_listed(name) || has_open_command(name));
-        self.settle_host_commands(&entries, requested_at);
+        self.settle_host_commands(&entries, requested_at, now);
         let mut returned = Vec::new();
         let mut live_workers = Vec::new();
         for entry in entries {
