Settle the cancellation of a withdrawn job like that of any unknown one

Cause: when a refused transaction was withdrawn, cancellations of its jobs that came from the inbox were settled at once. A superseded owner could remove a row in this way whose job its successor had stored.

Ruled out: cancellations of callers: their node looks for the job in the store after "no such job".

Change: they wait with the others, so that the rule of the confirmed owner holds for them. A batch takes at least one row of progress whatever its other rows are.

Measured: the tests of coordinator and scheduler pass. By reading only.

--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -204,9 +204,9 @@
             in_flight.batch.remove_job(job);
         }
         let is_withdrawn = |cancellation: &mut Cancellation| withdrawn.contains(&cancellation.job);
-        for cancellation in in_flight.cancellations.extract_if(.., is_withdrawn) {
-            self.pipeline.finish_cancellation(cancellation, CancelReply::NoJob);
-        }
+        // Whether the job exists elsewhere is found out as for any other unknown one.
+        let cancellations = in_flight.cancellations.extract_if(.., is_withdrawn);
+        self.pipeline.cancellations.extend(cancellations);
         in_flight.transaction = self.transaction(&in_flight.row, &in_flight.batch);
     }
 
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -197,7 +197,7 @@
         let mut bytes = batch.stored_bytes_max();
         let mut row_count = 0;
         while row_count + ROWS_PER_FINISHED_JOB <= rows_max
-            && bytes + row_bytes_max <= bytes_max
+            && (row_count == 0 || bytes + row_bytes_max <= bytes_max)
             && let Some(id) = self.dirty_jobs.pop_front()
         {
             let Some(job) = self.jobs.get_mut(&id) else {
