Give up jobs only for crashes at the start of their units

Cause: callers saw jobs fail, long-running ones too, and their units stopped on sound workers, when workers crashed one after another. A crash counted against each unit that had started in the last 2 s before the last reply of its worker, which may be a second older than the crash. A unit that is started again after a crash has always started a moment ago.

Ruled out: that three crashes are too few: a unit that crashes its workers may not be started more often than its attempts allow.

Change: suspects are units that had started in the 300 ms before the worker was last known to be alive. A poll whose connection breaks off shows until when it was.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use scheduler::Moment;
+use scheduler::PollFailure;
 use scheduler::WorkerId;
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
@@ -84,12 +85,16 @@
                 self.scheduler.handle_worker_gone(&id, "another instance answers", now);
             }
             Err(error) => {
+                let failure = match &error {
+                    WorkerError::BrokenOff(_) => PollFailure::BrokenOff,
+                    _ => PollFailure::NoReply,
+                };
                 self.shared.node.telemetry.count(metrics::POLLS_FAILED);
                 telemetry::log::line("worker-silent")
                     .field("worker", &*id)
                     .text("why", error)
                     .write();
-                self.scheduler.handle_failed_poll(&id, now);
+                self.scheduler.handle_failed_poll(&id, failure, now);
                 next = NextPoll::AfterPause;
             }
         }
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -186,6 +186,9 @@
     /// No process listens at the worker's address.
     #[error("nothing listens at the worker's address: {0}")]
     NotListening(String),
+    /// The connection broke off before the worker had to reply.
+    #[error("the connection broke off: {0}")]
+    BrokenOff(String),
     /// No reply, or one that could not be decoded.
     #[error("the worker did not answer: {0}")]
     NoReply(String),
--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -29,8 +29,7 @@
 }
 
 /// Polls a worker by means of `send`, and once more if the reply is late; `record_repeat` is called
-/// before that. Returns the first result, unless that is [`WorkerError::NoReply`]: then it returns
-/// the other one.
+/// before that. Returns the first result, unless no reply came: then it returns the other one.
 pub async fn poll<F>(
     request: LeaseRequest,
     send: impl Fn(LeaseRequest) -> F,
@@ -52,11 +51,11 @@
     let mut second = pin!(send_now(LeaseRequest { wait: Duration::ZERO, ..request }));
     tokio::select! {
         result = &mut first => match result.reply {
-            Err(WorkerError::NoReply(_)) => second.await,
+            Err(WorkerError::NoReply(_) | WorkerError::BrokenOff(_)) => second.await,
             _ => result,
         },
         result = &mut second => match result.reply {
-            Err(WorkerError::NoReply(_)) => first.await,
+            Err(WorkerError::NoReply(_) | WorkerError::BrokenOff(_)) => first.await,
             _ => result,
         },
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -94,6 +94,7 @@
 pub use messages::HostReply;
 pub use messages::HostState;
 pub use messages::LossCause;
+pub use messages::PollFailure;
 pub use messages::RunOutcome;
 pub use messages::RunStatus;
 pub use messages::StartCommand;
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -38,9 +38,10 @@
 /// Time for which a strong suspect waits, after the lease of its silent worker has expired, for the
 /// worker to return.
 const EVIDENCE_WAIT: Duration = Duration::from_millis(1_500);
-/// Age from which a run is not suspected of a crash if the worker had younger ones.
-const SUSPECT_AGE_MAX: Duration = Duration::from_secs(2);
-/// Age from which a run is not suspected of a crash at all.
+/// Age from which a run is not suspected of a crash: a unit that crashes its worker does so as it
+/// starts. Leaves time for the owner to send the start and to notice the crash.
+const SUSPECT_AGE_MAX: Duration = Duration::from_millis(300);
+/// Age from which the unit of a run is not kept apart after a crash.
 const LATE_SUSPECT_AGE_MAX: Duration = Duration::from_secs(10);
 
 /// How likely it is that a unit crashes the worker that starts it.
@@ -170,7 +171,8 @@
         }
     }
 
-    /// Returns the units whose runs on a worker were at most `age_max` old when it last replied.
+    /// Returns the units whose runs on a worker were at most `age_max` old when it last showed that it
+    /// was alive.
     fn suspects_up_to(&self, worker: &Worker, age_max: Duration) -> Vec<(UnitKey, CrashedRun)> {
         let last_start = self.last_confirmed_start(worker);
         let crashed_run = |run: &Run| CrashedRun {
@@ -218,6 +220,8 @@
             if let Some(unit) = self.open_unit_mut(key) {
                 unit.crashed_runs.retain(|other| other.number != run.number);
                 unit.crashed_runs.push(*run);
+                let excess = unit.crashed_runs.len().saturating_sub(CRASHES_MAX);
+                unit.crashed_runs.drain(..excess);
                 self.mark_dirty(&key.job);
             }
         }
@@ -238,6 +242,10 @@
     /// Fails the job of a unit if enough crashes count against it. `is_only_last` tells that no
     /// other unit was among the last starts before the latest crash.
     fn give_up_if_harmful(&mut self, key: &UnitKey, is_only_last: bool, now: Moment) {
+        // A long-running unit has to be started again however it ends.
+        if self.is_long_running(key) {
+            return;
+        }
         let Some(unit) = self.open_unit_mut(key) else {
             return;
         };
@@ -286,6 +294,6 @@
         Phase::Planned | Phase::Commanded => false,
         Phase::Confirmed(_) | Phase::Reported | Phase::InDoubt => true,
     };
-    let age = worker.last_contact_at().map_or(Duration::ZERO, |at| at.saturating_sub(run.since));
+    let age = worker.last_alive_at().map_or(Duration::ZERO, |at| at.saturating_sub(run.since));
     has_started && age <= age_max
 }
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -71,6 +71,15 @@
     Alone,
 }
 
+/// How a poll of a worker has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollFailure {
+    /// The connection broke off before the worker had to reply, as it does when the process ends.
+    BrokenOff,
+    /// No reply came in time, or nothing listens at the worker's address.
+    NoReply,
+}
+
 /// Why a run counts as ended although no completion shows how.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LossCause {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -92,6 +92,9 @@
     pub stray_lease_until: Moment,
     /// Number of consecutive polls that were not answered.
     pub failed_polls: u32,
+    /// When a poll first broke off since the last reply: if the worker has crashed, it did so then
+    /// or later.
+    pub broken_off_at: Option<Moment>,
     /// The worker gets no new runs before this time.
     pub backoff_until: Moment,
     /// The worker gets no new runs, since its host is about to be moved or maintained.
@@ -133,6 +136,7 @@
             lease_expires_at,
             stray_lease_until: Moment::ZERO,
             failed_polls: 0,
+            broken_off_at: None,
             backoff_until: Moment::ZERO,
             is_cordoned: false,
             cordoned_at: Moment::ZERO,
@@ -228,6 +232,12 @@
         }
     }
 
+    /// Returns the last time at which the worker is known to have been alive. A connection breaks off
+    /// when a process ends, and stays when a host is cut off.
+    pub fn last_alive_at(&self) -> Option<Moment> {
+        self.last_contact_at().max(self.broken_off_at)
+    }
+
     /// Returns true if the worker's last reply is at most `age_max` old.
     pub fn is_in_contact(&self, age_max: Duration, now: Moment) -> bool {
         self.last_contact_at().is_some_and(|at| now.saturating_sub(at) <= age_max)
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -13,6 +13,7 @@
 use crate::live_jobs::Run;
 use crate::messages::Completion;
 use crate::messages::LossCause;
+use crate::messages::PollFailure;
 use crate::messages::RunOutcome;
 use crate::messages::RunStatus;
 use crate::messages::WorkerRegistration;
@@ -55,11 +56,14 @@
     }
 
     /// Handles a poll that a worker did not answer.
-    pub fn handle_failed_poll(&mut self, id: &WorkerId, now: Moment) {
+    pub fn handle_failed_poll(&mut self, id: &WorkerId, failure: PollFailure, now: Moment) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.failed_polls += 1;
+        if failure == PollFailure::BrokenOff {
+            worker.broken_off_at.get_or_insert(now);
+        }
         let (failed_polls, contact) = (worker.failed_polls, worker.contact);
         if failed_polls == FAILED_POLLS_MAX {
             worker.backoff_until = worker.backoff_until.max(now + NO_REPLY_BACKOFF);
@@ -134,6 +138,7 @@
         worker.contact = Contact::Heard(now);
         worker.first_contact_at.get_or_insert(now);
         worker.failed_polls = 0;
+        worker.broken_off_at = None;
         worker.record_clock(report.clock_ms, now);
         self.handle_worker_return(id);
         true
