--- a/crates/scheduler/src/row_sizes.rs
+++ b/crates/scheduler/src/row_sizes.rs
@@ -24,6 +24,7 @@
 use crate::plan::WaitingStep;
 use crate::progress::Progress;
 use crate::state::Scheduler;
+use crate::storing::units;
 use crate::unit_set::UnitSet;
 use crate::worker::Worker;
 
@@ -183,7 +184,7 @@
         if step.is_long_running || self.has_room_for_all_failures(job) {
             return Cow::Borrowed(&waiting.units);
         }
-        let running = units_of(job).filter(|unit| unit.run.is_some()).count();
+        let running = units(job).filter(|unit| unit.run.is_some()).count();
         let failures_max =
             self.settings.row_bytes_max.saturating_sub(lasting_bytes(job)) / FAILURE_BYTES;
         let count = failures_max.saturating_sub(running);
@@ -206,10 +207,11 @@
     /// Returns true if the failures of all units of a job fit into its row, as they do for all but
     /// the largest jobs.
     fn has_room_for_all_failures(&self, job: &Job) -> bool {
-        let units: usize = job.occurrences.iter().flat_map(|o| &o.steps).map(Vec::len).sum();
+        let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        let unit_count: usize = steps.map(Vec::len).sum();
         let attempts_max = self.attempts_max(&job.record.queue) as usize;
         let unit_bytes_max = 3 * POSITION_BYTES + NUMBER_BYTES * attempts_max;
-        FRAME_BYTES + units * unit_bytes_max <= self.settings.row_bytes_max
+        FRAME_BYTES + unit_count * unit_bytes_max <= self.settings.row_bytes_max
     }
 
     /// Returns the number of runs that the assignment row of a worker has room for, beside those
@@ -257,7 +259,7 @@
 fn lasting_bytes(job: &Job) -> usize {
     let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
     let set_bytes = |units: &Vec<Unit>| POSITION_BYTES + UnitSet::stored_bytes_max(units.len());
-    let unfinished = units_of(job).filter(|unit| unit.finish_state == FinishState::Unfinished);
+    let unfinished = units(job).filter(|unit| unit.finish_state == FinishState::Unfinished);
     let failed = unfinished.filter(|unit| !unit.failed_runs.is_empty());
     FRAME_BYTES
         + ESCAPED_BYTES * (job.record.queue.len() + job.record.team.as_deref().map_or(0, str::len))
@@ -266,10 +268,6 @@
         + failed.map(|unit| failed_bytes(&unit.failed_runs)).sum::<usize>()
 }
 
-fn units_of(job: &Job) -> impl Iterator<Item = &Unit> {
-    job.occurrences.iter().flat_map(|occurrence| occurrence.steps.iter().flatten())
-}
-
 fn failed_bytes(runs: &[u32]) -> usize {
     2 * POSITION_BYTES + NUMBER_BYTES * runs.len()
 }
