Tell jobs that fit into a row without looking up their queue

Cause: each waiting step of each round looked its job up twice, and its queue, to find out whether the failures of the job fit into its row, as they do for all but the largest jobs. With many waiting steps this takes processor time of the owner, which binds in a peak.

Change: the largest number of attempts of any queue is kept with the configuration.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -210,6 +210,7 @@
         let Some(job) = self.jobs.get(&waiting.first_unit.job) else {
             return Placement::All;
         };
+        let units = self.storable_units(job, waiting);
         let record = job.record.clone();
         let step = &record.steps[waiting.first_unit.step];
         let needs_advice = self.needs_advice(&record.queue);
@@ -218,7 +219,6 @@
         }
         candidates.avoids_cold = candidates.has_cold
             && self.can_wait_for_warm_worker(&waiting.priority, &record, step, now);
-        let units = self.storable_units(waiting);
         if step.is_gang {
             return match units.len() < waiting.units.len() {
                 true => Placement::Blocked,
--- a/crates/scheduler/src/row_sizes.rs
+++ b/crates/scheduler/src/row_sizes.rs
@@ -27,6 +27,7 @@
 use crate::storing::units;
 use crate::unit_set::UnitSet;
 use crate::worker::Worker;
+use crate::worker_reports::ATTEMPTS_MAX_DEFAULT;
 
 /// Most bytes that a position of a unit or a step takes, with brackets and a comma.
 const POSITION_BYTES: usize = 24;
@@ -173,13 +174,12 @@
     /// Returns those of the waiting units of a step that may be started: the failures of all runs of
     /// their job must fit into its row. If it is full, one unit at a time goes on, first one that
     /// has failed before, until it is done or has no attempts left and makes room either way.
-    pub(crate) fn storable_units<'a>(&self, waiting: &'a WaitingStep) -> Cow<'a, [usize]> {
-        let Some(job) = self.jobs.get(&waiting.first_unit.job) else {
-            return Cow::Borrowed(&[]);
-        };
-        let Some(step) = job.record.steps.get(waiting.first_unit.step) else {
-            return Cow::Borrowed(&[]);
-        };
+    pub(crate) fn storable_units<'a>(
+        &self,
+        job: &Job,
+        waiting: &'a WaitingStep,
+    ) -> Cow<'a, [usize]> {
+        let step = &job.record.steps[waiting.first_unit.step];
         // Failures of long-running units are not stored.
         if step.is_long_running || self.has_room_for_all_failures(job) {
             return Cow::Borrowed(&waiting.units);
@@ -209,7 +209,7 @@
     fn has_room_for_all_failures(&self, job: &Job) -> bool {
         let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
         let unit_count: usize = steps.map(Vec::len).sum();
-        let attempts_max = self.attempts_max(&job.record.queue) as usize;
+        let attempts_max = self.attempts_max_of_queues.max(ATTEMPTS_MAX_DEFAULT) as usize;
         let unit_bytes_max = 3 * POSITION_BYTES + NUMBER_BYTES * attempts_max;
         FRAME_BYTES + unit_count * unit_bytes_max <= self.settings.row_bytes_max
     }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -50,6 +50,8 @@
 pub struct Scheduler {
     pub(crate) settings: Settings,
     pub(crate) config: Arc<Config>,
+    /// Largest number of attempts that any queue allows.
+    pub(crate) attempts_max_of_queues: u32,
     /// Jobs that have not finished, or that still have runs.
     pub(crate) jobs: JobMap<Job>,
     /// Jobs whose progress has to be stored, in the order in which they first changed.
@@ -150,6 +152,8 @@
 
     /// Makes a configuration active.
     pub fn set_config(&mut self, config: Arc<Config>) {
+        let attempts = config.queues.values().map(|queue| queue.attempts_max);
+        self.attempts_max_of_queues = attempts.max().unwrap_or_default();
         self.config = config;
         self.needs_placement = true;
     }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -418,4 +418,4 @@
 }
 
 /// Number of failed runs of a unit at which its job fails if the queue is no longer configured.
-const ATTEMPTS_MAX_DEFAULT: u32 = 3;
+pub(crate) const ATTEMPTS_MAX_DEFAULT: u32 = 3;
