Log what shows that a run has ended, and keep whole histories in a peak

A run can now be removed only with a RunEnd, which the module run_end makes from the evidence: a listed completion, a report that leaves the run out and why that counts, an expired lease, a later incarnation, and so on. The conditions are those from before. The evidence is kept until the unit's next start and logged with it (unit-restarted). New lines: runs-ended, run-unexpected; a metric counts units that two workers list. Lines without a reply, lost runs and restarts are always kept, and of one job in 16 all lines are kept at all nodes.

One decision is stricter: a job of which a start command was sent is not withdrawn when a transaction is refused. It had no RunEnd to be made for such a run.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod config;
 pub mod divisions;
 pub mod http;
+pub mod job_log;
 pub mod metrics;
 pub mod ports;
 pub mod rows;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -36,6 +36,8 @@
 pub const RUNS_LOST: &str = "runs.lost";
 /// Runs that were stopped so that their units run on another worker.
 pub const RUNS_MOVED: &str = "runs.moved";
+/// Runs that a worker has listed although their units were assigned to another one.
+pub const UNITS_ON_TWO_WORKERS: &str = "units.on-two-workers";
 /// Runs whose durations were recorded for the expected ones.
 pub const DURATION_SAMPLES: &str = "durations.samples";
 /// Time until a start command is answered.
@@ -84,6 +86,10 @@
     counter(UNITS_EVACUATED, "long-running units moved out of evacuated zones"),
     counter(RUNS_LOST, "runs whose worker has ended or is silent, and runs that it does not list"),
     counter(RUNS_MOVED, "runs stopped on shrunk workers to run elsewhere"),
+    counter(
+        UNITS_ON_TWO_WORKERS,
+        "runs listed by a worker although their units were assigned to another one",
+    ),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
     timer(RUNS_START, "time of an order to start"),
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -12,6 +12,7 @@
 mod load;
 mod pipeline;
 mod requests;
+mod run_log;
 mod stats;
 mod submissions;
 mod write_times;
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -6,16 +6,11 @@
 use scheduler::Action;
 use scheduler::HostName;
 use scheduler::HostReply;
-use scheduler::JobId;
 use scheduler::Moment;
-use scheduler::SortedMap;
 use scheduler::StartCommand;
 use scheduler::StartReply;
-use scheduler::UnitKey;
 use scheduler::WaveId;
 use scheduler::WaveState;
-use serde_json::Value;
-use serde_json::json;
 
 use super::Owner;
 use super::VALIDITY;
@@ -45,24 +40,13 @@
             }
             Event::Started { worker, unit, run, reply } => {
                 if reply != StartReply::Started {
-                    telemetry::log::line("run-not-started")
-                        .text("unit", &unit)
-                        .field("run", run)
-                        .field("worker", &*worker)
-                        .field("epoch", self.epoch)
-                        .text("reply", format!("{reply:?}"))
-                        .write();
+                    self.log_not_started(&worker, &unit, run, reply);
                 }
                 self.count_start(&unit.job, reply, now);
                 self.scheduler.handle_start_reply(&worker, &unit, run, reply, now);
             }
             Event::Stopped { worker, unit, run, is_answered } => {
-                telemetry::log::line("run-stopped")
-                    .text("unit", &unit)
-                    .field("run", run)
-                    .field("worker", &*worker)
-                    .field("is_answered", is_answered)
-                    .write();
+                self.log_stopped(&worker, &unit, run, is_answered);
                 self.scheduler.handle_stop_reply(&worker, &unit, run, is_answered, now);
             }
             Event::SpeedLimited { unit, run, percent, is_answered } => {
@@ -135,25 +119,6 @@
         }
     }
 
-    /// Logs the runs that are about to start, one line per job.
-    pub(super) fn log_starts(&self, actions: &[Action]) {
-        let mut runs_by_job: SortedMap<JobId, Vec<Value>> = SortedMap::default();
-        for action in actions {
-            let Action::Start(command) = action else {
-                continue;
-            };
-            let run = json!([command.unit.to_string(), command.run, &*command.worker]);
-            runs_by_job.entry_or(command.unit.job.clone(), Vec::new).push(run);
-        }
-        for (job, runs) in runs_by_job.iter() {
-            telemetry::log::line("runs-ordered")
-                .field("job", &**job)
-                .field("runs", runs.clone())
-                .field("epoch", self.epoch)
-                .write();
-        }
-    }
-
     /// Carries out an action.
     pub(super) fn execute(&mut self, action: Action) {
         let shared = self.shared.clone();
@@ -181,16 +146,14 @@
                 self.command_host(host, HostCommand::Maintain(wave));
             }
             Action::WaveStatus { wave, state } => self.handle_wave_state(wave, state),
-            Action::LogLostRuns { worker, cause, runs } => {
-                let row =
-                    |(unit, number): &(UnitKey, u32)| json!([unit.to_string(), number, &*worker]);
-                self.shared.node.telemetry.count_many(metrics::RUNS_LOST, runs.len() as u64);
-                telemetry::log::line("runs-lost")
-                    .field("worker", &*worker)
-                    .text("cause", format!("{cause:?}"))
-                    .field("runs", runs.iter().map(row).collect::<Vec<Value>>())
-                    .field("epoch", token)
-                    .write();
+            Action::LogLostRuns { worker, runs } => self.log_lost_runs(&worker, &runs),
+            Action::LogEndedRuns { worker, runs } => self.log_ended_runs(&worker, &runs),
+            Action::LogRestartedUnit { worker, unit, run, ended, since_end } => {
+                let since_end_ms = since_end.as_millis() as u64;
+                self.log_restarted_unit(&worker, &unit, run, &ended, since_end_ms);
+            }
+            Action::LogUnexpectedRun { worker, unit, run, assigned } => {
+                self.log_unexpected_run(&worker, &unit, run, assigned.as_ref());
             }
             Action::LogEvacuation { zone, state, runs } => self.log_evacuation(&zone, state, runs),
             Action::LogDecision { what, subject, why } => telemetry::log::line("decision")
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -20,6 +20,7 @@
 use super::pipeline::InFlight;
 use super::requests::send_reply;
 use crate::clock;
+use crate::job_log::job_line;
 use crate::metrics;
 use crate::peers::OwnerClient;
 use crate::ports::Platform;
@@ -200,8 +201,9 @@
             return;
         }
         for job in &withdrawn {
-            self.scheduler.withdraw_job(job, now);
-            in_flight.batch.remove_job(job);
+            if self.scheduler.withdraw_job(job, now) {
+                in_flight.batch.remove_job(job);
+            }
         }
         let is_withdrawn = |cancellation: &mut Cancellation| withdrawn.contains(&cancellation.job);
         // Whether the job exists elsewhere is found out as for any other unknown one.
@@ -345,7 +347,7 @@
         self.shared.set_owner_row(in_flight.row.clone(), version);
         for record in self.pipeline.submissions.take_stored() {
             self.shared.node.telemetry.count(metrics::JOBS_ACCEPTED);
-            telemetry::log::line("job-accepted")
+            job_line("job-accepted", &record.id)
                 .field("job", &*record.id)
                 .field("queue", &*record.queue)
                 .field("shard", self.shared.shard)
@@ -357,7 +359,7 @@
         for (id, progress) in &in_flight.batch.progress {
             if let Some(state) = progress.final_state {
                 self.shared.node.telemetry.count(metrics::JOBS_ENDED);
-                telemetry::log::line("job-ended")
+                job_line("job-ended", id)
                     .field("job", &**id)
                     .text("state", format!("{state:?}"))
                     .write();
--- a/crates/coordinator/src/owner/requests.rs
+++ b/crates/coordinator/src/owner/requests.rs
@@ -13,6 +13,7 @@
 use super::submissions::Submitter;
 use crate::caller_api::is_allowed;
 use crate::clock;
+use crate::job_log::job_line;
 use crate::ports::Platform;
 use crate::ports::Row;
 use crate::rows;
@@ -112,7 +113,7 @@
             StateReply::Found(JobView::Ended(_)) => return send_reply(reply, CancelReply::Done),
             StateReply::Found(_) => {}
         }
-        telemetry::log::line("job-cancelled").field("job", job).field("epoch", self.epoch).write();
+        job_line("job-cancelled", job).field("job", job).field("epoch", self.epoch).write();
         self.pipeline.add_cancellation(Cancellation {
             job: job.into(),
             reply: Some(reply),
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -69,6 +69,7 @@
             (metrics::RUNS_STARTED_COLD, counts.cold_starts),
             (metrics::STARTS_WITHHELD, counts.starts_withheld),
             (metrics::UNITS_EVACUATED, counts.units_evacuated),
+            (metrics::UNITS_ON_TWO_WORKERS, counts.units_on_two_workers),
             (metrics::RUNS_MOVED, counts.moved_runs),
         ];
         for (name, count) in counters.into_iter().filter(|(_, count)| *count > 0) {
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -22,8 +22,8 @@
 use crate::live_jobs::Run;
 use crate::lost_runs::precedes;
 use crate::messages::Action;
-use crate::messages::LossCause;
 use crate::messages::StartCommand;
+use crate::run_end::RunEnd;
 use crate::sorted_map::SortedMap;
 use crate::state::Scheduler;
 use crate::worker::Worker;
@@ -149,12 +149,12 @@
             let unregistered = || Worker::unregistered(id.clone(), row, now + lease_left, now);
             let worker = self.workers.entry_or(id.clone(), unregistered);
             worker.has_row = true;
-            let is_restarted = row.incarnation_started_ms != 0
-                && row.incarnation_started_ms < worker.registration.incarnation_started_ms;
-            if is_restarted {
-                restarted.push(id.clone());
-            }
-            if is_restarted || row.may_have_stray_lease {
+            let end = RunEnd::worker_restarted(
+                row.incarnation_started_ms,
+                worker.registration.incarnation_started_ms,
+            );
+            restarted.extend(end.map(|end| (id.clone(), end)));
+            if end.is_some() || row.may_have_stray_lease {
                 worker.record_stray_leases(lease_max, now);
             }
             runs.extend(row.stored_runs(id));
@@ -162,8 +162,8 @@
         for run in possible_runs(runs) {
             self.adopt_run_in_doubt(run, now);
         }
-        for id in restarted {
-            self.handle_worker_end(&id, LossCause::WorkerRestarted, now);
+        for (id, end) in restarted {
+            self.handle_worker_end(&id, end, now);
         }
         let finished = self.jobs.iter().filter(|(_, job)| job.is_final_state_stored);
         for id in finished.map(|(id, _)| id.clone()).collect::<Vec<JobId>>() {
@@ -260,12 +260,22 @@
             return;
         };
         let checkpoint = unit.checkpoint.clone();
+        let ended = unit.ended_run.take();
         if let Some(run) = unit.run_on_mut(id) {
             run.phase = Phase::Commanded;
             run.since = now;
             run.progressed_at = now;
             run.deadline_ms = deadline_ms;
         }
+        if let Some(ended) = ended {
+            self.actions.push(Action::LogRestartedUnit {
+                worker: id.clone(),
+                unit: key.clone(),
+                run: number,
+                since_end: now.saturating_sub(ended.at),
+                ended: *ended,
+            });
+        }
         self.actions.push(Action::Start(StartCommand {
             worker: id.clone(),
             address,
@@ -280,7 +290,10 @@
 
     /// Removes a planned run whose start command is not sent. A gang does not start without it.
     fn withdraw_planned(&mut self, worker: &str, key: &UnitKey, now: Moment) {
-        self.remove_run(key, worker, now);
+        let Some(end) = self.run_on(key, worker).and_then(RunEnd::not_sent) else {
+            return;
+        };
+        self.remove_run(key, worker, end, now);
         let step = self.jobs.get(&key.job).and_then(|job| job.record.steps.get(key.step));
         if step.is_some_and(|step| step.is_gang) {
             for member in self.units_finishing_with(key, true) {
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -8,6 +8,7 @@
 use crate::live_jobs::Unit;
 use crate::messages::Action;
 use crate::messages::StartReply;
+use crate::run_end::RunEnd;
 use crate::state::Scheduler;
 
 /// Time for which a worker gets no new runs after it refused a command.
@@ -46,7 +47,11 @@
             StartReply::OtherInstance => {
                 self.handle_worker_gone(worker, "another instance answers", now)
             }
-            _ => self.handle_not_started(worker, key, reply, now),
+            _ => {
+                if let Some(end) = RunEnd::not_started(reply) {
+                    self.handle_not_started(worker, key, reply, end, now);
+                }
+            }
         }
     }
 
@@ -88,9 +93,9 @@
         let Some(run) = self.run_on_mut(key, worker) else {
             return;
         };
-        if run.phase == Phase::Planned {
-            // The start command has not been sent yet, and now it will not be.
-            self.remove_run(key, worker, now);
+        // Otherwise the start command has not been sent yet, and now it will not be.
+        if let Some(end) = RunEnd::not_sent(run) {
+            self.remove_run(key, worker, end, now);
             return;
         }
         let is_due = match &run.stop {
@@ -151,8 +156,15 @@
         }
     }
 
-    fn handle_not_started(&mut self, id: &WorkerId, key: &UnitKey, reply: StartReply, now: Moment) {
-        self.remove_run(key, id, now);
+    fn handle_not_started(
+        &mut self,
+        id: &WorkerId,
+        key: &UnitKey,
+        reply: StartReply,
+        end: RunEnd,
+        now: Moment,
+    ) {
+        self.remove_run(key, id, end, now);
         let Some(unit) = self.unit_mut(key) else {
             return;
         };
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -14,6 +14,9 @@
     pub starts_withheld: u64,
     /// Long-running units that were stopped in an evacuated zone, to run elsewhere.
     pub units_evacuated: u64,
+    /// Runs that a worker has listed although their units were assigned to another one; each report
+    /// counts.
+    pub units_on_two_workers: u64,
     /// Runs that were stopped so that their units run on another worker.
     pub moved_runs: u64,
 }
--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -24,8 +24,8 @@
 use crate::messages::HostEntry;
 use crate::messages::HostReply;
 use crate::messages::HostState;
-use crate::messages::LossCause;
 use crate::messages::WorkerRegistration;
+use crate::run_end::RunEnd;
 use crate::settings::Settings;
 use crate::state::Scheduler;
 
@@ -315,7 +315,7 @@
             host.handle_command(&command, back_at);
         }
         if let Some(worker) = command.worker {
-            self.remove_runs_on(&worker, LossCause::HostCommanded, now);
+            self.remove_runs_on(&worker, RunEnd::host_commanded(), now);
             if let Some(removed) = self.remove_worker(&worker) {
                 self.terminated_workers.insert(worker, removed.registration);
             }
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -15,6 +15,7 @@
 use crate::job::UnitKey;
 use crate::progress::CrashedRun;
 use crate::progress::FinalState;
+use crate::run_end::EndedRun;
 
 /// Progress of a run that has done all its work, or of a long-running unit that is fully available.
 /// Also the speed limit of a run whose speed is not limited.
@@ -162,6 +163,8 @@
     pub checkpoint: String,
     /// The run that is or may be on a worker.
     pub run: Option<Run>,
+    /// The last run that may have begun and has ended, until the next one is started.
+    pub ended_run: Option<Box<EndedRun>>,
     /// Workers on which it failed or stalled; others are preferred.
     pub excluded_workers: Vec<WorkerId>,
     /// When the unit last lost its run or, if it is long-running, was last reported as not fully
@@ -179,6 +182,7 @@
             last_run: run_number_base,
             checkpoint: String::new(),
             run: None,
+            ended_run: None,
             excluded_workers: Vec::new(),
             last_unavailable_at: now,
         }
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -16,9 +16,9 @@
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
 use crate::messages::Action;
-use crate::messages::LossCause;
 use crate::progress::CrashedRun;
 use crate::progress::StartOrder;
+use crate::run_end::RunEnd;
 use crate::state::Scheduler;
 use crate::worker::Worker;
 
@@ -85,23 +85,23 @@
 impl Scheduler {
     /// Handles the end of a worker that another incarnation or another process has replaced.
     /// Nothing of it is running any more.
-    pub(crate) fn handle_worker_end(&mut self, id: &str, cause: LossCause, now: Moment) {
+    pub(crate) fn handle_worker_end(&mut self, id: &str, end: RunEnd, now: Moment) {
         let mut suspects = self.suspects_on(id);
         suspects.extend(self.silent_suspects.remove(id).unwrap_or_default());
         for (_, run) in &mut suspects {
             run.is_certain = true;
         }
-        self.remove_runs_on(id, cause, now);
+        self.remove_runs_on(id, end, now);
         self.count_crash(&suspects, now);
     }
 
     /// Removes the runs of a silent worker whose lease has expired. It may have crashed.
-    pub(crate) fn handle_lease_expiry(&mut self, id: &WorkerId, now: Moment) {
+    pub(crate) fn handle_lease_expiry(&mut self, id: &WorkerId, end: RunEnd, now: Moment) {
         let suspects = self.suspects_on(id);
         if !suspects.is_empty() {
             self.silent_suspects.insert(id.clone(), suspects.clone());
         }
-        self.remove_runs_on(id, LossCause::LeaseExpired, now);
+        self.remove_runs_on(id, end, now);
         self.count_crash(&suspects, now);
     }
 
@@ -115,31 +115,25 @@
         }
     }
 
-    /// Removes all runs on a worker, since none of them can still be running.
-    pub(crate) fn remove_runs_on(&mut self, id: &str, cause: LossCause, now: Moment) {
-        let runs = self.workers.get(id).map(|worker| worker.runs.clone()).unwrap_or_default();
-        self.remove_lost_runs(id, &runs, cause, now);
+    /// Removes all runs on a worker, which have ended.
+    pub(crate) fn remove_runs_on(&mut self, id: &str, end: RunEnd, now: Moment) {
+        let units = self.workers.get(id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
+        let ended: Vec<(UnitKey, RunEnd)> = units.iter().map(|key| (key.clone(), end)).collect();
+        self.remove_lost_runs(id, &ended, now);
     }
 
     /// Removes runs of a worker that have ended without a completion.
-    pub(crate) fn remove_lost_runs(
-        &mut self,
-        id: &str,
-        units: &[UnitKey],
-        cause: LossCause,
-        now: Moment,
-    ) {
-        let mut runs = Vec::with_capacity(units.len());
-        for key in units {
-            if let Some(run) = self.remove_run(key, id, now) {
+    pub(crate) fn remove_lost_runs(&mut self, id: &str, ended: &[(UnitKey, RunEnd)], now: Moment) {
+        let mut runs = Vec::with_capacity(ended.len());
+        for (key, end) in ended {
+            if let Some(run) = self.remove_run(key, id, *end, now) {
                 self.keep_checkpoint(key, &run);
-                runs.push((key.clone(), run.number));
+                runs.push((key.clone(), run.number, end.evidence()));
             }
             self.remove_finished(&key.job, now);
         }
         if !runs.is_empty() {
-            let worker = WorkerId::from(id);
-            self.actions.push(Action::LogLostRuns { worker, cause, runs });
+            self.actions.push(Action::LogLostRuns { worker: WorkerId::from(id), runs });
         }
     }
 
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -11,6 +11,10 @@
 use crate::ZoneName;
 use crate::job::Resources;
 use crate::job::UnitKey;
+use crate::live_jobs::Phase;
+use crate::live_jobs::Run;
+use crate::run_end::EndEvidence;
+use crate::run_end::EndedRun;
 
 /// What a worker has registered about itself.
 #[derive(Clone, Debug, PartialEq)]
@@ -95,6 +99,23 @@
     HostCommanded,
 }
 
+/// The run that the owner knows of a unit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AssignedRun {
+    /// Worker that the unit is assigned to.
+    pub worker: WorkerId,
+    /// Number of the run.
+    pub number: u32,
+    /// What the owner knows about the run.
+    pub phase: Phase,
+}
+
+impl AssignedRun {
+    pub(crate) fn of(run: &Run) -> Self {
+        Self { worker: run.worker.clone(), number: run.number, phase: run.phase }
+    }
+}
+
 /// A worker's report that a run has ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Completion {
@@ -341,10 +362,39 @@
     LogLostRuns {
         /// Worker that had the runs.
         worker: WorkerId,
-        /// Why they count as ended.
-        cause: LossCause,
-        /// Unit and number of each run.
-        runs: Vec<(UnitKey, u32)>,
+        /// Unit and number of each run, and what shows that it has ended.
+        runs: Vec<(UnitKey, u32, EndEvidence)>,
+    },
+    /// Writes log lines about runs whose completions a worker has listed.
+    LogEndedRuns {
+        /// Worker that had the runs.
+        worker: WorkerId,
+        /// Unit, number and outcome of each run.
+        runs: Vec<(UnitKey, u32, RunOutcome)>,
+    },
+    /// Writes a log line about a unit that is started again.
+    LogRestartedUnit {
+        /// Worker that is to run the unit.
+        worker: WorkerId,
+        /// The unit.
+        unit: UnitKey,
+        /// Number of the new run.
+        run: u32,
+        /// The run before.
+        ended: EndedRun,
+        /// Time since the owner learned that the run before had ended.
+        since_end: Duration,
+    },
+    /// Writes a log line about a run that should not be on the worker that lists it.
+    LogUnexpectedRun {
+        /// Worker that lists the run.
+        worker: WorkerId,
+        /// Unit of the run.
+        unit: UnitKey,
+        /// Number of the run.
+        run: u32,
+        /// The run that the unit is known to have; `None` if the unit is not known.
+        assigned: Option<AssignedRun>,
     },
     /// Writes a log line about the evacuation of a zone.
     LogEvacuation {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -39,6 +39,8 @@
 use crate::portions::Portion;
 use crate::progress::CrashedRun;
 use crate::rate_shares::RateShares;
+use crate::run_end::EndedRun;
+use crate::run_end::RunEnd;
 use crate::settings::Settings;
 use crate::shrunk_workers::ShrunkWorkers;
 use crate::sorted_map::SortedMap;
@@ -320,8 +322,14 @@
         }
     }
 
-    /// Removes the run of a unit on a worker once it is certain that it is not running any more.
-    pub(crate) fn remove_run(&mut self, key: &UnitKey, worker: &str, now: Moment) -> Option<Run> {
+    /// Removes the run of a unit on a worker, which has ended.
+    pub(crate) fn remove_run(
+        &mut self,
+        key: &UnitKey,
+        worker: &str,
+        end: RunEnd,
+        now: Moment,
+    ) -> Option<Run> {
         let run = self.unit_mut(key)?.run.take_if(|run| *run.worker == *worker)?;
         let job = self.jobs.get_mut(&key.job);
         let team = job.and_then(|job| {
@@ -338,6 +346,14 @@
         }
         if let Some(unit) = self.unit_mut(key) {
             unit.last_unavailable_at = now;
+            if end.evidence().may_have_begun() {
+                unit.ended_run = Some(Box::new(EndedRun {
+                    number: run.number,
+                    worker: run.worker.clone(),
+                    evidence: end.evidence(),
+                    at: now,
+                }));
+            }
         }
         self.needs_placement = true;
         Some(run)
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -22,6 +22,7 @@
 use crate::progress::FinalState;
 use crate::progress::Progress;
 use crate::row_sizes::has_room_for_occurrence;
+use crate::run_end::RunEnd;
 use crate::state::Scheduler;
 
 /// Rows that a finished job takes in a batch: its progress is written and its record is removed.
@@ -87,15 +88,25 @@
         self.needs_placement = true;
     }
 
-    /// Removes a job that could not be stored; none of its start commands has been sent.
-    pub fn withdraw_job(&mut self, id: &str, now: Moment) {
+    /// Removes a job that could not be stored. Returns false if one of its start commands was sent:
+    /// then the job is stored and stays.
+    pub fn withdraw_job(&mut self, id: &str, now: Moment) -> bool {
+        let mut planned = Vec::new();
         for key in self.units_with_run(id) {
-            let run = self.unit(&key).and_then(|unit| unit.run.as_ref());
-            if let Some(worker) = run.map(|run| run.worker.clone()) {
-                self.remove_run(&key, &worker, now);
-            }
+            let Some(run) = self.unit(&key).and_then(|unit| unit.run.as_ref()) else {
+                continue;
+            };
+            let Some(end) = RunEnd::not_sent(run) else {
+                self.log_decision("job not withdrawn", key, format!("phase={:?}", run.phase));
+                return false;
+            };
+            planned.push((key, run.worker.clone(), end));
+        }
+        for (key, worker, end) in planned {
+            self.remove_run(&key, &worker, end, now);
         }
         self.jobs.remove(id);
+        true
     }
 
     /// Cancels a job. Its runs are stopped once the cancellation is stored.
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -14,10 +14,10 @@
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::live_jobs::Unit;
-use crate::messages::LossCause;
 use crate::messages::WorkerRegistration;
 use crate::progress::Progress;
 use crate::progress::UnitPosition;
+use crate::run_end::RunEnd;
 use crate::state::Scheduler;
 use crate::worker::Worker;
 
@@ -120,12 +120,13 @@
             return;
         };
         worker.is_registered = true;
-        let is_restarted = registration.incarnation_started_ms
-            > worker.registration.incarnation_started_ms
-            && worker.registration.incarnation_started_ms != 0;
-        if is_restarted {
+        let end = RunEnd::worker_restarted(
+            worker.registration.incarnation_started_ms,
+            registration.incarnation_started_ms,
+        );
+        if let Some(end) = end {
             let id = registration.id.clone();
-            self.handle_worker_restart(&id, registration, now);
+            self.handle_worker_restart(&id, registration, end, now);
             return;
         }
         if registration.is_draining && !worker.registration.is_draining {
@@ -152,13 +153,14 @@
         &mut self,
         id: &str,
         registration: WorkerRegistration,
+        end: RunEnd,
         now: Moment,
     ) {
         let subject = id.to_owned();
         let why = format!("born_ms={}", registration.incarnation_started_ms);
         self.log_decision("worker started again", subject, why);
         let unanswered = self.unanswered_starts(id);
-        self.handle_worker_end(id, LossCause::WorkerRestarted, now);
+        self.handle_worker_end(id, end, now);
         let lease_max = self.settings.lease_max;
         if let Some(worker) = self.workers.get_mut(id) {
             let (has_row, is_cordoned) = (worker.has_row, worker.is_cordoned);
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -11,18 +11,21 @@
 use crate::live_jobs::FinishState;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
+use crate::messages::Action;
+use crate::messages::AssignedRun;
 use crate::messages::Completion;
-use crate::messages::LossCause;
 use crate::messages::PollFailure;
 use crate::messages::RunOutcome;
 use crate::messages::RunStatus;
 use crate::messages::WorkerRegistration;
 use crate::messages::WorkerReport;
 use crate::progress::FinalState;
+use crate::run_end::RunEnd;
 use crate::state::Scheduler;
 use crate::storing::is_finished;
 use crate::worker::Contact;
 use crate::worker::PendingCompletion;
+use crate::worker::Worker;
 
 /// Time for which a silent worker is still polled after its lease has expired: how it returns shows
 /// whether it has crashed.
@@ -75,24 +78,23 @@
     /// Handles proof that a worker has ended, or that its address now belongs to another worker.
     pub fn handle_worker_gone(&mut self, id: &WorkerId, why: &str, now: Moment) {
         self.log_decision("worker is gone", id.clone(), why.to_owned());
-        self.handle_worker_end(id, LossCause::WorkerReplaced, now);
+        self.handle_worker_end(id, RunEnd::worker_replaced(), now);
         self.remove_worker(id);
     }
 
     /// Removes the runs of unresponsive workers whose leases have expired: these runs have ended.
     pub(crate) fn expire_leases(&mut self, now: Moment) {
-        let has_expired_lease = |worker: &crate::worker::Worker| {
-            now >= worker.lease_expires_at
-                && !worker.is_in_contact(self.settings.contact_max, now)
-                && !worker.runs.is_empty()
+        let is_silent = |worker: &Worker| {
+            !worker.is_in_contact(self.settings.contact_max, now) && !worker.runs.is_empty()
         };
-        let expired = self.workers.iter().filter(|(_, worker)| has_expired_lease(worker));
-        let expired: Vec<WorkerId> = expired.map(|(id, _)| id.clone()).collect();
-        for id in expired {
+        let silent = self.workers.iter().filter(|(_, worker)| is_silent(worker));
+        let expired = silent
+            .filter_map(|(id, worker)| Some((id.clone(), RunEnd::lease_expired(worker, now)?)));
+        for (id, end) in expired.collect::<Vec<(WorkerId, RunEnd)>>() {
             self.log_decision("lease of a silent worker is over", id.clone(), String::new());
-            self.handle_lease_expiry(&id, now);
+            self.handle_lease_expiry(&id, end, now);
         }
-        let is_removable = |worker: &crate::worker::Worker| {
+        let is_removable = |worker: &Worker| {
             let is_suspect_host = self.silent_suspects.contains(&worker.registration.id);
             let kept = if is_suspect_host { SILENT_WORKER_KEPT } else { Duration::ZERO };
             !worker.is_registered
@@ -113,14 +115,13 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
-        if worker.registration.incarnation_started_ms != 0
-            && report.incarnation_started_ms > worker.registration.incarnation_started_ms
-        {
+        let known_ms = worker.registration.incarnation_started_ms;
+        if let Some(end) = RunEnd::worker_restarted(known_ms, report.incarnation_started_ms) {
             let registration = WorkerRegistration {
                 incarnation_started_ms: report.incarnation_started_ms,
                 ..worker.registration.clone()
             };
-            self.handle_worker_restart(id, registration, now);
+            self.handle_worker_restart(id, registration, end, now);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
@@ -145,6 +146,7 @@
     }
 
     fn handle_completions(&mut self, id: &WorkerId, completions: &[Completion], now: Moment) {
+        let mut runs = Vec::new();
         for completion in completions {
             let Some(worker) = self.workers.get_mut(id) else {
                 return;
@@ -154,6 +156,10 @@
             }
             worker.last_seen_completion = completion.number;
             self.handle_completion(id, completion, now);
+            runs.push((completion.unit.clone(), completion.run, completion.outcome));
+        }
+        if !runs.is_empty() {
+            self.actions.push(Action::LogEndedRuns { worker: id.clone(), runs });
         }
     }
 
@@ -164,7 +170,7 @@
             return;
         };
         unit.last_run = unit.last_run.max(completion.run);
-        let is_current = unit.run_on(id).is_some_and(|run| run.number <= completion.run);
+        let end = unit.run_on(id).and_then(|run| RunEnd::listed(run, completion));
         if !completion.checkpoint.is_empty() && unit.finish_state == FinishState::Unfinished {
             unit.checkpoint = completion.checkpoint.clone();
         }
@@ -173,8 +179,8 @@
         // A new owner may learn of several failures of a unit in any order.
         let is_new_failure =
             completion.outcome == RunOutcome::Failed && !unit.failed_runs.contains(&completion.run);
-        if is_current {
-            self.remove_run(key, id, now);
+        if let Some(end) = end {
+            self.remove_run(key, id, end, now);
         }
         if completion.outcome != RunOutcome::Done {
             let why = format!("ending={:?} run={} worker={id}", completion.outcome, completion.run);
@@ -302,28 +308,22 @@
         let key = &running.unit;
         let job = self.jobs.get(&key.job);
         let Some((job, unit)) = job.and_then(|job| Some((job, job.unit(key)?))) else {
-            self.send_stop(id, key, running.run);
+            self.stop_unexpected_run(id, running, None);
             return false;
         };
         let is_wanted = unit.finish_state == FinishState::Unfinished && !job.is_final_state_stored;
         match &unit.run {
             _ if unit.run_on(id).is_some() => self.update_run(id, key, running, now),
-            Some(run) if run.phase == Phase::InDoubt => {
-                let (worker, is_earlier) = (run.worker.clone(), run.number < running.run);
-                if is_earlier {
-                    // An owner assigns a higher run number only after it is certain that the
-                    // earlier run has ended.
-                    self.remove_run(key, &worker, now);
-                    self.adopt_run(id, running, now);
-                } else {
-                    self.send_stop(id, key, running.run);
+            Some(run) => {
+                let assigned = AssignedRun::of(run);
+                let Some(end) = RunEnd::superseded(run, running.run) else {
+                    // The unit is assigned to another worker, so this is a leftover of an earlier
+                    // run.
+                    self.stop_unexpected_run(id, running, Some(assigned));
                     return false;
-                }
-            }
-            // The unit is assigned to another worker, so this is a leftover of an earlier run.
-            Some(_) => {
-                self.send_stop(id, key, running.run);
-                return false;
+                };
+                self.remove_run(key, &assigned.worker, end, now);
+                self.adopt_run(id, running, now);
             }
             None => self.adopt_run(id, running, now),
         }
@@ -333,6 +333,23 @@
         true
     }
 
+    /// Commands a run to stop that should not be on the worker that lists it.
+    fn stop_unexpected_run(
+        &mut self,
+        id: &WorkerId,
+        running: &RunStatus,
+        assigned: Option<AssignedRun>,
+    ) {
+        self.counts.units_on_two_workers += u64::from(assigned.is_some());
+        self.send_stop(id, &running.unit, running.run);
+        self.actions.push(Action::LogUnexpectedRun {
+            worker: id.clone(),
+            unit: running.unit.clone(),
+            run: running.run,
+            assigned,
+        });
+    }
+
     fn update_run(&mut self, id: &WorkerId, key: &UnitKey, running: &RunStatus, now: Moment) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
@@ -394,21 +411,11 @@
             let Some(run) = self.run_on(key, id) else {
                 continue;
             };
-            let is_stopped =
-                run.stop.and_then(|stop| stop.replied_at).is_some_and(|at| at <= sent_at);
-            let has_missed_deadline =
-                run.deadline_ms != 0 && worker.is_deadline_past(run.deadline_ms, sent_at);
-            let is_gone = match run.phase {
-                Phase::Planned | Phase::Commanded => false,
-                Phase::Confirmed(at) => at <= sent_at,
-                Phase::Reported => run.since <= sent_at,
-                Phase::InDoubt => is_stopped || has_missed_deadline || run.deadline_ms == 0,
-            };
-            if is_gone || is_stopped {
-                absent.push(key.clone());
+            if let Some(end) = RunEnd::absent(run, worker, sent_at) {
+                absent.push((key.clone(), end));
             }
         }
-        self.remove_lost_runs(id, &absent, LossCause::NotListed, now);
+        self.remove_lost_runs(id, &absent, now);
     }
 
     pub(crate) fn is_long_running(&self, key: &UnitKey) -> bool {
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -3,6 +3,11 @@
 //! Another thread writes the lines from a bounded queue. If nobody reads standard output, lines are
 //! dropped, so that the caller never blocks. The number of lines of each kind per second is
 //! limited; a line `lines-left-out` reports how many were suppressed.
+//!
+//! When the limit is reached, the lines that are left out are those of the busiest second, about
+//! which most is asked later. Two sorts of lines therefore have limits of their own: those of
+//! sampled histories, so that of some jobs all lines are kept, and those that are rare and show what
+//! has gone wrong.
 
 use std::io;
 use std::sync::Arc;
@@ -22,14 +27,43 @@
 
 /// Maximum number of lines of one kind that are written in one second.
 const LINES_PER_SECOND_MAX: u32 = 200;
+/// Maximum number of lines of one kind that are written in one second for sampled histories.
+const SAMPLED_LINES_PER_SECOND_MAX: u32 = 400;
+/// Maximum number of decisive lines of one kind that are written in one second.
+const DECISIVE_LINES_PER_SECOND_MAX: u32 = 1_000;
+/// Of this many histories, one is sampled.
+const HISTORIES_PER_SAMPLE: u64 = 16;
 /// Size of the write buffer, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Time between flushes of the write buffer.
 const FLUSH_PERIOD: Duration = Duration::from_millis(250);
 
-/// Number of lines of one kind in the current second.
+/// Which limit applies to a line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Retention {
+    /// That of its kind.
+    Limited,
+    /// That of the sampled histories.
+    Sampled,
+    /// That of the decisive lines.
+    Decisive,
+}
+
+impl Retention {
+    /// Returns the maximum number of lines of one kind in one second.
+    fn lines_per_second_max(self) -> u32 {
+        match self {
+            Self::Limited => LINES_PER_SECOND_MAX,
+            Self::Sampled => SAMPLED_LINES_PER_SECOND_MAX,
+            Self::Decisive => DECISIVE_LINES_PER_SECOND_MAX,
+        }
+    }
+}
+
+/// Number of lines of one kind and retention in the current second.
 struct KindCount {
     kind: &'static str,
+    retention: Retention,
     written: u32,
     suppressed: u32,
 }
@@ -46,6 +80,7 @@
 /// Builder of a log line.
 pub struct Line {
     kind: &'static str,
+    retention: Retention,
     fields: Map<String, Value>,
 }
 
@@ -76,7 +111,7 @@
 
 /// Starts a line of the given kind.
 pub fn line(kind: &'static str) -> Line {
-    Line { kind, fields: Map::new() }
+    Line { kind, retention: Retention::Limited, fields: Map::new() }
 }
 
 impl Line {
@@ -91,10 +126,25 @@
         self.field(name, value.to_string())
     }
 
+    /// Makes the line part of a history, which a hash identifies. All lines of a sampled history are
+    /// kept.
+    pub fn history(mut self, hash: u64) -> Self {
+        if self.retention == Retention::Limited && hash.is_multiple_of(HISTORIES_PER_SAMPLE) {
+            self.retention = Retention::Sampled;
+        }
+        self
+    }
+
+    /// Marks the line as rare and decisive, so that it is kept when there are many of its kind.
+    pub fn decisive(mut self) -> Self {
+        self.retention = Retention::Decisive;
+        self
+    }
+
     /// Writes the line, unless the limit for its kind in this second is reached.
     pub fn write(self) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let (is_written, suppressed) = admit(self.kind, now.as_secs());
+        let (is_written, suppressed) = admit(self.kind, self.retention, now.as_secs());
         for (kind, count) in suppressed {
             let fields = Map::from_iter([
                 ("of".to_owned(), Value::from(kind)),
@@ -110,7 +160,11 @@
 
 /// Counts a line. Returns whether it is within the limit, and the numbers of lines suppressed in
 /// the previous second in which lines were counted, by kind.
-fn admit(kind: &'static str, second: u64) -> (bool, Vec<(&'static str, u32)>) {
+fn admit(
+    kind: &'static str,
+    retention: Retention,
+    second: u64,
+) -> (bool, Vec<(&'static str, u32)>) {
     let mut window = WINDOW.lock().expect("lock is never poisoned");
     let mut suppressed = Vec::new();
     if window.second != second {
@@ -119,15 +173,16 @@
         suppressed = counts.map(|count| (count.kind, count.suppressed)).collect();
         window.kinds.clear();
     }
-    let index = match window.kinds.iter().position(|count| count.kind == kind) {
+    let is_counted = |count: &KindCount| count.kind == kind && count.retention == retention;
+    let index = match window.kinds.iter().position(is_counted) {
         Some(index) => index,
         None => {
-            window.kinds.push(KindCount { kind, written: 0, suppressed: 0 });
+            window.kinds.push(KindCount { kind, retention, written: 0, suppressed: 0 });
             window.kinds.len() - 1
         }
     };
     let count = &mut window.kinds[index];
-    let is_written = count.written < LINES_PER_SECOND_MAX;
+    let is_written = count.written < retention.lines_per_second_max();
     match is_written {
         true => count.written += 1,
         false => count.suppressed += 1,
