Keep confirmed starts when their worker turns out to have started again

What callers could see: a unit that runs on two workers at once (TWICE), or again after it was done.

Cause: the reply to a start doesn't tell which incarnation has carried it out. A worker that starts again within the time for which it counts as in contact gets starts that were meant for the earlier incarnation, and confirms them. If the registry tells of the restart before the next report does, the owner took all runs of the worker for those of the earlier incarnation and started their units elsewhere at once. A poll of a worker with runs waits up to a second, and is repeated 250 ms after the earlier one broke off, so the registration often comes first. Several registrations come in one batch, so units of several workers are started again at the same moment. A successor did the same with all runs of a row that names an earlier incarnation than the registration does, whether its predecessor knew of the restart or not.

Evidence: restart_model, once it had the reply to a start and the registry as a source, found two runs without any call being late or lost. It finds them again without the new guard. Three new tests in restarted_workers failed before the change.

Ruled out: runs that the earlier incarnation has listed (its reports tell the incarnation), and planned runs, whose start was not sent.

Change: at a restart the owner keeps runs that were confirmed but not listed, and those of an earlier owner. The next report of the later incarnation shows whether they are there. Crashes are counted as before.

Cost: a unit whose start was confirmed, but not listed, before a crash waits for the first reply of the later incarnation instead of its registration.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -163,7 +163,7 @@
             self.adopt_run_in_doubt(run, now);
         }
         for (id, end) in restarted {
-            self.handle_worker_end(&id, end, now);
+            self.handle_restart_before_takeover(&id, end, now);
         }
         let finished = self.jobs.iter().filter(|(_, job)| job.is_final_state_stored);
         for id in finished.map(|(id, _)| id.clone()).collect::<Vec<JobId>>() {
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -159,7 +159,7 @@
         let subject = id.to_owned();
         let why = format!("born_ms={}", registration.incarnation_started_ms);
         self.log_decision("worker started again", subject, why);
-        let unanswered = self.unanswered_starts(id);
+        let possible = self.possible_runs_of_restarted(id);
         self.handle_worker_end(id, end, now);
         let lease_max = self.settings.lease_max;
         if let Some(worker) = self.workers.get_mut(id) {
@@ -170,29 +170,44 @@
             worker.is_cordoned = is_cordoned;
             worker.cordoned_at = now;
         }
-        for (key, run) in unanswered {
-            self.keep_in_doubt(&key, run, now);
+        for (key, run) in possible {
+            self.keep_possible_run(&key, run, now);
         }
     }
 
-    /// Returns the runs on a worker whose start commands have no reply.
-    fn unanswered_starts(&self, id: &str) -> Vec<(UnitKey, Run)> {
+    /// Handles a row of an earlier incarnation of a worker. The earlier owner may not have known of
+    /// the restart, so that the later incarnation may have carried out its start commands.
+    pub(crate) fn handle_restart_before_takeover(&mut self, id: &str, end: RunEnd, now: Moment) {
+        let possible = self.possible_runs_of_restarted(id);
+        self.handle_worker_end(id, end, now);
+        for (key, run) in possible {
+            if self.unit(&key).is_some_and(|unit| unit.run.is_none()) {
+                self.add_run(&key, run, now);
+            }
+        }
+    }
+
+    /// Returns the runs that a later incarnation of their worker may have started: all but those that
+    /// the earlier one has listed.
+    fn possible_runs_of_restarted(&self, id: &str) -> Vec<(UnitKey, Run)> {
         let keys = self.workers.get(id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
-        let is_unanswered = |run: &&Run| {
-            run.phase == Phase::Commanded || (run.phase == Phase::InDoubt && run.deadline_ms != 0)
-        };
-        let run = |key: &UnitKey| self.run_on(key, id).filter(is_unanswered).cloned();
+        let is_possible = |run: &&Run| !matches!(run.phase, Phase::Planned | Phase::Reported);
+        let run = |key: &UnitKey| self.run_on(key, id).filter(is_possible).cloned();
         keys.iter().filter_map(|key| Some((key.clone(), run(key)?))).collect()
     }
 
-    /// Keeps a run whose start command may still take effect at a later incarnation of its worker,
-    /// which doesn't know its deadline. Once that incarnation has replied to the command to stop,
-    /// it refuses the start.
-    fn keep_in_doubt(&mut self, key: &UnitKey, run: Run, now: Moment) {
+    /// Keeps a run that a later incarnation of its worker may have started, until the reports of
+    /// that incarnation show whether it has.
+    fn keep_possible_run(&mut self, key: &UnitKey, run: Run, now: Moment) {
         let is_open = self.unit(key).is_some_and(|unit| unit.run.is_none());
         if !is_open {
             return;
         }
+        if is_settled_by_report(&run) {
+            return self.add_run(key, run, now);
+        }
+        // The start command may still take effect at the later incarnation, which doesn't know its
+        // deadline. Once that has replied to the command to stop, it refuses the start.
         let worker = run.worker.clone();
         let run = Run { phase: Phase::InDoubt, deadline_ms: u64::MAX, stop: None, ..run };
         self.add_run(key, run, now);
@@ -229,3 +244,10 @@
         }
     }
 }
+
+/// Returns true if the next report shows whether a run is there: its start command was answered,
+/// which doesn't tell by which incarnation, or came from an earlier owner.
+fn is_settled_by_report(run: &Run) -> bool {
+    let is_of_earlier_owner = run.phase == Phase::InDoubt && run.deadline_ms == 0;
+    matches!(run.phase, Phase::Confirmed(_)) || is_of_earlier_owner
+}
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -406,7 +406,7 @@
         }
     }
 
-    fn registration(&self) -> WorkerRegistration {
+    pub fn registration(&self) -> WorkerRegistration {
         WorkerRegistration {
             incarnation_started_ms: self.incarnation_started_ms,
             labels: vec!["a".to_owned(), self.rack.to_owned()].into(),
--- a/crates/scheduler/tests/restart_model.rs
+++ b/crates/scheduler/tests/restart_model.rs
@@ -33,6 +33,9 @@
     CallsInFlight,
     /// It keeps starts without a reply in doubt until the later incarnation has replied to a stop.
     UnansweredStart,
+    /// It keeps confirmed starts until the later incarnation has replied: the reply to a start
+    /// doesn't tell which incarnation has carried it out.
+    ConfirmedStart,
 }
 
 /// What the owner knows about the unit's run on the worker.
@@ -40,6 +43,9 @@
 enum Known {
     Nothing,
     Commanded,
+    /// The start was confirmed, by whichever incarnation.
+    Confirmed,
+    /// The known incarnation has listed the run.
     Reported,
     /// A start was sent to the earlier incarnation. True once the later one has replied to a stop.
     InDoubt(bool),
@@ -90,7 +96,11 @@
         successors.extend(restart(state));
         successors.extend(send_poll(state));
         successors.extend(send_start(state));
-        successors.extend(deliver_start(state));
+        if let Some(started) = deliver_start(state) {
+            successors.push(started);
+            successors.extend(confirm_start(&started));
+        }
+        successors.extend(self.register(state));
         successors.extend(stop(state));
         successors.extend(expire_lease(state));
         successors.extend(start_elsewhere(state));
@@ -101,18 +111,30 @@
         successors
     }
 
+    /// The owner learns of a later incarnation from the registry.
+    fn register(&self, state: &State) -> Option<State> {
+        (state.incarnation > state.known_incarnation).then(|| self.handle_restart(*state))
+    }
+
+    fn handle_restart(&self, mut state: State) -> State {
+        state.known_incarnation = state.incarnation;
+        let lease = if self.has(Guard::LongestLease) { LEASE_MAX } else { 0 };
+        let call_time = if self.has(Guard::CallsInFlight) { CALL_TIME_MAX } else { 0 };
+        state.lease_expires_at = state.lease_expires_at.max(state.now + lease + call_time);
+        state.known = match state.known {
+            Known::Commanded | Known::InDoubt(_) if self.has(Guard::UnansweredStart) => {
+                Known::InDoubt(false)
+            }
+            Known::Confirmed if self.has(Guard::ConfirmedStart) => Known::Confirmed,
+            _ => Known::Nothing,
+        };
+        state
+    }
+
     /// The owner handles a report.
     fn handle_report(&self, mut state: State) -> State {
         if state.incarnation > state.known_incarnation {
-            state.known_incarnation = state.incarnation;
-            let lease = if self.has(Guard::LongestLease) { LEASE_MAX } else { 0 };
-            let call_time = if self.has(Guard::CallsInFlight) { CALL_TIME_MAX } else { 0 };
-            state.lease_expires_at = state.lease_expires_at.max(state.now + lease + call_time);
-            let is_unanswered = matches!(state.known, Known::Commanded | Known::InDoubt(_));
-            state.known = match is_unanswered && self.has(Guard::UnansweredStart) {
-                true => Known::InDoubt(false),
-                false => Known::Nothing,
-            };
+            state = self.handle_restart(state);
         }
         state.known = match (state.known, state.running) {
             (Known::InDoubt(false), _) | (Known::Commanded, None) => state.known,
@@ -189,6 +211,12 @@
     Some(next)
 }
 
+/// The reply to a start arrives.
+fn confirm_start(state: &State) -> Option<State> {
+    let is_confirmed = state.running.is_some() && state.known == Known::Commanded;
+    is_confirmed.then_some(State { known: Known::Confirmed, ..*state })
+}
+
 /// A stop command is carried out and answered.
 fn stop(state: &State) -> Option<State> {
     let stopped =
@@ -250,6 +278,7 @@
 #[case::longest_lease(Guard::LongestLease)]
 #[case::calls_in_flight(Guard::CallsInFlight)]
 #[case::unanswered_start(Guard::UnansweredStart)]
+#[case::confirmed_start(Guard::ConfirmedStart)]
 fn each_guard_is_needed(#[case] guard: Guard) {
     let (has_violation, _) = explore(&Model { disabled: Some(guard) });
     assert!(has_violation, "no violation without {guard:?}");
--- a/crates/scheduler/tests/restarted_workers.rs
+++ b/crates/scheduler/tests/restarted_workers.rs
@@ -116,3 +116,58 @@
     let starts = sim.run_for(seconds(1));
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
+
+/// Starts a unit on `w1`, which has started again without the owner's knowledge and confirms the
+/// start. From then on `w2` is free.
+fn start_on_unknown_incarnation(sim: &mut Simulation) {
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.worker("w1").crash();
+    sim.worker("w1").restart();
+    sim.worker("w2").is_responsive = false;
+    sim.scheduler.unregister_worker("w2");
+    let starts = sim.run_round();
+    assert_eq!(starts.iter().map(|start| &*start.worker).collect::<Vec<&str>>(), ["w1"]);
+    sim.worker("w2").is_responsive = true;
+    let registration = simulation::registration("w2");
+    sim.scheduler.update_worker(registration, seconds(0), sim.now);
+    sim.report("w2");
+}
+
+/// Guards against two runs at the same time: the owner learned of a restart from the registry, took
+/// a start that the later incarnation had confirmed for one of the earlier incarnation, and started
+/// the unit elsewhere at once.
+#[test]
+fn a_start_that_the_later_incarnation_has_confirmed_is_kept() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    start_on_unknown_incarnation(&mut sim);
+    let registration = sim.worker("w1").registration();
+    sim.scheduler.update_worker(registration, seconds(0), sim.now);
+    assert_eq!(sim.run_round(), []);
+    assert_eq!(sim.run_for(seconds(2)), [], "the unit keeps running");
+    assert_eq!(sim.worker("w1").running.len(), 1);
+}
+
+/// The same with a start that was lost with the earlier incarnation: the first report of the later
+/// one shows it.
+#[test]
+fn a_confirmed_start_that_the_later_incarnation_does_not_list_is_lost() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    start_on_unknown_incarnation(&mut sim);
+    sim.worker("w1").crash();
+    sim.restart_worker("w1");
+    assert_eq!(sim.run_round(), []);
+    assert_eq!(sim.run_for(millis(400)).len(), 1);
+}
+
+/// Guards against two runs at the same time: the predecessor didn't know of a restart. Its successor
+/// found a later registration and took the runs of the row for those of the earlier incarnation.
+#[test]
+fn a_successor_keeps_starts_that_a_later_incarnation_may_have_got() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let record = job("a", vec![step(1, 1_000)], sim.now);
+    start_on_unknown_incarnation(&mut sim);
+    sim.take_over(2, config(3, NO_QUOTA), seconds(5), &[record]);
+    sim.report("w2");
+    assert_eq!(sim.run_round(), []);
+    assert_eq!(sim.run_for(seconds(2)), [], "the unit keeps running");
+}
