Keep the row of a worker that was removed and has come back

A unit could run on two workers after a takeover. A worker whose registration expires while the store is away is removed from the scheduler, and its assignment row is queued for removal. If it is back before that is stored, gets a run and has its row written, the removal was still carried out: in the same transaction, where removals follow the writes, or in a later one, as removals only take the rows that a transaction has left. No row then named the runs of that worker. A unit that no row names counts as not running, so a successor started it on the first worker that replied to it, whether the other one was silent or had only not replied yet. A store that was away queues the removals of many workers at once.

Now a row that is written is taken out of the queue of removals. The row of a worker that comes back without a run is removed as before.

The test the_row_of_a_worker_that_came_back_is_not_removed failed in both cases before the change, with the unit started on the other worker, and passes now.

Ruled out on related paths: transactions that are sent again carry the same rows, and no later one is sent before them; a row that is left out for its bytes or the number of rows stays marked as unstored, and no start is sent for it; a planned run that is withdrawn after its row was stored is followed by one with a higher number; a job that is taken out of a refused transaction leaves the rows, and none of its runs was started.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -4,7 +4,8 @@
 //! may be running, with its run number: a unit that no row names is not running anywhere. A row is
 //! written when a run is added to its worker. Runs that have ended stay in the row until it is
 //! written again. This is harmless, since their units have finished or have a run with a higher
-//! number.
+//! number. The row of a removed worker is removed, unless the worker comes back and a row is written
+//! for it before.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -113,6 +114,9 @@
                 worker.has_row = true;
             }
         }
+        // A worker that was removed may have come back since. Its row is then needed again.
+        let is_written = |id: &WorkerId| batch.assignments.iter().any(|(written, _)| written == id);
+        self.assignments_to_remove.retain(|id| !is_written(id));
         let rows_left = rows_max.saturating_sub(batch.assignments.len());
         let rest =
             self.assignments_to_remove.split_off(self.assignments_to_remove.len().min(rows_left));
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -271,38 +271,42 @@
     /// rows for the progress of jobs.
     pub fn commit_with_limit(&mut self, progress_rows_max: usize) {
         let limits = BatchLimits { rows_max: 100, progress_rows_max, bytes_max: BATCH_BYTES_MAX };
-        loop {
-            let batch = self.scheduler.take_batch(limits, self.now);
-            assert!(batch.row_count() <= limits.rows_max);
-            if batch.has_no_writes() && batch.completions.is_empty() {
-                return;
-            }
-            for (id, progress) in &batch.progress {
-                self.stored_progress.insert(id.clone(), progress.clone());
-            }
-            for (id, row) in &batch.assignments {
-                self.assignments.insert(id.clone(), row.clone());
-            }
-            for id in &batch.assignments_to_remove {
-                self.assignments.remove(id);
-            }
-            if let Some(baseline_hosts) = &batch.baseline_hosts {
-                self.baseline_hosts = baseline_hosts.clone();
-            }
-            if let Some(host_commands) = &batch.host_commands {
-                self.host_commands = host_commands.clone();
-            }
-            for (wave, row) in &batch.waves {
-                self.waves.insert(*wave, row.clone());
-            }
-            self.durations = batch.durations.clone().or(self.durations.take());
-            self.scheduler.handle_commit(&batch, self.now);
-            for completions in &batch.completions {
-                self.worker(&completions.worker)
-                    .completions
-                    .retain(|completion| completion.number > completions.number);
-            }
+        while self.commit_batch(limits) {}
+    }
+
+    /// Commits one batch of changes. Returns false if there are none.
+    pub fn commit_batch(&mut self, limits: BatchLimits) -> bool {
+        let batch = self.scheduler.take_batch(limits, self.now);
+        assert!(batch.row_count() <= limits.rows_max);
+        if batch.has_no_writes() && batch.completions.is_empty() {
+            return false;
+        }
+        for (id, progress) in &batch.progress {
+            self.stored_progress.insert(id.clone(), progress.clone());
+        }
+        for (id, row) in &batch.assignments {
+            self.assignments.insert(id.clone(), row.clone());
+        }
+        for id in &batch.assignments_to_remove {
+            self.assignments.remove(id);
+        }
+        if let Some(baseline_hosts) = &batch.baseline_hosts {
+            self.baseline_hosts = baseline_hosts.clone();
+        }
+        if let Some(host_commands) = &batch.host_commands {
+            self.host_commands = host_commands.clone();
+        }
+        for (wave, row) in &batch.waves {
+            self.waves.insert(*wave, row.clone());
+        }
+        self.durations = batch.durations.clone().or(self.durations.take());
+        self.scheduler.handle_commit(&batch, self.now);
+        for completions in &batch.completions {
+            self.worker(&completions.worker)
+                .completions
+                .retain(|completion| completion.number > completions.number);
         }
+        true
     }
 
     /// Runs one round of decisions and commits the changes. Responsive workers start and stop runs
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -4,7 +4,9 @@
 #[path = "common/simulation.rs"]
 mod simulation;
 
+use rstest::rstest;
 use scheduler::Action;
+use scheduler::BatchLimits;
 use scheduler::FinalState;
 use scheduler::HostReply;
 use scheduler::JobView;
@@ -13,6 +15,7 @@
 use scheduler::Step;
 use scheduler::Wave;
 use scheduler::WorkerReport;
+use simulation::BATCH_BYTES_MAX;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
@@ -238,3 +241,34 @@
     sim.scheduler.handle_report(&id, &report, sim.now, sim.now);
     assert!(sim.run_round().is_empty(), "the units run already");
 }
+
+// Guards against a run that no stored row names: a worker was removed, came back under its id and
+// got a run, and the removal of its earlier row was stored with the new row or after it. The
+// successor started the unit at once on another worker.
+#[rstest]
+#[case::in_the_same_transaction(16)]
+#[case::in_a_later_transaction(1)]
+fn the_row_of_a_worker_that_came_back_is_not_removed(#[case] rows_max: usize) {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    let first = job("a", vec![step(1, 1_000)], sim.now);
+    sim.scheduler.add_job(first.clone(), sim.now);
+    assert_eq!(sim.run_round().len(), 1);
+    sim.worker("w1").crash();
+    sim.scheduler.handle_worker_gone(&"w1".into(), "another instance answers", sim.now);
+    sim.restart_worker("w1");
+    sim.report("w1");
+    let second = job("b", vec![step(1, 1_000)], sim.now);
+    sim.scheduler.add_job(second.clone(), sim.now);
+    sim.scheduler.plan(sim.now);
+    let limits = BatchLimits { rows_max, progress_rows_max: 0, bytes_max: BATCH_BYTES_MAX };
+    while sim.commit_batch(limits) {}
+    let starts = sim.carry_out_actions();
+    assert!(starts.iter().any(|start| start.unit == unit("b", 0, 0)), "{starts:?}");
+    // The successor does not reach the worker, and could use another one.
+    sim.add_worker("w2");
+    sim.worker("w1").is_responsive = false;
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[first, second]);
+    sim.report("w2");
+    let starts = sim.run_for(seconds(2));
+    assert!(starts.iter().all(|start| start.unit != unit("b", 0, 0)), "{starts:?}");
+}
--- a/crates/scheduler/tests/takeover_model.rs
+++ b/crates/scheduler/tests/takeover_model.rs
@@ -7,138 +7,29 @@
 //! show that each guard of the protocol is needed, each one is disabled in turn; the model must
 //! then find a violation.
 
+#[path = "common/takeover_state.rs"]
+mod state;
+
 use std::collections::HashSet;
 
 use rstest::rstest;
-
-/// Number of ticks for which an owner may act after its last renewal.
-const OWNER_VALID: u8 = 1;
-/// Duration of a lease, in ticks.
-const LEASE: u8 = 2;
-/// Number of ticks after which a start command has no effect. The lease of the run that it starts
-/// expires then, unless it is renewed.
-const COMMAND_VALID: u8 = 1;
-/// Number of ticks that a new owner waits for a worker that has not replied. The previous owner may
-/// renew leases until it is no longer valid.
-const TAKEOVER_WAIT: u8 = OWNER_VALID + LEASE;
-/// Number of ticks that the model explores.
-const TICKS_MAX: u8 = 4;
-const RUNS_MAX: u8 = 2;
-const OWNERS: usize = 2;
-const WORKERS: usize = 2;
-
-/// The guards of the protocol.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Guard {
-    /// An owner acts only while it is valid, by a clock that keeps running during suspension.
-    Validity,
-    /// Workers refuse commands with a lower fencing token.
-    Token,
-    /// A command names the incarnation of the worker that it is meant for.
-    Incarnation,
-    /// A unit that may be running on a worker that has not replied is not started elsewhere for a
-    /// time.
-    TakeoverWait,
-    /// Each write has the owner's row as a precondition.
-    Precondition,
-    /// A run is stored before its start command is sent.
-    StoredRun,
-    /// A completion is acknowledged only once it is stored.
-    StoredCompletion,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Placement {
-    worker: u8,
-    run: u8,
-}
-
-/// What an owner knows about the unit's run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Known {
-    Nothing,
-    /// The run is being written.
-    Writing(Placement),
-    /// The run is stored, and its start command has not been sent.
-    Planned(Placement),
-    /// The start command was sent; it has no effect after this tick.
-    Commanded(Placement, u8),
-    /// A worker has reported the run as running.
-    Reported(Placement),
-    /// The row names the run, but no worker has reported it yet.
-    InDoubt(Placement),
-    /// A worker has reported the completion.
-    Completed(Placement),
-    /// The completion is being written.
-    WritingCompletion(Placement),
-    /// The completion is stored.
-    Done,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Owner {
-    /// 0 if this node does not own the scheduling.
-    epoch: u8,
-    valid_until: u8,
-    wait_until: u8,
-    has_replied: [bool; WORKERS],
-    incarnations: [u8; WORKERS],
-    last_run: u8,
-    known: Known,
-}
-
-/// A node that does not own the scheduling.
-const NO_OWNER: Owner = Owner {
-    epoch: 0,
-    valid_until: 0,
-    wait_until: 0,
-    has_replied: [false; WORKERS],
-    incarnations: [0; WORKERS],
-    last_run: 0,
-    known: Known::Nothing,
-};
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Worker {
-    incarnation: u8,
-    token: u8,
-    lease_until: u8,
-    running: Option<u8>,
-    completion: Option<Completion>,
-}
-
-/// A completion that a worker lists.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Completion {
-    run: u8,
-    /// The worker's lease has expired since, so an acknowledgement comes too late to count.
-    has_expired_lease: bool,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct StartCommand {
-    placement: Placement,
-    incarnation: u8,
-    token: u8,
-    deadline: u8,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct State {
-    now: u8,
-    /// Epoch in the owner's row.
-    epoch: u8,
-    /// Run in the assignment row.
-    assigned: Option<Placement>,
-    is_done: bool,
-    /// A completion was acknowledged.
-    is_acknowledged: bool,
-    owners: [Owner; OWNERS],
-    workers: [Worker; WORKERS],
-    /// The last start command of each owner, until it arrives.
-    commands: [Option<StartCommand>; OWNERS],
-    violation: Option<&'static str>,
-}
+use state::COMMAND_VALID;
+use state::Completion;
+use state::Guard;
+use state::Known;
+use state::LEASE;
+use state::NO_OWNER;
+use state::OWNER_VALID;
+use state::OWNERS;
+use state::Owner;
+use state::Placement;
+use state::RUNS_MAX;
+use state::StartCommand;
+use state::State;
+use state::TAKEOVER_WAIT;
+use state::TICKS_MAX;
+use state::WORKERS;
+use state::Worker;
 
 struct Model {
     disabled: Option<Guard>,
@@ -162,6 +53,7 @@
             successors.extend(renew(state, owner));
             successors.extend(self.deliver_command(state, owner));
             successors.extend(self.commit_write(state, owner));
+            successors.extend(self.commit_removal(state, owner));
             successors.extend(self.send_command(state, owner));
             successors.extend(self.expire_wait(state, owner));
             successors.extend(write_completion(state, owner));
@@ -211,6 +103,10 @@
             Known::Writing(placement) => {
                 next.assigned = Some(placement);
                 next.owners[owner].known = Known::Planned(placement);
+                let node = &mut next.owners[owner];
+                if self.has(Guard::WrittenRow) && node.row_to_remove == Some(placement.worker) {
+                    node.row_to_remove = None;
+                }
             }
             _ => {
                 next.is_done = true;
@@ -221,6 +117,18 @@
         Some(next)
     }
 
+    /// The removal of a worker's row arrives at the store.
+    fn commit_removal(&self, state: &State, owner: usize) -> Option<State> {
+        let worker = state.owners[owner].row_to_remove?;
+        let mut next = *state;
+        next.owners[owner].row_to_remove = None;
+        let is_refused = self.has(Guard::Precondition) && state.epoch != state.owners[owner].epoch;
+        if !is_refused && state.assigned.is_some_and(|placement| placement.worker == worker) {
+            next.assigned = None;
+        }
+        Some(next)
+    }
+
     /// An owner sends the start command.
     fn send_command(&self, state: &State, owner: usize) -> Option<State> {
         let node = state.owners[owner];
@@ -294,6 +202,11 @@
             // A run that was planned for the earlier incarnation is dropped.
             node.known = Known::Nothing;
         }
+        let has_successor = usize::from(node.epoch) < OWNERS;
+        if is_restarted && has_successor && state.assigned.is_some_and(is_on_worker) {
+            // The worker was removed as its registration had expired, and has come back.
+            node.row_to_remove = Some(index as u8);
+        }
         worker.lease_until = worker.lease_until.max(state.now + LEASE);
         if let Some(run) = worker.running {
             let placement = Placement { worker: index as u8, run };
@@ -409,6 +322,7 @@
         incarnations: [0; WORKERS],
         last_run: state.assigned.map_or(0, |placement| placement.run),
         known,
+        row_to_remove: None,
     };
     Some(next)
 }
@@ -491,6 +405,7 @@
 #[case::precondition(Guard::Precondition)]
 #[case::stored_run(Guard::StoredRun)]
 #[case::stored_completion(Guard::StoredCompletion)]
+#[case::written_row(Guard::WrittenRow)]
 fn each_guard_is_needed(#[case] guard: Guard) {
     let (violation, _) = explore(&Model { disabled: Some(guard) });
     assert!(violation.is_some(), "no violation without {guard:?}");
