Name the lost answer in the error of a request whose retry was refused

What callers saw: 502 with the outcome `unknown` and the detail "the backend server did not run the request", after the answer of the first of several attempts was lost.

Cause: the outcome was that of all attempts, the detail that of the last. The tokens of the lost attempt are in doubt and probed at once, and a probe fences the request's id at that host. A retry that came later to a host with the fence was refused as not run, which is true of that attempt only. In the test, all hosts shared one backend server and so its fences; on separate servers it takes a third attempt, which could go to the first host again.

Also found on this path: a probe's result was booked by the request's id alone. With two attempts of a request in doubt, the report of one host that it isn't running the request released the slot of the other, which could still run it, and the other entry got no results at all.

Change: once an attempt may have run, the error is that of the last such attempt. No retry goes to a host on which an earlier attempt may have run. Probe results are booked by request and backend server. The test gives each host its own backend server, as hosts have, and sums their runs; the golden file is unchanged.

Ruled out: an outcome `not-run` for a request that may have run.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -89,20 +89,20 @@
 }
 
 impl ServiceBackends {
-    /// Chooses a backend server with a spare slot that is not on `excluded_host`. Chooses an
-    /// ejected one only if no other has a slot and more hosts are unavailable than the availability
-    /// budget allows.
+    /// Chooses a backend server with a spare slot that is not on one of `excluded_hosts`. Chooses
+    /// an ejected one only if no other has a slot and more hosts are unavailable than the
+    /// availability budget allows.
     pub fn choose(
         &self,
         limits: &LimitTable,
         rng: &mut impl Rng,
-        excluded_host: Option<&HostId>,
+        excluded_hosts: &[HostId],
         now: Instant,
     ) -> Option<&Arc<Backend>> {
         let mut choose = |includes_ejected| {
             routing::choose(self.backends.len(), rng, |index| {
                 let backend = &self.backends[index];
-                if excluded_host == Some(&backend.host) {
+                if excluded_hosts.contains(&backend.host) {
                     return None;
                 }
                 backend.cost(limits, includes_ejected, now)
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -25,6 +25,7 @@
 }
 
 /// Error that the caller gets instead of a response of a backend server.
+#[derive(Clone)]
 pub struct GatewayError {
     /// HTTP status of the response.
     pub status: StatusCode,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 use limits::LimitKey;
+use model::HostId;
 use model::Outcome;
 use model::RequestId;
 use routing::AttemptFailure;
@@ -107,8 +108,12 @@
     ) -> Result<Response<Body>, GatewayError> {
         let OutboundRequest { id, admitted, mut request } = outbound;
         let is_idempotent = routing::is_idempotent(request.method());
-        let mut may_have_run = false;
         let mut attempts = 0;
+        // The last error of an attempt that may have run; it holds for the whole request.
+        let mut unknown = None;
+        // Hosts on which an earlier attempt may have run. Probes for it fence the request ID there,
+        // so these hosts would refuse another attempt.
+        let mut doubtful_hosts: Vec<HostId> = Vec::new();
         loop {
             attempts += 1;
             let replay = Replay::of(&request);
@@ -118,8 +123,13 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            may_have_run |= failed.failure == AttemptFailure::NoResponse;
-            let error = with_final_outcome(failed.error, may_have_run);
+            let mut excluded_hosts = doubtful_hosts.clone();
+            excluded_hosts.push(backend.host.clone());
+            if failed.failure == AttemptFailure::NoResponse {
+                unknown = Some(failed.error.clone());
+                doubtful_hosts.push(backend.host.clone());
+            }
+            let error = unknown.clone().unwrap_or(failed.error);
             if failed.is_final {
                 return Err(error);
             }
@@ -134,7 +144,8 @@
                 return Err(error);
             }
             let service = admitted.wait_queue.service();
-            let Some(tokens) = self.retry_tokens(&admitted, &service, &backend, failed.held) else {
+            let Some(tokens) = self.retry_tokens(&admitted, &service, &excluded_hosts, failed.held)
+            else {
                 return Err(error);
             };
             self.telemetry.count("request.retried");
@@ -151,20 +162,18 @@
         &self,
         admitted: &AdmittedRequest,
         service: &ServiceBackends,
-        last_backend: &Backend,
+        excluded_hosts: &[HostId],
         held: Option<HeldTokens>,
     ) -> Option<HeldTokens> {
         let now = Instant::now();
+        let wait_queues = &self.wait_queues;
         match held {
-            Some(mut held) => self.wait_queues.move_slot(&mut held, service, now).then_some(held),
+            Some(mut held) => {
+                wait_queues.move_slot(&mut held, service, excluded_hosts, now).then_some(held)
+            }
             None => {
                 let team_limit = LimitKey::Running(admitted.admission.team.clone());
-                self.wait_queues.try_acquire_for_retry(
-                    service,
-                    &team_limit,
-                    &last_backend.host,
-                    now,
-                )
+                wait_queues.try_acquire_for_retry(service, &team_limit, excluded_hosts, now)
             }
         }
     }
@@ -436,18 +445,6 @@
     }
 }
 
-/// Returns the error of the last attempt with an outcome that holds for all attempts: unknown if
-/// any of them may have run.
-fn with_final_outcome(error: GatewayError, may_have_run: bool) -> GatewayError {
-    if !may_have_run || error.outcome == Outcome::Unknown {
-        return error;
-    }
-    GatewayError {
-        retry_after: None,
-        ..GatewayError::unknown(StatusCode::BAD_GATEWAY, error.detail)
-    }
-}
-
 /// Returns true if the response states explicitly that the request did not run.
 pub fn reports_not_run(response: &Response<Incoming>) -> bool {
     response.headers().get(OUTCOME).is_some_and(|outcome| outcome == Outcome::NotRun.as_str())
--- a/crates/gateway/src/in_doubt.rs
+++ b/crates/gateway/src/in_doubt.rs
@@ -48,6 +48,13 @@
     is_reboot_seen: bool,
 }
 
+/// Result of a probe of one backend server for one request.
+struct ProbedRequest {
+    request: RequestId,
+    backend: Arc<Backend>,
+    result: ProbeResult,
+}
+
 /// All requests of this node whose tokens are in doubt.
 pub struct InDoubtRequests {
     list: Mutex<Vec<InDoubtRequest>>,
@@ -99,8 +106,8 @@
             tasks.spawn(async move { probe_all(&prober, due).await });
         }
         while let Some(joined) = tasks.join_next().await {
-            for (request, result) in joined.unwrap_or_default() {
-                self.handle_result(wait_queues, &request, result, Instant::now());
+            for probed in joined.unwrap_or_default() {
+                self.handle_result(wait_queues, &probed, Instant::now());
             }
         }
     }
@@ -132,21 +139,19 @@
         groups
     }
 
-    fn handle_result(
-        &self,
-        wait_queues: &Arc<WaitQueues>,
-        request: &RequestId,
-        result: ProbeResult,
-        now: Instant,
-    ) {
+    fn handle_result(&self, wait_queues: &Arc<WaitQueues>, probed: &ProbedRequest, now: Instant) {
         let released = {
             let mut list = self.lock();
-            let Some(index) = list.iter().position(|entry| entry.request == *request) else {
+            // Attempts of one request on several backend servers have entries with the same ID.
+            let is_probed = |entry: &InDoubtRequest| {
+                entry.request == probed.request && Arc::ptr_eq(&entry.backend, &probed.backend)
+            };
+            let Some(index) = list.iter().position(is_probed) else {
                 return;
             };
             let entry = &mut list[index];
             entry.probes += 1;
-            entry.not_running_reports = match result {
+            entry.not_running_reports = match probed.result {
                 ProbeResult::NotRunning => entry.not_running_reports + 1,
                 ProbeResult::Running | ProbeResult::Unreachable => 0,
             };
@@ -187,11 +192,11 @@
 async fn probe_all(
     prober: &Prober,
     (backend, requests): (Arc<Backend>, Vec<RequestId>),
-) -> Vec<(RequestId, ProbeResult)> {
+) -> Vec<ProbedRequest> {
     let mut results = Vec::with_capacity(requests.len());
     for request in requests {
         let result = prober.probe_request(&backend, &request).await;
-        results.push((request, result));
+        results.push(ProbedRequest { request, backend: backend.clone(), result });
         if result == ProbeResult::Unreachable {
             break;
         }
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -273,34 +273,35 @@
         }
     }
 
-    /// Replaces the slot in `held` by one of another backend server; returns false if none is
-    /// spare.
+    /// Replaces the slot in `held` by one on a host that is not in `excluded_hosts`; returns false
+    /// if none is spare.
     pub fn move_slot(
         &self,
         held: &mut HeldTokens,
         service: &ServiceBackends,
+        excluded_hosts: &[HostId],
         now: Instant,
     ) -> bool {
-        let host = held.backend().host.clone();
-        let Some(backend) = self.try_acquire_slot(service, Some(&host), now) else {
+        let Some(backend) = self.try_acquire_slot(service, excluded_hosts, now) else {
             return false;
         };
         held.switch_backend(backend);
         true
     }
 
-    /// Takes tokens for a retry of a request without waiting, on another host than `excluded_host`.
+    /// Takes tokens for a retry of a request without waiting, on a host that is not in
+    /// `excluded_hosts`.
     pub fn try_acquire_for_retry(
         self: &Arc<Self>,
         service: &ServiceBackends,
         team_limit: &LimitKey,
-        excluded_host: &HostId,
+        excluded_hosts: &[HostId],
         now: Instant,
     ) -> Option<HeldTokens> {
         if !self.limits.try_acquire(team_limit) {
             return None;
         }
-        let Some(backend) = self.try_acquire_slot(service, Some(excluded_host), now) else {
+        let Some(backend) = self.try_acquire_slot(service, excluded_hosts, now) else {
             self.limits.release(team_limit);
             return None;
         };
@@ -310,21 +311,21 @@
     fn try_acquire_slot(
         &self,
         service: &ServiceBackends,
-        excluded_host: Option<&HostId>,
+        excluded_hosts: &[HostId],
         now: Instant,
     ) -> Option<Arc<Backend>> {
         let mut rng = self.grant_rng.lock().expect("lock is never poisoned");
-        self.try_acquire_slot_with(&mut rng, service, excluded_host, now)
+        self.try_acquire_slot_with(&mut rng, service, excluded_hosts, now)
     }
 
     fn try_acquire_slot_with(
         &self,
         rng: &mut SmallRng,
         service: &ServiceBackends,
-        excluded_host: Option<&HostId>,
+        excluded_hosts: &[HostId],
         now: Instant,
     ) -> Option<Arc<Backend>> {
-        let backend = service.choose(&self.limits, rng, excluded_host, now)?;
+        let backend = service.choose(&self.limits, rng, excluded_hosts, now)?;
         self.limits.try_acquire(&backend.slots).then(|| backend.clone())
     }
 
@@ -356,7 +357,7 @@
         if state.waiters.is_empty() {
             return None;
         }
-        let backend = self.try_acquire_slot_with(rng, service, None, now)?;
+        let backend = self.try_acquire_slot_with(rng, service, &[], now)?;
         let may_run = |team: &TeamRef| {
             let team_limit = LimitKey::Running(team.clone());
             self.limits.get(&team_limit).is_some_and(|allocation| allocation.spare() > 0)
--- a/crates/gateway/tests/common/node.rs
+++ b/crates/gateway/tests/common/node.rs
@@ -130,7 +130,16 @@
 
 /// Returns a configuration with a single host in `state`.
 pub fn config(version: u64, address: SocketAddr, state: HostState) -> Arc<Config> {
-    let text = format!(
+    config_with_hosts(version, &[address], state)
+}
+
+/// Returns a configuration with the serving hosts `w1` and `w2`.
+pub fn two_hosts(addresses: [SocketAddr; 2]) -> Arc<Config> {
+    config_with_hosts(1, &addresses, HostState::Serving)
+}
+
+fn config_with_hosts(version: u64, addresses: &[SocketAddr], state: HostState) -> Arc<Config> {
+    let mut text = String::from(
         r#"
 customer = "levy"
 profile = "share"
@@ -149,21 +158,21 @@
 [[pools]]
 name = "p"
 service = "s"
-[[hosts]]
-name = "w1"
-pool = "p"
-address = "{address}"
-zone = "a"
-rack = "r1"
-slots = 8
-connections_max = 64
-processors = 16
-memory_mib = 32768
-"#
+"#,
     );
+    for (index, address) in addresses.iter().enumerate() {
+        text.push_str(&format!(
+            "[[hosts]]\nname = \"w{}\"\npool = \"p\"\naddress = \"{address}\"\nzone = \"a\"\n\
+             rack = \"r1\"\nslots = 8\nconnections_max = 64\nprocessors = 16\nmemory_mib = 32768\n",
+            index + 1
+        ));
+    }
     let contract = parse_contract("levy.toml", &text).unwrap();
-    let mut host = HostRow::new(contract.customer.clone(), contract.hosts[0].clone());
-    host.state = state;
-    let rows = vec![ConfigRow::Contract(contract), ConfigRow::Host(host)];
-    Arc::new(Config::from_rows(version, rows))
+    let hosts = contract.hosts.iter().map(|spec| {
+        let mut host = HostRow::new(contract.customer.clone(), spec.clone());
+        host.state = state;
+        ConfigRow::Host(host)
+    });
+    let rows = std::iter::once(ConfigRow::Contract(contract.clone())).chain(hosts);
+    Arc::new(Config::from_rows(version, rows.collect()))
 }
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -21,6 +21,7 @@
 use node::Platform;
 use node::api;
 use rstest::rstest;
+use standin::backend::JobRuns;
 use standin::backend::StandinBackend;
 use standin::caller::call;
 use standin::platform_server::PlatformFaults;
@@ -49,7 +50,8 @@
     customer: &'static str,
     node: Node,
     platform: Arc<StandinPlatform>,
-    backend: Arc<StandinBackend>,
+    /// One backend server for each host, since each fences only what it was probed for itself.
+    backends: Vec<Arc<StandinBackend>>,
     /// Last key granted to each team, by the team's name.
     keys: Vec<(String, api::GrantedKey)>,
     /// Ids in the order of their appearance.
@@ -83,16 +85,15 @@
         let platform = Arc::new(StandinPlatform::default());
         let (platform_address, _) =
             standin::platform_server::serve(platform.clone(), ANY_PORT).await.unwrap();
-        let backend = Arc::new(StandinBackend::default());
         let remote = Platform::remote(platform_address, Duration::from_secs(5));
         let node =
             Node::start(cluster::settings(&ClusterOptions::default(), 0), remote).await.unwrap();
-        let text = contract(customer, &backend).await;
+        let (text, backends) = contract(customer).await;
         let source = format!("{customer}.toml");
         let apply = api::ApplyContract { source, text, seen_version: None };
         let _: api::Accepted = admin(&node, Method::POST, "/contracts", &apply).await;
         let (keys, ids, transcript) = (Vec::new(), Vec::new(), String::new());
-        Self { customer, node, platform, backend, keys, ids, transcript }
+        Self { customer, node, platform, backends, keys, ids, transcript }
     }
 
     async fn step(&mut self, line: &str) {
@@ -158,7 +159,7 @@
     async fn finish(mut self) -> String {
         self.wait_until_free().await;
         writeln!(self.transcript, "\nruns").unwrap();
-        for runs in self.backend.stats().runs {
+        for runs in self.runs() {
             writeln!(self.transcript, "{} {}", runs.count, runs.job).unwrap();
         }
         let timeline: serde_json::Value = admin(&self.node, Method::GET, "/timeline", &()).await;
@@ -173,6 +174,18 @@
         self.transcript
     }
 
+    /// Returns the runs of each job on all hosts, sorted by job.
+    fn runs(&self) -> Vec<JobRuns> {
+        let mut total: Vec<JobRuns> = Vec::new();
+        for runs in self.backends.iter().flat_map(|backend| backend.stats().runs) {
+            match total.binary_search_by(|other| other.job.cmp(&runs.job)) {
+                Ok(index) => total[index].count += runs.count,
+                Err(index) => total.insert(index, runs),
+            }
+        }
+        total
+    }
+
     async fn wait_until_free(&self) {
         let waited = tokio::time::timeout(Duration::from_secs(20), async {
             loop {
@@ -221,17 +234,20 @@
 }
 
 /// Returns the example contract with the address of a stand-in backend server for each host.
-async fn contract(customer: &str, backend: &Arc<StandinBackend>) -> String {
+async fn contract(customer: &str) -> (String, Vec<Arc<StandinBackend>>) {
     let examples = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
     let text = std::fs::read_to_string(examples.join(format!("{customer}.toml"))).unwrap();
     let mut lines = Vec::new();
+    let mut backends = Vec::new();
     for line in text.lines() {
         if !line.starts_with("address = ") {
             lines.push(line.to_owned());
             continue;
         }
+        let backend = Arc::new(StandinBackend::default());
         let (address, _) = standin::backend::serve(backend.clone(), ANY_PORT).await.unwrap();
+        backends.push(backend);
         lines.push(format!("address = \"{address}\""));
     }
-    lines.join("\n")
+    (lines.join("\n"), backends)
 }
