Count a host as rebooted only if the platform says that the reboot is done

What operators could see: a host that crashed while it drained counted as rebooted by the request that followed. It served again, and was then rebooted with its requests.

Cause: a boot count other than that of the row was evidence of the requested reboot, whatever had caused it. The row keeps the count from before the drain, so a crash in between has the same look, and recording the count at the request would not help, as the list lags.

Change: the platform's word that the operation is done is needed in each case; for a host that the list shows, a new boot count as before. A reply that is lost is asked for again. If the platform never replies, the host fails after the reboot timeout and returns by its new boot count.

The other tests of the crate pass unchanged. No model covers the reboots of this path; the transition is narrower than before.

Left as it is: if the list shows the boot of the crash when the platform reports that the reboot is done, the host serves with that count, fails as absent once the list shows the newer one, and returns.

--- a/crates/maintenance/src/advance.rs
+++ b/crates/maintenance/src/advance.rs
@@ -175,18 +175,21 @@
     })
 }
 
-/// Returns evidence of a boot: a new boot count, or, if the list has not known the host, the
-/// platform's report that the reboot is done.
+/// Returns evidence that the requested reboot is done: the platform reports it, and the list does not
+/// still show the boot of before. A new boot count alone is no such evidence, because the host may
+/// have crashed while it drained, and be rebooted only now.
 fn check_booted(host_evidence: Option<&HostEvidence>, presence: Presence) -> Option<Booted> {
     let is_reboot_done =
         host_evidence.is_some_and(|host_evidence| host_evidence.reboot == Some(RebootState::Done));
+    if !is_reboot_done {
+        return None;
+    }
     match presence {
-        Presence::Restarted { boot_count } => Some(Booted { boot_count: Some(boot_count) }),
-        Presence::FirstSeen { boot_count } if is_reboot_done => {
+        Presence::Restarted { boot_count } | Presence::FirstSeen { boot_count } => {
             Some(Booted { boot_count: Some(boot_count) })
         }
-        Presence::Unlisted if is_reboot_done => Some(Booted { boot_count: None }),
-        _ => None,
+        Presence::Unlisted => Some(Booted { boot_count: None }),
+        Presence::Absent | Presence::Stale | Presence::Present { .. } => None,
     }
 }
 
