Make a refusal of a transaction final only when no attempt of it can commit

What callers could see: a change, a claim or an idle report told as refused, with the promise that it never commits, although it was committed. A change that the control plane told as not accepted could be in force; the keys of claims that were told as unavailable stayed taken until they were swept, since only an unknown outcome is undone.

Cause: after an attempt without a reply, a refusal of the retry was passed on as final. A conflict in the same place abandons the operation first, a refusal did not. The refusal says nothing about the earlier attempt, which may have committed or be in transit.

Also: a transaction takes the ids of up to eight committed operations, to delete their rows. If it failed, or its caller stopped waiting, the ids were gone and the rows stayed in the table for ever.

Change: a conflict and a refusal take the same way: after an earlier attempt, the operation is abandoned before either is final; until the table answers that, the transaction is retried. The ids go back on drop unless the transaction has committed. Deleting a row a second time does nothing.

Not changed: the first call of `commit_with_id` for an id that another node used before counts as a first attempt.

--- a/crates/services/src/commit.rs
+++ b/crates/services/src/commit.rs
@@ -89,13 +89,13 @@
         writes: Vec<Write>,
         timeout: Duration,
     ) -> (FinalOutcome, Option<RowVersion>) {
-        let operations_to_remove = self.take_committed();
+        let mut cleanup = Cleanup { committer: self, operations: self.take_committed() };
         let transaction =
-            build_transaction(random_id(), preconditions, writes, &operations_to_remove);
+            build_transaction(random_id(), preconditions, writes, &cleanup.operations);
         let final_outcome = self.commit_with_retries(table, &transaction, timeout).await;
         // The row of an abandoned operation is kept, so that a delayed attempt conflicts with it.
         if final_outcome.0 == FinalOutcome::Committed {
-            self.record_committed(&transaction.operation_id);
+            cleanup.operations = vec![transaction.operation_id];
         }
         final_outcome
     }
@@ -185,22 +185,34 @@
                     FinalOutcome::Conflict { key }
                 })
             }
-            // An earlier attempt may still be in transit. It must be abandoned before the conflict
-            // is final.
-            CommitOutcome::Conflict { key } if is_retry => {
-                match self.resolve(table, &transaction.operation_id).await? {
-                    true => Some(FinalOutcome::Committed),
-                    false => Some(FinalOutcome::Conflict { key }),
-                }
+            CommitOutcome::Conflict { key } => {
+                let conflict = FinalOutcome::Conflict { key };
+                self.to_final_failure(table, transaction, conflict, is_retry).await
+            }
+            CommitOutcome::Refused { reason } => {
+                let refused = FinalOutcome::Refused { reason };
+                self.to_final_failure(table, transaction, refused, is_retry).await
             }
-            CommitOutcome::Conflict { key } => Some(FinalOutcome::Conflict { key }),
-            CommitOutcome::Refused { reason } => Some(FinalOutcome::Refused { reason }),
             CommitOutcome::Unknown => None,
         }
     }
 
-    fn record_committed(&self, operation_id: &OperationId) {
-        self.committed.lock().expect("lock is never poisoned").push(operation_id.clone());
+    /// Returns `failure` once the transaction can no longer commit; `None` if it must be retried.
+    async fn to_final_failure(
+        &self,
+        table: &dyn Table,
+        transaction: &Transaction,
+        failure: FinalOutcome,
+        is_retry: bool,
+    ) -> Option<FinalOutcome> {
+        if !is_retry {
+            return Some(failure);
+        }
+        // An earlier attempt may have committed, or be in transit. It must be abandoned first.
+        match self.resolve(table, &transaction.operation_id).await? {
+            true => Some(FinalOutcome::Committed),
+            false => Some(failure),
+        }
     }
 
     fn take_committed(&self) -> Vec<OperationId> {
@@ -210,6 +222,20 @@
     }
 }
 
+/// Operations whose rows a later transaction must delete. Recorded on drop, so that none is lost if
+/// the transaction that should have deleted them fails or its caller stops waiting.
+struct Cleanup<'a> {
+    committer: &'a Committer,
+    operations: Vec<OperationId>,
+}
+
+impl Drop for Cleanup<'_> {
+    fn drop(&mut self) {
+        let mut committed = self.committer.committed.lock().expect("lock is never poisoned");
+        committed.append(&mut self.operations);
+    }
+}
+
 /// Returns the key of the operation row of `operation_id`.
 pub fn operation_key(operation_id: &OperationId) -> String {
     format!("{OPERATION_PREFIX}{operation_id}")
