Keep to a lowered limit of a wave when commands are sent and repeated

What operators could see: they lower the limit of a wave, and a host is taken down beside as many others as the lowered limit allows, or more.

The model of commands to hosts lacked this rule: of the commands in doubt, no more are repeated than the limit allows. It has now a limit that operators lower from two to one at any time, and that each owner learns of later. The rule of the code did not hold there, in three ways:

- Open commands counted in the order of their hosts' names.
A host that was in maintenance for certain counted after one in doubt with a smaller name, whose command was then repeated beside it.
- A command that was stored under the higher limit was sent after the lowered one was known.
- A successor went on by name, and could repeat another command than the one that its predecessor had repeated.
Both may be carried out.

Hosts that are unavailable for certain now count first, then commands in doubt, and then first commands that are being stored; among these the one that was stored last. Restored commands keep the order of their rows when the clock of the previous owner was ahead. The limits have a module of their own.

A command that was sent under the higher limit may still be carried out: the model allows for it unless the owner knew of it. One guard, that a command is stored only once the outcome of the one whose place it takes is stored, is needed only together with the absence of the new limit of repetitions, and is tested so.

--- a/crates/scheduler/src/host_commands.rs
+++ b/crates/scheduler/src/host_commands.rs
@@ -28,11 +28,12 @@
 use crate::run_end::RunEnd;
 use crate::settings::Settings;
 use crate::state::Scheduler;
+use crate::wave_limits::Certainty;
 
 /// Time before a command to a host is sent again after it failed.
 const COMMAND_RETRY_BACKOFF: Duration = Duration::from_millis(700);
 /// Time for which the platform's list may be out of date after a host has accepted a command.
-const HOST_LIST_LAG: Duration = Duration::from_millis(1_500);
+pub(crate) const HOST_LIST_LAG: Duration = Duration::from_millis(1_500);
 /// Maximum difference between the clocks of two nodes.
 const CLOCK_SKEW_MAX: Duration = Duration::from_millis(500);
 
@@ -65,11 +66,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct HostCommand {
     /// What the host is to do; none if the previous owner's row does not tell.
-    intent: Option<HostIntent>,
+    pub intent: Option<HostIntent>,
     /// Worker that the command terminates; none if the host has none.
-    worker: Option<WorkerId>,
+    pub worker: Option<WorkerId>,
     /// When the last attempt was decided or, once it is being stored, when it was taken for that.
-    issued_at: Moment,
+    pub issued_at: Moment,
     /// Lists that were requested before this time don't show what has become of the command.
     lists_count_from: Moment,
     /// When the host is back at the latest, if the command was carried out.
@@ -135,6 +136,20 @@
         self.is_open() && self.wave() == Some(wave)
     }
 
+    /// Returns how certain it is that an open command makes its host unavailable.
+    pub fn certainty(&self) -> Certainty {
+        match self.progress {
+            CommandProgress::InDoubt => Certainty::InDoubt,
+            CommandProgress::Unstored | CommandProgress::Storing => {
+                match self.has_unanswered_attempt {
+                    true => Certainty::InDoubt,
+                    false => Certainty::Unsent,
+                }
+            }
+            _ => Certainty::Certain,
+        }
+    }
+
     /// Returns true if the listed state of the host shows that the command was carried out.
     fn is_shown_by(&self, entry: &HostEntry) -> bool {
         match &self.intent {
@@ -238,8 +253,7 @@
         self.host_commands.get(name).is_some_and(HostCommand::is_open)
     }
 
-    /// Returns true if a command with this intent is in doubt and may be repeated. Of the commands of
-    /// a wave, no more are repeated than its limit allows, which operators may have lowered.
+    /// Returns true if a command with this intent is in doubt and may be repeated.
     pub(crate) fn may_repeat_command(&self, name: &HostName, intent: &HostIntent) -> bool {
         let command = self.host_commands.get(name);
         let is_in_doubt = command.is_some_and(|command| {
@@ -248,17 +262,7 @@
         // A host that is down refuses all attempts.
         let is_down = command.is_some_and(|command| command.busy_since.is_some())
             && self.hosts.get(name).is_some_and(|host| host.entry.state == HostState::Down);
-        is_in_doubt
-            && !is_down
-            && match intent {
-                HostIntent::Move(_) => true,
-                HostIntent::Maintain(wave) => {
-                    let commands = self.host_commands.iter();
-                    let mut open = commands.filter(|(_, other)| other.may_maintain_for(*wave));
-                    let position = open.position(|(other, _)| other == name);
-                    position.is_some_and(|position| position < self.unavailable_hosts_max(*wave))
-                }
-            }
+        is_in_doubt && !is_down && self.may_send_command(name, intent)
     }
 
     /// Returns true if a command may terminate a worker that has registered with its host.
@@ -422,15 +426,18 @@
     /// Sends the commands to hosts that are now stored.
     pub(crate) fn handle_host_commands_stored(&mut self, rows: &[HostCommandRow]) {
         for row in rows {
+            let is_allowed =
+                row.intent.as_ref().is_none_or(|intent| self.may_send_command(&row.host, intent));
             let Some(command) = self.host_commands.get_mut(&row.host) else {
                 continue;
             };
             if command.progress != CommandProgress::Storing {
                 continue;
             }
-            // Another worker may have units by now.
+            // Another worker may have units by now, and operators may have lowered the limit.
             let host = self.hosts.get(&row.host);
-            if host.is_some_and(|host| host.entry.worker != command.worker) {
+            let has_other_worker = host.is_some_and(|host| host.entry.worker != command.worker);
+            if has_other_worker || !is_allowed {
                 command.end_attempt();
                 continue;
             }
@@ -444,11 +451,14 @@
     }
 
     /// Restores the commands of the previous owner to hosts.
-    pub fn restore_host_commands(&mut self, rows: Vec<HostCommandRow>, now: Moment) {
+    pub fn restore_host_commands(&mut self, mut rows: Vec<HostCommandRow>, now: Moment) {
+        rows.sort_by(|a, b| b.at_ms.cmp(&a.at_ms).then(a.host.cmp(&b.host)));
+        let mut issued_max = now;
         for row in rows {
             // The clocks of the two nodes may differ, but a command cannot have been given in the
-            // future.
-            let issued_at = self.moment_of(row.at_ms).min(now);
+            // future. The commands stay in their order.
+            let issued_at = self.moment_of(row.at_ms).min(issued_max);
+            issued_max = issued_at.saturating_sub(Moment::from_millis(1));
             let allowed_at =
                 issued_at.max(now.saturating_sub(CLOCK_SKEW_MAX)) + self.settings.host_lease;
             self.host_no_command_before.insert(row.host.clone(), allowed_at + CLOCK_SKEW_MAX);
@@ -474,23 +484,3 @@
         }
     }
 }
-
-impl Host {
-    /// Takes the host out of service until it is back from a command that was accepted.
-    fn handle_command(&mut self, command: &HostCommand, back_at: Moment) {
-        self.intent = None;
-        self.terminated_worker = command.worker.clone();
-        if self.entry.worker == command.worker {
-            self.entry.worker = None;
-        }
-        self.not_back_before = back_at;
-        self.unavailable_until = back_at + HOST_LIST_LAG;
-        match &command.intent {
-            Some(HostIntent::Move(pool)) => {
-                self.entry.state = HostState::Moving;
-                self.entry.pool = pool.clone();
-            }
-            _ => self.entry.state = HostState::InMaintenance,
-        }
-    }
-}
--- a/crates/scheduler/src/hosts.rs
+++ b/crates/scheduler/src/hosts.rs
@@ -16,6 +16,7 @@
 use crate::WaveId;
 use crate::WorkerId;
 use crate::ZoneName;
+use crate::host_commands::HOST_LIST_LAG;
 use crate::host_commands::HostCommand;
 use crate::job::UnitKey;
 use crate::live_jobs::FULL_PERCENT;
@@ -100,6 +101,24 @@
     pub fn is_available(&self, now: Moment) -> bool {
         self.entry.state == HostState::Up && self.intent.is_none() && now >= self.unavailable_until
     }
+
+    /// Takes the host out of service until it is back from a command that was accepted.
+    pub(crate) fn handle_command(&mut self, command: &HostCommand, back_at: Moment) {
+        self.intent = None;
+        self.terminated_worker = command.worker.clone();
+        if self.entry.worker == command.worker {
+            self.entry.worker = None;
+        }
+        self.not_back_before = back_at;
+        self.unavailable_until = back_at + HOST_LIST_LAG;
+        match &command.intent {
+            Some(HostIntent::Move(pool)) => {
+                self.entry.state = HostState::Moving;
+                self.entry.pool = pool.clone();
+            }
+            _ => self.entry.state = HostState::InMaintenance,
+        }
+    }
 }
 
 impl Scheduler {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -56,6 +56,7 @@
 mod takeover;
 mod unit_runs;
 mod unit_set;
+mod wave_limits;
 mod waves;
 mod worker_reports;
 
--- a/crates/scheduler/src/waves.rs
+++ b/crates/scheduler/src/waves.rs
@@ -14,7 +14,6 @@
 use crate::WaveId;
 use crate::capacity::HostCounts;
 use crate::capacity::PoolLoads;
-use crate::host_commands::HostCommand;
 use crate::hosts::Host;
 use crate::hosts::HostIntent;
 use crate::messages::Action;
@@ -187,42 +186,6 @@
         self.hosts.iter().filter(|(name, host)| is_busy(name, host)).count()
     }
 
-    /// Returns the number of hosts of a wave that are in maintenance, about to be, or may be.
-    pub fn unavailable_hosts(&self, id: WaveId) -> usize {
-        let Some(wave) = self.waves.get(&id).map(|progress| &progress.wave) else {
-            return 0;
-        };
-        let is_in_maintenance = |name: &HostName| {
-            let host = self.hosts.get(name);
-            host.is_some_and(|host| host.entry.state == HostState::InMaintenance)
-        };
-        // Maintenance for another wave makes a host unavailable as well.
-        let may_be_maintained =
-            |name: &HostName| self.host_commands.get(name).is_some_and(HostCommand::may_maintain);
-        let hosts = wave.hosts.iter();
-        let unavailable = hosts.filter(|name| is_in_maintenance(name) || may_be_maintained(name));
-        let removed = self
-            .host_commands
-            .iter()
-            .filter(|(name, command)| command.may_maintain_for(id) && !wave.contains_host(name));
-        unavailable.count() + removed.count()
-    }
-
-    /// Returns true if the limit on unavailable hosts allows the command for this intent.
-    pub(crate) fn may_command(&self, intent: &HostIntent) -> bool {
-        match intent {
-            HostIntent::Move(_) => true,
-            HostIntent::Maintain(id) => {
-                self.unavailable_hosts(*id) < self.unavailable_hosts_max(*id)
-            }
-        }
-    }
-
-    /// Returns the limit of a wave on unavailable hosts; 0 for an unknown wave.
-    pub fn unavailable_hosts_max(&self, id: WaveId) -> usize {
-        self.waves.get(&id).map_or(0, |progress| progress.wave.unavailable_hosts_max)
-    }
-
     /// Records that the maintenance of a host has started.
     pub(crate) fn record_maintenance_started(&mut self, id: WaveId, name: &HostName) {
         let Some(progress) = self.waves.get_mut(&id) else {
--- a/crates/scheduler/tests/common/host_commands_state.rs
+++ b/crates/scheduler/tests/common/host_commands_state.rs
@@ -1,4 +1,5 @@
-//! State of the model of commands to hosts: what the platform, the store and the owners know.
+//! State of the model of commands to hosts: what the platform, the store and the owners know; and
+//! the events that no guard concerns.
 
 pub const HOSTS: usize = 2;
 pub const OWNERS: usize = 2;
@@ -13,7 +14,7 @@
     StoredOutcome,
     /// Each write has the epoch in the owner's row as a precondition.
     Precondition,
-    /// A command whose outcome was stored is stored again before it is repeated.
+    /// A command is stored again before it is repeated, also if its outcome was stored.
     StoredRepeat,
     /// A host refuses commands with a lower fencing token than that of one it has answered.
     Token,
@@ -43,6 +44,14 @@
     BackByTime,
     /// A host that is down for another reason is let go only if no attempt can take effect any more.
     DownAfterReply,
+    /// Of the commands in doubt, no more are repeated than a lowered limit allows.
+    RepeatLimit,
+    /// Hosts that are unavailable for certain count against that limit first.
+    CertainFirst,
+    /// Among commands in doubt, the one that was stored last counts first.
+    NewestFirst,
+    /// A stored command is sent only if a limit that was lowered meanwhile still allows it.
+    SendLimit,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -66,6 +75,8 @@
     pub state: HostState,
     /// The host has been maintained for the wave, or is now.
     pub is_maintained: bool,
+    /// It was maintained by an owner that knew the lowered limit.
+    pub is_limited: bool,
     /// Highest token of the commands that were answered.
     pub token: Token,
 }
@@ -97,6 +108,18 @@
     Settled,
 }
 
+/// The limit under which an attempt was sent or, by a superseded owner, stored.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum SentUnder {
+    /// The limit that allows both hosts to be unavailable.
+    #[default]
+    TwoHosts,
+    /// The lowered limit. The owner didn't know whether the other host is unavailable.
+    OneHost,
+    /// The lowered limit, and the owner counted the other host as unavailable for certain.
+    OneHostTaken,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Owner {
     /// 0 if this node does not own the scheduling yet.
@@ -105,6 +128,12 @@
     /// Number of commands that were sent to each host.
     pub attempts: [u8; HOSTS],
     pub messages: [[Message; ATTEMPTS_MAX]; HOSTS],
+    /// Under which limit each attempt was sent.
+    pub sent_under: [[SentUnder; ATTEMPTS_MAX]; HOSTS],
+    /// Limit of the wave, as far as the owner knows.
+    pub limit: u8,
+    /// Host whose command was stored last.
+    pub newest: u8,
     /// The last list entry of each host, until it is delivered.
     pub entries: [Option<HostState>; HOSTS],
 }
@@ -113,6 +142,10 @@
 pub struct State {
     /// Epoch in the owner's row.
     pub epoch: u8,
+    /// Limit of the wave, which operators may lower from 2 to 1.
+    pub limit: u8,
+    /// Host whose command was stored last.
+    pub newest: u8,
     /// What a new owner knows: nothing, or that the command is in doubt or settled.
     pub rows: [Known; HOSTS],
     pub hosts: [Host; HOSTS],
@@ -130,3 +163,61 @@
     pub host: Option<usize>,
     pub attempt: Option<usize>,
 }
+
+/// The hosts are interchangeable, so it is enough if the first one has an outage, once.
+pub fn start_outage(state: &State) -> Option<State> {
+    if state.had_outage || state.hosts[0].state != HostState::Up {
+        return None;
+    }
+    let mut next = *state;
+    next.had_outage = true;
+    next.hosts[0].state = HostState::Down;
+    Some(next)
+}
+
+pub fn return_to_service(state: &State, host: usize) -> Option<State> {
+    if state.hosts[host].state == HostState::Up {
+        return None;
+    }
+    let mut next = *state;
+    next.hosts[host].state = HostState::Up;
+    Some(next)
+}
+
+/// The platform takes a list for a node.
+pub fn take_list(state: &State, owner: usize, host: usize) -> Option<State> {
+    let mut next = *state;
+    next.owners[owner].entries[host] = Some(state.hosts[host].state);
+    Some(next)
+}
+
+/// Returns under which limit an owner sends a command to a host now.
+pub fn sent_under(owner: &Owner, host: usize) -> SentUnder {
+    match owner.limit {
+        1 if owner.known[1 - host] == Known::Settled => SentUnder::OneHostTaken,
+        1 => SentUnder::OneHost,
+        _ => SentUnder::TwoHosts,
+    }
+}
+
+pub fn lower_limit(state: &State) -> Option<State> {
+    (state.limit > 1).then_some(State { limit: 1, ..*state })
+}
+
+pub fn learn_limit(state: &State, owner: usize) -> Option<State> {
+    let node = state.owners[owner];
+    if node.epoch == 0 || node.limit == state.limit {
+        return None;
+    }
+    let mut next = *state;
+    next.owners[owner].limit = state.limit;
+    Some(next)
+}
+
+pub fn initial_state(limit: u8) -> State {
+    // Beside a limit that is lowered, outages would allow for too many states.
+    let mut state = State { epoch: 1, limit, had_outage: limit > 1, ..State::default() };
+    state.owners[0].epoch = 1;
+    state.owners[0].limit = limit;
+    state
+}
