Let a test submit again while the node that takes over refuses

The test expects that a node accepts the first job as soon as the store has it as the owner.

A job that comes in between goes to the inbox, and the node writes nothing to a store whose last call failed. In this test the last call is the read of the operators' rows, which the test makes the store refuse.

So it is an assumption of the test, and no fault that loses or repeats a job. The test submits again until it is accepted, within the bound of the takeover, and checks after each refusal that no row of the job is stored. That nothing starts before the operators' rows are read is checked as before.

--- a/crates/coordinator/tests/evacuations.rs
+++ b/crates/coordinator/tests/evacuations.rs
@@ -12,6 +12,7 @@
 use coordinator::evacuated_zones::EvacuatedZones;
 use coordinator::ports::EvacuationChange;
 use coordinator::ports::EvacuationRow;
+use coordinator::ports::Table;
 use memory::Memory;
 use memory::start_node;
 use rstest::rstest;
@@ -72,6 +73,10 @@
 }
 
 async fn submit(node: &Node<Memory>, id: &str) {
+    assert_eq!(try_submit(node, id).await, SubmitOutcome::Accepted);
+}
+
+async fn try_submit(node: &Node<Memory>, id: &str) -> SubmitOutcome {
     let requested = Resources { cpu_millis: 1_000, memory_mb: 100, gpus: 0 };
     let step = Step { count: 2, requested, estimate_ms: 100, ..Step::default() };
     let record = JobRecord {
@@ -82,8 +87,7 @@
         accepted_ms: clock::unix_now_ms(),
         ..JobRecord::default()
     };
-    let outcome = node.submit(record, clock::now() + Duration::from_secs(3)).await;
-    assert_eq!(outcome, SubmitOutcome::Accepted);
+    node.submit(record, clock::now() + Duration::from_secs(3)).await
 }
 
 async fn wait_completed(node: &Node<Memory>, id: &str) {
@@ -134,7 +138,18 @@
         assert!(clock::now() < until, "the node does not take over");
         tokio::time::sleep(PAUSE).await;
     }
-    submit(&node, "a").await;
+    // The owner's row is in the store before the node holds the ownership. Until then, the node takes
+    // the store to be down, since it has refused the operators' rows.
+    loop {
+        let outcome = try_submit(&node, "a").await;
+        if outcome == SubmitOutcome::Accepted {
+            break;
+        }
+        let is_refused = matches!(outcome, SubmitOutcome::NotStored { .. });
+        assert!(is_refused && clock::now() < until, "{outcome:?}");
+        assert!(memory.rows(Table::Inbox).is_empty() && memory.rows(Table::Jobs).is_empty());
+        tokio::time::sleep(PAUSE).await;
+    }
     tokio::time::sleep(START_TIME).await;
     assert!(memory.starts().is_empty());
     memory.hide_operators(false);
