Reckon with the leases of all earlier owners after a takeover

A successor could start units that still ran on a worker that it had not reached. It waited for the leases that its predecessor may have requested, and after a release or the end of that process only for those requested before. Two cases were left out:

- The owner before the predecessor.
It may be cut off or suspended and renews leases of workers that others don't reach for 3.5 s after its last transaction.
If its successor released the ownership or ended within that time, the next owner stopped waiting up to 3.5 s too early.
- An owner whose release is stored, while the reply is late or lost.
It renewed leases until 3.5 s after its last reply.

The owner's row now tells for how long its owner had held the ownership when it sent the transaction, counted from the sending of its takeover. A successor reckons with the rest of the 3.5 s. Rows of earlier versions lack the field and count as those of an owner that has just taken over. An owner polls no workers once it has sent its release. Where the predecessor has held the ownership for 3.5 s, nothing changes for the wait.

Ruled out: a guard that counts the time from the reply to the takeover, not from its sending. A takeover that takes effect seconds later changes the row, and its owner counts as new. After Silent and Stuck all earlier owners are covered, as the row had not changed for 0.25 s or the whole 3.5 s are added. After First there has been no owner, since the takeover requires that the row doesn't exist.

--- a/crates/coordinator/src/election.rs
+++ b/crates/coordinator/src/election.rs
@@ -38,6 +38,11 @@
 /// Time for which a node leaves a takeover to stronger ones; above two poll periods.
 pub const YIELD_TIME: Duration = Duration::from_millis(800);
 
+/// Time for which an owner may act, counted from the sending of its last committed transaction.
+pub const VALIDITY: Duration = Duration::from_millis(3_500);
+/// Time added to a lease, for clocks of workers that run slow.
+const LEASE_SLACK: Duration = Duration::from_millis(250);
+
 /// Result of a poll of the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnerReply {
@@ -245,6 +250,27 @@
     }
 }
 
+/// Returns the longest time for which a lease of `lease` that an earlier owner has requested may
+/// last after a takeover. The previous owner had held the ownership for `previous_held`.
+///
+/// The predecessor is not the only one to reckon with: the owner before it may be cut off or
+/// suspended, and renews leases for as long as its own last transaction allows it to act. The
+/// predecessor had read the row that this transaction left before it took over.
+pub fn lease_remaining(reason: Reason, previous_held: Duration, lease: Duration) -> Duration {
+    let longest = lease + lease / 40 + LEASE_SLACK;
+    let earlier_owners = VALIDITY.saturating_sub(previous_held);
+    match reason {
+        // No owner has ever requested a lease.
+        Reason::First => Duration::ZERO,
+        // The previous owner has stopped and renews no leases.
+        Reason::Released | Reason::Ended => longest + earlier_owners,
+        // The previous owner may have renewed leases for as long as its last transaction allowed it
+        // to act. It had sent that one at least `REFUSED_MAX` before the takeover.
+        Reason::Silent => longest + earlier_owners.max(VALIDITY - REFUSED_MAX),
+        Reason::Stuck => longest + VALIDITY,
+    }
+}
+
 /// Returns the largest age of the last transaction at which an owner still counts as working.
 fn renewal_age_max(is_loading: bool) -> Duration {
     if is_loading { LOADING_AGE_MAX } else { RENEWAL_AGE_MAX }
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -325,6 +325,7 @@
         incarnation: shared.node.settings.incarnation,
         address: Some(shared.node.settings.peer_address),
         is_released: false,
+        held_ms: 0,
     };
     let sent_at = clock::now();
     let transaction = Transaction {
@@ -353,5 +354,6 @@
         .text("reason", format!("{reason:?}"))
         .field("before", previous.node.as_str())
         .write();
-    Some(AcquiredOwnership { row, version, sent_at, reason })
+    let previous_held = Duration::from_millis(previous.held_ms);
+    Some(AcquiredOwnership { row, version, sent_at, reason, previous_held })
 }
--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -38,6 +38,7 @@
 use crate::clock;
 use crate::divisions::Divisions;
 use crate::election::Reason;
+use crate::election::VALIDITY;
 use crate::evacuated_zones::EvacuatedZones;
 use crate::peers::OwnerClient;
 use crate::poll_schedule::PollSchedule;
@@ -48,8 +49,6 @@
 use crate::shared::OwnerRequest;
 use crate::shared::Shared;
 
-/// Time for which an owner may act, counted from the sending of its last committed transaction.
-const VALIDITY: Duration = Duration::from_millis(3_500);
 /// Longest time between two rounds of decisions.
 const TICK: Duration = Duration::from_millis(100);
 /// Minimum time for which an owner keeps the ownership before it hands it to a stronger node.
@@ -70,6 +69,8 @@
     pub sent_at: Moment,
     /// Why the node took over.
     pub reason: Reason,
+    /// For how long the previous owner had held the ownership when it sent its last transaction.
+    pub previous_held: Duration,
 }
 
 /// Why an owner stops.
@@ -266,8 +267,12 @@
         for action in actions {
             self.execute(action);
         }
-        if is_valid {
+        // A successor reckons with no lease that was renewed after the release. The reply to the
+        // release may be lost.
+        if is_valid && !self.pipeline.is_releasing() {
             self.poll_workers(now);
+        }
+        if is_valid {
             self.list_hosts(now);
             self.log_pools(now);
         }
--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -241,6 +241,7 @@
         let row = OwnerRow {
             sequence: self.pipeline.row.sequence + 1,
             is_released: self.release.is_some(),
+            held_ms: now.saturating_sub(self.pipeline.held_since).as_millis() as u64,
             ..self.pipeline.row.clone()
         };
         let transaction = self.transaction(&row, &batch);
--- a/crates/coordinator/src/owner/load.rs
+++ b/crates/coordinator/src/owner/load.rs
@@ -12,12 +12,10 @@
 use tokio::task::JoinSet;
 
 use super::AcquiredOwnership;
-use super::VALIDITY;
 use super::pipeline::Pipeline;
 use crate::clock;
 use crate::divisions::Divisions;
-use crate::election::REFUSED_MAX;
-use crate::election::Reason;
+use crate::election::lease_remaining;
 use crate::metrics;
 use crate::ports::Platform;
 use crate::ports::ReadError;
@@ -35,8 +33,6 @@
 const LOAD_TIME_MAX: Duration = Duration::from_secs(6);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Time added to a lease, for clocks of workers that run slow.
-const LEASE_SLACK: Duration = Duration::from_millis(250);
 
 /// The state with which a new owner starts.
 pub(super) struct LoadedState {
@@ -110,7 +106,7 @@
     if let Some((config, _)) = shared.node.config(now) {
         scheduler.set_config(config.scheduling.clone());
     }
-    let lease_remaining = lease_remaining(acquired, lease);
+    let lease_remaining = lease_remaining(acquired.reason, acquired.previous_held, lease);
     scheduler.set_workers(workers.changed, lease_remaining, now);
     if let Some(commands) = host_commands.as_ref().and_then(rows::decode_or_log) {
         scheduler.restore_host_commands(commands, now);
@@ -178,20 +174,6 @@
     Ok((divisions, found.version))
 }
 
-/// Returns the longest time for which a lease from the previous owner may still last.
-fn lease_remaining(acquired: &AcquiredOwnership, lease: Duration) -> Duration {
-    let longest = lease + lease / 40 + LEASE_SLACK;
-    match acquired.reason {
-        Reason::First => Duration::ZERO,
-        // The previous owner has stopped and renews no leases.
-        Reason::Released | Reason::Ended => longest,
-        // The previous owner may have renewed leases for as long as its last transaction allowed it
-        // to act. It had sent that one at least `REFUSED_MAX` before the takeover.
-        Reason::Silent => longest + VALIDITY - REFUSED_MAX,
-        Reason::Stuck => longest + VALIDITY,
-    }
-}
-
 /// Decodes rows into a map by key; rows that can't be decoded are logged and left out.
 fn decode_rows<K, T>(rows: Vec<Row>) -> SortedMap<K, T>
 where
--- a/crates/coordinator/src/owner/pipeline.rs
+++ b/crates/coordinator/src/owner/pipeline.rs
@@ -63,6 +63,8 @@
     pub row: OwnerRow,
     /// Version of the owner's row, required by the next transaction.
     pub version: RowVersion,
+    /// When the transaction of the takeover was sent.
+    pub held_since: Moment,
     /// When the last committed transaction was sent.
     pub renewed_at: Moment,
     /// When the last transaction was sent, committed or not.
@@ -88,6 +90,7 @@
         Self {
             row,
             version,
+            held_since: sent_at,
             renewed_at: sent_at,
             sent_at,
             submissions: Submissions::default(),
@@ -111,6 +114,11 @@
         self.in_flight.is_none()
     }
 
+    /// Returns whether the transaction that releases the ownership was sent.
+    pub fn is_releasing(&self) -> bool {
+        self.in_flight.as_ref().is_some_and(|in_flight| in_flight.row.is_released)
+    }
+
     /// Returns whether the transaction in flight has failed or is late, so that it is unknown when
     /// the next one can be sent.
     pub fn is_stuck(&self, now: Moment) -> bool {
--- a/crates/coordinator/src/rows.rs
+++ b/crates/coordinator/src/rows.rs
@@ -107,6 +107,9 @@
     pub address: Option<SocketAddr>,
     /// Whether the owner has released the ownership.
     pub is_released: bool,
+    /// For how long the owner had held the ownership when it sent this transaction, in
+    /// milliseconds. Rows of earlier versions lack it.
+    pub held_ms: u64,
 }
 
 /// Shards that have maintained all of their hosts of a wave, in the order in which they were done.
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -111,6 +111,8 @@
     running_max: usize,
     /// Tokens of the commands to the host, all of which get no reply.
     host_tokens: Vec<FencingToken>,
+    /// Latest deadline of a lease that a poll has requested.
+    lease_deadline_ms: Option<u64>,
     /// Started units, each with its run and token.
     pub starts: Vec<(UnitKey, u32, FencingToken)>,
 }
@@ -179,6 +181,11 @@
         self.data.lock().unwrap().fault = fault;
     }
 
+    /// Returns the latest deadline of a lease that a poll has requested.
+    pub fn lease_deadline_ms(&self) -> Option<u64> {
+        self.data.lock().unwrap().lease_deadline_ms
+    }
+
     pub fn starts(&self) -> Vec<(UnitKey, u32, FencingToken)> {
         self.data.lock().unwrap().starts.clone()
     }
@@ -329,6 +336,7 @@
         loop {
             {
                 let mut data = self.data.lock().unwrap();
+                data.lease_deadline_ms = data.lease_deadline_ms.max(request.deadline_ms);
                 if !data.accepts_token(&request.worker, request.token) {
                     return Err(WorkerError::Fenced);
                 }
--- a/crates/coordinator/tests/election.rs
+++ b/crates/coordinator/tests/election.rs
@@ -10,9 +10,12 @@
 use coordinator::election::Reason;
 use coordinator::election::SILENCE_MAX;
 use coordinator::election::TakeoverTiming;
+use coordinator::election::VALIDITY;
 use coordinator::election::Verdict;
 use coordinator::election::YIELD_TIME;
+use coordinator::election::lease_remaining;
 use coordinator::election::poll_period;
+use coordinator::rows;
 use coordinator::rows::OwnerRow;
 use rstest::rstest;
 
@@ -164,3 +167,36 @@
     assert_eq!(election.handle_reply(&row(1), owner(300)), NextStep::Wait);
     assert!(!election.is_suspicious());
 }
+
+const LEASE: Duration = Duration::from_secs(5);
+/// The longest time for which a lease of [`LEASE`] lasts on a worker whose clock is slow.
+const LEASE_MAX: Duration = Duration::from_millis(5_375);
+
+// Guards against a unit that is started while it runs: an owner that had just taken over released the
+// ownership or ended, and its successor did not reckon with the owner before it, which was cut off
+// and still renewed leases.
+#[rstest]
+#[case::released_at_once(Reason::Released, 0, VALIDITY)]
+#[case::released_soon(Reason::Released, 1_000, VALIDITY - Duration::from_secs(1))]
+#[case::released_later(Reason::Released, 60_000, Duration::ZERO)]
+#[case::ended_soon(Reason::Ended, 1_000, VALIDITY - Duration::from_secs(1))]
+#[case::ended_later(Reason::Ended, 60_000, Duration::ZERO)]
+#[case::silent_soon(Reason::Silent, 0, VALIDITY)]
+#[case::silent_later(Reason::Silent, 60_000, VALIDITY - REFUSED_MAX)]
+#[case::stuck(Reason::Stuck, 60_000, VALIDITY)]
+fn leases_that_any_earlier_owner_may_have_renewed_are_waited_for(
+    #[case] reason: Reason,
+    #[case] previous_held_ms: u64,
+    #[case] beyond_lease: Duration,
+) {
+    let remaining = lease_remaining(reason, Duration::from_millis(previous_held_ms), LEASE);
+    assert_eq!(remaining, LEASE_MAX + beyond_lease);
+}
+
+// Guards against a row of an earlier version, which does not tell for how long its owner had held
+// the ownership, being taken for that of an owner of long standing.
+#[test]
+fn an_owner_whose_row_lacks_the_time_counts_as_new() {
+    let row: OwnerRow = rows::decode(rows::OWNER_KEY, br#"{"epoch":4,"sequence":9}"#).unwrap();
+    assert_eq!(row.held_ms, 0);
+}
--- a/crates/coordinator/tests/late_commits.rs
+++ b/crates/coordinator/tests/late_commits.rs
@@ -23,6 +23,11 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Longer than an owner may act after it has sent its last committed transaction.
 const REPLY_DELAY: Duration = Duration::from_millis(4_000);
+/// Longer than the time between two polls of a worker with runs, and below half of the time for which
+/// an owner may act.
+const RELEASE_REPLY_DELAY: Duration = Duration::from_millis(1_500);
+/// Longer than a poll of an idle worker.
+const IDLE_POLL_TIME: Duration = Duration::from_millis(2_500);
 /// Time in which two replies arrive.
 const OBSERVED_TIME: Duration = Duration::from_millis(9_000);
 
@@ -91,3 +96,30 @@
         tokio::time::sleep(PAUSE).await;
     }
 }
+
+/// Guards against a lease that lasts longer than a successor waits: the reply to the release was late,
+/// and the owner renewed leases until it came. The successor reckons with none after the release.
+#[tokio::test]
+async fn no_lease_is_renewed_after_the_release() {
+    let memory = Memory::new(Duration::from_secs(60));
+    let node = start_node("n1", &memory).await;
+    memory.put_inbox("submit/long", &InboxRow::Submit(record("long")));
+    let until = clock::now() + TIMEOUT;
+    while memory.starts().is_empty() {
+        assert!(clock::now() < until, "the job does not run");
+        tokio::time::sleep(PAUSE).await;
+    }
+    // The poll that was in flight when the run started may take longer than later ones.
+    tokio::time::sleep(IDLE_POLL_TIME).await;
+    memory.delay_replies(RELEASE_REPLY_DELAY);
+    let observe = async {
+        while !memory.owner().is_released {
+            assert!(clock::now() < until, "the ownership is not released");
+            tokio::time::sleep(PAUSE).await;
+        }
+        let deadline_ms = memory.lease_deadline_ms();
+        tokio::time::sleep(RELEASE_REPLY_DELAY).await;
+        assert_eq!(memory.lease_deadline_ms(), deadline_ms);
+    };
+    tokio::join!(node.start_shutdown(), observe);
+}
