Use a higher fencing token for each incarnation of a worker

Cause: calls name a worker by its id. Each incarnation numbers its completions from 1 and has seen no token. A poll that was meant for the earlier incarnation, in flight at the restart, carried out late or repeated since it got no reply, made the later one forget completions that nobody had seen. Their runs were then in neither list, counted as absent after their start, and their units were started again. On the same path, a late reply of the earlier incarnation to a stop counted for the later one, which doesn't refuse the start.

Change: - The owner's tokens are its epoch times 2^20 and a number that rises with each incarnation that it learns of, also of a worker that was removed and comes back. Once the worker has replied to a poll with the new token, it refuses all calls to earlier incarnations. Runs start there only then. - The longest lease after a restart is counted from that reply, no longer from an assumed 3 s for calls in flight. - A poll acknowledges only what no answered poll has acknowledged, and nothing if the poll before it was not answered; a poll that is repeated beside a late one acknowledges nothing. - A reply to a stop counts only for the incarnation that it was sent to. A refusal of the token ends the ownership only if it is the worker's current one.

Cost: one poll without a wait before the first start on a worker that has started again. Nothing for others.

Ruled out: last_seen_completion and last_stored_completion across a restart (the state of the worker is new, and stored completions of another incarnation are left out), and across a removal and return of the same incarnation (it lists its completions again, which are handled again without effect).

--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -35,19 +35,19 @@
     pub(super) fn handle_event(&mut self, event: Event) {
         let now = clock::now();
         match event {
-            Event::Reported { worker, sent_at, result } => {
-                self.handle_report(worker, sent_at, result);
+            Event::Reported { worker, sent, result } => {
+                self.handle_report(worker, sent, result);
             }
-            Event::Started { worker, unit, run, reply } => {
+            Event::Started { worker, unit, run, token, reply } => {
                 if reply != StartReply::Started {
                     self.log_not_started(&worker, &unit, run, reply);
                 }
                 self.count_start(&unit.job, reply, now);
-                self.scheduler.handle_start_reply(&worker, &unit, run, reply, now);
+                self.scheduler.handle_start_reply(&worker, &unit, run, token, reply, now);
             }
-            Event::Stopped { worker, unit, run, is_answered } => {
+            Event::Stopped { worker, unit, run, token, is_answered } => {
                 self.log_stopped(&worker, &unit, run, is_answered);
-                self.scheduler.handle_stop_reply(&worker, &unit, run, is_answered, now);
+                self.scheduler.handle_stop_reply(&worker, &unit, run, token, is_answered, now);
             }
             Event::SpeedLimited { unit, run, percent, is_answered } => {
                 self.scheduler.handle_speed_limit_reply(&unit, run, percent, is_answered);
@@ -122,20 +122,21 @@
     /// Carries out an action.
     pub(super) fn execute(&mut self, action: Action) {
         let shared = self.shared.clone();
-        let token = self.epoch;
         match action {
             Action::Start(command) => self.start_run(command),
-            Action::Stop { worker, address, unit, run } => self.spawn(async move {
+            Action::Stop { worker, address, token, unit, run } => self.spawn(async move {
                 let is_answered =
                     shared.node.platform.stop_run(&worker, address, &unit, run, token).await;
-                Event::Stopped { worker, unit, run, is_answered }
-            }),
-            Action::LimitSpeed { worker, address, unit, run, percent } => self.spawn(async move {
-                let platform = &shared.node.platform;
-                let is_answered =
-                    platform.limit_speed(&worker, address, &unit, run, percent, token).await;
-                Event::SpeedLimited { unit, run, percent, is_answered }
+                Event::Stopped { worker, unit, run, token, is_answered }
             }),
+            Action::LimitSpeed { worker, address, token, unit, run, percent } => {
+                self.spawn(async move {
+                    let platform = &shared.node.platform;
+                    let is_answered =
+                        platform.limit_speed(&worker, address, &unit, run, percent, token).await;
+                    Event::SpeedLimited { unit, run, percent, is_answered }
+                })
+            }
             Action::RequestAdvice { unit, workers } => self.spawn(async move {
                 let requested_at = clock::now();
                 let result = shared.node.platform.request_advice(&unit, &workers).await;
@@ -160,7 +161,7 @@
                 .field("what", what)
                 .field("subject", subject)
                 .field("why", why)
-                .field("epoch", token)
+                .field("epoch", self.epoch)
                 .write(),
         }
     }
@@ -228,23 +229,23 @@
     fn start_run(&mut self, command: StartCommand) {
         self.stats.record_start();
         let shared = self.shared.clone();
-        let token = self.epoch;
+        let epoch = self.epoch;
         let worker = self.scheduler.worker(&command.worker);
         let zone = worker.map(|worker| worker.registration.zone.clone()).unwrap_or_default();
         self.spawn(async move {
             let sent_at = clock::now();
             // The process may have been suspended, or have learned of an evacuation, since the
             // decision. A worker that a successor has not reached does not refuse the token.
-            let may_start = shared.may_act(token, VALIDITY, sent_at)
+            let may_start = shared.may_act(epoch, VALIDITY, sent_at)
                 && shared.node.may_start_in(&zone, sent_at);
             let reply = match may_start {
-                true => shared.node.platform.start_run(&command, token).await,
+                true => shared.node.platform.start_run(&command).await,
                 false => StartReply::Withheld,
             };
             let took = clock::now().saturating_sub(sent_at);
             shared.node.telemetry.time(metrics::RUNS_START, took);
-            let StartCommand { worker, unit, run, .. } = command;
-            Event::Started { worker, unit, run, reply }
+            let StartCommand { worker, unit, run, token, .. } = command;
+            Event::Started { worker, unit, run, token, reply }
         });
     }
 
--- a/crates/coordinator/src/owner/event.rs
+++ b/crates/coordinator/src/owner/event.rs
@@ -7,6 +7,7 @@
 use scheduler::HostReply;
 use scheduler::Moment;
 use scheduler::PoolName;
+use scheduler::SentPoll;
 use scheduler::StartReply;
 use scheduler::UnitKey;
 use scheduler::WaveId;
@@ -26,11 +27,11 @@
 #[derive(Debug)]
 pub(super) enum Event {
     /// A worker was polled.
-    Reported { worker: WorkerId, sent_at: Moment, result: Result<WorkerReport, WorkerError> },
+    Reported { worker: WorkerId, sent: SentPoll, result: Result<WorkerReport, WorkerError> },
     /// A command to start a run was sent.
-    Started { worker: WorkerId, unit: UnitKey, run: u32, reply: StartReply },
+    Started { worker: WorkerId, unit: UnitKey, run: u32, token: FencingToken, reply: StartReply },
     /// A command to stop a run was sent.
-    Stopped { worker: WorkerId, unit: UnitKey, run: u32, is_answered: bool },
+    Stopped { worker: WorkerId, unit: UnitKey, run: u32, token: FencingToken, is_answered: bool },
     /// A command to limit the speed of a run was sent.
     SpeedLimited { unit: UnitKey, run: u32, percent: u32, is_answered: bool },
     /// Advice on the candidates for a step was requested.
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -4,6 +4,7 @@
 
 use scheduler::Moment;
 use scheduler::PollFailure;
+use scheduler::SentPoll;
 use scheduler::WorkerId;
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
@@ -73,14 +74,14 @@
     pub(super) fn handle_report(
         &mut self,
         id: WorkerId,
-        sent_at: Moment,
+        sent: SentPoll,
         result: Result<WorkerReport, WorkerError>,
     ) {
         let now = clock::now();
         let mut next = NextPoll::Immediate;
         match result {
-            Ok(report) => self.scheduler.handle_report(&id, &report, sent_at, now),
-            Err(WorkerError::Fenced) => self.scheduler.mark_fenced(),
+            Ok(report) => self.scheduler.handle_report(&id, &report, sent, now),
+            Err(WorkerError::Fenced) => self.scheduler.handle_fenced(&id, sent.token),
             Err(WorkerError::OtherInstance) => {
                 self.scheduler.handle_worker_gone(&id, "another instance answers", now);
             }
@@ -98,7 +99,9 @@
                 next = NextPoll::AfterPause;
             }
         }
-        if self.scheduler.worker(&id).is_some_and(Worker::has_unstored_completions) {
+        let worker = self.scheduler.worker(&id);
+        // No run starts on a worker before it has seen its token.
+        if worker.is_some_and(|worker| worker.is_token_seen && worker.has_unstored_completions()) {
             next = NextPoll::AfterStore(self.scheduler.completion_pause(&id));
         }
         self.poll_schedule.handle_reply(&id, next, now);
@@ -184,17 +187,15 @@
         let wait = match () {
             // The first poll finds out what runs, and a worker that lists completions replies at
             // once anyway.
-            () if worker.has_unstored_completions() || worker.clock_min_ms(now).is_none() => {
-                Duration::ZERO
-            }
+            () if worker.has_unstored_completions() || !worker.is_token_seen => Duration::ZERO,
             () if worker.runs.is_empty() => IDLE_WAIT_MAX,
             () => BUSY_WAIT_MAX,
         };
         let request = LeaseRequest {
             worker: id.clone(),
             address: worker.registration.address,
-            token: self.epoch,
-            last_stored_completion: worker.last_stored_completion,
+            token: worker.token,
+            acknowledged_completion: worker.completion_to_acknowledge(),
             deadline_ms: self.scheduler.request_lease(&id, now),
             wait,
         };
@@ -205,7 +206,7 @@
             let send = |request| node.platform.renew_lease(request);
             let record_repeat = || node.telemetry.count(metrics::POLLS_REPEATED);
             let polled = worker_poll::poll(request, send, record_repeat).await;
-            Event::Reported { worker: id, sent_at: polled.sent_at, result: polled.reply }
+            Event::Reported { worker: id, sent: polled.sent, result: polled.reply }
         });
     }
 }
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+pub use scheduler::FencingToken;
 use scheduler::HostEntry;
 use scheduler::HostName;
 use scheduler::HostReply;
@@ -26,8 +27,6 @@
 
 /// Version of a row. Versions rise over all rows: a later write of any row has a larger one.
 pub type RowVersion = u64;
-/// Number that each command of an owner carries. Workers refuse a lower number than they have seen.
-pub type FencingToken = u64;
 
 /// Tables in which the nodes store their state. Unless stated otherwise, each shard has rows of its
 /// own.
@@ -163,10 +162,11 @@
     pub worker: WorkerId,
     /// Address from the worker's registration.
     pub address: SocketAddr,
-    /// Fencing token of the owner.
+    /// Fencing token of calls to this incarnation of the worker.
     pub token: FencingToken,
-    /// Completions up to this number are stored, and the worker may drop them.
-    pub last_stored_completion: u64,
+    /// Completions up to this number are stored, and the worker may drop them; 0 to acknowledge
+    /// none.
+    pub acknowledged_completion: u64,
     /// End of the lease by the worker's clock, in milliseconds; none to poll without renewing the
     /// lease.
     pub deadline_ms: Option<u64>,
@@ -263,11 +263,7 @@
     ) -> impl Future<Output = Result<WorkerReport, WorkerError>> + Send;
 
     /// Starts a run on a worker.
-    fn start_run(
-        &self,
-        command: &StartCommand,
-        token: FencingToken,
-    ) -> impl Future<Output = StartReply> + Send;
+    fn start_run(&self, command: &StartCommand) -> impl Future<Output = StartReply> + Send;
 
     /// Stops a run; returns whether the worker acknowledged the command.
     fn stop_run(
--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -9,7 +9,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use scheduler::Moment;
+use scheduler::SentPoll;
 use scheduler::WorkerReport;
 
 use crate::clock;
@@ -22,8 +22,8 @@
 /// Result of a poll, and when it was sent.
 #[derive(Clone, Debug)]
 pub struct PollResult {
-    /// When the poll that gave the result was sent.
-    pub sent_at: Moment,
+    /// The poll that gave the result.
+    pub sent: SentPoll,
     /// The worker's reply, or why there is none.
     pub reply: Result<WorkerReport, WorkerError>,
 }
@@ -39,16 +39,20 @@
     F: Future<Output = Result<WorkerReport, WorkerError>>,
 {
     let late_after = request.wait + LATE_AFTER;
-    let send_now = |request| async {
-        let sent_at = clock::now();
-        PollResult { sent_at, reply: send(request).await }
+    let send_now = |request: LeaseRequest| async {
+        let LeaseRequest { token, acknowledged_completion, .. } = request;
+        let sent = SentPoll { token, acknowledged_completion, sent_at: clock::now() };
+        PollResult { sent, reply: send(request).await }
     };
     let mut first = pin!(send_now(request.clone()));
     if let Ok(result) = tokio::time::timeout(late_after, &mut first).await {
         return result;
     }
     record_repeat();
-    let mut second = pin!(send_now(LeaseRequest { wait: Duration::ZERO, ..request }));
+    // The worker may have started again meanwhile, and would take the number for one of its new
+    // completions.
+    let repeated = LeaseRequest { acknowledged_completion: 0, wait: Duration::ZERO, ..request };
+    let mut second = pin!(send_now(repeated));
     tokio::select! {
         result = &mut first => match result.reply {
             Err(WorkerError::NoReply(_) | WorkerError::BrokenOff(_)) => second.await,
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -341,7 +341,7 @@
                     return Err(WorkerError::Fenced);
                 }
                 let is_its = |worker: &WorkerId| *worker == request.worker;
-                let last_stored = request.last_stored_completion;
+                let last_stored = request.acknowledged_completion;
                 data.completions.retain(|(worker, completion)| {
                     !is_its(worker) || completion.number > last_stored
                 });
@@ -363,12 +363,12 @@
         }
     }
 
-    async fn start_run(&self, command: &StartCommand, token: FencingToken) -> StartReply {
+    async fn start_run(&self, command: &StartCommand) -> StartReply {
         let mut data = self.data.lock().unwrap();
-        if !data.accepts_token(&command.worker, token) {
+        if !data.accepts_token(&command.worker, command.token) {
             return StartReply::Fenced;
         }
-        data.starts.push((command.unit.clone(), command.run, token));
+        data.starts.push((command.unit.clone(), command.run, command.token));
         let running = RunStatus {
             unit: command.unit.clone(),
             run: command.run,
--- a/crates/coordinator/tests/worker_poll.rs
+++ b/crates/coordinator/tests/worker_poll.rs
@@ -22,7 +22,7 @@
         worker: "w1".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         token: 1,
-        last_stored_completion: 0,
+        acknowledged_completion: 0,
         deadline_ms: None,
         wait: WAIT,
     }
@@ -112,3 +112,20 @@
         WorkerError::Fenced
     );
 }
+
+/// Guards against a unit that is started again after it was done: the worker has started again since
+/// the first poll, and takes the number for one of its new completions.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_poll_acknowledges_nothing() {
+    let acknowledged = Cell::new(Vec::new());
+    let send = |request: LeaseRequest| {
+        let mut sent = acknowledged.take();
+        sent.push(request.acknowledged_completion);
+        let is_first = sent.len() == 1;
+        acknowledged.set(sent);
+        async move { if is_first { time_out().await } else { Ok(report()) } }
+    };
+    let polled = poll(LeaseRequest { acknowledged_completion: 7, ..request() }, send, || ()).await;
+    assert_eq!(polled.sent.acknowledged_completion, 0);
+    assert_eq!(acknowledged.take(), [7, 0]);
+}
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -150,7 +150,12 @@
         let mut restarted = Vec::new();
         let lease_max = self.settings.lease_max;
         for (id, row) in rows.iter() {
-            let unregistered = || Worker::unregistered(id.clone(), row, now + lease_left, now);
+            let token = self.tokens.next();
+            let unregistered = || {
+                let mut worker = Worker::unregistered(id.clone(), row, now + lease_left, now);
+                worker.token = token;
+                worker
+            };
             let worker = self.workers.entry_or(id.clone(), unregistered);
             worker.has_row = true;
             let end = RunEnd::worker_restarted(
@@ -259,7 +264,7 @@
         };
         let deadline_ms = clock_ms + validity.as_millis() as u64;
         worker.record_lease_request(deadline_ms);
-        let address = worker.registration.address;
+        let (address, token) = (worker.registration.address, worker.token);
         let Some(unit) = self.unit_mut(key) else {
             return;
         };
@@ -283,6 +288,7 @@
         self.actions.push(Action::Start(StartCommand {
             worker: id.clone(),
             address,
+            token,
             unit: key.clone(),
             run: number,
             spec,
--- a/crates/scheduler/src/candidates.rs
+++ b/crates/scheduler/src/candidates.rs
@@ -269,6 +269,7 @@
         worker.is_registered
             && !worker.registration.is_draining
             && !worker.is_cordoned
+            && worker.is_token_seen
             && !self.is_evacuated(&worker.registration.zone)
             // The resources that an unexpected run takes are not always known.
             && worker.unexpected_runs == 0
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -1,5 +1,6 @@
 //! Commands to workers and the replies to them.
 
+use crate::FencingToken;
 use crate::Moment;
 use crate::WorkerId;
 use crate::job::UnitKey;
@@ -22,18 +23,19 @@
 const RUN_NUMBERS_SKIPPED: u32 = 8;
 
 impl Scheduler {
-    /// Handles the result of a start command.
+    /// Handles the result of a start command with a fencing token.
     pub fn handle_start_reply(
         &mut self,
         worker: &WorkerId,
         key: &UnitKey,
         number: u32,
+        token: FencingToken,
         reply: StartReply,
         now: Moment,
     ) {
         let is_current = |unit: &Unit| unit.run_on(worker).is_some_and(|run| run.number == number);
         if reply == StartReply::Fenced {
-            self.is_fenced = true;
+            self.handle_fenced(worker, token);
         }
         if !self.unit(key).is_some_and(is_current) {
             return;
@@ -62,15 +64,20 @@
         }
     }
 
-    /// Handles the reply to a stop command, or its absence.
+    /// Handles the reply to a stop command with a fencing token, or its absence. A reply of an
+    /// earlier incarnation doesn't show that the later one refuses the start.
     pub fn handle_stop_reply(
         &mut self,
         worker: &WorkerId,
         key: &UnitKey,
         number: u32,
+        token: FencingToken,
         has_reply: bool,
         now: Moment,
     ) {
+        if self.workers.get(worker).is_none_or(|worker| worker.token != token) {
+            return;
+        }
         let Some(run) = self.run_on_mut(key, worker).filter(|run| run.number == number) else {
             return;
         };
@@ -182,10 +189,10 @@
     }
 
     pub(crate) fn send_stop(&mut self, worker: &WorkerId, key: &UnitKey, run: u32) {
-        let Some(registration) = self.workers.get(worker).map(|worker| &worker.registration) else {
+        let Some(known) = self.workers.get(worker) else {
             return;
         };
-        let (worker, address) = (worker.clone(), registration.address);
-        self.actions.push(Action::Stop { worker, address, unit: key.clone(), run });
+        let (worker, address, token) = (worker.clone(), known.registration.address, known.token);
+        self.actions.push(Action::Stop { worker, address, token, unit: key.clone(), run });
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -54,6 +54,7 @@
 mod stalled;
 mod storing;
 mod takeover;
+mod tokens;
 mod unit_runs;
 mod unit_set;
 mod wave_limits;
@@ -100,6 +101,7 @@
 pub use messages::PollFailure;
 pub use messages::RunOutcome;
 pub use messages::RunStatus;
+pub use messages::SentPoll;
 pub use messages::StartCommand;
 pub use messages::StartReply;
 pub use messages::Wave;
@@ -128,6 +130,8 @@
 
 /// Time since the machine booted, including the time during which it was suspended.
 pub type Moment = Duration;
+/// Number that each call to a worker carries. Workers refuse a lower number than they have seen.
+pub type FencingToken = u64;
 /// Identifier of a job, 16 hexadecimal digits.
 pub type JobId = Arc<str>;
 /// Identifier of a worker process.
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::FencingToken;
 use crate::HostName;
+use crate::Moment;
 use crate::PoolName;
 use crate::WaveId;
 use crate::WorkerId;
@@ -131,6 +133,17 @@
     pub checkpoint: String,
 }
 
+/// What a poll carried to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentPoll {
+    /// Its fencing token.
+    pub token: FencingToken,
+    /// Completions up to this number were acknowledged; 0 if none were.
+    pub acknowledged_completion: u64,
+    /// When it was sent.
+    pub sent_at: Moment,
+}
+
 /// Runs and completions that a worker lists in reply to a poll.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerReport {
@@ -151,6 +164,8 @@
     pub worker: WorkerId,
     /// Address of the worker.
     pub address: SocketAddr,
+    /// Fencing token.
+    pub token: FencingToken,
     /// Unit to start.
     pub unit: UnitKey,
     /// Number of the run; the worker refuses a number that is too low ([`StartReply::OldRun`]).
@@ -312,6 +327,8 @@
         worker: WorkerId,
         /// Address of the worker.
         address: SocketAddr,
+        /// Fencing token.
+        token: FencingToken,
         /// Unit to stop.
         unit: UnitKey,
         /// Number of the run.
@@ -323,6 +340,8 @@
         worker: WorkerId,
         /// Address of the worker.
         address: SocketAddr,
+        /// Fencing token.
+        token: FencingToken,
         /// Unit to slow down or speed up.
         unit: UnitKey,
         /// Number of the run.
--- a/crates/scheduler/src/run_end.rs
+++ b/crates/scheduler/src/run_end.rs
@@ -112,7 +112,7 @@
 
     /// Returns the end of all runs on a worker whose lease has expired.
     pub fn lease_expired(worker: &Worker, now: Moment) -> Option<Self> {
-        let is_expired = now >= worker.lease_expires_at;
+        let is_expired = now >= worker.lease_over_at();
         is_expired.then_some(Self { evidence: EndEvidence::LeaseExpired })
     }
 
--- a/crates/scheduler/src/speed_limits.rs
+++ b/crates/scheduler/src/speed_limits.rs
@@ -61,10 +61,10 @@
     }
 
     fn limit_speed(&mut self, worker: &WorkerId, key: &UnitKey, worst_latency_percent: u64) {
-        let Some(address) = self.workers.get(worker).map(|worker| worker.registration.address)
-        else {
+        let Some(known) = self.workers.get(worker) else {
             return;
         };
+        let (address, token) = (known.registration.address, known.token);
         let Some(run) = self.run_on_mut(key, worker) else {
             return;
         };
@@ -84,6 +84,6 @@
         }
         run.speed_limit_percent = new_percent;
         let (worker, unit, run, percent) = (worker.clone(), key.clone(), run.number, new_percent);
-        self.actions.push(Action::LimitSpeed { worker, address, unit, run, percent });
+        self.actions.push(Action::LimitSpeed { worker, address, token, unit, run, percent });
     }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -44,6 +44,7 @@
 use crate::settings::Settings;
 use crate::shrunk_workers::ShrunkWorkers;
 use crate::sorted_map::SortedMap;
+use crate::tokens::Tokens;
 use crate::waves::WaveProgress;
 use crate::worker::Worker;
 
@@ -122,6 +123,8 @@
     pub(crate) long_running_starved_since: SortedMap<PoolName, Moment>,
     /// Run numbers of this owner are higher than this one.
     pub(crate) run_number_base: u32,
+    /// Tokens of its calls to workers.
+    pub(crate) tokens: Tokens,
     /// Unix time minus [`Moment`], in milliseconds.
     pub(crate) unix_offset_ms: i64,
     /// Actions that the owner has not taken yet.
@@ -146,6 +149,7 @@
             settings,
             durations: Durations::new(learns_durations),
             run_number_base: run_number_base(epoch),
+            tokens: Tokens::new(epoch),
             unix_offset_ms: unix_now_ms as i64 - now.as_millis() as i64,
             needs_placement: true,
             ..Self::default()
@@ -160,11 +164,6 @@
         self.needs_placement = true;
     }
 
-    /// Records that a worker has refused the fencing token, since another owner has taken over.
-    pub fn mark_fenced(&mut self) {
-        self.is_fenced = true;
-    }
-
     /// Requests a lease for a worker and returns its deadline by the worker's clock, in
     /// milliseconds.
     ///
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -114,6 +114,7 @@
             let id = registration.id.clone();
             let is_cordoned = self.may_be_terminated(&registration);
             let mut worker = Worker::new(registration, now + lease_left, now);
+            worker.token = self.tokens.next();
             worker.is_cordoned = is_cordoned;
             worker.cordoned_at = now;
             self.workers.insert(id, worker);
@@ -165,6 +166,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             let (has_row, is_cordoned) = (worker.has_row, worker.is_cordoned);
             *worker = Worker::new(registration, now, now);
+            worker.token = self.tokens.next();
             worker.record_stray_leases(lease_max, now);
             worker.has_row = has_row;
             worker.is_cordoned = is_cordoned;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::FencingToken;
 use crate::Moment;
 use crate::WorkerId;
 use crate::assignments::AssignmentRow;
@@ -10,6 +11,7 @@
 use crate::job::Resources;
 use crate::job::UnitKey;
 use crate::live_jobs::Run;
+use crate::messages::SentPoll;
 use crate::messages::WorkerRegistration;
 
 /// Percentage by which a worker's clock may at most run slower than true time.
@@ -54,6 +56,10 @@
     pub registration: WorkerRegistration,
     /// Rack of the worker, which is its second label; `None` if it has none.
     pub rack: Option<Arc<str>>,
+    /// Fencing token of calls to this incarnation.
+    pub token: FencingToken,
+    /// This incarnation has replied to a poll with its token, and refuses calls to earlier ones.
+    pub is_token_seen: bool,
     /// When it last replied.
     pub contact: Contact,
     /// When it first replied to this owner.
@@ -85,8 +91,10 @@
     /// Number of the last completion whose consequences are stored, together with those of all
     /// completions before it.
     pub last_stored_completion: u64,
-    /// Time after which nothing runs there, unless the lease is renewed.
-    pub lease_expires_at: Moment,
+    /// Highest number of a completion that an answered poll has acknowledged.
+    pub acknowledged_completion: u64,
+    /// Time after which the lease that this owner or an earlier one has requested is over.
+    lease_expires_at: Moment,
     /// Time after which no lease is left that a command to an earlier incarnation may have given
     /// this one.
     pub stray_lease_until: Moment,
@@ -118,6 +126,8 @@
         Self {
             registration,
             rack,
+            token: 0,
+            is_token_seen: false,
             contact: Contact::Unheard,
             first_contact_at: None,
             has_row: false,
@@ -133,6 +143,7 @@
             last_seen_completion: 0,
             pending_completions: Vec::new(),
             last_stored_completion: 0,
+            acknowledged_completion: 0,
             lease_expires_at,
             stray_lease_until: Moment::ZERO,
             failed_polls: 0,
@@ -179,7 +190,9 @@
 
     /// Returns true if the worker still takes the runs that are planned there.
     pub fn can_start_planned(&self) -> bool {
-        !self.registration.is_draining && self.reserved.fits_in(&self.registration.capacity)
+        self.is_token_seen
+            && !self.registration.is_draining
+            && self.reserved.fits_in(&self.registration.capacity)
     }
 
     /// Returns true if the worker has listed completions whose consequences are not stored yet.
@@ -207,16 +220,45 @@
             return;
         };
         let remaining = Duration::from_millis(deadline_ms.saturating_sub(clock.clock_ms));
-        let duration_max = remaining * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK;
-        self.lease_expires_at = self.lease_expires_at.max(clock.received_at + duration_max);
+        let expires_at = clock.received_at + true_time_max(remaining);
+        self.lease_expires_at = self.lease_expires_at.max(expires_at);
     }
 
     /// Records that commands to an earlier incarnation may reach this one. Their deadlines are
     /// times of another clock, so that each may give a lease of the longest duration, `lease_max`.
     pub fn record_stray_leases(&mut self, lease_max: Duration, now: Moment) {
-        let duration_max = lease_max * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK;
-        self.stray_lease_until = now + CALL_TIME_MAX + duration_max;
-        self.lease_expires_at = self.lease_expires_at.max(self.stray_lease_until);
+        self.stray_lease_until = now + CALL_TIME_MAX + true_time_max(lease_max);
+    }
+
+    /// Records what the worker's reply to a poll shows, which this incarnation has sent.
+    pub fn record_answered_poll(&mut self, poll: SentPoll, lease_max: Duration, now: Moment) {
+        if poll.token != self.token {
+            return;
+        }
+        self.acknowledged_completion =
+            self.acknowledged_completion.max(poll.acknowledged_completion);
+        if !std::mem::replace(&mut self.is_token_seen, true)
+            && self.stray_lease_until > Moment::ZERO
+        {
+            // Commands to an earlier incarnation may have come until now.
+            self.stray_lease_until = now + true_time_max(lease_max);
+        }
+    }
+
+    /// Returns the number up to which the next poll acknowledges completions; 0 if there are none
+    /// to acknowledge. If the last poll was not answered, the worker may have started again, and
+    /// would take the number for one of its new completions.
+    pub fn completion_to_acknowledge(&self) -> u64 {
+        let is_new = self.last_stored_completion > self.acknowledged_completion;
+        match is_new && self.failed_polls == 0 {
+            true => self.last_stored_completion,
+            false => 0,
+        }
+    }
+
+    /// Returns the time after which nothing runs there, unless the lease is renewed.
+    pub fn lease_over_at(&self) -> Moment {
+        self.lease_expires_at.max(self.stray_lease_until)
     }
 
     /// Returns true if a command with the deadline `deadline_ms` cannot take effect any more.
@@ -274,6 +316,11 @@
     }
 }
 
+/// Returns the longest time in which a worker's clock advances by `clock_time`.
+fn true_time_max(clock_time: Duration) -> Duration {
+    clock_time * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK
+}
+
 /// Returns the label that names the rack, such as `r1-3`. The first label is the kind of worker,
 /// the second one the rack.
 fn rack_of(labels: &[String]) -> Option<Arc<str>> {
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -17,6 +17,7 @@
 use crate::messages::PollFailure;
 use crate::messages::RunOutcome;
 use crate::messages::RunStatus;
+use crate::messages::SentPoll;
 use crate::messages::WorkerRegistration;
 use crate::messages::WorkerReport;
 use crate::progress::FinalState;
@@ -34,17 +35,21 @@
 pub(crate) const FAILED_POLLS_MAX: u32 = 2;
 
 impl Scheduler {
-    /// Handles a worker's reply to a poll that was sent at `sent_at`.
+    /// Handles a worker's reply to a poll.
     pub fn handle_report(
         &mut self,
         id: &WorkerId,
         report: &WorkerReport,
-        sent_at: Moment,
+        poll: SentPoll,
         now: Moment,
     ) {
         if !self.record_contact(id, report, now) {
             return;
         }
+        let lease_max = self.settings.lease_max;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.record_answered_poll(poll, lease_max, now);
+        }
         self.handle_completions(id, &report.completions, now);
         let mut unexpected_runs = 0;
         for running in &report.running {
@@ -55,7 +60,7 @@
             self.needs_placement |= worker.unexpected_runs > unexpected_runs;
             worker.unexpected_runs = unexpected_runs;
         }
-        self.remove_absent_runs(id, report, sent_at, now);
+        self.remove_absent_runs(id, report, poll.sent_at, now);
     }
 
     /// Handles a poll that a worker did not answer.
@@ -99,7 +104,7 @@
             let kept = if is_suspect_host { SILENT_WORKER_KEPT } else { Duration::ZERO };
             !worker.is_registered
                 && worker.runs.is_empty()
-                && now >= worker.lease_expires_at + kept
+                && now >= worker.lease_over_at() + kept
                 && !worker.is_in_contact(self.settings.contact_max, now)
         };
         let removable = self.workers.iter().filter(|(_, worker)| is_removable(worker));
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -11,6 +11,7 @@
 use scheduler::Completion;
 use scheduler::Config;
 use scheduler::DurationsRow;
+use scheduler::FencingToken;
 use scheduler::HostCommandRow;
 use scheduler::HostEntry;
 use scheduler::HostState;
@@ -25,6 +26,7 @@
 use scheduler::RunOutcome;
 use scheduler::RunStatus;
 use scheduler::Scheduler;
+use scheduler::SentPoll;
 use scheduler::Settings;
 use scheduler::SortedMap;
 use scheduler::StartCommand;
@@ -37,6 +39,7 @@
 use scheduler::WorkerId;
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
+use scheduler::worker::Worker;
 
 /// Unix time in milliseconds at which the clock of [`Moment`] shows zero.
 pub const UNIX_MS: u64 = 1_700_000_000_000;
@@ -49,6 +52,8 @@
     pub completions: Vec<Completion>,
     pub completion_count: u64,
     pub is_responsive: bool,
+    /// Highest token that it has seen.
+    pub seen_token: FencingToken,
     pub incarnation_started_ms: u64,
     pub rack: &'static str,
 }
@@ -248,8 +253,9 @@
     /// Sends the report of a worker, if it is responsive.
     pub fn report(&mut self, id: &str) {
         let clock_ms = self.now.as_millis() as u64;
+        let poll = self.poll(id);
         let worker = self.worker(id);
-        if !worker.is_responsive {
+        if !worker.is_responsive || !worker.accepts_token(poll.token) {
             return;
         }
         let report = WorkerReport {
@@ -259,7 +265,17 @@
             completions: worker.completions.clone(),
         };
         let id = worker.id.clone();
-        self.scheduler.handle_report(&id, &report, self.now, self.now);
+        self.scheduler.handle_report(&id, &report, poll, self.now);
+    }
+
+    /// Returns a poll that the owner sends now.
+    pub fn poll(&self, id: &str) -> SentPoll {
+        let worker = self.scheduler.worker(id);
+        SentPoll {
+            token: worker.map_or(0, |worker| worker.token),
+            acknowledged_completion: worker.map_or(0, Worker::completion_to_acknowledge),
+            sent_at: self.now,
+        }
     }
 
     /// Commits all changes that are not stored yet.
@@ -327,7 +343,9 @@
                     self.start(&command);
                     starts.push(command);
                 }
-                Action::Stop { worker, unit, run, .. } => self.stop(&worker, &unit, run),
+                Action::Stop { worker, unit, run, token, .. } => {
+                    self.stop(&worker, &unit, run, token)
+                }
                 other => self.other_actions.push(other),
             }
         }
@@ -336,7 +354,7 @@
 
     fn start(&mut self, command: &StartCommand) {
         let worker = self.worker(&command.worker);
-        let reply = if worker.is_responsive {
+        let reply = if worker.is_responsive && worker.accepts_token(command.token) {
             worker.add_run(&command.unit, command.run);
             StartReply::Started
         } else {
@@ -346,12 +364,13 @@
             &command.worker,
             &command.unit,
             command.run,
+            command.token,
             reply,
             self.now,
         );
     }
 
-    fn stop(&mut self, id: &str, unit: &UnitKey, run: u32) {
+    fn stop(&mut self, id: &str, unit: &UnitKey, run: u32, token: FencingToken) {
         let now = self.now;
         let worker = self.worker(id);
         let is_responsive = worker.is_responsive;
@@ -360,7 +379,7 @@
             worker.complete_run(unit, RunOutcome::Stopped);
         }
         let id = worker.id.clone();
-        self.scheduler.handle_stop_reply(&id, unit, run, is_responsive, now);
+        self.scheduler.handle_stop_reply(&id, unit, run, token, is_responsive, now);
     }
 
     /// Ends the run of a unit, on whichever worker it is.
@@ -405,6 +424,7 @@
             completions: Vec::new(),
             completion_count: 0,
             is_responsive: true,
+            seen_token: 0,
             incarnation_started_ms: 1,
             rack: "r1-1",
         }
@@ -423,6 +443,7 @@
         self.running.clear();
         self.completions.clear();
         self.completion_count = 0;
+        self.seen_token = 0;
         self.is_responsive = false;
     }
 
@@ -431,6 +452,13 @@
         self.is_responsive = true;
     }
 
+    /// Returns true unless it has seen a higher token.
+    pub fn accepts_token(&mut self, token: FencingToken) -> bool {
+        let is_accepted = token >= self.seen_token;
+        self.seen_token = self.seen_token.max(token);
+        is_accepted
+    }
+
     /// Starts a run of a unit.
     pub fn add_run(&mut self, unit: &UnitKey, run: u32) {
         let (unit, checkpoint, progress_percent, load) = (unit.clone(), String::new(), 0, None);
--- a/crates/scheduler/tests/crash_evidence.rs
+++ b/crates/scheduler/tests/crash_evidence.rs
@@ -55,9 +55,9 @@
         sim.report_all();
         let starts = sim.run_round();
         if !starts.is_empty() {
-            let id = starts[0].worker.clone();
+            let StartCommand { worker, unit, run, token, .. } = &starts[0];
             let reply = StartReply::Started;
-            sim.scheduler.handle_start_reply(&id, &starts[0].unit, starts[0].run, reply, sim.now);
+            sim.scheduler.handle_start_reply(worker, unit, *run, *token, reply, sim.now);
             return starts;
         }
     }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -435,7 +435,8 @@
             };
             let reply = StartReply::OtherInstance;
             let (worker, unit) = (command.worker, command.unit);
-            sim.scheduler.handle_start_reply(&worker, &unit, command.run, reply, sim.now);
+            let (run, token) = (command.run, command.token);
+            sim.scheduler.handle_start_reply(&worker, &unit, run, token, reply, sim.now);
             sim.replace_worker(&worker, &format!("n{count}"));
         }
         sim.now += millis(300);
--- a/crates/scheduler/tests/hosts.rs
+++ b/crates/scheduler/tests/hosts.rs
@@ -8,6 +8,7 @@
 use scheduler::HostReply;
 use scheduler::Resources;
 use scheduler::RunOutcome;
+use scheduler::StartCommand;
 use scheduler::StartReply;
 use scheduler::Step;
 use scheduler::Wave;
@@ -167,7 +168,8 @@
     let start = start.expect("the start command is sent");
     // The worker does not reply to the start command, and carries it out later.
     let unknown = StartReply::Unknown;
-    sim.scheduler.handle_start_reply(&start.worker, &start.unit, start.run, unknown, sim.now);
+    let StartCommand { worker, unit, run, token, .. } = &start;
+    sim.scheduler.handle_start_reply(worker, unit, *run, *token, unknown, sim.now);
     let is_stop = |action: &Action| matches!(action, Action::Stop { .. });
     assert!(!sim.scheduler.take_actions().iter().any(is_stop));
     sim.worker("w1").add_run(&start.unit, start.run);
--- a/crates/scheduler/tests/restarted_workers.rs
+++ b/crates/scheduler/tests/restarted_workers.rs
@@ -5,7 +5,12 @@
 mod simulation;
 
 use scheduler::Action;
+use scheduler::FinalState;
+use scheduler::JobView;
+use scheduler::PollFailure;
 use scheduler::Resources;
+use scheduler::RunOutcome;
+use scheduler::SentPoll;
 use scheduler::StartCommand;
 use scheduler::StartReply;
 use simulation::Simulation;
@@ -14,6 +19,7 @@
 use simulation::millis;
 use simulation::seconds;
 use simulation::step;
+use simulation::unit;
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
 /// Longest lease that a worker grants, by the default settings.
@@ -94,6 +100,7 @@
         &start.worker,
         &start.unit,
         start.run,
+        start.token,
         StartReply::Unknown,
         sim.now,
     );
@@ -112,7 +119,14 @@
         let starts = actions.into_iter().filter(|action| matches!(action, Action::Start(_)));
         assert_eq!(starts.collect::<Vec<Action>>(), []);
     }
-    sim.scheduler.handle_stop_reply(&start.worker, &start.unit, start.run, true, sim.now);
+    // A late reply of the earlier incarnation doesn't count.
+    let StartCommand { unit, run, token, .. } = &start;
+    sim.scheduler.handle_stop_reply(&start.worker, unit, *run, *token, true, sim.now);
+    sim.report_all();
+    let assigned = &sim.scheduler.worker(&worker).expect("the worker is known").runs;
+    assert_eq!(assigned, std::slice::from_ref(unit), "the start may still arrive");
+    let token = sim.poll(&worker).token;
+    sim.scheduler.handle_stop_reply(&start.worker, unit, *run, token, true, sim.now);
     let starts = sim.run_for(seconds(1));
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
@@ -171,3 +185,66 @@
     assert_eq!(sim.run_round(), []);
     assert_eq!(sim.run_for(seconds(2)), [], "the unit keeps running");
 }
+
+/// Lets `w1` run a unit to its end, and returns the poll that acknowledges that.
+fn acknowledging_poll(sim: &mut Simulation) -> SentPoll {
+    sim.worker("w2").is_responsive = false;
+    sim.scheduler.unregister_worker("w2");
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.run_for(millis(400));
+    sim.complete_run(&unit("a", 0, 0), RunOutcome::Done);
+    sim.report("w1");
+    sim.commit();
+    let poll = sim.poll("w1");
+    assert_eq!(poll.acknowledged_completion, 1);
+    poll
+}
+
+/// Guards against a unit that is started again after it was done: a poll that was sent to the
+/// earlier incarnation came late, and made the later one forget a completion that nobody had seen,
+/// as each incarnation numbers its completions from 1.
+#[test]
+fn a_late_acknowledgement_does_not_reach_the_later_incarnation() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let late = acknowledging_poll(&mut sim);
+    sim.worker("w1").crash();
+    sim.restart_worker("w1");
+    sim.scheduler.add_job(job("b", vec![step(1, 1_000)], sim.now), sim.now);
+    assert_eq!(sim.run_for(millis(600)).len(), 1);
+    sim.complete_run(&unit("b", 0, 0), RunOutcome::Done);
+    let worker = sim.worker("w1");
+    if worker.accepts_token(late.token) {
+        worker.completions.retain(|completion| completion.number > late.acknowledged_completion);
+    }
+    assert_eq!(sim.run_for(seconds(2)), []);
+    assert_eq!(sim.scheduler.view("b"), Some(JobView::Ended(FinalState::Completed)));
+}
+
+/// Guards against the same by a poll that is sent after the restart: the owner repeated the
+/// acknowledgement as it got no reply from the earlier incarnation.
+#[test]
+fn an_acknowledgement_is_repeated_only_after_a_reply() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    acknowledging_poll(&mut sim);
+    sim.scheduler.handle_failed_poll(&"w1".into(), PollFailure::BrokenOff, sim.now);
+    assert_eq!(sim.poll("w1").acknowledged_completion, 0);
+    sim.report("w1");
+    assert_eq!(sim.poll("w1").acknowledged_completion, 1);
+    sim.report("w1");
+    assert_eq!(sim.poll("w1").acknowledged_completion, 0, "the worker has replied to it");
+}
+
+/// Guards against an owner that ends its work since a worker has refused a call to its earlier
+/// incarnation.
+#[test]
+fn a_refused_call_to_an_earlier_incarnation_does_not_supersede_the_owner() {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    let earlier = sim.poll("w1").token;
+    sim.worker("w1").crash();
+    sim.restart_worker("w1");
+    sim.report("w1");
+    sim.scheduler.handle_fenced("w1", earlier);
+    assert!(!sim.scheduler.is_fenced());
+    sim.scheduler.handle_fenced("w1", sim.poll("w1").token);
+    assert!(sim.scheduler.is_fenced(), "a successor uses higher tokens");
+}
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -238,7 +238,8 @@
     let id = worker.id.clone();
     let clock_ms = sim.now.as_millis() as u64;
     let report = WorkerReport { clock_ms, ..WorkerReport::default() };
-    sim.scheduler.handle_report(&id, &report, sim.now, sim.now);
+    let poll = sim.poll(&id);
+    sim.scheduler.handle_report(&id, &report, poll, sim.now);
     assert!(sim.run_round().is_empty(), "the units run already");
 }
 
