Let a refusal by another worker count only for the address that it comes from

What callers could see: a unit that runs on two workers at once (TWICE).

Cause: a reply that another worker answers at the address named the worker's id only. The call may have gone to an address that the worker had before: it has started again under its id elsewhere, and another worker has got the earlier address. The late reply removed the living worker and ended its runs, and their units were started elsewhere.

Change: such a reply ends a worker only if the call carried the worker's current token. A worker whose registered address changes gets a new token, as one that starts again does. For a start, it otherwise shows only that this start was not carried out.

Evidence: a_refusal_at_an_earlier_address_does_not_end_the_worker fails without the check (seen by taking it out). The rule is in no model; it only narrows what counts as evidence.

Ruled out: refusals and confirmations of a start (a call is carried out once, so its reply settles that run wherever it was carried out); reports, which tell their incarnation; a worker that comes back under its id after a removal, which gets a new token.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -83,7 +83,7 @@
             Ok(report) => self.scheduler.handle_report(&id, &report, sent, now),
             Err(WorkerError::Fenced) => self.scheduler.handle_fenced(&id, sent.token),
             Err(WorkerError::OtherInstance) => {
-                self.scheduler.handle_worker_gone(&id, "another instance answers", now);
+                self.scheduler.handle_worker_gone(&id, sent.token, "another instance answers", now);
             }
             Err(error) => {
                 let failure = match &error {
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -46,8 +46,8 @@
                 self.confirm_start(worker, key, now);
             }
             StartReply::Unknown => self.mark_in_doubt(worker, key, now),
-            StartReply::OtherInstance => {
-                self.handle_worker_gone(worker, "another instance answers", now)
+            StartReply::OtherInstance if self.is_current_token(worker, token) => {
+                self.handle_worker_gone(worker, token, "another instance answers", now)
             }
             _ => {
                 if let Some(end) = RunEnd::not_started(reply) {
@@ -75,7 +75,7 @@
         has_reply: bool,
         now: Moment,
     ) {
-        if self.workers.get(worker).is_none_or(|worker| worker.token != token) {
+        if !self.is_current_token(worker, token) {
             return;
         }
         let Some(run) = self.run_on_mut(key, worker).filter(|run| run.number == number) else {
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -133,6 +133,10 @@
         if registration.is_draining && !worker.registration.is_draining {
             worker.draining_since = now;
         }
+        if registration.address != worker.registration.address {
+            worker.token = self.tokens.next();
+            worker.is_token_seen = false;
+        }
         worker.update_warmup(&registration, now);
         let incarnation_started_ms =
             worker.registration.incarnation_started_ms.max(registration.incarnation_started_ms);
--- a/crates/scheduler/src/tokens.rs
+++ b/crates/scheduler/src/tokens.rs
@@ -36,7 +36,12 @@
     /// Handles a worker's refusal of a call since it has seen a higher token. The higher one may be
     /// that of a later call of this owner; otherwise another owner has taken over.
     pub fn handle_fenced(&mut self, worker: &str, token: FencingToken) {
-        let is_current = self.workers.get(worker).is_some_and(|worker| worker.token == token);
-        self.is_fenced |= is_current;
+        self.is_fenced |= self.is_current_token(worker, token);
+    }
+
+    /// Returns true if a call with this token was sent to the incarnation and the address that are
+    /// known of the worker.
+    pub(crate) fn is_current_token(&self, worker: &str, token: FencingToken) -> bool {
+        self.workers.get(worker).is_some_and(|worker| worker.token == token)
     }
 }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::FencingToken;
 use crate::JobId;
 use crate::Moment;
 use crate::WorkerId;
@@ -80,8 +81,19 @@
         }
     }
 
-    /// Handles proof that a worker has ended, or that its address now belongs to another worker.
-    pub fn handle_worker_gone(&mut self, id: &WorkerId, why: &str, now: Moment) {
+    /// Handles the reply of another worker to a call with a fencing token: the worker has ended, or
+    /// has started again elsewhere. If it is known at another address or in a later incarnation by
+    /// now, the reply shows nothing.
+    pub fn handle_worker_gone(
+        &mut self,
+        id: &WorkerId,
+        token: FencingToken,
+        why: &str,
+        now: Moment,
+    ) {
+        if !self.is_current_token(id, token) {
+            return;
+        }
         self.log_decision("worker is gone", id.clone(), why.to_owned());
         self.handle_worker_end(id, RunEnd::worker_replaced(), now);
         self.remove_worker(id);
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -237,7 +237,8 @@
     pub fn replace_worker(&mut self, id: &str, replacement: &str) {
         self.workers.retain(|worker| *worker.id != *id);
         self.workers.push(SimulatedWorker::new(replacement));
-        self.scheduler.handle_worker_gone(&id.into(), "another instance answers", self.now);
+        let token = self.poll(id).token;
+        self.scheduler.handle_worker_gone(&id.into(), token, "another instance answers", self.now);
         self.scheduler.unregister_worker(id);
         self.scheduler.update_worker(registration(replacement), Duration::ZERO, self.now);
     }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -135,7 +135,9 @@
         for id in known {
             if !self.sim.workers.iter().any(|worker| worker.id == id) {
                 let now = self.sim.now;
-                self.sim.scheduler.handle_worker_gone(&id, "another instance answers", now);
+                let token = self.sim.poll(&id).token;
+                let why = "another instance answers";
+                self.sim.scheduler.handle_worker_gone(&id, token, why, now);
             }
         }
     }
--- a/crates/scheduler/tests/restarted_workers.rs
+++ b/crates/scheduler/tests/restarted_workers.rs
@@ -248,3 +248,25 @@
     sim.scheduler.handle_fenced("w1", sim.poll("w1").token);
     assert!(sim.scheduler.is_fenced(), "a successor uses higher tokens");
 }
+
+/// Guards against two runs at the same time: a worker started again at another address, and another
+/// worker got the earlier one. Its late refusal of a call ended the runs at the new address.
+#[test]
+fn a_refusal_at_an_earlier_address_does_not_end_the_worker() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let earlier = sim.poll("w1").token;
+    sim.worker("w1").crash();
+    sim.worker("w1").restart();
+    let mut registration = sim.worker("w1").registration();
+    registration.address = "10.0.0.2:80".parse().unwrap();
+    sim.scheduler.update_worker(registration, seconds(0), sim.now);
+    sim.worker("w2").is_responsive = false;
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    while sim.worker("w1").running.is_empty() {
+        sim.run_for(millis(200));
+    }
+    sim.worker("w2").is_responsive = true;
+    sim.scheduler.handle_worker_gone(&"w1".into(), earlier, "another instance answers", sim.now);
+    assert_eq!(sim.run_for(seconds(2)), []);
+    assert_eq!(sim.worker("w1").running.len(), 1);
+}
