--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -181,11 +181,6 @@
         self.data.lock().unwrap().fault = fault;
     }
 
-    /// Returns the latest deadline of a lease that a poll has requested.
-    pub fn lease_deadline_ms(&self) -> Option<u64> {
-        self.data.lock().unwrap().lease_deadline_ms
-    }
-
     pub fn starts(&self) -> Vec<(UnitKey, u32, FencingToken)> {
         self.data.lock().unwrap().starts.clone()
     }
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -34,6 +34,11 @@
         self.data.lock().unwrap().reply_delay = delay;
     }
 
+    /// Returns the latest deadline of a lease that a poll has requested.
+    pub fn lease_deadline_ms(&self) -> Option<u64> {
+        self.data.lock().unwrap().lease_deadline_ms
+    }
+
     /// Makes each read of the registry tell that all workers were removed and registered again.
     pub fn register_workers_again(&self) {
         self.data.lock().unwrap().are_workers_registered_again = true;
