Store a run that a worker lists without having been assigned it

A row is written only when a run is planned on its worker. A run that its owner has taken for ended, and that the worker lists all the same, is adopted, but if the worker's row had been written or removed in between, no row named it. After a takeover its unit was started at once on the first worker that replied.

Now such a run makes the worker's row due. Runs that an owner finds after a takeover are in the row that it has read, so that this costs a row only in the rare case.

The test a_run_that_a_worker_lists_unexpectedly_is_stored failed before the change, with the unit started on the second worker. Passed on this commit: 12 of the scheduler's test files, among them random, takeover, restarted_workers, row_sizes and restart_model. Not run on it: takeover_model, which shares no code with the scheduler, and the files on hosts, capacity, durations and shares.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -82,7 +82,7 @@
 }
 
 impl Scheduler {
-    /// Adds the rows of workers that got new runs, and removes the rows of workers that were
+    /// Adds the rows of workers that got new runs or list unassigned ones, and removes the rows of workers that were
     /// removed; at most `rows_max` rows in total, and about `bytes_max` bytes in the whole batch.
     pub(crate) fn add_assignments(
         &mut self,
@@ -92,8 +92,9 @@
         now: Moment,
     ) {
         let with_new_runs = self.workers.iter().filter(|(_, worker)| {
-            worker.has_unstored_run
-                && worker.runs.iter().any(|key| self.may_store_planned(worker, key))
+            worker.has_unassigned_run
+                || worker.has_unstored_run
+                    && worker.runs.iter().any(|key| self.may_store_planned(worker, key))
         });
         let rows =
             with_new_runs.take(rows_max).map(|(id, worker)| (id.clone(), self.row_of(worker, now)));
@@ -111,6 +112,7 @@
                 worker.runs.iter().any(|key| self.must_wait_for_completions(worker, key));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.has_unstored_run = has_unstored_run;
+                worker.has_unassigned_run = false;
                 worker.has_row = true;
             }
         }
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -179,7 +179,7 @@
         // many of both, each gets about half of the rows, so that neither starves the other.
         let rows_left = limits.rows_max.saturating_sub(batch.row_count());
         let assignment_rows =
-            self.workers.values().filter(|worker| worker.has_unstored_run).count();
+            self.workers.values().filter(|w| w.has_unstored_run || w.has_unassigned_run).count();
         let progress_rows = rows_left - assignment_rows.min(rows_left / 2);
         let progress_rows = progress_rows.min(limits.progress_rows_max);
         // Assignments get a part of the bytes as well.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -68,6 +68,8 @@
     pub has_row: bool,
     /// It has a new run that its assignment row lacks.
     pub has_unstored_run: bool,
+    /// It has listed a run that was not assigned to it, so that its assignment row may lack it.
+    pub has_unassigned_run: bool,
     /// The worker is in the registry.
     pub is_registered: bool,
     /// Resources that its runs reserve.
@@ -132,6 +134,7 @@
             first_contact_at: None,
             has_row: false,
             has_unstored_run: false,
+            has_unassigned_run: false,
             is_registered: true,
             reserved: Resources::default(),
             runs: Vec::new(),
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -407,6 +407,9 @@
         running.checkpoint.clone_into(&mut run.checkpoint);
         run.load = running.load;
         self.add_run(key, run, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.has_unassigned_run = true;
+        }
     }
 
     /// Removes the runs that the worker does not list and that cannot appear there later.
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -243,6 +243,24 @@
     assert!(sim.run_round().is_empty(), "the units run already");
 }
 
+// Guards against a run that no stored row names: a worker lists one that its owner took for ended or
+// did not know. The successor started the unit at once on another worker.
+#[test]
+fn a_run_that_a_worker_lists_unexpectedly_is_stored() {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    sim.worker("w1").add_run(&unit("a", 0, 0), 1);
+    let record = job("a", vec![step(1, 1_000)], sim.now);
+    sim.scheduler.add_job(record.clone(), sim.now);
+    sim.report("w1");
+    assert!(sim.run_round().is_empty(), "the unit runs already");
+    sim.add_worker("w2");
+    sim.worker("w1").is_responsive = false;
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[record]);
+    sim.report("w2");
+    let starts = sim.run_for(seconds(2));
+    assert!(starts.is_empty(), "{starts:?}");
+}
+
 // Guards against a run that no stored row names: a worker was removed, came back under its id and
 // got a run, and the removal of its earlier row was stored with the new row or after it. The
 // successor started the unit at once on another worker.
