Write no record of a job that is cancelled before it is stored

A job that is cancelled while it waits to be stored has its final state in the transaction that stores it. That transaction both wrote and removed its record.

The record is now left out. The store in memory rejects a transaction that writes and removes a row; with that, `a_new_owner_handles_a_cancellation_in_the_inbox_before_it_starts_runs` failed before (the job stayed queued for 20 s).

--- a/crates/coordinator/src/owner/commit.rs
+++ b/crates/coordinator/src/owner/commit.rs
@@ -269,7 +269,11 @@
             removals: Vec::new(),
         };
         for (record, value) in self.pipeline.submissions.in_transaction() {
-            transaction.puts.push((Table::Jobs, record.id.to_string(), value.clone()));
+            // The record of a job that was cancelled before it is stored is removed at once. What the
+            // store does with a row that is both written and removed is not known.
+            if !batch.jobs_to_unstore.contains(&record.id) {
+                transaction.puts.push((Table::Jobs, record.id.to_string(), value.clone()));
+            }
         }
         add_rows(&mut transaction, batch);
         transaction
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -164,8 +164,17 @@
 }
 
 impl Memory {
+    /// Commits a transaction. One that both writes and removes a row is rejected, since it isn't
+    /// specified what the store does with it.
     fn commit(&self, transaction: Transaction) -> WriteOutcome {
         let mut data = self.data.lock().unwrap();
+        let is_written = |removal: &(Table, String)| {
+            let mut puts = transaction.puts.iter();
+            puts.any(|(table, key, _)| (*table, key) == (removal.0, &removal.1))
+        };
+        if transaction.removals.iter().any(is_written) {
+            return WriteOutcome::Rejected("a row is written and removed".to_owned());
+        }
         match data.fault {
             TableFault::Unavailable => return WriteOutcome::Refused("table is down".to_owned()),
             TableFault::Silent => return WriteOutcome::Unknown("no reply".to_owned()),
