Start no run that was being stored when its job was cancelled

A run whose transaction is in flight was started once that was committed, though its job had been cancelled meanwhile, and was stopped when the cancellation was stored.

Planned runs of jobs with a final state are now removed when their rows are committed. `a_run_that_is_being_stored_is_not_started_after_a_cancellation` failed before.

--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -9,6 +9,8 @@
 
 use crate::JobId;
 use crate::Moment;
+use crate::WorkerId;
+use crate::assignments::AssignmentRow;
 use crate::batch::Batch;
 use crate::batch::BatchLimits;
 use crate::batch::StoredCompletions;
@@ -295,6 +297,7 @@
         for id in &batch.expired_jobs {
             self.finished_jobs.remove(id);
         }
+        self.withdraw_runs_of_ended_jobs(&batch.assignments, now);
         self.handle_assignments_stored(&batch.assignments, now);
         if let Some(commands) = &batch.host_commands {
             self.handle_host_commands_stored(commands);
@@ -302,6 +305,22 @@
         self.needs_placement = true;
     }
 
+    /// Removes the planned runs of jobs that were cancelled, or have ended otherwise, while the runs
+    /// were being stored.
+    fn withdraw_runs_of_ended_jobs(&mut self, rows: &[(WorkerId, AssignmentRow)], now: Moment) {
+        for (worker, row) in rows {
+            for key in row.runs.iter().filter_map(|(unit, _)| unit.parse::<UnitKey>().ok()) {
+                let has_ended =
+                    self.jobs.get(&key.job).is_some_and(|job| job.final_state.is_some());
+                let end =
+                    self.run_on(&key, worker).filter(|_| has_ended).and_then(RunEnd::not_sent);
+                if let Some(end) = end {
+                    self.remove_run(&key, worker, end, now);
+                }
+            }
+        }
+    }
+
     fn handle_job_stored(&mut self, id: &JobId, progress: &Progress, now: Moment) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -120,6 +120,27 @@
     assert_eq!(sim.scheduler.cancel("b"), CancelOutcome::Unknown);
 }
 
+/// Guards against units that start after their job was cancelled: a run that was being stored when
+/// the cancellation came was started once it was stored.
+#[test]
+fn a_run_that_is_being_stored_is_not_started_after_a_cancellation() {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.scheduler.plan(sim.now);
+    let limits = BatchLimits {
+        rows_max: 100,
+        progress_rows_max: 100,
+        bytes_max: simulation::BATCH_BYTES_MAX,
+    };
+    let batch = sim.scheduler.take_batch(limits, sim.now);
+    assert_eq!(batch.assignments.len(), 1);
+    assert_eq!(sim.scheduler.cancel("a"), CancelOutcome::Pending);
+    sim.scheduler.handle_commit(&batch, sim.now);
+    assert!(sim.carry_out_actions().is_empty());
+    sim.commit();
+    assert_eq!(sim.scheduler.view("a"), Some(JobView::Ended(FinalState::Cancelled)));
+}
+
 #[test]
 fn no_worker_exceeds_its_capacity() {
     let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
