Read the inbox beside a call for its changes that gets no reply

A node that can't reach the owner acknowledges a cancellation once it is in the inbox. The owner waits for changes of the inbox in one call; on a connection that has silently broken, that took 2 s and the 1.5 s of a call without a reply, and a pause. Meanwhile it could store and start runs over others.

The call now waits for 1.5 s, and a second one is made beside it when it is 0.5 s late. It costs a call each 1.5 s instead of each 2 s.

`a_cancellation_is_read_beside_a_call_that_gets_no_reply` failed before: the row was handled after 4.24 s, the limit is 3 s.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -34,6 +34,11 @@
 /// Longest wait of a call for changes of the registry or the inbox. It bounds how long a connection
 /// that has silently broken keeps changes from the owner.
 const CHANGES_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest wait of a call for changes of the inbox. Jobs whose cancellation is there must not be
+/// started for long.
+const INBOX_WAIT: Duration = Duration::from_millis(1_500);
+/// Time beyond the wait after which a call for changes of the inbox counts as late.
+const INBOX_LATE_AFTER: Duration = Duration::from_millis(500);
 /// Pause between two calls for changes of the registry, so that one call returns several changes.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two calls for changes of divisions, so that one call returns several changes.
@@ -135,9 +140,7 @@
             async move {
                 match version {
                     None => shared.node.platform.read_all(shared.shard, Table::Inbox).await,
-                    Some(version) => {
-                        shared.node.platform.changes(Table::Inbox, version, CHANGES_WAIT).await
-                    }
+                    Some(version) => read_inbox_changes(&shared.node.platform, version).await,
                 }
             }
         };
@@ -211,6 +214,22 @@
     }
 }
 
+/// Reads the changes of the inbox. A call that is late may have lost its connection, so that a
+/// second one is made beside it.
+async fn read_inbox_changes<P: Platform>(
+    platform: &P,
+    version: RowVersion,
+) -> Result<Changes<Row>, ReadError> {
+    let second = async {
+        tokio::time::sleep(INBOX_WAIT + INBOX_LATE_AFTER).await;
+        platform.changes(Table::Inbox, version, Duration::ZERO).await
+    };
+    tokio::select! {
+        result = platform.changes(Table::Inbox, version, INBOX_WAIT) => result,
+        result = second => result,
+    }
+}
+
 /// Reads all rows, unless they were read up to `version`, and then their changes until `send`
 /// returns false. Reads all rows again if the changes since the last read are no longer kept.
 async fn follow_changes<T, R, S>(
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -97,6 +97,8 @@
     /// Number of reads of whole tables that panic, as a fault of the program would.
     panics_left: u32,
     hung_writes_left: u32,
+    /// Number of calls for changes of the inbox that get no reply until their time limit.
+    hung_inbox_reads_left: u32,
     /// Writes of a slow table that are not committed yet.
     writes_in_progress: usize,
     /// Time from the commit of a write to the reply of the table.
--- a/crates/coordinator/tests/common/memory_store.rs
+++ b/crates/coordinator/tests/common/memory_store.rs
@@ -22,12 +22,33 @@
 use super::table_number;
 use super::worker_name;
 
+/// Time limit of a call, beyond the time that it waits for changes.
+const CALL_TIME_MAX: Duration = Duration::from_millis(1_500);
+
 impl Memory {
     /// Commits the next writes without ever replying to them.
     pub fn hang_writes(&self, count: u32) {
         self.data.lock().unwrap().hung_writes_left = count;
     }
 
+    /// Gives the next calls for changes of the inbox no reply.
+    pub fn hang_inbox_reads(&self, count: u32) {
+        self.data.lock().unwrap().hung_inbox_reads_left = count;
+    }
+
+    /// Returns the number of calls that are still to get no reply.
+    pub fn hung_inbox_reads_left(&self) -> u32 {
+        self.data.lock().unwrap().hung_inbox_reads_left
+    }
+
+    /// Returns true if a call for changes of a table gets no reply.
+    fn takes_hung_read(&self, table: Table) -> bool {
+        let mut data = self.data.lock().unwrap();
+        let is_hung = matches!(table, Table::Inbox) && data.hung_inbox_reads_left > 0;
+        data.hung_inbox_reads_left -= u32::from(is_hung);
+        is_hung
+    }
+
     /// Commits writes at once, and replies to them after `delay`. An owner that is suspended sees the
     /// same.
     pub fn delay_replies(&self, delay: Duration) {
@@ -134,6 +155,10 @@
             self.data.lock().unwrap().refused_change_reads += 1;
             return Err(ReadError::HistoryGone);
         }
+        if self.takes_hung_read(table) {
+            tokio::time::sleep(wait + CALL_TIME_MAX).await;
+            return Err(ReadError::NoReply("no reply".to_owned()));
+        }
         let until = tokio::time::Instant::now() + wait;
         loop {
             let rows = self.read(None, table)?;
--- a/crates/coordinator/tests/inbox_removals.rs
+++ b/crates/coordinator/tests/inbox_removals.rs
@@ -24,6 +24,9 @@
 /// Time in which an owner reads a new row of the inbox and removes it, if it takes it for settled.
 const REMOVAL_TIME: Duration = Duration::from_millis(800);
 
+/// Time after which no unit of a job may start whose cancellation was acknowledged.
+const CANCEL_TIME_MAX: Duration = Duration::from_secs(3);
+
 async fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
     let until = clock::now() + TIMEOUT;
     while !is_so() {
@@ -79,3 +82,19 @@
     tokio::time::sleep(REMOVAL_TIME).await;
     assert_eq!(memory.rows(Table::Inbox), ["submit/later"]);
 }
+
+/// Guards against units that start seconds after the cancellation of their job was acknowledged: the
+/// connection on which the owner waited for changes of the inbox had silently broken, while the
+/// owner could store and start runs.
+#[tokio::test]
+async fn a_cancellation_is_read_beside_a_call_that_gets_no_reply() {
+    let memory = Memory::new(Duration::from_secs(60));
+    let _node = start_owner(&memory).await;
+    memory.hang_inbox_reads(1);
+    wait_until("no call is made", || memory.hung_inbox_reads_left() == 0).await;
+    memory.put_inbox("cancel/unknown", &cancel("unknown"));
+    let written_at = clock::now();
+    wait_until("the row stays", || memory.rows(Table::Inbox).is_empty()).await;
+    let took = clock::now().saturating_sub(written_at);
+    assert!(took < CANCEL_TIME_MAX, "handled after {took:?}");
+}
