Escape names and prefixes of objects in the calls to the platform

The prefix of a list of objects and the names of objects went into the URI as they are. A prefix with `+`, `&` or `%` listed other objects or none, and a name with a space, `?` or `#` reached another object or failed. The names that the product makes today have none of these unless the name of a node has.

The new test failed before ("a+b/" listed nothing) and passes. `percent-encoding` was a dependency of our HTTP libraries already.

--- a/crates/services/src/http.rs
+++ b/crates/services/src/http.rs
@@ -28,6 +28,9 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use model::OperationId;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
@@ -45,6 +48,9 @@
 
 /// Maximum number of idle connections that are kept open.
 const IDLE_CONNECTIONS_MAX: usize = 16;
+/// Characters of object names and prefixes that are escaped in a URI.
+const ESCAPED: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'/').remove(b'-').remove(b'.').remove(b'_').remove(b'~');
 
 /// Client of all platform services, at one address.
 pub struct HttpPlatform {
@@ -160,7 +166,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<String>, Unavailable> {
-        self.call_json(Method::GET, &format!("/objects?prefix={prefix}"), &()).await
+        self.call_json(Method::GET, &list_path(prefix), &()).await
     }
 
     async fn delete(&self, name: &str) -> Result<(), Unavailable> {
@@ -184,8 +190,12 @@
     }
 }
 
+fn list_path(prefix: &str) -> String {
+    format!("/objects?prefix={}", utf8_percent_encode(prefix, ESCAPED))
+}
+
 fn object_path(name: &str) -> String {
-    format!("/objects/{name}")
+    format!("/objects/{}", utf8_percent_encode(name, ESCAPED))
 }
 
 fn expect_success(status: StatusCode) -> Result<(), Unavailable> {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -60,6 +60,22 @@
     assert_eq!(Objects::get(&client, "x/1").await.unwrap(), None);
 }
 
+/// Failure: a name or prefix with characters that have a meaning in a URI reaches other objects, or
+/// none.
+#[tokio::test]
+async fn objects_are_reached_by_any_name() {
+    let (platform, client) = start_platform().await;
+    for prefix in ["a+b/", "a&prefix=b/", "a%2Fb/", "a b/", "a?b#c/", "\u{e4}/"] {
+        let name = format!("{prefix}1");
+        client.put(&name, "x".into()).await.unwrap();
+        assert_eq!(platform.objects.list(prefix).await.unwrap(), [&*name]);
+        assert_eq!(client.list(prefix).await.unwrap(), [&*name]);
+        assert_eq!(Objects::get(&client, &name).await.unwrap().unwrap(), "x");
+        client.delete(&name).await.unwrap();
+        assert_eq!(platform.objects.list("").await.unwrap(), Vec::<String>::new());
+    }
+}
+
 #[tokio::test]
 async fn lost_replies_are_resolved_to_one_commit() {
     let (platform, client) = start_platform().await;
