--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -160,18 +160,30 @@
     }
 
     /// Removes claims whose retention has expired, and their stored responses, the oldest first.
+    /// Continues behind index rows that cannot be read, which stay in the table.
     pub async fn sweep(&self, now: SystemTime) {
-        let prefix = INDEX_PREFIX.to_owned();
-        let scan = Scan { prefix, after: None, rows_max: SWEEP_INDEX_ROWS_MAX };
-        let Ok(rows) = self.table.scan(scan).await else {
-            return;
-        };
         let now_key = index_key(unix_ms(now), "");
-        for row in rows.into_iter().filter(|row| row.key < now_key) {
-            let Ok(index) = serde_json::from_slice::<ClaimIndex>(&row.value) else {
-                continue;
+        let mut after = None;
+        loop {
+            let prefix = INDEX_PREFIX.to_owned();
+            let scan = Scan { prefix, after, rows_max: SWEEP_INDEX_ROWS_MAX };
+            let Ok(rows) = self.table.scan(scan).await else {
+                return;
             };
-            self.remove(&row, &index).await;
+            let is_full = rows.len() == SWEEP_INDEX_ROWS_MAX;
+            let expired = rows.into_iter().filter(|row| row.key < now_key);
+            let mut readable = 0;
+            after = None;
+            for row in expired {
+                if let Ok(index) = serde_json::from_slice::<ClaimIndex>(&row.value) {
+                    readable += 1;
+                    self.remove(&row, &index).await;
+                }
+                after = Some(row.key);
+            }
+            if !is_full || readable > 0 || after.is_none() {
+                return;
+            }
         }
     }
 
--- a/crates/node/tests/claims.rs
+++ b/crates/node/tests/claims.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use services::Table;
+use services::Transaction;
+use services::Write;
 use standin::caller::Response;
 use standin::platform_server::PlatformFaults;
 use tokio::io::AsyncWriteExt;
@@ -238,3 +241,26 @@
     let repeat = next().await;
     assert_eq!((repeat.outcome(), &*repeat.body), ("complete", &b"next"[..]));
 }
+
+/// Failure: index rows that cannot be read fill the page that a sweep reads, and the claims behind
+/// them are never removed.
+#[tokio::test]
+async fn claims_behind_unreadable_index_rows_are_removed() {
+    let mut options = ClusterOptions::default();
+    options.gateway.claim_retention = Duration::from_secs(1);
+    options.gateway.sweep_interval = Duration::from_millis(20);
+    let cluster = TestCluster::start(options).await;
+    for number in 0..40 {
+        let key = format!("idem-until/{number:015}/x");
+        let transaction = Transaction {
+            operation_id: key.clone().into(),
+            preconditions: Vec::new(),
+            writes: vec![Write::put(key, "not an index")],
+        };
+        cluster.platform.table.commit(&transaction).await;
+    }
+    let headers = [("idempotency-key", "old")];
+    assert_eq!(cluster.send(keyed_request("old", &headers)).await.outcome(), "complete");
+    cluster.wait_until(|cluster| async { cluster.platform.table.count("idem/") == 0 }).await;
+    assert_eq!(cluster.platform.table.count("idem-until/"), 40);
+}
