Don't tell a response that the object store refused as too large

A repeat of an idempotency key got "the answer was too large to keep" also if the object store had failed. The stored state of the claim doesn't tell the two apart, and a new state could not be read by nodes of the version before, so the message names both. No test: the wording is the change.

--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -180,8 +180,8 @@
                 Err(GatewayError::unknown(StatusCode::BAD_GATEWAY, detail))
             }
             RepeatOutcome::NotStored => {
-                let detail = "the first request with this key was answered; \
-                              the answer was too large to keep";
+                let detail = "the first request with this key was answered; its answer was not \
+                              stored: it was too large, or the object store failed";
                 Err(GatewayError::unknown(StatusCode::BAD_GATEWAY, detail))
             }
             RepeatOutcome::StoredResponse => self.stored_response(claim.request).await.map(Some),
