Start or refuse a request that may not wait, without a panic

What callers saw in a queue with `wait_max_ms = 0`: no request ever started, although there were slots. On a node without a cluster secret the connection ended without a response; with one, each request was refused as "the queue is full".

Cause: a new entry was expired before tokens were granted, and told as dropped. `dispatch_now` took that error from the channel and threw it away, and the request then waited on the channel, which panics once it is used up. The same panic could follow any error that comes between the entry and the first look.

Change: the first look keeps an error for the wait that follows. Entries expire before the new one enters, so that expired ones don't make the queue full, and are told as expired. Tokens are granted before the new one can expire.

That expired entries count as a full queue has no test of its own: through the gateway such an entry exists only between the end of its time and the drop of its handle.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -165,11 +165,11 @@
     /// Dispatches the request if its tokens were granted immediately.
     pub fn dispatch_now(mut self) -> DispatchNow {
         match self.stage.wait_handle.try_granted() {
-            Some(Ok(held)) => {
+            Some(held) => {
                 let stage = Dispatched { admitted: self.stage.admitted, held };
                 DispatchNow::Dispatched(StagedRequest { id: self.id, stage })
             }
-            Some(Err(_)) | None => DispatchNow::Queued(self),
+            None => DispatchNow::Queued(self),
         }
     }
 
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -122,6 +122,8 @@
     ticket: Ticket,
     team_limit: LimitKey,
     granted: oneshot::Receiver<Result<HeldTokens, WaitError>>,
+    /// Error that [`Self::try_granted`] has received, after which the channel is used up.
+    error: Option<WaitError>,
 }
 
 impl WaitQueue {
@@ -165,6 +167,13 @@
     }
 }
 
+impl Waiter {
+    fn refuse(self, error: WaitError) {
+        // Sending fails only if the caller has disconnected.
+        let _ = self.granted.send(Err(error));
+    }
+}
+
 impl WaitQueueState {
     fn remove_waiter(&mut self, ticket: Ticket) -> Option<Waiter> {
         let index = self.waiters.binary_search_by_key(&ticket, |waiter| waiter.ticket).ok()?;
@@ -240,25 +249,37 @@
     ) -> Result<WaitHandle, Refused> {
         let team_limit = LimitKey::Running(entry.team.clone());
         let (sender, granted) = oneshot::channel();
-        let (ticket, removed) = {
+        let (pushed, expired) = {
             let mut state = wait_queue.lock();
-            let ticket = state.fair.push(entry, now)?;
-            let waiter = Waiter { ticket, team_limit: team_limit.clone(), granted: sender };
-            state.waiters.push(waiter);
-            self.waiting.fetch_add(1, Ordering::SeqCst);
-            (ticket, self.expire(&mut state, now))
+            // Entries that have waited too long must not make the queue full.
+            let expired = self.expire(&mut state, now);
+            let pushed = state.fair.push(entry, now);
+            if let Ok(ticket) = pushed {
+                let waiter = Waiter { ticket, team_limit: team_limit.clone(), granted: sender };
+                state.waiters.push(waiter);
+                self.waiting.fetch_add(1, Ordering::SeqCst);
+            }
+            (pushed, expired)
         };
-        for waiter in removed {
-            // Fails only if the caller has disconnected.
-            let _ = waiter.granted.send(Err(WaitError::Dropped));
+        for waiter in expired {
+            waiter.refuse(WaitError::Expired);
         }
+        let ticket = pushed?;
+        // Comes before the entries expire again, so that a queue in which requests may not wait
+        // starts those that find a slot.
         self.grant_waiting(wait_queue, now);
+        let removed = self.expire(&mut wait_queue.lock(), now);
+        for waiter in removed {
+            let is_own = waiter.ticket == ticket;
+            waiter.refuse(if is_own { WaitError::Expired } else { WaitError::Dropped });
+        }
         Ok(WaitHandle {
             wait_queues: self.clone(),
             wait_queue: wait_queue.clone(),
             ticket,
             team_limit,
             granted,
+            error: None,
         })
     }
 
@@ -398,16 +419,25 @@
 }
 
 impl WaitHandle {
-    /// Returns the grant, if there is one already.
-    pub fn try_granted(&mut self) -> Option<Result<HeldTokens, WaitError>> {
-        self.granted.try_recv().ok()
+    /// Returns the tokens, if they are granted already. An error is kept for [`Self::granted`].
+    pub fn try_granted(&mut self) -> Option<HeldTokens> {
+        match self.granted.try_recv().ok()? {
+            Ok(held) => Some(held),
+            Err(error) => {
+                self.error = Some(error);
+                None
+            }
+        }
     }
 
     /// Waits for the grant until `until`.
     pub async fn granted(&mut self, until: Instant) -> Result<HeldTokens, WaitError> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
         match tokio::time::timeout_at(until.into(), &mut self.granted).await {
+            Ok(Ok(Err(WaitError::Expired)) | Err(_)) | Err(_) => Err(self.timeout_reason()),
             Ok(Ok(granted)) => granted,
-            Ok(Err(_)) | Err(_) => Err(self.timeout_reason()),
         }
     }
 
--- a/crates/gateway/tests/common/node.rs
+++ b/crates/gateway/tests/common/node.rs
@@ -38,6 +38,13 @@
 
 pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 pub const SECRET: [u8; 32] = [9; 32];
+const QUEUE: Option<QueueText> = Some(QueueText { wait_max_ms: 300 });
+
+/// Settings of the queue in a configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueText {
+    pub wait_max_ms: u64,
+}
 
 /// Node context whose values the test sets.
 pub struct TestContext {
@@ -69,7 +76,12 @@
 
 impl TestNode {
     /// Starts a gateway that holds `slots` tokens for slots of the only backend server.
-    pub async fn start(config: &Arc<Config>, slots: u32, secret: [u8; 32]) -> Self {
+    /// Without a `secret`, the node has no cluster.
+    pub async fn start(
+        config: &Arc<Config>,
+        slots: u32,
+        secret: impl Into<Option<[u8; 32]>>,
+    ) -> Self {
         let limits = Arc::new(LimitTable::default());
         limits.grant(&LimitKey::Slots("w1".into()), slots);
         limits.grant(&LimitKey::Connections("w1".into()), slots * 2);
@@ -88,7 +100,7 @@
             table: Arc::new(MemoryTable::default()),
             objects: Arc::new(MemoryObjects::default()),
             settings: GatewaySettings {
-                cluster_secret: Some(secret),
+                cluster_secret: secret.into(),
                 connect_timeout: Duration::from_secs(5),
                 probe_interval: Duration::from_millis(20),
                 ..GatewaySettings::default()
@@ -130,15 +142,29 @@
 
 /// Returns a configuration with a single host in `state`.
 pub fn config(version: u64, address: SocketAddr, state: HostState) -> Arc<Config> {
-    config_with_hosts(version, &[address], state)
+    config_with_hosts(version, &[address], state, QUEUE)
 }
 
 /// Returns a configuration with the serving hosts `w1` and `w2`.
 pub fn two_hosts(addresses: [SocketAddr; 2]) -> Arc<Config> {
-    config_with_hosts(1, &addresses, HostState::Serving)
+    config_with_hosts(1, &addresses, HostState::Serving, QUEUE)
+}
+
+/// Returns a configuration with serving hosts `w1`, `w2` and so on.
+pub fn config_with_queue(
+    version: u64,
+    addresses: &[SocketAddr],
+    queue: Option<QueueText>,
+) -> Arc<Config> {
+    config_with_hosts(version, addresses, HostState::Serving, queue)
 }
 
-fn config_with_hosts(version: u64, addresses: &[SocketAddr], state: HostState) -> Arc<Config> {
+fn config_with_hosts(
+    version: u64,
+    addresses: &[SocketAddr],
+    state: HostState,
+    queue: Option<QueueText>,
+) -> Arc<Config> {
     let mut text = String::from(
         r#"
 customer = "levy"
@@ -146,12 +172,6 @@
 [[services]]
 name = "s"
 unavailable_max = 0
-[[queues]]
-name = "q"
-service = "s"
-open = true
-open_team = "desk"
-wait_max_ms = 300
 [[teams]]
 name = "desk"
 running_max = 8
@@ -160,6 +180,12 @@
 service = "s"
 "#,
     );
+    if let Some(QueueText { wait_max_ms }) = queue {
+        text.push_str(&format!(
+            "[[queues]]\nname = \"q\"\nservice = \"s\"\nopen = true\nopen_team = \"desk\"\n\
+             wait_max_ms = {wait_max_ms}\n"
+        ));
+    }
     for (index, address) in addresses.iter().enumerate() {
         text.push_str(&format!(
             "[[hosts]]\nname = \"w{}\"\npool = \"p\"\naddress = \"{address}\"\nzone = \"a\"\n\
