Serve requests that wait in a queue which the configuration has replaced

What callers saw: a request in a queue whose limits were changed, or that was removed, waited out its time.

A request now enters the present queue of its name, under the lock that a replacement takes.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -33,6 +33,7 @@
 use crate::routes::Routes;
 use crate::settings::GatewaySettings;
 use crate::tokens::HeldTokens;
+use crate::wait_queue::EnqueueError;
 use crate::wait_queue::WaitError;
 use crate::wait_queue::WaitHandle;
 use crate::wait_queue::WaitQueue;
@@ -142,21 +143,17 @@
         wait_queues: &Arc<WaitQueues>,
         now: Instant,
     ) -> Result<StagedRequest<Queued>, GatewayError> {
-        let admitted = self.stage;
+        let mut admitted = self.stage;
         let entry = Entry {
             team: admitted.admission.team.clone(),
             share_weight: admitted.share_weight,
             class: admitted.class,
             deadline: admitted.deadline.at,
         };
-        let wait_handle =
-            wait_queues.enqueue(&admitted.wait_queue, entry, now).map_err(|refused| {
-                let status = match refused.reason {
-                    Reason::Full => StatusCode::TOO_MANY_REQUESTS,
-                    Reason::Deadline => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                GatewayError::retryable(status, refused.reason, refused.retry_after)
-            })?;
+        let enqueued = wait_queues.enqueue(&admitted.admission.queue, entry, now);
+        let wait_handle = enqueued.map_err(enqueue_error)?;
+        // It may have been replaced since the request was admitted.
+        admitted.wait_queue = wait_handle.wait_queue().clone();
         Ok(StagedRequest { id: self.id, stage: Queued { admitted, wait_handle } })
     }
 }
@@ -218,11 +215,23 @@
     GatewayError::not_run(status, error)
 }
 
+fn enqueue_error(error: EnqueueError) -> GatewayError {
+    let EnqueueError::Refused(refused) = error else {
+        return admission_error(AdmissionError::NoQueue);
+    };
+    let status = match refused.reason {
+        Reason::Full => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Deadline => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    GatewayError::retryable(status, refused.reason, refused.retry_after)
+}
+
 fn wait_error(error: WaitError) -> GatewayError {
     let (status, detail) = match error {
         WaitError::Expired => (StatusCode::SERVICE_UNAVAILABLE, "no slot became free in time"),
         WaitError::Dropped => (StatusCode::TOO_MANY_REQUESTS, "the queue is full"),
         WaitError::TeamLimit => (StatusCode::TOO_MANY_REQUESTS, "the team has reached its limit"),
+        WaitError::Removed => return admission_error(AdmissionError::NoQueue),
     };
     GatewayError::retryable(status, detail, RETRY_AFTER)
 }
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -6,6 +6,8 @@
 //! state of a wait queue, then the limit table and the health of backend servers. Tokens are never
 //! dropped while one of these locks is held, because a drop acquires the locks again.
 
+mod handle;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -36,6 +38,8 @@
 use crate::tokens::HeldTokens;
 use crate::tokens::StartedEntry;
 
+pub use handle::WaitHandle;
+
 /// Maximum percentage of starts in which urgent requests take precedence over others.
 const URGENT_PERCENT: u32 = 20;
 
@@ -78,6 +82,17 @@
     Dropped,
     /// The team has reached its limit of running requests.
     TeamLimit,
+    /// The configuration no longer has the queue.
+    Removed,
+}
+
+/// Reason why a request was not added to a wait queue.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum EnqueueError {
+    /// The queue is full, or the deadline cannot be met.
+    Refused(Refused),
+    /// The configuration no longer has the queue.
+    Removed,
 }
 
 /// Waiting requests of one queue, and the backend servers that they can run on.
@@ -114,18 +129,6 @@
     grant_rng: Mutex<SmallRng>,
 }
 
-/// Handle of a request in a wait queue, which receives its tokens. Removes the request from the
-/// queue on drop.
-pub struct WaitHandle {
-    wait_queues: Arc<WaitQueues>,
-    wait_queue: Arc<WaitQueue>,
-    ticket: Ticket,
-    team_limit: LimitKey,
-    granted: oneshot::Receiver<Result<HeldTokens, WaitError>>,
-    /// Error that [`Self::try_granted`] has received, after which the channel is used up.
-    error: Option<WaitError>,
-}
-
 impl WaitQueue {
     /// Creates an empty wait queue for requests to `service`.
     pub fn new(
@@ -193,17 +196,26 @@
         }
     }
 
-    /// Replaces the wait queues. A wait queue that is not in `next` is kept if requests are waiting
-    /// in it, so that they still start.
-    pub fn set_wait_queues(&self, mut next: Vec<Arc<WaitQueue>>) {
+    /// Replaces the wait queues; `next` is sorted by queue. A wait queue that was replaced by one
+    /// with other limits is kept while requests wait in it, and they start on the present backend
+    /// servers. Requests to a queue that no longer exists are refused.
+    pub fn set_wait_queues(&self, next: Vec<Arc<WaitQueue>>) {
         let mut wait_queues = self.wait_queues.write().expect("lock is never poisoned");
-        for wait_queue in wait_queues.iter() {
-            let is_kept = next.iter().any(|other| Arc::ptr_eq(other, wait_queue));
-            if !is_kept && wait_queue.waiting() > 0 {
-                next.push(wait_queue.clone());
+        let mut kept = Vec::new();
+        for wait_queue in wait_queues.iter().filter(|wait_queue| wait_queue.waiting() > 0) {
+            match next.binary_search_by(|other| other.queue.cmp(&wait_queue.queue)) {
+                Ok(index) if Arc::ptr_eq(&next[index], wait_queue) => {}
+                Ok(index) => {
+                    wait_queue.set_service(next[index].service());
+                    kept.push(wait_queue.clone());
+                }
+                Err(_) => self.refuse_waiting(wait_queue),
             }
         }
         *wait_queues = next;
+        wait_queues.extend(kept);
+        // The sort is stable, so the present queue of each name comes first.
+        wait_queues.sort_by(|a, b| a.queue.cmp(&b.queue));
     }
 
     /// Returns the number of waiting requests in all wait queues.
@@ -240,16 +252,21 @@
         }
     }
 
-    /// Adds a request to `wait_queue`, or refuses it with the time after which to try again.
+    /// Adds a request to the wait queue of `queue`, or refuses it.
     pub fn enqueue(
         self: &Arc<Self>,
-        wait_queue: &Arc<WaitQueue>,
+        queue: &QueueId,
         entry: Entry,
         now: Instant,
-    ) -> Result<WaitHandle, Refused> {
+    ) -> Result<WaitHandle, EnqueueError> {
         let team_limit = LimitKey::Running(entry.team.clone());
         let (sender, granted) = oneshot::channel();
-        let (pushed, expired) = {
+        let (wait_queue, pushed, expired) = {
+            // Held until the request waits, so that a queue that is replaced now is kept.
+            let wait_queues = self.wait_queues.read().expect("lock is never poisoned");
+            let index = wait_queues.partition_point(|other| other.queue < *queue);
+            let wait_queue = wait_queues.get(index).filter(|other| other.queue == *queue);
+            let wait_queue = wait_queue.ok_or(EnqueueError::Removed)?.clone();
             let mut state = wait_queue.lock();
             // Entries that have waited too long must not make the queue full.
             let expired = self.expire(&mut state, now);
@@ -259,15 +276,16 @@
                 state.waiters.push(waiter);
                 self.waiting.fetch_add(1, Ordering::SeqCst);
             }
-            (pushed, expired)
+            drop(state);
+            (wait_queue, pushed, expired)
         };
         for waiter in expired {
             waiter.refuse(WaitError::Expired);
         }
-        let ticket = pushed?;
+        let ticket = pushed.map_err(EnqueueError::Refused)?;
         // Comes before the entries expire again, so that a queue in which requests may not wait
         // starts those that find a slot.
-        self.grant_waiting(wait_queue, now);
+        self.grant_waiting(&wait_queue, now);
         let removed = self.expire(&mut wait_queue.lock(), now);
         for waiter in removed {
             let is_own = waiter.ticket == ticket;
@@ -275,7 +293,7 @@
         }
         Ok(WaitHandle {
             wait_queues: self.clone(),
-            wait_queue: wait_queue.clone(),
+            wait_queue,
             ticket,
             team_limit,
             granted,
@@ -409,6 +427,22 @@
         expired
     }
 
+    /// Refuses all waiting requests of a queue that was removed.
+    fn refuse_waiting(&self, wait_queue: &WaitQueue) {
+        let waiters = {
+            let mut state = wait_queue.lock();
+            let waiters = std::mem::take(&mut state.waiters);
+            for waiter in &waiters {
+                state.fair.remove(waiter.ticket);
+            }
+            waiters
+        };
+        self.waiting.fetch_sub(waiters.len(), Ordering::SeqCst);
+        for waiter in waiters {
+            waiter.refuse(WaitError::Removed);
+        }
+    }
+
     fn remove(&self, wait_queue: &WaitQueue, ticket: Ticket) {
         let mut state = wait_queue.lock();
         if state.remove_waiter(ticket).is_some() {
@@ -418,42 +452,6 @@
     }
 }
 
-impl WaitHandle {
-    /// Returns the tokens, if they are granted already. An error is kept for [`Self::granted`].
-    pub fn try_granted(&mut self) -> Option<HeldTokens> {
-        match self.granted.try_recv().ok()? {
-            Ok(held) => Some(held),
-            Err(error) => {
-                self.error = Some(error);
-                None
-            }
-        }
-    }
-
-    /// Waits for the grant until `until`.
-    pub async fn granted(&mut self, until: Instant) -> Result<HeldTokens, WaitError> {
-        if let Some(error) = self.error {
-            return Err(error);
-        }
-        match tokio::time::timeout_at(until.into(), &mut self.granted).await {
-            Ok(Ok(Err(WaitError::Expired)) | Err(_)) | Err(_) => Err(self.timeout_reason()),
-            Ok(Ok(granted)) => granted,
-        }
-    }
-
-    fn timeout_reason(&self) -> WaitError {
-        let team_limit = self.wait_queues.limits.get(&self.team_limit);
-        let is_at_limit = team_limit.is_none_or(|allocation| allocation.spare() == 0);
-        if is_at_limit { WaitError::TeamLimit } else { WaitError::Expired }
-    }
-}
-
-impl Drop for WaitHandle {
-    fn drop(&mut self) {
-        self.wait_queues.remove(&self.wait_queue, self.ticket);
-    }
-}
-
 fn count_waiter(counts: &mut Vec<WaitingCount>, queue: &QueueId, team_limit: &LimitKey) {
     let LimitKey::Running(team) = team_limit else {
         return;
