Don't count a connect that a deadline cut against the backend server

A connect lasts at most until the request's deadline. If the deadline ended it early, that counted as a failure of the backend server, so callers with short deadlines could eject a server that takes new connections slowly. Only a connect that fails by itself, or that had the whole connect timeout, counts now.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to a backend server, and retries it on others as long as that is allowed.
 
+use std::io;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Instant;
@@ -270,7 +271,12 @@
         let timeout = self.settings.connect_timeout.min(deadline.remaining(Instant::now()));
         let opened = Connection::open(backend.address, timeout, Some(token)).await;
         opened.map_err(|error| {
-            self.health.record_failure(service, backend, Instant::now());
+            // A deadline that leaves too little time to connect must not count against the backend
+            // server.
+            let is_cut_short = timeout < self.settings.connect_timeout;
+            if !is_cut_short || error.kind() != io::ErrorKind::TimedOut {
+                self.health.record_failure(service, backend, Instant::now());
+            }
             format!("the backend server could not be reached: {error}")
         })
     }
--- a/crates/gateway/tests/wait_queues.rs
+++ b/crates/gateway/tests/wait_queues.rs
@@ -18,6 +18,7 @@
 use standin::caller::call;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use crate::node::QueueText;
@@ -81,6 +82,29 @@
     assert!(started.elapsed() < SOON);
 }
 
+/// Failure: short deadlines that end while a connection is opened count as failures of the backend
+/// server, so callers in a hurry eject a slow one.
+#[tokio::test]
+async fn a_deadline_that_cuts_a_connect_does_not_count_against_the_server() {
+    // Connects hang, since the queue of the listener is full.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(node::ANY_PORT).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut held = Vec::new();
+    while let Ok(connected) = tokio::time::timeout(UPDATE_TIME, TcpStream::connect(address)).await {
+        held.push(connected.unwrap());
+    }
+    let queue = Some(QueueText { wait_max_ms: 20_000 });
+    let node = TestNode::start(&config_with_queue(1, &[address], queue), 4, SECRET).await;
+    for _ in 0..8 {
+        assert_eq!(send(&node, "30").await.outcome(), "not-run");
+    }
+    let totals = node.telemetry.totals();
+    let ejections = totals.iter().filter(|(name, _)| name.contains("backend."));
+    assert_eq!(ejections.count(), 0, "{totals:?}");
+}
+
 /// Failures: in a queue in which requests may not wait, none starts although there is a slot. Without
 /// one, the request is dropped without a response, by a panic on a channel that is used up.
 #[rstest]
