Share the exploration of the models

Four models had the same loop over their states. It is in one place now; the models, their guards and the numbers of states are unchanged, and their tests pass.

--- a/crates/coordinator/tests/inbox_model.rs
+++ b/crates/coordinator/tests/inbox_model.rs
@@ -6,7 +6,8 @@
 //! state of its job is stored. Each guard is disabled in turn; the model must then find a
 //! violation.
 
-use std::collections::HashSet;
+#[path = "../../scheduler/tests/common/explorer.rs"]
+mod explorer;
 
 use rstest::rstest;
 
@@ -211,19 +212,9 @@
 /// Explores all states; returns whether an acknowledged cancellation can be lost, and the number of
 /// states.
 fn explore(model: &Model) -> (bool, usize) {
-    let mut visited = HashSet::from([State::default()]);
-    let mut frontier = vec![State::default()];
-    while let Some(state) = frontier.pop() {
-        if state.has_violation {
-            return (true, visited.len());
-        }
-        for next in model.successors(&state) {
-            if visited.insert(next) {
-                frontier.push(next);
-            }
-        }
-    }
-    (false, visited.len())
+    let successors = |state: &State| model.successors(state);
+    let found = explorer::explore(State::default(), successors, |state| state.has_violation);
+    (found.violation.is_some(), found.states)
 }
 
 #[test]
--- a/crates/coordinator/tests/lease_model.rs
+++ b/crates/coordinator/tests/lease_model.rs
@@ -7,7 +7,8 @@
 //! one before it. To show that each guard is needed, each one is disabled in turn; the model must
 //! then find a violation.
 
-use std::collections::HashSet;
+#[path = "../../scheduler/tests/common/explorer.rs"]
+mod explorer;
 
 use rstest::rstest;
 
@@ -279,20 +280,9 @@
 
 /// Explores all states; returns the first violation and the number of states.
 fn explore(model: &Model) -> (Option<State>, usize) {
-    let mut visited = HashSet::from([initial_state()]);
-    let mut frontier = vec![initial_state()];
-    while let Some(state) = frontier.pop() {
-        if is_violated(&state) {
-            return (Some(state), visited.len());
-        }
-        for next in model.successors(&state) {
-            let next = normalized(next);
-            if visited.insert(next) {
-                frontier.push(next);
-            }
-        }
-    }
-    (None, visited.len())
+    let successors = |state: &State| model.successors(state).into_iter().map(normalized).collect();
+    let found = explorer::explore(initial_state(), successors, is_violated);
+    (found.violation, found.states)
 }
 
 #[test]
--- a/crates/scheduler/tests/restart_model.rs
+++ b/crates/scheduler/tests/restart_model.rs
@@ -16,7 +16,8 @@
 //! acknowledgement that is in flight at the restart and arrives after the end of a run that the
 //! later incarnation has started for a call with the token of the earlier one.
 
-use std::collections::HashSet;
+#[path = "common/explorer.rs"]
+mod explorer;
 
 use rstest::rstest;
 
@@ -434,20 +435,11 @@
         is_acknowledged: false,
         has_restarted: false,
     };
-    let mut visited = HashSet::from([initial]);
-    let mut frontier = vec![initial];
-    while let Some(state) = frontier.pop() {
-        let runs_twice = state.is_elsewhere && state.running.is_some();
-        if runs_twice || (state.is_acknowledged && state.has_restarted) {
-            return (true, visited.len());
-        }
-        for next in model.successors(&state) {
-            if visited.insert(next) {
-                frontier.push(next);
-            }
-        }
-    }
-    (false, visited.len())
+    let runs_twice = |state: &State| state.is_elsewhere && state.running.is_some();
+    let is_violation =
+        |state: &State| runs_twice(state) || (state.is_acknowledged && state.has_restarted);
+    let found = explorer::explore(initial, |state| model.successors(state), is_violation);
+    (found.violation.is_some(), found.states)
 }
 
 #[rstest]
--- a/crates/scheduler/tests/takeover_model.rs
+++ b/crates/scheduler/tests/takeover_model.rs
@@ -7,11 +7,11 @@
 //! show that each guard of the protocol is needed, each one is disabled in turn; the model must
 //! then find a violation.
 
+#[path = "common/explorer.rs"]
+mod explorer;
 #[path = "common/takeover_state.rs"]
 mod state;
 
-use std::collections::HashSet;
-
 use rstest::rstest;
 use state::COMMAND_VALID;
 use state::Completion;
@@ -373,20 +373,11 @@
 
 /// Explores all states; returns the first violation and the number of states.
 fn explore(model: &Model) -> (Option<&'static str>, usize) {
-    let mut visited = HashSet::from([initial_state()]);
-    let mut frontier = vec![initial_state()];
-    while let Some(state) = frontier.pop() {
-        if state.violation.is_some() {
-            return (state.violation, visited.len());
-        }
-        for next in model.successors(&state) {
-            let next = without_idle_leases(next);
-            if visited.insert(next) {
-                frontier.push(next);
-            }
-        }
-    }
-    (None, visited.len())
+    let successors =
+        |state: &State| model.successors(state).into_iter().map(without_idle_leases).collect();
+    let is_violation = |state: &State| state.violation.is_some();
+    let found = explorer::explore(initial_state(), successors, is_violation);
+    (found.violation.and_then(|state| state.violation), found.states)
 }
 
 #[test]
