Acknowledge no completion before what it shows is stored

Callers could see a gang run again after it was done and its end was acknowledged. The first completion of a gang finishes all its units. That of another unit, on another worker, then changed nothing and could be acknowledged while the progress of the job still waited for room in a transaction. If the owner and the first worker were lost before, the successor knew of no success. The same held for completions that a worker lists once more after it was removed and has come back.

Now a success or failure is acknowledged only once its job has no unstored progress. Found by review, by reading; the new test failed before. The model of takeovers has this guard (StoredCompletion); it has one unit and no gangs.

--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -210,12 +210,19 @@
         if is_new_failure {
             self.handle_unit_failure(id, key, completion.run, now);
         }
-        if is_first_success || is_new_failure || !completion.checkpoint.is_empty() {
+        let changes_job = is_first_success || is_new_failure || !completion.checkpoint.is_empty();
+        if changes_job {
             self.mark_dirty(&key.job);
-            if let Some(worker) = self.workers.get_mut(id) {
-                let (number, unit, run) = (completion.number, key.clone(), completion.run);
-                worker.pending_completions.push(PendingCompletion { number, unit, run });
-            }
+        }
+        // What it shows may also be known from an earlier completion, and not be stored yet: another
+        // unit of a gang has finished it, or the worker lists its completions once more.
+        let shows_outcome = matches!(completion.outcome, RunOutcome::Done | RunOutcome::Failed);
+        let is_unstored = self.jobs.get(&key.job).is_some_and(|job| job.is_dirty);
+        if (changes_job || (shows_outcome && is_unstored))
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            let (number, unit, run) = (completion.number, key.clone(), completion.run);
+            worker.pending_completions.push(PendingCompletion { number, unit, run });
         }
         self.remove_finished(&key.job, now);
     }
