Forget the replies to other commands when a run is kept after a restart

Callers could see a unit of a cancelled job run on. A run that the later incarnation of a worker may have started is kept, with the reply that the earlier one had given to the stop command, so that the stop was not sent again. Its speed limit was kept as well, though a run begins without one. Found by review; the new test failed before.

--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -8,6 +8,7 @@
 use crate::Moment;
 use crate::job::JobRecord;
 use crate::job::UnitKey;
+use crate::live_jobs::FULL_PERCENT;
 use crate::live_jobs::FinishState;
 use crate::live_jobs::FinishedJob;
 use crate::live_jobs::Occurrence;
@@ -209,13 +210,15 @@
         if !is_open {
             return;
         }
+        // Replies of the earlier incarnation to other commands say nothing about this one.
+        let run = Run { stop: None, speed_limit_percent: FULL_PERCENT, ..run };
         if is_settled_by_report(&run) {
             return self.add_run(key, run, now);
         }
         // The start command may still take effect at the later incarnation, which doesn't know its
         // deadline. Once that has replied to the command to stop, it refuses the start.
         let worker = run.worker.clone();
-        let run = Run { phase: Phase::InDoubt, deadline_ms: u64::MAX, stop: None, ..run };
+        let run = Run { phase: Phase::InDoubt, deadline_ms: u64::MAX, ..run };
         self.add_run(key, run, now);
         self.request_stop_on(&worker, key, now);
     }
--- a/crates/scheduler/tests/restarted_workers.rs
+++ b/crates/scheduler/tests/restarted_workers.rs
@@ -13,6 +13,7 @@
 use scheduler::SentPoll;
 use scheduler::StartCommand;
 use scheduler::StartReply;
+use scheduler::Step;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
@@ -270,3 +271,25 @@
     assert_eq!(sim.run_for(seconds(2)), []);
     assert_eq!(sim.worker("w1").running.len(), 1);
 }
+
+/// Guards against a unit of a cancelled job that keeps running: the earlier incarnation of its worker
+/// had replied to the stop command, and the run that the later one had started got none.
+#[test]
+fn a_stop_that_the_earlier_incarnation_has_answered_is_sent_to_the_later_one() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let apart = Step { per_worker_max: 1, ..step(2, 1_000) };
+    sim.scheduler.add_job(job("a", vec![apart], sim.now), sim.now);
+    sim.worker("w1").crash();
+    sim.worker("w1").restart();
+    let starts = sim.run_round();
+    let start = starts.iter().find(|start| &*start.worker == "w1").expect("a start on w1").clone();
+    sim.scheduler.cancel("a");
+    sim.commit();
+    sim.scheduler.take_actions();
+    let StartCommand { worker, unit, run, token, .. } = start;
+    sim.scheduler.handle_stop_reply(&worker, &unit, run, token, true, sim.now);
+    let registration = sim.worker("w1").registration();
+    sim.scheduler.update_worker(registration, seconds(0), sim.now);
+    sim.run_for(seconds(2));
+    assert!(sim.worker("w1").running.is_empty(), "{:?}", sim.worker("w1").running);
+}
