Renew leases while the store refuses the release of the ownership

An owner that has sent its release polls no workers, since the release may be stored while its reply is late. It did not poll either while the store had refused the release: after 4 to 5 s the leases of all its workers expired, and their runs were lost. Now it stops only while an attempt is unanswered or in doubt. A refused release is not stored, and leases that are renewed before the next attempt are among those that the successor waits for. Found by review; the new test failed before.

--- a/crates/coordinator/src/owner.rs
+++ b/crates/coordinator/src/owner.rs
@@ -269,7 +269,7 @@
         }
         // A successor reckons with no lease that was renewed after the release. The reply to the
         // release may be lost.
-        if is_valid && !self.pipeline.is_releasing() {
+        if is_valid && !self.pipeline.may_be_released() {
             self.poll_workers(now);
         }
         if is_valid {
--- a/crates/coordinator/src/owner/pipeline.rs
+++ b/crates/coordinator/src/owner/pipeline.rs
@@ -114,9 +114,13 @@
         self.in_flight.is_none()
     }
 
-    /// Returns whether the transaction that releases the ownership was sent.
-    pub fn is_releasing(&self) -> bool {
-        self.in_flight.as_ref().is_some_and(|in_flight| in_flight.row.is_released)
+    /// Returns whether the transaction that releases the ownership may be committed: an attempt has no
+    /// reply, or got none.
+    pub fn may_be_released(&self) -> bool {
+        let is_open = |in_flight: &InFlight| in_flight.is_in_doubt || self.pending_replies > 0;
+        self.in_flight
+            .as_ref()
+            .is_some_and(|in_flight| in_flight.row.is_released && is_open(in_flight))
     }
 
     /// Returns whether the transaction in flight has failed or is late, so that it is unknown when
--- a/crates/coordinator/tests/late_commits.rs
+++ b/crates/coordinator/tests/late_commits.rs
@@ -11,6 +11,7 @@
 use coordinator::clock;
 use coordinator::rows::InboxRow;
 use memory::Memory;
+use memory::TableFault;
 use memory::start_node;
 use scheduler::JobRecord;
 use scheduler::Resources;
@@ -123,3 +124,26 @@
     };
     tokio::join!(node.start_shutdown(), observe);
 }
+
+/// Guards against runs that are lost with their leases: while the store refused the release, the owner
+/// renewed no lease.
+#[tokio::test]
+async fn leases_are_renewed_while_the_release_is_refused() {
+    let memory = Memory::new(Duration::from_secs(60));
+    let node = start_node("n1", &memory).await;
+    memory.put_inbox("submit/long", &InboxRow::Submit(record("long")));
+    let until = clock::now() + TIMEOUT;
+    while memory.starts().is_empty() {
+        assert!(clock::now() < until, "the job does not run");
+        tokio::time::sleep(PAUSE).await;
+    }
+    memory.set_fault(TableFault::Unavailable);
+    let observe = async {
+        tokio::time::sleep(IDLE_POLL_TIME / 2).await;
+        let deadline_ms = memory.lease_deadline_ms();
+        tokio::time::sleep(IDLE_POLL_TIME / 2).await;
+        assert!(memory.lease_deadline_ms() > deadline_ms);
+        memory.set_fault(TableFault::None);
+    };
+    tokio::join!(node.start_shutdown(), observe);
+}
