--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,10 @@
 	cargo build --release --workspace --locked
 	tools/demo.sh
 
-# Runs node processes on a platform with injected faults: SEEDS runs of about 15 s each.
+# Runs node processes on a platform with injected faults: SEEDS runs of about 15 s each. With HARSH=1
+# commands take effect late, callers' connections break and registrations lapse as well.
 soak: tools
-	SAVORYPITCH_SOAK_SEEDS=$(or $(SEEDS),50) cargo test -p savorypitch --test soak --locked \
+	$(if $(HARSH),SAVORYPITCH_SOAK_HARSH=1) SAVORYPITCH_SOAK_SEEDS=$(or $(SEEDS),50) cargo test -p savorypitch --test soak --locked \
 		many_seeds -- --ignored --nocapture
 
 # Measures how costs grow with size and writes the tables of docs/CAPACITY.md.
