Show a case of a job that is given up for losses of power

The rule LOST. The owner and a job's executor lose their power in the same moment, five times. A new owner takes the run on the silent executor for one that had just started, whatever its age, and counts each loss against the work unit, so that its job fails without any end `failed`. Nothing is fixed here.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -4,6 +4,7 @@
 mod gang;
 mod long;
 mod poison;
+mod power;
 mod route;
 
 use std::time::Duration;
@@ -24,6 +25,7 @@
         "gang" => gang::play(has_trouble).await,
         "long" => long::play(has_trouble).await,
         "poison" => poison::play(has_trouble).await,
+        "power" => power::play(has_trouble).await,
         "route" => route::play(has_trouble).await,
         _ => Err(format!("there is no case `{case}`")),
     };
--- a/review/standin-2/src/executor_api.rs
+++ b/review/standin-2/src/executor_api.rs
@@ -30,6 +30,15 @@
     index: usize,
 }
 
+impl Handle {
+    /// Waits for ever if the executor answers nothing.
+    async fn wait_if_dark(&self) {
+        if self.workers.is_dark(self.index) {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Returns the routes of an executor.
 pub fn router(workers: Workers, index: usize) -> Router {
     Router::new()
@@ -45,6 +54,7 @@
     headers: HeaderMap,
     Json(body): Json<Value>,
 ) -> Response {
+    handle.wait_if_dark().await;
     let wait_ms = body["waitMs"].as_u64().unwrap_or(0).min(2_000);
     let until = Instant::now() + Duration::from_millis(wait_ms);
     let ends_before = {
@@ -75,6 +85,7 @@
         worker.last_end
     };
     loop {
+        handle.wait_if_dark().await;
         {
             let world = handle.workers.world.lock().unwrap();
             let worker = &world.workers[handle.index];
@@ -92,6 +103,7 @@
     headers: HeaderMap,
     Json(body): Json<Value>,
 ) -> Response {
+    handle.wait_if_dark().await;
     let mut world = handle.workers.world.lock().unwrap();
     let unit = body["task"].as_str().unwrap_or_default().to_owned();
     let number = body["run"].as_u64().unwrap_or(0);
@@ -148,6 +160,7 @@
     headers: HeaderMap,
     Json(body): Json<Value>,
 ) -> Response {
+    handle.wait_if_dark().await;
     let mut world = handle.workers.world.lock().unwrap();
     let worker = &mut world.workers[handle.index];
     if is_other_boot(worker, &headers) {
@@ -169,6 +182,7 @@
 }
 
 async fn pace(State(handle): State<Handle>, Json(body): Json<Value>) -> Response {
+    handle.wait_if_dark().await;
     let mut world = handle.workers.world.lock().unwrap();
     let worker = &mut world.workers[handle.index];
     if worker.is_fenced(&body) { worker.refuse("fence") } else { worker.accept() }
--- a/review/standin-2/src/life.rs
+++ b/review/standin-2/src/life.rs
@@ -77,6 +77,8 @@
     pub(crate) highest_run: BTreeMap<String, u64>,
     /// Everything that it runs fails.
     pub(crate) is_unhealthy: bool,
+    /// It has lost its power and answers nothing.
+    pub(crate) is_dark: bool,
     /// When its lease last lapsed.
     pub(crate) lapsed_at: Option<Instant>,
     pub(crate) sequence: u64,
@@ -98,6 +100,7 @@
             last_end: 0,
             highest_run: BTreeMap::new(),
             is_unhealthy: false,
+            is_dark: false,
             lapsed_at: None,
             sequence: 0,
         }
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -28,6 +29,7 @@
 pub struct Node {
     pub name: String,
     pub front: SocketAddr,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -76,7 +78,16 @@
         std::fs::write(&path, settings.to_string())?;
         let child = run(&path)?;
         crate::record::line(&format!("node: {name} started, clients reach it at {front}"));
-        Ok(Self { name, front, child })
+        Ok(Self { name, front, settings: path, child })
+    }
+
+    /// Kills the process and starts it again with its settings.
+    pub fn kill_and_start(&mut self) -> std::io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        self.child = run(&self.settings)?;
+        crate::record::line(&format!("node: {} killed and started again", self.name));
+        Ok(())
     }
 }
 
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -43,6 +43,7 @@
     pub workers: Workers,
     pub nodes: Vec<Node>,
     folder: PathBuf,
+    capacity: Capacity,
     version: u64,
 }
 
@@ -61,8 +62,8 @@
             store: store.serve().await,
             cloud: serve_cloud(workers.clone(), capacity).await,
         };
-        let mut site = Self { store, workers, nodes: Vec::new(), folder, version: 0 };
-        site.ping(capacity);
+        let mut site = Self { store, workers, nodes: Vec::new(), folder, capacity, version: 0 };
+        site.ping();
         site.put_config(queues);
         for index in 0..NODES {
             let node = Node::start(index, &site.folder, services).await;
@@ -73,22 +74,22 @@
     }
 
     /// Keeps the entries of the executors fresh.
-    fn ping(&self, capacity: Capacity) {
-        let (store, workers) = (self.store.clone(), self.workers.clone());
-        let put = move || {
-            for (id, entry) in workers.entries(SERVICE, capacity) {
-                store.put("servers", &id, &entry);
-            }
-        };
-        put();
+    fn ping(&self) {
+        self.register();
+        let (store, workers, capacity) = (self.store.clone(), self.workers.clone(), self.capacity);
         tokio::spawn(async move {
             loop {
                 tokio::time::sleep(HEARTBEAT).await;
-                put();
+                put_entries(&store, &workers, capacity);
             }
         });
     }
 
+    /// Writes the entries of the executors.
+    pub fn register(&self) {
+        put_entries(&self.store, &self.workers, self.capacity);
+    }
+
     /// Writes the next version of the config, with these queues.
     pub fn put_config(&mut self, queues: &[Queue]) {
         self.version += 3;
@@ -185,6 +186,12 @@
     }
 }
 
+fn put_entries(store: &Store, workers: &Workers, capacity: Capacity) {
+    for (id, entry) in workers.entries(SERVICE, capacity) {
+        store.put("servers", &id, &entry);
+    }
+}
+
 /// Serves the list of machines. There is one pool, so no machine moves, and no wave, so none goes
 /// down.
 async fn serve_cloud(workers: Workers, capacity: Capacity) -> SocketAddr {
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -89,7 +89,7 @@
             });
             (worker.id.clone(), entry)
         };
-        world.workers.iter_mut().map(entry).collect()
+        world.workers.iter_mut().filter(|worker| !worker.is_dark).map(entry).collect()
     }
 
     /// Returns the list of machines.
@@ -125,6 +125,27 @@
         }
     }
 
+    /// Takes the power from an executor: what runs there ends, and it answers nothing.
+    pub fn lose_power(&self, index: usize) {
+        crate::record::line(&format!("executor i-{index:04}: loses its power"));
+        let worker = &mut self.world.lock().unwrap().workers[index];
+        worker.is_dark = true;
+        worker.running.clear();
+        worker.ends.clear();
+    }
+
+    /// Starts an executor again under its id. It knows nothing of before.
+    pub fn start_again(&self, index: usize) {
+        crate::record::line(&format!("executor i-{index:04}: starts again"));
+        let worker = &mut self.world.lock().unwrap().workers[index];
+        *worker = Worker::new(index, worker.address);
+    }
+
+    /// Returns whether an executor answers nothing.
+    pub(crate) fn is_dark(&self, index: usize) -> bool {
+        self.world.lock().unwrap().workers[index].is_dark
+    }
+
     /// Returns the index of the executor that runs a unit of the job.
     pub fn executor_of(&self, job: &str) -> Option<usize> {
         let world = self.world.lock().unwrap();
