--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -18,8 +18,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use axum::Router;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Longest time that a case may take.
+const CASE_TIME_MAX: Duration = Duration::from_secs(115);
 
 /// What a case has shown.
 pub enum Verdict {
@@ -36,6 +42,18 @@
     address
 }
 
+/// Waits for a signal to end, or until a case has taken too long.
+async fn cut_off() -> &'static str {
+    let listen = |kind| signal(kind).expect("signals can be received");
+    let (mut terminate, mut interrupt) =
+        (listen(SignalKind::terminate()), listen(SignalKind::interrupt()));
+    tokio::select! {
+        _ = terminate.recv() => "it was told to end",
+        _ = interrupt.recv() => "it was told to end",
+        () = tokio::time::sleep(CASE_TIME_MAX) => "it took too long",
+    }
+}
+
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
@@ -52,7 +70,12 @@
         "case {case}, {}",
         if has_trouble { "with the disruption" } else { "without the disruption" }
     ));
-    let (text, code) = match cases::play(&case, has_trouble).await {
+    // Dropping a case that is cut off ends the processes that it has started.
+    let verdict = tokio::select! {
+        verdict = cases::play(&case, has_trouble) => verdict,
+        why = cut_off() => Verdict::CouldNotRun(why.to_owned()),
+    };
+    let (text, code) = match verdict {
         Verdict::Held => ("the rule held".to_owned(), 0),
         Verdict::Broken(why) => (format!("the rule was broken: {why}"), 1),
         Verdict::CouldNotRun(why) => (format!("the case couldn't run: {why}"), 2),
