Take a run for ended only if a complete report leaves it out

A worker lists at most 500 completions in a report, and the others only after these are acknowledged, which waits for the store. Runs beyond the list stand in neither list of the report; the owner took them for lost and started their units again once the store was back.

Ruled out: lapsed leases (polls renew them during the outage), an acknowledgement before the store (none was sent), and a late reply to a start (all runs had been listed as running).

Related paths: a run beyond the list counted as stalled, which quarantined its worker; it is now judged only by reports that list it. A list that may lack completions is read on without pause or wait.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -191,6 +191,8 @@
             // The first poll finds out what runs, and a worker that lists completions replies at
             // once anyway.
             () if worker.has_unstored_completions() || !worker.is_token_seen => Duration::ZERO,
+            // The completions that it has not listed come with the next reply.
+            () if worker.may_have_unlisted_completions => Duration::ZERO,
             () if worker.runs.is_empty() => IDLE_WAIT_MAX,
             () => BUSY_WAIT_MAX,
         };
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -35,6 +35,7 @@
 use coordinator::rows::OWNER_KEY;
 use coordinator::rows::OwnerRow;
 use scheduler::Completion;
+use scheduler::CompletionList;
 use scheduler::HostEntry;
 use scheduler::HostName;
 use scheduler::HostReply;
@@ -352,7 +353,7 @@
                         incarnation_started_ms: 1,
                         clock_ms: clock::now().as_millis() as u64,
                         running: running.map(|(_, run, _)| run.clone()).collect(),
-                        completions,
+                        completions: CompletionList::Complete(completions),
                     });
                 }
             }
--- a/crates/coordinator/tests/worker_poll.rs
+++ b/crates/coordinator/tests/worker_poll.rs
@@ -9,6 +9,7 @@
 use coordinator::ports::WorkerError;
 use coordinator::worker_poll::LATE_AFTER;
 use coordinator::worker_poll::poll;
+use scheduler::CompletionList;
 use scheduler::WorkerReport;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -33,7 +34,7 @@
         incarnation_started_ms: 1,
         clock_ms: 0,
         running: Vec::new(),
-        completions: Vec::new(),
+        completions: CompletionList::default(),
     }
 }
 
--- a/crates/scheduler/src/completion_pause.rs
+++ b/crates/scheduler/src/completion_pause.rs
@@ -4,7 +4,8 @@
 //! poll returns as soon as one has finished, so that without a pause there would be a poll, and a
 //! transaction with its row, for nearly every unit. A pause collects several completions. They are
 //! known later by at most that pause, which is a small part of the time that callers allow. While
-//! units wait for capacity there is no pause, since each completion lets one of them start.
+//! units wait for capacity there is no pause, since each completion lets one of them start. Nor is there
+//! one while the worker may have more completions than it lists.
 
 use std::time::Duration;
 
@@ -20,7 +21,8 @@
     /// Returns the shortest time between a reply in which the worker listed completions and its
     /// next poll.
     pub fn completion_pause(&self, id: &WorkerId) -> Duration {
-        let Some(pool) = self.workers.get(id).map(|worker| &worker.registration.pool) else {
+        let worker = self.workers.get(id).filter(|worker| !worker.may_have_unlisted_completions);
+        let Some(pool) = worker.map(|worker| &worker.registration.pool) else {
             return Duration::ZERO;
         };
         if self.starved_since.contains(pool) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -93,6 +93,7 @@
 pub use messages::Action;
 pub use messages::AssignedRun;
 pub use messages::Completion;
+pub use messages::CompletionList;
 pub use messages::EvacuationState;
 pub use messages::HostEntry;
 pub use messages::HostReply;
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -109,6 +109,8 @@
     pub progress_percent: u32,
     /// When `progress_percent` last changed.
     pub progressed_at: Moment,
+    /// When a report last listed the run as running, or when the run was planned or found.
+    pub listed_at: Moment,
     /// Latest checkpoint that a report has listed; empty if there is none.
     pub checkpoint: String,
     /// Tail latency in milliseconds for serving units, processors in use for others.
@@ -135,6 +137,7 @@
             stop: None,
             progress_percent: 0,
             progressed_at: now,
+            listed_at: now,
             checkpoint: String::new(),
             load: None,
             speed_limit_percent: FULL_PERCENT,
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -144,6 +144,47 @@
     pub sent_at: Moment,
 }
 
+/// Completions that a worker lists, ordered by number.
+///
+/// A worker lists only so many in one report. What is beyond them shows once they are acknowledged.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CompletionList {
+    /// All that have not been acknowledged.
+    Complete(Vec<Completion>),
+    /// The first ones. Others may follow.
+    Partial(Vec<Completion>),
+}
+
+impl CompletionList {
+    /// Creates the list of a report that has room for `count_max` completions. A full one may lack
+    /// some.
+    pub fn of_report(mut completions: Vec<Completion>, count_max: usize) -> Self {
+        completions.sort_by_key(|completion| completion.number);
+        match completions.len() < count_max {
+            true => Self::Complete(completions),
+            false => Self::Partial(completions),
+        }
+    }
+
+    /// Returns the completions in the list.
+    pub fn listed(&self) -> &[Completion] {
+        match self {
+            Self::Complete(completions) | Self::Partial(completions) => completions,
+        }
+    }
+
+    /// Returns true if the worker may have completions that are not in the list.
+    pub fn is_partial(&self) -> bool {
+        matches!(self, Self::Partial(_))
+    }
+}
+
+impl Default for CompletionList {
+    fn default() -> Self {
+        Self::Complete(Vec::new())
+    }
+}
+
 /// Runs and completions that a worker lists in reply to a poll.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerReport {
@@ -153,8 +194,8 @@
     pub clock_ms: u64,
     /// Runs that have not ended.
     pub running: Vec<RunStatus>,
-    /// Completions that have not been acknowledged, ordered by number.
-    pub completions: Vec<Completion>,
+    /// Completions that have not been acknowledged.
+    pub completions: CompletionList,
 }
 
 /// Command to start a run.
--- a/crates/scheduler/src/run_end.rs
+++ b/crates/scheduler/src/run_end.rs
@@ -4,15 +4,21 @@
 //! know that has a constructor here. Only these make a [`RunEnd`], without which no run can be
 //! removed ([`Scheduler::remove_run`](crate::Scheduler)). The evidence is kept until the unit's next
 //! run starts, and logged with it.
+//!
+//! That a report leaves a run out shows something only if the report is complete: a worker lists a
+//! limited number of completions at a time, and a run that has ended may be beyond them. Such
+//! evidence takes an [`AbsentRun`], which only a complete report gives.
 
 use crate::Moment;
 use crate::WorkerId;
+use crate::job::UnitKey;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
 use crate::messages::Completion;
 use crate::messages::LossCause;
 use crate::messages::RunOutcome;
 use crate::messages::StartReply;
+use crate::messages::WorkerReport;
 use crate::worker::Worker;
 
 /// What shows that a run has ended.
@@ -24,15 +30,16 @@
     NotSent,
     /// The worker has refused the start command, or it was withheld.
     NotStarted(StartReply),
-    /// A report that was requested after the start was confirmed leaves the run out.
+    /// A complete report that was requested after the start was confirmed leaves the run out.
     AbsentAfterStart,
-    /// A report that was requested after the reply to a stop command leaves the run out. Since that
-    /// reply, the worker refuses the start.
+    /// A complete report that was requested after the reply to a stop command leaves the run out.
+    /// Since that reply, the worker refuses the start.
     AbsentAfterStop,
-    /// A report leaves the run out, and the worker's clock was past the deadline of the start.
+    /// A complete report leaves the run out, and the worker's clock was past the deadline of the
+    /// start.
     AbsentAfterDeadline,
-    /// A report to a later owner leaves the run out. Since that poll, the worker refuses the start
-    /// commands of earlier owners.
+    /// A complete report to a later owner leaves the run out. Since that poll, the worker refuses the
+    /// start commands of earlier owners.
     AbsentAtTakeover,
     /// A worker lists a run of the unit with a higher number, which was assigned after this one had
     /// ended.
@@ -53,6 +60,20 @@
     evidence: EndEvidence,
 }
 
+/// A run that a complete report of its worker leaves out, whose completions have been handled.
+pub(crate) struct AbsentRun<'a> {
+    run: &'a Run,
+}
+
+impl<'a> AbsentRun<'a> {
+    /// Returns the run of a unit if the report shows that it is absent.
+    pub fn find(report: &WorkerReport, unit: &UnitKey, run: &'a Run) -> Option<Self> {
+        let is_complete = !report.completions.is_partial();
+        let is_running = report.running.iter().any(|running| running.unit == *unit);
+        (is_complete && !is_running).then_some(Self { run })
+    }
+}
+
 /// The last run of a unit that has ended, and what shows that.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedRun {
@@ -86,9 +107,10 @@
         }
     }
 
-    /// Returns the end of a run that a report of its worker doesn't list; `None` if the run may be
-    /// there all the same. The poll was sent at `sent_at`.
-    pub fn absent(run: &Run, worker: &Worker, sent_at: Moment) -> Option<Self> {
+    /// Returns the end of a run that is absent from a report of its worker; `None` if it may appear
+    /// there later. The poll was sent at `sent_at`.
+    pub fn absent(absent: &AbsentRun<'_>, worker: &Worker, sent_at: Moment) -> Option<Self> {
+        let run = absent.run;
         let is_stopped = run.stop.and_then(|stop| stop.replied_at).is_some_and(|at| at <= sent_at);
         let has_missed_deadline =
             run.deadline_ms != 0 && worker.is_deadline_past(run.deadline_ms, sent_at);
--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -17,14 +17,10 @@
     pub(crate) fn stop_stalled_runs(&mut self, now: Moment) {
         let mut stalled = Vec::new();
         for (id, worker) in self.workers.iter() {
-            // A run is judged by reports only: a silent worker shows no progress either way.
-            let Some(reported_at) = worker.last_contact_at() else {
-                continue;
-            };
             if self.may_be_slow_from_start(worker, now) {
                 continue;
             }
-            let runs = worker.runs.iter().filter(|key| self.is_stalled(id, key, reported_at));
+            let runs = worker.runs.iter().filter(|key| self.is_stalled(id, key));
             stalled.extend(runs.map(|key| (id.clone(), key.clone())));
         }
         for (worker, key) in stalled {
@@ -32,7 +28,9 @@
         }
     }
 
-    fn is_stalled(&self, worker: &WorkerId, key: &UnitKey, reported_at: Moment) -> bool {
+    /// Returns true if the reports that list a run have shown no progress for too long. A silent
+    /// worker shows nothing either way, nor does a report that leaves the run out.
+    fn is_stalled(&self, worker: &WorkerId, key: &UnitKey) -> bool {
         let Some(run) = self.run_on(key, worker) else {
             return false;
         };
@@ -42,7 +40,7 @@
             && run.speed_limit_percent == FULL_PERCENT
             && run.progress_percent < FULL_PERCENT
             && !is_gang
-            && reported_at.saturating_sub(run.progressed_at) > STALLED_AFTER
+            && run.listed_at.saturating_sub(run.progressed_at) > STALLED_AFTER
     }
 
     fn stop_stalled_run(&mut self, worker: WorkerId, key: &UnitKey, now: Moment) {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -88,6 +88,9 @@
     pub unexpected_runs: usize,
     /// Highest number of a completion that has been handled.
     pub last_seen_completion: u64,
+    /// Its last report was full of completions, so that others may follow once these are
+    /// acknowledged.
+    pub may_have_unlisted_completions: bool,
     /// Completions that changed a job, until the change is in a batch.
     pub pending_completions: Vec<PendingCompletion>,
     /// Number of the last completion whose consequences are stored, together with those of all
@@ -144,6 +147,7 @@
             suspects: Vec::new(),
             unexpected_runs: 0,
             last_seen_completion: 0,
+            may_have_unlisted_completions: false,
             pending_completions: Vec::new(),
             last_stored_completion: 0,
             acknowledged_completion: 0,
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -22,6 +22,7 @@
 use crate::messages::WorkerRegistration;
 use crate::messages::WorkerReport;
 use crate::progress::FinalState;
+use crate::run_end::AbsentRun;
 use crate::run_end::RunEnd;
 use crate::state::Scheduler;
 use crate::storing::is_finished;
@@ -51,7 +52,8 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.record_answered_poll(poll, lease_max, now);
         }
-        self.handle_completions(id, &report.completions, now);
+        self.handle_completions(id, report.completions.listed(), now);
+        self.record_unlisted_completions(id, report);
         let mut unexpected_runs = 0;
         for running in &report.running {
             let is_wanted = self.handle_run_status(id, running, now);
@@ -180,6 +182,20 @@
         }
     }
 
+    /// Records whether a worker may have completions beyond those that it lists.
+    fn record_unlisted_completions(&mut self, id: &WorkerId, report: &WorkerReport) {
+        let is_partial = report.completions.is_partial();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if std::mem::replace(&mut worker.may_have_unlisted_completions, is_partial) || !is_partial {
+            return;
+        }
+        let listed = report.completions.listed().len();
+        let why = format!("listed={listed} runs={}", worker.runs.len());
+        self.log_decision("completions not all listed", id.clone(), why);
+    }
+
     fn handle_completion(&mut self, id: &WorkerId, completion: &Completion, now: Moment) {
         self.sample_completion(id, completion, now);
         let key = &completion.unit;
@@ -398,6 +414,7 @@
         }
         running.checkpoint.clone_into(&mut run.checkpoint);
         run.load = running.load;
+        run.listed_at = now;
     }
 
     /// Adds a run that an earlier owner has started, or whose start command took effect late.
@@ -432,13 +449,11 @@
         };
         let mut absent = Vec::new();
         for key in &worker.runs {
-            if report.running.iter().any(|running| running.unit == *key) {
-                continue;
-            }
-            let Some(run) = self.run_on(key, id) else {
+            let run = self.run_on(key, id);
+            let Some(absent_run) = run.and_then(|run| AbsentRun::find(report, key, run)) else {
                 continue;
             };
-            if let Some(end) = RunEnd::absent(run, worker, sent_at) {
+            if let Some(end) = RunEnd::absent(&absent_run, worker, sent_at) {
                 absent.push((key.clone(), end));
             }
         }
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -1,6 +1,9 @@
 //! A scheduler and simulated workers in virtual time; the tests decide how the workers behave.
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+#[path = "simulated_worker.rs"]
+mod simulated_worker;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +11,6 @@
 use scheduler::AssignmentRow;
 use scheduler::BaselineHosts;
 use scheduler::BatchLimits;
-use scheduler::Completion;
 use scheduler::Config;
 use scheduler::DurationsRow;
 use scheduler::FencingToken;
@@ -24,7 +26,6 @@
 use scheduler::Queue;
 use scheduler::Resources;
 use scheduler::RunOutcome;
-use scheduler::RunStatus;
 use scheduler::Scheduler;
 use scheduler::SentPoll;
 use scheduler::Settings;
@@ -41,23 +42,11 @@
 use scheduler::WorkerReport;
 use scheduler::worker::Worker;
 
+pub use simulated_worker::SimulatedWorker;
+
 /// Unix time in milliseconds at which the clock of [`Moment`] shows zero.
 pub const UNIX_MS: u64 = 1_700_000_000_000;
 
-/// A simulated worker, with the runs and completions that it lists.
-#[derive(Clone, Debug)]
-pub struct SimulatedWorker {
-    pub id: WorkerId,
-    pub running: Vec<RunStatus>,
-    pub completions: Vec<Completion>,
-    pub completion_count: u64,
-    pub is_responsive: bool,
-    /// Highest token that it has seen.
-    pub seen_token: FencingToken,
-    pub incarnation_started_ms: u64,
-    pub rack: &'static str,
-}
-
 /// A scheduler, its workers and its store.
 pub struct Simulation {
     pub scheduler: Scheduler,
@@ -263,7 +252,7 @@
             incarnation_started_ms: worker.incarnation_started_ms,
             clock_ms,
             running: worker.running.clone(),
-            completions: worker.completions.clone(),
+            completions: worker.listed_completions(),
         };
         self.scheduler.handle_report(&id.into(), &report, poll, self.now);
     }
@@ -416,70 +405,6 @@
     }
 }
 
-impl SimulatedWorker {
-    fn new(id: &str) -> Self {
-        Self {
-            id: id.into(),
-            running: Vec::new(),
-            completions: Vec::new(),
-            completion_count: 0,
-            is_responsive: true,
-            seen_token: 0,
-            incarnation_started_ms: 1,
-            rack: "r1-1",
-        }
-    }
-
-    pub fn registration(&self) -> WorkerRegistration {
-        WorkerRegistration {
-            incarnation_started_ms: self.incarnation_started_ms,
-            labels: vec!["a".to_owned(), self.rack.to_owned()].into(),
-            ..registration(&self.id)
-        }
-    }
-
-    /// Ends the worker with all its runs. Nothing replies until it restarts.
-    pub fn crash(&mut self) {
-        self.running.clear();
-        self.completions.clear();
-        self.completion_count = 0;
-        self.seen_token = 0;
-        self.is_responsive = false;
-    }
-
-    pub fn restart(&mut self) {
-        self.incarnation_started_ms += 1;
-        self.is_responsive = true;
-    }
-
-    /// Returns true unless it has seen a higher token.
-    pub fn accepts_token(&mut self, token: FencingToken) -> bool {
-        let is_accepted = token >= self.seen_token;
-        self.seen_token = self.seen_token.max(token);
-        is_accepted
-    }
-
-    /// Starts a run of a unit.
-    pub fn add_run(&mut self, unit: &UnitKey, run: u32) {
-        let (unit, checkpoint, progress_percent, load) = (unit.clone(), String::new(), 0, None);
-        self.running.push(RunStatus { unit, run, checkpoint, progress_percent, load });
-    }
-
-    /// Ends the run of a unit on this worker.
-    pub fn complete_run(&mut self, unit: &UnitKey, outcome: RunOutcome) {
-        let index = self.running.iter().position(|r| r.unit == *unit).expect("the unit runs here");
-        let running = self.running.remove(index);
-        self.completion_count += 1;
-        self.completions.push(Completion {
-            number: self.completion_count,
-            unit: unit.clone(),
-            run: running.run,
-            outcome,
-            checkpoint: running.checkpoint,
-        });
-    }
-}
-
 impl Simulation {
     /// Sets the platform's list to hosts of the pool `p`, each with its worker.
     pub fn list_hosts_in_pool(&mut self, hosts: &[(&str, &str)]) {
--- a/crates/scheduler/tests/common/takeover_state.rs
+++ b/crates/scheduler/tests/common/takeover_state.rs
@@ -36,6 +36,8 @@
     StoredCompletion,
     /// A row that is written is no longer to be removed, though its worker was removed before.
     WrittenRow,
+    /// A run that a report leaves out has ended only if the report lists all completions.
+    CompleteReport,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -107,6 +109,10 @@
     pub run: u8,
     /// The worker's lease has expired since, so an acknowledgement comes too late to count.
     pub has_expired_lease: bool,
+    /// Reports don't list it, since earlier completions fill them.
+    pub is_beyond_list: bool,
+    /// A run of the unit has started since.
+    pub has_later_start: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/scheduler/tests/takeover_model.rs
+++ b/crates/scheduler/tests/takeover_model.rs
@@ -3,8 +3,8 @@
 //! It explores all interleavings of events. Time passes in ticks. An owner that does nothing for
 //! some ticks is paused or disconnected. A write or command may arrive at any later time or never,
 //! which covers lost replies, an unavailable store and commands that take effect late. The unit
-//! must never run twice at the same time, and never again after its completion was acknowledged. To
-//! show that each guard of the protocol is needed, each one is disabled in turn; the model must
+//! must never run twice at the same time, and never again after its completion, if that is
+//! acknowledged then or later. A worker may have more completions than a report lists. To show that each guard of the protocol is needed, each one is disabled in turn; the model must
 //! then find a violation.
 
 #[path = "common/explorer.rs"]
@@ -45,7 +45,9 @@
         let mut successors = Vec::new();
         successors.extend(tick(state));
         for worker in 0..WORKERS {
-            successors.extend(complete_run(state, worker));
+            successors.extend(complete_run(state, worker, false));
+            successors.extend(complete_run(state, worker, true));
+            successors.extend(list_completion(state, worker));
             successors.extend(restart_worker(state, worker));
         }
         for owner in 0..OWNERS {
@@ -152,6 +154,8 @@
         let command = state.commands[owner]?;
         let mut next = *state;
         next.commands[owner] = None;
+        let has_later_start =
+            |completion: Completion| Completion { has_later_start: true, ..completion };
         let worker = &mut next.workers[usize::from(command.placement.worker)];
         let is_fenced = self.has(Guard::Token) && command.token < worker.token;
         let is_misdirected =
@@ -169,6 +173,9 @@
         worker.token = worker.token.max(command.token);
         worker.running = Some(command.placement.run);
         worker.lease_until = worker.lease_until.max(command.deadline);
+        for worker in &mut next.workers {
+            worker.completion = worker.completion.map(has_later_start);
+        }
         if state.is_acknowledged {
             next.violation = Some("a run started after a completion was acknowledged");
         }
@@ -214,7 +221,7 @@
             if matches!(node.known, Known::Nothing | Known::InDoubt(_) | Known::Commanded(..)) {
                 node.known = Known::Reported(placement);
             }
-        } else if let Some(completion) = worker.completion {
+        } else if let Some(completion) = worker.completion.filter(|other| !other.is_beyond_list) {
             node.last_run = node.last_run.max(completion.run);
             match node.known {
                 Known::Done | Known::WritingCompletion(_) => {}
@@ -226,8 +233,11 @@
             if node.known == Known::Done || !self.has(Guard::StoredCompletion) {
                 worker.completion = None;
                 next.is_acknowledged |= !completion.has_expired_lease;
+                if completion.has_later_start && !completion.has_expired_lease {
+                    next.violation = Some("a run started before a completion was acknowledged");
+                }
             }
-        } else {
+        } else if worker.completion.is_none() || !self.has(Guard::CompleteReport) {
             let is_gone = match node.known {
                 Known::Reported(placement) | Known::InDoubt(placement) => is_on_worker(placement),
                 Known::Commanded(placement, deadline) => {
@@ -276,11 +286,21 @@
     Some(next)
 }
 
-fn complete_run(state: &State, index: usize) -> Option<State> {
+fn complete_run(state: &State, index: usize, is_beyond_list: bool) -> Option<State> {
     let run = state.workers[index].running?;
     let mut next = *state;
     next.workers[index].running = None;
-    next.workers[index].completion = Some(Completion { run, has_expired_lease: false });
+    let (has_expired_lease, has_later_start) = (false, false);
+    next.workers[index].completion =
+        Some(Completion { run, has_expired_lease, is_beyond_list, has_later_start });
+    Some(next)
+}
+
+/// The completions before that of the unit are acknowledged.
+fn list_completion(state: &State, index: usize) -> Option<State> {
+    let completion = state.workers[index].completion.filter(|other| other.is_beyond_list)?;
+    let mut next = *state;
+    next.workers[index].completion = Some(Completion { is_beyond_list: false, ..completion });
     Some(next)
 }
 
@@ -397,6 +417,7 @@
 #[case::stored_run(Guard::StoredRun)]
 #[case::stored_completion(Guard::StoredCompletion)]
 #[case::written_row(Guard::WrittenRow)]
+#[case::complete_report(Guard::CompleteReport)]
 fn each_guard_is_needed(#[case] guard: Guard) {
     let (violation, _) = explore(&Model { disabled: Some(guard) });
     assert!(violation.is_some(), "no violation without {guard:?}");
