Keep the settings of a queue with the jobs that were accepted under them

Nothing kept the queue's settings with its jobs; for a queue that the configuration lacks, the owner made up three attempts, the lowest priority, no slack and no advice.

Ruled out: failures counted twice (three ends at three numbers), and a configuration that came late.

The record of a job, which is stored before it is accepted, has the settings of its queue, from the version that let the request in. `queue_settings` is the only way from a job to its queue: the active configuration, otherwise the record, otherwise nothing. If the attempts are not known, the job doesn't fail and a unit that has failed waits. Attempts are compared at each start. They move to `attempts.rs`, out of the handling of reports.

Related paths: a queue with fewer than three attempts got too many runs; an owner without any version counted with three; advice, priority and deadline were lost; a changed configuration could leave an accepted job without a pool.

--- a/crates/coordinator/src/caller_api.rs
+++ b/crates/coordinator/src/caller_api.rs
@@ -9,6 +9,7 @@
 use scheduler::JobView;
 use scheduler::Moment;
 use scheduler::Progress;
+use scheduler::Queue;
 use scheduler::QueueName;
 use scheduler::ShardIndex;
 use scheduler::TeamName;
@@ -45,10 +46,12 @@
 const STALE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The queue that a request belongs to, and who sent it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Access {
     /// Queue that the request's host name and path lead to.
     pub queue: QueueName,
+    /// Settings of the queue.
+    pub queue_settings: Queue,
     /// Team of the key; none on a queue that is open to all.
     pub team: Option<TeamName>,
     /// Rest of the path after the queue's prefix.
@@ -57,6 +60,21 @@
     pub body_bytes_max: usize,
 }
 
+impl Access {
+    /// Completes the record of a job that the request submits. The job keeps the settings of the queue
+    /// beyond versions of the configuration that drop it.
+    pub fn accept(&self, record: JobRecord, accepted_ms: u64) -> JobRecord {
+        JobRecord {
+            queue: self.queue.clone(),
+            pool: self.queue_settings.pool.clone(),
+            queue_settings: Some(Box::new(self.queue_settings.clone())),
+            team: self.team.clone(),
+            accepted_ms,
+            ..record
+        }
+    }
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -158,8 +176,11 @@
         let deny = |refusal| if is_recent { refusal } else { stale };
         let route = config.route(host, path).ok_or_else(|| deny(Refusal::NoQueue))?;
         let rest = path[route.path_prefix.len()..].to_owned();
+        let queue_settings = config.scheduling.queues.get(&route.queue);
+        let queue_settings = queue_settings.ok_or_else(|| deny(Refusal::NoQueue))?;
         let access = |team| Access {
             queue: route.queue.clone(),
+            queue_settings: queue_settings.clone(),
             team,
             rest: rest.clone(),
             body_bytes_max: config.body_bytes_max,
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -57,7 +57,7 @@
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
 
-use self::nodes::config;
+pub use self::nodes::config;
 pub use self::nodes::start_node;
 pub use self::nodes::start_node_with_cpu;
 
--- a/crates/coordinator/tests/sessions.rs
+++ b/crates/coordinator/tests/sessions.rs
@@ -21,6 +21,7 @@
 use coordinator::rows::InboxRow;
 use memory::Memory;
 use memory::TableFault;
+use memory::config;
 use memory::start_node;
 use memory::start_node_with_cpu;
 use scheduler::DurationsRow;
@@ -292,6 +293,24 @@
     assert!(matches!(old, Err(Refusal::Stale { .. })));
 }
 
+/// Guards against a job that loses the attempts and the pool of its queue as soon as a version of the
+/// configuration drops that: its row has the settings under which it was accepted.
+#[tokio::test]
+async fn an_accepted_job_is_stored_with_the_settings_of_its_queue() {
+    let memory = Memory::new(Duration::from_millis(50));
+    let node = start_node("n1", &memory).await;
+    wait_ready(&node).await;
+    let access = node.access("jobs.example", "/q/1", Some("key"), clock::now()).unwrap();
+    let record = access.accept(JobRecord::default(), 7);
+    let row = serde_json::to_vec(&record).unwrap();
+    let restored: JobRecord = serde_json::from_slice(&row).unwrap();
+    let queue = config().scheduling.queues.get("q").cloned();
+    assert_eq!(restored.queue_settings.map(|queue| *queue), queue);
+    assert_eq!((&*restored.queue, &*restored.pool, restored.accepted_ms), ("q", "p", 7));
+    let earlier: JobRecord = serde_json::from_str("{}").unwrap();
+    assert_eq!(earlier.queue_settings, None);
+}
+
 #[tokio::test]
 async fn a_weak_owner_hands_the_ownership_to_a_stronger_node() {
     let memory = Memory::new(Duration::from_millis(50));
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -55,11 +55,6 @@
 }
 
 impl Scheduler {
-    /// Returns true if the jobs of a queue need advice.
-    pub(crate) fn needs_advice(&self, queue: &str) -> bool {
-        self.config.queues.get(queue).is_some_and(|queue| queue.advice.is_some())
-    }
-
     /// Requests advice on a step if no worker that has both capacity and a valid ticket is left.
     /// Returns true if there is such a worker.
     pub(crate) fn request_advice(
@@ -106,7 +101,7 @@
         let validity = self
             .jobs
             .get(&key.job)
-            .and_then(|job| self.config.queues.get(&job.record.queue)?.advice)
+            .and_then(|job| self.queue_settings(&job.record)?.advice)
             .map_or(Duration::ZERO, |advice| advice.ticket_validity);
         let valid_until = requested_at + validity * TICKET_USED_PERCENT / 100;
         let step = self.tickets.steps.entry_or(step_key(key), StepTickets::default);
--- /dev/null
+++ b/crates/scheduler/src/attempts.rs
@@ -0,0 +1,102 @@
+//! Failed runs of units: when a unit may be started once more, and when its job fails.
+//!
+//! A job fails once a unit, or a gang, has failed as often as its queue allows. How often that is may
+//! not be known ([`Scheduler::queue_settings`]). Then the job doesn't fail, and units that have failed
+//! wait until the configuration has the queue again.
+
+use crate::Moment;
+use crate::WorkerId;
+use crate::job::JobRecord;
+use crate::job::UnitKey;
+use crate::live_jobs::Job;
+use crate::live_jobs::Unit;
+use crate::progress::FinalState;
+use crate::state::Scheduler;
+
+/// Whether a unit that has no run may be started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Attempts {
+    /// It has attempts left.
+    Left,
+    /// It has failed, and it is not known how often it may fail.
+    Unknown,
+    /// It has failed as often as it may.
+    Exhausted,
+}
+
+impl Scheduler {
+    /// Handles a failed run of a unit that was not known.
+    pub(crate) fn handle_unit_failure(
+        &mut self,
+        id: &WorkerId,
+        key: &UnitKey,
+        number: u32,
+        now: Moment,
+    ) {
+        let is_long_running = self.is_long_running(key);
+        let Some(unit) = self.unit_mut(key) else {
+            return;
+        };
+        if !unit.excluded_workers.contains(id) {
+            unit.excluded_workers.push(id.clone());
+        }
+        // A long-running unit has to be started again however it ends.
+        if is_long_running {
+            return;
+        }
+        unit.failed_runs.push(number);
+        if self.attempts_of(key) == Attempts::Exhausted {
+            self.fail_job_without_attempts(key, now);
+        }
+    }
+
+    /// Returns whether a unit may be started once more.
+    pub(crate) fn attempts_of(&self, key: &UnitKey) -> Attempts {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Attempts::Unknown;
+        };
+        self.attempts_left(&job.record, failed_runs(job, key))
+    }
+
+    /// Fails a job one of whose units has no attempts left.
+    pub(crate) fn fail_job_without_attempts(&mut self, key: &UnitKey, now: Moment) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let failures = failed_runs(job, key);
+        let attempts_max = self.attempts_max(&job.record).unwrap_or_default();
+        self.fail_job(key, format!("failures={failures} attempts_max={attempts_max}"), now);
+    }
+
+    /// Fails the job of a unit that cannot be done, unless the job has ended.
+    pub(crate) fn fail_job(&mut self, key: &UnitKey, why: String, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.final_state.is_none()) else {
+            return;
+        };
+        job.final_state = Some(FinalState::Failed);
+        self.mark_dirty(&key.job);
+        self.log_decision("job failed", key, why);
+        for run in self.units_with_run(&key.job) {
+            self.request_stop(&run, now);
+        }
+    }
+
+    fn attempts_left(&self, record: &JobRecord, failures: u32) -> Attempts {
+        match self.attempts_max(record) {
+            _ if failures == 0 => Attempts::Left,
+            None => Attempts::Unknown,
+            Some(attempts_max) if failures < attempts_max => Attempts::Left,
+            Some(_) => Attempts::Exhausted,
+        }
+    }
+}
+
+/// Returns the number of failed runs of a unit, or of the gang that it belongs to.
+fn failed_runs(job: &Job, key: &UnitKey) -> u32 {
+    let occurrence = job.occurrences.iter().find(|other| other.number == key.occurrence);
+    let units = occurrence.and_then(|occurrence| occurrence.steps.get(key.step));
+    let units = units.map(Vec::as_slice).unwrap_or_default();
+    let is_gang = job.record.steps.get(key.step).is_some_and(|step| step.is_gang);
+    let counted = if is_gang { units } else { units.get(key.index..=key.index).unwrap_or(&[]) };
+    counted.iter().map(|unit: &Unit| unit.failed_runs.len() as u32).sum()
+}
--- a/crates/scheduler/src/capacity.rs
+++ b/crates/scheduler/src/capacity.rs
@@ -281,7 +281,7 @@
         scale_baselines(&mut loads);
         self.use_present_capacity(&mut loads);
         for job in self.jobs.values().filter(|job| job.final_state.is_none()) {
-            if let Some(load) = loads.get_mut(&self.pool_of(job)) {
+            if let Some(load) = loads.get_mut(&self.pool_of(&job.record)) {
                 add_waiting(load, job);
             }
         }
--- a/crates/scheduler/src/choice.rs
+++ b/crates/scheduler/src/choice.rs
@@ -50,8 +50,8 @@
         key: &'a UnitKey,
         now: Moment,
     ) -> impl Fn(&WorkerId) -> bool + 'a {
-        let queue = self.jobs.get(&key.job).map(|job| &job.record.queue);
-        let needs_advice = queue.is_some_and(|queue| self.needs_advice(queue));
+        let needs_advice =
+            self.jobs.get(&key.job).is_some_and(|job| self.needs_advice(&job.record));
         move |worker| !needs_advice || self.tickets.ticket(key, worker, now).is_some()
     }
 
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -192,7 +192,7 @@
         });
         for key in workers.flat_map(|worker| &worker.runs) {
             if let Some(job) = self.jobs.get(&key.job).filter(|_| self.is_long_running(key)) {
-                units.entry_or(self.pool_of(job), Vec::new).push(key.clone());
+                units.entry_or(self.pool_of(&job.record), Vec::new).push(key.clone());
             }
         }
         units
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -13,6 +13,7 @@
 use crate::PoolName;
 use crate::QueueName;
 use crate::TeamName;
+use crate::config::Queue;
 
 /// Amounts of processors, memory and accelerators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -153,6 +154,10 @@
     pub queue: QueueName,
     /// Pool of the queue at the time the job was accepted.
     pub pool: PoolName,
+    /// Settings of the queue at the time the job was accepted; `None` if an earlier version of the
+    /// program has stored the job.
+    #[serde(rename = "qs", skip_serializing_if = "Option::is_none")]
+    pub queue_settings: Option<Box<Queue>>,
     /// Team that submitted it; `None` on a queue that is open to all.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub team: Option<TeamName>,
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -6,6 +6,7 @@
 use crate::PoolName;
 use crate::UnitKey;
 use crate::WorkerId;
+use crate::attempts::Attempts;
 use crate::candidates::Candidates;
 use crate::candidates::UnitHistory;
 use crate::job::Step;
@@ -52,6 +53,15 @@
     pub has_strong_suspect: bool,
 }
 
+/// The units that wait to be placed.
+#[derive(Clone, Debug, Default)]
+struct WaitingUnits {
+    steps: Vec<WaitingStep>,
+    /// Units that have no attempts left, so that their jobs fail: the configuration has changed, or
+    /// has the queue again.
+    exhausted: Vec<UnitKey>,
+}
+
 impl WaitingStep {
     /// Returns the waiting units.
     pub fn keys(&self) -> impl Iterator<Item = UnitKey> {
@@ -87,12 +97,6 @@
         self.limit_speeds(now);
     }
 
-    /// Returns the pool in which the units of a job run.
-    pub(crate) fn pool_of(&self, job: &Job) -> PoolName {
-        let queue = self.config.queues.get(&job.record.queue);
-        queue.map_or_else(|| job.record.pool.clone(), |queue| queue.pool.clone())
-    }
-
     fn create_due_occurrences(&mut self, now: Moment) {
         let has_more_occurrences = |job: &&Job| {
             job.final_state.is_none() && job.next_occurrence < job.record.occurrences()
@@ -111,7 +115,10 @@
         }
         self.placed_at = now;
         self.quota_needs = SortedMap::default();
-        let mut waiting = self.waiting_steps(now);
+        let WaitingUnits { steps: mut waiting, exhausted } = self.waiting_units(now);
+        for key in exhausted {
+            self.fail_job_without_attempts(&key, now);
+        }
         // Strong suspects come first, since they may have to reserve a worker.
         let order = |step: &WaitingStep| (!step.has_strong_suspect, step.priority);
         waiting.sort_by(|a, b| a.pool.cmp(&b.pool).then_with(|| order(a).cmp(&order(b))));
@@ -134,13 +141,13 @@
         self.long_running_starved_since.retain(|pool, _| is_waiting(pool));
     }
 
-    fn waiting_steps(&mut self, now: Moment) -> Vec<WaitingStep> {
-        let mut waiting = Vec::new();
+    fn waiting_units(&mut self, now: Moment) -> WaitingUnits {
+        let mut waiting = WaitingUnits::default();
         let mut without_waiting_units = Vec::new();
         let may_wait = |job: &&Job| job.final_state.is_none() && job.may_have_waiting_units;
         for job in self.jobs.values().filter(may_wait) {
-            let count_before = waiting.len();
-            let pool = self.pool_of(job);
+            let count_before = waiting.steps.len();
+            let pool = self.pool_of(&job.record);
             for occurrence in &job.occurrences {
                 self.collect_waiting_steps(job, occurrence, &pool, now, &mut waiting);
             }
@@ -148,7 +155,7 @@
                 let mut occurrences = job.occurrences.iter();
                 occurrences.any(|occurrence| has_waiting_units(job, occurrence))
             };
-            if waiting.len() == count_before && !has_waiting_units() {
+            if waiting.steps.len() == count_before && !has_waiting_units() {
                 without_waiting_units.push(job.record.id.clone());
             }
         }
@@ -166,7 +173,7 @@
         occurrence: &Occurrence,
         pool: &PoolName,
         now: Moment,
-        waiting: &mut Vec<WaitingStep>,
+        waiting: &mut WaitingUnits,
     ) {
         let mut priority = None;
         for (index, step) in job.record.steps.iter().enumerate() {
@@ -191,16 +198,52 @@
             if units.is_empty() || (step.is_gang && units.len() < step.count as usize) {
                 continue;
             }
+            let has_failed = |unit: &usize| !occurrence.steps[index][*unit].failed_runs.is_empty();
+            let units = match units.iter().any(has_failed) {
+                true => self.with_attempts(step, units, key_of, waiting),
+                false => units,
+            };
+            if units.is_empty() {
+                continue;
+            }
             let priority =
                 *priority.get_or_insert_with(|| self.scheduling_priority(job, occurrence, now));
             let first_unit = key_of(0);
             let suspicion = |unit: &usize| occurrence.steps[index][*unit].suspicion(now);
             let has_strong_suspect = units.iter().any(|unit| suspicion(unit) == Suspicion::Strong);
             let pool = pool.clone();
-            waiting.push(WaitingStep { priority, pool, first_unit, units, has_strong_suspect });
+            waiting.steps.push(WaitingStep {
+                priority,
+                pool,
+                first_unit,
+                units,
+                has_strong_suspect,
+            });
         }
     }
 
+    /// Returns those of the waiting units of a step that have attempts left, and adds those that have
+    /// none to `waiting`.
+    fn with_attempts(
+        &self,
+        step: &Step,
+        mut units: Vec<usize>,
+        key_of: impl Fn(usize) -> UnitKey,
+        waiting: &mut WaitingUnits,
+    ) -> Vec<usize> {
+        let of_gang = step.is_gang.then(|| self.attempts_of(&key_of(0)));
+        let attempts_of = |unit| of_gang.unwrap_or_else(|| self.attempts_of(&key_of(unit)));
+        units.retain(|&unit| match attempts_of(unit) {
+            Attempts::Left => true,
+            Attempts::Unknown => false,
+            Attempts::Exhausted => {
+                waiting.exhausted.push(key_of(unit));
+                false
+            }
+        });
+        units
+    }
+
     fn place_step(
         &mut self,
         waiting: &WaitingStep,
@@ -213,7 +256,7 @@
         let units = self.storable_units(job, waiting);
         let record = job.record.clone();
         let step = &record.steps[waiting.first_unit.step];
-        let needs_advice = self.needs_advice(&record.queue);
+        let needs_advice = self.needs_advice(&record);
         if needs_advice && !self.request_advice(&waiting.first_unit, step, candidates, now) {
             return Placement::Blocked;
         }
--- a/crates/scheduler/src/priority.rs
+++ b/crates/scheduler/src/priority.rs
@@ -51,7 +51,7 @@
         occurrence: &Occurrence,
         now: Moment,
     ) -> SchedulingPriority {
-        let queue = self.config.queues.get(&job.record.queue);
+        let queue = self.queue_settings(&job.record);
         let queue_priority = queue.map_or(u32::MAX, |queue| queue.priority);
         if job.record.steps.iter().any(|step| step.is_long_running) {
             let tie_breaker = occurrence.due_at.as_millis() as u64;
--- a/crates/scheduler/src/row_sizes.rs
+++ b/crates/scheduler/src/row_sizes.rs
@@ -27,7 +27,6 @@
 use crate::storing::units;
 use crate::unit_set::UnitSet;
 use crate::worker::Worker;
-use crate::worker_reports::ATTEMPTS_MAX_DEFAULT;
 
 /// Most bytes that a position of a unit or a step takes, with brackets and a comma.
 const POSITION_BYTES: usize = 24;
@@ -48,6 +47,9 @@
 /// Bytes that the text of a string may take in JSON for each of its own, for control characters.
 pub(crate) const ESCAPED_BYTES: usize = 6;
 
+/// Attempts of a unit for which a row has room if those of its queue are not known.
+const ATTEMPTS_RESERVED: u32 = 3;
+
 /// Part of a row that the finished units of a job may take; the rest is for failures.
 const FINISHED_SHARE: usize = 2;
 
@@ -209,7 +211,8 @@
     fn has_room_for_all_failures(&self, job: &Job) -> bool {
         let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
         let unit_count: usize = steps.map(Vec::len).sum();
-        let attempts_max = self.attempts_max_of_queues.max(ATTEMPTS_MAX_DEFAULT) as usize;
+        let attempts_max = self.attempts_max(&job.record).unwrap_or(ATTEMPTS_RESERVED);
+        let attempts_max = self.attempts_max_of_queues.max(attempts_max) as usize;
         let unit_bytes_max = 3 * POSITION_BYTES + NUMBER_BYTES * attempts_max;
         FRAME_BYTES + unit_count * unit_bytes_max <= self.settings.row_bytes_max
     }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -281,49 +281,6 @@
         self.remove_finished(id, now);
     }
 
-    fn handle_unit_failure(&mut self, id: &WorkerId, key: &UnitKey, number: u32, now: Moment) {
-        let is_long_running = self.is_long_running(key);
-        let Some(unit) = self.unit_mut(key) else {
-            return;
-        };
-        if !is_long_running {
-            unit.failed_runs.push(number);
-        }
-        if !unit.excluded_workers.contains(id) {
-            unit.excluded_workers.push(id.clone());
-        }
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        let step = &job.record.steps[key.step];
-        if step.is_long_running {
-            return;
-        }
-        let failures: u32 = self
-            .units_finishing_with(key, step.is_gang)
-            .iter()
-            .filter_map(|member| self.unit(member))
-            .map(|unit| unit.failed_runs.len() as u32)
-            .sum();
-        let attempts_max = self.attempts_max(&job.record.queue);
-        if failures >= attempts_max {
-            self.fail_job(key, format!("failures={failures} attempts_max={attempts_max}"), now);
-        }
-    }
-
-    /// Fails the job of a unit that cannot be done, unless the job has ended.
-    pub(crate) fn fail_job(&mut self, key: &UnitKey, why: String, now: Moment) {
-        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.final_state.is_none()) else {
-            return;
-        };
-        job.final_state = Some(FinalState::Failed);
-        self.mark_dirty(&key.job);
-        self.log_decision("job failed", key, why);
-        for run in self.units_with_run(&key.job) {
-            self.request_stop(&run, now);
-        }
-    }
-
     /// Returns the units that finish together with `key`: all units of a gang, otherwise only
     /// itself.
     pub(crate) fn units_finishing_with(&self, key: &UnitKey, is_gang: bool) -> Vec<UnitKey> {
@@ -334,14 +291,6 @@
         }
     }
 
-    /// Returns the number of failed runs of a unit at which its job fails.
-    pub(crate) fn attempts_max(&self, queue: &str) -> u32 {
-        self.config
-            .queues
-            .get(queue)
-            .map_or(ATTEMPTS_MAX_DEFAULT, |queue| queue.attempts_max.max(1))
-    }
-
     /// Handles a run that a worker reports as running. Returns false if the run is unexpected
     /// there, and commands it to stop.
     fn handle_run_status(&mut self, id: &WorkerId, running: &RunStatus, now: Moment) -> bool {
@@ -465,6 +414,3 @@
         step.is_some_and(|step| step.is_long_running)
     }
 }
-
-/// Number of failed runs of a unit at which its job fails if the queue is no longer configured.
-pub(crate) const ATTEMPTS_MAX_DEFAULT: u32 = 3;
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -134,6 +134,18 @@
     })
 }
 
+/// Returns a job that was accepted under a configuration.
+pub fn accepted_job(
+    config: &Config,
+    id: &str,
+    steps: Vec<Step>,
+    accepted_at: Moment,
+) -> Arc<JobRecord> {
+    let record = job(id, steps, accepted_at);
+    let queue_settings = config.queues.get(&record.queue).cloned().map(Box::new);
+    Arc::new(JobRecord { queue_settings, ..(*record).clone() })
+}
+
 pub fn unit(job: &str, step: usize, index: usize) -> UnitKey {
     UnitKey { job: job.into(), occurrence: 0, step, index }
 }
