Count a failed run of a gang once

The members share the number of a run; the owner added up the failures of all members.

Ruled out: a failure that was read twice (each member's stood once under its number), and crashes.

The different numbers among the failures of all members count now, so that members which fail in different runs still add up. They are stored once for the gang: with one number for each member and attempt, a large gang could outgrow its row, which the store refuses for good.

--- a/crates/scheduler/src/attempts.rs
+++ b/crates/scheduler/src/attempts.rs
@@ -1,8 +1,10 @@
 //! Failed runs of units: when a unit may be started once more, and when its job fails.
 //!
-//! A job fails once a unit, or a gang, has failed as often as its queue allows. How often that is may
-//! not be known ([`Scheduler::queue_settings`]). Then the job doesn't fail, and units that have failed
-//! wait until the configuration has the queue again.
+//! A job fails once a unit, or a gang, has failed as often as its queue allows. The members of a gang
+//! share the numbers of their runs: a run has failed once, however many members have failed in it.
+//!
+//! How often a unit may fail may not be known ([`Scheduler::queue_settings`]). Then the job doesn't
+//! fail, and units that have failed wait until the configuration has the queue again.
 
 use crate::Moment;
 use crate::WorkerId;
@@ -55,7 +57,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return Attempts::Unknown;
         };
-        self.attempts_left(&job.record, failed_runs(job, key))
+        self.attempts_left(&job.record, failed_runs(job, key).len())
     }
 
     /// Fails a job one of whose units has no attempts left.
@@ -63,7 +65,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let failures = failed_runs(job, key);
+        let failures = failed_runs(job, key).len();
         let attempts_max = self.attempts_max(&job.record).unwrap_or_default();
         self.fail_job(key, format!("failures={failures} attempts_max={attempts_max}"), now);
     }
@@ -81,22 +83,34 @@
         }
     }
 
-    fn attempts_left(&self, record: &JobRecord, failures: u32) -> Attempts {
+    fn attempts_left(&self, record: &JobRecord, failures: usize) -> Attempts {
         match self.attempts_max(record) {
             _ if failures == 0 => Attempts::Left,
             None => Attempts::Unknown,
-            Some(attempts_max) if failures < attempts_max => Attempts::Left,
+            Some(attempts_max) if failures < attempts_max as usize => Attempts::Left,
             Some(_) => Attempts::Exhausted,
         }
     }
 }
 
-/// Returns the number of failed runs of a unit, or of the gang that it belongs to.
-fn failed_runs(job: &Job, key: &UnitKey) -> u32 {
+/// Returns the numbers of the runs in which a unit, or a member of its gang, has failed.
+fn failed_runs(job: &Job, key: &UnitKey) -> Vec<u32> {
+    distinct_failed_runs(units_failing_with(job, key))
+}
+
+/// Returns the numbers of the runs in which any of these units has failed, sorted.
+pub(crate) fn distinct_failed_runs(units: &[Unit]) -> Vec<u32> {
+    let mut numbers: Vec<u32> = units.iter().flat_map(|unit| &unit.failed_runs).copied().collect();
+    numbers.sort_unstable();
+    numbers.dedup();
+    numbers
+}
+
+/// Returns the units whose failures count together: all of a gang, otherwise the unit itself.
+fn units_failing_with<'a>(job: &'a Job, key: &UnitKey) -> &'a [Unit] {
     let occurrence = job.occurrences.iter().find(|other| other.number == key.occurrence);
     let units = occurrence.and_then(|occurrence| occurrence.steps.get(key.step));
     let units = units.map(Vec::as_slice).unwrap_or_default();
     let is_gang = job.record.steps.get(key.step).is_some_and(|step| step.is_gang);
-    let counted = if is_gang { units } else { units.get(key.index..=key.index).unwrap_or(&[]) };
-    counted.iter().map(|unit: &Unit| unit.failed_runs.len() as u32).sum()
+    if is_gang { units } else { units.get(key.index..=key.index).unwrap_or_default() }
 }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -31,7 +31,7 @@
     pub pool: PoolName,
     /// Queues with a lower number are served first; 0 is the highest priority.
     pub priority: u32,
-    /// Number of failed runs of a unit, or of all units of a gang together, at which the job fails;
+    /// Number of failed runs of a unit, or of a gang as a whole, at which the job fails;
     /// 0 counts as 1.
     pub attempts_max: u32,
     /// Time from the due time of a job to its deadline, as a multiple of the job's critical path.
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -78,7 +78,7 @@
     /// steps would be too long. Earlier versions don't read it.
     #[serde(rename = "o", skip_serializing_if = "Vec::is_empty")]
     pub finished_occurrences: Vec<(u32, u32)>,
-    /// Numbers of the failed runs, by unit.
+    /// Numbers of the failed runs, by unit; for a gang, those of all units, at the first one.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<(UnitPosition, Vec<u32>)>,
     /// Runs whose worker has or may have crashed, by unit.
--- a/crates/scheduler/src/row_sizes.rs
+++ b/crates/scheduler/src/row_sizes.rs
@@ -6,7 +6,7 @@
 //! - The progress of a job lists finished units. If the list doesn't fit, they are stored as
 //!   bitmaps; then checkpoints and crashed runs are left out, which costs work but breaks nothing.
 //!   Failed runs must be kept, as they count against the attempts: a job gets new runs only while
-//!   the failures of all its runs would fit.
+//!   the failures of all its runs would fit. Those of a gang are stored once for all its units.
 //! - An assignment row names the runs of one worker, whose number is bounded.
 //! - The measured durations of the kinds of work that ran longest ago are left out.
 
--- a/crates/scheduler/src/storing.rs
+++ b/crates/scheduler/src/storing.rs
@@ -11,6 +11,7 @@
 use crate::Moment;
 use crate::WorkerId;
 use crate::assignments::AssignmentRow;
+use crate::attempts::distinct_failed_runs;
 use crate::batch::Batch;
 use crate::batch::BatchLimits;
 use crate::batch::StoredCompletions;
@@ -445,25 +446,37 @@
     progress.add_finished_occurrences(removed_occurrences(job), job.record.steps.len(), bytes_max);
     for occurrence in &job.occurrences {
         for (step, units) in occurrence.steps.iter().enumerate() {
-            add_step_progress(&mut progress, occurrence.number, step, units);
+            let is_gang = job.record.steps[step].is_gang;
+            add_step_progress(&mut progress, occurrence.number, step, is_gang, units);
         }
     }
     progress.shrink_to(bytes_max);
     progress
 }
 
-fn add_step_progress(progress: &mut Progress, number: u32, step: usize, units: &[Unit]) {
+fn add_step_progress(
+    progress: &mut Progress,
+    number: u32,
+    step: usize,
+    is_gang: bool,
+    units: &[Unit],
+) {
     if units.iter().all(|unit| unit.finish_state != FinishState::Unfinished) {
         progress.finished_steps.push((number, step));
         return;
     }
+    let gang_failures = if is_gang { distinct_failed_runs(units) } else { Vec::new() };
+    if !gang_failures.is_empty() {
+        // Once for the whole gang, so that the row has room for any number of members.
+        progress.failed_runs.push(((number, step, 0), gang_failures));
+    }
     for (index, unit) in units.iter().enumerate() {
         let position = (number, step, index);
         if unit.finish_state != FinishState::Unfinished {
             progress.finished_units.push(position);
             continue;
         }
-        if !unit.failed_runs.is_empty() {
+        if !is_gang && !unit.failed_runs.is_empty() {
             progress.failed_runs.push((position, unit.failed_runs.clone()));
         }
         if !unit.crashed_runs.is_empty() {
