Blame workers for the failures of a gang, not of its members

A worker that had failed one member of a gang was avoided by that member only; the members that it had listed as broken went back there, which cost the gang its next attempt. And a gang that failed again, by another member, counted as a unit that had never failed, so that two such gangs put a sound worker into quarantine.

A failure excludes its worker for the whole gang, and a gang that has failed in another run is more likely at fault than the worker. Looked at without a change: crashes, repeated completions, occurrences.

Before: two tests of `gangs` failed (two members placed on the faulty worker again; the worker quarantined, nothing started). After: all tests of scheduler, coordinator and the adapter pass.

--- a/crates/scheduler/src/attempts.rs
+++ b/crates/scheduler/src/attempts.rs
@@ -6,6 +6,8 @@
 //! How often a unit may fail may not be known ([`Scheduler::queue_settings`]). Then the job doesn't
 //! fail, and units that have failed wait until the configuration has the queue again.
 
+use std::ops::Range;
+
 use crate::Moment;
 use crate::WorkerId;
 use crate::job::JobRecord;
@@ -35,13 +37,11 @@
         number: u32,
         now: Moment,
     ) {
+        self.exclude_worker(id, key);
         let is_long_running = self.is_long_running(key);
         let Some(unit) = self.unit_mut(key) else {
             return;
         };
-        if !unit.excluded_workers.contains(id) {
-            unit.excluded_workers.push(id.clone());
-        }
         // A long-running unit has to be started again however it ends.
         if is_long_running {
             return;
@@ -52,6 +52,28 @@
         }
     }
 
+    /// Lets a unit, or all units of its gang, avoid a worker.
+    pub(crate) fn exclude_worker(&mut self, id: &WorkerId, key: &UnitKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        for unit in units_failing_with_mut(job, key) {
+            if !unit.excluded_workers.contains(id) {
+                unit.excluded_workers.push(id.clone());
+            }
+        }
+    }
+
+    /// Returns true if the failure of a unit in the run `number` is known, or if the unit, or its gang,
+    /// has failed in another run.
+    pub(crate) fn has_failed_before(&self, key: &UnitKey, number: u32) -> bool {
+        if self.unit(key).is_some_and(|unit| unit.failed_runs.contains(&number)) {
+            return true;
+        }
+        let failed_runs = self.jobs.get(&key.job).map(|job| failed_runs(job, key));
+        failed_runs.unwrap_or_default().iter().any(|other| *other != number)
+    }
+
     /// Returns whether a unit may be started once more.
     pub(crate) fn attempts_of(&self, key: &UnitKey) -> Attempts {
         let Some(job) = self.jobs.get(&key.job) else {
@@ -110,7 +132,20 @@
 fn units_failing_with<'a>(job: &'a Job, key: &UnitKey) -> &'a [Unit] {
     let occurrence = job.occurrences.iter().find(|other| other.number == key.occurrence);
     let units = occurrence.and_then(|occurrence| occurrence.steps.get(key.step));
-    let units = units.map(Vec::as_slice).unwrap_or_default();
-    let is_gang = job.record.steps.get(key.step).is_some_and(|step| step.is_gang);
-    if is_gang { units } else { units.get(key.index..=key.index).unwrap_or_default() }
+    units.and_then(|units| units.get(indices_failing_with(job, key))).unwrap_or_default()
+}
+
+/// Returns the same units, to change them.
+fn units_failing_with_mut<'a>(job: &'a mut Job, key: &UnitKey) -> &'a mut [Unit] {
+    let indices = indices_failing_with(job, key);
+    let occurrence = job.occurrences.iter_mut().find(|other| other.number == key.occurrence);
+    let units = occurrence.and_then(|occurrence| occurrence.steps.get_mut(key.step));
+    units.and_then(|units| units.get_mut(indices)).unwrap_or_default()
+}
+
+fn indices_failing_with(job: &Job, key: &UnitKey) -> Range<usize> {
+    match job.record.steps.get(key.step) {
+        Some(step) if step.is_gang => 0..step.count as usize,
+        _ => key.index..key.index.saturating_add(1),
+    }
 }
--- a/crates/scheduler/src/failure_history.rs
+++ b/crates/scheduler/src/failure_history.rs
@@ -1,7 +1,7 @@
 //! Recent failures by worker, which put faulty workers into quarantine.
 //!
-//! A failure counts against a worker, except that of a long-running unit or of a unit that has
-//! failed before, which may be at fault itself. A stalled run always counts. If units of several
+//! A failure counts against a worker, except that of a long-running unit or of a unit or gang that
+//! has failed before, which may be at fault itself. A stalled run always counts. If units of several
 //! jobs fail on a worker, with no success in between, the worker is quarantined for a time that
 //! doubles with each quarantine.
 
@@ -83,19 +83,20 @@
 }
 
 impl Scheduler {
-    /// Updates the history with the outcome of a run.
+    /// Updates the history with the outcome of the run `number` of a unit.
     pub(crate) fn update_failure_history(
         &mut self,
         worker: &WorkerId,
         key: &UnitKey,
+        number: u32,
         outcome: RunOutcome,
         now: Moment,
     ) {
-        let failed_before = self.unit(key).map_or(0, |unit| unit.failed_runs.len());
         match outcome {
             RunOutcome::Done => self.failure_history.record_success(worker),
+            RunOutcome::Failed if self.is_long_running(key) => {}
             // A unit that has failed before is more likely at fault than the worker.
-            RunOutcome::Failed if failed_before == 0 && !self.is_long_running(key) => {
+            RunOutcome::Failed if !self.has_failed_before(key, number) => {
                 self.record_failure(worker, key, "failed", now);
             }
             _ => {}
--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -54,11 +54,7 @@
             format!("worker={worker} percent={progress_percent}"),
         );
         self.record_failure(&worker, key, "made no progress", now);
-        if let Some(unit) = self.unit_mut(key)
-            && !unit.excluded_workers.contains(&worker)
-        {
-            unit.excluded_workers.push(worker.clone());
-        }
+        self.exclude_worker(&worker, key);
         self.request_stop_on(&worker, key, now);
     }
 }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -219,7 +219,7 @@
             let why = format!("ending={:?} run={} worker={id}", completion.outcome, completion.run);
             self.log_decision("run ended", key, why);
         }
-        self.update_failure_history(id, key, completion.outcome, now);
+        self.update_failure_history(id, key, completion.run, completion.outcome, now);
         if is_first_success {
             self.finish_unit(key, now);
         }
--- a/crates/scheduler/tests/gangs.rs
+++ b/crates/scheduler/tests/gangs.rs
@@ -7,15 +7,18 @@
 use std::sync::Arc;
 
 use rstest::rstest;
+use scheduler::Action;
 use scheduler::FinalState;
 use scheduler::JobRecord;
 use scheduler::JobView;
 use scheduler::Resources;
 use scheduler::RunOutcome;
+use scheduler::StartCommand;
 use scheduler::Step;
 use simulation::Simulation;
 use simulation::accepted_job;
 use simulation::config;
+use simulation::millis;
 use simulation::seconds;
 use simulation::step;
 use simulation::unit;
@@ -92,7 +95,12 @@
         fail(&mut sim, "a", ALL);
         sim.report(&first);
         sim.commit();
-        sim.take_over(epoch, config(ATTEMPTS_MAX, NO_QUOTA), seconds(6), &[record.clone()]);
+        sim.take_over(
+            epoch,
+            config(ATTEMPTS_MAX, NO_QUOTA),
+            seconds(6),
+            std::slice::from_ref(&record),
+        );
         sim.run_for(seconds(1));
     }
     assert!(!is_running(&sim), "no attempt is left");
@@ -113,3 +121,50 @@
     let progress = sim.stored_progress.get("a").unwrap();
     assert_eq!(progress.failed_runs, [((0, 0, 0), vec![1, 2])]);
 }
+
+/// Guards against a gang that goes back to a faulty worker, with the members that were only broken
+/// there.
+#[test]
+fn a_worker_that_fails_a_member_is_avoided_by_the_gang() {
+    let mut sim = Simulation::new(&WORKERS, config(ATTEMPTS_MAX, NO_QUOTA));
+    let sound = Step { per_worker_max: 1, ..step(4, 1_000) };
+    let sound = accepted_job(&config(ATTEMPTS_MAX, NO_QUOTA), "b", vec![sound], sim.now);
+    sim.scheduler.add_job(sound, sim.now);
+    sim.scheduler.add_job(gang(&sim), sim.now);
+    let starts = sim.run_for(millis(400));
+    let is_first = |command: &&StartCommand| command.unit == unit("a", 0, 0);
+    let faulty = starts.iter().find(is_first).unwrap().worker.clone();
+    fail(&mut sim, "a", FIRST);
+    // The worker has finished a unit since, so that it counts as sound for other jobs.
+    for index in 0..4 {
+        sim.complete_run(&unit("b", 0, index), RunOutcome::Done);
+    }
+    let starts = sim.run_for(seconds(1));
+    assert_eq!(starts.len(), MEMBERS);
+    assert!(starts.iter().all(|command| command.worker != faulty), "{faulty}: {starts:?}");
+}
+
+/// Guards against a sound worker that is quarantined for faulty gangs: each of their members counted
+/// as a unit that had not failed before.
+#[test]
+fn gangs_that_have_failed_before_do_not_count_against_a_worker() {
+    let mut sim = Simulation::new(&["w1"], config(ATTEMPTS_MAX, NO_QUOTA));
+    for id in ["a", "b"] {
+        let gang = Step { is_gang: true, ..step(MEMBERS as u32, 1_000) };
+        let config = config(ATTEMPTS_MAX, NO_QUOTA);
+        sim.scheduler.add_job(accepted_job(&config, id, vec![gang], sim.now), sim.now);
+    }
+    for id in ["a", "b"] {
+        // What has failed before counts no longer.
+        sim.run_for(seconds(7));
+        fail(&mut sim, id, FIRST);
+    }
+    sim.run_for(seconds(7));
+    fail(&mut sim, "a", LAST);
+    fail(&mut sim, "b", LAST);
+    assert_eq!(sim.run_for(seconds(1)).len(), 2 * MEMBERS);
+    let quarantined = sim.other_actions.iter().filter(
+        |action| matches!(action, Action::LogDecision { what, .. } if *what == "worker quarantined"),
+    );
+    assert_eq!(quarantined.count(), 0);
+}
