Judge whether a run stands still by what a percent of it takes

Reports tell progress in whole percent; a run that showed none for 2.5 s was stopped as stalled, though a percent of it takes 6 s, and each stop counted against the worker.

Ruled out: slow workers and lapsed leases; the percent rose as the duration says.

How long a run may show nothing follows its own longest percent, before that the expected duration, and also what a stop would lose and how often the unit was stopped. 2.5 s stay the least. A stall counts against the worker only if no other run moves on there and the unit has not stalled before. Related: runs that were slowed down, resumed, or are seen from the middle of a percent.

--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs that have not finished: their occurrences, units and runs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -109,6 +110,11 @@
     pub progress_percent: u32,
     /// When `progress_percent` last changed.
     pub progressed_at: Moment,
+    /// The last change of `progress_percent` was seen at full speed, or the start of the run, so that
+    /// the next change shows how long a percent takes.
+    pub sees_whole_percent: bool,
+    /// Longest time that a percent has taken at full speed; zero if none was seen.
+    pub percent_time_max: Duration,
     /// When a report last listed the run as running, or when the run was planned or found.
     pub listed_at: Moment,
     /// Latest checkpoint that a report has listed; empty if there is none.
@@ -137,6 +143,8 @@
             stop: None,
             progress_percent: 0,
             progressed_at: now,
+            sees_whole_percent: phase == Phase::Planned,
+            percent_time_max: Duration::ZERO,
             listed_at: now,
             checkpoint: String::new(),
             load: None,
@@ -160,6 +168,8 @@
     pub failed_runs: Vec<u32>,
     /// Runs whose worker has or may have crashed, which they may have caused.
     pub crashed_runs: Vec<CrashedRun>,
+    /// Number of its runs that were stopped as stalled.
+    pub stalled_runs: u32,
     /// Highest run number that is known to have been used.
     pub last_run: u32,
     /// Latest checkpoint; empty if there is none.
@@ -182,6 +192,7 @@
             finish_state: FinishState::Unfinished,
             failed_runs: Vec::new(),
             crashed_runs: Vec::new(),
+            stalled_runs: 0,
             last_run: run_number_base,
             checkpoint: String::new(),
             run: None,
--- a/crates/scheduler/src/speed_limits.rs
+++ b/crates/scheduler/src/speed_limits.rs
@@ -38,7 +38,7 @@
             let best_effort: Vec<&UnitKey> =
                 runs.iter().filter(|key| self.is_best_effort(key)).collect();
             for key in best_effort {
-                self.limit_speed(&id, key, worst_latency_percent);
+                self.limit_speed(&id, key, worst_latency_percent, now);
             }
         }
     }
@@ -60,7 +60,13 @@
         step.is_some_and(|step| step.is_best_effort)
     }
 
-    fn limit_speed(&mut self, worker: &WorkerId, key: &UnitKey, worst_latency_percent: u64) {
+    fn limit_speed(
+        &mut self,
+        worker: &WorkerId,
+        key: &UnitKey,
+        worst_latency_percent: u64,
+        now: Moment,
+    ) {
         let Some(known) = self.workers.get(worker) else {
             return;
         };
@@ -82,7 +88,7 @@
         if new_percent == old_percent && !is_in_doubt {
             return;
         }
-        run.speed_limit_percent = new_percent;
+        run.record_speed_limit(new_percent, now);
         let (worker, unit, run, percent) = (worker.clone(), key.clone(), run.number, new_percent);
         self.actions.push(Action::LimitSpeed { worker, address, token, unit, run, percent });
     }
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -352,15 +352,13 @@
         if is_long_running && running.progress_percent < FULL_PERCENT {
             unit.last_unavailable_at = now;
         }
+        let resumes = !unit.checkpoint.is_empty();
         let Some(run) = unit.run_on_mut(id) else {
             return;
         };
         run.number = running.run;
         run.phase = Phase::Reported;
-        if running.progress_percent != run.progress_percent {
-            run.progress_percent = running.progress_percent;
-            run.progressed_at = now;
-        }
+        run.record_progress(running.progress_percent, resumes, now);
         running.checkpoint.clone_into(&mut run.checkpoint);
         run.load = running.load;
         run.listed_at = now;
