Forget the crashes that counted against a unit once its run has lasted

A successor that has never heard of a worker can't tell how old a run there was, and counts it as one that had just started; five such crashes fail the job.

Ruled out: leaving such crashes out, since a harmful unit would not be found while owners change.

A unit that crashes its worker does so as it starts. If reports list its run for 2 s, what counted against the unit is forgotten, and this is stored. The limits for harmful units are unchanged.

--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -115,6 +115,8 @@
     pub sees_whole_percent: bool,
     /// Longest time that a percent has taken at full speed; zero if none was seen.
     pub percent_time_max: Duration,
+    /// When a report first listed the run as running, or when the run was planned or found.
+    pub first_listed_at: Moment,
     /// When a report last listed the run as running, or when the run was planned or found.
     pub listed_at: Moment,
     /// Latest checkpoint that a report has listed; empty if there is none.
@@ -145,6 +147,7 @@
             progressed_at: now,
             sees_whole_percent: phase == Phase::Planned,
             percent_time_max: Duration::ZERO,
+            first_listed_at: now,
             listed_at: now,
             checkpoint: String::new(),
             load: None,
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -33,6 +33,8 @@
 /// Maximum time between the start of a run and the last start on its worker for it to be among the
 /// last ones.
 const LAST_STARTS_SPAN: Duration = Duration::from_millis(150);
+/// Time for which reports have to list a run to show that its unit doesn't crash its worker as it starts.
+const CLEARED_AFTER: Duration = Duration::from_secs(2);
 /// Time before and after the start of a strong suspect in which its worker starts nothing else.
 pub(crate) const QUIET_TIME: Duration = Duration::from_millis(300);
 /// Time for which a strong suspect waits, after the lease of its silent worker has expired, for the
@@ -68,6 +70,15 @@
         if is_strong { Suspicion::Strong } else { Suspicion::Weak }
     }
 
+    /// Returns true if crashes count against the unit although its run has shown that it doesn't crash its
+    /// worker as it starts.
+    pub(crate) fn may_be_cleared(&self) -> bool {
+        let has_lasted =
+            |run: &Run| run.listed_at.saturating_sub(run.first_listed_at) >= CLEARED_AFTER;
+        self.crashed_runs.iter().any(CrashedRun::may_be_cause)
+            && self.run.as_ref().is_some_and(has_lasted)
+    }
+
     /// Returns the number of certain crashes for which the unit was among the last ones to start.
     fn crashes_when_last(&self) -> usize {
         let is_last = |run: &&CrashedRun| run.start_order == StartOrder::Last && run.is_certain;
@@ -77,8 +88,14 @@
     /// Returns the number of crashes, those included that are not certain, before which no other
     /// unit is known to have started later.
     fn possible_crashes(&self) -> usize {
-        let is_possible = |run: &&CrashedRun| run.start_order != StartOrder::Earlier;
-        self.crashed_runs.iter().filter(is_possible).count()
+        self.crashed_runs.iter().filter(|run| run.may_be_cause()).count()
+    }
+}
+
+impl CrashedRun {
+    /// Returns true unless another unit is known to have started later.
+    fn may_be_cause(&self) -> bool {
+        self.start_order != StartOrder::Earlier
     }
 }
 
@@ -115,6 +132,21 @@
         }
     }
 
+    /// Forgets the crashes that may have come from a unit as it started. It stays apart from others
+    /// after crashes that came later.
+    pub(crate) fn clear_suspect(&mut self, id: &WorkerId, key: &UnitKey) {
+        let Some(unit) = self.open_unit_mut(key) else {
+            return;
+        };
+        unit.crashed_runs.retain(|run| !run.may_be_cause());
+        let is_suspect = !unit.crashed_runs.is_empty();
+        if let Some(worker) = self.workers.get_mut(id).filter(|_| !is_suspect) {
+            worker.suspects.retain(|suspect| suspect != key);
+        }
+        self.mark_dirty(&key.job);
+        self.log_decision("unit cleared", key, format!("worker={id}"));
+    }
+
     /// Removes all runs on a worker, which have ended.
     pub(crate) fn remove_runs_on(&mut self, id: &str, end: RunEnd, now: Moment) {
         let units = self.workers.get(id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -356,12 +356,18 @@
         let Some(run) = unit.run_on_mut(id) else {
             return;
         };
+        if run.phase != Phase::Reported {
+            run.first_listed_at = now;
+        }
         run.number = running.run;
         run.phase = Phase::Reported;
         run.record_progress(running.progress_percent, resumes, now);
         running.checkpoint.clone_into(&mut run.checkpoint);
         run.load = running.load;
         run.listed_at = now;
+        if unit.may_be_cleared() {
+            self.clear_suspect(id, key);
+        }
     }
 
     /// Adds a run that an earlier owner has started, or whose start command took effect late.
--- a/crates/scheduler/tests/crash_evidence.rs
+++ b/crates/scheduler/tests/crash_evidence.rs
@@ -16,6 +16,7 @@
 use simulation::config;
 use simulation::job;
 use simulation::millis;
+use simulation::seconds;
 use simulation::step;
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
@@ -48,6 +49,48 @@
     assert_eq!(sim.scheduler.view("a") == Some(failed), is_given_up);
 }
 
+/// Guards against a job that is given up for losses that hit its worker and the owner together: a successor
+/// that has never heard of the worker took each run for one that had just started.
+#[test]
+fn losses_of_worker_and_owner_together_do_not_fail_a_job_that_has_run() {
+    let mut sim = Simulation::new(&["w1", "w2", "w3"], config(3, NO_QUOTA));
+    let record = job("a", vec![step(1, 1_000)], sim.now);
+    sim.scheduler.add_job(record.clone(), sim.now);
+    for epoch in 2..10 {
+        sim.run_for(seconds(4));
+        let worker = sim.workers.iter().find(|worker| !worker.running.is_empty());
+        let id = worker.expect("the unit runs").id.clone();
+        sim.worker(&id).crash();
+        sim.take_over(epoch, config(3, NO_QUOTA), seconds(6), std::slice::from_ref(&record));
+        sim.run_for(seconds(1));
+        sim.restart_worker(&id);
+        sim.run_for(seconds(2));
+        assert_eq!(sim.scheduler.view("a"), Some(JobView::Running), "after epoch {epoch}");
+    }
+}
+
+/// Guards against a unit that crashes its workers and is forgiven, since a worker that got its start late
+/// was listed as alive: only a run that reports have listed for a while shows that it does no harm.
+#[test]
+fn a_run_that_is_listed_once_does_not_clear_its_unit() {
+    let mut sim = Simulation::new(&["w1", "w2", "w3", "w4", "w5"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    for _ in 0..3 {
+        let starts = run_until_started(&mut sim);
+        let id = starts[0].worker.clone();
+        sim.now += millis(100);
+        sim.report(&id);
+        sim.now += millis(100);
+        sim.worker(&id).crash();
+        sim.scheduler.handle_failed_poll(&id, PollFailure::BrokenOff, sim.now);
+        sim.now += millis(500);
+        sim.restart_worker(&id);
+        sim.report_all();
+        sim.commit();
+    }
+    assert_eq!(sim.scheduler.view("a"), Some(JobView::Ended(FinalState::Failed)));
+}
+
 /// Makes decisions until a unit starts, without a report on it.
 fn run_until_started(sim: &mut Simulation) -> Vec<StartCommand> {
     for _ in 0..50 {
