Store the settings of a queue with a job in a short form

Each record of a job has them, so that the names of their fields and the seconds and nanoseconds of their times would add some 120 bytes to each row. The short form takes less than 90 with advice, and is read back as it was (the_settings_of_a_queue_are_stored_whole_and_short).

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -14,6 +14,7 @@
 use crate::QueueName;
 use crate::TeamName;
 use crate::config::Queue;
+use crate::stored_queue;
 
 /// Amounts of processors, memory and accelerators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -156,7 +157,7 @@
     pub pool: PoolName,
     /// Settings of the queue at the time the job was accepted; `None` if an earlier version of the
     /// program has stored the job.
-    #[serde(rename = "qs", skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "qs", with = "stored_queue", skip_serializing_if = "Option::is_none")]
     pub queue_settings: Option<Box<Queue>>,
     /// Team that submitted it; `None` on a queue that is open to all.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -54,6 +54,7 @@
 mod shrunk_workers;
 mod speed_limits;
 mod stalled;
+mod stored_queue;
 mod storing;
 mod takeover;
 mod tokens;
--- a/crates/scheduler/tests/dropped_queues.rs
+++ b/crates/scheduler/tests/dropped_queues.rs
@@ -5,12 +5,14 @@
 mod simulation;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rstest::rstest;
 use scheduler::Action;
 use scheduler::AdviceTimes;
 use scheduler::Config;
 use scheduler::FinalState;
+use scheduler::JobRecord;
 use scheduler::JobView;
 use scheduler::Queue;
 use scheduler::Resources;
@@ -168,3 +170,21 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(&*starts[0].unit.job, "b");
 }
+
+/// Guards against settings that are not the same after a take-over, and against rows that grow by more
+/// than they have to.
+#[test]
+fn the_settings_of_a_queue_are_stored_whole_and_short() {
+    let times = AdviceTimes {
+        call_time: Duration::from_micros(2_500),
+        time_per_worker: millis(1),
+        ticket_validity: seconds(60),
+    };
+    let queue = config(4, NO_QUOTA).queues.get("q").cloned().unwrap();
+    let queue = Box::new(Queue { advice: Some(times), ..queue });
+    let record = JobRecord { queue_settings: Some(queue), ..JobRecord::default() };
+    let row = serde_json::to_string(&record).unwrap();
+    assert_eq!(serde_json::from_str::<JobRecord>(&row).unwrap(), record);
+    let without = serde_json::to_string(&JobRecord::default()).unwrap();
+    assert!(row.len() - without.len() < 90, "{row}");
+}
