Place no step of a job that fails in the same round

A job one of whose units had no attempts left was failed after its waiting steps had been collected, so that a run of another step was planned and withdrawn again.

--- a/crates/scheduler/src/failure_history.rs
+++ b/crates/scheduler/src/failure_history.rs
@@ -1,9 +1,9 @@
 //! Recent failures by worker, which put faulty workers into quarantine.
 //!
 //! A failure counts against a worker, except that of a long-running unit or of a unit or gang that
-//! has failed before, which may be at fault itself. A stalled run always counts. If units of several
-//! jobs fail on a worker, with no success in between, the worker is quarantined for a time that
-//! doubles with each quarantine.
+//! has failed before, which may be at fault itself. A stalled run counts unless others move on there
+//! or its unit has stalled before. If units of several jobs fail on a worker, with no success in
+//! between, the worker is quarantined for a time that doubles with each quarantine.
 
 use std::time::Duration;
 
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -118,6 +118,7 @@
         let WaitingUnits { steps: mut waiting, exhausted } = self.waiting_units(now);
         for key in exhausted {
             self.fail_job_without_attempts(&key, now);
+            waiting.retain(|step| step.first_unit.job != key.job);
         }
         // Strong suspects come first, since they may have to reserve a worker.
         let order = |step: &WaitingStep| (!step.has_strong_suspect, step.priority);
--- a/crates/scheduler/tests/dropped_queues.rs
+++ b/crates/scheduler/tests/dropped_queues.rs
@@ -127,6 +127,24 @@
     assert_eq!(sim.scheduler.view("a"), FAILED);
 }
 
+/// Guards against a start of another step of a job that fails in the same round.
+#[test]
+fn no_step_of_a_job_without_attempts_is_started() {
+    let mut sim = Simulation::new(&["w1"], config(4, NO_QUOTA));
+    let steps = vec![step(1, 16_000), step(1, 16_000)];
+    sim.scheduler.add_job(accepted_job(&config(4, NO_QUOTA), "a", steps, sim.now), sim.now);
+    for _ in 0..2 {
+        assert_eq!(sim.run_for(seconds(1)).len(), 1);
+        sim.complete_run(&unit("a", 0, 0), RunOutcome::Failed);
+    }
+    sim.report_all();
+    sim.scheduler.set_config(config(2, NO_QUOTA));
+    sim.scheduler.plan(sim.now + millis(100));
+    assert_eq!(sim.scheduler.team_usage("t"), NO_QUOTA, "no run is planned");
+    assert_eq!(sim.run_for(seconds(1)), []);
+    assert_eq!(sim.scheduler.view("a"), FAILED);
+}
+
 /// Guards against a start without a ticket, which the worker refuses: a dropped queue counted as one
 /// whose units may run anywhere.
 #[test]
