Tell from the reply to a start which incarnation has carried it out

The reply to a start shows the worker's clock. The clock of a later incarnation begins at zero after the last reading, so that it is lower. A line and a counter tell of such starts; `worker started again` tells what was acknowledged. No decision changes.

--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -38,6 +38,8 @@
 pub const RUNS_MOVED: &str = "runs.moved";
 /// Runs that a worker has listed although their units were assigned to another one.
 pub const UNITS_ON_TWO_WORKERS: &str = "units.on-two-workers";
+/// Starts whose reply doesn't show that the known incarnation of the worker has carried them out.
+pub const STARTS_OF_UNKNOWN_INCARNATIONS: &str = "starts.of-unknown-incarnations";
 /// Runs whose durations were recorded for the expected ones.
 pub const DURATION_SAMPLES: &str = "durations.samples";
 /// Time until a start command is answered.
@@ -90,6 +92,10 @@
         UNITS_ON_TWO_WORKERS,
         "runs listed by a worker although their units were assigned to another one",
     ),
+    counter(
+        STARTS_OF_UNKNOWN_INCARNATIONS,
+        "starts that the known incarnation of the worker may not have carried out",
+    ),
     counter(DURATION_SAMPLES, "runs whose durations were recorded"),
     timer(RUNS_START, "time of an order to start"),
     timer(COMPLETIONS_STORE, "time from the report of ends until they can be acknowledged"),
--- a/crates/coordinator/src/owner/actions.rs
+++ b/crates/coordinator/src/owner/actions.rs
@@ -39,7 +39,7 @@
                 self.handle_report(worker, sent, result);
             }
             Event::Started { worker, unit, run, token, reply } => {
-                if reply != StartReply::Started {
+                if !matches!(reply, StartReply::Started { .. }) {
                     self.log_not_started(&worker, &unit, run, reply);
                 }
                 self.count_start(&unit.job, reply, now);
@@ -213,7 +213,7 @@
 
     fn count_start(&self, job: &str, reply: StartReply, now: Moment) {
         let telemetry = &self.shared.node.telemetry;
-        if reply != StartReply::Started {
+        if !matches!(reply, StartReply::Started { .. }) {
             telemetry.count(metrics::RUNS_NOT_STARTED);
             if reply == StartReply::Withheld {
                 telemetry.count(metrics::STARTS_WITHHELD);
--- a/crates/coordinator/src/owner/stats.rs
+++ b/crates/coordinator/src/owner/stats.rs
@@ -70,6 +70,7 @@
             (metrics::STARTS_WITHHELD, counts.starts_withheld),
             (metrics::UNITS_EVACUATED, counts.units_evacuated),
             (metrics::UNITS_ON_TWO_WORKERS, counts.units_on_two_workers),
+            (metrics::STARTS_OF_UNKNOWN_INCARNATIONS, counts.starts_of_unknown_incarnations),
             (metrics::RUNS_MOVED, counts.moved_runs),
         ];
         for (name, count) in counters.into_iter().filter(|(_, count)| *count > 0) {
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -376,7 +376,7 @@
         };
         data.running.push((command.worker.clone(), running, std::time::Instant::now()));
         data.running_max = data.running_max.max(data.running.len());
-        StartReply::Started
+        StartReply::Started { clock_ms: clock::now().as_millis() as u64 }
     }
 
     async fn stop_run(
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -41,9 +41,9 @@
             return;
         }
         match reply {
-            StartReply::Started => {
+            StartReply::Started { clock_ms } => {
                 self.count_cold_start(worker, now);
-                self.confirm_start(worker, key, now);
+                self.confirm_start(worker, key, clock_ms, now);
             }
             StartReply::Unknown => self.mark_in_doubt(worker, key, now),
             StartReply::OtherInstance if self.is_current_token(worker, token) => {
@@ -134,14 +134,25 @@
         }
     }
 
-    fn confirm_start(&mut self, worker: &WorkerId, key: &UnitKey, now: Moment) {
-        let Some(run) = self.run_on_mut(key, worker) else {
+    /// Records that a start was carried out, by the incarnation with this clock.
+    fn confirm_start(&mut self, id: &WorkerId, key: &UnitKey, clock_ms: u64, now: Moment) {
+        let sent_at = self.run_on(key, id).map(|run| run.since);
+        let worker = self.workers.get(id);
+        let is_own = worker
+            .zip(sent_at)
+            .is_some_and(|(worker, sent_at)| worker.is_own_clock(clock_ms, sent_at, now));
+        let Some(run) = self.run_on_mut(key, id) else {
             return;
         };
         if run.phase != Phase::Reported {
             run.phase = Phase::Confirmed(now);
             run.progressed_at = now;
         }
+        if !is_own {
+            self.counts.starts_of_unknown_incarnations += 1;
+            let why = format!("worker={id} clock_ms={clock_ms}");
+            self.log_decision("start may be of another incarnation", key, why);
+        }
         self.mark_started(&key.job);
     }
 
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -17,6 +17,8 @@
     /// Runs that a worker has listed although their units were assigned to another one; each report
     /// counts.
     pub units_on_two_workers: u64,
+    /// Starts whose reply doesn't show that the known incarnation of the worker has carried them out.
+    pub starts_of_unknown_incarnations: u64,
     /// Runs that were stopped so that their units run on another worker.
     pub moved_runs: u64,
 }
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -224,8 +224,11 @@
 /// Result of a start command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartReply {
-    /// The run has started.
-    Started,
+    /// The run has started, or had before.
+    Started {
+        /// Clock of the worker at the reply, in milliseconds; 0 if the reply doesn't tell it.
+        clock_ms: u64,
+    },
     /// The worker has seen a higher fencing token.
     Fenced,
     /// The number of the run is too low.
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -163,7 +163,8 @@
         now: Moment,
     ) {
         let subject = id.to_owned();
-        let why = format!("born_ms={}", registration.incarnation_started_ms);
+        let why = self.workers.get(id).map(Worker::calls_in_flight).unwrap_or_default();
+        let why = format!("born_ms={} {why}", registration.incarnation_started_ms);
         self.log_decision("worker started again", subject, why);
         let possible = self.possible_runs_of_restarted(id);
         self.handle_worker_end(id, end, now);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -31,10 +31,12 @@
     Heard(Moment),
 }
 
-/// A reading of the worker's clock, taken from a reply.
+/// A reading of the worker's clock, taken from the reply to a poll.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
     clock_ms: u64,
+    /// When the poll was sent: the worker was alive after that.
+    requested_at: Moment,
     received_at: Moment,
 }
 
@@ -208,8 +210,19 @@
     }
 
     /// Records the reading of the worker's clock in a reply.
-    pub fn record_clock(&mut self, clock_ms: u64, received_at: Moment) {
-        self.clock = Some(ClockReading { clock_ms, received_at });
+    pub fn record_clock(&mut self, clock_ms: u64, requested_at: Moment, received_at: Moment) {
+        self.clock = Some(ClockReading { clock_ms, requested_at, received_at });
+    }
+
+    /// Returns true if only the known incarnation can have shown this clock in its reply to a call
+    /// that was sent at `sent_at`: the clock of a later one began at zero after the last reading.
+    pub fn is_own_clock(&self, clock_ms: u64, sent_at: Moment, now: Moment) -> bool {
+        let Some(reading) = self.clock else {
+            return false;
+        };
+        let later_max_ms = now.saturating_sub(reading.requested_at).as_millis() as u64;
+        let own_min_ms = self.clock_min_ms(sent_at);
+        clock_ms > later_max_ms && own_min_ms.is_some_and(|own_min_ms| clock_ms >= own_min_ms)
     }
 
     /// Returns the lowest time that the worker's clock can show now, in milliseconds; `None` if the
@@ -263,6 +276,13 @@
         }
     }
 
+    /// Describes, for the log, what may have reached a later incarnation.
+    pub fn calls_in_flight(&self) -> String {
+        let (stored, acknowledged) = (self.last_stored_completion, self.acknowledged_completion);
+        let runs = self.runs.len();
+        format!("runs={runs} stored={stored} acknowledged={acknowledged}")
+    }
+
     /// Returns the time after which nothing runs there, unless the lease is renewed.
     pub fn lease_over_at(&self) -> Moment {
         self.lease_expires_at.max(self.stray_lease_until)
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -45,7 +45,7 @@
         poll: SentPoll,
         now: Moment,
     ) {
-        if !self.record_contact(id, report, now) {
+        if !self.record_contact(id, report, poll.sent_at, now) {
             return;
         }
         let lease_max = self.settings.lease_max;
@@ -128,9 +128,15 @@
         }
     }
 
-    /// Records that a worker has replied. Returns false if the reply is from an earlier
+    /// Records that a worker has replied to a poll. Returns false if the reply is from an earlier
     /// incarnation.
-    fn record_contact(&mut self, id: &WorkerId, report: &WorkerReport, now: Moment) -> bool {
+    fn record_contact(
+        &mut self,
+        id: &WorkerId,
+        report: &WorkerReport,
+        sent_at: Moment,
+        now: Moment,
+    ) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
@@ -159,7 +165,7 @@
         worker.first_contact_at.get_or_insert(now);
         worker.failed_polls = 0;
         worker.broken_off_at = None;
-        worker.record_clock(report.clock_ms, now);
+        worker.record_clock(report.clock_ms, sent_at, now);
         self.handle_worker_return(id);
         true
     }
--- a/crates/scheduler/tests/common/simulated_worker.rs
+++ b/crates/scheduler/tests/common/simulated_worker.rs
@@ -3,6 +3,7 @@
 use scheduler::Completion;
 use scheduler::CompletionList;
 use scheduler::FencingToken;
+use scheduler::Moment;
 use scheduler::RunOutcome;
 use scheduler::RunStatus;
 use scheduler::UnitKey;
@@ -23,6 +24,8 @@
     /// Highest token that it has seen.
     pub seen_token: FencingToken,
     pub incarnation_started_ms: u64,
+    /// When its clock showed zero.
+    pub clock_started_at: Moment,
     pub rack: &'static str,
 }
 
@@ -37,6 +40,7 @@
             is_responsive: true,
             seen_token: 0,
             incarnation_started_ms: 1,
+            clock_started_at: Moment::ZERO,
             rack: "r1-1",
         }
     }
@@ -69,6 +73,17 @@
         self.is_responsive = true;
     }
 
+    /// Starts a crashed worker again with a clock that begins anew, as a platform's worker has.
+    pub fn restart_with_new_clock(&mut self, now: Moment) {
+        self.restart();
+        self.clock_started_at = now;
+    }
+
+    /// Returns what its clock shows, in milliseconds.
+    pub fn clock_ms(&self, now: Moment) -> u64 {
+        (now - self.clock_started_at).as_millis() as u64
+    }
+
     /// Returns true unless it has seen a higher token.
     pub fn accepts_token(&mut self, token: FencingToken) -> bool {
         let is_accepted = token >= self.seen_token;
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -254,7 +254,7 @@
 
     /// Sends the report of a worker, if it is responsive.
     pub fn report(&mut self, id: &str) {
-        let clock_ms = self.now.as_millis() as u64;
+        let now = self.now;
         let poll = self.poll(id);
         let worker = self.worker(id);
         if !worker.is_responsive || !worker.accepts_token(poll.token) {
@@ -262,7 +262,7 @@
         }
         let report = WorkerReport {
             incarnation_started_ms: worker.incarnation_started_ms,
-            clock_ms,
+            clock_ms: worker.clock_ms(now),
             running: worker.running.clone(),
             completions: worker.listed_completions(),
         };
@@ -354,10 +354,11 @@
     }
 
     fn start(&mut self, command: &StartCommand) {
+        let now = self.now;
         let worker = self.worker(&command.worker);
         let reply = if worker.is_responsive && worker.accepts_token(command.token) {
             worker.add_run(&command.unit, command.run);
-            StartReply::Started
+            StartReply::Started { clock_ms: worker.clock_ms(now) }
         } else {
             StartReply::Unknown
         };
--- a/crates/scheduler/tests/crash_evidence.rs
+++ b/crates/scheduler/tests/crash_evidence.rs
@@ -99,7 +99,7 @@
         let starts = sim.run_round();
         if !starts.is_empty() {
             let StartCommand { worker, unit, run, token, .. } = &starts[0];
-            let reply = StartReply::Started;
+            let reply = StartReply::Started { clock_ms: sim.now.as_millis() as u64 };
             sim.scheduler.handle_start_reply(worker, unit, *run, *token, reply, sim.now);
             return starts;
         }
