Wait for the longest lease of a worker that may have started again unknown

What callers saw: a unit ran on two workers at the same time. Its worker had started again under its id, carried out a start, and was cut off before the owner had learned of the restart. The later incarnation takes the deadline for a time far ahead and keeps the run for 10 s; the owner started the unit elsewhere after 5 s.

Cause: a call names the worker and is meant for an incarnation. Until now the longest lease was reckoned with only once a restart was known, from a reply to a poll or from the registry. A poll that was waiting when the worker lost power takes up to 2.9 s to fail, and starts are sent until 2.8 s after the last reply.

Change: a run counts as one of the known incarnation if that one has listed it, or if the reply to its start shows its clock. For other runs of a silent worker, the owner waits for the longest lease, counted from the last command with a deadline. All other runs are started again as soon as before.

Ruled out: waiting so for each run of a silent worker, as it would keep all units of a cut-off worker away for 13 s.

Tests: two of unknown_restarts failed before. restart_model no longer takes the restart for known when a lease expires; without either of the two new guards it finds two runs.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -265,7 +265,7 @@
             return;
         };
         let deadline_ms = clock_ms + validity.as_millis() as u64;
-        worker.record_lease_request(deadline_ms);
+        worker.record_lease_request(deadline_ms, now);
         let (address, token) = (worker.registration.address, worker.token);
         let Some(unit) = self.unit_mut(key) else {
             return;
@@ -328,6 +328,7 @@
         }
         let mut run = Run::new(stored.number, stored.worker, Phase::InDoubt, step, now);
         run.precedes_others = stored.precedes_others;
+        run.is_of_known_incarnation = true;
         self.add_run(key, run, now);
     }
 }
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -147,6 +147,7 @@
         if run.phase != Phase::Reported {
             run.phase = Phase::Confirmed(now);
             run.progressed_at = now;
+            run.is_of_known_incarnation = is_own;
         }
         if !is_own {
             self.counts.starts_of_unknown_incarnations += 1;
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -93,6 +93,9 @@
     pub kind: UnitKind,
     /// What the owner knows about the run.
     pub phase: Phase,
+    /// Only the known incarnation of the worker can have it: that one has listed the run, or has
+    /// confirmed the start.
+    pub is_of_known_incarnation: bool,
     /// When the start command was sent, or when the run was planned or found.
     pub since: Moment,
     /// The worker has confirmed to an earlier owner others that were started after this one.
@@ -137,6 +140,7 @@
             worker,
             kind: UnitKind::of(step),
             phase,
+            is_of_known_incarnation: phase == Phase::Reported,
             since: now,
             precedes_others: false,
             deadline_ms: 0,
@@ -156,6 +160,12 @@
         }
     }
 
+    /// Returns true if a later incarnation of the worker, of which the owner doesn't know, may have
+    /// started the run.
+    pub(crate) fn may_be_of_later_incarnation(&self) -> bool {
+        self.phase != Phase::Planned && !self.is_of_known_incarnation
+    }
+
     /// Returns when the run was started; a planned run will be started now or later.
     pub(crate) fn started_at(&self, now: Moment) -> Moment {
         if self.phase == Phase::Planned { now } else { self.since }
--- a/crates/scheduler/src/lost_runs.rs
+++ b/crates/scheduler/src/lost_runs.rs
@@ -112,13 +112,20 @@
         self.count_crash(&suspects, now);
     }
 
-    /// Removes the runs of a silent worker whose lease has expired. It may have crashed.
-    pub(crate) fn handle_lease_expiry(&mut self, id: &WorkerId, end: RunEnd, now: Moment) {
-        let suspects = self.suspects_on(id);
+    /// Removes runs of a silent worker that have ended with its lease. It may have crashed.
+    pub(crate) fn handle_lease_expiry(
+        &mut self,
+        id: &WorkerId,
+        ended: &[(UnitKey, RunEnd)],
+        now: Moment,
+    ) {
+        let mut suspects = self.suspects_on(id);
+        suspects.retain(|(key, _)| ended.iter().any(|(unit, _)| unit == key));
         if !suspects.is_empty() {
-            self.silent_suspects.insert(id.clone(), suspects.clone());
+            let silent = self.silent_suspects.entry_or(id.clone(), Vec::new);
+            silent.extend(suspects.iter().cloned());
         }
-        self.remove_runs_on(id, end, now);
+        self.remove_lost_runs(id, ended, now);
         self.count_crash(&suspects, now);
     }
 
@@ -225,7 +232,10 @@
         runs.map(|(_, run)| run.started_at(now)).max().unwrap_or_default()
     }
 
-    fn runs_on<'a>(&'a self, worker: &'a Worker) -> impl Iterator<Item = (&'a UnitKey, &'a Run)> {
+    pub(crate) fn runs_on<'a>(
+        &'a self,
+        worker: &'a Worker,
+    ) -> impl Iterator<Item = (&'a UnitKey, &'a Run)> {
         let id = &worker.registration.id;
         worker.runs.iter().filter_map(|key| Some((key, self.run_on(key, id)?)))
     }
--- a/crates/scheduler/src/run_end.rs
+++ b/crates/scheduler/src/run_end.rs
@@ -9,6 +9,8 @@
 //! limited number of completions at a time, and a run that has ended may be beyond them. Such
 //! evidence takes an [`AbsentRun`], which only a complete report gives.
 
+use std::time::Duration;
+
 use crate::Moment;
 use crate::WorkerId;
 use crate::job::UnitKey;
@@ -132,9 +134,19 @@
         is_earlier.then_some(Self { evidence: EndEvidence::LaterRun })
     }
 
-    /// Returns the end of all runs on a worker whose lease has expired.
-    pub fn lease_expired(worker: &Worker, now: Moment) -> Option<Self> {
-        let is_expired = now >= worker.lease_over_at();
+    /// Returns the end of a run on a silent worker whose lease has expired; `lease_max` is the
+    /// longest one that it grants.
+    pub fn lease_expired(
+        run: &Run,
+        worker: &Worker,
+        lease_max: Duration,
+        now: Moment,
+    ) -> Option<Self> {
+        let over_at = match run.may_be_of_later_incarnation() {
+            true => worker.longest_lease_over_at(lease_max),
+            false => worker.lease_over_at(),
+        };
+        let is_expired = now >= over_at;
         is_expired.then_some(Self { evidence: EndEvidence::LeaseExpired })
     }
 
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -177,7 +177,7 @@
             return None;
         }
         let deadline_ms = worker.clock_min_ms(now)? + lease.as_millis() as u64;
-        worker.record_lease_request(deadline_ms);
+        worker.record_lease_request(deadline_ms, now);
         Some(deadline_ms)
     }
 
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -212,7 +212,12 @@
             return;
         }
         // Replies of the earlier incarnation to other commands say nothing about this one.
-        let run = Run { stop: None, speed_limit_percent: FULL_PERCENT, ..run };
+        let run = Run {
+            is_of_known_incarnation: false,
+            stop: None,
+            speed_limit_percent: FULL_PERCENT,
+            ..run
+        };
         if is_settled_by_report(&run) {
             return self.add_run(key, run, now);
         }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -105,6 +105,9 @@
     /// Time after which no lease is left that a command to an earlier incarnation may have given
     /// this one.
     pub stray_lease_until: Moment,
+    /// When a command with a deadline was last sent: each may give a later incarnation a lease of
+    /// the longest duration.
+    deadline_sent_at: Moment,
     /// Number of consecutive polls that were not answered.
     pub failed_polls: u32,
     /// When a poll first broke off since the last reply: if the worker has crashed, it did so then
@@ -155,6 +158,7 @@
             acknowledged_completion: 0,
             lease_expires_at,
             stray_lease_until: Moment::ZERO,
+            deadline_sent_at: now,
             failed_polls: 0,
             broken_off_at: None,
             backoff_until: Moment::ZERO,
@@ -234,8 +238,9 @@
         Some(clock.clock_ms + elapsed_min.as_millis() as u64)
     }
 
-    /// Records that a lease until `deadline_ms` of the worker's clock was requested.
-    pub fn record_lease_request(&mut self, deadline_ms: u64) {
+    /// Records that a lease until `deadline_ms` of the worker's clock is requested now.
+    pub fn record_lease_request(&mut self, deadline_ms: u64, now: Moment) {
+        self.deadline_sent_at = now;
         let Some(clock) = self.clock else {
             return;
         };
@@ -288,6 +293,13 @@
         self.lease_expires_at.max(self.stray_lease_until)
     }
 
+    /// Returns the time after which nothing runs there that a later incarnation may have started,
+    /// of which the owner doesn't know.
+    pub fn longest_lease_over_at(&self, lease_max: Duration) -> Moment {
+        let over_at = self.deadline_sent_at + CALL_TIME_MAX + true_time_max(lease_max);
+        over_at.max(self.lease_over_at())
+    }
+
     /// Returns true if a command with the deadline `deadline_ms` cannot take effect any more.
     pub fn is_deadline_past(&self, deadline_ms: u64, now: Moment) -> bool {
         self.clock_min_ms(now).is_some_and(|clock_ms| clock_ms > deadline_ms)
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -108,10 +108,13 @@
         };
         let silent = self.workers.iter().filter(|(_, worker)| is_silent(worker));
         let expired = silent
-            .filter_map(|(id, worker)| Some((id.clone(), RunEnd::lease_expired(worker, now)?)));
-        for (id, end) in expired.collect::<Vec<(WorkerId, RunEnd)>>() {
-            self.log_decision("lease of a silent worker is over", id.clone(), String::new());
-            self.handle_lease_expiry(&id, end, now);
+            .map(|(id, worker)| (id.clone(), self.expired_runs(worker, now)))
+            .filter(|(_, ended)| !ended.is_empty());
+        for (id, ended) in expired.collect::<Vec<(WorkerId, Vec<(UnitKey, RunEnd)>)>>() {
+            let left = self.workers.get(&id).map_or(0, |worker| worker.runs.len() - ended.len());
+            let why = format!("runs={} left={left}", ended.len());
+            self.log_decision("lease of a silent worker is over", id.clone(), why);
+            self.handle_lease_expiry(&id, &ended, now);
         }
         let is_removable = |worker: &Worker| {
             let is_suspect_host = self.silent_suspects.contains(&worker.registration.id);
@@ -128,6 +131,16 @@
         }
     }
 
+    /// Returns the runs of a silent worker that have ended with its lease.
+    fn expired_runs(&self, worker: &Worker, now: Moment) -> Vec<(UnitKey, RunEnd)> {
+        let lease_max = self.settings.lease_max;
+        let runs = self.runs_on(worker);
+        let ended = runs.filter_map(|(key, run)| {
+            Some((key.clone(), RunEnd::lease_expired(run, worker, lease_max, now)?))
+        });
+        ended.collect()
+    }
+
     /// Records that a worker has replied to a poll. Returns false if the reply is from an earlier
     /// incarnation.
     fn record_contact(
@@ -367,6 +380,7 @@
         }
         run.number = running.run;
         run.phase = Phase::Reported;
+        run.is_of_known_incarnation = true;
         run.record_progress(running.progress_percent, resumes, now);
         running.checkpoint.clone_into(&mut run.checkpoint);
         run.load = running.load;
--- a/crates/scheduler/tests/restart_model.rs
+++ b/crates/scheduler/tests/restart_model.rs
@@ -11,9 +11,9 @@
 //! A worker takes longer to start again than an owner takes to poll it once more, so that a poll
 //! goes unanswered in between.
 //!
-//! Not covered (docs/incidents/restarted-workers.md): a later incarnation that gets a start and
-//! falls silent before it has answered any call, so that the owner doesn't learn of it; and an
-//! acknowledgement that is in flight at the restart and arrives after the end of a run that the
+//! The owner may never learn of the later incarnation, if that falls silent.
+//!
+//! Not covered (docs/incidents/restarted-workers.md): an acknowledgement that is in flight at the restart and arrives after the end of a run that the
 //! later incarnation has started for a call with the token of the earlier one.
 
 #[path = "common/explorer.rs"]
@@ -42,6 +42,12 @@
     LongestLease,
     /// It also reckons with calls that are still in flight.
     CallsInFlight,
+    /// It reckons with the longest lease for runs that an incarnation may have started of which it
+    /// doesn't know.
+    UnknownIncarnation,
+    /// It tells from the clock in the reply to a start whether the known incarnation has carried it
+    /// out.
+    ReplyClock,
     /// It keeps starts without a reply in doubt until the later incarnation has replied to a stop.
     UnansweredStart,
     /// It keeps confirmed starts until the later incarnation has replied: the reply to a start
@@ -70,8 +76,8 @@
 enum Known {
     Nothing,
     Commanded,
-    /// The start was confirmed; the reply doesn't tell by which incarnation.
-    Confirmed,
+    /// The start was confirmed. True if the reply shows the clock of the known incarnation.
+    Confirmed(bool),
     /// The known incarnation has listed the run.
     Reported,
     /// A start was sent to the earlier incarnation. True once the later one has replied to a stop.
@@ -124,8 +130,8 @@
     /// The known incarnation has replied to a call with this token.
     is_token_seen: bool,
     last_stored_completion: u8,
-    /// When the owner takes the lease that it requested from a silent worker for expired.
-    lease_expires_at: u8,
+    /// When the owner last sent a call with a deadline.
+    deadline_sent_at: u8,
     /// When it takes a lease for expired that a call to an earlier incarnation may have given.
     stray_lease_until: u8,
     known: Known,
@@ -164,11 +170,11 @@
         successors.extend(self.send_start(state));
         successors.extend(stop(state));
         successors.extend(finish(state));
-        successors.extend(expire_lease(state));
+        successors.extend(self.expire_lease(state));
         successors.extend(start_elsewhere(state));
         if let Some(started) = deliver_start(state).filter(|_| self.may_deliver_start(state)) {
             successors.push(started);
-            successors.extend(confirm_start(&started));
+            successors.extend(self.confirm_start(&started));
         }
         for (index, call) in state.polls.iter().enumerate() {
             let Some(call) = *call else {
@@ -238,7 +244,7 @@
             Known::Commanded | Known::InDoubt(_) if self.has(Guard::UnansweredStart) => {
                 Known::InDoubt(false)
             }
-            Known::Confirmed if self.has(Guard::ConfirmedStart) => Known::Confirmed,
+            Known::Confirmed(_) if self.has(Guard::ConfirmedStart) => Known::Confirmed(false),
             Known::Done => Known::Done,
             _ => Known::Nothing,
         };
@@ -271,11 +277,10 @@
 
     fn send_poll(&self, state: &State) -> Option<State> {
         let index = state.polls.iter().position(Option::is_none)?;
-        let lease_expires_at = state.lease_expires_at.max(state.now + LEASE);
         let may_acknowledge = !state.is_poll_unanswered || !self.has(Guard::AnsweredPoll);
         let mut poll = call(state);
         poll.last_stored_completion *= u8::from(may_acknowledge);
-        let mut next = State { lease_expires_at, is_poll_unanswered: true, ..*state };
+        let mut next = State { deadline_sent_at: state.now, is_poll_unanswered: true, ..*state };
         next.polls[index] = Some(poll);
         next.polls.sort_by_key(order);
         Some(next)
@@ -296,10 +301,29 @@
             start: Some(call(state)),
             known: Known::Commanded,
             last_run: state.last_run + 1,
-            lease_expires_at: state.lease_expires_at.max(state.now + LEASE),
+            deadline_sent_at: state.now,
             ..*state
         })
     }
+
+    /// The reply to a start arrives.
+    fn confirm_start(&self, state: &State) -> Option<State> {
+        let is_own = state.incarnation == state.known_incarnation || !self.has(Guard::ReplyClock);
+        let is_confirmed = state.running.is_some() && state.known == Known::Commanded;
+        is_confirmed.then_some(State { known: Known::Confirmed(is_own), ..*state })
+    }
+
+    /// The owner takes the lease of the silent worker for expired.
+    fn expire_lease(&self, state: &State) -> Option<State> {
+        let is_of_known = matches!(state.known, Known::Reported | Known::Confirmed(true));
+        let lease = match is_of_known || !self.has(Guard::UnknownIncarnation) {
+            true => LEASE,
+            false => CALL_TIME_MAX + LEASE_MAX,
+        };
+        let is_expired = state.now > (state.deadline_sent_at + lease).max(state.stray_lease_until);
+        let is_open = state.known != Known::Done;
+        (is_expired && is_open).then_some(State { known: Known::Nothing, ..*state })
+    }
 }
 
 fn call(state: &State) -> Call {
@@ -365,12 +389,6 @@
     Some(next)
 }
 
-/// The reply to a start arrives.
-fn confirm_start(state: &State) -> Option<State> {
-    let is_confirmed = state.running.is_some() && state.known == Known::Commanded;
-    is_confirmed.then_some(State { known: Known::Confirmed, ..*state })
-}
-
 /// A stop command is carried out and answered.
 fn stop(state: &State) -> Option<State> {
     let stopped = State {
@@ -395,13 +413,6 @@
     (!is_earlier_open).then_some(finished)
 }
 
-fn expire_lease(state: &State) -> Option<State> {
-    let is_known = state.known_incarnation == state.incarnation;
-    let is_expired = state.now > state.lease_expires_at.max(state.stray_lease_until);
-    let is_open = state.known != Known::Done;
-    (is_known && is_expired && is_open).then_some(State { known: Known::Nothing, ..*state })
-}
-
 fn start_elsewhere(state: &State) -> Option<State> {
     let can_start = state.known == Known::Nothing && !state.is_elsewhere;
     let has_restarted = state.has_restarted || state.is_done;
@@ -423,7 +434,7 @@
         token: 0,
         is_token_seen: true,
         last_stored_completion: FIRST_COMPLETION,
-        lease_expires_at: 0,
+        deadline_sent_at: 0,
         stray_lease_until: 0,
         known: Known::Nothing,
         last_run: 0,
@@ -455,6 +466,8 @@
 #[rstest]
 #[case::longest_lease(Guard::LongestLease, Delays::Bounded)]
 #[case::calls_in_flight(Guard::CallsInFlight, Delays::Bounded)]
+#[case::unknown_incarnation(Guard::UnknownIncarnation, Delays::Bounded)]
+#[case::reply_clock(Guard::ReplyClock, Delays::Bounded)]
 #[case::unanswered_start(Guard::UnansweredStart, Delays::Bounded)]
 #[case::confirmed_start(Guard::ConfirmedStart, Delays::Bounded)]
 #[case::token(Guard::Token, Delays::Bounded)]
--- /dev/null
+++ b/crates/scheduler/tests/unknown_restarts.rs
@@ -0,0 +1,142 @@
+//! Workers that start again under the same id and fall silent before the owner learns of it. Starts
+//! that the owner has sent meanwhile were carried out by the later incarnation, whose clock began
+//! anew: it took their deadlines, and those of polls, for times far ahead and holds a lease of the
+//! longest duration.
+
+#[path = "common/simulation.rs"]
+mod simulation;
+
+use scheduler::Action;
+use scheduler::Resources;
+use scheduler::StartCommand;
+use scheduler::StartReply;
+use simulation::Simulation;
+use simulation::config;
+use simulation::job;
+use simulation::millis;
+use simulation::seconds;
+use simulation::step;
+
+const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+/// Longest lease that a worker grants, by the default settings.
+const LEASE_MAX_S: u64 = 10;
+/// Duration of a lease that the owner requests, by the default settings, and some rounds.
+const USUAL_WAIT_S: u64 = 7;
+/// Longest lease, the time for which calls may be in flight, and some rounds.
+const LONGEST_WAIT_S: u64 = 15;
+
+/// Plans a unit on `w1` and returns its start command, which was not carried out yet. The lease of
+/// `w1` was renewed a moment ago.
+fn command_start(sim: &mut Simulation) -> StartCommand {
+    sim.worker("w2").is_responsive = false;
+    sim.scheduler.unregister_worker("w2");
+    sim.now += millis(200);
+    sim.report("w1");
+    sim.scheduler.request_lease("w1", sim.now);
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.scheduler.plan(sim.now);
+    sim.commit();
+    let starts = sim.scheduler.take_actions().into_iter().find_map(|action| match action {
+        Action::Start(command) => Some(command),
+        _ => None,
+    });
+    let start = starts.expect("the unit is started");
+    assert_eq!(&*start.worker, "w1");
+    start
+}
+
+fn handle_reply(sim: &mut Simulation, start: &StartCommand, reply: StartReply) {
+    let StartCommand { worker, unit, run, token, .. } = start;
+    sim.scheduler.handle_start_reply(worker, unit, *run, *token, reply, sim.now);
+}
+
+/// Lets `w1` start again, unknown to the owner, and carry out the start. The reply shows its clock.
+fn start_on_later_incarnation(sim: &mut Simulation, start: &StartCommand) -> StartReply {
+    let now = sim.now;
+    let worker = sim.worker("w1");
+    worker.crash();
+    worker.restart_with_new_clock(now - millis(100));
+    worker.add_run(&start.unit, start.run);
+    StartReply::Started { clock_ms: worker.clock_ms(now) }
+}
+
+/// Cuts `w1` off and lets `w2` reply, so that units of `w1` can start there.
+fn cut_off_w1(sim: &mut Simulation) {
+    sim.worker("w1").is_responsive = false;
+    sim.worker("w2").is_responsive = true;
+    sim.scheduler.update_worker(simulation::registration("w2"), seconds(0), sim.now);
+}
+
+fn assert_waits_for_longest_lease(sim: &mut Simulation) {
+    let starts = sim.run_for(seconds(LEASE_MAX_S));
+    assert_eq!(starts, [], "the unit may still run on the worker that is cut off");
+    let starts = sim.run_for(seconds(LONGEST_WAIT_S - LEASE_MAX_S));
+    assert_eq!(starts.len(), 1, "the unit is started elsewhere in the end");
+}
+
+/// Guards against two runs at the same time: a later incarnation had confirmed a start and was cut
+/// off before any report. The unit was started elsewhere after the lease that the owner had meant
+/// to request.
+#[test]
+fn a_start_confirmed_by_an_unknown_incarnation_is_waited_for() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    let reply = start_on_later_incarnation(&mut sim, &start);
+    handle_reply(&mut sim, &start, reply);
+    cut_off_w1(&mut sim);
+    assert_waits_for_longest_lease(&mut sim);
+}
+
+/// The same, when the reply to the start is lost as well.
+#[test]
+fn a_start_without_a_reply_is_waited_for() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    start_on_later_incarnation(&mut sim, &start);
+    cut_off_w1(&mut sim);
+    sim.now += millis(900);
+    handle_reply(&mut sim, &start, StartReply::Unknown);
+    assert_waits_for_longest_lease(&mut sim);
+}
+
+/// The same, when the worker has told its incarnation once but falls silent before it has listed
+/// the run.
+#[test]
+fn a_start_without_a_reply_is_waited_for_after_a_known_restart() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    start_on_later_incarnation(&mut sim, &start);
+    let registration = sim.worker("w1").registration();
+    sim.now += seconds(4);
+    sim.scheduler.update_worker(registration, seconds(0), sim.now);
+    cut_off_w1(&mut sim);
+    handle_reply(&mut sim, &start, StartReply::Unknown);
+    assert_waits_for_longest_lease(&mut sim);
+}
+
+/// Guards against units that stay away for longer than needed: the reply shows the clock of the
+/// known incarnation, so that the lease is the one that was requested.
+#[test]
+fn a_start_confirmed_by_the_known_incarnation_has_the_usual_lease() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    let (unit, run, now) = (start.unit.clone(), start.run, sim.now);
+    let worker = sim.worker("w1");
+    worker.add_run(&unit, run);
+    let reply = StartReply::Started { clock_ms: worker.clock_ms(now) };
+    handle_reply(&mut sim, &start, reply);
+    cut_off_w1(&mut sim);
+    assert_eq!(sim.run_for(seconds(USUAL_WAIT_S)).len(), 1);
+}
+
+/// The same for a run that a report has listed, whatever became of the reply to its start.
+#[test]
+fn a_listed_run_has_the_usual_lease() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    let (unit, run) = (start.unit.clone(), start.run);
+    sim.worker("w1").add_run(&unit, run);
+    sim.report("w1");
+    cut_off_w1(&mut sim);
+    assert_eq!(sim.run_for(seconds(USUAL_WAIT_S)).len(), 1);
+}
