Let a successor wait for the longest lease of runs that were not confirmed

Cause: a successor finds the row of a worker, and reckoned with the lease that its predecessor may have requested. The row didn't tell which runs the worker had listed. A run that a later incarnation had started, of which neither owner knew, lasts up to 10 s.

Change: a row tells which of its runs may be those of a later incarnation. A successor waits for the longest lease for these, counted from the last command that an earlier owner may have sent. A row is written once more 2 s after it was written with such runs, so that runs that last are not waited for.

Rows of earlier versions don't tell, and all their runs are waited for.

Three tests of takeover start a unit and lose its worker at once, and expected the usual lease, which is not safe: their runs last for 3 s now, so that the row is confirmed; what they check is unchanged, and the unconfirmed run has tests of its own. restart_model has a successor, which may find an old registration; without the new guard it finds two runs. Not in the model: a start without a reply that the known incarnation refuses and that reaches a later one all the same.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -4,7 +4,9 @@
 //! may be running, with its run number: a unit that no row names is not running anywhere. A row is
 //! written when a run is added to its worker. Runs that have ended stay in the row until it is
 //! written again. This is harmless, since their units have finished or have a run with a higher
-//! number. The row of a removed worker is removed, unless the worker comes back and a row is written
+//! number. The row tells which runs are not known to be of its incarnation: a later one, which the
+//! owner did not know of, may have started them. Once they have lasted, the row is written again. The
+//! row of a removed worker is removed, unless the worker comes back and a row is written
 //! for it before.
 
 use std::net::SocketAddr;
@@ -29,6 +31,10 @@
 use crate::state::Scheduler;
 use crate::worker::Worker;
 
+/// Time after which a row is written again if it has runs that a later incarnation may have
+/// started.
+const CONFIRM_AFTER: Duration = Duration::from_secs(2);
+
 /// Runs that are assigned to a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AssignmentRow {
@@ -45,11 +51,18 @@
     /// has confirmed.
     #[serde(rename = "old", default)]
     pub preceding_runs: usize,
+    /// Positions in `runs` of those that a later incarnation may have started, sorted; `None` in
+    /// rows of earlier versions, which don't tell.
+    #[serde(rename = "unconfirmed", default, skip_serializing_if = "Option::is_none")]
+    pub unconfirmed_runs: Option<Vec<usize>>,
     /// Commands to an earlier incarnation may have given this one a lease of the longest duration.
     #[serde(rename = "stray", default, skip_serializing_if = "is_false")]
     pub may_have_stray_lease: bool,
 }
 
+/// A unit and its run on a worker.
+type StartedRun<'a> = (&'a UnitKey, &'a Run);
+
 /// A run in a stored row.
 #[derive(Clone, Debug)]
 struct StoredRun {
@@ -58,24 +71,38 @@
     worker: WorkerId,
     /// The worker has confirmed others that were started after this one.
     precedes_others: bool,
+    /// Only the incarnation of the row can have the run.
+    is_confirmed: bool,
 }
 
 impl AssignmentRow {
     /// Removes the runs of a job.
     pub(crate) fn remove_job(&mut self, job: &str) {
         let is_kept = |(unit, _): &&(String, u32)| !is_of_job(unit, job);
-        self.preceding_runs = self.runs.iter().take(self.preceding_runs).filter(is_kept).count();
+        let kept_before = |end: usize| self.runs.iter().take(end).filter(is_kept).count();
+        let is_kept_at = |position: &usize| self.runs.get(*position).as_ref().is_some_and(is_kept);
+        let preceding_runs = kept_before(self.preceding_runs);
+        let unconfirmed_runs = self.unconfirmed_runs.as_ref().map(|positions| {
+            let kept = positions.iter().copied().filter(is_kept_at);
+            kept.map(kept_before).collect()
+        });
+        (self.preceding_runs, self.unconfirmed_runs) = (preceding_runs, unconfirmed_runs);
         self.runs.retain(|run| is_kept(&run));
     }
 
     /// Returns the runs of the row, without those whose unit has no valid name.
     fn stored_runs(&self, worker: &WorkerId) -> impl Iterator<Item = StoredRun> {
+        let is_confirmed = |index: usize| {
+            let unconfirmed = self.unconfirmed_runs.as_ref();
+            unconfirmed.is_some_and(|positions| positions.binary_search(&index).is_err())
+        };
         self.runs.iter().enumerate().filter_map(move |(index, (unit, number))| {
             Some(StoredRun {
                 unit: unit.parse().ok()?,
                 number: *number,
                 worker: worker.clone(),
                 precedes_others: index < self.preceding_runs,
+                is_confirmed: is_confirmed(index),
             })
         })
     }
@@ -91,20 +118,21 @@
         bytes_max: usize,
         now: Moment,
     ) {
-        let with_new_runs = self.workers.iter().filter(|(_, worker)| {
-            worker.has_unassigned_run
-                || worker.has_unstored_run
-                    && worker.runs.iter().any(|key| self.may_store_planned(worker, key))
-        });
+        let with_new_runs = self.workers.iter().filter(|(_, worker)| self.must_store_row(worker));
+        let with_lasting_runs = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !self.must_store_row(worker) && may_confirm_row(worker, now));
+        let to_store = with_new_runs.chain(with_lasting_runs);
         let rows =
-            with_new_runs.take(rows_max).map(|(id, worker)| (id.clone(), self.row_of(worker, now)));
+            to_store.take(rows_max).map(|(id, worker)| (id.clone(), self.row_of(worker, now)));
         let mut bytes = batch.stored_bytes_max();
         let rows = rows.take_while(|(_, row)| {
             bytes += row.stored_bytes_max();
             bytes <= bytes_max
         });
         batch.assignments = rows.collect();
-        for (id, _) in &batch.assignments {
+        for (id, row) in &batch.assignments {
             let Some(worker) = self.workers.get(id) else {
                 continue;
             };
@@ -114,6 +142,8 @@
                 worker.has_unstored_run = has_unstored_run;
                 worker.has_unassigned_run = false;
                 worker.has_row = true;
+                let has_unconfirmed = row.unconfirmed_runs.as_ref().is_some_and(|u| !u.is_empty());
+                worker.unconfirmed_row_at = has_unconfirmed.then_some(now);
             }
         }
         // A worker that was removed may have come back since. Its row is then needed again.
@@ -150,7 +180,7 @@
     ) {
         let mut runs: Vec<StoredRun> = Vec::new();
         let mut restarted = Vec::new();
-        let lease_max = self.settings.lease_max;
+        let (lease, lease_max) = (self.settings.lease, self.settings.lease_max);
         for (id, row) in rows.iter() {
             let token = self.tokens.next();
             let unregistered = || {
@@ -160,13 +190,14 @@
             };
             let worker = self.workers.entry_or(id.clone(), unregistered);
             worker.has_row = true;
+            worker.record_earlier_deadlines(lease_left.saturating_sub(lease), now);
             let end = RunEnd::worker_restarted(
                 row.incarnation_started_ms,
                 worker.registration.incarnation_started_ms,
             );
             restarted.extend(end.map(|end| (id.clone(), end)));
             if end.is_some() || row.may_have_stray_lease {
-                worker.record_stray_leases(lease_max, now);
+                worker.record_stray_leases(lease_max);
             }
             runs.extend(row.stored_runs(id));
         }
@@ -204,25 +235,29 @@
         self.is_planned(worker, key) && self.jobs.get(&key.job).is_some_and(|job| job.is_dirty)
     }
 
+    /// Returns true if a worker has a run that its row lacks.
+    fn must_store_row(&self, worker: &Worker) -> bool {
+        worker.has_unassigned_run
+            || worker.has_unstored_run
+                && worker.runs.iter().any(|key| self.may_store_planned(worker, key))
+    }
+
     fn may_store_planned(&self, worker: &Worker, key: &UnitKey) -> bool {
         self.is_planned(worker, key) && !self.must_wait_for_completions(worker, key)
     }
 
     fn row_of(&self, worker: &Worker, now: Moment) -> AssignmentRow {
-        let run = |key: &UnitKey| {
-            let run = self.run_on(key, &worker.registration.id)?;
-            (!self.must_wait_for_completions(worker, key)).then(|| (key.to_string(), run.number))
-        };
         let last_start = self.last_confirmed_start(worker);
-        let precedes_others = |key: &UnitKey| {
-            let run = self.run_on(key, &worker.registration.id);
-            run.is_some_and(|run| precedes(run, last_start))
-        };
-        let (preceding, others): (Vec<&UnitKey>, Vec<&UnitKey>) =
-            worker.runs.iter().partition(|key| precedes_others(key));
-        let mut runs: Vec<(String, u32)> = preceding.into_iter().filter_map(run).collect();
-        let preceding_runs = runs.len();
-        runs.extend(others.into_iter().filter_map(run));
+        let stored =
+            self.runs_on(worker).filter(|(key, _)| !self.must_wait_for_completions(worker, key));
+        let (mut ordered, others): (Vec<StartedRun>, Vec<StartedRun>) =
+            stored.partition(|(_, run)| precedes(run, last_start));
+        let preceding_runs = ordered.len();
+        ordered.extend(others);
+        let is_unconfirmed = |position: &usize| !ordered[*position].1.is_of_known_incarnation;
+        let unconfirmed_runs = (0..ordered.len()).filter(is_unconfirmed).collect();
+        let mut runs: Vec<(String, u32)> =
+            ordered.iter().map(|(key, run)| (key.to_string(), run.number)).collect();
         // Until a completion is stored, a successor can learn of it only from the worker, so the
         // run stays in the row.
         let is_unstored = |job: &str| self.jobs.get(job).is_some_and(|job| job.is_dirty);
@@ -237,6 +272,7 @@
             incarnation_started_ms: worker.registration.incarnation_started_ms,
             runs,
             preceding_runs,
+            unconfirmed_runs: Some(unconfirmed_runs),
             may_have_stray_lease: now < worker.stray_lease_until,
         }
     }
@@ -328,11 +364,17 @@
         }
         let mut run = Run::new(stored.number, stored.worker, Phase::InDoubt, step, now);
         run.precedes_others = stored.precedes_others;
-        run.is_of_known_incarnation = true;
+        run.is_of_known_incarnation = stored.is_confirmed;
         self.add_run(key, run, now);
     }
 }
 
+/// Returns true if runs have lasted that a worker's row doesn't show as those of its incarnation.
+fn may_confirm_row(worker: &Worker, now: Moment) -> bool {
+    let is_due = |at: Moment| now >= at + CONFIRM_AFTER;
+    worker.unconfirmed_row_at.is_some_and(is_due) && !worker.runs.is_empty()
+}
+
 /// Returns true if a unit with this name is one of the job's.
 fn is_of_job(unit: &str, job: &str) -> bool {
     unit.strip_prefix(job).is_some_and(|rest| rest.starts_with('.'))
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -173,7 +173,7 @@
             let (has_row, is_cordoned) = (worker.has_row, worker.is_cordoned);
             *worker = Worker::new(registration, now, now);
             worker.token = self.tokens.next();
-            worker.record_stray_leases(lease_max, now);
+            worker.record_stray_leases(lease_max);
             worker.has_row = has_row;
             worker.is_cordoned = is_cordoned;
             worker.cordoned_at = now;
@@ -190,7 +190,7 @@
         self.handle_worker_end(id, end, now);
         for (key, run) in possible {
             if self.unit(&key).is_some_and(|unit| unit.run.is_none()) {
-                self.add_run(&key, run, now);
+                self.add_run(&key, Run { is_of_known_incarnation: false, ..run }, now);
             }
         }
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -72,6 +72,8 @@
     pub has_unstored_run: bool,
     /// It has listed a run that was not assigned to it, so that its assignment row may lack it.
     pub has_unassigned_run: bool,
+    /// When its assignment row was last written with runs that a later incarnation may have started.
+    pub unconfirmed_row_at: Option<Moment>,
     /// The worker is in the registry.
     pub is_registered: bool,
     /// Resources that its runs reserve.
@@ -143,6 +145,7 @@
             has_row: false,
             has_unstored_run: false,
             has_unassigned_run: false,
+            unconfirmed_row_at: None,
             is_registered: true,
             reserved: Resources::default(),
             runs: Vec::new(),
@@ -240,7 +243,7 @@
 
     /// Records that a lease until `deadline_ms` of the worker's clock is requested now.
     pub fn record_lease_request(&mut self, deadline_ms: u64, now: Moment) {
-        self.deadline_sent_at = now;
+        self.deadline_sent_at = self.deadline_sent_at.max(now);
         let Some(clock) = self.clock else {
             return;
         };
@@ -251,8 +254,13 @@
 
     /// Records that commands to an earlier incarnation may reach this one. Their deadlines are
     /// times of another clock, so that each may give a lease of the longest duration, `lease_max`.
-    pub fn record_stray_leases(&mut self, lease_max: Duration, now: Moment) {
-        self.stray_lease_until = now + CALL_TIME_MAX + true_time_max(lease_max);
+    pub fn record_stray_leases(&mut self, lease_max: Duration) {
+        self.stray_lease_until = self.longest_lease_over_at(lease_max);
+    }
+
+    /// Records that earlier owners may send commands with a deadline for as long as `sent_for`.
+    pub fn record_earlier_deadlines(&mut self, sent_for: Duration, now: Moment) {
+        self.deadline_sent_at = self.deadline_sent_at.max(now + sent_for);
     }
 
     /// Records what the worker's reply to a poll shows, which this incarnation has sent.
--- a/crates/scheduler/tests/restart_model.rs
+++ b/crates/scheduler/tests/restart_model.rs
@@ -11,145 +11,34 @@
 //! A worker takes longer to start again than an owner takes to poll it once more, so that a poll
 //! goes unanswered in between.
 //!
-//! The owner may never learn of the later incarnation, if that falls silent.
+//! The owner may never learn of the later incarnation, if that falls silent, and may be replaced by
+//! a successor, which knows what its predecessor has stored and may find an old registration.
 //!
-//! Not covered (docs/incidents/restarted-workers.md): an acknowledgement that is in flight at the restart and arrives after the end of a run that the
+//! Not covered (docs/incidents/calls-across-restarts.md): a start without a reply that the known
+//! incarnation has been shown to refuse and that reaches a later one after that; and an acknowledgement that is in flight at the restart and arrives after the end of a run that the
 //! later incarnation has started for a call with the token of the earlier one.
 
 #[path = "common/explorer.rs"]
 mod explorer;
-
+#[path = "common/restart_state.rs"]
+mod restart_state;
+
+use restart_state::CALL_TIME_MAX;
+use restart_state::Call;
+use restart_state::Completion;
+use restart_state::Delays;
+use restart_state::FIRST_COMPLETION;
+use restart_state::Guard;
+use restart_state::Known;
+use restart_state::LEASE;
+use restart_state::LEASE_MAX;
+use restart_state::POLLS;
+use restart_state::RUNS_MAX;
+use restart_state::SUCCESSOR_TOKEN;
+use restart_state::State;
+use restart_state::TICKS_MAX;
 use rstest::rstest;
 
-/// Duration of a lease that the owner requests, in ticks.
-const LEASE: u8 = 1;
-/// Longest lease that the worker grants.
-const LEASE_MAX: u8 = 3;
-/// Number of ticks for which a call is reckoned to be in flight at most.
-const CALL_TIME_MAX: u8 = 1;
-/// Number of ticks that the model explores.
-const TICKS_MAX: u8 = 7;
-const RUNS_MAX: u8 = 2;
-const POLLS: usize = 2;
-/// Number of the unit's completion in the later incarnation. In the earlier one, that number was
-/// stored before.
-const FIRST_COMPLETION: u8 = 1;
-
-/// The guards of the protocol.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Guard {
-    /// An owner that learns of a later incarnation reckons with the longest lease.
-    LongestLease,
-    /// It also reckons with calls that are still in flight.
-    CallsInFlight,
-    /// It reckons with the longest lease for runs that an incarnation may have started of which it
-    /// doesn't know.
-    UnknownIncarnation,
-    /// It tells from the clock in the reply to a start whether the known incarnation has carried it
-    /// out.
-    ReplyClock,
-    /// It keeps starts without a reply in doubt until the later incarnation has replied to a stop.
-    UnansweredStart,
-    /// It keeps confirmed starts until the later incarnation has replied: the reply to a start
-    /// doesn't tell which incarnation has carried it out.
-    ConfirmedStart,
-    /// Its calls to the later incarnation carry a higher token, and a worker refuses lower ones than
-    /// it has seen.
-    Token,
-    /// It starts runs on the later incarnation only once that has replied to a call with this token.
-    SeenToken,
-    /// A poll acknowledges completions only if the poll before it was answered.
-    AnsweredPoll,
-}
-
-/// How long calls without a reply may be in flight.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Delays {
-    /// All calls for [`CALL_TIME_MAX`].
-    Bounded,
-    /// Polls for any time; starts arrive only at the incarnation that they are meant for.
-    LatePolls,
-}
-
-/// What the owner knows about the unit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Known {
-    Nothing,
-    Commanded,
-    /// The start was confirmed. True if the reply shows the clock of the known incarnation.
-    Confirmed(bool),
-    /// The known incarnation has listed the run.
-    Reported,
-    /// A start was sent to the earlier incarnation. True once the later one has replied to a stop.
-    InDoubt(bool),
-    /// The completion is stored.
-    Done,
-}
-
-/// A call that has not arrived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Call {
-    sent_at: u8,
-    /// Incarnation whose clock the deadline is a time of.
-    incarnation: u8,
-    token: u8,
-    /// Completions up to this number are acknowledged.
-    last_stored_completion: u8,
-    /// It was in flight when the worker started again.
-    is_stray: bool,
-}
-
-/// The unit's completion, until it is acknowledged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Completion {
-    number: u8,
-    /// The worker's lease has expired since, so an acknowledgement comes too late to count.
-    has_expired_lease: bool,
-    /// The run was started for a call to the earlier incarnation.
-    is_of_stray_start: bool,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct State {
-    now: u8,
-    /// Incarnation of the worker.
-    incarnation: u8,
-    /// Highest token that the worker has seen.
-    seen_token: u8,
-    lease_until: u8,
-    running: Option<u8>,
-    /// `running` was started for a call to the earlier incarnation.
-    is_of_stray_start: bool,
-    completion: Option<Completion>,
-    /// The worker refuses runs up to this number.
-    refused_run: u8,
-    /// Incarnation that the owner knows.
-    known_incarnation: u8,
-    /// Token of the owner's calls.
-    token: u8,
-    /// The known incarnation has replied to a call with this token.
-    is_token_seen: bool,
-    last_stored_completion: u8,
-    /// When the owner last sent a call with a deadline.
-    deadline_sent_at: u8,
-    /// When it takes a lease for expired that a call to an earlier incarnation may have given.
-    stray_lease_until: u8,
-    known: Known,
-    last_run: u8,
-    /// The unit was started on another worker.
-    is_elsewhere: bool,
-    polls: [Option<Call>; POLLS],
-    /// The owner's last poll has no reply yet.
-    is_poll_unanswered: bool,
-    start: Option<Call>,
-    /// A run has ended as done.
-    is_done: bool,
-    /// A completion as done was acknowledged in time.
-    is_acknowledged: bool,
-    /// A run has begun after the last one that has ended as done.
-    has_restarted: bool,
-}
-
 struct Model {
     disabled: Option<Guard>,
     delays: Delays,
@@ -171,6 +60,9 @@
         successors.extend(stop(state));
         successors.extend(finish(state));
         successors.extend(self.expire_lease(state));
+        successors.extend(confirm_row(state));
+        successors.extend(self.take_over(state, state.row_incarnation));
+        successors.extend(self.take_over(state, state.incarnation));
         successors.extend(start_elsewhere(state));
         if let Some(started) = deliver_start(state).filter(|_| self.may_deliver_start(state)) {
             successors.push(started);
@@ -245,12 +137,39 @@
                 Known::InDoubt(false)
             }
             Known::Confirmed(_) if self.has(Guard::ConfirmedStart) => Known::Confirmed(false),
+            Known::Stored(_) if self.has(Guard::ConfirmedStart) => Known::Stored(false),
             Known::Done => Known::Done,
             _ => Known::Nothing,
         };
         state
     }
 
+    /// A successor restores what is stored. The registry shows this incarnation.
+    fn take_over(&self, state: &State, registered_incarnation: u8) -> Option<State> {
+        let known = match state.known {
+            Known::Done => Known::Done,
+            _ if state.is_elsewhere || state.last_run == 0 => Known::Nothing,
+            _ => Known::Stored(state.is_confirmed_in_row),
+        };
+        let stray_lease_until = state.now + CALL_TIME_MAX + LEASE_MAX;
+        let mut next = State {
+            known,
+            known_incarnation: state.row_incarnation,
+            token: SUCCESSOR_TOKEN,
+            is_token_seen: false,
+            last_stored_completion: 0,
+            deadline_sent_at: state.now,
+            stray_lease_until: stray_lease_until * u8::from(state.has_stray_lease_in_row),
+            is_poll_unanswered: false,
+            has_successor: true,
+            ..*state
+        };
+        if registered_incarnation > next.known_incarnation {
+            next = self.handle_restart(next);
+        }
+        (!state.has_successor && self.delays == Delays::Bounded).then_some(next)
+    }
+
     /// The owner handles a report.
     fn handle_report(&self, mut state: State, call: Call) -> State {
         if state.incarnation > state.known_incarnation {
@@ -267,8 +186,12 @@
             state.known = Known::Done;
             state.last_stored_completion = state.last_stored_completion.max(completion.number);
         }
+        if matches!(state.known, Known::Stored(_)) && call.token >= SUCCESSOR_TOKEN {
+            state.start = state.start.filter(|start| start.token >= SUCCESSOR_TOKEN);
+        }
         state.known = match (state.known, state.running) {
             (Known::Done | Known::InDoubt(false), _) | (Known::Commanded, None) => state.known,
+            (Known::Stored(_), None) if call.token < SUCCESSOR_TOKEN => state.known,
             (_, Some(_)) => Known::Reported,
             (_, None) => Known::Nothing,
         };
@@ -301,6 +224,9 @@
             start: Some(call(state)),
             known: Known::Commanded,
             last_run: state.last_run + 1,
+            row_incarnation: state.known_incarnation,
+            is_confirmed_in_row: false,
+            has_stray_lease_in_row: state.now < state.stray_lease_until,
             deadline_sent_at: state.now,
             ..*state
         })
@@ -315,7 +241,11 @@
 
     /// The owner takes the lease of the silent worker for expired.
     fn expire_lease(&self, state: &State) -> Option<State> {
-        let is_of_known = matches!(state.known, Known::Reported | Known::Confirmed(true));
+        let is_of_known = match state.known {
+            Known::Reported | Known::Confirmed(true) | Known::Stored(true) => true,
+            Known::Stored(false) => !self.has(Guard::UnconfirmedRow),
+            _ => false,
+        };
         let lease = match is_of_known || !self.has(Guard::UnknownIncarnation) {
             true => LEASE,
             false => CALL_TIME_MAX + LEASE_MAX,
@@ -341,6 +271,17 @@
     poll.map(|call| (call.sent_at, call.token, call.last_stored_completion, call.is_stray))
 }
 
+/// The owner stores that the known incarnation has the run.
+fn confirm_row(state: &State) -> Option<State> {
+    let is_of_known = matches!(state.known, Known::Reported | Known::Confirmed(true));
+    is_of_known.then_some(State {
+        row_incarnation: state.known_incarnation,
+        is_confirmed_in_row: true,
+        has_stray_lease_in_row: state.now < state.stray_lease_until,
+        ..*state
+    })
+}
+
 fn without_poll(state: &State, index: usize) -> State {
     let mut next = *state;
     next.polls[index] = None;
@@ -438,6 +379,10 @@
         stray_lease_until: 0,
         known: Known::Nothing,
         last_run: 0,
+        row_incarnation: 0,
+        is_confirmed_in_row: false,
+        has_stray_lease_in_row: false,
+        has_successor: false,
         is_elsewhere: false,
         polls: [None; POLLS],
         is_poll_unanswered: false,
@@ -468,6 +413,7 @@
 #[case::calls_in_flight(Guard::CallsInFlight, Delays::Bounded)]
 #[case::unknown_incarnation(Guard::UnknownIncarnation, Delays::Bounded)]
 #[case::reply_clock(Guard::ReplyClock, Delays::Bounded)]
+#[case::unconfirmed_row(Guard::UnconfirmedRow, Delays::Bounded)]
 #[case::unanswered_start(Guard::UnansweredStart, Delays::Bounded)]
 #[case::confirmed_start(Guard::ConfirmedStart, Delays::Bounded)]
 #[case::token(Guard::Token, Delays::Bounded)]
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -4,6 +4,8 @@
 #[path = "common/simulation.rs"]
 mod simulation;
 
+use std::time::Duration;
+
 use rstest::rstest;
 use scheduler::Action;
 use scheduler::BatchLimits;
@@ -26,6 +28,9 @@
 use simulation::unit;
 
 const NO_QUOTA: Resources = Resources { cpu_millis: 0, memory_mb: 0, gpus: 0 };
+/// Time after which a stored row shows that the worker has listed its runs. Those that it doesn't show
+/// are waited for longer (`unknown_restarts`).
+const ROW_CONFIRMED_AFTER: Duration = Duration::from_secs(3);
 
 #[test]
 fn a_unit_found_running_keeps_running() {
@@ -45,6 +50,7 @@
     let record = job("a", vec![step(1, 1_000)], sim.now);
     sim.scheduler.add_job(record.clone(), sim.now);
     let started_on = sim.run_round()[0].worker.clone();
+    sim.run_for(ROW_CONFIRMED_AFTER);
     sim.worker(&started_on).is_responsive = false;
     sim.now += seconds(1);
     sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[record]);
@@ -193,6 +199,7 @@
     let starts = sim.run_round();
     let (unresponsive, other) =
         if &*starts[0].worker == "w1" { ("w1", "w2") } else { ("w2", "w1") };
+    sim.run_for(ROW_CONFIRMED_AFTER);
     // The job is cancelled while its worker is disconnected and keeps running it.
     sim.worker(unresponsive).is_responsive = false;
     sim.scheduler.cancel("a");
@@ -215,6 +222,7 @@
     sim.scheduler.add_job(record.clone(), sim.now);
     let starts = sim.run_round();
     assert_eq!(starts.len(), 2);
+    sim.run_for(ROW_CONFIRMED_AFTER);
     // One worker is disconnected, and the unit on the other one finishes the step.
     let (unresponsive, other) = (starts[0].worker.clone(), starts[1].unit.clone());
     sim.worker(&unresponsive).is_responsive = false;
--- a/crates/scheduler/tests/unknown_restarts.rs
+++ b/crates/scheduler/tests/unknown_restarts.rs
@@ -6,6 +6,8 @@
 #[path = "common/simulation.rs"]
 mod simulation;
 
+use std::time::Duration;
+
 use scheduler::Action;
 use scheduler::Resources;
 use scheduler::StartCommand;
@@ -140,3 +142,47 @@
     cut_off_w1(&mut sim);
     assert_eq!(sim.run_for(seconds(USUAL_WAIT_S)).len(), 1);
 }
+
+/// Returns the time for which a successor waits, with `run_for`'s rounds, until it starts the unit
+/// elsewhere. Its predecessor may have sent commands with a deadline until now.
+fn successor_waits(sim: &mut Simulation) -> Duration {
+    let record = job("a", vec![step(1, 1_000)], sim.now);
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[record]);
+    let taken_over_at = sim.now;
+    while sim.run_for(millis(200)).is_empty() {
+        assert!(sim.now < taken_over_at + seconds(20), "the unit is started elsewhere in the end");
+    }
+    sim.now - taken_over_at
+}
+
+/// Guards against two runs at the same time: a later incarnation had carried out a start of the
+/// predecessor and was cut off. The successor found the row and the registration of the earlier one
+/// and waited for the lease that its predecessor had meant to request.
+#[test]
+fn a_successor_waits_for_starts_that_were_not_listed() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    start_on_later_incarnation(&mut sim, &start);
+    cut_off_w1(&mut sim);
+    // The registry still has the earlier incarnation.
+    sim.worker("w1").incarnation_started_ms -= 1;
+    let waited = successor_waits(&mut sim);
+    assert!(waited > seconds(LEASE_MAX_S), "{waited:?}");
+    assert!(waited < seconds(LONGEST_WAIT_S), "{waited:?}");
+}
+
+/// Guards against units that stay away for longer than needed: the row is written again once the run
+/// has lasted.
+#[test]
+fn a_successor_waits_for_the_usual_lease_of_runs_that_have_lasted() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    sim.worker("w1").add_run(&start.unit, start.run);
+    assert_eq!(sim.assignments.get("w1").unwrap().unconfirmed_runs, Some(vec![0]));
+    sim.run_for(seconds(3));
+    assert_eq!(sim.assignments.get("w1").unwrap().unconfirmed_runs, Some(vec![]));
+    cut_off_w1(&mut sim);
+    let waited = successor_waits(&mut sim);
+    assert!(waited > seconds(5), "{waited:?}");
+    assert!(waited < seconds(USUAL_WAIT_S), "{waited:?}");
+}
