Acknowledge completions only on a connection on which the worker has answered

What callers saw: a unit was started again after it had ended as done and that had been acknowledged.

Cause: an acknowledgement names a number of the earlier incarnation, and the later one counts from 1. If a worker starts again between the reply to one poll and the next, no poll fails, and the next one carries the acknowledgement to the later incarnation over a new connection. That one forgets completions that nobody has seen; if it keeps the number, also those that come later. The unit is missing from the next report and is started again.

Ruled out: withholding acknowledgements while a start is unanswered, and tokens that rise with each start. Neither helps with a worker that keeps the number, and by reading both would cost a poll for most starts in a peak.

Change: a connection ends with the process that it leads to. On a new one, on which the worker hasn't answered, a poll acknowledges nothing; the next one does. It costs one poll for each new connection.

What it took for granted before is kept as a case of its own, for calls that something between the owner and the worker holds back.

--- a/crates/coordinator/src/http/client.rs
+++ b/crates/coordinator/src/http/client.rs
@@ -54,6 +54,8 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// JSON body; empty for none.
     pub body: Bytes,
+    /// Body to send instead on a new connection, on which the other process has not answered yet.
+    pub body_if_new: Option<Bytes>,
     /// Time limit for the whole call, including the wait for a connection.
     pub timeout: Duration,
 }
@@ -66,7 +68,15 @@
         body: impl Into<Bytes>,
         timeout: Duration,
     ) -> Self {
-        Self { method, path: path.into(), headers: Vec::new(), body: body.into(), timeout }
+        let (path, body) = (path.into(), body.into());
+        Self { method, path, headers: Vec::new(), body, body_if_new: None, timeout }
+    }
+
+    /// Sets the body for a new connection. A process that has started again is reached only through
+    /// new connections.
+    pub fn body_if_new(mut self, body: impl Into<Bytes>) -> Self {
+        self.body_if_new = Some(body.into());
+        self
     }
 
     /// Adds a header. A value that is not valid in a header is left out.
@@ -87,6 +97,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// The request was the first one on its connection.
+    pub is_first: bool,
 }
 
 /// Why a call got no response.
@@ -157,18 +169,18 @@
     ) -> Result<Response, CallError> {
         let pool = self.pool(address, kind);
         let _permit = pool.permits.acquire().await.expect("the semaphore is never closed");
-        let mut sender = match pool.take_idle() {
-            Some(sender) => sender,
-            None => connect(address).await?,
+        let (mut sender, is_first) = match pool.take_idle() {
+            Some(sender) => (sender, false),
+            None => (connect(address).await?, true),
         };
         *was_sent = true;
-        let response = sender.send_request(encode(address, request)?).await;
+        let response = sender.send_request(encode(address, request, is_first)?).await;
         let response = response.map_err(|error| CallError::NoResponse(error.to_string()))?;
         let (head, body) = response.into_parts();
         let body = body.collect().await;
         let body = body.map_err(|error| CallError::NoResponse(error.to_string()))?.to_bytes();
         pool.return_idle(sender);
-        Ok(Response { status: head.status, headers: head.headers, body })
+        Ok(Response { status: head.status, headers: head.headers, body, is_first })
     }
 
     fn pool(&self, address: SocketAddr, kind: CallKind) -> Arc<ConnectionPool> {
@@ -219,8 +231,13 @@
     Ok(sender)
 }
 
-fn encode(address: SocketAddr, request: Request) -> Result<http::Request<Full<Bytes>>, CallError> {
-    let has_body = !request.body.is_empty();
+fn encode(
+    address: SocketAddr,
+    request: Request,
+    is_first: bool,
+) -> Result<http::Request<Full<Bytes>>, CallError> {
+    let body = request.body_if_new.filter(|_| is_first).unwrap_or(request.body);
+    let has_body = !body.is_empty();
     let mut encoded = http::Request::builder()
         .method(request.method)
         .uri(request.path)
@@ -232,6 +249,6 @@
         encoded = encoded.header(name, value);
     }
     encoded
-        .body(Full::new(request.body))
+        .body(Full::new(body))
         .map_err(|error| CallError::NotSent(format!("malformed request: {error}")))
 }
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -165,7 +165,8 @@
     /// Fencing token of calls to this incarnation of the worker.
     pub token: FencingToken,
     /// Completions up to this number are stored, and the worker may drop them; 0 to acknowledge
-    /// none.
+    /// none. On a new connection none are acknowledged: the worker may have started again, and would
+    /// take the number for one of its new completions.
     pub acknowledged_completion: u64,
     /// End of the lease by the worker's clock, in milliseconds; none to poll without renewing the
     /// lease.
@@ -174,6 +175,15 @@
     pub wait: Duration,
 }
 
+/// Reply to a poll.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeaseReply {
+    /// Runs and completions of the worker.
+    pub report: WorkerReport,
+    /// Completions up to this number were acknowledged; 0 if none were.
+    pub acknowledged_completion: u64,
+}
+
 /// Failure of a poll of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum WorkerError {
@@ -260,7 +270,7 @@
     fn renew_lease(
         &self,
         request: LeaseRequest,
-    ) -> impl Future<Output = Result<WorkerReport, WorkerError>> + Send;
+    ) -> impl Future<Output = Result<LeaseReply, WorkerError>> + Send;
 
     /// Starts a run on a worker.
     fn start_run(&self, command: &StartCommand) -> impl Future<Output = StartReply> + Send;
--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -13,6 +13,7 @@
 use scheduler::WorkerReport;
 
 use crate::clock;
+use crate::ports::LeaseReply;
 use crate::ports::LeaseRequest;
 use crate::ports::WorkerError;
 
@@ -36,13 +37,16 @@
     record_repeat: impl FnOnce(),
 ) -> PollResult
 where
-    F: Future<Output = Result<WorkerReport, WorkerError>>,
+    F: Future<Output = Result<LeaseReply, WorkerError>>,
 {
     let late_after = request.wait + LATE_AFTER;
     let send_now = |request: LeaseRequest| async {
-        let LeaseRequest { token, acknowledged_completion, .. } = request;
-        let sent = SentPoll { token, acknowledged_completion, sent_at: clock::now() };
-        PollResult { sent, reply: send(request).await }
+        let (token, sent_at) = (request.token, clock::now());
+        let reply = send(request).await;
+        let acknowledged_completion =
+            reply.as_ref().map_or(0, |reply| reply.acknowledged_completion);
+        let sent = SentPoll { token, acknowledged_completion, sent_at };
+        PollResult { sent, reply: reply.map(|reply| reply.report) }
     };
     let mut first = pin!(send_now(request.clone()));
     if let Ok(result) = tokio::time::timeout(late_after, &mut first).await {
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -21,6 +21,7 @@
 use coordinator::ports::EvacuationRow;
 use coordinator::ports::FencingToken;
 use coordinator::ports::Hosts;
+use coordinator::ports::LeaseReply;
 use coordinator::ports::LeaseRequest;
 use coordinator::ports::OperatorChange;
 use coordinator::ports::Operators;
@@ -329,7 +330,7 @@
         })
     }
 
-    async fn renew_lease(&self, request: LeaseRequest) -> Result<WorkerReport, WorkerError> {
+    async fn renew_lease(&self, request: LeaseRequest) -> Result<LeaseReply, WorkerError> {
         let until = tokio::time::Instant::now() + request.wait;
         loop {
             {
@@ -349,12 +350,13 @@
                     completions.map(|(_, completion)| completion.clone()).collect();
                 let running = data.running.iter().filter(|(worker, ..)| is_its(worker));
                 if !completions.is_empty() || tokio::time::Instant::now() >= until {
-                    return Ok(WorkerReport {
+                    let report = WorkerReport {
                         incarnation_started_ms: 1,
                         clock_ms: clock::now().as_millis() as u64,
                         running: running.map(|(_, run, _)| run.clone()).collect(),
                         completions: CompletionList::Complete(completions),
-                    });
+                    };
+                    return Ok(LeaseReply { report, acknowledged_completion: last_stored });
                 }
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/coordinator/tests/worker_poll.rs
+++ b/crates/coordinator/tests/worker_poll.rs
@@ -5,6 +5,7 @@
 use std::future::pending;
 use std::time::Duration;
 
+use coordinator::ports::LeaseReply;
 use coordinator::ports::LeaseRequest;
 use coordinator::ports::WorkerError;
 use coordinator::worker_poll::LATE_AFTER;
@@ -29,16 +30,17 @@
     }
 }
 
-fn report() -> WorkerReport {
-    WorkerReport {
+fn reply() -> LeaseReply {
+    let report = WorkerReport {
         incarnation_started_ms: 1,
         clock_ms: 0,
         running: Vec::new(),
         completions: CompletionList::default(),
-    }
+    };
+    LeaseReply { report, acknowledged_completion: 0 }
 }
 
-async fn time_out() -> Result<WorkerReport, WorkerError> {
+async fn time_out() -> Result<LeaseReply, WorkerError> {
     sleep(TIMEOUT).await;
     Err(WorkerError::NoReply("timed out".to_owned()))
 }
@@ -51,7 +53,7 @@
         sent.push(request.wait);
         let is_first = sent.len() == 1;
         waits.set(sent);
-        async move { if is_first { time_out().await } else { Ok(report()) } }
+        async move { if is_first { time_out().await } else { Ok(reply()) } }
     };
     let started_at = Instant::now();
     let polled = poll(request(), send, || ()).await;
@@ -64,7 +66,7 @@
 async fn a_poll_that_is_answered_in_time_is_not_repeated() {
     let send = |request: LeaseRequest| async move {
         sleep(request.wait).await;
-        Ok(report())
+        Ok(reply())
     };
     let is_repeated = Cell::new(false);
     let polled = poll(request(), send, || is_repeated.set(true)).await;
@@ -79,7 +81,7 @@
             return Err(WorkerError::NoReply("connection reset".to_owned()));
         }
         sleep(WAIT + LATE_AFTER * 3).await;
-        Ok(report())
+        Ok(reply())
     };
     assert!(poll(request(), send, || ()).await.reply.is_ok());
 }
@@ -124,7 +126,7 @@
         sent.push(request.acknowledged_completion);
         let is_first = sent.len() == 1;
         acknowledged.set(sent);
-        async move { if is_first { time_out().await } else { Ok(report()) } }
+        async move { if is_first { time_out().await } else { Ok(reply()) } }
     };
     let polled = poll(LeaseRequest { acknowledged_completion: 7, ..request() }, send, || ()).await;
     assert_eq!(polled.sent.acknowledged_completion, 0);
--- a/crates/scheduler/tests/common/restart_state.rs
+++ b/crates/scheduler/tests/common/restart_state.rs
@@ -43,13 +43,20 @@
     SeenToken,
     /// A poll acknowledges completions only if the poll before it was answered.
     AnsweredPoll,
+    /// It acknowledges them only on a connection on which the worker has answered. That ends with the
+    /// incarnation.
+    OwnConnection,
 }
 
 /// How long calls without a reply may be in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delays {
-    /// All calls for [`CALL_TIME_MAX`].
+    /// All calls for [`CALL_TIME_MAX`]. What is sent on a connection reaches no later incarnation.
     Bounded,
+    /// All calls for [`CALL_TIME_MAX`]. Something between the owner and the worker may hold any call
+    /// back until a later incarnation runs. The worker takes longer to start again than the owner
+    /// takes to poll it once more, and the owner isn't replaced.
+    HeldBack,
     /// Polls for any time; starts arrive only at the incarnation that they are meant for. The owner
     /// isn't replaced.
     LatePolls,
--- a/crates/scheduler/tests/restart_model.rs
+++ b/crates/scheduler/tests/restart_model.rs
@@ -8,15 +8,13 @@
 //! same time, and never again after its completion was acknowledged. Each guard is disabled in turn;
 //! the model must then find a violation.
 //!
-//! A worker takes longer to start again than an owner takes to poll it once more, so that a poll
-//! goes unanswered in between.
-//!
 //! The owner may never learn of the later incarnation, if that falls silent, and may be replaced by
 //! a successor, which knows what its predecessor has stored and may find an old registration.
 //!
 //! Not covered (docs/incidents/calls-across-restarts.md): a start without a reply that the known
-//! incarnation has been shown to refuse and that reaches a later one after that; and an acknowledgement that is in flight at the restart and arrives after the end of a run that the
-//! later incarnation has started for a call with the token of the earlier one.
+//! incarnation has been shown to refuse and that reaches a later one after that; and an
+//! acknowledgement that something holds back until the later incarnation runs, and that arrives
+//! after the end of a run which that one has started for a call to the earlier one.
 
 #[path = "common/explorer.rs"]
 mod explorer;
@@ -72,7 +70,7 @@
             let Some(call) = *call else {
                 continue;
             };
-            if let Some(polled) = deliver_poll(state, index, call) {
+            if let Some(polled) = self.deliver_poll(state, index, call) {
                 successors.push(polled);
                 successors.push(self.handle_report(polled, call));
             } else {
@@ -95,7 +93,7 @@
         }
         let is_in_flight = |call: &Call| next.now <= call.sent_at + CALL_TIME_MAX;
         next.start = next.start.filter(is_in_flight);
-        if self.delays == Delays::Bounded {
+        if self.delays != Delays::LatePolls {
             next.polls = next.polls.map(|poll| poll.filter(is_in_flight));
         }
         Some(next)
@@ -103,7 +101,7 @@
 
     /// The worker starts again; its completions and the token that it has seen are lost.
     fn restart(&self, state: &State) -> Option<State> {
-        let start = state.start.filter(|_| self.delays == Delays::Bounded);
+        let start = state.start.filter(|_| self.delays != Delays::LatePolls);
         let stray = |call: Call| Call { is_stray: true, ..call };
         let restarted = State {
             incarnation: 1,
@@ -116,7 +114,8 @@
             polls: state.polls.map(|poll| poll.map(stray)),
             ..*state
         };
-        (state.incarnation == 0 && state.is_poll_unanswered).then_some(restarted)
+        let may_restart = self.delays == Delays::Bounded || state.is_poll_unanswered;
+        (state.incarnation == 0 && may_restart).then_some(restarted)
     }
 
     /// The owner learns of a later incarnation from the registry.
@@ -209,9 +208,36 @@
         Some(next)
     }
 
+    /// A poll is carried out; returns none if the worker refuses its token.
+    fn deliver_poll(&self, state: &State, index: usize, call: Call) -> Option<State> {
+        let mut next = without_poll(state, index);
+        next.seen_token = state.seen_token.max(call.token);
+        next.lease_until = lease_of(state, call);
+        let is_acknowledged = |completion: &Completion| {
+            completion.number <= call.last_stored_completion
+                && self.may_reach(state, call, completion)
+        };
+        if let Some(completion) = state.completion.filter(is_acknowledged) {
+            next.is_acknowledged |= !completion.has_expired_lease;
+            next.completion = None;
+        }
+        (call.token >= state.seen_token).then_some(next)
+    }
+
+    /// Returns true if the acknowledgement of a poll may reach the worker while it has this completion.
+    fn may_reach(&self, state: &State, call: Call, completion: &Completion) -> bool {
+        let is_own = call.incarnation == state.incarnation;
+        match self.delays {
+            Delays::Bounded => is_own || !self.has(Guard::OwnConnection),
+            Delays::HeldBack | Delays::LatePolls => {
+                !(call.is_stray && completion.is_of_stray_start)
+            }
+        }
+    }
+
     fn may_deliver_start(&self, state: &State) -> bool {
         let is_stray = state.start.is_some_and(|call| call.incarnation != state.incarnation);
-        self.delays == Delays::Bounded || !is_stray
+        self.delays != Delays::LatePolls || !is_stray
     }
 
     fn send_start(&self, state: &State) -> Option<State> {
@@ -298,22 +324,6 @@
     state.lease_until.max(lease_until)
 }
 
-/// A poll is carried out; returns none if the worker refuses its token.
-fn deliver_poll(state: &State, index: usize, call: Call) -> Option<State> {
-    let mut next = without_poll(state, index);
-    next.seen_token = state.seen_token.max(call.token);
-    next.lease_until = lease_of(state, call);
-    let is_acknowledged = |completion: &Completion| {
-        completion.number <= call.last_stored_completion
-            && !(call.is_stray && completion.is_of_stray_start)
-    };
-    if let Some(completion) = state.completion.filter(is_acknowledged) {
-        next.is_acknowledged |= !completion.has_expired_lease;
-        next.completion = None;
-    }
-    (call.token >= state.seen_token).then_some(next)
-}
-
 fn deliver_start(state: &State) -> Option<State> {
     let call = state.start?;
     let mut next = State { start: None, ..*state };
@@ -400,6 +410,7 @@
 
 #[rstest]
 #[case::bounded(Delays::Bounded)]
+#[case::held_back(Delays::HeldBack)]
 #[case::late_polls(Delays::LatePolls)]
 fn no_unit_runs_twice_when_its_worker_starts_again(#[case] delays: Delays) {
     let (has_violation, states) = explore(&Model { disabled: None, delays });
@@ -418,7 +429,8 @@
 #[case::confirmed_start(Guard::ConfirmedStart, Delays::Bounded)]
 #[case::token(Guard::Token, Delays::Bounded)]
 #[case::seen_token(Guard::SeenToken, Delays::LatePolls)]
-#[case::answered_poll(Guard::AnsweredPoll, Delays::Bounded)]
+#[case::answered_poll(Guard::AnsweredPoll, Delays::HeldBack)]
+#[case::own_connection(Guard::OwnConnection, Delays::Bounded)]
 fn each_guard_is_needed(#[case] guard: Guard, #[case] delays: Delays) {
     let (has_violation, _) = explore(&Model { disabled: Some(guard), delays });
     assert!(has_violation, "no violation without {guard:?}");
