Repeat a late poll until one is answered

What callers saw: none by itself. An owner learned late of a worker that had lost power and started again: its idle connections lead to the earlier incarnation and break when they are used. A poll was repeated once, over such a connection, and then waited for the time limit of the first, up to 2.9 s after it was sent. Meanwhile starts went to the later incarnation in ignorance.

Change: a late poll is repeated every 100 ms until one is answered or the first has failed.

Test: a_late_poll_is_repeated_until_one_is_answered failed before.

--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -3,7 +3,8 @@
 //! Some workers leave calls unanswered, and connections may break without a reset. While a poll is
 //! in flight, completions of that worker remain unknown and what they would free stays in use, so
 //! that waiting for the time limit of the call would leave the worker idle for seconds during a
-//! peak. A poll that is late is therefore made once more, beside the first one. Polls are
+//! peak. A poll that is late is therefore made again beside the first one, until one is answered or the
+//! first one has failed. Polls are
 //! idempotent: each renews the lease to at least the requested deadline and lists the same runs.
 
 use std::pin::pin;
@@ -20,6 +21,9 @@
 /// Time beyond the requested wait after which a reply counts as late.
 pub const LATE_AFTER: Duration = Duration::from_millis(150);
 
+/// Pause after a repeated poll without a reply.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Result of a poll, and when it was sent.
 #[derive(Clone, Debug)]
 pub struct PollResult {
@@ -29,8 +33,8 @@
     pub reply: Result<WorkerReport, WorkerError>,
 }
 
-/// Polls a worker by means of `send`, and once more if the reply is late; `record_repeat` is called
-/// before that. Returns the first result, unless no reply came: then it returns the other one.
+/// Polls a worker by means of `send`, and again if the reply is late; `record_repeat` is called once
+/// before that. Returns the first reply; if none comes, the failure of the last poll.
 pub async fn poll<F>(
     request: LeaseRequest,
     send: impl Fn(LeaseRequest) -> F,
@@ -56,15 +60,27 @@
     // The worker may have started again meanwhile, and would take the number for one of its new
     // completions.
     let repeated = LeaseRequest { acknowledged_completion: 0, wait: Duration::ZERO, ..request };
-    let mut second = pin!(send_now(repeated));
-    tokio::select! {
-        result = &mut first => match result.reply {
-            Err(WorkerError::NoReply(_) | WorkerError::BrokenOff(_)) => second.await,
-            _ => result,
-        },
-        result = &mut second => match result.reply {
-            Err(WorkerError::NoReply(_) | WorkerError::BrokenOff(_)) => first.await,
-            _ => result,
-        },
+    loop {
+        let mut repeat = pin!(send_now(repeated.clone()));
+        let failed = tokio::select! {
+            result = &mut first => match has_no_reply(&result) {
+                true => return repeat.await,
+                false => return result,
+            },
+            result = &mut repeat => match has_no_reply(&result) {
+                true => result,
+                false => return result,
+            },
+        };
+        // A connection to a worker that has started again breaks only when it is used. The next one
+        // may be a new connection.
+        tokio::select! {
+            result = &mut first => return if has_no_reply(&result) { failed } else { result },
+            () = tokio::time::sleep(REPEAT_PAUSE) => {}
+        }
     }
 }
+
+fn has_no_reply(result: &PollResult) -> bool {
+    matches!(result.reply, Err(WorkerError::NoReply(_) | WorkerError::BrokenOff(_)))
+}
--- a/crates/coordinator/tests/worker_poll.rs
+++ b/crates/coordinator/tests/worker_poll.rs
@@ -94,6 +94,27 @@
     assert!(started_at.elapsed() <= WAIT + LATE_AFTER + TIMEOUT);
 }
 
+/// Guards against an owner that doesn't learn of a restart: its idle connections lead to the earlier
+/// incarnation, which has lost power, and break one after another when they are used.
+#[tokio::test(start_paused = true)]
+async fn a_late_poll_is_repeated_until_one_is_answered() {
+    let polls = Cell::new(0);
+    let send = |_| {
+        polls.set(polls.get() + 1);
+        let number = polls.get();
+        async move {
+            match number {
+                1 => time_out().await,
+                2 | 3 => Err(WorkerError::BrokenOff("connection reset".to_owned())),
+                _ => Ok(reply()),
+            }
+        }
+    };
+    let started_at = Instant::now();
+    assert!(poll(request(), send, || ()).await.reply.is_ok());
+    assert!(started_at.elapsed() < TIMEOUT, "took {:?}", started_at.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_refused_token_is_reported_at_once() {
     let send = |_| async { Err(WorkerError::Fenced) };
