Acknowledge on a new connection if a worker closes each one

A worker that closes each connection after its reply would never be acknowledged, since polls on new connections acknowledge nothing: beyond the 500 completions of a report, its runs would not be known to have ended. After four answered polls that could acknowledge something and did not, the next one may do so on a new connection. What is given up for such a worker: if it starts again within the moment between two of these polls, the later incarnation gets the acknowledgement.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -201,6 +201,7 @@
             address: worker.registration.address,
             token: worker.token,
             acknowledged_completion: worker.completion_to_acknowledge(),
+            may_acknowledge_on_new_connection: worker.closes_connections(),
             deadline_ms: self.scheduler.request_lease(&id, now),
             wait,
         };
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -165,9 +165,11 @@
     /// Fencing token of calls to this incarnation of the worker.
     pub token: FencingToken,
     /// Completions up to this number are stored, and the worker may drop them; 0 to acknowledge
-    /// none. On a new connection none are acknowledged: the worker may have started again, and would
-    /// take the number for one of its new completions.
+    /// none.
     pub acknowledged_completion: u64,
+    /// Whether completions are acknowledged also on a new connection. The worker may have started
+    /// again, and would take the number for one of its new completions.
+    pub may_acknowledge_on_new_connection: bool,
     /// End of the lease by the worker's clock, in milliseconds; none to poll without renewing the
     /// lease.
     pub deadline_ms: Option<u64>,
--- a/crates/coordinator/tests/worker_poll.rs
+++ b/crates/coordinator/tests/worker_poll.rs
@@ -25,6 +25,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         token: 1,
         acknowledged_completion: 0,
+        may_acknowledge_on_new_connection: false,
         deadline_ms: None,
         wait: WAIT,
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -22,6 +22,10 @@
 /// limit of a call.
 const CALL_TIME_MAX: Duration = Duration::from_secs(3);
 
+/// Number of consecutive polls without an acknowledgement after which one is sent on a new
+/// connection.
+const UNACKNOWLEDGING_POLLS_MAX: u32 = 4;
+
 /// When the worker last replied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Contact {
@@ -102,6 +106,9 @@
     pub last_stored_completion: u64,
     /// Highest number of a completion that an answered poll has acknowledged.
     pub acknowledged_completion: u64,
+    /// Number of consecutive answered polls that acknowledged nothing although completions were
+    /// stored.
+    unacknowledging_polls: u32,
     /// Time after which the lease that this owner or an earlier one has requested is over.
     lease_expires_at: Moment,
     /// Time after which no lease is left that a command to an earlier incarnation may have given
@@ -159,6 +166,7 @@
             pending_completions: Vec::new(),
             last_stored_completion: 0,
             acknowledged_completion: 0,
+            unacknowledging_polls: 0,
             lease_expires_at,
             stray_lease_until: Moment::ZERO,
             deadline_sent_at: now,
@@ -270,6 +278,11 @@
         }
         self.acknowledged_completion =
             self.acknowledged_completion.max(poll.acknowledged_completion);
+        let is_pending = self.last_stored_completion > self.acknowledged_completion;
+        self.unacknowledging_polls = match is_pending && poll.acknowledged_completion == 0 {
+            true => self.unacknowledging_polls + 1,
+            false => 0,
+        };
         if !std::mem::replace(&mut self.is_token_seen, true)
             && self.stray_lease_until > Moment::ZERO
         {
@@ -289,6 +302,12 @@
         }
     }
 
+    /// Returns true if the next poll acknowledges completions also on a new connection: the worker
+    /// seems to close each connection after its reply, and could not be told otherwise.
+    pub fn closes_connections(&self) -> bool {
+        self.unacknowledging_polls >= UNACKNOWLEDGING_POLLS_MAX
+    }
+
     /// Describes, for the log, what may have reached a later incarnation.
     pub fn calls_in_flight(&self) -> String {
         let (stored, acknowledged) = (self.last_stored_completion, self.acknowledged_completion);
--- a/crates/scheduler/tests/acknowledgements.rs
+++ b/crates/scheduler/tests/acknowledgements.rs
@@ -6,7 +6,9 @@
 use scheduler::BatchLimits;
 use scheduler::Resources;
 use scheduler::RunOutcome;
+use scheduler::SentPoll;
 use scheduler::Step;
+use scheduler::WorkerReport;
 use simulation::BATCH_BYTES_MAX;
 use simulation::Simulation;
 use simulation::config;
@@ -36,3 +38,29 @@
     sim.commit();
     assert!(sim.workers.iter().all(|worker| worker.completions.is_empty()), "both are in the end");
 }
+
+/// Guards against completions that are never acknowledged: the worker closes each connection, and
+/// polls on new ones acknowledge nothing.
+#[test]
+fn completions_are_acknowledged_on_a_new_connection_if_others_fail_to() {
+    let mut sim = Simulation::new(&["w1"], config(3, NO_QUOTA));
+    sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
+    assert_eq!(sim.run_round().len(), 1);
+    sim.complete_run(&unit("a", 0, 0), RunOutcome::Done);
+    sim.report("w1");
+    sim.commit();
+    let report = |sim: &mut Simulation, acknowledged_completion| {
+        let poll = SentPoll { acknowledged_completion, ..sim.poll("w1") };
+        let report = WorkerReport { incarnation_started_ms: 1, ..WorkerReport::default() };
+        sim.scheduler.handle_report(&"w1".into(), &report, poll, sim.now);
+    };
+    let closes_connections =
+        |sim: &Simulation| sim.scheduler.worker("w1").unwrap().closes_connections();
+    for _ in 0..4 {
+        assert!(!closes_connections(&sim));
+        report(&mut sim, 0);
+    }
+    assert!(closes_connections(&sim));
+    report(&mut sim, 1);
+    assert!(!closes_connections(&sim));
+}
