--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -90,6 +90,11 @@
         self.runs.retain(|run| is_kept(&run));
     }
 
+    /// Returns the number of runs that a later incarnation may have started.
+    fn unconfirmed_count(&self) -> usize {
+        self.unconfirmed_runs.as_ref().map_or(self.runs.len(), Vec::len)
+    }
+
     /// Returns the runs of the row, without those whose unit has no valid name.
     fn stored_runs(&self, worker: &WorkerId) -> impl Iterator<Item = StoredRun> {
         let is_confirmed = |index: usize| {
@@ -119,10 +124,9 @@
         now: Moment,
     ) {
         let with_new_runs = self.workers.iter().filter(|(_, worker)| self.must_store_row(worker));
-        let with_lasting_runs = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| !self.must_store_row(worker) && may_confirm_row(worker, now));
+        let with_lasting_runs = self.workers.iter().filter(|(_, worker)| {
+            !self.must_store_row(worker) && self.may_confirm_row(worker, now)
+        });
         let to_store = with_new_runs.chain(with_lasting_runs);
         let rows =
             to_store.take(rows_max).map(|(id, worker)| (id.clone(), self.row_of(worker, now)));
@@ -142,8 +146,7 @@
                 worker.has_unstored_run = has_unstored_run;
                 worker.has_unassigned_run = false;
                 worker.has_row = true;
-                let has_unconfirmed = row.unconfirmed_runs.as_ref().is_some_and(|u| !u.is_empty());
-                worker.unconfirmed_row_at = has_unconfirmed.then_some(now);
+                worker.unconfirmed_in_row = Some((now, row.unconfirmed_count()));
             }
         }
         // A worker that was removed may have come back since. Its row is then needed again.
@@ -190,7 +193,8 @@
             };
             let worker = self.workers.entry_or(id.clone(), unregistered);
             worker.has_row = true;
-            worker.record_earlier_deadlines(lease_left.saturating_sub(lease), now);
+            worker.unconfirmed_in_row = Some((now, row.unconfirmed_count()));
+            worker.record_earlier_deadlines(now + lease_left.saturating_sub(lease));
             let end = RunEnd::worker_restarted(
                 row.incarnation_started_ms,
                 worker.registration.incarnation_started_ms,
@@ -242,6 +246,17 @@
                 && worker.runs.iter().any(|key| self.may_store_planned(worker, key))
     }
 
+    /// Returns true if runs have lasted that a worker's row doesn't show as those of its incarnation.
+    fn may_confirm_row(&self, worker: &Worker, now: Moment) -> bool {
+        let Some((written_at, count)) = worker.unconfirmed_in_row else {
+            return false;
+        };
+        let is_unconfirmed = |(_, run): &(&UnitKey, &Run)| !run.is_of_known_incarnation;
+        now >= written_at + CONFIRM_AFTER
+            && !worker.runs.is_empty()
+            && self.runs_on(worker).filter(is_unconfirmed).count() < count
+    }
+
     fn may_store_planned(&self, worker: &Worker, key: &UnitKey) -> bool {
         self.is_planned(worker, key) && !self.must_wait_for_completions(worker, key)
     }
@@ -369,12 +384,6 @@
     }
 }
 
-/// Returns true if runs have lasted that a worker's row doesn't show as those of its incarnation.
-fn may_confirm_row(worker: &Worker, now: Moment) -> bool {
-    let is_due = |at: Moment| now >= at + CONFIRM_AFTER;
-    worker.unconfirmed_row_at.is_some_and(is_due) && !worker.runs.is_empty()
-}
-
 /// Returns true if a unit with this name is one of the job's.
 fn is_of_job(unit: &str, job: &str) -> bool {
     unit.strip_prefix(job).is_some_and(|rest| rest.starts_with('.'))
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -171,8 +171,10 @@
         let lease_max = self.settings.lease_max;
         if let Some(worker) = self.workers.get_mut(id) {
             let (has_row, is_cordoned) = (worker.has_row, worker.is_cordoned);
+            let deadline_sent_at = worker.deadline_sent_at;
             *worker = Worker::new(registration, now, now);
             worker.token = self.tokens.next();
+            worker.record_earlier_deadlines(deadline_sent_at);
             worker.record_stray_leases(lease_max);
             worker.has_row = has_row;
             worker.is_cordoned = is_cordoned;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -76,8 +76,9 @@
     pub has_unstored_run: bool,
     /// It has listed a run that was not assigned to it, so that its assignment row may lack it.
     pub has_unassigned_run: bool,
-    /// When its assignment row was last written with runs that a later incarnation may have started.
-    pub unconfirmed_row_at: Option<Moment>,
+    /// When its assignment row was last written with runs that a later incarnation may have started,
+    /// and their number.
+    pub unconfirmed_in_row: Option<(Moment, usize)>,
     /// The worker is in the registry.
     pub is_registered: bool,
     /// Resources that its runs reserve.
@@ -116,7 +117,7 @@
     pub stray_lease_until: Moment,
     /// When a command with a deadline was last sent: each may give a later incarnation a lease of
     /// the longest duration.
-    deadline_sent_at: Moment,
+    pub deadline_sent_at: Moment,
     /// Number of consecutive polls that were not answered.
     pub failed_polls: u32,
     /// When a poll first broke off since the last reply: if the worker has crashed, it did so then
@@ -152,7 +153,7 @@
             has_row: false,
             has_unstored_run: false,
             has_unassigned_run: false,
-            unconfirmed_row_at: None,
+            unconfirmed_in_row: None,
             is_registered: true,
             reserved: Resources::default(),
             runs: Vec::new(),
@@ -266,9 +267,10 @@
         self.stray_lease_until = self.longest_lease_over_at(lease_max);
     }
 
-    /// Records that earlier owners may send commands with a deadline for as long as `sent_for`.
-    pub fn record_earlier_deadlines(&mut self, sent_for: Duration, now: Moment) {
-        self.deadline_sent_at = self.deadline_sent_at.max(now + sent_for);
+    /// Records that commands with a deadline for this worker or its earlier incarnation may have been
+    /// sent, or may be sent by earlier owners, until `sent_until`.
+    pub fn record_earlier_deadlines(&mut self, sent_until: Moment) {
+        self.deadline_sent_at = self.deadline_sent_at.max(sent_until);
     }
 
     /// Records what the worker's reply to a poll shows, which this incarnation has sent.
