Renew no lease by a repeated poll, nor by one that is sent late

Found in review: a repeated poll is sent up to 2.9 s after the first one and carried its deadline. A later incarnation that the owner doesn't know of would have taken that for a time far ahead, 3.8 s after the owner had recorded it; it reckons with 3 s. A process that was suspended between the decision and the call sent the deadline as well.

Test: a_repeated_poll_renews_no_lease failed before. The check before the call has no test of its own.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -11,6 +11,7 @@
 use scheduler::worker::Worker;
 
 use super::Owner;
+use super::VALIDITY;
 use super::event::Event;
 use crate::clock;
 use crate::metrics;
@@ -208,8 +209,14 @@
         self.stats.record_poll();
         let shared = self.shared.clone();
         self.spawn(async move {
+        let epoch = self.epoch;
             let node = &shared.node;
-            let send = |request| node.platform.renew_lease(request);
+            let send = |request: LeaseRequest| {
+                // The process may have been suspended since the decision.
+                let may_renew = shared.may_act(epoch, VALIDITY, clock::now());
+                let deadline_ms = request.deadline_ms.filter(|_| may_renew);
+                node.platform.renew_lease(LeaseRequest { deadline_ms, ..request })
+            };
             let record_repeat = || node.telemetry.count(metrics::POLLS_REPEATED);
             let polled = worker_poll::poll(request, send, record_repeat).await;
             Event::Reported { worker: id, sent: polled.sent, result: polled.reply }
--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -57,9 +57,14 @@
         return result;
     }
     record_repeat();
-    // The worker may have started again meanwhile, and would take the number for one of its new
-    // completions.
-    let repeated = LeaseRequest { acknowledged_completion: 0, wait: Duration::ZERO, ..request };
+    // The worker may have started again meanwhile. It would take the number for one of its new
+    // completions, and the deadline for a time far ahead.
+    let repeated = LeaseRequest {
+        acknowledged_completion: 0,
+        deadline_ms: None,
+        wait: Duration::ZERO,
+        ..request
+    };
     loop {
         let mut repeat = pin!(send_now(repeated.clone()));
         let failed = tokio::select! {
--- a/crates/coordinator/tests/worker_poll.rs
+++ b/crates/coordinator/tests/worker_poll.rs
@@ -139,6 +139,22 @@
 }
 
 /// Guards against a unit that is started again after it was done: the worker has started again since
+/// Guards against two runs at the same time: the worker has started again since the first poll, and
+/// takes the deadline for a time far ahead, later than the owner reckons with.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_poll_renews_no_lease() {
+    let deadlines = Cell::new(Vec::new());
+    let send = |request: LeaseRequest| {
+        let mut sent = deadlines.take();
+        sent.push(request.deadline_ms);
+        let is_first = sent.len() == 1;
+        deadlines.set(sent);
+        async move { if is_first { time_out().await } else { Ok(reply()) } }
+    };
+    poll(LeaseRequest { deadline_ms: Some(9_000), ..request() }, send, || ()).await.reply.unwrap();
+    assert_eq!(deadlines.take(), [Some(9_000), None]);
+}
+
 /// the first poll, and takes the number for one of its new completions.
 #[tokio::test(start_paused = true)]
 async fn a_repeated_poll_acknowledges_nothing() {
