Tell by when its connection was opened which incarnation a call can reach

Cause: a start without a reply counted as one that a later incarnation may have got. But a connection that was opened while the known incarnation ran leads to no later one. That is known from the time of the last poll that it has answered.

Change: the client tells whether a call went over such a connection. A start without a reply on one has the usual lease. Acknowledgements use the same rule, in place of "has answered on this connection", which also counted refusals and replies of other workers at the address. Whether a worker closes each connection is told by polls that withheld an acknowledgement, not by all that had none.

Tests: a_start_that_no_later_incarnation_can_have_got_has_the_usual_lease; the acknowledgements of the adapter; completions_are_acknowledged_on_a_new_connection_if_others_fail_to counts repeated polls no longer (it failed with them). restart_model sends starts over both kinds of connection; without the new guard it finds two runs.

--- a/crates/coordinator/src/http/client.rs
+++ b/crates/coordinator/src/http/client.rs
@@ -1,4 +1,7 @@
 //! HTTP/1.1 client with a bounded number of connections for each address and kind of call.
+//!
+//! A process may be replaced by a later one at its address. A connection ends with the process that
+//! it leads to, so one that was opened while a process is known to have run leads to no later one.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,11 +18,14 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use scheduler::Moment;
 use scheduler::SortedMap;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use crate::clock;
+
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -54,8 +60,10 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// JSON body; empty for none.
     pub body: Bytes,
-    /// Body to send instead on a new connection, on which the other process has not answered yet.
-    pub body_if_new: Option<Bytes>,
+    /// When the process that the request is meant for is known to have run.
+    pub process_known_at: Option<Moment>,
+    /// Body to send instead on a connection that was opened later.
+    pub body_if_newer: Option<Bytes>,
     /// Time limit for the whole call, including the wait for a connection.
     pub timeout: Duration,
 }
@@ -68,15 +76,25 @@
         body: impl Into<Bytes>,
         timeout: Duration,
     ) -> Self {
-        let (path, body) = (path.into(), body.into());
-        Self { method, path, headers: Vec::new(), body, body_if_new: None, timeout }
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: body.into(),
+            process_known_at: None,
+            body_if_newer: None,
+            timeout,
+        }
     }
 
-    /// Sets the body for a new connection. A process that has started again is reached only through
-    /// new connections.
-    pub fn body_if_new(mut self, body: impl Into<Bytes>) -> Self {
-        self.body_if_new = Some(body.into());
-        self
+    /// Sets when the process that the request is meant for is known to have run.
+    pub fn meant_for_process_at(self, known_at: Option<Moment>) -> Self {
+        Self { process_known_at: known_at, ..self }
+    }
+
+    /// Sets the body for a connection that may lead to a later process.
+    pub fn body_if_newer(self, body: impl Into<Bytes>) -> Self {
+        Self { body_if_newer: Some(body.into()), ..self }
     }
 
     /// Adds a header. A value that is not valid in a header is left out.
@@ -97,8 +115,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
-    /// The request was the first one on its connection.
-    pub is_first: bool,
+    /// The request can't have reached a later process than the one that it is meant for.
+    pub is_to_known_process: bool,
 }
 
 /// Why a call got no response.
@@ -111,15 +129,34 @@
     #[error("connection refused")]
     ConnectionRefused,
     /// The request was sent and may have been carried out.
-    #[error("no response: {0}")]
-    NoResponse(String),
+    #[error("no response: {why}")]
+    NoResponse {
+        /// What went wrong.
+        why: String,
+        /// The request can't have reached a later process than the one that it is meant for.
+        is_to_known_process: bool,
+    },
 }
 
 type Sender = SendRequest<Full<Bytes>>;
 
 struct ConnectionPool {
     permits: Semaphore,
-    idle: Mutex<Vec<Sender>>,
+    idle: Mutex<Vec<Connection>>,
+}
+
+struct Connection {
+    sender: Sender,
+    /// When the connection was established.
+    opened_at: Moment,
+}
+
+/// How far a request has got.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    No,
+    ToAnyProcess,
+    ToKnownProcess,
 }
 
 type ConnectionPools = SortedMap<(SocketAddr, CallKind), Arc<ConnectionPool>>;
@@ -142,15 +179,15 @@
         request: Request,
     ) -> Result<Response, CallError> {
         let time_limit = request.timeout;
-        let mut was_sent = false;
-        match timeout(time_limit, self.exchange(address, kind, request, &mut was_sent)).await {
+        let mut sent = Sent::No;
+        match timeout(time_limit, self.exchange(address, kind, request, &mut sent)).await {
             Ok(result) => result,
-            Err(_) if was_sent => {
+            Err(_) if sent == Sent::No => Err(CallError::NotSent("timed out".to_owned())),
+            Err(_) => {
                 // The other connections to this address may be broken as well.
                 self.close_idle(address);
-                Err(CallError::NoResponse("timed out".to_owned()))
+                Err(no_response("timed out", sent))
             }
-            Err(_) => Err(CallError::NotSent("timed out".to_owned())),
         }
     }
 
@@ -165,22 +202,23 @@
         address: SocketAddr,
         kind: CallKind,
         request: Request,
-        was_sent: &mut bool,
+        sent: &mut Sent,
     ) -> Result<Response, CallError> {
         let pool = self.pool(address, kind);
         let _permit = pool.permits.acquire().await.expect("the semaphore is never closed");
-        let (mut sender, is_first) = match pool.take_idle() {
-            Some(sender) => (sender, false),
-            None => (connect(address).await?, true),
+        let mut connection = match pool.take_idle() {
+            Some(connection) => connection,
+            None => connect(address).await?,
         };
-        *was_sent = true;
-        let response = sender.send_request(encode(address, request, is_first)?).await;
-        let response = response.map_err(|error| CallError::NoResponse(error.to_string()))?;
-        let (head, body) = response.into_parts();
-        let body = body.collect().await;
-        let body = body.map_err(|error| CallError::NoResponse(error.to_string()))?.to_bytes();
-        pool.return_idle(sender);
-        Ok(Response { status: head.status, headers: head.headers, body, is_first })
+        let is_to_known_process =
+            request.process_known_at.is_some_and(|known_at| connection.opened_at <= known_at);
+        let request = encode(address, request, is_to_known_process)?;
+        *sent = if is_to_known_process { Sent::ToKnownProcess } else { Sent::ToAnyProcess };
+        let response = connection.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| no_response(error, *sent))?.into_parts();
+        let body = body.collect().await.map_err(|error| no_response(error, *sent))?.to_bytes();
+        pool.return_idle(connection);
+        Ok(Response { status: head.status, headers: head.headers, body, is_to_known_process })
     }
 
     fn pool(&self, address: SocketAddr, kind: CallKind) -> Arc<ConnectionPool> {
@@ -195,24 +233,29 @@
 
 impl ConnectionPool {
     /// Returns an idle connection that the other end has not closed.
-    fn take_idle(&self) -> Option<Sender> {
+    fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("lock is never poisoned");
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(connection) = idle.pop() {
+            if connection.sender.is_ready() {
+                return Some(connection);
             }
         }
         None
     }
 
-    fn return_idle(&self, sender: Sender) {
-        if !sender.is_closed() {
-            self.idle.lock().expect("lock is never poisoned").push(sender);
+    fn return_idle(&self, connection: Connection) {
+        if !connection.sender.is_closed() {
+            self.idle.lock().expect("lock is never poisoned").push(connection);
         }
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, CallError> {
+fn no_response(why: impl ToString, sent: Sent) -> CallError {
+    let is_to_known_process = sent == Sent::ToKnownProcess;
+    CallError::NoResponse { why: why.to_string(), is_to_known_process }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, CallError> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
@@ -228,15 +271,15 @@
         // The request on the connection gets the error.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection { sender, opened_at: clock::now() })
 }
 
 fn encode(
     address: SocketAddr,
     request: Request,
-    is_first: bool,
+    is_to_known_process: bool,
 ) -> Result<http::Request<Full<Bytes>>, CallError> {
-    let body = request.body_if_new.filter(|_| is_first).unwrap_or(request.body);
+    let body = request.body_if_newer.filter(|_| !is_to_known_process).unwrap_or(request.body);
     let has_body = !body.is_empty();
     let mut encoded = http::Request::builder()
         .method(request.method)
--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -202,14 +202,15 @@
             address: worker.registration.address,
             token: worker.token,
             acknowledged_completion: worker.completion_to_acknowledge(),
-            may_acknowledge_on_new_connection: worker.closes_connections(),
+            known_at: worker.known_at(),
+            may_acknowledge_on_any_connection: worker.closes_connections(),
             deadline_ms: self.scheduler.request_lease(&id, now),
             wait,
         };
         self.stats.record_poll();
         let shared = self.shared.clone();
-        self.spawn(async move {
         let epoch = self.epoch;
+        self.spawn(async move {
             let node = &shared.node;
             let send = |request: LeaseRequest| {
                 // The process may have been suspended since the decision.
--- a/crates/coordinator/src/owner/run_log.rs
+++ b/crates/coordinator/src/owner/run_log.rs
@@ -47,7 +47,7 @@
             .field("epoch", self.epoch)
             .text("reply", format!("{reply:?}"));
         match reply {
-            StartReply::Unknown => line.decisive().write(),
+            StartReply::Unknown | StartReply::UnansweredByKnown => line.decisive().write(),
             _ => line.write(),
         }
     }
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -216,7 +216,7 @@
         let request = Request::new(Method::POST, self.path(name), body, timeout);
         let response = self.client.call(self.address, CallKind::Waiting, request).await;
         response.map_err(|error| match error {
-            CallError::NoResponse(why) => PeerError::NoReply(why),
+            CallError::NoResponse { why, .. } => PeerError::NoReply(why),
             error => PeerError::NotExecuted(error.to_string()),
         })
     }
--- a/crates/coordinator/src/ports.rs
+++ b/crates/coordinator/src/ports.rs
@@ -10,6 +10,7 @@
 use scheduler::HostEntry;
 use scheduler::HostName;
 use scheduler::HostReply;
+use scheduler::Moment;
 use scheduler::PoolName;
 use scheduler::ShardIndex;
 use scheduler::StartCommand;
@@ -167,9 +168,11 @@
     /// Completions up to this number are stored, and the worker may drop them; 0 to acknowledge
     /// none.
     pub acknowledged_completion: u64,
-    /// Whether completions are acknowledged also on a new connection. The worker may have started
-    /// again, and would take the number for one of its new completions.
-    pub may_acknowledge_on_new_connection: bool,
+    /// When the known incarnation is known to have run; `None` if it hasn't replied.
+    pub known_at: Option<Moment>,
+    /// Whether completions are acknowledged also on a connection that isn't known to lead to this
+    /// incarnation. A later one would take the number for one of its new completions.
+    pub may_acknowledge_on_any_connection: bool,
     /// End of the lease by the worker's clock, in milliseconds; none to poll without renewing the
     /// lease.
     pub deadline_ms: Option<u64>,
@@ -184,6 +187,17 @@
     pub report: WorkerReport,
     /// Completions up to this number were acknowledged; 0 if none were.
     pub acknowledged_completion: u64,
+    /// Completions were to be acknowledged, but not on the connection that the poll was sent on.
+    pub is_acknowledgement_withheld: bool,
+}
+
+impl LeaseReply {
+    /// Creates the reply to a poll that acknowledged completions up to `acknowledged`, where they were to
+    /// be acknowledged up to `requested`.
+    pub fn new(report: WorkerReport, acknowledged: u64, requested: u64) -> Self {
+        let is_acknowledgement_withheld = acknowledged < requested;
+        Self { report, acknowledged_completion: acknowledged, is_acknowledgement_withheld }
+    }
 }
 
 /// Failure of a poll of a worker.
--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -47,9 +47,14 @@
     let send_now = |request: LeaseRequest| async {
         let (token, sent_at) = (request.token, clock::now());
         let reply = send(request).await;
-        let acknowledged_completion =
-            reply.as_ref().map_or(0, |reply| reply.acknowledged_completion);
-        let sent = SentPoll { token, acknowledged_completion, sent_at };
+        let answered = reply.as_ref().ok();
+        let sent = SentPoll {
+            token,
+            acknowledged_completion: answered.map_or(0, |reply| reply.acknowledged_completion),
+            is_acknowledgement_withheld: answered
+                .is_some_and(|reply| reply.is_acknowledgement_withheld),
+            sent_at,
+        };
         PollResult { sent, reply: reply.map(|reply| reply.report) }
     };
     let mut first = pin!(send_now(request.clone()));
--- a/crates/coordinator/tests/common/memory.rs
+++ b/crates/coordinator/tests/common/memory.rs
@@ -356,7 +356,7 @@
                         running: running.map(|(_, run, _)| run.clone()).collect(),
                         completions: CompletionList::Complete(completions),
                     };
-                    return Ok(LeaseReply { report, acknowledged_completion: last_stored });
+                    return Ok(LeaseReply::new(report, last_stored, last_stored));
                 }
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/coordinator/tests/worker_poll.rs
+++ b/crates/coordinator/tests/worker_poll.rs
@@ -25,7 +25,8 @@
         address: "127.0.0.1:1".parse().unwrap(),
         token: 1,
         acknowledged_completion: 0,
-        may_acknowledge_on_new_connection: false,
+        known_at: None,
+        may_acknowledge_on_any_connection: false,
         deadline_ms: None,
         wait: WAIT,
     }
@@ -38,7 +39,7 @@
         running: Vec::new(),
         completions: CompletionList::default(),
     };
-    LeaseReply { report, acknowledged_completion: 0 }
+    LeaseReply::new(report, 0, 0)
 }
 
 async fn time_out() -> Result<LeaseReply, WorkerError> {
@@ -138,7 +139,6 @@
     );
 }
 
-/// Guards against a unit that is started again after it was done: the worker has started again since
 /// Guards against two runs at the same time: the worker has started again since the first poll, and
 /// takes the deadline for a time far ahead, later than the owner reckons with.
 #[tokio::test(start_paused = true)]
@@ -155,6 +155,7 @@
     assert_eq!(deadlines.take(), [Some(9_000), None]);
 }
 
+/// Guards against a unit that is started again after it was done: the worker has started again since
 /// the first poll, and takes the number for one of its new completions.
 #[tokio::test(start_paused = true)]
 async fn a_repeated_poll_acknowledges_nothing() {
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -315,6 +315,9 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let Some(own_clock) = worker.own_clock(now) else {
+            return;
+        };
         let deadline_ms = clock_ms + validity.as_millis() as u64;
         worker.record_lease_request(deadline_ms, now);
         let (address, token) = (worker.registration.address, worker.token);
@@ -348,6 +351,7 @@
             deadline_ms,
             checkpoint,
             ticket,
+            own_clock,
         }));
     }
 
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -45,7 +45,8 @@
                 self.count_cold_start(worker, now);
                 self.confirm_start(worker, key, clock_ms, now);
             }
-            StartReply::Unknown => self.mark_in_doubt(worker, key, now),
+            StartReply::Unknown => self.mark_in_doubt(worker, key, false, now),
+            StartReply::UnansweredByKnown => self.mark_in_doubt(worker, key, true, now),
             StartReply::OtherInstance if self.is_current_token(worker, token) => {
                 self.handle_worker_gone(worker, token, "another instance answers", now)
             }
@@ -138,9 +139,8 @@
     fn confirm_start(&mut self, id: &WorkerId, key: &UnitKey, clock_ms: u64, now: Moment) {
         let sent_at = self.run_on(key, id).map(|run| run.since);
         let worker = self.workers.get(id);
-        let is_own = worker
-            .zip(sent_at)
-            .is_some_and(|(worker, sent_at)| worker.is_own_clock(clock_ms, sent_at, now));
+        let own_clock = worker.zip(sent_at).and_then(|(worker, at)| worker.own_clock(at));
+        let is_own = own_clock.is_some_and(|own_clock| own_clock.is_shown_by(clock_ms, now));
         let Some(run) = self.run_on_mut(key, id) else {
             return;
         };
@@ -157,12 +157,19 @@
         self.mark_started(&key.job);
     }
 
-    fn mark_in_doubt(&mut self, worker: &WorkerId, key: &UnitKey, now: Moment) {
+    fn mark_in_doubt(
+        &mut self,
+        worker: &WorkerId,
+        key: &UnitKey,
+        is_of_known_incarnation: bool,
+        now: Moment,
+    ) {
         let Some(run) = self.run_on_mut(key, worker) else {
             return;
         };
         if run.phase == Phase::Commanded {
             run.phase = Phase::InDoubt;
+            run.is_of_known_incarnation = is_of_known_incarnation;
             // A long-running unit may be running by the time the stop command arrives, while the
             // disruption budget of its step is spent on other units. The next report shows whether
             // it runs, and after the deadline of the start command it cannot start any more.
--- a/crates/scheduler/src/live_jobs.rs
+++ b/crates/scheduler/src/live_jobs.rs
@@ -93,8 +93,8 @@
     pub kind: UnitKind,
     /// What the owner knows about the run.
     pub phase: Phase,
-    /// Only the known incarnation of the worker can have it: that one has listed the run, or has
-    /// confirmed the start.
+    /// Only the known incarnation of the worker can have it: that one has listed the run or has
+    /// confirmed the start, or no other can have got the start.
     pub is_of_known_incarnation: bool,
     /// When the start command was sent, or when the run was planned or found.
     pub since: Moment,
--- a/crates/scheduler/src/messages.rs
+++ b/crates/scheduler/src/messages.rs
@@ -15,6 +15,7 @@
 use crate::job::UnitKey;
 use crate::live_jobs::Phase;
 use crate::live_jobs::Run;
+use crate::own_clock::OwnClock;
 use crate::run_end::EndEvidence;
 use crate::run_end::EndedRun;
 
@@ -140,6 +141,8 @@
     pub token: FencingToken,
     /// Completions up to this number were acknowledged; 0 if none were.
     pub acknowledged_completion: u64,
+    /// Completions were to be acknowledged, but not on the connection that it was sent on.
+    pub is_acknowledgement_withheld: bool,
     /// When it was sent.
     pub sent_at: Moment,
 }
@@ -219,6 +222,8 @@
     pub checkpoint: String,
     /// Ticket of the advisor, if the queue needs advice.
     pub ticket: Option<Arc<str>>,
+    /// Clock of the incarnation that it is meant for.
+    pub own_clock: OwnClock,
 }
 
 /// Result of a start command.
@@ -250,6 +255,8 @@
     Withheld,
     /// No reply: the command may have taken effect, or may still do so.
     Unknown,
+    /// No reply, and no later incarnation than the known one can have got the command.
+    UnansweredByKnown,
 }
 
 /// State of a host, as the platform lists it.
--- a/crates/scheduler/src/run_end.rs
+++ b/crates/scheduler/src/run_end.rs
@@ -104,7 +104,9 @@
     /// Returns the end of a run whose start command was not carried out, as the reply to it says.
     pub fn not_started(reply: StartReply) -> Option<Self> {
         match reply {
-            StartReply::Started { .. } | StartReply::Unknown => None,
+            StartReply::Started { .. } | StartReply::Unknown | StartReply::UnansweredByKnown => {
+                None
+            }
             _ => Some(Self { evidence: EndEvidence::NotStarted(reply) }),
         }
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -13,6 +13,7 @@
 use crate::live_jobs::Run;
 use crate::messages::SentPoll;
 use crate::messages::WorkerRegistration;
+use crate::own_clock::OwnClock;
 
 /// Percentage by which a worker's clock may at most run slower than true time.
 const CLOCK_SLOW_PERCENT: u32 = 2;
@@ -22,9 +23,9 @@
 /// limit of a call.
 const CALL_TIME_MAX: Duration = Duration::from_secs(3);
 
-/// Number of consecutive polls without an acknowledgement after which one is sent on a new
+/// Number of consecutive polls that withhold an acknowledgement after which one is sent on any
 /// connection.
-const UNACKNOWLEDGING_POLLS_MAX: u32 = 4;
+const WITHHOLDING_POLLS_MAX: u32 = 4;
 
 /// When the worker last replied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,9 +108,8 @@
     pub last_stored_completion: u64,
     /// Highest number of a completion that an answered poll has acknowledged.
     pub acknowledged_completion: u64,
-    /// Number of consecutive answered polls that acknowledged nothing although completions were
-    /// stored.
-    unacknowledging_polls: u32,
+    /// Number of consecutive answered polls that withheld an acknowledgement.
+    withholding_polls: u32,
     /// Time after which the lease that this owner or an earlier one has requested is over.
     lease_expires_at: Moment,
     /// Time after which no lease is left that a command to an earlier incarnation may have given
@@ -167,7 +167,7 @@
             pending_completions: Vec::new(),
             last_stored_completion: 0,
             acknowledged_completion: 0,
-            unacknowledging_polls: 0,
+            withholding_polls: 0,
             lease_expires_at,
             stray_lease_until: Moment::ZERO,
             deadline_sent_at: now,
@@ -230,15 +230,17 @@
         self.clock = Some(ClockReading { clock_ms, requested_at, received_at });
     }
 
-    /// Returns true if only the known incarnation can have shown this clock in its reply to a call
-    /// that was sent at `sent_at`: the clock of a later one began at zero after the last reading.
-    pub fn is_own_clock(&self, clock_ms: u64, sent_at: Moment, now: Moment) -> bool {
-        let Some(reading) = self.clock else {
-            return false;
-        };
-        let later_max_ms = now.saturating_sub(reading.requested_at).as_millis() as u64;
-        let own_min_ms = self.clock_min_ms(sent_at);
-        clock_ms > later_max_ms && own_min_ms.is_some_and(|own_min_ms| clock_ms >= own_min_ms)
+    /// Returns the last time at which the known incarnation is known to have run, by its reply to a
+    /// poll that was sent then.
+    pub fn known_at(&self) -> Option<Moment> {
+        Some(self.clock?.requested_at)
+    }
+
+    /// Returns what tells the known incarnation's replies to calls that are sent at `sent_at` or
+    /// later; `None` if the worker has not replied yet.
+    pub fn own_clock(&self, sent_at: Moment) -> Option<OwnClock> {
+        let (min_ms, known_at) = (self.clock_min_ms(sent_at)?, self.known_at()?);
+        Some(OwnClock { min_ms, known_at })
     }
 
     /// Returns the lowest time that the worker's clock can show now, in milliseconds; `None` if the
@@ -280,11 +282,11 @@
         }
         self.acknowledged_completion =
             self.acknowledged_completion.max(poll.acknowledged_completion);
-        let is_pending = self.last_stored_completion > self.acknowledged_completion;
-        self.unacknowledging_polls = match is_pending && poll.acknowledged_completion == 0 {
-            true => self.unacknowledging_polls + 1,
-            false => 0,
-        };
+        if poll.is_acknowledgement_withheld {
+            self.withholding_polls += 1;
+        } else if poll.acknowledged_completion > 0 {
+            self.withholding_polls = 0;
+        }
         if !std::mem::replace(&mut self.is_token_seen, true)
             && self.stray_lease_until > Moment::ZERO
         {
@@ -304,10 +306,10 @@
         }
     }
 
-    /// Returns true if the next poll acknowledges completions also on a new connection: the worker
-    /// seems to close each connection after its reply, and could not be told otherwise.
+    /// Returns true if the next poll acknowledges completions on any connection: the worker seems to
+    /// close each connection after its reply, and could not be told otherwise.
     pub fn closes_connections(&self) -> bool {
-        self.unacknowledging_polls >= UNACKNOWLEDGING_POLLS_MAX
+        self.withholding_polls >= WITHHOLDING_POLLS_MAX
     }
 
     /// Describes, for the log, what may have reached a later incarnation.
--- a/crates/scheduler/tests/acknowledgements.rs
+++ b/crates/scheduler/tests/acknowledgements.rs
@@ -49,18 +49,23 @@
     sim.complete_run(&unit("a", 0, 0), RunOutcome::Done);
     sim.report("w1");
     sim.commit();
-    let report = |sim: &mut Simulation, acknowledged_completion| {
-        let poll = SentPoll { acknowledged_completion, ..sim.poll("w1") };
+    let report = |sim: &mut Simulation, acknowledged_completion, is_acknowledgement_withheld| {
+        let poll =
+            SentPoll { acknowledged_completion, is_acknowledgement_withheld, ..sim.poll("w1") };
         let report = WorkerReport { incarnation_started_ms: 1, ..WorkerReport::default() };
         sim.scheduler.handle_report(&"w1".into(), &report, poll, sim.now);
     };
     let closes_connections =
         |sim: &Simulation| sim.scheduler.worker("w1").unwrap().closes_connections();
+    for _ in 0..4 {
+        // A repeated poll acknowledges nothing on purpose.
+        report(&mut sim, 0, false);
+    }
     for _ in 0..4 {
         assert!(!closes_connections(&sim));
-        report(&mut sim, 0);
+        report(&mut sim, 0, true);
     }
     assert!(closes_connections(&sim));
-    report(&mut sim, 1);
+    report(&mut sim, 1, false);
     assert!(!closes_connections(&sim));
 }
--- a/crates/scheduler/tests/common/restart_state.rs
+++ b/crates/scheduler/tests/common/restart_state.rs
@@ -26,6 +26,9 @@
     /// It reckons with the longest lease for runs that an incarnation may have started of which it
     /// doesn't know.
     UnknownIncarnation,
+    /// It reckons so for starts without a reply as well, unless their connection ends with the known
+    /// incarnation.
+    UnansweredStartInFlight,
     /// It tells from the clock in the reply to a start whether the known incarnation has carried it
     /// out.
     ReplyClock,
@@ -66,7 +69,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Known {
     Nothing,
-    Commanded,
+    /// A start was sent. True if its connection ends with the known incarnation.
+    Commanded(bool),
     /// The start was confirmed. True if the reply shows the clock of the known incarnation.
     Confirmed(bool),
     /// The known incarnation has listed the run.
@@ -91,6 +95,8 @@
     pub last_stored_completion: u8,
     /// It was in flight when the worker started again.
     pub is_stray: bool,
+    /// Its connection ends with the incarnation that it is meant for.
+    pub is_on_own_connection: bool,
 }
 
 /// The unit's completion, until it is acknowledged.
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -275,6 +275,7 @@
         SentPoll {
             token: worker.map_or(0, |worker| worker.token),
             acknowledged_completion: worker.map_or(0, Worker::completion_to_acknowledge),
+            is_acknowledgement_withheld: false,
             sent_at: self.now,
         }
     }
--- a/crates/scheduler/tests/restart_model.rs
+++ b/crates/scheduler/tests/restart_model.rs
@@ -54,7 +54,8 @@
         successors.extend(self.restart(state));
         successors.extend(self.register(state));
         successors.extend(self.send_poll(state));
-        successors.extend(self.send_start(state));
+        successors.extend(self.send_start(state, false));
+        successors.extend(self.send_start(state, true));
         successors.extend(stop(state));
         successors.extend(finish(state));
         successors.extend(self.expire_lease(state));
@@ -101,7 +102,9 @@
 
     /// The worker starts again; its completions and the token that it has seen are lost.
     fn restart(&self, state: &State) -> Option<State> {
-        let start = state.start.filter(|_| self.delays != Delays::LatePolls);
+        let start = state
+            .start
+            .filter(|start| self.delays != Delays::LatePolls && !start.is_on_own_connection);
         let stray = |call: Call| Call { is_stray: true, ..call };
         let restarted = State {
             incarnation: 1,
@@ -132,7 +135,7 @@
         let call_time = if self.has(Guard::CallsInFlight) { CALL_TIME_MAX } else { 0 };
         state.stray_lease_until = state.now + lease + call_time;
         state.known = match state.known {
-            Known::Commanded | Known::InDoubt(_) if self.has(Guard::UnansweredStart) => {
+            Known::Commanded(_) | Known::InDoubt(_) if self.has(Guard::UnansweredStart) => {
                 Known::InDoubt(false)
             }
             Known::Confirmed(_) if self.has(Guard::ConfirmedStart) => Known::Confirmed(false),
@@ -189,7 +192,7 @@
             state.start = state.start.filter(|start| start.token >= SUCCESSOR_TOKEN);
         }
         state.known = match (state.known, state.running) {
-            (Known::Done | Known::InDoubt(false), _) | (Known::Commanded, None) => state.known,
+            (Known::Done | Known::InDoubt(false), _) | (Known::Commanded(_), None) => state.known,
             (Known::Stored(_), None) if call.token < SUCCESSOR_TOKEN => state.known,
             (_, Some(_)) => Known::Reported,
             (_, None) => Known::Nothing,
@@ -237,18 +240,19 @@
 
     fn may_deliver_start(&self, state: &State) -> bool {
         let is_stray = state.start.is_some_and(|call| call.incarnation != state.incarnation);
-        self.delays != Delays::LatePolls || !is_stray
+        let is_on_own_connection = state.start.is_some_and(|call| call.is_on_own_connection);
+        !is_stray || (self.delays != Delays::LatePolls && !is_on_own_connection)
     }
 
-    fn send_start(&self, state: &State) -> Option<State> {
+    fn send_start(&self, state: &State, is_on_own_connection: bool) -> Option<State> {
         let can_start = state.known == Known::Nothing
             && (state.is_token_seen || !self.has(Guard::SeenToken))
             && state.start.is_none()
             && !state.is_elsewhere
             && state.last_run < RUNS_MAX;
         can_start.then_some(State {
-            start: Some(call(state)),
-            known: Known::Commanded,
+            start: Some(Call { is_on_own_connection, ..call(state) }),
+            known: Known::Commanded(is_on_own_connection),
             last_run: state.last_run + 1,
             row_incarnation: state.known_incarnation,
             is_confirmed_in_row: false,
@@ -261,7 +265,7 @@
     /// The reply to a start arrives.
     fn confirm_start(&self, state: &State) -> Option<State> {
         let is_own = state.incarnation == state.known_incarnation || !self.has(Guard::ReplyClock);
-        let is_confirmed = state.running.is_some() && state.known == Known::Commanded;
+        let is_confirmed = state.running.is_some() && matches!(state.known, Known::Commanded(_));
         is_confirmed.then_some(State { known: Known::Confirmed(is_own), ..*state })
     }
 
@@ -269,6 +273,7 @@
     fn expire_lease(&self, state: &State) -> Option<State> {
         let is_of_known = match state.known {
             Known::Reported | Known::Confirmed(true) | Known::Stored(true) => true,
+            Known::Commanded(is_own) => is_own || !self.has(Guard::UnansweredStartInFlight),
             Known::Stored(false) => !self.has(Guard::UnconfirmedRow),
             _ => false,
         };
@@ -289,6 +294,7 @@
         token: state.token,
         last_stored_completion: state.last_stored_completion,
         is_stray: false,
+        is_on_own_connection: false,
     }
 }
 
@@ -423,6 +429,7 @@
 #[case::longest_lease(Guard::LongestLease, Delays::Bounded)]
 #[case::calls_in_flight(Guard::CallsInFlight, Delays::Bounded)]
 #[case::unknown_incarnation(Guard::UnknownIncarnation, Delays::Bounded)]
+#[case::unanswered_start_in_flight(Guard::UnansweredStartInFlight, Delays::Bounded)]
 #[case::reply_clock(Guard::ReplyClock, Delays::Bounded)]
 #[case::unconfirmed_row(Guard::UnconfirmedRow, Delays::Bounded)]
 #[case::unanswered_start(Guard::UnansweredStart, Delays::Bounded)]
--- a/crates/scheduler/tests/unknown_restarts.rs
+++ b/crates/scheduler/tests/unknown_restarts.rs
@@ -8,10 +8,14 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use scheduler::Action;
+use scheduler::AssignmentRow;
+use scheduler::BatchLimits;
 use scheduler::Resources;
 use scheduler::StartCommand;
 use scheduler::StartReply;
+use simulation::BATCH_BYTES_MAX;
 use simulation::Simulation;
 use simulation::config;
 use simulation::job;
@@ -186,3 +190,63 @@
     assert!(waited > seconds(5), "{waited:?}");
     assert!(waited < seconds(USUAL_WAIT_S), "{waited:?}");
 }
+
+/// Guards against a lasting unit that stays away for 13 s after a plain crash: its start had no reply,
+/// on a connection that ends with the known incarnation.
+#[test]
+fn a_start_that_no_later_incarnation_can_have_got_has_the_usual_lease() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    cut_off_w1(&mut sim);
+    handle_reply(&mut sim, &start, StartReply::UnansweredByKnown);
+    assert_eq!(sim.run_for(seconds(USUAL_WAIT_S)).len(), 1);
+}
+
+/// Guards against successors that each wait for the longest lease: a successor left the row as it had
+/// found it, although the run had lasted.
+#[rstest]
+#[case::of_this_version(Some(vec![0]))]
+#[case::of_an_earlier_version(None)]
+fn a_successor_confirms_the_row_that_it_found(#[case] unconfirmed_runs: Option<Vec<usize>>) {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    sim.worker("w1").add_run(&start.unit, start.run);
+    let row = sim.assignments.get("w1").unwrap().clone();
+    sim.assignments.insert("w1".into(), AssignmentRow { unconfirmed_runs, ..row });
+    let record = job("a", vec![step(1, 1_000)], sim.now);
+    sim.take_over(2, config(3, NO_QUOTA), seconds(6), &[record]);
+    sim.run_for(seconds(5));
+    assert_eq!(sim.assignments.get("w1").unwrap().unconfirmed_runs, Some(vec![]));
+}
+
+/// Guards against two runs at the same time: when a successor learned of a restart, it forgot that its
+/// predecessor may send commands for some time more.
+#[test]
+fn a_restart_does_not_shorten_the_time_of_the_predecessor() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    start_on_later_incarnation(&mut sim, &start);
+    let later = sim.worker("w1").registration();
+    sim.worker("w1").incarnation_started_ms -= 1;
+    cut_off_w1(&mut sim);
+    let record = job("a", vec![step(1, 1_000)], sim.now);
+    let (lease, predecessor_sends_for) = (seconds(5), seconds(4));
+    sim.take_over(2, config(3, NO_QUOTA), lease + predecessor_sends_for, &[record]);
+    sim.scheduler.update_worker(later, seconds(0), sim.now);
+    let starts = sim.run_for(predecessor_sends_for + seconds(LEASE_MAX_S));
+    assert_eq!(starts, [], "the unit may run on the worker that is cut off");
+}
+
+/// Guards against needless transactions: the row of a run in doubt was written again every 2 s.
+#[test]
+fn a_row_is_not_written_again_while_nothing_is_confirmed() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let start = command_start(&mut sim);
+    handle_reply(&mut sim, &start, StartReply::Unknown);
+    sim.worker("w1").is_responsive = false;
+    let limits = BatchLimits { rows_max: 9, progress_rows_max: 9, bytes_max: BATCH_BYTES_MAX };
+    for _ in 0..9 {
+        sim.now += seconds(1);
+        assert_eq!(sim.scheduler.take_batch(limits, sim.now).assignments, []);
+    }
+}
