Acknowledge nothing while an unknown incarnation may have a run

An acknowledgement for the earlier incarnation reaches the later one after the end of a run of it.

Change: the reply to the start has shown that its incarnation isn't the known one. Until a report shows which it is, polls acknowledge nothing. Where every start is confirmed by the known clock, nothing changes.

It doesn't help with a worker that keeps the number for completions to come.

Test: nothing_is_acknowledged_while_an_unknown_incarnation_may_have_a_run failed before.

--- a/crates/coordinator/src/owner/leases.rs
+++ b/crates/coordinator/src/owner/leases.rs
@@ -201,7 +201,7 @@
             worker: id.clone(),
             address: worker.registration.address,
             token: worker.token,
-            acknowledged_completion: worker.completion_to_acknowledge(),
+            acknowledged_completion: self.scheduler.completion_to_acknowledge(worker),
             known_at: worker.known_at(),
             may_acknowledge_on_any_connection: worker.closes_connections(),
             deadline_ms: self.scheduler.request_lease(&id, now),
--- a/crates/savorypitch/tests/soak/callers.rs
+++ b/crates/savorypitch/tests/soak/callers.rs
@@ -90,7 +90,7 @@
                 }
                 Ok(status) => status != StatusCode::GATEWAY_TIMEOUT,
                 Err(CallError::NotSent(_) | CallError::ConnectionRefused) => true,
-                Err(CallError::NoResponse(_)) => false,
+                Err(CallError::NoResponse { .. }) => false,
             };
             if !is_known_refused {
                 outcome = SubmitOutcome::Unknown;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -298,7 +298,7 @@
     /// Returns the number up to which the next poll acknowledges completions; 0 if there are none
     /// to acknowledge. If the last poll was not answered, the worker may have started again, and
     /// would take the number for one of its new completions.
-    pub fn completion_to_acknowledge(&self) -> u64 {
+    pub(crate) fn completion_to_acknowledge(&self) -> u64 {
         let is_new = self.last_stored_completion > self.acknowledged_completion;
         match is_new && self.failed_polls == 0 {
             true => self.last_stored_completion,
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -66,6 +66,18 @@
         self.remove_absent_runs(id, report, poll.sent_at, now);
     }
 
+    /// Returns the number up to which the next poll of a worker acknowledges completions; 0 if there are
+    /// none to acknowledge. While a start may have been carried out by a later incarnation, that one
+    /// would take the number for the end of this run.
+    pub fn completion_to_acknowledge(&self, worker: &Worker) -> u64 {
+        let is_unconfirmed =
+            |run: &Run| run.phase != Phase::Commanded && run.may_be_of_later_incarnation();
+        match self.runs_on(worker).any(|(_, run)| is_unconfirmed(run)) {
+            true => 0,
+            false => worker.completion_to_acknowledge(),
+        }
+    }
+
     /// Handles a poll that a worker did not answer.
     pub fn handle_failed_poll(&mut self, id: &WorkerId, failure: PollFailure, now: Moment) {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/scheduler/tests/common/simulation.rs
+++ b/crates/scheduler/tests/common/simulation.rs
@@ -40,7 +40,6 @@
 use scheduler::WorkerId;
 use scheduler::WorkerRegistration;
 use scheduler::WorkerReport;
-use scheduler::worker::Worker;
 
 pub use simulated_worker::SimulatedWorker;
 
@@ -274,7 +273,8 @@
         let worker = self.scheduler.worker(id);
         SentPoll {
             token: worker.map_or(0, |worker| worker.token),
-            acknowledged_completion: worker.map_or(0, Worker::completion_to_acknowledge),
+            acknowledged_completion: worker
+                .map_or(0, |worker| self.scheduler.completion_to_acknowledge(worker)),
             is_acknowledgement_withheld: false,
             sent_at: self.now,
         }
--- a/crates/scheduler/tests/unknown_restarts.rs
+++ b/crates/scheduler/tests/unknown_restarts.rs
@@ -13,6 +13,7 @@
 use scheduler::AssignmentRow;
 use scheduler::BatchLimits;
 use scheduler::Resources;
+use scheduler::RunOutcome;
 use scheduler::StartCommand;
 use scheduler::StartReply;
 use simulation::BATCH_BYTES_MAX;
@@ -42,11 +43,16 @@
     sim.scheduler.add_job(job("a", vec![step(1, 1_000)], sim.now), sim.now);
     sim.scheduler.plan(sim.now);
     sim.commit();
+    next_start(sim)
+}
+
+/// Returns the start command that was decided; it is for `w1`.
+fn next_start(sim: &mut Simulation) -> StartCommand {
     let starts = sim.scheduler.take_actions().into_iter().find_map(|action| match action {
         Action::Start(command) => Some(command),
         _ => None,
     });
-    let start = starts.expect("the unit is started");
+    let start = starts.expect("a unit is started");
     assert_eq!(&*start.worker, "w1");
     start
 }
@@ -250,3 +256,24 @@
         assert_eq!(sim.scheduler.take_batch(limits, sim.now).assignments, []);
     }
 }
+
+/// Guards against a unit that is started again after it was done: something had kept the connection
+/// to the worker open while that started again, so that the acknowledgement of an earlier completion
+/// reached the later incarnation after the end of the unit's run.
+#[test]
+fn nothing_is_acknowledged_while_an_unknown_incarnation_may_have_a_run() {
+    let mut sim = Simulation::new(&["w1", "w2"], config(3, NO_QUOTA));
+    let first = command_start(&mut sim);
+    sim.worker("w1").add_run(&first.unit, first.run);
+    sim.report("w1");
+    sim.complete_run(&first.unit, RunOutcome::Done);
+    sim.report("w1");
+    sim.scheduler.add_job(job("b", vec![step(1, 1_000)], sim.now), sim.now);
+    sim.scheduler.plan(sim.now);
+    sim.commit();
+    assert_eq!(sim.poll("w1").acknowledged_completion, 1);
+    let start = next_start(&mut sim);
+    let reply = start_on_later_incarnation(&mut sim, &start);
+    handle_reply(&mut sim, &start, reply);
+    assert_eq!(sim.poll("w1").acknowledged_completion, 0);
+}
