Read replies of workers, the table and nodes within limits

A reply is now read into one buffer of at most 4 MiB, and all replies that are being read into 32 MiB together; the first 16 KiB of each don't count, so that small replies are read whatever large ones hold. A reply over the limits counts as no response: the call may have been carried out.

The read buffer of a connection is limited to 64 KiB, and with it the head of a reply.

--- a/crates/coordinator/src/http/client.rs
+++ b/crates/coordinator/src/http/client.rs
@@ -11,17 +11,24 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use scheduler::SortedMap;
+use telemetry::Telemetry;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use super::ReplyLimits;
+use super::replies::Replies;
+
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Size of the read buffer of a connection, which limits the head of a reply, in bytes.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of headers of a reply.
+const HEADERS_MAX: usize = 100;
 
 /// Kind of a call. Each kind has its own connections, so that calls whose response is held back
 /// don't delay others.
@@ -116,12 +123,25 @@
 ///
 /// Lock order: the map of pools, then the idle connections of one pool; neither is held across an
 /// await.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     pools: Arc<Mutex<ConnectionPools>>,
+    replies: Arc<Replies>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let telemetry = Telemetry::new(None).expect("metrics without a collector need no socket");
+        Self::new(ReplyLimits::default(), telemetry)
+    }
 }
 
 impl Client {
+    /// Creates a client that reads replies within limits.
+    pub fn new(limits: ReplyLimits, telemetry: Telemetry) -> Self {
+        Self { pools: Arc::default(), replies: Arc::new(Replies::new(limits, telemetry)) }
+    }
+
     /// Sends a request and reads the complete response.
     pub async fn call(
         &self,
@@ -165,8 +185,7 @@
         let response = sender.send_request(encode(address, request)?).await;
         let response = response.map_err(|error| CallError::NoResponse(error.to_string()))?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await;
-        let body = body.map_err(|error| CallError::NoResponse(error.to_string()))?.to_bytes();
+        let body = self.replies.read(body).await?;
         pool.return_idle(sender);
         Ok(Response { status: head.status, headers: head.headers, body })
     }
@@ -210,7 +229,11 @@
         Err(_) => return Err(CallError::NotSent("connecting timed out".to_owned())),
     };
     stream.set_nodelay(true).map_err(|error| CallError::NotSent(error.to_string()))?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let handshake = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .max_headers(HEADERS_MAX)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(|error| CallError::NotSent(error.to_string()))?;
     tokio::spawn(async move {
         // The request on the connection gets the error.
--- /dev/null
+++ b/crates/coordinator/src/http/replies.rs
@@ -0,0 +1,97 @@
+//! Bounds the replies that a process reads: each one, and all together.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http_body::Body;
+use hyper::body::Incoming;
+use inbound::BodyBuffer;
+use telemetry::Telemetry;
+
+use super::CallError;
+use crate::metrics;
+
+/// Bytes of a reply that don't count, so that small replies are read whatever large ones hold.
+const FREE_REPLY_BYTES: usize = 16 << 10;
+
+/// What replies may hold while they are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplyLimits {
+    /// Maximum size of one reply, in bytes.
+    pub reply_bytes_max: usize,
+    /// Maximum size of all replies that are being read, in bytes.
+    pub total_bytes_max: usize,
+}
+
+impl Default for ReplyLimits {
+    fn default() -> Self {
+        Self { reply_bytes_max: 4 << 20, total_bytes_max: 32 << 20 }
+    }
+}
+
+/// Replies that are being read.
+pub(super) struct Replies {
+    limits: ReplyLimits,
+    telemetry: Telemetry,
+    held_bytes: AtomicUsize,
+}
+
+/// Bytes that one reply holds; given back when dropped.
+struct Held<'a> {
+    replies: &'a Replies,
+    bytes: usize,
+}
+
+impl Replies {
+    pub fn new(limits: ReplyLimits, telemetry: Telemetry) -> Self {
+        Self { limits, telemetry, held_bytes: AtomicUsize::new(0) }
+    }
+
+    /// Reads a complete reply.
+    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, CallError> {
+        let mut held = Held { replies: self, bytes: 0 };
+        let mut buffer = BodyBuffer::default();
+        let mut buffer_bytes = 0;
+        while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
+            let frame = frame.map_err(|error| CallError::NoResponse(error.to_string()))?;
+            let Ok(chunk) = frame.into_data() else {
+                continue;
+            };
+            let growth = buffer.growth(chunk.len(), self.limits.reply_bytes_max);
+            let growth = growth.ok_or_else(|| self.refuse())?;
+            buffer_bytes += growth;
+            if !held.grow_to(buffer_bytes.saturating_sub(FREE_REPLY_BYTES)) {
+                return Err(self.refuse());
+            }
+            buffer.append(&chunk, growth);
+        }
+        Ok(buffer.finish())
+    }
+
+    fn refuse(&self) -> CallError {
+        self.telemetry.count(metrics::REPLIES_TOO_LARGE);
+        let ReplyLimits { reply_bytes_max, total_bytes_max } = self.limits;
+        CallError::NoResponse(format!(
+            "the reply is larger than {reply_bytes_max} bytes, or all replies than {total_bytes_max}"
+        ))
+    }
+}
+
+impl Held<'_> {
+    /// Takes bytes up to `bytes`; returns false if other replies hold too many.
+    fn grow_to(&mut self, bytes: usize) -> bool {
+        let added = bytes.saturating_sub(self.bytes);
+        self.bytes += added;
+        let before = self.replies.held_bytes.fetch_add(added, Ordering::Relaxed);
+        before + added <= self.replies.limits.total_bytes_max
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.replies.held_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -65,6 +65,9 @@
 /// Time from a takeover to the first decision.
 pub const OWNERSHIP_LOAD: &str = "ownership.load";
 
+/// Replies of workers, of the store and of nodes that were not read whole, since they were too large.
+pub const REPLIES_TOO_LARGE: &str = "replies.too-large";
+
 /// All metrics of a node.
 pub const METRICS: &[MetricSpec] = &[
     counter(REQUESTS, "requests with a known queue and key"),
@@ -102,6 +105,7 @@
     counter(STORE_REJECTED, "transactions of the owner that the store rejects as they are"),
     counter(DIVISIONS_CHANGED, "changes of divisions among shards that this node has sent"),
     counter(OWNERSHIP_TAKEN, "take-overs by this node"),
+    counter(REPLIES_TOO_LARGE, "replies that were too large to be read whole"),
     timer(OWNERSHIP_LOAD, "time from a take-over to the first decision"),
 ];
 
