Bound what callers and other nodes may hold in a node on the platform

Clients outside the limits ended a process: it ran out of memory. The server of the callers', readiness, metrics and peer ports took any number of connections, kept up to 417,792 bytes of a head or of empty lines for each, and bounded a body but not the sum of them; chunks kept parts of read buffers alive. Ruled out: bodies that nobody reads (the HTTP library closes the connection) and unread responses with a body (it holds them back).

`maxHeaderBytes`, `headerTimeoutMs` and `idleTimeoutMs` of the operators' configuration, which were not decoded, are in force for callers, with defaults before the first configuration.

--- a/crates/coordinator/src/caller_api.rs
+++ b/crates/coordinator/src/caller_api.rs
@@ -201,6 +201,19 @@
         self.node.config(clock::now()).map(|(config, _)| config)
     }
 
+    /// Waits for a configuration newer than `version`.
+    pub async fn newer_config(&self, version: u64) -> Arc<CallerConfig> {
+        let mut states = self.node.operator_state.subscribe();
+        loop {
+            let config = states.borrow_and_update().config.clone();
+            if let Some(config) = config.filter(|config| config.version > version) {
+                return config;
+            }
+            // The sender lives as long as the node.
+            let _ = states.changed().await;
+        }
+    }
+
     /// Submits a job, which is stored before it is reported as accepted. A submission whose result
     /// is not known at `deadline` is reported as unknown.
     pub async fn submit(&self, record: JobRecord, deadline: Moment) -> SubmitOutcome {
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration as a node uses it: routes, keys, queues, pools and teams.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use scheduler::Config;
 use scheduler::QueueName;
@@ -20,10 +21,24 @@
     pub keys: SortedMap<Arc<str>, TeamName>,
     /// Largest body of a request, in bytes.
     pub body_bytes_max: usize,
+    /// Limits of callers' connections.
+    #[serde(default)]
+    pub caller_limits: CallerLimits,
     /// The scheduler's part: queues, pools and teams.
     pub scheduling: Arc<Config>,
 }
 
+/// Limits of callers' connections; the node has a default for each that is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Maximum size of the head of a request, in bytes.
+    pub head_bytes_max: Option<usize>,
+    /// Maximum time from the first byte of a request to the end of its head.
+    pub head_timeout: Option<Duration>,
+    /// Maximum time without progress of a body or a response.
+    pub idle_timeout: Option<Duration>,
+}
+
 /// Maps a host name and a path prefix to a queue.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -40,6 +40,7 @@
 pub use caller_api::Refusal;
 pub use caller_api::SubmitOutcome;
 pub use config::CallerConfig;
+pub use config::CallerLimits;
 pub use config::Route;
 pub use node::Node;
 pub use node::NodeSettings;
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -10,6 +10,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use inbound::Budget;
+use inbound::Limits;
 use rand::RngExt;
 use scheduler::Settings;
 use scheduler::ShardIndex;
@@ -67,6 +69,8 @@
     pub incarnation: u64,
     /// Address for other nodes; port 0 stands for any free port.
     pub peer_address: SocketAddr,
+    /// What other nodes may hold in this process.
+    pub peer_limits: Limits,
     /// Processor time that the process may use, in thousandths of a core.
     pub cpu_millis: u64,
     /// Largest age of the configuration at which the node accepts keys.
@@ -96,6 +100,7 @@
         telemetry: Telemetry,
     ) -> io::Result<Self> {
         telemetry.declare(METRICS);
+        let peer_budget = Budget::new("peers", settings.peer_limits, telemetry.clone());
         let listener = TcpListener::bind(settings.peer_address).await?;
         settings.peer_address = listener.local_addr()?;
         let node = Arc::new(NodeState {
@@ -110,7 +115,7 @@
             shards: OnceLock::new(),
         });
         let router = peers::router(node.clone());
-        let peers = Server::serve(listener, router)?;
+        let peers = Server::serve_within(listener, router, peer_budget)?;
         let tasks = vec![
             tokio::spawn(operator_changes::run(node.clone())),
             tokio::spawn(run_elections(node.clone())),
--- a/crates/coordinator/tests/common/memory_nodes.rs
+++ b/crates/coordinator/tests/common/memory_nodes.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use coordinator::CallerConfig;
+use coordinator::CallerLimits;
 use coordinator::Node;
 use coordinator::NodeSettings;
 use coordinator::Route;
@@ -55,6 +56,7 @@
         }],
         keys: [("key".into(), "t".into())].into_iter().collect(),
         body_bytes_max: 10_000,
+        caller_limits: CallerLimits::default(),
         scheduling: Arc::new(scheduling),
     }
 }
@@ -85,6 +87,7 @@
         name: name.to_owned(),
         incarnation: INCARNATIONS.fetch_add(1, Ordering::Relaxed),
         peer_address: "127.0.0.1:0".parse().unwrap(),
+        peer_limits: inbound::Limits::default(),
         cpu_millis,
         key_age_max: Duration::from_secs(4),
         local_write_timeout: Duration::from_secs(2),
--- a/crates/inbound/src/ledger.rs
+++ b/crates/inbound/src/ledger.rs
@@ -120,8 +120,7 @@
     /// Adds a connection. Returns its id and the connection to close for it; none if there is no
     /// room and no other connection can be closed.
     pub fn open(&mut self, now: Instant) -> Option<(ConnectionId, Option<ConnectionId>)> {
-        let open = self.entries.values().filter(|entry| !entry.is_closing).count();
-        let closed = match open < self.limits.connections_max {
+        let closed = match self.has_room() {
             true => None,
             false => Some(self.close_slowest()?),
         };
@@ -140,6 +139,13 @@
         Some((id, closed))
     }
 
+    fn has_room(&self) -> bool {
+        let connections_max = self.limits.connections_max;
+        let is_open = |entry: &&Entry| !entry.is_closing;
+        self.entries.len() < connections_max
+            || self.entries.values().filter(is_open).count() < connections_max
+    }
+
     /// Marks the connection with the least progress as closing: first those that have never been
     /// served or stopped within a request, then those that have waited longest.
     pub fn close_slowest(&mut self) -> Option<ConnectionId> {
