Read calls between nodes no further than a job's row

A node sends only jobs that fit into a row of the store, so a call may be as large as a row and 16 KiB.

--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -44,8 +44,8 @@
 /// Time limit for a call that writes to the store; above two transactions of a slow store, the one
 /// in flight and the next.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Maximum size of the body of a call, in bytes; above the largest job of a caller.
-const CALL_BYTES_MAX: usize = 2 << 20;
+/// Largest part of a call beside a job, which fits into a row of the store, in bytes.
+const CALL_FRAME_BYTES_MAX: usize = 16 << 10;
 
 /// Poll of the owner by a follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -237,6 +237,7 @@
 
 /// Serves the calls of other nodes.
 pub(crate) fn router<P: Platform>(node: Arc<NodeState<P>>) -> Router {
+    let call_bytes_max = node.settings.scheduling.row_bytes_max + CALL_FRAME_BYTES_MAX;
     let router = Router::new()
         .route("/peer/{shard}/ping", post(ping::<P>))
         .route("/peer/{shard}/config", post(config::<P>))
@@ -246,7 +247,7 @@
         .route("/peer/{shard}/state", post(state::<P>))
         .route("/peer/{shard}/waiting", post(waiting::<P>))
         .with_state(node);
-    inbound::collect_bodies(router, CALL_BYTES_MAX)
+    inbound::collect_bodies(router, call_bytes_max)
 }
 
 /// A node's state, and the shard that the path of a call names.
--- a/crates/savorypitch/tests/outside_limits.rs
+++ b/crates/savorypitch/tests/outside_limits.rs
@@ -72,6 +72,19 @@
     [head.into_bytes(), chunk.repeat(chunks).into_bytes()].concat()
 }
 
+/// Returns a complete request whose body repeats `part` until it has `length` bytes.
+fn repeated_body(head: &str, parts: [&str; 3], length: usize) -> Vec<u8> {
+    let [first, part, last] = parts;
+    let count = (length - first.len() - last.len()) / part.len();
+    let body = format!("{first}{}{last}", part.repeat(count));
+    let head = format!(
+        "{head} HTTP/1.1\r\nhost: q.example\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    (head + &body).into_bytes()
+}
+
 fn submission(index: usize) -> String {
     format!("POST /q/{index:016x}")
 }
@@ -206,6 +219,13 @@
     .await;
 }
 
+// Guards against a job of very many steps that is decoded whole on the port for other nodes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_of_very_many_steps_on_the_peer_port_stay_within_the_memory() {
+    let parts = ["{\"id\":\"a\",\"steps\":[", "{},", "{}]}"];
+    check_with(Port::Peer, |_| repeated_body("POST /peer/0/submit", parts, PEER_BODY_BYTES)).await;
+}
+
 // Guards against callers that take the last descriptors, with none left for the table.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idle_callers_leave_descriptors_for_the_table() {
