--- a/crates/savorypitch/tests/outside_limits.rs
+++ b/crates/savorypitch/tests/outside_limits.rs
@@ -219,7 +219,21 @@
     .await;
 }
 
-// Guards against a job of very many steps that is decoded whole on the port for other nodes.
+// Guards against a job of very many steps that is decoded whole before it is refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_of_very_many_steps_stay_within_the_memory() {
+    let parts = ["{\"steps\":[", "{},", "{}]}"];
+    check_with(Port::Front, |index| repeated_body(&submission(index), parts, BODY_BYTES)).await;
+}
+
+// Guards against an error response that lists each of very many mistakes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn responses_to_very_many_mistakes_stay_within_the_memory() {
+    let parts = ["{\"steps\":[{\"dependsOn\":[", "9,", "9]}]}"];
+    check_with(Port::Front, |index| repeated_body(&submission(index), parts, BODY_BYTES)).await;
+}
+
+// Guards against the same job of very many steps on the port for other nodes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_of_very_many_steps_on_the_peer_port_stay_within_the_memory() {
     let parts = ["{\"id\":\"a\",\"steps\":[", "{},", "{}]}"];
