Let bodies wait for room in turn, and keep connections when a caller gave up before it was accepted

Each release of bytes woke all bodies that waited, and each of them looked through all connections: with some thousand waiting that is quadratic. An accept that failed since the caller had closed its connection counted as a lack of descriptors and closed another one.

--- a/crates/inbound/src/body.rs
+++ b/crates/inbound/src/body.rs
@@ -19,6 +19,7 @@
 use http::StatusCode;
 use http::header;
 use http_body::Body as _;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::connection::Connection;
 use crate::ledger::FREE_BODY_BYTES;
@@ -68,6 +69,8 @@
 /// A complete body; gives its bytes back to the budget when dropped.
 pub struct HeldBody {
     bytes: Bytes,
+    /// Bytes of the budget that the body has taken.
+    taken: Vec<OwnedSemaphorePermit>,
     connection: Arc<Connection>,
 }
 
@@ -88,7 +91,7 @@
 
 impl Drop for HeldBody {
     fn drop(&mut self) {
-        self.connection.release();
+        self.connection.record_released();
     }
 }
 
@@ -137,7 +140,8 @@
         max_bytes: usize,
     ) -> Result<HeldBody, BodyError> {
         // Given back by dropping it, also if the body fails.
-        let mut held = HeldBody { bytes: Bytes::new(), connection: self.clone() };
+        let mut held =
+            HeldBody { bytes: Bytes::new(), taken: Vec::new(), connection: self.clone() };
         if body.is_end_stream() {
             return Ok(held);
         }
@@ -145,12 +149,17 @@
             return Err(BodyError::TooLarge { max_bytes });
         }
         self.enter(Phase::Body);
-        held.bytes = self.read_all(body, max_bytes).await?;
+        held.bytes = self.read_all(body, max_bytes, &mut held.taken).await?;
         self.enter(Phase::Serving);
         Ok(held)
     }
 
-    async fn read_all(&self, mut body: Body, max_bytes: usize) -> Result<Bytes, BodyError> {
+    async fn read_all(
+        &self,
+        mut body: Body,
+        max_bytes: usize,
+        taken: &mut Vec<OwnedSemaphorePermit>,
+    ) -> Result<Bytes, BodyError> {
         let mut buffer = BodyBuffer::default();
         let mut held_bytes = 0;
         while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
@@ -161,10 +170,10 @@
             let growth = growth.ok_or(BodyError::TooLarge { max_bytes })?;
             let free = FREE_BODY_BYTES.saturating_sub(held_bytes);
             held_bytes += growth;
-            let taken = growth.saturating_sub(free);
-            if taken > 0 {
-                let room = tokio::time::timeout(ROOM_TIMEOUT, self.take(taken)).await;
-                room.map_err(|_| self.refuse())?;
+            let needed = growth.saturating_sub(free);
+            if needed > 0 {
+                let permit = self.take(needed, ROOM_TIMEOUT).await;
+                taken.push(permit.ok_or_else(|| self.refuse())?);
             }
             buffer.append(&chunk, growth);
         }
--- a/crates/inbound/src/budget.rs
+++ b/crates/inbound/src/budget.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::task::Context;
-use std::task::Poll;
-use std::task::Waker;
+use std::time::Duration;
 
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::connection::Connection;
-use crate::ledger::Admission;
+use crate::ledger::BODY_GRACE;
 use crate::ledger::CloseCause;
 use crate::ledger::ConnectionId;
 use crate::ledger::Ledger;
@@ -24,6 +24,8 @@
     /// Name of the port in the log.
     port: &'static str,
     telemetry: Telemetry,
+    /// Free bytes for bodies; those who wait get them in turn.
+    body_bytes: Arc<Semaphore>,
     state: Mutex<State>,
 }
 
@@ -31,17 +33,15 @@
     ledger: Ledger,
     /// Tells the tasks of connections that they are closed; sorted by id.
     close_signals: Vec<(ConnectionId, Arc<Notify>)>,
-    /// Tasks that wait for body bytes.
-    waiting: Vec<Waker>,
 }
 
 impl Budget {
     /// Creates a budget for a port.
     pub fn new(port: &'static str, limits: Limits, telemetry: Telemetry) -> Arc<Self> {
         telemetry.declare(metrics::METRICS);
-        let state =
-            State { ledger: Ledger::new(limits), close_signals: Vec::new(), waiting: Vec::new() };
-        Arc::new(Self { port, telemetry, state: Mutex::new(state) })
+        let body_bytes = Arc::new(Semaphore::new(limits.body_bytes_max));
+        let state = State { ledger: Ledger::new(limits), close_signals: Vec::new() };
+        Arc::new(Self { port, telemetry, body_bytes, state: Mutex::new(state) })
     }
 
     /// Returns the limits in force.
@@ -49,7 +49,8 @@
         self.lock().ledger.limits
     }
 
-    /// Sets other limits, for open connections too; the limit of a head only for new ones.
+    /// Sets other limits, for open connections too; the limit of a head only for new ones. The limit
+    /// of all bodies stays as it was at the start.
     pub fn set_limits(&self, limits: Limits) {
         self.lock().ledger.limits = limits;
     }
@@ -90,8 +91,6 @@
         for (id, _) in &closed {
             state.signal(Some(*id));
         }
-        // A body may now be old enough to be closed for them.
-        state.wake_waiting();
         drop(state);
         for (_, cause) in closed {
             self.report(cause);
@@ -118,35 +117,53 @@
         change(&mut self.lock().ledger);
     }
 
-    /// Takes bytes for a body, and closes slower bodies for them.
-    pub(crate) fn poll_take(
+    /// Takes bytes for a body. Closes slower bodies for them, and waits up to `timeout` for those to
+    /// give theirs back.
+    pub(crate) async fn take(
         &self,
         id: ConnectionId,
         bytes: usize,
-        now: Instant,
-        context: &mut Context<'_>,
-    ) -> Poll<()> {
+        timeout: Duration,
+    ) -> Option<OwnedSemaphorePermit> {
+        let count = u32::try_from(bytes).ok()?;
+        let free = self.body_bytes.clone().try_acquire_many_owned(count).ok();
+        let permit = match free {
+            Some(permit) => permit,
+            None => self.wait_for(id, count, timeout).await?,
+        };
+        self.update(|ledger| ledger.record_taken(id, bytes));
+        Some(permit)
+    }
+
+    async fn wait_for(
+        &self,
+        id: ConnectionId,
+        bytes: u32,
+        timeout: Duration,
+    ) -> Option<OwnedSemaphorePermit> {
+        let deadline = Instant::now() + timeout;
+        let acquired = self.body_bytes.clone().acquire_many_owned(bytes);
+        tokio::pin!(acquired);
+        loop {
+            self.close_slowest_body(id);
+            // Bodies that are too young to be closed now may be old enough then.
+            let next_attempt = deadline.min(Instant::now() + BODY_GRACE);
+            match tokio::time::timeout_at(next_attempt, &mut acquired).await {
+                Ok(permit) => return permit.ok(),
+                Err(_) if next_attempt == deadline => return None,
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn close_slowest_body(&self, except: ConnectionId) {
         let mut state = self.lock();
-        let (admission, closed) = state.ledger.take(id, bytes, now);
+        let closed = state.ledger.close_slowest_body(except, Instant::now());
         state.signal(closed);
-        if admission == Admission::Wait {
-            state.waiting.push(context.waker().clone());
-        }
         drop(state);
         if closed.is_some() {
             self.report(CloseCause::NoRoom);
         }
-        match admission {
-            Admission::Granted => Poll::Ready(()),
-            Admission::Wait => Poll::Pending,
-        }
-    }
-
-    /// Gives back the bytes of a body.
-    pub(crate) fn release(&self, id: ConnectionId) {
-        let mut state = self.lock();
-        state.ledger.release(id);
-        state.wake_waiting();
     }
 
     /// Removes a connection.
@@ -156,7 +173,6 @@
         if let Ok(index) = state.close_signals.binary_search_by_key(&id, |(id, _)| *id) {
             state.close_signals.remove(index);
         }
-        state.wake_waiting();
     }
 
     fn report(&self, cause: CloseCause) {
@@ -186,10 +202,4 @@
             self.close_signals[index].1.notify_one();
         }
     }
-
-    fn wake_waiting(&mut self) {
-        for waker in self.waiting.drain(..) {
-            waker.wake();
-        }
-    }
 }
--- a/crates/inbound/src/connection.rs
+++ b/crates/inbound/src/connection.rs
@@ -1,9 +1,10 @@
 //! A connection within a budget.
 
-use std::future::poll_fn;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use crate::budget::Budget;
@@ -36,14 +37,18 @@
         self.budget.update(|ledger| ledger.record_write(self.id, Instant::now()));
     }
 
-    /// Takes bytes of the budget for a body; waits while there are none.
-    pub(crate) async fn take(&self, bytes: usize) {
-        poll_fn(|context| self.budget.poll_take(self.id, bytes, Instant::now(), context)).await;
+    /// Takes bytes of the budget for a body; waits up to `timeout` while there are none.
+    pub(crate) async fn take(
+        &self,
+        bytes: usize,
+        timeout: Duration,
+    ) -> Option<OwnedSemaphorePermit> {
+        self.budget.take(self.id, bytes, timeout).await
     }
 
-    /// Gives back what the body of the connection's request has taken.
-    pub(crate) fn release(&self) {
-        self.budget.release(self.id);
+    /// Takes note that the body of the connection's request has given its bytes back.
+    pub(crate) fn record_released(&self) {
+        self.budget.update(|ledger| ledger.record_released(self.id));
     }
 }
 
--- a/crates/inbound/src/ledger.rs
+++ b/crates/inbound/src/ledger.rs
@@ -15,7 +15,7 @@
 /// Mean rate below which a body counts as too slow after the idle timeout, in bytes per second.
 const BODY_RATE_MIN: u32 = 1_024;
 /// Time in which a body is not closed in favour of another one.
-const BODY_GRACE: Duration = Duration::from_secs(1);
+pub(crate) const BODY_GRACE: Duration = Duration::from_secs(1);
 
 /// Identifies a connection within a budget; rises with each connection.
 pub(crate) type ConnectionId = u64;
@@ -90,26 +90,17 @@
     is_closing: bool,
 }
 
-/// Whether bytes of a body are admitted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Admission {
-    Granted,
-    /// Others must release bytes first.
-    Wait,
-}
-
 /// Connections of one port and what they hold.
 #[derive(Debug)]
 pub(crate) struct Ledger {
     pub limits: Limits,
     entries: BTreeMap<ConnectionId, Entry>,
     next_id: ConnectionId,
-    body_bytes: usize,
 }
 
 impl Ledger {
     pub fn new(limits: Limits) -> Self {
-        Self { limits, entries: BTreeMap::new(), next_id: 0, body_bytes: 0 }
+        Self { limits, entries: BTreeMap::new(), next_id: 0 }
     }
 
     /// Returns the number of open connections.
@@ -160,9 +151,7 @@
     }
 
     pub fn remove(&mut self, id: ConnectionId) {
-        if let Some(entry) = self.entries.remove(&id) {
-            self.body_bytes -= entry.body_bytes;
-        }
+        self.entries.remove(&id);
     }
 
     pub fn enter(&mut self, id: ConnectionId, phase: Phase, now: Instant) {
@@ -194,31 +183,26 @@
         }
     }
 
-    /// Takes bytes for a body. If they are not free, returns the connection to close for them, if
-    /// there is one.
-    pub fn take(
-        &mut self,
-        id: ConnectionId,
-        bytes: usize,
-        now: Instant,
-    ) -> (Admission, Option<ConnectionId>) {
-        if self.body_bytes + bytes <= self.limits.body_bytes_max {
-            if let Some(entry) = self.entries.get_mut(&id) {
-                entry.body_bytes += bytes;
-                self.body_bytes += bytes;
-            }
-            return (Admission::Granted, None);
+    /// Records that a body has taken bytes.
+    pub fn record_taken(&mut self, id: ConnectionId, bytes: usize) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.body_bytes += bytes;
         }
-        let closing = self.entries.values().filter(|entry| entry.is_closing);
-        let releasing: usize = closing.map(|entry| entry.body_bytes).sum();
-        if self.body_bytes + bytes <= self.limits.body_bytes_max + releasing {
-            return (Admission::Wait, None);
+    }
+
+    /// Records that a body has given its bytes back.
+    pub fn record_released(&mut self, id: ConnectionId) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.body_bytes = 0;
         }
-        (Admission::Wait, self.close_slowest_body(id, now))
     }
 
     /// Marks the connection whose body comes slowest as closing.
-    fn close_slowest_body(&mut self, except: ConnectionId, now: Instant) -> Option<ConnectionId> {
+    pub fn close_slowest_body(
+        &mut self,
+        except: ConnectionId,
+        now: Instant,
+    ) -> Option<ConnectionId> {
         let bodies = self.entries.iter_mut().filter(|(id, entry)| {
             let is_held = entry.phase == Phase::Body && entry.body_bytes > 0;
             let is_due = now.saturating_duration_since(entry.phase_began_at) >= BODY_GRACE;
@@ -232,12 +216,6 @@
         Some(*id)
     }
 
-    pub fn release(&mut self, id: ConnectionId) {
-        if let Some(entry) = self.entries.get_mut(&id) {
-            self.body_bytes -= std::mem::take(&mut entry.body_bytes);
-        }
-    }
-
     /// Marks the connections as closing that are late, and returns them.
     pub fn close_late(&mut self, now: Instant) -> Vec<(ConnectionId, CloseCause)> {
         let limits = self.limits;
--- a/crates/inbound/src/server.rs
+++ b/crates/inbound/src/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections within a budget and serves a router on them.
 
 use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,12 +59,17 @@
             }
             _ = stopped.changed() => break,
         };
-        let Ok((stream, _)) = accepted else {
-            // Out of file descriptors: another connection must close first.
-            budget.count(metrics::ACCEPT_FAILED);
-            budget.close_slowest();
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            // The caller has closed the connection before it was accepted.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+            Err(_) => {
+                // Out of file descriptors: another connection must close first.
+                budget.count(metrics::ACCEPT_FAILED);
+                budget.close_slowest();
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         if stream.set_nodelay(true).is_err() {
             continue;
