--- a/crates/inbound/src/budget.rs
+++ b/crates/inbound/src/budget.rs
@@ -97,11 +97,6 @@
         }
     }
 
-    /// Returns true if no connection is open.
-    pub fn is_empty(&self) -> bool {
-        self.lock().ledger.connections() == 0
-    }
-
     /// Counts an event of the port.
     pub(crate) fn count(&self, metric: &'static str) {
         self.telemetry.count(metric);
--- a/crates/inbound/src/ledger.rs
+++ b/crates/inbound/src/ledger.rs
@@ -103,11 +103,6 @@
         Self { limits, entries: BTreeMap::new(), next_id: 0 }
     }
 
-    /// Returns the number of open connections.
-    pub fn connections(&self) -> usize {
-        self.entries.len()
-    }
-
     /// Adds a connection. Returns its id and the connection to close for it; none if there is no
     /// room and no other connection can be closed.
     pub fn open(&mut self, now: Instant) -> Option<(ConnectionId, Option<ConnectionId>)> {
