Compare the documented metrics with those of the budgets too

The page lists what a node serves, which now includes the metrics of its ports' budgets; the test compared it with the coordinator's own metrics only, and failed with the five new names on the page. It compares the same two lists, the served one with both parts.

--- a/crates/coordinator/tests/metrics.rs
+++ b/crates/coordinator/tests/metrics.rs
@@ -21,11 +21,13 @@
 
 #[test]
 fn the_documentation_lists_the_served_metrics() {
-    let mut served: Vec<String> = METRICS.iter().map(|metric| metric.served_name()).collect();
+    let metrics = METRICS.iter().chain(inbound::metrics::METRICS);
+    let mut served: Vec<String> = metrics.map(|metric| metric.served_name()).collect();
     served.sort();
     assert_eq!(documented(), served);
     let telemetry = Telemetry::new(None).unwrap();
     telemetry.declare(METRICS);
+    telemetry.declare(inbound::metrics::METRICS);
     let text = telemetry.text();
     for name in &served {
         assert!(text.contains(&format!("# TYPE {name} ")), "{name} is not in\n{text}");
