--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -104,7 +104,12 @@
 
     /// Returns clients of the platform at `address`; each call takes at most `call_timeout`.
     pub fn remote(address: SocketAddr, call_timeout: Duration) -> Self {
-        let client = Arc::new(HttpPlatform::new(address, call_timeout));
+        Self::with_client(HttpPlatform::new(address, call_timeout))
+    }
+
+    /// Returns services that are all reached through `client`.
+    pub fn with_client(client: HttpPlatform) -> Self {
+        let client = Arc::new(client);
         Self { table: client.clone(), objects: client.clone(), fleet: client }
     }
 }
--- a/crates/savorypitch/src/args/serve.rs
+++ b/crates/savorypitch/src/args/serve.rs
@@ -66,6 +66,9 @@
     /// Largest request body, in bytes.
     #[arg(long, env = "SAVORYPITCH_BODY_MAX_BYTES", default_value = "4294967296")]
     pub body_max_bytes: SettingValue<u64>,
+    /// Largest reply that is read from the platform, in bytes.
+    #[arg(long, env = "SAVORYPITCH_PLATFORM_REPLY_MAX_BYTES", default_value = "67108864")]
+    pub platform_reply_max_bytes: SettingValue<usize>,
     /// Time at a stop between failing readiness and closing the listener, in milliseconds.
     #[arg(long, env = "SAVORYPITCH_STOP_NOTICE_MS", default_value = "2000")]
     pub stop_notice_ms: SettingValue<u64>,
--- a/crates/savorypitch/src/command/serve.rs
+++ b/crates/savorypitch/src/command/serve.rs
@@ -5,6 +5,7 @@
 
 use node::Node;
 use node::Platform;
+use services::HttpPlatform;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -22,7 +23,10 @@
 
 async fn serve(settings: ServeSettings) -> Result<(), Failure> {
     let platform = match settings.platform {
-        Some(address) => Platform::remote(address, settings.platform_timeout),
+        Some(address) => {
+            let client = HttpPlatform::new(address, settings.platform_timeout);
+            Platform::with_client(client.with_reply_max_bytes(settings.platform_reply_max_bytes))
+        }
         None => {
             spdlog::warn!("no platform is set: the configuration is lost when this process ends");
             Platform::embedded()
--- a/crates/savorypitch/src/command/serve/check.rs
+++ b/crates/savorypitch/src/command/serve/check.rs
@@ -20,6 +20,9 @@
 /// Largest value of a time setting, in milliseconds: one day.
 const TIME_MAX_MS: u64 = 86_400_000;
 
+/// Smallest limit on the size of a reply of the platform, in bytes.
+const PLATFORM_REPLY_MIN_BYTES: usize = 1 << 20;
+
 /// Checked settings of `serve`.
 pub struct ServeSettings {
     /// Settings of the node.
@@ -28,6 +31,8 @@
     pub platform: Option<SocketAddr>,
     /// Timeout of a call to the platform.
     pub platform_timeout: Duration,
+    /// Maximum size of a reply of the platform, in bytes.
+    pub platform_reply_max_bytes: usize,
     /// Time at a stop between failing readiness and closing the listener.
     pub stop_notice: Duration,
     /// Longest time at a stop that running requests get to finish.
@@ -57,6 +62,11 @@
             &args.platform_timeout_ms,
             1,
         ),
+        platform_reply_max_bytes: reader.read_count(
+            "--platform-reply-max-bytes",
+            &args.platform_reply_max_bytes,
+            PLATFORM_REPLY_MIN_BYTES,
+        ),
         stop_notice: reader.read_duration("--stop-notice-ms", &args.stop_notice_ms, 0),
         stop_grace: reader.read_duration("--stop-grace-ms", &args.stop_grace_ms, 0),
         node: node_settings(args, peering, &mut reader),
--- a/crates/savorypitch/tests/settings.rs
+++ b/crates/savorypitch/tests/settings.rs
@@ -21,6 +21,7 @@
         "--platform=10.0.0.1",
         "--poll-interval-ms=0",
         "--stop-grace-ms=soon",
+        "--platform-reply-max-bytes=1",
         "--operator-key=short",
         "--peer-listen=127.0.0.1:7802",
         "--cluster-secret=short",
@@ -33,14 +34,15 @@
         "--platform (SAVORYPITCH_PLATFORM)",
         "--poll-interval-ms (SAVORYPITCH_POLL_INTERVAL_MS)",
         "--stop-grace-ms (SAVORYPITCH_STOP_GRACE_MS)",
+        "--platform-reply-max-bytes (SAVORYPITCH_PLATFORM_REPLY_MAX_BYTES)",
         "--operator-key (SAVORYPITCH_OPERATOR_KEY)",
         "--peers (SAVORYPITCH_PEERS)",
         "--cluster-secret (SAVORYPITCH_CLUSTER_SECRET)",
-        "8 finding(s)",
+        "9 finding(s)",
     ] {
         assert!(text.contains(expected), "{expected} is missing in:\n{text}");
     }
-    assert_eq!(text.matches("hint: ").count(), 8);
+    assert_eq!(text.matches("hint: ").count(), 9);
 }
 
 #[test]
--- a/crates/services/src/http.rs
+++ b/crates/services/src/http.rs
@@ -24,6 +24,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -46,6 +47,8 @@
 use crate::table::Transaction;
 use crate::table::Unavailable;
 
+/// Default for the maximum size of a reply, in bytes.
+const REPLY_MAX_BYTES: usize = 64 << 20;
 /// Maximum number of idle connections that are kept open.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 /// Characters of object names and prefixes that are escaped in a URI.
@@ -56,13 +59,20 @@
 pub struct HttpPlatform {
     address: SocketAddr,
     call_timeout: Duration,
+    reply_max_bytes: usize,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
 }
 
 impl HttpPlatform {
     /// Creates a client of the platform at `address`. Connections are opened when they are needed.
     pub fn new(address: SocketAddr, call_timeout: Duration) -> Self {
-        Self { address, call_timeout, idle: Mutex::default() }
+        let reply_max_bytes = REPLY_MAX_BYTES;
+        Self { address, call_timeout, reply_max_bytes, idle: Mutex::default() }
+    }
+
+    /// Makes calls fail whose replies have more than `reply_max_bytes`.
+    pub fn with_reply_max_bytes(self, reply_max_bytes: usize) -> Self {
+        Self { reply_max_bytes, ..self }
     }
 
     async fn call(
@@ -91,7 +101,8 @@
         let mut sender = self.sender().await?;
         let response = sender.send_request(request).await.map_err(Unavailable::new)?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(Unavailable::new)?.to_bytes();
+        let body = Limited::new(response.into_body(), self.reply_max_bytes);
+        let body = body.collect().await.map_err(Unavailable::new)?.to_bytes();
         let mut idle = self.idle.lock().expect("lock is never poisoned");
         if idle.len() < IDLE_CONNECTIONS_MAX {
             idle.push(sender);
