Bound the heads of backend servers' responses to 64 KiB

The HTTP client kept heads of up to 400 KiB a connection. It now uses the limit that holds for heads of callers; hyper's max_buf_size bounds both its read buffer and what it queues for writing.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -24,6 +24,8 @@
 use crate::request_body::OutboundBody;
 use crate::tokens::ConnectionToken;
 
+/// Maximum size of the read buffer of a connection, which limits the head of a response, in bytes.
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1_024;
 /// Maximum number of idle connections to one address.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 /// Time after which an idle connection is closed.
@@ -75,8 +77,11 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_RETRIES);
         SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             // An error is also reported to the request that is using the connection.
             let _ = connection.await;
