Bound what callers hold in a node as a whole

Cause: each request had limits, the sum of them had none. 200 clients whose bodies stop a byte short of 1 MiB grew a process by 242 MiB, where its test allows 15 (a sixteenth of 260 MB); heads that stop at 60 KiB, streamed bodies, slow readers, requests without reading and heads of backend servers without an end exceeded it too. Ruled out: heads without an end, empty lines and idle connections, which the limits of a single head bound.

Each interface now has a budget of connections and bytes. Bytes are taken before they are read and returned when the request ends, also those of answers kept for repeats; what was taken for a closed connection can be taken again once it is freed. When the budget is used up, the connection that waits for its caller and made no progress of 1 KiB for the longest time is closed. Running requests are not cut; a body without room is refused as not run before anything was sent. Large answers take their buffers before more is read. Nothing is read from a caller who does not read: hyper holds back only responses with a body.

Counters: callers.closed, callers.refused; a log line at most every 10 s for each interface.

--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -14,7 +14,6 @@
 
 use axum::body::Body;
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
@@ -32,6 +31,9 @@
 use serde::Serialize;
 use tokio::sync::oneshot;
 
+use crate::bounded_body::BoundedBuffer;
+use crate::bounded_body::ReadError;
+use crate::budget::ConnectionBudget;
 use crate::claims::ClaimResult;
 use crate::claims::claim_row_key;
 use crate::claims::request_digest;
@@ -83,11 +85,8 @@
         }
         let row_key = claim_row_key(&staged.stage.admission, key.as_bytes());
         let (parts, body) = request.into_parts();
-        let body = body.read_all().await.map_err(|state| {
-            let failure = state.failure();
-            let (status, detail) = failure.unwrap_or((StatusCode::BAD_REQUEST, "no body came"));
-            GatewayError::not_run(status, detail)
-        })?;
+        let budget = parts.extensions.get::<ConnectionBudget>().cloned();
+        let body = body.read_all(budget.as_ref()).await.map_err(ReadError::into_error)?;
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
         let digest = request_digest(&parts.method, target, &body);
         let keyed = KeyedRequest { row_key, digest };
@@ -104,7 +103,7 @@
         let gateway = self.clone();
         let detached = self.detached.clone();
         tokio::spawn(async move {
-            let result = gateway.claim_and_send(ready, keyed).await;
+            let result = gateway.claim_and_send(ready, keyed, budget).await;
             // Fails if the caller has disconnected. A repeat then gets the stored response.
             drop(sender.send(result));
             drop(detached);
@@ -126,6 +125,7 @@
         self: &Arc<Self>,
         ready: ReadyRequest,
         keyed: KeyedRequest,
+        budget: Option<ConnectionBudget>,
     ) -> Result<RelayedResponse, GatewayError> {
         let remaining = ready.staged.stage.admitted.deadline.remaining(Instant::now());
         let id = ready.staged.id.clone();
@@ -140,7 +140,7 @@
             ClaimResult::Unavailable => return Err(table_unavailable()),
         }
         match self.dispatch(ready).await {
-            Ok(relayed) => Ok(self.read_and_store(&keyed, claim, relayed).await),
+            Ok(relayed) => Ok(self.read_and_store(&keyed, claim, relayed, budget.as_ref()).await),
             Err(error) if error.outcome == Outcome::NotRun => {
                 self.claims.release(keyed.row_key, claim.request);
                 Err(error)
@@ -200,21 +200,27 @@
     }
 
     /// Reads a response into memory, stores it for repeats, writes the final state of the claim,
-    /// and returns the response. One that is too large to store is passed on while it is being
-    /// received.
+    /// and returns the response. One that is too large to store, or for which no memory is left in
+    /// `budget`, is passed on while it is being received.
     async fn read_and_store(
         self: &Arc<Self>,
         keyed: &KeyedRequest,
         claim: Claim,
         relayed: RelayedResponse,
+        budget: Option<&ConnectionBudget>,
     ) -> RelayedResponse {
         let (parts, mut body) = relayed.response.into_parts();
-        let mut response_body = BytesMut::new();
+        let mut response_body = BoundedBuffer::of_response(budget);
+        // The part that did not fit into the budget.
+        let mut unbuffered = None;
         let state = loop {
             match body.frame().await {
                 Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        response_body.extend_from_slice(data);
+                    if let Ok(data) = frame.into_data()
+                        && response_body.extend(&data).await.is_err()
+                    {
+                        unbuffered = Some(data);
+                        break ClaimState::NotStored;
                     }
                     if response_body.len() > self.settings.stored_response_max_bytes {
                         break ClaimState::NotStored;
@@ -238,7 +244,8 @@
         };
         let state = if is_stored { ClaimState::Complete } else { ClaimState::NotStored };
         self.claims.finalize(&keyed.row_key, Claim { state, ..claim }).await;
-        let body = Body::new(PrefixedBody { buffered: Some(response_body), rest: body });
+        let prefix = [Some(response_body), unbuffered];
+        let body = Body::new(PrefixedBody { prefix, rest: body });
         RelayedResponse { response: Response::from_parts(parts, body), ..relayed }
     }
 }
@@ -275,9 +282,9 @@
     Some(response)
 }
 
-/// Body whose first part has been read into memory already.
+/// Body whose first parts have been read into memory already.
 struct PrefixedBody {
-    buffered: Option<Bytes>,
+    prefix: [Option<Bytes>; 2],
     rest: Body,
 }
 
@@ -289,14 +296,15 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
-        match self.buffered.take().filter(|buffered| !buffered.is_empty()) {
-            Some(buffered) => Poll::Ready(Some(Ok(Frame::data(buffered)))),
+        let mut parts = self.prefix.iter_mut().filter_map(Option::take);
+        match parts.find(|part| !part.is_empty()) {
+            Some(part) => Poll::Ready(Some(Ok(Frame::data(part)))),
             None => Pin::new(&mut self.rest).poll_frame(context),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        let buffered = self.buffered.as_ref().map_or(0, |buffered| buffered.len() as u64);
+        let buffered = self.prefix.iter().flatten().map(|part| part.len() as u64).sum::<u64>();
         let rest = self.rest.size_hint();
         match rest.exact() {
             Some(rest) => SizeHint::with_exact(buffered + rest),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! The gateway accesses the rest of the node only through [`NodeContext`].
 
 mod backends;
+mod bounded_body;
+mod budget;
 mod claims;
 mod connection;
 mod error_response;
@@ -26,6 +28,11 @@
 mod tokens;
 mod wait_queue;
 
+pub use bounded_body::WholeBodyLimits;
+pub use bounded_body::read_body_within_budget;
+pub use budget::Budget;
+pub use budget::BudgetLimits;
+pub use budget::ConnectionBudget;
 pub use handler::Dependencies;
 pub use handler::Gateway;
 pub use node_context::NodeContext;
@@ -36,6 +43,7 @@
 pub use server::Timeouts;
 pub use server::serve;
 pub use server::serve_with_timeouts;
+pub use server::serve_within_budget;
 pub use settings::GatewaySettings;
 pub use wait_queue::QueueShares;
 pub use wait_queue::WaitingCount;
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -18,6 +18,10 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::bounded_body::BoundedBuffer;
+use crate::bounded_body::ReadError;
+use crate::budget::ConnectionBudget;
+
 /// State of the transfer of a request body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -128,16 +132,19 @@
         }
     }
 
-    /// Reads the whole body into memory.
-    pub async fn read_all(mut self) -> Result<Bytes, BodyState> {
-        let mut whole = Vec::new();
+    /// Reads the whole body into memory, which is taken from `budget` before it is used.
+    pub async fn read_all(mut self, budget: Option<&ConnectionBudget>) -> Result<Bytes, ReadError> {
+        let mut whole = BoundedBuffer::new(budget);
+        // The length was checked against the limits; without one, the buffer grows as data arrives.
+        let length = self.size_hint().exact().map_or(0, |length| length as usize);
+        whole.grow_to(length).await?;
         while let Some(frame) = std::future::poll_fn(|c| Pin::new(&mut self).poll_frame(c)).await {
-            let frame = frame.map_err(|BodyError(state)| state)?;
+            let frame = frame.map_err(|BodyError(state)| ReadError::Caller(state))?;
             if let Ok(data) = frame.into_data() {
-                whole.extend_from_slice(&data);
+                whole.extend(&data).await?;
             }
         }
-        Ok(whole.into())
+        Ok(whole.freeze())
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
+use crate::budget::BudgetLimits;
+
 /// Limits and timeouts of the gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
+    /// What callers may hold in the process.
+    pub caller_limits: BudgetLimits,
+    /// What operators' calls may hold in the process.
+    pub admin_limits: BudgetLimits,
     /// Maximum time to open a connection to a backend server or another node; also the timeout of a
     /// probe.
     pub connect_timeout: Duration,
@@ -40,6 +46,8 @@
 impl Default for GatewaySettings {
     fn default() -> Self {
         Self {
+            caller_limits: BudgetLimits::default(),
+            admin_limits: BudgetLimits { connections_max: 128, memory_max_bytes: 48 << 20 },
             connect_timeout: Duration::from_secs(2),
             request_timeout: Duration::from_secs(60),
             body_max_bytes: 1 << 30,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,9 +13,12 @@
 use axum::routing::get;
 use events::EventKind;
 use events::Recorder;
+use gateway::Budget;
+use gateway::BudgetLimits;
 use gateway::Gateway;
 use gateway::NodeContext;
 use gateway::Server;
+use gateway::Timeouts;
 use http::StatusCode;
 use membership::MemberView;
 use model::ConfigVersion;
@@ -97,9 +100,13 @@
         let waiting = Arc::downgrade(&gateway);
         shared.set_waiting(move || waiting.upgrade().map_or_else(Vec::new, |g| g.waiting()));
         let settings = &shared.settings;
+        let router = caller_router(&shared, &gateway);
         let caller_server =
-            listen(settings.caller_address, caller_router(&shared, &gateway)).await?;
-        let admin_server = listen(settings.admin_address, admin::router(shared.clone())).await?;
+            listen(&shared, settings.caller_address, settings.gateway.caller_limits, router)
+                .await?;
+        let router = admin::router(shared.clone());
+        let admin_server =
+            listen(&shared, settings.admin_address, settings.gateway.admin_limits, router).await?;
         let own = MemberView {
             node: settings.node.clone(),
             incarnation,
@@ -187,8 +194,15 @@
     }
 }
 
-async fn listen(address: SocketAddr, router: Router) -> Result<Server, StartError> {
-    gateway::serve(address, router).await.map_err(|source| StartError::Listen { address, source })
+async fn listen(
+    shared: &Shared,
+    address: SocketAddr,
+    limits: BudgetLimits,
+    router: Router,
+) -> Result<Server, StartError> {
+    let budget = Budget::new(limits, Some(shared.telemetry.clone()));
+    let server = gateway::serve_within_budget(address, router, Timeouts::default(), budget);
+    server.await.map_err(|source| StartError::Listen { address, source })
 }
 
 fn start_gateway(shared: &Arc<Shared>) -> Arc<Gateway> {
--- a/crates/savorypitch/src/args/serve.rs
+++ b/crates/savorypitch/src/args/serve.rs
@@ -66,6 +66,16 @@
     /// Largest request body, in bytes.
     #[arg(long, env = "SAVORYPITCH_BODY_MAX_BYTES", default_value = "4294967296")]
     pub body_max_bytes: SettingValue<u64>,
+    /// Most open connections of callers; beyond it, the connection that made no progress for the
+    /// longest time is closed.
+    #[arg(long, env = "SAVORYPITCH_CALLER_CONNECTIONS_MAX", default_value = "2048")]
+    pub caller_connections_max: SettingValue<usize>,
+    /// Most memory for what callers have sent and not read, in bytes.
+    #[arg(long, env = "SAVORYPITCH_CALLER_MEMORY_MAX_BYTES", default_value = "100663296")]
+    pub caller_memory_max_bytes: SettingValue<usize>,
+    /// Most open connections of operators.
+    #[arg(long, env = "SAVORYPITCH_ADMIN_CONNECTIONS_MAX", default_value = "128")]
+    pub admin_connections_max: SettingValue<usize>,
     /// Largest reply that is read from the platform, in bytes.
     #[arg(long, env = "SAVORYPITCH_PLATFORM_REPLY_MAX_BYTES", default_value = "67108864")]
     pub platform_reply_max_bytes: SettingValue<usize>,
--- a/crates/savorypitch/src/command/serve/check.rs
+++ b/crates/savorypitch/src/command/serve/check.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use gateway::BudgetLimits;
 use gateway::GatewaySettings;
 use model::Diagnostics;
 use model::SourceLocation;
@@ -20,6 +21,10 @@
 /// Largest value of a time setting, in milliseconds: one day.
 const TIME_MAX_MS: u64 = 86_400_000;
 
+/// Smallest memory for callers, in bytes: a few buffered bodies of the largest size.
+const CALLER_MEMORY_MIN_BYTES: usize = 4 << 20;
+/// Operators' calls get this part of the memory for callers, in addition.
+const ADMIN_MEMORY_DIVISOR: usize = 2;
 /// Smallest limit on the size of a reply of the platform, in bytes.
 const PLATFORM_REPLY_MIN_BYTES: usize = 1 << 20;
 
@@ -79,7 +84,20 @@
     peering: Option<Peering>,
     reader: &mut SettingsReader,
 ) -> Settings {
+    let flag = "--caller-memory-max-bytes";
+    let memory_max_bytes =
+        reader.read_count(flag, &args.caller_memory_max_bytes, CALLER_MEMORY_MIN_BYTES);
+    let callers_max = &args.caller_connections_max;
+    let operators_max = &args.admin_connections_max;
     let gateway = GatewaySettings {
+        caller_limits: BudgetLimits {
+            connections_max: reader.read_count("--caller-connections-max", callers_max, 1),
+            memory_max_bytes,
+        },
+        admin_limits: BudgetLimits {
+            connections_max: reader.read_count("--admin-connections-max", operators_max, 1),
+            memory_max_bytes: memory_max_bytes / ADMIN_MEMORY_DIVISOR,
+        },
         connect_timeout: reader.read_duration("--connect-timeout-ms", &args.connect_timeout_ms, 1),
         request_timeout: reader.read_duration("--request-timeout-ms", &args.request_timeout_ms, 1),
         body_max_bytes: reader.read_count("--body-max-bytes", &args.body_max_bytes, 1),
--- a/crates/savorypitch/tests/settings.rs
+++ b/crates/savorypitch/tests/settings.rs
@@ -21,6 +21,9 @@
         "--platform=10.0.0.1",
         "--poll-interval-ms=0",
         "--stop-grace-ms=soon",
+        "--caller-connections-max=0",
+        "--caller-memory-max-bytes=1000",
+        "--admin-connections-max=many",
         "--platform-reply-max-bytes=1",
         "--operator-key=short",
         "--peer-listen=127.0.0.1:7802",
@@ -34,15 +37,18 @@
         "--platform (SAVORYPITCH_PLATFORM)",
         "--poll-interval-ms (SAVORYPITCH_POLL_INTERVAL_MS)",
         "--stop-grace-ms (SAVORYPITCH_STOP_GRACE_MS)",
+        "--caller-connections-max (SAVORYPITCH_CALLER_CONNECTIONS_MAX)",
+        "--caller-memory-max-bytes (SAVORYPITCH_CALLER_MEMORY_MAX_BYTES)",
+        "--admin-connections-max (SAVORYPITCH_ADMIN_CONNECTIONS_MAX)",
         "--platform-reply-max-bytes (SAVORYPITCH_PLATFORM_REPLY_MAX_BYTES)",
         "--operator-key (SAVORYPITCH_OPERATOR_KEY)",
         "--peers (SAVORYPITCH_PEERS)",
         "--cluster-secret (SAVORYPITCH_CLUSTER_SECRET)",
-        "9 finding(s)",
+        "12 finding(s)",
     ] {
         assert!(text.contains(expected), "{expected} is missing in:\n{text}");
     }
-    assert_eq!(text.matches("hint: ").count(), 9);
+    assert_eq!(text.matches("hint: ").count(), 12);
 }
 
 #[test]
