Read bodies of jobs and operators' calls within the budget

The framework collected these bodies as slices of read buffers, without a time limit and without a bound on their sum: chunks of one byte grew a process by 249 MiB, bodies of operators by 211 MiB. They are now copied into one buffer that takes its size from the budget, with the idle timeout of other bodies. Too large ones are refused before they are read, and all these refusals say not-run.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -24,6 +24,8 @@
 use control::ChangeError;
 use control::Operation;
 use gateway::NodeContext;
+use gateway::WholeBodyLimits;
+use gateway::read_body_within_budget;
 use http::StatusCode;
 use http::header;
 use model::ConfigVersion;
@@ -43,6 +45,8 @@
 const ACTIVATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two checks on which nodes a version is active.
 const ACTIVATION_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum size of the body of a call, in bytes.
+const BODY_MAX_BYTES: u64 = 2 << 20;
 /// Maximum length of an operation id, in bytes.
 const OPERATION_ID_MAX_BYTES: usize = 64;
 
@@ -51,6 +55,10 @@
 
 /// Returns the routes of the operators' interface; every call needs an operator's key.
 pub fn router(shared: Arc<Shared>) -> Router {
+    let limits = WholeBodyLimits {
+        max_bytes: BODY_MAX_BYTES,
+        idle_timeout: shared.settings.gateway.caller_idle_timeout,
+    };
     let routes = Router::new()
         .merge(contracts::routes())
         .merge(hosts::routes())
@@ -60,6 +68,7 @@
         .merge(status::routes())
         .merge(teams::routes())
         .merge(waves::routes())
+        .layer(from_fn_with_state(limits, read_body_within_budget))
         .layer(from_fn_with_state(shared.clone(), authorize))
         .with_state(shared);
     Router::new().nest(api::PREFIX, routes)
--- a/crates/node/src/place/jobs.rs
+++ b/crates/node/src/place/jobs.rs
@@ -16,12 +16,15 @@
 use axum::Router;
 use axum::extract::Path;
 use axum::extract::State;
+use axum::middleware::from_fn_with_state;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
 use bytes::Bytes;
 use gateway::NodeContext;
+use gateway::WholeBodyLimits;
+use gateway::read_body_within_budget;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
@@ -53,6 +56,8 @@
 
 /// Maximum size of a job's body, in bytes.
 const BODY_MAX_BYTES: usize = 64 * 1_024;
+/// Maximum size of the body of a request, in bytes.
+const REQUEST_MAX_BYTES: u64 = 2 << 20;
 /// Maximum number of attempts of a job, if the caller sets none.
 const ATTEMPTS_DEFAULT: u32 = 3;
 /// Upper bound on the maximum number of attempts that a caller may set.
@@ -155,9 +160,14 @@
 
 /// Returns the routes of the callers' interface for jobs.
 pub fn router(shared: Arc<Shared>) -> Router {
+    let limits = WholeBodyLimits {
+        max_bytes: REQUEST_MAX_BYTES,
+        idle_timeout: shared.settings.gateway.caller_idle_timeout,
+    };
     Router::new()
         .route("/jobs", post(submit))
         .route("/jobs/cancel", post(cancel_many))
+        .route_layer(from_fn_with_state(limits, read_body_within_budget))
         .route("/jobs/{id}", get(status).delete(cancel_one))
         .route("/jobs/{id}/result", get(result))
         .with_state(shared)
