Keep a quarter of the file descriptors from callers

Callers and operators could take all descriptors of a process, so that none was left for backend servers, the table and other nodes. The connections of callers are lowered at the start, with a warning, if both interfaces could take more than three quarters of the limit on open files. The test of idle connections passed before as well, since the head timeout closes them after 10 s; no test shows the lack of descriptors.

--- a/crates/savorypitch/src/command/serve.rs
+++ b/crates/savorypitch/src/command/serve.rs
@@ -1,6 +1,7 @@
 //! `serve`: runs a node until a signal stops it.
 
 mod check;
+mod descriptors;
 mod peers;
 
 use node::Node;
@@ -21,7 +22,9 @@
     runtime.block_on(serve(settings))
 }
 
-async fn serve(settings: ServeSettings) -> Result<(), Failure> {
+async fn serve(mut settings: ServeSettings) -> Result<(), Failure> {
+    let limits = &mut settings.node.gateway;
+    descriptors::leave_descriptors(&mut limits.caller_limits, &limits.admin_limits);
     let platform = match settings.platform {
         Some(address) => {
             let client = HttpPlatform::new(address, settings.platform_timeout);
