--- a/crates/savorypitch/tests/outside_limits.rs
+++ b/crates/savorypitch/tests/serve_outside_limits.rs
@@ -4,9 +4,9 @@
 //! machine, and that ordinary requests are answered while the crowd is still connected. The limits
 //! of the node are lowered, so that a small crowd is enough.
 
-#[path = "outside_limits/crowd.rs"]
+#[path = "serve_outside_limits/crowd.rs"]
 mod crowd;
-#[path = "outside_limits/node.rs"]
+#[path = "serve_outside_limits/node.rs"]
 mod node;
 
 use std::net::SocketAddr;
