--- a/crates/savorypitch/src/command/serve.rs
+++ b/crates/savorypitch/src/command/serve.rs
@@ -1,10 +1,12 @@
 //! `serve`: runs a node until a signal stops it.
 
 mod check;
+mod descriptors;
 mod peers;
 
 use node::Node;
 use node::Platform;
+use services::HttpPlatform;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -20,9 +22,14 @@
     runtime.block_on(serve(settings))
 }
 
-async fn serve(settings: ServeSettings) -> Result<(), Failure> {
+async fn serve(mut settings: ServeSettings) -> Result<(), Failure> {
+    let limits = &mut settings.node.gateway;
+    descriptors::leave_descriptors(&mut limits.caller_limits, &limits.admin_limits);
     let platform = match settings.platform {
-        Some(address) => Platform::remote(address, settings.platform_timeout),
+        Some(address) => {
+            let client = HttpPlatform::new(address, settings.platform_timeout);
+            Platform::with_client(client.with_reply_max_bytes(settings.platform_reply_max_bytes))
+        }
         None => {
             spdlog::warn!("no platform is set: the configuration is lost when this process ends");
             Platform::embedded()
--- a/crates/savorypitch/src/command/serve/check.rs
+++ b/crates/savorypitch/src/command/serve/check.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use gateway::BudgetLimits;
 use gateway::GatewaySettings;
 use model::Diagnostics;
 use model::SourceLocation;
@@ -20,6 +21,13 @@
 /// Largest value of a time setting, in milliseconds: one day.
 const TIME_MAX_MS: u64 = 86_400_000;
 
+/// Smallest memory for callers, in bytes: a few buffered bodies of the largest size.
+const CALLER_MEMORY_MIN_BYTES: usize = 4 << 20;
+/// Operators' calls get this part of the memory for callers, in addition.
+const ADMIN_MEMORY_DIVISOR: usize = 2;
+/// Smallest limit on the size of a reply of the platform, in bytes.
+const PLATFORM_REPLY_MIN_BYTES: usize = 1 << 20;
+
 /// Checked settings of `serve`.
 pub struct ServeSettings {
     /// Settings of the node.
@@ -28,6 +36,8 @@
     pub platform: Option<SocketAddr>,
     /// Timeout of a call to the platform.
     pub platform_timeout: Duration,
+    /// Maximum size of a reply of the platform, in bytes.
+    pub platform_reply_max_bytes: usize,
     /// Time at a stop between failing readiness and closing the listener.
     pub stop_notice: Duration,
     /// Longest time at a stop that running requests get to finish.
@@ -57,6 +67,11 @@
             &args.platform_timeout_ms,
             1,
         ),
+        platform_reply_max_bytes: reader.read_count(
+            "--platform-reply-max-bytes",
+            &args.platform_reply_max_bytes,
+            PLATFORM_REPLY_MIN_BYTES,
+        ),
         stop_notice: reader.read_duration("--stop-notice-ms", &args.stop_notice_ms, 0),
         stop_grace: reader.read_duration("--stop-grace-ms", &args.stop_grace_ms, 0),
         node: node_settings(args, peering, &mut reader),
@@ -69,7 +84,20 @@
     peering: Option<Peering>,
     reader: &mut SettingsReader,
 ) -> Settings {
+    let flag = "--caller-memory-max-bytes";
+    let memory_max_bytes =
+        reader.read_count(flag, &args.caller_memory_max_bytes, CALLER_MEMORY_MIN_BYTES);
+    let callers_max = &args.caller_connections_max;
+    let operators_max = &args.admin_connections_max;
     let gateway = GatewaySettings {
+        caller_limits: BudgetLimits {
+            connections_max: reader.read_count("--caller-connections-max", callers_max, 1),
+            memory_max_bytes,
+        },
+        admin_limits: BudgetLimits {
+            connections_max: reader.read_count("--admin-connections-max", operators_max, 1),
+            memory_max_bytes: memory_max_bytes / ADMIN_MEMORY_DIVISOR,
+        },
         connect_timeout: reader.read_duration("--connect-timeout-ms", &args.connect_timeout_ms, 1),
         request_timeout: reader.read_duration("--request-timeout-ms", &args.request_timeout_ms, 1),
         body_max_bytes: reader.read_count("--body-max-bytes", &args.body_max_bytes, 1),
