--- a/crates/coordinator/src/worker_poll.rs
+++ b/crates/coordinator/src/worker_poll.rs
@@ -3,9 +3,8 @@
 //! Some workers leave calls unanswered, and connections may break without a reset. While a poll is
 //! in flight, completions of that worker remain unknown and what they would free stays in use, so
 //! that waiting for the time limit of the call would leave the worker idle for seconds during a
-//! peak. A poll that is late is therefore made again beside the first one, until one is answered or the
-//! first one has failed. Polls are
-//! idempotent: each renews the lease to at least the requested deadline and lists the same runs.
+//! peak. A poll that is late is therefore made again beside the first one, until one is answered or
+//! the first one has failed. Repeats list the same runs, renew no lease and acknowledge nothing.
 
 use std::pin::pin;
 use std::time::Duration;
--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -4,10 +4,12 @@
 //! may be running, with its run number: a unit that no row names is not running anywhere. A row is
 //! written when a run is added to its worker. Runs that have ended stay in the row until it is
 //! written again. This is harmless, since their units have finished or have a run with a higher
-//! number. The row tells which runs are not known to be of its incarnation: a later one, which the
-//! owner did not know of, may have started them. Once they have lasted, the row is written again. The
-//! row of a removed worker is removed, unless the worker comes back and a row is written
+//! number. The row of a removed worker is removed, unless the worker comes back and a row is written
 //! for it before.
+//!
+//! The row also tells which runs are not known to be of its incarnation: a later one, which the
+//! owner did not know of, may have started them. Once they are known to be, the row is written
+//! again.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -114,8 +116,8 @@
 }
 
 impl Scheduler {
-    /// Adds the rows of workers that got new runs or list unassigned ones, and removes the rows of workers that were
-    /// removed; at most `rows_max` rows in total, and about `bytes_max` bytes in the whole batch.
+    /// Adds the rows of workers that got new runs, list unassigned ones or have confirmed runs, and
+    /// removes the rows of workers that were removed; at most `rows_max` rows in total, and about `bytes_max` bytes in the whole batch.
     pub(crate) fn add_assignments(
         &mut self,
         batch: &mut Batch,
