Look at the runs of a worker only if its row or an acknowledgement may change

Each batch counted the unconfirmed runs of all workers whose row was older than 2 s, also where the row had none. Polls looked at the runs of their worker even if there was nothing to acknowledge.

--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -92,9 +92,11 @@
         self.runs.retain(|run| is_kept(&run));
     }
 
-    /// Returns the number of runs that a later incarnation may have started.
-    fn unconfirmed_count(&self) -> usize {
-        self.unconfirmed_runs.as_ref().map_or(self.runs.len(), Vec::len)
+    /// Returns when the row was written, which is now, and its number of runs that a later
+    /// incarnation may have started; `None` if there are none.
+    fn unconfirmed_at(&self, now: Moment) -> Option<(Moment, usize)> {
+        let count = self.unconfirmed_runs.as_ref().map_or(self.runs.len(), Vec::len);
+        (count > 0).then_some((now, count))
     }
 
     /// Returns the runs of the row, without those whose unit has no valid name.
@@ -148,7 +150,7 @@
                 worker.has_unstored_run = has_unstored_run;
                 worker.has_unassigned_run = false;
                 worker.has_row = true;
-                worker.unconfirmed_in_row = Some((now, row.unconfirmed_count()));
+                worker.unconfirmed_in_row = row.unconfirmed_at(now);
             }
         }
         // A worker that was removed may have come back since. Its row is then needed again.
@@ -195,7 +197,7 @@
             };
             let worker = self.workers.entry_or(id.clone(), unregistered);
             worker.has_row = true;
-            worker.unconfirmed_in_row = Some((now, row.unconfirmed_count()));
+            worker.unconfirmed_in_row = row.unconfirmed_at(now);
             worker.record_earlier_deadlines(now + lease_left.saturating_sub(lease));
             let end = RunEnd::worker_restarted(
                 row.incarnation_started_ms,
--- a/crates/scheduler/src/worker_reports.rs
+++ b/crates/scheduler/src/worker_reports.rs
@@ -70,12 +70,11 @@
     /// none to acknowledge. While a start may have been carried out by a later incarnation, that one
     /// would take the number for the end of this run.
     pub fn completion_to_acknowledge(&self, worker: &Worker) -> u64 {
+        let number = worker.completion_to_acknowledge();
         let is_unconfirmed =
             |run: &Run| run.phase != Phase::Commanded && run.may_be_of_later_incarnation();
-        match self.runs_on(worker).any(|(_, run)| is_unconfirmed(run)) {
-            true => 0,
-            false => worker.completion_to_acknowledge(),
-        }
+        let must_withhold = number > 0 && self.runs_on(worker).any(|(_, run)| is_unconfirmed(run));
+        if must_withhold { 0 } else { number }
     }
 
     /// Handles a poll that a worker did not answer.
