--- a/crates/coordinator/src/http/replies.rs
+++ b/crates/coordinator/src/http/replies.rs
@@ -77,6 +77,10 @@
             let Ok(chunk) = frame.into_data() else {
                 continue;
             };
+            // Most replies come in one part, which needs no copy.
+            if buffer_bytes == 0 && body.is_end_stream() && chunk.len() <= FREE_REPLY_BYTES {
+                return Ok(chunk);
+            }
             let growth = buffer.growth(chunk.len(), self.limits.reply_bytes_max);
             let growth = growth.ok_or_else(|| self.refuse())?;
             buffer_bytes += growth;
