--- a/crates/scheduler/src/assignments.rs
+++ b/crates/scheduler/src/assignments.rs
@@ -119,7 +119,8 @@
 
 impl Scheduler {
     /// Adds the rows of workers that got new runs, list unassigned ones or have confirmed runs, and
-    /// removes the rows of workers that were removed; at most `rows_max` rows in total, and about `bytes_max` bytes in the whole batch.
+    /// removes the rows of workers that were removed; at most `rows_max` rows in total, and about
+    /// `bytes_max` bytes in the whole batch.
     pub(crate) fn add_assignments(
         &mut self,
         batch: &mut Batch,
