--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -623,6 +624,8 @@
 
 class World:
     def __init__(self, record_path, program, pools=("p",), attempts=3):
+        # Ends the nodes as well if the script is ended.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = Record(record_path)
         self.program = program
         self.folder = tempfile.mkdtemp(prefix="savorypitch-review-")
